--- /dev/null
+++ b/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, engines and plain services."""
--- /dev/null
+++ b/emulator/_cluster.py
@@ -0,0 +1,461 @@
+"""Start stand-ins and daemons as processes and stop them again.
+
+The launcher belongs to the emulator: no program of arbutusbay starts
+another. Every VM has an address of its own in 127.0.0.0/8.
+"""
+
+import contextlib
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Iterator, Mapping, Sequence
+from pathlib import Path
+from typing import Any
+from urllib import request as urllib_request
+from urllib.parse import urlsplit
+
+import attrs
+import orjson
+from arbutusbay.cli import Document, read_documents
+from arbutusbay.state import BackendKind, BackendServer
+
+PORT = 9000
+ROUTER_PORT = 8080
+CONTROL_PORT = 8081
+START_TIMEOUT_S = 30.0
+_POLL_S = 0.05
+_STOP_TIMEOUT_S = 15.0
+_EXAMPLE_PREFIX = '127.0.0.'
+_PLATFORM_HOST = 1
+_FIRST_NODE_HOST = 11
+_MAX_ADDRESS_PART = 250
+_ROOT = Path(__file__).resolve().parent.parent
+
+
+@attrs.define(kw_only=True)
+class Process:
+    """Hold one running process."""
+
+    name: str
+    url: str
+    arguments: list[str]
+    log_path: Path
+    popen: subprocess.Popen[bytes] | None = None
+
+    def start(self) -> None:
+        """Start the process; its output goes to its log file."""
+        with self.log_path.open('ab') as log:
+            self.popen = subprocess.Popen(
+                self.arguments,
+                stdout=log,
+                stderr=log,
+                cwd=_ROOT,
+            )
+
+    def signal(self, number: int) -> None:
+        """Send a signal to the process if it runs."""
+        if self.popen is not None and self.popen.poll() is None:
+            self.popen.send_signal(number)
+
+    def kill(self) -> None:
+        """Kill the process and wait for its end."""
+        self.signal(signal.SIGKILL)
+        if self.popen is not None:
+            self.popen.wait()
+
+    def freeze(self) -> None:
+        """Stop the process without ending it."""
+        self.signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Let a frozen process go on."""
+        self.signal(signal.SIGCONT)
+
+    def terminate(self) -> None:
+        """Ask the process to drain and end."""
+        self.signal(signal.SIGTERM)
+
+    def wait(self, timeout_s: float = _STOP_TIMEOUT_S) -> int:
+        """Return the exit code once the process ended."""
+        return self.popen.wait(timeout_s)
+
+    def is_running(self) -> bool:
+        """Tell whether the process lives."""
+        return self.popen is not None and self.popen.poll() is None
+
+
+@attrs.frozen(kw_only=True)
+class Node:
+    """Hold the two daemons of one entry VM."""
+
+    id: str
+    host: str
+    zone: str
+    router: Process
+    control: Process
+
+
+@attrs.frozen(kw_only=True)
+class ClusterOptions:
+    """Choose what a cluster runs.
+
+    ``zones`` gives the availability zone of each entry VM. The mappings
+    hold extra settings and extra arguments of stand-ins by program.
+    """
+
+    example: Path
+    zones: Sequence[str]
+    router: Mapping[str, Any] = attrs.field(factory=dict)
+    control: Mapping[str, Any] = attrs.field(factory=dict)
+    engine_arguments: Sequence[str] = ()
+    service_arguments: Sequence[str] = ()
+    platform_arguments: Sequence[str] = ()
+
+
+class Cluster:
+    """Run one deployment on addresses of its own."""
+
+    def __init__(self, *, options: ClusterOptions, folder: Path) -> None:
+        """Write settings and logs into ``folder``."""
+        self.options = options
+        self.folder = folder
+        self.prefix = free_prefix()
+        self.documents = [
+            self._rebased(document)
+            for document in read_documents(options.example).unwrap()
+        ]
+        self.platform = self._stand_in(
+            'platform',
+            'emulator.platform',
+            self.host(_PLATFORM_HOST),
+            options.platform_arguments,
+        )
+        self.backends = {
+            document.name: self._backend(document)
+            for document in self.documents
+            if isinstance(document.spec, BackendServer)
+        }
+        self.nodes = [
+            self._node(number, zone)
+            for number, zone in enumerate(options.zones)
+        ]
+
+    def host(self, number: int) -> str:
+        """Return an address of this cluster."""
+        return f'{self.prefix}{number}'
+
+    def engines(self) -> list[Process]:
+        """Return the engine stand-ins."""
+        return [
+            self.backends[document.name]
+            for document in self.documents
+            if isinstance(document.spec, BackendServer)
+            and document.spec.kind is BackendKind.ENGINE
+        ]
+
+    def services(self) -> list[Process]:
+        """Return the plain service stand-ins."""
+        engines = {engine.name for engine in self.engines()}
+        return [
+            backend
+            for name, backend in self.backends.items()
+            if name not in engines
+        ]
+
+    def processes(self) -> list[Process]:
+        """Return all processes, daemons first."""
+        daemons = [
+            daemon
+            for node in self.nodes
+            for daemon in (node.router, node.control)
+        ]
+        return [*daemons, *self.backends.values(), self.platform]
+
+    def start(self) -> None:
+        """Start everything and apply the resources."""
+        self.start_stand_ins()
+        for node in self.nodes:
+            node.control.start()
+            node.router.start()
+        for node in self.nodes:
+            wait_for_ok(f'{node.control.url}/readyz')
+        self.apply()
+        for node in self.nodes:
+            wait_for_ok(f'{node.router.url}/readyz')
+        self.wait_for_index()
+
+    def start_stand_ins(self) -> None:
+        """Start the platform and the backend servers."""
+        self.platform.start()
+        for backend in self.backends.values():
+            backend.start()
+        wait_for_ok(f'{self.platform.url}/counts')
+        for backend in self.backends.values():
+            wait_for_ok(f'{backend.url}/counts')
+        self.put_vms()
+
+    def put_vms(self, leaving: Sequence[str] = ()) -> None:
+        """Publish the list of VMs, with the hosts that are leaving."""
+        hosts = [
+            (node.id, node.host, node.zone, 'entry') for node in self.nodes
+        ]
+        hosts.extend(
+            (name, urlsplit(backend.url).hostname, 'any', 'backend')
+            for name, backend in self.backends.items()
+        )
+        vms = [
+            {
+                'id': name,
+                'host': host,
+                'zone': zone,
+                'role': role,
+                'state': 'leaving' if host in leaving else 'live',
+            }
+            for name, host, zone, role in hosts
+        ]
+        call_json(f'{self.platform.url}/v1/vms', vms, method='PUT')
+
+    def apply(self) -> None:
+        """Declare all resources with the operators' client."""
+        path = self.folder / 'resources.toml'
+        text = self.options.example.read_text(encoding='utf-8')
+        path.write_text(
+            text.replace(_EXAMPLE_PREFIX, self.prefix),
+            encoding='utf-8',
+        )
+        self.run_client('apply', '-f', str(path))
+
+    def run_client(self, *arguments: str) -> str:
+        """Run the operators' client and return what it printed."""
+        command = [sys.executable, '-m', 'arbutusbay.cli']
+        server = self.nodes[0].control.url
+        return subprocess.run(
+            [*command, '--server', server, *arguments],
+            check=True,
+            capture_output=True,
+            text=True,
+            timeout=START_TIMEOUT_S,
+        ).stdout
+
+    def wait_for_index(self) -> None:
+        """Wait until each engine is watched by an index owner."""
+        wanted = {engine.name for engine in self.engines()}
+        wait_until(lambda: wanted <= self._indexed_engines())
+
+    def stop(self) -> None:
+        """End all processes that this cluster started."""
+        for process in self.processes():
+            process.thaw()
+            process.kill()
+
+    def _indexed_engines(self) -> set[str]:
+        found: set[str] = set()
+        for node in self.nodes:
+            if node.control.is_running():
+                dump = call_json(f'{node.control.url}/debug/state')
+                found.update(
+                    name
+                    for name, engine in dump['index'].items()
+                    if engine['reachable']
+                )
+        return found
+
+    def _rebased(self, document: Document) -> Document:
+        if not isinstance(document.spec, BackendServer):
+            return document
+        url = document.spec.url.replace(_EXAMPLE_PREFIX, self.prefix)
+        return attrs.evolve(
+            document,
+            spec=attrs.evolve(document.spec, url=url),
+        )
+
+    def _backend(self, document: Document) -> Process:
+        spec = document.spec
+        host = urlsplit(spec.url).hostname
+        arguments = []
+        if spec.kind is BackendKind.ENGINE:
+            arguments.extend(self.options.engine_arguments)
+            if spec.checks_fencing:
+                arguments.append('--checks-fencing')
+            arguments.extend(('--seed', host.rpartition('.')[-1]))
+            return self._stand_in(
+                document.name,
+                'emulator.engine',
+                host,
+                arguments,
+            )
+        arguments.extend(self.options.service_arguments)
+        if spec.checks_idempotency_keys:
+            arguments.append('--checks-keys')
+        return self._stand_in(
+            document.name,
+            'emulator.service',
+            host,
+            arguments,
+        )
+
+    def _stand_in(
+        self,
+        name: str,
+        module: str,
+        host: str,
+        arguments: Sequence[str],
+    ) -> Process:
+        return Process(
+            name=name,
+            url=f'http://{host}:{PORT}',
+            arguments=[
+                sys.executable,
+                '-m',
+                module,
+                '--host',
+                host,
+                '--port',
+                str(PORT),
+                *arguments,
+            ],
+            log_path=self.folder / f'{name}.log',
+        )
+
+    def _node(self, number: int, zone: str) -> Node:
+        host = self.host(_FIRST_NODE_HOST + number)
+        node = {
+            'id': f'vm-{number + 1}',
+            'host': host,
+            'zone': zone,
+            'router_port': ROUTER_PORT,
+            'control_port': CONTROL_PORT,
+        }
+        peers = [
+            f'http://{self.host(_FIRST_NODE_HOST + other)}:{CONTROL_PORT}'
+            for other in range(len(self.options.zones))
+        ]
+        control = {
+            'node': node,
+            'peers': peers,
+            'platform': {
+                'log_url': self.platform.url,
+                'vms_url': self.platform.url,
+            },
+            **self.options.control,
+        }
+        router = {'node': node, 'peers': peers, **self.options.router}
+        return Node(
+            id=node['id'],
+            host=host,
+            zone=zone,
+            router=self._daemon('router', node, router, ROUTER_PORT),
+            control=self._daemon('control', node, control, CONTROL_PORT),
+        )
+
+    def _daemon(
+        self,
+        program: str,
+        node: Mapping[str, Any],
+        settings: Mapping[str, Any],
+        port: int,
+    ) -> Process:
+        name = f'{program}-{node["id"]}'
+        path = self.folder / f'{name}.toml'
+        path.write_text(toml_from_settings(settings), encoding='utf-8')
+        return Process(
+            name=name,
+            url=f'http://{node["host"]}:{port}',
+            arguments=[
+                sys.executable,
+                '-m',
+                f'arbutusbay.{program}',
+                '--config',
+                str(path),
+            ],
+            log_path=self.folder / f'{name}.log',
+        )
+
+
+@contextlib.contextmanager
+def running_cluster(options: ClusterOptions) -> Iterator[Cluster]:
+    """Run a cluster in a temporary folder for the length of a block."""
+    with tempfile.TemporaryDirectory() as folder:
+        cluster = Cluster(options=options, folder=Path(folder))
+        try:
+            cluster.start()
+            yield cluster
+        finally:
+            cluster.stop()
+
+
+def toml_from_settings(settings: Mapping[str, Any]) -> str:
+    """Return settings of one level of tables as TOML."""
+    plain = []
+    tables = []
+    for name, entry in settings.items():
+        if isinstance(entry, Mapping):
+            tables.append(f'\n[{name}]\n{toml_from_settings(entry)}')
+        else:
+            plain.append(f'{name} = {_toml_value(entry)}\n')
+    return ''.join(plain + tables)
+
+
+def free_prefix() -> str:
+    """Return the first three parts of addresses that nobody uses."""
+    rng = random.Random(os.getpid() ^ time.time_ns())
+    while True:
+        second = rng.randint(1, _MAX_ADDRESS_PART)
+        third = rng.randint(1, _MAX_ADDRESS_PART)
+        prefix = f'127.{second}.{third}.'
+        with contextlib.closing(socket.socket()) as probe:
+            try:
+                probe.bind((f'{prefix}{_PLATFORM_HOST}', PORT))
+            except OSError:
+                continue
+        return prefix
+
+
+def call_json(
+    url: str,
+    body: Any = None,
+    *,
+    method: str | None = None,
+    timeout_s: float = 5.0,
+) -> Any:
+    """Call a stand-in or a daemon and return the JSON it answers."""
+    payload = None if body is None else orjson.dumps(body)
+    request = urllib_request.Request(
+        url,
+        data=payload,
+        method=method,
+        headers={'Content-Type': 'application/json'},
+    )
+    with urllib_request.urlopen(request, timeout=timeout_s) as response:
+        return orjson.loads(response.read())
+
+
+def wait_for_ok(url: str) -> None:
+    """Wait until ``url`` answers with success."""
+    wait_until(lambda: _is_ok(url))
+
+
+def wait_until(condition: Any, timeout_s: float = START_TIMEOUT_S) -> None:
+    """Wait until ``condition`` is true, or raise ``TimeoutError``."""
+    deadline_s = time.monotonic() + timeout_s
+    while not condition():
+        if time.monotonic() > deadline_s:
+            raise TimeoutError('the condition did not come true in time')
+        time.sleep(_POLL_S)
+
+
+def _is_ok(url: str) -> bool:
+    try:
+        call_json(url, timeout_s=1.0)
+    except (OSError, ValueError):
+        return False
+    return True
+
+
+def _toml_value(entry: Any) -> str:
+    return orjson.dumps(entry).decode()
--- /dev/null
+++ b/emulator/cluster.py
@@ -0,0 +1,23 @@
+"""Expose the launcher of clusters of processes."""
+
+from emulator._cluster import (
+    Cluster,
+    ClusterOptions,
+    Node,
+    Process,
+    call_json,
+    running_cluster,
+    wait_for_ok,
+    wait_until,
+)
+
+__all__ = (
+    'Cluster',
+    'ClusterOptions',
+    'Node',
+    'Process',
+    'call_json',
+    'running_cluster',
+    'wait_for_ok',
+    'wait_until',
+)
--- /dev/null
+++ b/emulator/service.py
@@ -0,0 +1,99 @@
+"""Stand in for a plain service that books orders and answers lookups.
+
+``POST /orders`` runs an order and counts it by ``Idempotency-Key``;
+``GET /stock/<item>`` is idempotent. Faults are set with ``POST /faults``:
+``lose_answers`` closes the connection after the run, ``delay_ms`` slows.
+"""
+
+import argparse
+import asyncio
+import collections
+from typing import Any
+
+import attrs
+from aiohttp import web
+
+from emulator._stand_in import read_fields, run_stand_in
+
+
+@attrs.define(kw_only=True)
+class Faults:
+    """Hold the fault switches."""
+
+    lose_answers: int = 0
+    delay_ms: int = 0
+
+
+class OrderService:
+    """Book orders and count every run."""
+
+    def __init__(self, *, checks_keys: bool, delay_ms: int) -> None:
+        """Run a key once only if ``checks_keys``."""
+        self.checks_keys = checks_keys
+        self.faults = Faults(delay_ms=delay_ms)
+        self.runs: collections.Counter[str] = collections.Counter()
+        self.lookups = 0
+
+    def application(self) -> web.Application:
+        """Return the HTTP application."""
+        application = web.Application()
+        router = application.router
+        router.add_post('/orders', self.book)
+        router.add_get('/stock/{item}', self.look_up)
+        router.add_get('/counts', self.get_counts)
+        router.add_post('/faults', self.put_faults)
+        return application
+
+    async def book(self, request: web.Request) -> web.Response:
+        """Book an order."""
+        await request.read()
+        key = request.headers.get('Idempotency-Key', '')
+        if not self.checks_keys or not self.runs[key]:
+            self.runs[key] += 1
+        await asyncio.sleep(self.faults.delay_ms / 1000)
+        if self.faults.lose_answers > 0:
+            self.faults.lose_answers -= 1
+            request.transport.abort()
+        return web.json_response({'booked': key})
+
+    async def look_up(self, request: web.Request) -> web.Response:
+        """Answer a lookup."""
+        self.lookups += 1
+        await asyncio.sleep(self.faults.delay_ms / 1000)
+        return web.json_response(
+            {
+                'item': request.match_info['item'],
+                'stock': 7,
+            }
+        )
+
+    async def get_counts(self, request: web.Request) -> web.Response:
+        """Return the runs of each key."""
+        return web.json_response(
+            {
+                'runs': self.runs,
+                'lookups': self.lookups,
+            }
+        )
+
+    async def put_faults(self, request: web.Request) -> web.Response:
+        """Set fault switches."""
+        fields = await read_fields(request)
+        self.faults = attrs.evolve(self.faults, **fields)
+        return web.json_response(attrs.asdict(self.faults))
+
+
+def _add_options(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument('--checks-keys', action='store_true')
+    parser.add_argument('--delay-ms', type=int, default=5)
+
+
+def _build(options: Any) -> web.Application:
+    return OrderService(
+        checks_keys=options.checks_keys,
+        delay_ms=options.delay_ms,
+    ).application()
+
+
+if __name__ == '__main__':
+    run_stand_in(name='service', add_options=_add_options, build=_build)
--- /dev/null
+++ b/src/arbutusbay/__init__.py
@@ -0,0 +1,1 @@
+"""Router for language-model traffic with long shared prompts."""
--- /dev/null
+++ b/src/arbutusbay/_errors.py
@@ -0,0 +1,158 @@
+"""Define the closed list of error kinds and the answer for each kind."""
+
+import enum
+import math
+from collections.abc import Mapping
+from http import HTTPStatus
+from types import MappingProxyType
+
+import attrs
+
+
+class RunState(enum.StrEnum):
+    """Tell whether a refused request may have had an effect."""
+
+    NOT_RUN = 'not_run'
+    UNKNOWN = 'outcome_unknown'
+    RAN = 'ran'
+
+
+class ErrorKind(enum.StrEnum):
+    """Name every reason for which a process of arbutusbay refuses."""
+
+    BAD_REQUEST = 'bad_request'
+    BODY_TOO_LARGE = 'body_too_large'
+    BAD_API_KEY = 'bad_api_key'
+    UNKNOWN_MODEL = 'unknown_model'
+    UNKNOWN_ROUTE = 'unknown_route'
+    NO_BACKEND_SERVER = 'no_backend_server'
+    OVERLOADED = 'overloaded'
+    DEADLINE_EXCEEDED = 'deadline_exceeded'
+    DRAINING = 'draining'
+    NOT_CONFIGURED = 'not_configured'
+    STREAM_BROKEN = 'stream_broken'
+    LEDGER_UNAVAILABLE = 'ledger_unavailable'
+    IN_PROGRESS = 'in_progress'
+    OUTCOME_UNKNOWN = 'outcome_unknown'
+    KEY_REUSED = 'key_reused'
+    VERSION_CONFLICT = 'version_conflict'
+    INVALID_RESOURCE = 'invalid_resource'
+    UNKNOWN_RESOURCE = 'unknown_resource'
+    LOG_UNAVAILABLE = 'log_unavailable'
+    PEER_UNREACHABLE = 'peer_unreachable'
+    BAD_MESSAGE = 'bad_message'
+    INTERNAL = 'internal'
+
+
+@attrs.frozen(kw_only=True)
+class ErrorAnswer:
+    """Describe what a caller is told about one error kind.
+
+    ``status`` is an HTTP status; ``run_state`` holds unless the failure
+    itself carries a more careful one.
+    """
+
+    status: int
+    run_state: RunState
+    retryable: bool = False
+
+
+def _not_run(status: int, *, retryable: bool = False) -> ErrorAnswer:
+    return ErrorAnswer(
+        status=status,
+        run_state=RunState.NOT_RUN,
+        retryable=retryable,
+    )
+
+
+def _unknown(status: int) -> ErrorAnswer:
+    return ErrorAnswer(
+        status=status,
+        run_state=RunState.UNKNOWN,
+        retryable=True,
+    )
+
+
+ANSWERS: Mapping[ErrorKind, ErrorAnswer] = MappingProxyType(
+    {
+        ErrorKind.BAD_REQUEST: _not_run(HTTPStatus.BAD_REQUEST),
+        ErrorKind.BODY_TOO_LARGE: _not_run(HTTPStatus.REQUEST_ENTITY_TOO_LARGE),
+        ErrorKind.BAD_API_KEY: _not_run(HTTPStatus.UNAUTHORIZED),
+        ErrorKind.UNKNOWN_MODEL: _not_run(HTTPStatus.NOT_FOUND),
+        ErrorKind.UNKNOWN_ROUTE: _not_run(HTTPStatus.NOT_FOUND),
+        ErrorKind.NO_BACKEND_SERVER: _not_run(
+            HTTPStatus.SERVICE_UNAVAILABLE, retryable=True
+        ),
+        ErrorKind.OVERLOADED: _not_run(
+            HTTPStatus.TOO_MANY_REQUESTS, retryable=True
+        ),
+        ErrorKind.DEADLINE_EXCEEDED: _not_run(
+            HTTPStatus.GATEWAY_TIMEOUT, retryable=True
+        ),
+        ErrorKind.DRAINING: _not_run(
+            HTTPStatus.SERVICE_UNAVAILABLE, retryable=True
+        ),
+        ErrorKind.NOT_CONFIGURED: _not_run(
+            HTTPStatus.SERVICE_UNAVAILABLE, retryable=True
+        ),
+        ErrorKind.STREAM_BROKEN: ErrorAnswer(
+            status=HTTPStatus.BAD_GATEWAY,
+            run_state=RunState.RAN,
+            retryable=True,
+        ),
+        ErrorKind.LEDGER_UNAVAILABLE: _unknown(HTTPStatus.SERVICE_UNAVAILABLE),
+        ErrorKind.IN_PROGRESS: _unknown(HTTPStatus.CONFLICT),
+        ErrorKind.OUTCOME_UNKNOWN: _unknown(HTTPStatus.BAD_GATEWAY),
+        ErrorKind.KEY_REUSED: _not_run(HTTPStatus.UNPROCESSABLE_ENTITY),
+        ErrorKind.VERSION_CONFLICT: _not_run(HTTPStatus.CONFLICT),
+        ErrorKind.INVALID_RESOURCE: _not_run(HTTPStatus.UNPROCESSABLE_ENTITY),
+        ErrorKind.UNKNOWN_RESOURCE: _not_run(HTTPStatus.NOT_FOUND),
+        ErrorKind.LOG_UNAVAILABLE: _unknown(HTTPStatus.SERVICE_UNAVAILABLE),
+        ErrorKind.PEER_UNREACHABLE: _unknown(HTTPStatus.SERVICE_UNAVAILABLE),
+        ErrorKind.BAD_MESSAGE: _unknown(HTTPStatus.BAD_GATEWAY),
+        ErrorKind.INTERNAL: _unknown(HTTPStatus.INTERNAL_SERVER_ERROR),
+    }
+)
+
+
+@attrs.frozen(kw_only=True)
+class Failure:
+    """Carry one refusal: its kind, a sentence for people, a retry hint.
+
+    ``retry_after_s`` is in seconds. ``run_state`` overrides the table when
+    the place that failed knows more than the kind tells.
+    """
+
+    kind: ErrorKind
+    detail: str
+    retry_after_s: float | None = None
+    run_state: RunState | None = None
+
+    @property
+    def answer(self) -> ErrorAnswer:
+        """Return the table's answer for this kind."""
+        return ANSWERS[self.kind]
+
+    @property
+    def told_run_state(self) -> RunState:
+        """Return what the caller is told about effects."""
+        return self.run_state or self.answer.run_state
+
+    @property
+    def retry_after_header(self) -> str | None:
+        """Return whole seconds for ``Retry-After``, rounded up."""
+        if self.retry_after_s is None:
+            return '1' if self.answer.retryable else None
+        return str(max(1, math.ceil(self.retry_after_s)))
+
+    def to_json(self) -> dict[str, object]:
+        """Return the body in the shape that OpenAI clients read."""
+        return {
+            'error': {
+                'type': self.kind.value,
+                'code': self.kind.value,
+                'message': self.detail,
+                'run_state': self.told_run_state.value,
+                'retryable': self.answer.retryable,
+            },
+        }
--- /dev/null
+++ b/src/arbutusbay/cli/_client.py
@@ -0,0 +1,130 @@
+"""Call the resource API of a control daemon."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from typing import Any
+
+import aiohttp
+import attrs
+import orjson
+from result import Err, Ok, Result
+
+from arbutusbay.cli._files import Document
+from arbutusbay.errors import ErrorKind, Failure
+from arbutusbay.state import spec_to_json
+
+_TIMEOUT_S = 10.0
+_WATCH_TIMEOUT_S = 30
+_MAX_OK_STATUS = 299
+
+
+@attrs.frozen(kw_only=True)
+class Applied:
+    """Tell what became of one declared resource."""
+
+    kind: str
+    name: str
+    action: str
+    version: int
+
+
+class ApiClient:
+    """Read and write resources."""
+
+    def __init__(self, *, session: aiohttp.ClientSession, url: str) -> None:
+        """Use the control daemon at ``url``."""
+        self.session = session
+        self.url = url.rstrip('/')
+
+    async def get(self, path: str) -> Result[Any, Failure]:
+        """Return the JSON at ``path``."""
+        return await self._call('GET', path)
+
+    async def apply(self, document: Document) -> Result[Applied, Failure]:
+        """Declare one resource on top of the version it has now."""
+        path = f'/api/v1/{document.kind}/{document.name}'
+        spec = spec_to_json(document.spec)
+        match await self.get(path):
+            case Ok(present):
+                version = present['version']
+                if present['spec'] == spec:
+                    return Ok(_applied(document, 'unchanged', version))
+                action = 'changed'
+                headers = {'If-Match': f'"{version}"'}
+            case Err(Failure(kind=ErrorKind.UNKNOWN_RESOURCE)):
+                action = 'created'
+                headers = {}
+            case Err() as failed:
+                return failed
+        answer = await self._call('PUT', path, body=spec, headers=headers)
+        return answer.map(
+            lambda fields: _applied(document, action, fields['version']),
+        )
+
+    async def delete(self, kind: str, name: str) -> Result[Any, Failure]:
+        """Remove the version of a resource that is in force now."""
+        path = f'/api/v1/{kind}/{name}'
+        match await self.get(path):
+            case Err() as failed:
+                return failed
+            case Ok(present):
+                headers = {'If-Match': f'"{present["version"]}"'}
+        return await self._call('DELETE', path, headers=headers)
+
+    async def watch(self) -> AsyncIterator[Any]:
+        """Yield changes until the daemon closes the stream."""
+        timeout = aiohttp.ClientTimeout(total=None, sock_read=_WATCH_TIMEOUT_S)
+        url = f'{self.url}/api/v1/watch'
+        async with self.session.get(url, timeout=timeout) as response:
+            async for line in response.content:
+                if line.strip():
+                    yield orjson.loads(line)
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        *,
+        body: Any = None,
+        headers: dict[str, str] | None = None,
+    ) -> Result[Any, Failure]:
+        try:
+            async with self.session.request(
+                method,
+                self.url + path,
+                data=None if body is None else orjson.dumps(body),
+                headers=headers,
+                timeout=aiohttp.ClientTimeout(total=_TIMEOUT_S),
+            ) as response:
+                answer = orjson.loads(await response.read())
+        except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
+            return _unreachable(f'{self.url}: {type(error).__name__}: {error}')
+        except ValueError:
+            return _unreachable(f'{self.url}: the answer is not JSON')
+        if response.status > _MAX_OK_STATUS:
+            return Err(_failure_from_json(answer))
+        return Ok(answer)
+
+
+def _applied(document: Document, action: str, version: int) -> Applied:
+    return Applied(
+        kind=document.kind,
+        name=document.name,
+        action=action,
+        version=version,
+    )
+
+
+def _failure_from_json(answer: Any) -> Failure:
+    try:
+        error = answer['error']
+        return Failure(
+            kind=ErrorKind(error['code']),
+            detail=error['message'],
+        )
+    except (KeyError, TypeError, ValueError):
+        return Failure(kind=ErrorKind.INTERNAL, detail=f'answer {answer!r}')
+
+
+def _unreachable(detail: str) -> Err[Failure]:
+    return Err(Failure(kind=ErrorKind.PEER_UNREACHABLE, detail=detail))
--- /dev/null
+++ b/src/arbutusbay/cli/_commands.py
@@ -0,0 +1,192 @@
+"""Run the commands of the operators' client."""
+
+import argparse
+import sys
+from types import MappingProxyType
+from typing import Any
+
+import attrs
+from result import Err, Ok
+
+from arbutusbay.cli._client import ApiClient
+from arbutusbay.cli._files import read_documents
+from arbutusbay.cli._tables import print_json, print_table, resource_rows
+from arbutusbay.errors import ErrorKind, Failure
+
+EXIT_OK = 0
+EXIT_REFUSED = 1
+EXIT_INVALID = 2
+EXIT_CONFLICT = 3
+EXIT_UNREACHABLE = 4
+
+_EXIT_CODES = MappingProxyType(
+    {
+        ErrorKind.INVALID_RESOURCE: EXIT_INVALID,
+        ErrorKind.BAD_REQUEST: EXIT_INVALID,
+        ErrorKind.VERSION_CONFLICT: EXIT_CONFLICT,
+        ErrorKind.PEER_UNREACHABLE: EXIT_UNREACHABLE,
+        ErrorKind.LOG_UNAVAILABLE: EXIT_UNREACHABLE,
+    }
+)
+_RESOURCE_HEADERS = ('KIND', 'NAME', 'VERSION', 'CONDITIONS')
+
+
+def fail(failure: Failure) -> int:
+    """Print ``failure`` and return the exit code of its kind."""
+    sys.stderr.write(f'arbutusbay: {failure.kind.value}: {failure.detail}\n')
+    return _EXIT_CODES.get(failure.kind, EXIT_REFUSED)
+
+
+def validate(options: argparse.Namespace) -> int:
+    """Check a file without a server."""
+    match read_documents(options.file):
+        case Err(failure):
+            return fail(failure)
+        case Ok(documents):
+            sys.stdout.write(f'{len(documents)} resources are valid\n')
+    return EXIT_OK
+
+
+async def apply(client: ApiClient, options: argparse.Namespace) -> int:
+    """Declare all resources of a file, in its order."""
+    match read_documents(options.file):
+        case Err(failure):
+            return fail(failure)
+        case Ok(documents):
+            pass
+    applied = []
+    for document in documents:
+        match await client.apply(document):
+            case Err(failure):
+                sys.stderr.write(f'{document.kind}/{document.name}: ')
+                return fail(failure)
+            case Ok(done):
+                applied.append(done)
+    if options.output == 'json':
+        print_json([attrs.asdict(done) for done in applied])
+    else:
+        print_table(
+            [attrs.astuple(done) for done in applied],
+            ('KIND', 'NAME', 'ACTION', 'VERSION'),
+        )
+    return EXIT_OK
+
+
+async def get(client: ApiClient, options: argparse.Namespace) -> int:
+    """Print the resources of a kind, or one."""
+    path = f'/api/v1/{options.kind}'
+    if options.name:
+        path = f'{path}/{options.name}'
+    match await client.get(path):
+        case Err(failure):
+            return fail(failure)
+        case Ok(answer):
+            pass
+    if options.output == 'json':
+        print_json(answer)
+    else:
+        items = answer.get('items', [answer])
+        print_table(resource_rows(items), _RESOURCE_HEADERS)
+    return EXIT_OK
+
+
+async def delete(client: ApiClient, options: argparse.Namespace) -> int:
+    """Remove one resource."""
+    match await client.delete(options.kind, options.name):
+        case Err(failure):
+            return fail(failure)
+        case Ok(answer):
+            sys.stdout.write(
+                f'{options.kind}/{options.name} deleted '
+                f'at {answer["deleted_at"]}\n',
+            )
+    return EXIT_OK
+
+
+async def watch(client: ApiClient, options: argparse.Namespace) -> int:
+    """Print changes until interrupted or the daemon leaves."""
+    async for change in client.watch():
+        if options.output == 'json':
+            print_json(change)
+        else:
+            sys.stdout.write(_change_line(change))
+        sys.stdout.flush()
+    return EXIT_OK
+
+
+async def status(client: ApiClient, options: argparse.Namespace) -> int:
+    """Print members, offsets in force and engines."""
+    match await client.get('/api/v1/status'):
+        case Err(failure):
+            return fail(failure)
+        case Ok(answer):
+            pass
+    if options.output == 'json':
+        print_json(answer)
+    else:
+        _print_status(answer)
+    return EXIT_OK
+
+
+async def dump(client: ApiClient, options: argparse.Namespace) -> int:
+    """Print the state of the process at a URL."""
+    process = ApiClient(session=client.session, url=options.process)
+    match await process.get('/debug/state'):
+        case Err(failure):
+            return fail(failure)
+        case Ok(answer):
+            print_json(answer)
+    return EXIT_OK
+
+
+def _change_line(change: Any) -> str:
+    version = change.get('version', '')
+    return f'{change["type"]} {change["kind"]}/{change["name"]} {version}\n'
+
+
+def _print_status(answer: Any) -> None:
+    sys.stdout.write(
+        f'offset {answer["offset"]}, in force on all routers: '
+        f'{answer["lowest_offset_in_force"]}, '
+        f'log reachable: {answer["log_reachable"]}, '
+        f'lease: {answer["lease_holder"]}\n\n',
+    )
+    print_table(
+        [
+            (
+                member['node'],
+                member['zone'],
+                member['host'],
+                member['config_offset'],
+                member['router_offset'],
+                member['leaving'],
+            )
+            for member in answer['members']
+        ],
+        ('VM', 'ZONE', 'HOST', 'CONTROL', 'ROUTER', 'LEAVING'),
+    )
+    sys.stdout.write('\n')
+    print_table(
+        [
+            (
+                pool,
+                engine['name'],
+                engine['weights_version'],
+                engine['ready'],
+                engine['running'],
+                engine['waiting'],
+                engine['age_ms'],
+            )
+            for pool, engines in answer['pools'].items()
+            for engine in engines
+        ],
+        (
+            'POOL',
+            'ENGINE',
+            'WEIGHTS',
+            'READY',
+            'RUNNING',
+            'WAITING',
+            'AGE MS',
+        ),
+    )
--- /dev/null
+++ b/src/arbutusbay/cli/_files.py
@@ -0,0 +1,64 @@
+"""Read resources from TOML files and check them."""
+
+import tomllib
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Any
+
+import attrs
+from result import Err, Ok, Result
+
+from arbutusbay.errors import ErrorKind, Failure
+from arbutusbay.state import Spec, check_name, spec_from_json
+
+_KEYS = frozenset(('kind', 'name', 'spec'))
+
+
+@attrs.frozen(kw_only=True)
+class Document:
+    """Hold one declared resource."""
+
+    kind: str
+    name: str
+    spec: Spec
+
+
+def read_documents(path: Path) -> Result[list[Document], Failure]:
+    """Return the resources of a TOML file with ``[[resource]]`` tables."""
+    try:
+        content = tomllib.loads(path.read_text(encoding='utf-8'))
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        return _invalid(f'{path}: {error}')
+    tables = content.get('resource')
+    if not isinstance(tables, list) or set(content) != {'resource'}:
+        return _invalid(f'{path}: expected only [[resource]] tables')
+    return _all_documents(path, tables)
+
+
+def _all_documents(
+    path: Path,
+    tables: Iterable[Any],
+) -> Result[list[Document], Failure]:
+    documents = []
+    for number, table in enumerate(tables, start=1):
+        match _document(table):
+            case Err(failure):
+                return _invalid(f'{path}: resource {number}: {failure.detail}')
+            case Ok(document):
+                documents.append(document)
+    return Ok(documents)
+
+
+def _document(table: Any) -> Result[Document, Failure]:
+    if not isinstance(table, dict) or set(table) != _KEYS:
+        return _invalid(f'must have exactly {", ".join(sorted(_KEYS))}')
+    kind = table['kind']
+    match check_name(table['name']), spec_from_json(kind, table['spec']):
+        case (Err() as failed, _) | (_, Err() as failed):
+            return failed
+        case (Ok(name), Ok(spec)):
+            return Ok(Document(kind=kind, name=name, spec=spec))
+
+
+def _invalid(detail: str) -> Err[Failure]:
+    return Err(Failure(kind=ErrorKind.INVALID_RESOURCE, detail=detail))
--- /dev/null
+++ b/src/arbutusbay/config_exchange.py
@@ -0,0 +1,5 @@
+"""Expose the conversion of configuration between daemons."""
+
+from arbutusbay._config_exchange import entries_from_state, state_from_reply
+
+__all__ = ('entries_from_state', 'state_from_reply')
--- /dev/null
+++ b/src/arbutusbay/control/__init__.py
@@ -0,0 +1,6 @@
+"""Expose the control daemon."""
+
+from arbutusbay.control._main import main
+from arbutusbay.control._settings import ControlSettings
+
+__all__ = ('ControlSettings', 'main')
--- /dev/null
+++ b/src/arbutusbay/control/__main__.py
@@ -0,0 +1,5 @@
+"""Run the control daemon as a module."""
+
+from arbutusbay.control import main
+
+main()
--- /dev/null
+++ b/src/arbutusbay/control/_blackboard.py
@@ -0,0 +1,151 @@
+"""Hold the state that the controllers of the control daemon share."""
+
+import time
+from collections import OrderedDict
+
+import attrs
+
+from arbutusbay.control._engine_index import EngineIndex
+from arbutusbay.control._settings import ControlSettings
+from arbutusbay.coordination import Broadcast
+from arbutusbay.state import ConfigState, Lease, Resource, ResourceId
+from arbutusbay.wire import NO_OFFSET, Member
+
+_MAX_DECISIONS = 1000
+
+
+@attrs.frozen(kw_only=True)
+class Decision:
+    """Tell whether the write of one nonce was accepted, and where."""
+
+    offset: int
+    accepted: bool
+
+
+@attrs.define(kw_only=True)
+class MemberView:
+    """Hold a member and when it last advanced, on the local clock."""
+
+    member: Member
+    advanced_at_s: float
+
+
+@attrs.define(kw_only=True)
+class ControlBoard:
+    """Hold configuration, membership, index and lease of this daemon."""
+
+    settings: ControlSettings
+    incarnation: int
+    config: ConfigState = attrs.field(factory=ConfigState)
+    config_known: bool = False
+    log_reachable: bool = False
+    config_changed: Broadcast = attrs.field(factory=Broadcast)
+    decisions: OrderedDict[str, Decision] = attrs.field(factory=OrderedDict)
+    members: dict[str, MemberView] = attrs.field(factory=dict)
+    listed_hosts: dict[str, str] = attrs.field(factory=dict)
+    leaving_hosts: frozenset[str] = frozenset()
+    index: dict[str, EngineIndex] = attrs.field(factory=dict)
+    router_offset: int = NO_OFFSET
+    router_seen_s: float = 0.0
+    lease: Lease | None = None
+    lease_since_s: float = 0.0
+    lease_valid_until_s: float = 0.0
+    draining: bool = False
+
+    @property
+    def node_id(self) -> str:
+        """Return the name of this VM."""
+        return self.settings.node.id
+
+    @property
+    def lease_holder_name(self) -> str:
+        """Return a holder name that no other life of this daemon has."""
+        return f'{self.node_id}/{self.incarnation}'
+
+    def live_members(self) -> list[Member]:
+        """Return the members that advanced lately, this VM included."""
+        oldest_s = time.monotonic() - self._dead_after_s()
+        return [self.own_member()] + [
+            view.member
+            for view in self.members.values()
+            if view.advanced_at_s > oldest_s
+        ]
+
+    def live_nodes(self) -> list[str]:
+        """Return the names of live members that are not leaving."""
+        return [
+            member.node
+            for member in self.live_members()
+            if not member.leaving or member.node == self.node_id
+        ]
+
+    def own_member(self) -> Member:
+        """Return this VM as other members see it."""
+        node = self.settings.node
+        return Member(
+            node=node.id,
+            host=node.host,
+            zone=node.zone,
+            incarnation=self.incarnation,
+            counter=time.monotonic_ns(),
+            config_offset=self.config.offset,
+            router_offset=self.live_router_offset(),
+            leaving=self.draining,
+        )
+
+    def live_router_offset(self) -> int:
+        """Return what this VM's router has in force, -1 when it is silent."""
+        if time.monotonic() - self.router_seen_s > self._dead_after_s():
+            return NO_OFFSET
+        return self.router_offset
+
+    def put_router_offset(self, offset: int) -> None:
+        """Take up what this VM's router has in force."""
+        self.router_offset = offset
+        self.router_seen_s = time.monotonic()
+
+    def control_url_of(self, node_id: str) -> str | None:
+        """Return the URL of a member's control daemon."""
+        port = self.settings.node.control_port
+        if node_id == self.node_id:
+            return self.settings.node.control_url
+        view = self.members.get(node_id)
+        return f'http://{view.member.host}:{port}' if view else None
+
+    def holds_lease(self) -> bool:
+        """Tell whether this daemon may act as the lease holder now."""
+        return (
+            self.lease is not None
+            and self.lease.holder == self.lease_holder_name
+            and time.monotonic() < self.lease_valid_until_s
+        )
+
+    def resources_of(self, kind: str) -> dict[str, Resource]:
+        """Return the resources in force of one kind by name."""
+        return {
+            resource_id.name: resource
+            for resource_id, resource in self.config.resources.items()
+            if resource_id.kind == kind
+        }
+
+    def resource(self, kind: str, name: str) -> Resource | None:
+        """Return one resource in force."""
+        return self.config.resources.get(ResourceId(kind=kind, name=name))
+
+    def put_config(self, state: ConfigState) -> None:
+        """Take up ``state`` if it is newer and wake who waits for it."""
+        changed = state.offset > self.config.offset or not self.config_known
+        if state.offset > self.config.offset:
+            self.config = state
+        self.config_known = True
+        if changed:
+            self.config_changed.notify()
+
+    def put_decision(self, nonce: str, decision: Decision) -> None:
+        """Remember the outcome of a write for its author."""
+        self.decisions[nonce] = decision
+        if len(self.decisions) > _MAX_DECISIONS:
+            self.decisions.popitem(last=False)
+
+    def _dead_after_s(self) -> float:
+        return self.settings.membership.dead_after_ms / 1000
--- /dev/null
+++ b/src/arbutusbay/control/_config_tail.py
@@ -0,0 +1,176 @@
+"""Follow the configuration stream and fold it into the blackboard."""
+
+import asyncio
+
+import aiohttp
+import attrs
+from result import Err, Ok, Result
+
+from arbutusbay.config_exchange import state_from_reply
+from arbutusbay.control._blackboard import ControlBoard, Decision
+from arbutusbay.controller import Controller
+from arbutusbay.errors import Failure
+from arbutusbay.http import call_peer
+from arbutusbay.logs import get_logger
+from arbutusbay.platform import LogPage, LogRecord, LogService
+from arbutusbay.state import (
+    ConfigRecord,
+    ConfigState,
+    Delete,
+    Put,
+    Snapshot,
+    apply_config,
+    is_accepted,
+    is_usable_snapshot,
+    record_from_bytes,
+    state_from_snapshot,
+)
+from arbutusbay.wire import ConfigReply, ConfigRequest
+
+CONFIG_STREAM = 'config'
+_LOG = get_logger('config_tail')
+_POLL_MS = 1000
+_RETRY_S = 0.2
+_PEER_TIMEOUT_S = 1.0
+
+
+class ConfigTail(Controller):
+    """Keep the blackboard's configuration at the end of the log."""
+
+    board: ControlBoard
+    log: LogService
+    session: aiohttp.ClientSession
+
+    async def step(self) -> None:
+        """Read one page, or ask peers while the log can't be read."""
+        start = self.board.config.offset + 1
+        wait_ms = _POLL_MS if self.board.config_known else 0
+        match await self.log.read(CONFIG_STREAM, start, wait_ms=wait_ms):
+            case Ok(page):
+                self.board.log_reachable = True
+                await self._take_page(page)
+            case Err(failure):
+                self.board.log_reachable = False
+                _LOG.warning('cannot read: {}', failure.detail)
+                await self._ask_peers()
+                await asyncio.sleep(_RETRY_S)
+
+    async def _take_page(self, page: LogPage) -> None:
+        if page.first > self.board.config.offset + 1:
+            await self._restore()
+            return
+        state = self.board.config
+        for log_record in page.records:
+            state = self._fold(state, log_record)
+        self._publish(state, page)
+
+    def _publish(self, state: ConfigState, page: LogPage) -> None:
+        if state.offset + 1 >= page.end:
+            self.board.put_config(state)
+            return
+        self.board.config = state
+
+    def _fold(self, state: ConfigState, log_record: LogRecord) -> ConfigState:
+        record = _parsed(log_record)
+        match record:
+            case Put() | Delete() if log_record.offset > state.offset:
+                self.board.put_decision(
+                    record.nonce,
+                    Decision(
+                        offset=log_record.offset,
+                        accepted=is_accepted(state, record),
+                    ),
+                )
+        return apply_config(state, log_record.offset, record)
+
+    async def _restore(self) -> None:
+        match await self._read_all():
+            case Ok(pages):
+                state = restore_config(pages)
+            case Err(failure):
+                _LOG.warning('cannot restore: {}', failure.detail)
+                state = None
+        if state is None:
+            await self._ask_peers()
+            await asyncio.sleep(_RETRY_S)
+            return
+        self.board.put_config(state)
+
+    async def _read_all(self) -> Result[LogPage, Failure]:
+        start = 0
+        records: list[LogRecord] = []
+        while True:
+            match await self.log.read(CONFIG_STREAM, start):
+                case Err() as failed:
+                    return failed
+                case Ok(page):
+                    records.extend(page.records)
+            start = records[-1].offset + 1 if records else page.end
+            if start >= page.end:
+                return Ok(attrs.evolve(page, records=records))
+
+    async def _ask_peers(self) -> None:
+        replies = await asyncio.gather(
+            *(self._ask(url) for url in self._peer_urls())
+        )
+        states = [state for state in replies if state is not None]
+        newest = max(states, key=lambda state: state.offset, default=None)
+        if newest is not None and newest.offset > self.board.config.offset:
+            self.board.put_config(newest)
+
+    def _peer_urls(self) -> set[str]:
+        urls = set(self.board.settings.peers)
+        for node_id in self.board.members:
+            urls.add(self.board.control_url_of(node_id) or '')
+        return urls - {'', self.board.settings.node.control_url}
+
+    async def _ask(self, url: str) -> ConfigState | None:
+        request = ConfigRequest(
+            after=self.board.config.offset,
+            wait_ms=0,
+            node='',
+        )
+        reply = await call_peer(
+            self.session,
+            f'{url}/peer/config',
+            request,
+            ConfigReply,
+            timeout_s=_PEER_TIMEOUT_S,
+        )
+        match reply:
+            case Ok(ConfigReply(changed=True) as found):
+                return state_from_reply(self.board.config, found)
+        return None
+
+
+def restore_config(page: LogPage) -> ConfigState | None:
+    """Fold all records in the log from the newest usable snapshot.
+
+    Return None when the log no longer holds enough to tell the state.
+    """
+    state = ConfigState() if page.first == 0 else None
+    for log_record in page.records:
+        match _parsed(log_record):
+            case Snapshot() as snapshot if is_usable_snapshot(
+                snapshot,
+                page.first,
+            ):
+                state = state_from_snapshot(snapshot)
+    if state is None:
+        return None
+    for log_record in page.records:
+        state = apply_config(state, log_record.offset, _parsed(log_record))
+    return state
+
+
+def _parsed(log_record: LogRecord) -> ConfigRecord | None:
+    match record_from_bytes(log_record.payload):
+        case Ok(record):
+            return record
+        case Err(failure):
+            _LOG.error(
+                'ignored record {}: {}',
+                log_record.offset,
+                failure.detail,
+            )
+            return None
--- /dev/null
+++ b/src/arbutusbay/control/_ledger_partition.py
@@ -0,0 +1,182 @@
+"""Hold one partition of the idempotency ledger and commit in groups."""
+
+import asyncio
+from collections import OrderedDict
+
+import attrs
+from result import Err, Ok, Result
+
+from arbutusbay.coordination import ledger_stream
+from arbutusbay.errors import ErrorKind, Failure
+from arbutusbay.logs import get_logger
+from arbutusbay.platform import LogRecord, LogService, read_to_end
+from arbutusbay.state import (
+    EMPTY_ENTRY,
+    KeyEntry,
+    LedgerRecord,
+    apply_ledger,
+    ledger_batch_from_bytes,
+    ledger_batch_to_bytes,
+)
+
+_LOG = get_logger('ledger')
+_MAX_BATCH = 200
+
+
+@attrs.define(kw_only=True)
+class StoredEntry:
+    """Hold a key's state and the log's time of its first record."""
+
+    entry: KeyEntry
+    since_ms: int
+
+
+@attrs.define(kw_only=True, eq=False)
+class PendingRecord:
+    """Hold a record that waits for its group commit."""
+
+    record: LedgerRecord
+    done: asyncio.Future[Result[KeyEntry, Failure]]
+
+
+class LedgerPartition:
+    """Fold one ledger stream and append to it.
+
+    Any number of daemons may hold the same partition at once: each answer
+    is taken from the fold after the asker's own record, so that the order
+    of the log alone decides.
+    """
+
+    def __init__(
+        self,
+        *,
+        number: int,
+        log: LogService,
+        window_ms: int,
+    ) -> None:
+        """Keep keys of stream ``number`` for ``window_ms``."""
+        self.stream = ledger_stream(number)
+        self.log = log
+        self.window_ms = window_ms
+        self.next_offset = 0
+        self.entries: OrderedDict[str, StoredEntry] = OrderedDict()
+        self.pending: list[PendingRecord] = []
+        self.commit_task: asyncio.Task[None] | None = None
+
+    async def commit(
+        self,
+        record: LedgerRecord,
+    ) -> Result[KeyEntry, Failure]:
+        """Append ``record`` and return its key's state right after it.
+
+        On a failure the record may still be appended late.
+        """
+        loop = asyncio.get_running_loop()
+        waiting = PendingRecord(record=record, done=loop.create_future())
+        self.pending.append(waiting)
+        if self.commit_task is None or self.commit_task.done():
+            self.commit_task = loop.create_task(self._commit_pending())
+        return await waiting.done
+
+    async def look_up(self, key: str) -> Result[KeyEntry, Failure]:
+        """Read to the end of the log and return the state of ``key``."""
+        caught_up = await self.catch_up()
+        return caught_up.map(lambda _: self.entry_of(key))
+
+    async def catch_up(self) -> Result[None, Failure]:
+        """Fold every record up to the end of the log."""
+        read = await read_to_end(
+            self.log,
+            self.stream,
+            self.next_offset,
+            self.fold,
+        )
+        match read:
+            case Err() as failed:
+                return failed
+            case Ok(next_offset):
+                self.next_offset = max(self.next_offset, next_offset)
+        return Ok(None)
+
+    def fold(self, log_record: LogRecord) -> None:
+        """Apply one log record, once, in the order of offsets."""
+        if log_record.offset < self.next_offset:
+            return
+        self.next_offset = log_record.offset + 1
+        self._forget_before(log_record.time_ms - self.window_ms)
+        match ledger_batch_from_bytes(log_record.payload):
+            case Ok(records):
+                for record in records:
+                    self._apply(record, log_record.time_ms)
+            case Err(failure):
+                _LOG.error('ignored {}: {}', self.stream, failure.detail)
+
+    def entry_of(self, key: str) -> KeyEntry:
+        """Return the state of ``key`` as folded so far."""
+        stored = self.entries.get(key)
+        return stored.entry if stored else EMPTY_ENTRY
+
+    def _apply(self, record: LedgerRecord, time_ms: int) -> None:
+        stored = self.entries.get(record.key)
+        if stored is None:
+            stored = StoredEntry(entry=EMPTY_ENTRY, since_ms=time_ms)
+            self.entries[record.key] = stored
+        stored.entry = apply_ledger(stored.entry, record)
+
+    def _forget_before(self, oldest_ms: int) -> None:
+        while self.entries:
+            key, stored = next(iter(self.entries.items()))
+            if stored.since_ms >= oldest_ms:
+                return
+            self.entries.pop(key)
+
+    async def _commit_pending(self) -> None:
+        while self.pending:
+            batch = self.pending[:_MAX_BATCH]
+            self.pending = self.pending[_MAX_BATCH:]
+            answer = await self._commit_batch(batch)
+            for waiting in batch:
+                self._finish(waiting, answer)
+
+    def _finish(
+        self,
+        waiting: PendingRecord,
+        answer: Result[None, Failure],
+    ) -> None:
+        if waiting.done.done():
+            return
+        match answer:
+            case Err():
+                waiting.done.set_result(answer)
+            case Ok():
+                entry = self.entry_of(waiting.record.key)
+                waiting.done.set_result(Ok(entry))
+
+    async def _commit_batch(
+        self,
+        batch: list[PendingRecord],
+    ) -> Result[None, Failure]:
+        payload = ledger_batch_to_bytes(waiting.record for waiting in batch)
+        match await self.log.append(self.stream, payload):
+            case Err() as failed:
+                return failed
+            case Ok(appended):
+                pass
+        if appended.offset == self.next_offset:
+            self.fold(
+                LogRecord(
+                    offset=appended.offset,
+                    time_ms=appended.time_ms,
+                    payload=payload,
+                ),
+            )
+            return Ok(None)
+        caught_up = await self.catch_up()
+        if caught_up.is_ok() and self.next_offset <= appended.offset:
+            return Err(
+                Failure(
+                    kind=ErrorKind.LOG_UNAVAILABLE,
+                    detail='the log does not show the record yet',
+                ),
+            )
+        return caught_up
--- /dev/null
+++ b/src/arbutusbay/control/_metrics.py
@@ -0,0 +1,59 @@
+"""Define the metrics of the control daemon."""
+
+from aiohttp import web
+from aioprometheus import Gauge, Registry, render
+
+from arbutusbay.control._blackboard import ControlBoard
+from arbutusbay.control._ledger_api import Ledger
+
+
+class ControlMetrics:
+    """Set gauges from the blackboard when they are read."""
+
+    def __init__(self) -> None:
+        """Register all metrics."""
+        self.registry = Registry()
+        self.config_offset = self._gauge(
+            'arbutusbay_control_config_offset',
+            'Offset of the configuration in force here',
+        )
+        self.members = self._gauge(
+            'arbutusbay_control_members',
+            'Live VMs as this daemon knows them',
+        )
+        self.blocks = self._gauge(
+            'arbutusbay_control_index_blocks',
+            'Cached blocks indexed, by engine',
+        )
+        self.gaps = self._gauge(
+            'arbutusbay_control_index_gaps',
+            'Gaps seen in cache events, by engine',
+        )
+        self.keys = self._gauge(
+            'arbutusbay_control_ledger_keys',
+            'Idempotency keys held, by stream',
+        )
+        self.log_reachable = self._gauge(
+            'arbutusbay_control_log_reachable',
+            'Whether the last read of the log succeeded',
+        )
+
+    def response(self, board: ControlBoard, ledger: Ledger) -> web.Response:
+        """Return all metrics as Prometheus text."""
+        self.config_offset.set({}, board.config.offset)
+        self.members.set({}, len(board.live_members()))
+        self.log_reachable.set({}, int(board.log_reachable))
+        for engine in board.index.values():
+            labels = {'engine': engine.name}
+            self.blocks.set(labels, len(engine.blocks))
+            self.gaps.set(labels, engine.gaps)
+        for partition in ledger.partitions.values():
+            self.keys.set(
+                {'stream': partition.stream},
+                len(partition.entries),
+            )
+        body, headers = render(self.registry, [])
+        return web.Response(body=body, headers=headers)
+
+    def _gauge(self, name: str, doc: str) -> Gauge:
+        return Gauge(name, doc, registry=self.registry)
--- /dev/null
+++ b/src/arbutusbay/control/_pool_views.py
@@ -0,0 +1,69 @@
+"""Gather what index owners know of the engines of one pool."""
+
+import asyncio
+
+import aiohttp
+from result import Ok
+
+from arbutusbay.control._blackboard import ControlBoard
+from arbutusbay.coordination import group_engines, owner_of_group
+from arbutusbay.http import call_peer
+from arbutusbay.state import BackendKind
+from arbutusbay.wire import EngineView, LookupReply, LookupRequest
+
+_TIMEOUT_S = 1.0
+
+
+async def read_pool_views(
+    board: ControlBoard,
+    session: aiohttp.ClientSession,
+    pool: str,
+) -> list[EngineView]:
+    """Return the views of all engines of ``pool`` that owners answer."""
+    engines = [
+        name
+        for name, resource in board.resources_of('backend-server').items()
+        if resource.spec.pool == pool
+        and resource.spec.kind is BackendKind.ENGINE
+    ]
+    nodes = board.live_nodes()
+    owners = {
+        owner_of_group(group, nodes) for group in group_engines(pool, engines)
+    }
+    replies = await asyncio.gather(
+        *(_read_owner(board, session, pool, owner) for owner in owners if owner)
+    )
+    return [view for reply in replies for view in reply]
+
+
+async def _read_owner(
+    board: ControlBoard,
+    session: aiohttp.ClientSession,
+    pool: str,
+    owner: str,
+) -> list[EngineView]:
+    request = LookupRequest(pool=pool, hashes=[])
+    if owner == board.node_id:
+        return look_up(board, request).engines
+    reply = await call_peer(
+        session,
+        f'{board.control_url_of(owner)}/peer/lookup',
+        request,
+        LookupReply,
+        timeout_s=_TIMEOUT_S,
+    )
+    match reply:
+        case Ok(found):
+            return found.engines
+    return []
+
+
+def look_up(board: ControlBoard, request: LookupRequest) -> LookupReply:
+    """Return the views of the pool's engines that this VM watches."""
+    return LookupReply(
+        engines=[
+            engine.view(request.hashes)
+            for engine in board.index.values()
+            if engine.pool == request.pool
+        ],
+    )
--- /dev/null
+++ b/src/arbutusbay/control/_resource_api.py
@@ -0,0 +1,295 @@
+"""Serve the declarative resource API to operators."""
+
+import time
+import uuid
+from http import HTTPStatus
+from typing import Any
+
+import aiohttp
+import orjson
+from aiohttp import web
+from result import Err, Ok, Result
+
+from arbutusbay.control._blackboard import ControlBoard, Decision
+from arbutusbay.control._config_tail import CONFIG_STREAM
+from arbutusbay.control._status import conditions_of, read_status
+from arbutusbay.errors import ErrorKind, Failure
+from arbutusbay.http import failure_response, json_response, parse_json
+from arbutusbay.platform import LogService
+from arbutusbay.state import (
+    NO_VERSION,
+    SPEC_TYPES,
+    Delete,
+    Put,
+    Resource,
+    ResourceId,
+    check_name,
+    record_to_bytes,
+    resource_to_json,
+    spec_from_json,
+)
+
+_DECISION_TIMEOUT_S = 3.0
+_WATCH_STEP_S = 5.0
+
+
+class ResourceApi:
+    """Read resources from the blackboard and write through the log."""
+
+    def __init__(
+        self,
+        *,
+        board: ControlBoard,
+        log: LogService,
+        session: aiohttp.ClientSession,
+    ) -> None:
+        """Use ``session`` to ask other daemons for status."""
+        self.board = board
+        self.log = log
+        self.session = session
+
+    def add_routes(self, application: web.Application) -> None:
+        """Register the endpoints."""
+        router = application.router
+        router.add_get('/api/v1/status', self.get_status)
+        router.add_get('/api/v1/watch', self.watch)
+        router.add_get('/api/v1/{kind}', self.list_kind)
+        router.add_get('/api/v1/{kind}/{name}', self.get_resource)
+        router.add_put('/api/v1/{kind}/{name}', self.put_resource)
+        router.add_delete('/api/v1/{kind}/{name}', self.delete_resource)
+
+    async def get_status(self, request: web.Request) -> web.Response:
+        """Return members, offsets in force and engines."""
+        return json_response(await read_status(self.board, self.session))
+
+    async def list_kind(self, request: web.Request) -> web.Response:
+        """Return all resources of one kind."""
+        match self._known():
+            case Err(failure):
+                return failure_response(failure)
+        kind = request.match_info['kind']
+        if kind not in SPEC_TYPES:
+            return failure_response(_unknown_kind(kind))
+        resources = self.board.resources_of(kind)
+        return json_response(
+            {
+                'offset': self.board.config.offset,
+                'items': [
+                    self._to_json(resources[name]) for name in sorted(resources)
+                ],
+            }
+        )
+
+    async def get_resource(self, request: web.Request) -> web.Response:
+        """Return one resource with its status."""
+        match self._known():
+            case Err(failure):
+                return failure_response(failure)
+        resource_id = _id_from_request(request)
+        resource = self.board.config.resources.get(resource_id)
+        if resource is None:
+            return failure_response(_unknown_resource(resource_id))
+        return _resource_response(self._to_json(resource))
+
+    async def put_resource(self, request: web.Request) -> web.Response:
+        """Create a resource, or replace the version in ``If-Match``."""
+        match await self._parse_put(request):
+            case Err(failure):
+                return failure_response(failure)
+            case Ok(record):
+                pass
+        match await self._write(record):
+            case Err(failure):
+                return failure_response(failure)
+            case Ok(decision):
+                pass
+        status = HTTPStatus.OK if record.expects else HTTPStatus.CREATED
+        resource = Resource(
+            id=record.id,
+            spec=record.spec,
+            version=decision.offset,
+        )
+        return _resource_response(self._to_json(resource), status=status)
+
+    async def delete_resource(self, request: web.Request) -> web.Response:
+        """Remove a resource if its version is the one in ``If-Match``."""
+        match _expected_version(request):
+            case Err(failure):
+                return failure_response(failure)
+            case Ok(expects):
+                pass
+        record = Delete(
+            id=_id_from_request(request),
+            expects=expects,
+            nonce=uuid.uuid4().hex,
+        )
+        match await self._write(record):
+            case Err(failure):
+                return failure_response(failure)
+            case Ok(decision):
+                return json_response({'deleted_at': decision.offset})
+
+    async def watch(self, request: web.Request) -> web.StreamResponse:
+        """Stream changes as JSON lines, the present state first."""
+        response = web.StreamResponse()
+        response.content_type = 'application/x-ndjson'
+        await response.prepare(request)
+        seen: dict[ResourceId, int] = {}
+        while not self.board.draining:
+            for line in self._changes_since(seen):
+                await response.write(
+                    orjson.dumps(line, option=orjson.OPT_APPEND_NEWLINE)
+                )
+            if not await self.board.config_changed.wait(_WATCH_STEP_S):
+                await response.write(b'\n')
+        return response
+
+    def _changes_since(self, seen: dict[ResourceId, int]) -> list[Any]:
+        resources = self.board.config.resources
+        gone = [
+            resource_id for resource_id in seen if resource_id not in resources
+        ]
+        lines: list[Any] = []
+        for resource_id in gone:
+            seen.pop(resource_id)
+            lines.append(
+                {
+                    'type': 'deleted',
+                    'kind': resource_id.kind,
+                    'name': resource_id.name,
+                }
+            )
+        for resource in resources.values():
+            if seen.get(resource.id) != resource.version:
+                seen[resource.id] = resource.version
+                lines.append({'type': 'put', **resource_to_json(resource)})
+        return lines
+
+    async def _parse_put(self, request: web.Request) -> Result[Put, Failure]:
+        resource_id = _id_from_request(request)
+        body = parse_json(await request.read())
+        spec = body.and_then(
+            lambda fields: spec_from_json(resource_id.kind, fields),
+        )
+        match check_name(resource_id.name), spec, _expected_version(request):
+            case (Err() as failed, _, _) | (_, Err() as failed, _):
+                return failed
+            case (_, _, Err() as failed):
+                return failed
+            case (_, Ok(checked), Ok(expects)):
+                return Ok(
+                    Put(
+                        id=resource_id,
+                        spec=checked,
+                        expects=expects,
+                        nonce=uuid.uuid4().hex,
+                    ),
+                )
+
+    async def _write(self, record: Put | Delete) -> Result[Decision, Failure]:
+        match self._known():
+            case Err() as failed:
+                return failed
+        appended = await self.log.append(
+            CONFIG_STREAM,
+            record_to_bytes(record),
+        )
+        decision = await self._wait_for_decision(record.nonce)
+        if decision is not None:
+            return self._judge(record, decision)
+        reason = appended.err().detail if appended.is_err() else 'no reading'
+        return Err(
+            Failure(
+                kind=ErrorKind.LOG_UNAVAILABLE,
+                detail=f'the write may still take effect: {reason}',
+            ),
+        )
+
+    async def _wait_for_decision(self, nonce: str) -> Decision | None:
+        deadline_s = time.monotonic() + _DECISION_TIMEOUT_S
+        while nonce not in self.board.decisions:
+            remaining_s = deadline_s - time.monotonic()
+            if remaining_s <= 0:
+                return None
+            await self.board.config_changed.wait(remaining_s)
+        return self.board.decisions[nonce]
+
+    def _judge(
+        self,
+        record: Put | Delete,
+        decision: Decision,
+    ) -> Result[Decision, Failure]:
+        if decision.accepted:
+            return Ok(decision)
+        return Err(
+            Failure(
+                kind=ErrorKind.VERSION_CONFLICT,
+                detail=(
+                    f'{record.id.kind}/{record.id.name} is not at version '
+                    f'{record.expects}; read it again and repeat'
+                ),
+            ),
+        )
+
+    def _known(self) -> Result[None, Failure]:
+        if self.board.config_known:
+            return Ok(None)
+        return Err(
+            Failure(
+                kind=ErrorKind.NOT_CONFIGURED,
+                detail='the configuration is not read yet',
+            ),
+        )
+
+    def _to_json(self, resource: Resource) -> dict[str, Any]:
+        return {
+            **resource_to_json(resource),
+            'status': {'conditions': conditions_of(self.board, resource)},
+        }
+
+
+def _id_from_request(request: web.Request) -> ResourceId:
+    return ResourceId(
+        kind=request.match_info['kind'],
+        name=request.match_info['name'],
+    )
+
+
+def _expected_version(request: web.Request) -> Result[int | None, Failure]:
+    header = request.headers.get('If-Match')
+    if header is None:
+        return Ok(NO_VERSION)
+    if header == '*':
+        return Ok(None)
+    try:
+        return Ok(int(header.strip('"')))
+    except ValueError:
+        return Err(
+            Failure(
+                kind=ErrorKind.BAD_REQUEST,
+                detail=f'If-Match must be a version or *, is {header!r}',
+            ),
+        )
+
+
+def _resource_response(
+    body: dict[str, Any],
+    *,
+    status: int = HTTPStatus.OK,
+) -> web.Response:
+    headers = {'ETag': f'"{body["version"]}"'}
+    return json_response(body, status=status, headers=headers)
+
+
+def _unknown_kind(kind: str) -> Failure:
+    return Failure(
+        kind=ErrorKind.UNKNOWN_RESOURCE,
+        detail=f'unknown kind {kind!r}, use one of {", ".join(SPEC_TYPES)}',
+    )
+
+
+def _unknown_resource(resource_id: ResourceId) -> Failure:
+    return Failure(
+        kind=ErrorKind.UNKNOWN_RESOURCE,
+        detail=f'no {resource_id.kind} named {resource_id.name!r}',
+    )
--- /dev/null
+++ b/src/arbutusbay/control/_rollout.py
@@ -0,0 +1,100 @@
+"""Bring the weights of each pool's engines to the declared version."""
+
+import asyncio
+import time
+
+import aiohttp
+import attrs
+from result import Err
+
+from arbutusbay.backend import EngineClient, WeightsOrder
+from arbutusbay.control._blackboard import ControlBoard
+from arbutusbay.control._pool_views import read_pool_views
+from arbutusbay.controller import Controller
+from arbutusbay.logs import get_logger
+from arbutusbay.policy import engines_to_load
+from arbutusbay.state import BackendServer, Pool, Resource
+from arbutusbay.wire import EngineView
+
+_LOG = get_logger('rollout')
+_STEP_S = 0.25
+
+
+@attrs.frozen(kw_only=True)
+class SentOrder:
+    """Remember an order until the engine reports its version."""
+
+    weights_version: str
+    sent_at_s: float
+
+
+class Rollout(Controller):
+    """Order loads while holding the lease."""
+
+    board: ControlBoard
+    session: aiohttp.ClientSession
+
+    async def prepare(self) -> None:
+        """Start with no order out."""
+        self.sent: dict[str, SentOrder] = {}
+
+    async def step(self) -> None:
+        """Order what is due while this daemon holds the lease."""
+        if self.board.holds_lease() and self.board.config_known:
+            await self.order_due()
+        await asyncio.sleep(_STEP_S)
+
+    async def order_due(self) -> None:
+        """Order what each pool is due."""
+        for name, resource in self.board.resources_of('pool').items():
+            await self._step_pool(name, resource.spec)
+
+    async def _step_pool(self, name: str, pool: Pool) -> None:
+        views = await read_pool_views(self.board, self.session, name)
+        self._forget_finished(views)
+        due = engines_to_load(pool, views, ordered=frozenset(self.sent))
+        for engine in due:
+            server = self.board.resource('backend-server', engine)
+            if server is not None and self._may_order(server):
+                await self._order(server, pool.weights_version)
+
+    def _forget_finished(self, views: list[EngineView]) -> None:
+        longest_s = self.board.settings.lease.longest_order_ms / 1000
+        now_s = time.monotonic()
+        for view in views:
+            order = self.sent.get(view.name)
+            if order is None:
+                continue
+            finished = view.ready and (
+                view.weights_version == order.weights_version
+            )
+            if finished or now_s - order.sent_at_s > longest_s:
+                self.sent.pop(view.name)
+
+    def _may_order(self, server: Resource) -> bool:
+        if not self.board.holds_lease():
+            return False
+        spec = server.spec
+        if not isinstance(spec, BackendServer) or spec.draining:
+            return False
+        if spec.checks_fencing:
+            return True
+        settings = self.board.settings.lease
+        quiet_s = (settings.ttl_ms + settings.longest_order_ms) / 1000
+        return time.monotonic() - self.board.lease_since_s >= quiet_s
+
+    async def _order(self, server: Resource, version: str) -> None:
+        client = EngineClient(session=self.session, url=server.spec.url)
+        name = server.id.name
+        self.sent[name] = SentOrder(
+            weights_version=version,
+            sent_at_s=time.monotonic(),
+        )
+        order = WeightsOrder(
+            weights_version=version,
+            fence=self.board.lease.fence,
+        )
+        _LOG.info('order {} to load {}', name, version)
+        match await client.order_weights(order):
+            case Err(failure):
+                _LOG.warning('{}: {}', name, failure.detail)
--- /dev/null
+++ b/src/arbutusbay/control/_settings.py
@@ -0,0 +1,65 @@
+"""Define the settings of the control daemon."""
+
+import attrs
+
+from arbutusbay.settings import (
+    DrainSettings,
+    LogSettings,
+    NodeSettings,
+    PlatformSettings,
+    between,
+)
+
+
+@attrs.frozen(kw_only=True)
+class MembershipSettings:
+    """Tune heartbeats between control daemons."""
+
+    heartbeat_ms: int = attrs.field(default=500, validator=between(50, 10_000))
+    dead_after_ms: int = attrs.field(
+        default=4000,
+        validator=between(200, 60_000),
+    )
+    vm_list_ms: int = attrs.field(default=1000, validator=between(100, 5000))
+
+
+@attrs.frozen(kw_only=True)
+class LedgerSettings:
+    """Size the idempotency ledger.
+
+    A key is kept for ``window_s`` after its claim; the platform must keep
+    records for longer.
+    """
+
+    partitions: int = attrs.field(default=4, validator=between(1, 64))
+    window_s: int = attrs.field(default=86_400, validator=between(1, 604_800))
+
+
+@attrs.frozen(kw_only=True)
+class LeaseSettings:
+    """Time the lease of the controllers and their snapshots."""
+
+    ttl_ms: int = attrs.field(default=5000, validator=between(200, 120_000))
+    snapshot_s: int = attrs.field(default=3600, validator=between(1, 86_400))
+    longest_order_ms: int = attrs.field(
+        default=5000,
+        validator=between(0, 600_000),
+    )
+
+
+@attrs.frozen(kw_only=True)
+class ControlSettings:
+    """Hold all settings of one control daemon.
+
+    ``peers`` are URLs of other control daemons, asked for configuration
+    when the platform is down at a cold start.
+    """
+
+    node: NodeSettings
+    platform: PlatformSettings
+    peers: list[str] = attrs.field(factory=list)
+    membership: MembershipSettings = MembershipSettings()
+    ledger: LedgerSettings = LedgerSettings()
+    lease: LeaseSettings = LeaseSettings()
+    logs: LogSettings = LogSettings()
+    drain: DrainSettings = DrainSettings(notice_ms=0, limit_s=10)
--- /dev/null
+++ b/src/arbutusbay/control/_vm_watch.py
@@ -0,0 +1,43 @@
+"""Poll the platform's list of live and leaving VMs."""
+
+import asyncio
+
+import aiohttp
+from result import Err, Ok
+
+from arbutusbay.control._blackboard import ControlBoard
+from arbutusbay.controller import Controller
+from arbutusbay.logs import get_logger
+from arbutusbay.platform import VM, VMRole, VMState, read_vm_list
+
+_LOG = get_logger('vm_watch')
+
+
+class VMWatch(Controller):
+    """Keep the blackboard's copy of the list; keep the last on errors."""
+
+    board: ControlBoard
+    session: aiohttp.ClientSession
+
+    async def step(self) -> None:
+        """Read the list once and wait for the next round."""
+        settings = self.board.settings
+        match await read_vm_list(self.session, settings.platform.vms_url):
+            case Ok(vms):
+                put_vms(self.board, vms)
+            case Err(failure):
+                _LOG.warning('{}', failure.detail)
+        await asyncio.sleep(settings.membership.vm_list_ms / 1000)
+
+
+def put_vms(board: ControlBoard, vms: list[VM]) -> None:
+    """Take up the list and wake routers when a VM is newly leaving."""
+    board.listed_hosts = {
+        vm.id: vm.host
+        for vm in vms
+        if vm.role is VMRole.ENTRY and vm.state is VMState.LIVE
+    }
+    leaving = frozenset(vm.host for vm in vms if vm.state is VMState.LEAVING)
+    if leaving != board.leaving_hosts:
+        board.leaving_hosts = leaving
+        board.config_changed.notify()
--- /dev/null
+++ b/src/arbutusbay/http.py
@@ -0,0 +1,25 @@
+"""Expose the shared HTTP server and client helpers."""
+
+from arbutusbay._http import (
+    HttpService,
+    call_peer,
+    capnp_response,
+    failure_response,
+    json_response,
+    new_application,
+    new_session,
+    parse_json,
+    read_message,
+)
+
+__all__ = (
+    'HttpService',
+    'call_peer',
+    'capnp_response',
+    'failure_response',
+    'json_response',
+    'new_application',
+    'new_session',
+    'parse_json',
+    'read_message',
+)
--- /dev/null
+++ b/src/arbutusbay/router/__main__.py
@@ -0,0 +1,5 @@
+"""Run the router as a module."""
+
+from arbutusbay.router import main
+
+main()
--- /dev/null
+++ b/src/arbutusbay/router/_completions_api.py
@@ -0,0 +1,335 @@
+"""Serve OpenAI-shaped completions, streamed and whole."""
+
+import time
+import uuid
+from collections.abc import AsyncIterator
+from types import MappingProxyType
+
+import aiohttp
+import attrs
+from aiohttp import web
+from result import Err, Ok, Result
+
+from arbutusbay.backend import CacheIdentity, Piece, StreamEnd, chain_hashes
+from arbutusbay.errors import ErrorKind, Failure
+from arbutusbay.http import failure_response, json_response, parse_json
+from arbutusbay.logs import get_logger
+from arbutusbay.policy import BYTES_PER_TOKEN, Job
+from arbutusbay.router._access import check_access
+from arbutusbay.router._blackboard import RouterBoard, TeamAccess
+from arbutusbay.router._completion_format import (
+    STREAM_DONE,
+    CompletionFormat,
+    Usage,
+    failure_event,
+)
+from arbutusbay.router._completion_parser import (
+    CompletionBody,
+    parse_completion,
+)
+from arbutusbay.router._dispatcher import Dispatcher, JobContext
+from arbutusbay.router._generation_run import (
+    CompletionRequest,
+    GenerationRun,
+)
+from arbutusbay.router._lookup import IndexLookup
+from arbutusbay.router._metrics import RouterMetrics
+from arbutusbay.state import Pool, Route
+
+_LOG = get_logger('completions')
+_STREAM_HEADERS = MappingProxyType(
+    {
+        'Content-Type': 'text/event-stream',
+        'Cache-Control': 'no-cache',
+    }
+)
+
+
+@attrs.define(kw_only=True)
+class Answered:
+    """Track one answer for the log and the metrics."""
+
+    run: GenerationRun
+    format: CompletionFormat
+    first_piece_s: float | None = None
+    failure: Failure | None = None
+
+    def usage(self) -> Usage:
+        """Return the tokens counted so far."""
+        progress = self.run.progress
+        return Usage(
+            prompt_tokens=progress.prompt_tokens,
+            cached_tokens=progress.cached_tokens,
+            completion_tokens=progress.relayed,
+        )
+
+
+class CompletionsApi:
+    """Answer completion requests."""
+
+    def __init__(
+        self,
+        *,
+        board: RouterBoard,
+        dispatcher: Dispatcher,
+        lookup: IndexLookup,
+        metrics: RouterMetrics,
+        session: aiohttp.ClientSession,
+    ) -> None:
+        """Use ``session`` for streams from engines."""
+        self.board = board
+        self.dispatcher = dispatcher
+        self.lookup = lookup
+        self.metrics = metrics
+        self.session = session
+
+    def add_routes(self, application: web.Application) -> None:
+        """Register the endpoints."""
+        router = application.router
+        router.add_post('/v1/chat/completions', self.answer_chat)
+        router.add_post('/v1/completions', self.answer_plain)
+        router.add_get('/v1/models', self.list_models)
+
+    async def answer_chat(self, request: web.Request) -> web.StreamResponse:
+        """Answer ``POST /v1/chat/completions``."""
+        return await self._answer(request, is_chat=True)
+
+    async def answer_plain(self, request: web.Request) -> web.StreamResponse:
+        """Answer ``POST /v1/completions``."""
+        return await self._answer(request, is_chat=False)
+
+    async def list_models(self, request: web.Request) -> web.Response:
+        """Answer ``GET /v1/models`` with the routes to model pools."""
+        match check_access(self.board, request):
+            case Err(failure):
+                return failure_response(failure)
+        models = [
+            {'id': name, 'object': 'model', 'owned_by': 'arbutusbay'}
+            for name, route in sorted(self.board.routes.items())
+            if self.board.resource('pool', route.pool)
+        ]
+        return json_response({'object': 'list', 'data': models})
+
+    async def _answer(
+        self,
+        request: web.Request,
+        *,
+        is_chat: bool,
+    ) -> web.StreamResponse:
+        match await self._prepare(request, is_chat=is_chat):
+            case Err(failure):
+                self._count('', failure)
+                return failure_response(failure)
+            case Ok(answered):
+                pass
+        self.board.retries.earn()
+        self.board.hedges.earn()
+        events = self._timed(answered)
+        try:
+            if answered.format.body.stream:
+                return await _stream(request, answered, events)
+            return await _whole(answered, events)
+        finally:
+            await events.aclose()
+            self._log(answered)
+
+    async def _prepare(
+        self,
+        request: web.Request,
+        *,
+        is_chat: bool,
+    ) -> Result[Answered, Failure]:
+        arrived_s = time.monotonic()
+        access = check_access(self.board, request)
+        fields = parse_json(await request.read())
+        body = fields.and_then(
+            lambda known: parse_completion(known, is_chat=is_chat),
+        )
+        match access, body:
+            case (Err() as failed, _) | (_, Err() as failed):
+                return failed
+            case (Ok(team), Ok(checked)):
+                pass
+        match self._route(checked.model):
+            case Err() as failed:
+                return failed
+            case Ok(route):
+                pass
+        pool = self.board.resource('pool', route.pool).spec
+        job = _job(team, checked, route, pool, arrived_s)
+        return Ok(await self._answered(job, checked, route, pool))
+
+    async def _answered(
+        self,
+        job: Job,
+        body: CompletionBody,
+        route: Route,
+        pool: Pool,
+    ) -> Answered:
+        depths = await self.lookup.find(job)
+        hot_levels = self.board.pool_state(job.pool).hot_levels
+        context = JobContext(
+            depths=depths.by_engine,
+            affinity_key=hot_levels.observe(job.hashes),
+        )
+        run = GenerationRun(
+            board=self.board,
+            dispatcher=self.dispatcher,
+            metrics=self.metrics,
+            session=self.session,
+            request=CompletionRequest(
+                job=job,
+                prompt=body.prompt,
+                pool=pool,
+                idempotent=route.idempotent,
+                context=context,
+            ),
+        )
+        return Answered(
+            run=run,
+            format=CompletionFormat(request_id=job.id, body=body),
+        )
+
+    def _route(self, model: str) -> Result[Route, Failure]:
+        route = self.board.routes.get(model)
+        if route is None or not self.board.resource('pool', route.pool):
+            return Err(
+                Failure(
+                    kind=ErrorKind.UNKNOWN_MODEL,
+                    detail=f'no route serves model {model!r}',
+                ),
+            )
+        return Ok(route)
+
+    async def _timed(
+        self,
+        answered: Answered,
+    ) -> AsyncIterator[Result[Piece | StreamEnd, Failure]]:
+        job = answered.run.request.job
+        async for event in answered.run.relay():
+            match event:
+                case Ok(Piece()) if answered.first_piece_s is None:
+                    answered.first_piece_s = time.monotonic() - job.arrived_s
+                    self.metrics.first_token.observe(
+                        {'class': job.urgency.value},
+                        answered.first_piece_s,
+                    )
+                case Err(failure):
+                    answered.failure = failure
+            yield event
+
+    def _count(self, route: str, failure: Failure | None) -> None:
+        outcome = failure.kind.value if failure else 'complete'
+        self.metrics.requests.inc({'route': route, 'outcome': outcome})
+
+    def _log(self, answered: Answered) -> None:
+        job = answered.run.request.job
+        progress = answered.run.progress
+        failure = answered.failure
+        if not progress.finished and failure is None:
+            failure = _CALLER_LEFT
+        self._count(job.route, failure)
+        _LOG.info(
+            'completion',
+            fields={
+                'request_id': job.id,
+                'team': job.team,
+                'route': job.route,
+                'decision': failure.kind.value if failure else 'complete',
+                'attempts': progress.attempts,
+                'pieces': progress.relayed,
+                'cached_tokens': progress.cached_tokens,
+                'first_piece_s': answered.first_piece_s,
+            },
+        )
+
+
+_CALLER_LEFT = Failure(
+    kind=ErrorKind.STREAM_BROKEN,
+    detail='the caller closed its connection',
+)
+
+
+def _job(
+    access: TeamAccess,
+    body: CompletionBody,
+    route: Route,
+    pool: Pool,
+    arrived_s: float,
+) -> Job:
+    prompt = body.prompt.encode()
+    identity = CacheIdentity(
+        team=access.name,
+        model=pool.model,
+        adapter=pool.adapter,
+        weights_version=pool.weights_version,
+    )
+    return Job(
+        id=f'req-{uuid.uuid4().hex}',
+        team=access.name,
+        route=body.model,
+        pool=route.pool,
+        urgency=route.urgency,
+        hashes=tuple(chain_hashes(identity, prompt, pool.block_bytes)),
+        block_tokens=max(1, pool.block_bytes // BYTES_PER_TOKEN),
+        prompt_tokens=max(1, len(prompt) // BYTES_PER_TOKEN),
+        max_tokens=body.max_tokens,
+        arrived_s=arrived_s,
+        deadline_s=arrived_s + route.deadline_ms / 1000,
+        team_share=access.team.share,
+    )
+
+
+async def _stream(
+    request: web.Request,
+    answered: Answered,
+    events: AsyncIterator[Result[Piece | StreamEnd, Failure]],
+) -> web.StreamResponse:
+    response: web.StreamResponse | None = None
+    async for event in events:
+        if response is None:
+            match event:
+                case Err(failure):
+                    return failure_response(failure)
+            response = web.StreamResponse(headers=_STREAM_HEADERS)
+            await response.prepare(request)
+        await response.write(_event_bytes(answered, event))
+    await response.write_eof()
+    return response
+
+
+def _event_bytes(
+    answered: Answered,
+    event: Result[Piece | StreamEnd, Failure],
+) -> bytes:
+    match event:
+        case Ok(Piece(text=text)):
+            return answered.format.chunk(text)
+        case Ok(StreamEnd(finish_reason=reason)):
+            last = answered.format.chunk(
+                '',
+                finish_reason=reason,
+                usage=answered.usage(),
+            )
+            return last + STREAM_DONE
+        case Err(failure):
+            return failure_event(failure)
+
+
+async def _whole(
+    answered: Answered,
+    events: AsyncIterator[Result[Piece | StreamEnd, Failure]],
+) -> web.Response:
+    texts = []
+    finish_reason = ''
+    async for event in events:
+        match event:
+            case Ok(Piece(text=text)):
+                texts.append(text)
+            case Ok(StreamEnd(finish_reason=reason)):
+                finish_reason = reason
+            case Err(failure):
+                return failure_response(failure)
+    return json_response(
+        answered.format.whole(''.join(texts), finish_reason, answered.usage()),
+    )
--- /dev/null
+++ b/src/arbutusbay/router/_generation_run.py
@@ -0,0 +1,271 @@
+"""Run one completion: place it, relay its stream, retry and resume."""
+
+import time
+from collections.abc import AsyncIterator
+
+import attrs
+from result import Err, Ok, Result
+
+from arbutusbay.backend import (
+    EngineClient,
+    EngineIdentity,
+    Generation,
+    Piece,
+    Priority,
+    StreamEnd,
+    StreamStart,
+)
+from arbutusbay.errors import ErrorKind, Failure, RunState
+from arbutusbay.logs import get_logger
+from arbutusbay.policy import Job
+from arbutusbay.router._blackboard import RouterBoard
+from arbutusbay.router._dispatcher import Dispatcher, JobContext, Placement
+from arbutusbay.router._metrics import RouterMetrics
+from arbutusbay.state import Pool, Urgency
+
+_LOG = get_logger('generation')
+_SMOOTHING = 0.05
+_MIN_TIMED_TOKENS = 200
+
+
+@attrs.frozen(kw_only=True)
+class CompletionRequest:
+    """Hold a checked completion request."""
+
+    job: Job
+    prompt: str
+    pool: Pool
+    idempotent: bool
+    context: JobContext
+
+
+@attrs.define(kw_only=True)
+class Progress:
+    """Track what a run has relayed and learned so far."""
+
+    relayed: int = 0
+    attempts: int = 0
+    weights_version: str = ''
+    excluded: frozenset[str] = frozenset()
+    prompt_tokens: int = 0
+    cached_tokens: int = 0
+    finished: bool = False
+    last_failure: Failure | None = None
+
+
+RelayEvent = Result[Piece | StreamEnd, Failure]
+
+
+class GenerationRun:
+    """Relay the pieces of one request in order, each exactly once."""
+
+    def __init__(
+        self,
+        *,
+        board: RouterBoard,
+        dispatcher: Dispatcher,
+        metrics: RouterMetrics,
+        session: object,
+        request: CompletionRequest,
+    ) -> None:
+        """Prepare a run; ``relay`` starts it."""
+        self.board = board
+        self.dispatcher = dispatcher
+        self.metrics = metrics
+        self.session = session
+        self.request = request
+        self.progress = Progress()
+
+    async def relay(self) -> AsyncIterator[RelayEvent]:
+        """Yield pieces, then the end or one failure."""
+        progress = self.progress
+        while True:
+            match await self._place():
+                case Err(failure):
+                    yield Err(self._final_failure(failure))
+                    return
+                case Ok(placement):
+                    pass
+            progress.attempts += 1
+            async for event in self._attempt(placement):
+                yield event
+            if progress.finished:
+                return
+            if not self._may_retry():
+                yield Err(self._final_failure(progress.last_failure))
+                return
+
+    async def _place(self) -> Result[Placement, Failure]:
+        context = attrs.evolve(
+            self.request.context,
+            excluded=self.progress.excluded,
+            weights_version=self.progress.weights_version,
+        )
+        return await self.dispatcher.place(self.request.job, context)
+
+    async def _attempt(self, placement: Placement) -> AsyncIterator[RelayEvent]:
+        service_s = None
+        try:
+            async for event in self._relay_attempt(placement):
+                yield event
+            if self.progress.finished:
+                service_s = time.monotonic() - placement.placed_s
+        finally:
+            self.dispatcher.release(placement, service_s=service_s)
+
+    async def _relay_attempt(
+        self,
+        placement: Placement,
+    ) -> AsyncIterator[RelayEvent]:
+        client = EngineClient(session=self.session, url=placement.engine.url)
+        watch = AttemptWatch(
+            board=self.board,
+            placement=placement,
+            job=self.request.job,
+        )
+        async for event in client.generate(self._generation(placement)):
+            match event:
+                case Ok(EngineIdentity() as identity):
+                    watch.put_identity(identity)
+                case Ok(StreamStart() as start):
+                    self._put_start(start, placement)
+                case Ok(Piece() as piece):
+                    watch.put_piece()
+                    self.progress.relayed += 1
+                    self.progress.weights_version = (
+                        placement.engine.weights_version
+                    )
+                    yield Ok(piece)
+                case Ok(StreamEnd() as end):
+                    self.progress.finished = True
+                    placement.engine.put_success()
+                    yield Ok(end)
+                case Err(failure):
+                    self._put_failure(placement, failure)
+
+    def _generation(self, placement: Placement) -> Generation:
+        job = self.request.job
+        pool = self.request.pool
+        engine = placement.engine
+        is_urgent = job.urgency is Urgency.URGENT
+        return Generation(
+            attempt=placement.attempt,
+            team=job.team,
+            model=pool.model,
+            adapter=pool.adapter,
+            weights_version=engine.weights_version or pool.weights_version,
+            incarnation=engine.incarnation if placement.depth else '',
+            prompt=self.request.prompt,
+            max_tokens=job.max_tokens,
+            priority=Priority.URGENT if is_urgent else Priority.NORMAL,
+            resume_from=self.progress.relayed,
+        )
+
+    def _put_start(self, start: StreamStart, placement: Placement) -> None:
+        progress = self.progress
+        if progress.attempts == 1:
+            progress.prompt_tokens = start.prompt_tokens
+            progress.cached_tokens = start.cached_tokens
+        self.metrics.put_prefix(start, is_repeat=progress.attempts > 1)
+
+    def _put_failure(self, placement: Placement, failure: Failure) -> None:
+        progress = self.progress
+        progress.last_failure = failure
+        if failure.kind is not ErrorKind.NO_BACKEND_SERVER:
+            placement.engine.put_failure()
+        if failure.told_run_state is not RunState.NOT_RUN:
+            progress.excluded |= {placement.engine.name}
+        _LOG.warning(
+            'attempt failed: {}',
+            failure.detail,
+            fields={
+                'request_id': self.request.job.id,
+                'engine': placement.engine.name,
+                'relayed': progress.relayed,
+            },
+        )
+
+    def _may_retry(self) -> bool:
+        progress = self.progress
+        if progress.attempts >= self.board.settings.limits.max_attempts:
+            return False
+        failure = progress.last_failure
+        may_have_run = failure.told_run_state is not RunState.NOT_RUN
+        if may_have_run and not self.request.idempotent:
+            return False
+        if not self.board.retries.spend():
+            return False
+        self.metrics.retries.inc({})
+        return True
+
+    def _final_failure(self, failure: Failure) -> Failure:
+        if self.progress.relayed:
+            return attrs.evolve(
+                failure,
+                kind=ErrorKind.STREAM_BROKEN,
+                run_state=RunState.RAN,
+            )
+        if failure.kind is ErrorKind.STREAM_BROKEN:
+            return attrs.evolve(
+                failure,
+                kind=ErrorKind.OUTCOME_UNKNOWN,
+                run_state=RunState.UNKNOWN,
+            )
+        if self._an_attempt_may_have_run():
+            return attrs.evolve(failure, run_state=RunState.UNKNOWN)
+        return failure
+
+    def _an_attempt_may_have_run(self) -> bool:
+        return bool(self.progress.excluded)
+
+
+class AttemptWatch:
+    """Teach the blackboard from the events of one attempt."""
+
+    def __init__(
+        self,
+        *,
+        board: RouterBoard,
+        placement: Placement,
+        job: Job,
+    ) -> None:
+        """Watch the attempt of ``placement``."""
+        self.board = board
+        self.placement = placement
+        self.job = job
+        self.last_piece_s: float | None = None
+
+    def put_identity(self, identity: EngineIdentity) -> None:
+        """Take up which engine answered."""
+        self.placement.engine.put_identity(
+            identity.incarnation,
+            identity.weights_version,
+        )
+
+    def put_piece(self) -> None:
+        """Take up the time of a piece."""
+        now_s = time.monotonic()
+        if self.last_piece_s is None:
+            self._put_first_token(now_s)
+        else:
+            self.placement.engine.put_piece_gap(now_s - self.last_piece_s)
+        self.last_piece_s = now_s
+
+    def _put_first_token(self, now_s: float) -> None:
+        placement = self.placement
+        engine = placement.engine
+        attempt = engine.in_flight.get(placement.attempt)
+        if attempt is not None:
+            attempt.first_token_seen = True
+        seen_s = now_s - placement.placed_s
+        if placement.predicted_s > 0:
+            engine.put_first_token_ratio(seen_s / placement.predicted_s)
+        self._put_prefill_speed(seen_s)
+
+    def _put_prefill_speed(self, seen_s: float) -> None:
+        uncached = self.job.uncached_tokens(self.placement.depth)
+        if uncached < _MIN_TIMED_TOKENS or self.placement.engine.waiting:
+            return
+        pool = self.board.pool_state(self.job.pool)
+        sample_s = seen_s / uncached
+        pool.prefill_s += _SMOOTHING * (sample_s - pool.prefill_s)
--- /dev/null
+++ b/src/arbutusbay/router/_main.py
@@ -0,0 +1,95 @@
+"""Assemble and run the router."""
+
+import sys
+from collections.abc import Sequence
+
+import aiomisc
+
+from arbutusbay.daemon import run_daemon
+from arbutusbay.http import HttpService, new_application, new_session
+from arbutusbay.router._blackboard import RouterBoard
+from arbutusbay.router._completions_api import CompletionsApi
+from arbutusbay.router._config_follower import ConfigFollower
+from arbutusbay.router._debug_api import DebugApi
+from arbutusbay.router._dispatcher import Dispatcher
+from arbutusbay.router._keyed_call import KeyedCalls
+from arbutusbay.router._ledger_client import LedgerClient
+from arbutusbay.router._lookup import IndexLookup
+from arbutusbay.router._metrics import RouterMetrics
+from arbutusbay.router._service_calls import ServiceCalls
+from arbutusbay.router._services_api import ServicesApi
+from arbutusbay.router._settings import RouterSettings
+
+
+class RouterDaemon(aiomisc.Service):
+    """Start the APIs and the controllers once the event loop runs."""
+
+    settings: RouterSettings
+
+    async def start(self) -> None:
+        """Build the blackboard and start every service of the router."""
+        self.board = RouterBoard(settings=self.settings)
+        self.session = new_session()
+        self.single_use_session = new_session(reuse_connections=False)
+        entrypoint = aiomisc.entrypoint.get_current()
+        self.http = self._build_http()
+        await entrypoint.start_services(
+            ConfigFollower(
+                board=self.board,
+                session=self.session,
+                dispatcher=self.dispatcher,
+            ),
+        )
+        await self.http.start()
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Drain, then close the client sessions."""
+        await self.http.stop()
+        await self.session.close()
+        await self.single_use_session.close()
+
+    def _build_http(self) -> HttpService:
+        application = new_application()
+        metrics = RouterMetrics()
+        self.dispatcher = Dispatcher(board=self.board)
+        calls = ServiceCalls(
+            board=self.board,
+            session=self.single_use_session,
+        )
+        ledger = LedgerClient(board=self.board, session=self.session)
+        CompletionsApi(
+            board=self.board,
+            dispatcher=self.dispatcher,
+            lookup=IndexLookup(board=self.board, session=self.session),
+            metrics=metrics,
+            session=self.session,
+        ).add_routes(application)
+        ServicesApi(
+            board=self.board,
+            calls=calls,
+            keyed=KeyedCalls(ledger=ledger, calls=calls),
+            metrics=metrics,
+        ).add_routes(application)
+        DebugApi(board=self.board, metrics=metrics).add_routes(application)
+        return HttpService(
+            application=application,
+            host=self.settings.node.host,
+            port=self.settings.node.router_port,
+            drain=self.settings.drain,
+            announce=self._announce_drain,
+        )
+
+    def _announce_drain(self) -> None:
+        self.board.draining = True
+
+
+def main(arguments: Sequence[str] | None = None) -> None:
+    """Run ``arbutusbay-router``."""
+    sys.exit(
+        run_daemon(
+            name='arbutusbay-router',
+            settings_type=RouterSettings,
+            build_services=lambda settings: [RouterDaemon(settings=settings)],
+            arguments=arguments,
+        ),
+    )
--- /dev/null
+++ b/src/arbutusbay/router/_metrics.py
@@ -0,0 +1,88 @@
+"""Define the metrics of the router."""
+
+from aiohttp import web
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
+
+from arbutusbay.backend import StreamStart
+from arbutusbay.router._blackboard import RouterBoard
+
+_FIRST_TOKEN_BUCKETS_S = (
+    0.025,
+    0.05,
+    0.1,
+    0.2,
+    0.4,
+    0.8,
+    1.5,
+    3.0,
+    6.0,
+    float('inf'),
+)
+
+
+class RouterMetrics:
+    """Count requests, tokens and extra attempts of this router."""
+
+    def __init__(self) -> None:
+        """Register all metrics."""
+        self.registry = Registry()
+        self.requests = self._counter(
+            'arbutusbay_requests_total',
+            'Requests answered, by route and outcome',
+        )
+        self.prompt_tokens = self._counter(
+            'arbutusbay_prompt_tokens_total',
+            'Prompt tokens of first attempts',
+        )
+        self.cached_tokens = self._counter(
+            'arbutusbay_cached_tokens_total',
+            'Prompt tokens of first attempts that engines had cached',
+        )
+        self.wasted_tokens = self._counter(
+            'arbutusbay_wasted_tokens_total',
+            'Prompt tokens computed again by repeated attempts',
+        )
+        self.retries = self._counter(
+            'arbutusbay_retries_total',
+            'Attempts after a failed one',
+        )
+        self.hedges = self._counter(
+            'arbutusbay_hedges_total',
+            'Attempts beside a slow one',
+        )
+        self.first_token = Histogram(
+            'arbutusbay_first_token_seconds',
+            'Seconds from arrival to the first piece, by class',
+            registry=self.registry,
+            buckets=_FIRST_TOKEN_BUCKETS_S,
+        )
+        self.queued = Gauge(
+            'arbutusbay_queued_requests',
+            'Requests that wait for an engine, by pool',
+            registry=self.registry,
+        )
+        self.config_offset = Gauge(
+            'arbutusbay_router_config_offset',
+            'Offset of the configuration in force',
+            registry=self.registry,
+        )
+
+    def put_prefix(self, start: StreamStart, *, is_repeat: bool) -> None:
+        """Count the prompt tokens of one attempt."""
+        uncached = start.prompt_tokens - start.cached_tokens
+        if is_repeat:
+            self.wasted_tokens.add({}, uncached)
+            return
+        self.prompt_tokens.add({}, start.prompt_tokens)
+        self.cached_tokens.add({}, start.cached_tokens)
+
+    def response(self, board: RouterBoard) -> web.Response:
+        """Return all metrics as Prometheus text."""
+        self.config_offset.set({}, board.config.offset)
+        for pool in board.pools.values():
+            self.queued.set({'pool': pool.name}, len(pool.queue))
+        body, headers = render(self.registry, [])
+        return web.Response(body=body, headers=headers)
+
+    def _counter(self, name: str, doc: str) -> Counter:
+        return Counter(name, doc, registry=self.registry)
--- /dev/null
+++ b/src/arbutusbay/router/_service_calls.py
@@ -0,0 +1,122 @@
+"""Send calls to plain backend servers, repeating only what may repeat."""
+
+import time
+
+import aiohttp
+from result import Err, Ok, Result
+
+from arbutusbay.backend import ServiceAnswer, ServiceCall, call_service
+from arbutusbay.errors import ErrorKind, Failure, RunState
+from arbutusbay.router._blackboard import RouterBoard, ServiceState
+
+_FAILURE_PAUSE_S = 1.0
+_MIN_CALL_S = 0.05
+
+
+class ServiceCalls:
+    """Choose plain backend servers and call them."""
+
+    def __init__(
+        self,
+        *,
+        board: RouterBoard,
+        session: aiohttp.ClientSession,
+    ) -> None:
+        """Use ``session``, which must not reuse connections."""
+        self.board = board
+        self.session = session
+
+    async def send_once(
+        self,
+        pool: str,
+        call: ServiceCall,
+    ) -> Result[ServiceAnswer, Failure]:
+        """Send ``call`` so that at most one backend server gets bytes.
+
+        Another backend server is tried only after a failure to connect.
+        """
+        return await self._send(pool, call, repeatable=False)
+
+    async def send_idempotent(
+        self,
+        pool: str,
+        call: ServiceCall,
+    ) -> Result[ServiceAnswer, Failure]:
+        """Send ``call`` to one backend server after another until answered."""
+        return await self._send(pool, call, repeatable=True)
+
+    async def _send(
+        self,
+        pool: str,
+        call: ServiceCall,
+        *,
+        repeatable: bool,
+    ) -> Result[ServiceAnswer, Failure]:
+        tried: set[str] = set()
+        deadline_s = time.monotonic() + call.timeout_s
+        answer: Result[ServiceAnswer, Failure] = Err(_no_server(pool))
+        for _ in range(self.board.settings.limits.max_attempts):
+            service = self._choose(pool, tried)
+            if service is None or time.monotonic() + _MIN_CALL_S > deadline_s:
+                return answer
+            tried.add(service.name)
+            answer = await self._call(service, call)
+            if not _may_try_next(answer, repeatable=repeatable):
+                return answer
+        return answer
+
+    async def _call(
+        self,
+        service: ServiceState,
+        call: ServiceCall,
+    ) -> Result[ServiceAnswer, Failure]:
+        service.in_flight += 1
+        try:
+            answer = await call_service(self.session, service.url, call)
+        finally:
+            service.in_flight -= 1
+        if answer.is_err():
+            service.avoid_until_s = time.monotonic() + _FAILURE_PAUSE_S
+        return answer
+
+    def _choose(self, pool: str, tried: set[str]) -> ServiceState | None:
+        services = [
+            service
+            for service in self.board.services_of(pool)
+            if service.name not in tried
+            and not service.draining
+            and not service.leaving
+        ]
+        now_s = time.monotonic()
+        own_zone = self.board.settings.node.zone
+        return min(
+            services,
+            key=lambda service: (
+                service.avoid_until_s > now_s,
+                service.in_flight,
+                service.zone != own_zone,
+                self.board.rng.random(),
+            ),
+            default=None,
+        )
+
+
+def _may_try_next(
+    answer: Result[ServiceAnswer, Failure],
+    *,
+    repeatable: bool,
+) -> bool:
+    match answer:
+        case Ok():
+            return False
+        case Err(failure):
+            not_run = failure.told_run_state is RunState.NOT_RUN
+            return repeatable or not_run
+
+
+def _no_server(pool: str) -> Failure:
+    return Failure(
+        kind=ErrorKind.NO_BACKEND_SERVER,
+        detail=f'no backend server of pool {pool!r} can be reached',
+        run_state=RunState.NOT_RUN,
+    )
--- /dev/null
+++ b/src/arbutusbay/router/_services_api.py
@@ -0,0 +1,189 @@
+"""Serve plain services under ``/services/<route>/<path>``."""
+
+import hashlib
+import time
+from collections.abc import Mapping
+
+import attrs
+from aiohttp import web
+from result import Err, Ok, Result
+
+from arbutusbay.backend import KEY_HEADER, ServiceAnswer, ServiceCall
+from arbutusbay.errors import ErrorKind, Failure
+from arbutusbay.http import failure_response
+from arbutusbay.logs import get_logger
+from arbutusbay.router._access import check_access
+from arbutusbay.router._blackboard import RouterBoard
+from arbutusbay.router._keyed_call import KeyedCall, KeyedCalls
+from arbutusbay.router._metrics import RouterMetrics
+from arbutusbay.router._service_calls import ServiceCalls
+from arbutusbay.state import Route
+
+_LOG = get_logger('services')
+_PASSED_HEADERS = ('Content-Type', 'Accept', KEY_HEADER)
+_MAX_KEY_CHARACTERS = 255
+
+
+@attrs.frozen(kw_only=True)
+class ServiceRequest:
+    """Hold a checked request to a plain service."""
+
+    team: str
+    route_name: str
+    route: Route
+    key: str
+    call: ServiceCall
+    arrived_s: float
+
+
+class ServicesApi:
+    """Answer requests to plain services."""
+
+    def __init__(
+        self,
+        *,
+        board: RouterBoard,
+        calls: ServiceCalls,
+        keyed: KeyedCalls,
+        metrics: RouterMetrics,
+    ) -> None:
+        """Send with ``calls``, or with ``keyed`` when a key came along."""
+        self.board = board
+        self.calls = calls
+        self.keyed = keyed
+        self.metrics = metrics
+
+    def add_routes(self, application: web.Application) -> None:
+        """Register the endpoints."""
+        application.router.add_route(
+            '*',
+            '/services/{route}/{path:.*}',
+            self.answer,
+        )
+
+    async def answer(self, request: web.Request) -> web.Response:
+        """Answer one request."""
+        match await self._parse(request):
+            case Err(failure):
+                return failure_response(failure)
+            case Ok(parsed):
+                pass
+        answer = await self._run(parsed)
+        self._log(parsed, answer)
+        match answer:
+            case Err(failure):
+                return failure_response(failure)
+            case Ok(found):
+                return web.Response(
+                    status=found.status,
+                    body=found.body,
+                    content_type=found.content_type,
+                )
+
+    async def _parse(
+        self,
+        request: web.Request,
+    ) -> Result[ServiceRequest, Failure]:
+        arrived_s = time.monotonic()
+        match check_access(self.board, request):
+            case Err() as failed:
+                return failed
+            case Ok(access):
+                pass
+        name = request.match_info['route']
+        route = self.board.routes.get(name)
+        if route is None:
+            return _refused(ErrorKind.UNKNOWN_ROUTE, f'no route {name!r}')
+        key = request.headers.get(KEY_HEADER, '')
+        if len(key) > _MAX_KEY_CHARACTERS:
+            return _refused(
+                ErrorKind.BAD_REQUEST,
+                f'{KEY_HEADER} exceeds {_MAX_KEY_CHARACTERS} characters',
+            )
+        return Ok(
+            ServiceRequest(
+                team=access.name,
+                route_name=name,
+                route=route,
+                key=key,
+                arrived_s=arrived_s,
+                call=ServiceCall(
+                    method=request.method,
+                    path=_service_path(request),
+                    headers=_passed_headers(request.headers),
+                    body=await request.read(),
+                    timeout_s=route.deadline_ms / 1000,
+                ),
+            ),
+        )
+
+    async def _run(
+        self,
+        parsed: ServiceRequest,
+    ) -> Result[ServiceAnswer, Failure]:
+        pool = parsed.route.pool
+        if parsed.route.idempotent:
+            return await self.calls.send_idempotent(pool, parsed.call)
+        if not parsed.key:
+            return await self.calls.send_once(pool, parsed.call)
+        return await self.keyed.run(
+            KeyedCall(
+                key=f'{parsed.team}/{parsed.route_name}/{parsed.key}',
+                fingerprint=_fingerprint(parsed.call),
+                pool=pool,
+                call=parsed.call,
+                may_repeat=self._checks_keys(pool),
+                deadline_s=parsed.arrived_s + parsed.call.timeout_s,
+            ),
+        )
+
+    def _checks_keys(self, pool: str) -> bool:
+        services = self.board.services_of(pool)
+        return bool(services) and all(
+            service.checks_idempotency_keys for service in services
+        )
+
+    def _log(
+        self,
+        parsed: ServiceRequest,
+        answer: Result[ServiceAnswer, Failure],
+    ) -> None:
+        match answer:
+            case Ok():
+                decision = 'complete'
+            case Err(failure):
+                decision = failure.kind.value
+        self.metrics.requests.inc(
+            {
+                'route': parsed.route_name,
+                'outcome': decision,
+            }
+        )
+        _LOG.info(
+            'service call',
+            fields={
+                'team': parsed.team,
+                'route': parsed.route_name,
+                'decision': decision,
+                'seconds': time.monotonic() - parsed.arrived_s,
+            },
+        )
+
+
+def _service_path(request: web.Request) -> str:
+    prefix = f'/services/{request.match_info["route"]}'
+    return request.path_qs.removeprefix(prefix)
+
+
+def _passed_headers(headers: Mapping[str, str]) -> dict[str, str]:
+    return {name: headers[name] for name in _PASSED_HEADERS if name in headers}
+
+
+def _fingerprint(call: ServiceCall) -> str:
+    digest = hashlib.sha256(f'{call.method} {call.path}\n'.encode())
+    digest.update(call.body)
+    return digest.hexdigest()
+
+
+def _refused(kind: ErrorKind, detail: str) -> Err[Failure]:
+    return Err(Failure(kind=kind, detail=detail))
--- /dev/null
+++ b/src/arbutusbay/state/_config.py
@@ -0,0 +1,248 @@
+"""Fold configuration records, in log order, into the state in force.
+
+Every process folds the same records with the same functions, so that the
+order of the platform's log decides every race.
+"""
+
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import Any
+
+import attrs
+import orjson
+from result import Err, Ok, Result
+
+from arbutusbay.errors import ErrorKind, Failure
+from arbutusbay.state._resources import (
+    Spec,
+    spec_from_json,
+    spec_to_json,
+)
+
+NO_VERSION = 0
+
+
+@attrs.frozen(kw_only=True)
+class ResourceId:
+    """Name one resource."""
+
+    kind: str
+    name: str
+
+
+@attrs.frozen(kw_only=True)
+class Resource:
+    """Hold a resource in force; ``version`` is the offset of its record."""
+
+    id: ResourceId
+    spec: Spec
+    version: int
+
+
+@attrs.frozen(kw_only=True)
+class Put:
+    """Declare a resource if its version is still ``expects``.
+
+    ``expects`` is ``NO_VERSION`` to create and None to overwrite.
+    """
+
+    id: ResourceId
+    spec: Spec
+    expects: int | None
+    nonce: str
+
+
+@attrs.frozen(kw_only=True)
+class Delete:
+    """Remove a resource if its version is still ``expects``."""
+
+    id: ResourceId
+    expects: int | None
+    nonce: str
+
+
+@attrs.frozen(kw_only=True)
+class Snapshot:
+    """Hold the whole state after the record at offset ``base``.
+
+    A reader that starts late uses it only when every record after ``base``
+    is still in the log, so a late append can never bring back old state.
+    """
+
+    base: int
+    resources: tuple[Resource, ...]
+    nonce: str
+
+
+ConfigRecord = Put | Delete | Snapshot
+
+
+@attrs.frozen(kw_only=True)
+class ConfigState:
+    """Hold all resources after the record at ``offset``, -1 when none."""
+
+    offset: int = -1
+    resources: Mapping[ResourceId, Resource] = attrs.field(
+        factory=lambda: MappingProxyType({}),
+    )
+
+
+def is_accepted(state: ConfigState, record: Put | Delete) -> bool:
+    """Tell whether ``record`` wins when it is next in the log."""
+    if record.expects is None:
+        return True
+    return current_version(state, record.id) == record.expects
+
+
+def current_version(state: ConfigState, resource_id: ResourceId) -> int:
+    """Return the version in force, or ``NO_VERSION``."""
+    resource = state.resources.get(resource_id)
+    return resource.version if resource else NO_VERSION
+
+
+def apply_config(
+    state: ConfigState,
+    offset: int,
+    record: ConfigRecord | None,
+) -> ConfigState:
+    """Return the state after ``record`` at ``offset``.
+
+    Records at or below the state's offset change nothing; None stands for
+    a record that can't be read and changes nothing but the offset.
+    """
+    if offset <= state.offset:
+        return state
+    resources = state.resources
+    match record:
+        case Put() if is_accepted(state, record):
+            resources = {**resources, record.id: _resource_at(offset, record)}
+        case Delete() if is_accepted(state, record):
+            resources = {
+                resource_id: resource
+                for resource_id, resource in resources.items()
+                if resource_id != record.id
+            }
+        case _:
+            return attrs.evolve(state, offset=offset)
+    return ConfigState(offset=offset, resources=MappingProxyType(resources))
+
+
+def state_from_snapshot(snapshot: Snapshot) -> ConfigState:
+    """Return the state that ``snapshot`` holds."""
+    return ConfigState(
+        offset=snapshot.base,
+        resources=MappingProxyType(
+            {resource.id: resource for resource in snapshot.resources}
+        ),
+    )
+
+
+def is_usable_snapshot(snapshot: Snapshot, first_offset: int) -> bool:
+    """Tell whether the log still holds every record after ``snapshot``."""
+    return snapshot.base + 1 >= first_offset
+
+
+def snapshot_of(state: ConfigState, nonce: str) -> Snapshot:
+    """Return a snapshot record of ``state``."""
+    return Snapshot(
+        base=state.offset,
+        resources=tuple(state.resources.values()),
+        nonce=nonce,
+    )
+
+
+def record_to_bytes(record: ConfigRecord) -> bytes:
+    """Return ``record`` as JSON for the platform's log."""
+    match record:
+        case Put():
+            fields = {'type': 'put', 'spec': spec_to_json(record.spec)}
+        case Delete():
+            fields = {'type': 'delete'}
+        case Snapshot():
+            return orjson.dumps(
+                {
+                    'type': 'snapshot',
+                    'base': record.base,
+                    'nonce': record.nonce,
+                    'resources': [
+                        resource_to_json(resource)
+                        for resource in record.resources
+                    ],
+                }
+            )
+    return orjson.dumps(
+        {
+            **fields,
+            'kind': record.id.kind,
+            'name': record.id.name,
+            'expects': record.expects,
+            'nonce': record.nonce,
+        }
+    )
+
+
+def record_from_bytes(payload: bytes) -> Result[ConfigRecord, Failure]:
+    """Return the record in ``payload``, or ``BAD_MESSAGE``."""
+    try:
+        return _record_from_json(orjson.loads(payload))
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        return Err(
+            Failure(
+                kind=ErrorKind.BAD_MESSAGE,
+                detail=f'configuration record: {error!r}',
+            ),
+        )
+
+
+def resource_to_json(resource: Resource) -> dict[str, Any]:
+    """Return a resource with its version as JSON values."""
+    return {
+        'kind': resource.id.kind,
+        'name': resource.id.name,
+        'spec': spec_to_json(resource.spec),
+        'version': resource.version,
+    }
+
+
+def resource_from_json(fields: dict[str, Any]) -> Result[Resource, Failure]:
+    """Return the resource that ``resource_to_json`` wrote."""
+    return spec_from_json(fields['kind'], fields['spec']).map(
+        lambda spec: Resource(
+            id=ResourceId(kind=fields['kind'], name=fields['name']),
+            spec=spec,
+            version=fields['version'],
+        ),
+    )
+
+
+def _resource_at(offset: int, record: Put) -> Resource:
+    return Resource(id=record.id, spec=record.spec, version=offset)
+
+
+def _record_from_json(fields: dict[str, Any]) -> Result[ConfigRecord, Failure]:
+    if fields['type'] == 'snapshot':
+        return Ok(_snapshot_from_json(fields))
+    resource_id = ResourceId(kind=fields['kind'], name=fields['name'])
+    expects = fields['expects']
+    nonce = fields['nonce']
+    if fields['type'] == 'delete':
+        return Ok(Delete(id=resource_id, expects=expects, nonce=nonce))
+    return spec_from_json(resource_id.kind, fields['spec']).map(
+        lambda spec: Put(
+            id=resource_id,
+            spec=spec,
+            expects=expects,
+            nonce=nonce,
+        ),
+    )
+
+
+def _snapshot_from_json(fields: dict[str, Any]) -> Snapshot:
+    return Snapshot(
+        base=fields['base'],
+        nonce=fields['nonce'],
+        resources=tuple(
+            resource_from_json(resource).unwrap()
+            for resource in fields['resources']
+        ),
+    )
--- /dev/null
+++ b/src/arbutusbay/state/_ledger.py
@@ -0,0 +1,176 @@
+"""Fold ledger records of one idempotency key, in log order.
+
+Only the claimant of the first live claim may send, once, and no timeout
+hands a claim over: a claim ends by its claimant's own ``Abandon`` alone.
+"""
+
+import base64
+from collections.abc import Iterable
+from typing import Any
+
+import attrs
+import orjson
+from result import Err, Ok, Result
+
+from arbutusbay.errors import ErrorKind, Failure
+
+MAX_STORED_BODY_BYTES = 4096
+
+
+@attrs.frozen(kw_only=True)
+class Claim:
+    """Claim ``key`` for the single attempt ``nonce``.
+
+    ``fingerprint`` is a digest of the request, so that a key that returns
+    with another request is refused.
+    """
+
+    key: str
+    nonce: str
+    fingerprint: str = ''
+
+
+@attrs.frozen(kw_only=True)
+class Abandon:
+    """State that attempt ``nonce`` was not sent and never will be."""
+
+    key: str
+    nonce: str
+
+
+@attrs.frozen(kw_only=True)
+class Outcome:
+    """Record the backend server's answer to attempt ``nonce``."""
+
+    key: str
+    nonce: str
+    status: int
+    content_type: str
+    body: bytes
+
+
+LedgerRecord = Claim | Abandon | Outcome
+
+
+@attrs.frozen(kw_only=True)
+class KeyEntry:
+    """Hold the state of one key: its claimant, dead nonces, outcome."""
+
+    claimant: str | None = None
+    fingerprint: str = ''
+    abandoned: frozenset[str] = frozenset()
+    outcome: Outcome | None = None
+
+
+EMPTY_ENTRY = KeyEntry()
+
+
+def apply_ledger(entry: KeyEntry, record: LedgerRecord) -> KeyEntry:
+    """Return the state of the key after ``record``."""
+    match record:
+        case Claim():
+            return _apply_claim(entry, record)
+        case Abandon():
+            return _apply_abandon(entry, record)
+        case Outcome():
+            return _apply_outcome(entry, record)
+
+
+def may_send(entry: KeyEntry, nonce: str) -> bool:
+    """Tell whether attempt ``nonce`` holds the live claim, unanswered."""
+    return entry.claimant == nonce and entry.outcome is None
+
+
+def ledger_batch_to_bytes(records: Iterable[LedgerRecord]) -> bytes:
+    """Return one log record that carries a group commit of ``records``."""
+    return orjson.dumps([_record_to_json(record) for record in records])
+
+
+def ledger_batch_from_bytes(
+    payload: bytes,
+) -> Result[list[LedgerRecord], Failure]:
+    """Return the records of one group commit, or ``BAD_MESSAGE``."""
+    try:
+        return Ok(
+            [_record_from_json(fields) for fields in orjson.loads(payload)]
+        )
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        return Err(
+            Failure(
+                kind=ErrorKind.BAD_MESSAGE,
+                detail=f'ledger record: {error!r}',
+            ),
+        )
+
+
+def _apply_claim(entry: KeyEntry, record: Claim) -> KeyEntry:
+    if entry.claimant is not None or record.nonce in entry.abandoned:
+        return entry
+    return attrs.evolve(
+        entry,
+        claimant=record.nonce,
+        fingerprint=record.fingerprint,
+    )
+
+
+def _apply_abandon(entry: KeyEntry, record: Abandon) -> KeyEntry:
+    abandoned = entry.abandoned | {record.nonce}
+    if may_send(entry, record.nonce):
+        return attrs.evolve(entry, claimant=None, abandoned=abandoned)
+    return attrs.evolve(entry, abandoned=abandoned)
+
+
+def _apply_outcome(entry: KeyEntry, record: Outcome) -> KeyEntry:
+    if not may_send(entry, record.nonce):
+        return entry
+    return attrs.evolve(entry, outcome=record)
+
+
+def _record_to_json(record: LedgerRecord) -> dict[str, Any]:
+    match record:
+        case Claim():
+            return {
+                'type': 'claim',
+                'key': record.key,
+                'nonce': record.nonce,
+                'fingerprint': record.fingerprint,
+            }
+        case Abandon():
+            return {
+                'type': 'abandon',
+                'key': record.key,
+                'nonce': record.nonce,
+            }
+        case Outcome():
+            return {
+                'type': 'outcome',
+                'key': record.key,
+                'nonce': record.nonce,
+                'status': record.status,
+                'content_type': record.content_type,
+                'body': base64.b64encode(record.body).decode(),
+            }
+
+
+def _record_from_json(fields: dict[str, Any]) -> LedgerRecord:
+    key = fields['key']
+    nonce = fields['nonce']
+    match fields['type']:
+        case 'claim':
+            return Claim(
+                key=key,
+                nonce=nonce,
+                fingerprint=fields['fingerprint'],
+            )
+        case 'abandon':
+            return Abandon(key=key, nonce=nonce)
+        case 'outcome':
+            return Outcome(
+                key=key,
+                nonce=nonce,
+                status=fields['status'],
+                content_type=fields['content_type'],
+                body=base64.b64decode(fields['body']),
+            )
+        case other:
+            raise ValueError(f'unknown record type {other!r}')
--- /dev/null
+++ b/src/arbutusbay/state/_resources.py
@@ -0,0 +1,180 @@
+"""Define the resources that operators declare and check their fields."""
+
+import enum
+import re
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import Any
+
+import attrs
+import cattrs
+import orjson
+from attrs import validators
+from result import Err, Ok, Result
+
+from arbutusbay.errors import ErrorKind, Failure
+from arbutusbay.structuring import new_converter
+
+_NAME_PATTERN = re.compile('[a-z0-9][a-z0-9-]{0,62}')
+_DIGEST_PATTERN = re.compile('[0-9a-f]{64}')
+_URL_PATTERN = re.compile(r'https?://[0-9a-zA-Z.:\[\]-]+')
+_MAX_DEADLINE_MS = 600_000
+_MAX_LOADS = 64
+_MIN_SHARE = 0.01
+_MAX_SHARE = 1000
+_DEFAULT_BLOCK_BYTES = 64
+_DEFAULT_DEADLINE_MS = 10_000
+_MAX_BLOCK_BYTES = 65_536
+
+
+class Urgency(enum.StrEnum):
+    """Name the two classes of work."""
+
+    URGENT = 'urgent'
+    NORMAL = 'normal'
+
+
+class BackendKind(enum.StrEnum):
+    """Tell a model engine from a plain service."""
+
+    ENGINE = 'engine'
+    SERVICE = 'service'
+
+
+def _matches(pattern: re.Pattern[str]) -> Any:
+    return validators.matches_re(pattern, func=re.fullmatch)
+
+
+def _between(low: float, high: float) -> Any:
+    return validators.and_(validators.ge(low), validators.le(high))
+
+
+@attrs.frozen(kw_only=True)
+class Team:
+    """Declare a team: SHA-256 digests of its API keys and its share.
+
+    ``share`` weighs the team against others when capacity is short.
+    """
+
+    api_key_digests: list[str] = attrs.field(
+        validator=validators.deep_iterable(_matches(_DIGEST_PATTERN)),
+    )
+    share: float = attrs.field(
+        default=1.0, validator=_between(_MIN_SHARE, _MAX_SHARE)
+    )
+
+
+@attrs.frozen(kw_only=True)
+class Pool:
+    """Declare a pool: the model, adapter and weights version it serves.
+
+    ``block_bytes`` is the size of one cached piece of prompt text;
+    ``max_concurrent_loads`` bounds engines that load weights at once.
+    """
+
+    model: str = attrs.field(validator=validators.min_len(1))
+    weights_version: str = attrs.field(validator=validators.min_len(1))
+    adapter: str = ''
+    block_bytes: int = attrs.field(
+        default=_DEFAULT_BLOCK_BYTES,
+        validator=_between(1, _MAX_BLOCK_BYTES),
+    )
+    max_concurrent_loads: int = attrs.field(
+        default=2,
+        validator=_between(1, _MAX_LOADS),
+    )
+
+
+@attrs.frozen(kw_only=True)
+class Route:
+    """Declare a route from a model name or service path to a pool.
+
+    ``deadline_ms`` bounds the wait for the first token or the answer.
+    """
+
+    pool: str = attrs.field(validator=_matches(_NAME_PATTERN))
+    urgency: Urgency = Urgency.NORMAL
+    idempotent: bool = True
+    deadline_ms: int = attrs.field(
+        default=_DEFAULT_DEADLINE_MS,
+        validator=_between(10, _MAX_DEADLINE_MS),
+    )
+
+
+@attrs.frozen(kw_only=True)
+class BackendServer:
+    """Declare a backend server and what it checks.
+
+    ``checks_fencing`` tells that it refuses orders with an old fencing
+    number; ``checks_idempotency_keys`` that it runs one key only once.
+    """
+
+    pool: str = attrs.field(validator=_matches(_NAME_PATTERN))
+    url: str = attrs.field(validator=_matches(_URL_PATTERN))
+    zone: str = attrs.field(validator=validators.min_len(1))
+    kind: BackendKind = BackendKind.ENGINE
+    checks_fencing: bool = False
+    checks_idempotency_keys: bool = False
+    draining: bool = False
+
+
+Spec = Team | Pool | Route | BackendServer
+
+SPEC_TYPES: Mapping[str, type[Spec]] = MappingProxyType(
+    {
+        'team': Team,
+        'pool': Pool,
+        'route': Route,
+        'backend-server': BackendServer,
+    }
+)
+
+
+_CONVERTER = new_converter()
+
+
+def spec_from_json(kind: str, fields: Any) -> Result[Spec, Failure]:
+    """Return the checked spec, or a failure that names the bad field."""
+    spec_type = SPEC_TYPES.get(kind)
+    if spec_type is None:
+        return _invalid(f'unknown kind {kind!r}, use one of {_kind_list()}')
+    if not isinstance(fields, dict):
+        return _invalid(f'{kind}: spec must be a table of fields')
+    try:
+        return Ok(_CONVERTER.structure(fields, spec_type))
+    except Exception as error:
+        reasons = '; '.join(cattrs.transform_error(error, path=kind))
+        return _invalid(f'{reasons}; allowed: {_field_list(spec_type)}')
+
+
+def spec_to_json(spec: Spec) -> dict[str, Any]:
+    """Return the fields of ``spec`` as JSON values."""
+    return _CONVERTER.unstructure(spec)
+
+
+def spec_to_text(spec: Spec) -> str:
+    """Return ``spec`` as canonical JSON text."""
+    return orjson.dumps(
+        spec_to_json(spec), option=orjson.OPT_SORT_KEYS
+    ).decode()
+
+
+def check_name(name: Any) -> Result[str, Failure]:
+    """Return ``name`` when it may name a resource."""
+    if isinstance(name, str) and _NAME_PATTERN.fullmatch(name):
+        return Ok(name)
+    return _invalid(
+        f'name {name!r} must match {_NAME_PATTERN.pattern}',
+    )
+
+
+def _kind_list() -> str:
+    return ', '.join(SPEC_TYPES)
+
+
+def _field_list(spec_type: type[Spec]) -> str:
+    return ', '.join(field.name for field in attrs.fields(spec_type))
+
+
+def _invalid(detail: str) -> Err[Failure]:
+    return Err(Failure(kind=ErrorKind.INVALID_RESOURCE, detail=detail))
--- /dev/null
+++ b/src/arbutusbay/wire/__init__.py
@@ -0,0 +1,32 @@
+"""Expose the messages between processes and their codec."""
+
+from arbutusbay.wire._codec import decode, encode
+from arbutusbay.wire._messages import (
+    NO_OFFSET,
+    ConfigReply,
+    ConfigRequest,
+    EngineView,
+    Heartbeat,
+    LedgerReply,
+    LedgerRequest,
+    LookupReply,
+    LookupRequest,
+    Member,
+    ResourceEntry,
+)
+
+__all__ = (
+    'NO_OFFSET',
+    'ConfigReply',
+    'ConfigRequest',
+    'EngineView',
+    'Heartbeat',
+    'LedgerReply',
+    'LedgerRequest',
+    'LookupReply',
+    'LookupRequest',
+    'Member',
+    'ResourceEntry',
+    'decode',
+    'encode',
+)
--- /dev/null
+++ b/src/arbutusbay/wire/_codec.py
@@ -0,0 +1,88 @@
+"""Encode typed messages with Cap'n Proto and decode them with checks."""
+
+import functools
+from pathlib import Path
+from types import ModuleType
+from typing import Any, TypeVar
+
+import attrs
+import capnp
+import cattrs
+from result import Err, Ok, Result
+
+from arbutusbay.errors import ErrorKind, Failure
+
+_MessageT = TypeVar('_MessageT')
+_SCHEMA_PATH = Path(__file__).with_name('arbutusbay.capnp')
+_TRAVERSAL_LIMIT_WORDS = 8 * 1024 * 1024
+_CONVERTER = cattrs.Converter()
+
+
+def encode(message: Any) -> bytes:
+    """Return the Cap'n Proto bytes of an attrs message."""
+    struct = getattr(_schema(), type(message).__name__)
+    return struct.new_message(**_to_fields(message)).to_bytes()
+
+
+def decode(
+    message_type: type[_MessageT],
+    payload: bytes,
+) -> Result[_MessageT, Failure]:
+    """Return the message in ``payload``, or ``BAD_MESSAGE``."""
+    struct = getattr(_schema(), message_type.__name__)
+    try:
+        with struct.from_bytes(
+            payload,
+            traversal_limit_in_words=_TRAVERSAL_LIMIT_WORDS,
+        ) as reader:
+            fields = reader.to_dict()
+        return Ok(_CONVERTER.structure(_snake_keys(fields), message_type))
+    except Exception as error:
+        return Err(
+            Failure(
+                kind=ErrorKind.BAD_MESSAGE,
+                detail=f'{message_type.__name__}: {type(error).__name__}',
+            ),
+        )
+
+
+@functools.cache
+def _schema() -> ModuleType:
+    capnp.remove_import_hook()
+    return capnp.load(str(_SCHEMA_PATH))
+
+
+def _to_fields(message: Any) -> dict[str, Any]:
+    return {
+        _camel(field.name): _to_value(getattr(message, field.name))
+        for field in attrs.fields(type(message))
+    }
+
+
+def _to_value(field_value: Any) -> Any:
+    if attrs.has(type(field_value)):
+        return _to_fields(field_value)
+    if isinstance(field_value, list):
+        return [_to_value(element) for element in field_value]
+    return field_value
+
+
+def _snake_keys(fields: Any) -> Any:
+    if isinstance(fields, dict):
+        return {_snake(key): _snake_keys(fields[key]) for key in fields}
+    if isinstance(fields, list):
+        return [_snake_keys(element) for element in fields]
+    return fields
+
+
+@functools.cache
+def _camel(name: str) -> str:
+    first, *others = name.split('_')
+    return first + ''.join(part.capitalize() for part in others)
+
+
+@functools.cache
+def _snake(name: str) -> str:
+    return ''.join(
+        f'_{letter.lower()}' if letter.isupper() else letter for letter in name
+    )
--- /dev/null
+++ b/src/arbutusbay/wire/arbutusbay.capnp
@@ -0,0 +1,79 @@
+@0xb7d1c5a3e2f49608;
+# Messages between the processes of arbutusbay. Times in milliseconds.
+
+struct Member {
+  node @0 :Text;
+  host @1 :Text;
+  zone @2 :Text;
+  incarnation @3 :UInt64;
+  counter @4 :UInt64;
+  configOffset @5 :Int64;
+  routerOffset @6 :Int64;
+  leaving @7 :Bool;
+}
+
+struct Heartbeat {
+  sender @0 :Text;
+  members @1 :List(Member);
+}
+
+struct ResourceEntry {
+  kind @0 :Text;
+  name @1 :Text;
+  spec @2 :Text;
+  version @3 :Int64;
+}
+
+struct ConfigRequest {
+  after @0 :Int64;
+  waitMs @1 :UInt32;
+  node @2 :Text;
+}
+
+struct ConfigReply {
+  offset @0 :Int64;
+  entries @1 :List(ResourceEntry);
+  members @2 :List(Member);
+  changed @3 :Bool;
+  leaving @4 :List(Text);
+}
+
+struct LedgerRequest {
+  action @0 :Text;
+  key @1 :Text;
+  nonce @2 :Text;
+  fingerprint @3 :Text;
+  status @4 :UInt16;
+  contentType @5 :Text;
+  body @6 :Data;
+}
+
+struct LedgerReply {
+  verdict @0 :Text;
+  status @1 :UInt16;
+  contentType @2 :Text;
+  body @3 :Data;
+}
+
+struct LookupRequest {
+  pool @0 :Text;
+  hashes @1 :List(UInt64);
+}
+
+struct EngineView {
+  name @0 :Text;
+  incarnation @1 :Text;
+  weightsVersion @2 :Text;
+  depth @3 :UInt32;
+  running @4 :UInt32;
+  waiting @5 :UInt32;
+  queuedTokens @6 :UInt32;
+  slots @7 :UInt32;
+  ageMs @8 :UInt32;
+  ready @9 :Bool;
+  leaving @10 :Bool;
+}
+
+struct LookupReply {
+  engines @0 :List(EngineView);
+}
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of arbutusbay."""
--- /dev/null
+++ b/tests/integration/__init__.py
@@ -0,0 +1,1 @@
+"""Tests with real processes."""
--- /dev/null
+++ b/tests/model/__init__.py
@@ -0,0 +1,1 @@
+"""Model checking of the core protocols."""
