Answer bad input with errors that name the field

Cause: cattrs reports a refused attrs validator only as 'invalid value' of the whole table, and its direct hooks for int and bool convert strings, so router_port = "80" passed and router_port = 99999 was not named. Ruled out: own checks beside the validators (logic twice); a predicate hook for plain types (cattrs asks its direct hooks first, the test stayed red).

--- a/src/arbutusbay/_settings.py
+++ b/src/arbutusbay/_settings.py
@@ -5,12 +5,11 @@
 from typing import Any, TypeVar
 
 import attrs
-import cattrs
 from attrs import validators
 from result import Err, Ok, Result
 
 from arbutusbay.errors import ErrorKind, Failure
-from arbutusbay.structuring import new_converter
+from arbutusbay.structuring import explain_error, new_converter
 
 _SettingsT = TypeVar('_SettingsT')
 _MIN_PORT = 1
@@ -91,8 +90,7 @@
     try:
         return Ok(new_converter().structure(fields, settings_type))
     except Exception as error:
-        reasons = '; '.join(cattrs.transform_error(error, path='settings'))
-        return _invalid(f'{path}: {reasons}')
+        return _invalid(f'{path}: {explain_error(error, "settings")}')
 
 
 def _invalid(detail: str) -> Err[Failure]:
--- a/src/arbutusbay/_structuring.py
+++ b/src/arbutusbay/_structuring.py
@@ -1,5 +1,6 @@
 """Build attrs classes from parsed TOML or JSON without guessing types."""
 
+import enum
 from typing import Any
 
 import attrs
@@ -20,13 +21,41 @@
             _cattrs_forbid_extra_keys=True,
         ),
     )
-    converter.register_structure_hook_func(
-        lambda wanted: wanted in _PLAIN_TYPES,
-        _structure_exactly,
-    )
+    for plain_type in _PLAIN_TYPES:
+        converter.register_structure_hook(plain_type, _structure_exactly)
+    converter.register_structure_hook(enum.StrEnum, _structure_enum)
     return converter
 
 
+def explain_error(error: Exception, path: str) -> str:
+    """Return one sentence for each field that was refused."""
+    reasons = cattrs.transform_error(
+        error,
+        path=path,
+        format_exception=_explain_field,
+    )
+    return '; '.join(reasons)
+
+
+def _explain_field(error: BaseException, wanted: type | None) -> str:
+    match error:
+        case cattrs.errors.ForbiddenExtraKeysError():
+            unknown = ', '.join(sorted(error.extra_fields))
+            return f'unknown key {unknown}'
+        case KeyError():
+            return f'missing key {error.args[0]}'
+        case _:
+            return str(error)
+
+
+def _structure_enum(raw: Any, enum_type: type[enum.StrEnum]) -> Any:
+    try:
+        return enum_type(raw)
+    except ValueError as error:
+        allowed = ', '.join(enum_type)
+        raise ValueError(f'{raw!r} is not one of {allowed}') from error
+
+
 def _structure_exactly(raw: Any, plain_type: type) -> Any:
     is_bool = isinstance(raw, bool)
     if isinstance(raw, plain_type) and is_bool == (plain_type is bool):
--- a/src/arbutusbay/state/_resources.py
+++ b/src/arbutusbay/state/_resources.py
@@ -7,13 +7,12 @@
 from typing import Any
 
 import attrs
-import cattrs
 import orjson
 from attrs import validators
 from result import Err, Ok, Result
 
 from arbutusbay.errors import ErrorKind, Failure
-from arbutusbay.structuring import new_converter
+from arbutusbay.structuring import explain_error, new_converter
 
 _NAME_PATTERN = re.compile('[a-z0-9][a-z0-9-]{0,62}')
 _DIGEST_PATTERN = re.compile('[0-9a-f]{64}')
@@ -143,7 +142,7 @@
     try:
         return Ok(_CONVERTER.structure(fields, spec_type))
     except Exception as error:
-        reasons = '; '.join(cattrs.transform_error(error, path=kind))
+        reasons = explain_error(error, kind)
         return _invalid(f'{reasons}; allowed: {_field_list(spec_type)}')
 
 
--- a/src/arbutusbay/structuring.py
+++ b/src/arbutusbay/structuring.py
@@ -1,5 +1,5 @@
 """Expose the converter for settings and resources."""
 
-from arbutusbay._structuring import new_converter
+from arbutusbay._structuring import explain_error, new_converter
 
-__all__ = ('new_converter',)
+__all__ = ('explain_error', 'new_converter')
