--- a/emulator/engine.py
+++ b/emulator/engine.py
@@ -3,7 +3,7 @@
 Faults are set with ``POST /faults``: ``slow_factor`` stretches every step,
 ``stalled`` stops the batch, ``cut_after`` closes the next streams after so
 many pieces, ``crossed`` sends another attempt's id, ``reorder`` swaps two
-pieces, ``leaving`` reports that the engine leaves.
+pieces, ``duplicate`` repeats one, ``leaving`` reports that the engine leaves.
 """
 
 import argparse
@@ -42,6 +42,7 @@
     cuts: int = 0
     crossed: int = 0
     reorder: int = 0
+    duplicate: int = 0
     leaving: bool = False
 
 
@@ -356,6 +357,9 @@
             self.faults.reorder -= 1
             self.held = line
             return
+        if index and self.faults.duplicate > 0:
+            self.faults.duplicate -= 1
+            line = line * 2
         await self.response.write(b''.join((line, self.held or b'')))
         self.held = None
 
--- a/emulator/service.py
+++ b/emulator/service.py
@@ -8,6 +8,7 @@
 import argparse
 import asyncio
 import collections
+import time
 from typing import Any
 
 import attrs
@@ -33,6 +34,7 @@
         self.faults = Faults(delay_ms=delay_ms)
         self.runs: collections.Counter[str] = collections.Counter()
         self.lookups = 0
+        self.first_run_s: dict[str, float] = {}
 
     def application(self) -> web.Application:
         """Return the HTTP application."""
@@ -50,6 +52,7 @@
         key = request.headers.get('Idempotency-Key', '')
         if not self.checks_keys or not self.runs[key]:
             self.runs[key] += 1
+            self.first_run_s.setdefault(key, time.monotonic())
         await asyncio.sleep(self.faults.delay_ms / 1000)
         if self.faults.lose_answers > 0:
             self.faults.lose_answers -= 1
@@ -72,6 +75,7 @@
         return web.json_response(
             {
                 'runs': self.runs,
+                'first_run_s': self.first_run_s,
                 'lookups': self.lookups,
             }
         )
--- a/src/arbutusbay/backend/_engine.py
+++ b/src/arbutusbay/backend/_engine.py
@@ -18,7 +18,7 @@
 from arbutusbay.errors import ErrorKind, Failure, RunState
 
 _CONNECT_TIMEOUT_S = 1.0
-_PIECE_TIMEOUT_S = 15.0
+_SILENCE_TIMEOUT_S = 120.0
 _CALL_TIMEOUT_S = 3.0
 _OK_STATUS = 200
 _MISMATCH_STATUS = 409
@@ -201,7 +201,7 @@
             timeout=aiohttp.ClientTimeout(
                 total=None,
                 sock_connect=_CONNECT_TIMEOUT_S,
-                sock_read=_PIECE_TIMEOUT_S,
+                sock_read=_SILENCE_TIMEOUT_S,
             ),
             max_line_size=_LINE_LIMIT_BYTES,
         )
--- a/src/arbutusbay/control/_resource_api.py
+++ b/src/arbutusbay/control/_resource_api.py
@@ -103,7 +103,8 @@
                 return failure_response(failure)
             case Ok(decision):
                 pass
-        status = HTTPStatus.OK if record.expects else HTTPStatus.CREATED
+        is_new = record.expects == NO_VERSION
+        status = HTTPStatus.CREATED if is_new else HTTPStatus.OK
         resource = Resource(
             id=record.id,
             spec=record.spec,
--- a/src/arbutusbay/router/_generation_run.py
+++ b/src/arbutusbay/router/_generation_run.py
@@ -1,7 +1,8 @@
 """Run one completion: place it, relay its stream, retry and resume."""
 
+import asyncio
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 import attrs
 from result import Err, Ok, Result
@@ -13,6 +14,7 @@
     Piece,
     Priority,
     StreamEnd,
+    StreamEvent,
     StreamStart,
 )
 from arbutusbay.errors import ErrorKind, Failure, RunState
@@ -26,6 +28,9 @@
 _LOG = get_logger('generation')
 _SMOOTHING = 0.05
 _MIN_TIMED_TOKENS = 200
+_PIECE_PATIENCE_S = 2.0
+_FIRST_PIECE_PATIENCE_S = 3.0
+_PATIENCE_FACTOR = 5.0
 
 
 @attrs.frozen(kw_only=True)
@@ -123,7 +128,8 @@
             placement=placement,
             job=self.request.job,
         )
-        async for event in client.generate(self._generation(placement)):
+        events = client.generate(self._generation(placement))
+        async for event in stop_when_stalled(events, watch.patience_s):
             match event:
                 case Ok(EngineIdentity() as identity):
                     watch.put_identity(identity)
@@ -219,6 +225,29 @@
         return bool(self.progress.excluded)
 
 
+async def stop_when_stalled(
+    events: AsyncIterator[Result[StreamEvent, Failure]],
+    patience_s: Callable[[], float],
+) -> AsyncIterator[Result[StreamEvent, Failure]]:
+    """Yield ``events``; end with a failure when one takes too long."""
+    while True:
+        limit_s = patience_s()
+        try:
+            event = await asyncio.wait_for(anext(events), limit_s)
+        except StopAsyncIteration:
+            return
+        except asyncio.TimeoutError:
+            yield Err(
+                Failure(
+                    kind=ErrorKind.STREAM_BROKEN,
+                    detail=f'engine: silent for {limit_s:.1f} s',
+                    run_state=RunState.UNKNOWN,
+                ),
+            )
+            return
+        yield event
+
+
 class AttemptWatch:
     """Teach the blackboard from the events of one attempt."""
 
@@ -235,6 +264,15 @@
         self.job = job
         self.last_piece_s: float | None = None
 
+    def patience_s(self) -> float:
+        """Return the seconds to wait for the next event."""
+        if self.last_piece_s is not None:
+            return _PIECE_PATIENCE_S
+        return max(
+            _FIRST_PIECE_PATIENCE_S,
+            _PATIENCE_FACTOR * self.placement.predicted_s,
+        )
+
     def put_identity(self, identity: EngineIdentity) -> None:
         """Take up which engine answered."""
         self.placement.engine.put_identity(
--- a/src/arbutusbay/state/_config.py
+++ b/src/arbutusbay/state/_config.py
@@ -19,7 +19,7 @@
     spec_to_json,
 )
 
-NO_VERSION = 0
+NO_VERSION = -1
 
 
 @attrs.frozen(kw_only=True)
--- /dev/null
+++ b/tests/model/config_spec.py
@@ -0,0 +1,212 @@
+"""Specify the fold of configuration under retention and cold readers.
+
+One resource; operators race with preconditions, writes land late, a paused
+lease holder appends an old snapshot, the log drops its oldest records. A
+reader that starts now must find what one that read everything finds, or
+find nothing. The product's own folds are used.
+"""
+
+import enum
+import functools
+from collections.abc import Callable, Iterator
+
+import attrs
+from minicheck import Protocol
+
+from arbutusbay.control import restore_config
+from arbutusbay.platform import LogPage, LogRecord
+from arbutusbay.state import (
+    NO_VERSION,
+    ConfigRecord,
+    ConfigState,
+    Delete,
+    Pool,
+    Put,
+    ResourceId,
+    Snapshot,
+    apply_config,
+    record_to_bytes,
+    snapshot_of,
+    state_from_snapshot,
+)
+
+_ID = ResourceId(kind='pool', name='p')
+_SPEC = Pool(model='m', weights_version='v1')
+_MAX_LOG = 4
+_Apply = Callable[[ConfigState, int, ConfigRecord], ConfigState]
+
+
+class Mutant(enum.StrEnum):
+    """Name one rule that is dropped."""
+
+    NONE = 'none'
+    ANY_SNAPSHOT = 'a snapshot is used without the records after it'
+    REPLAYED_RESOURCES = 'a snapshot is folded as new writes'
+    NO_PRECONDITION = 'a write ignores its precondition'
+    READERS_GO_BACK = 'a reader takes an older state from a peer'
+
+
+@attrs.frozen(kw_only=True, cache_hash=True)
+class World:
+    """Hold the whole history, how much of it the log still keeps, readers.
+
+    ``reader`` is a running process; ``peak`` the highest offset it had;
+    ``pending`` a snapshot that a paused holder may append at any time.
+    """
+
+    history: tuple[ConfigRecord, ...] = ()
+    first: int = 0
+    reader: int = -1
+    peak: int = -1
+    pending: Snapshot | None = None
+
+
+class ConfigSpec:
+    """Generate the transitions, with one rule dropped."""
+
+    def __init__(self, *, mutant: Mutant = Mutant.NONE) -> None:
+        """Drop the rule that ``mutant`` names."""
+        self.mutant = mutant
+
+    def protocol(self) -> Protocol:
+        """Return the protocol with its safety properties."""
+        return Protocol(
+            name=f'configuration: {self.mutant.value}',
+            candidate=False,
+            fields=('world',),
+            initial=(World(),),
+            transitions=lambda state: [
+                (label, (world,)) for label, world in self.steps(state[0])
+            ],
+            invariants={
+                'a cold reader never reverts': lambda state: self._agrees(
+                    state['world']
+                ),
+                'a reader never goes back': lambda state: (
+                    state['world'].reader >= state['world'].peak
+                ),
+                'one of two racing writes wins': lambda state: (
+                    self._has_one_winner(state['world'])
+                ),
+            },
+        )
+
+    def steps(self, world: World) -> Iterator[tuple[str, World]]:
+        """Yield every next state."""
+        if len(world.history) < _MAX_LOG:
+            for record in self._writes(world):
+                yield f'append {record}', _append(world, record)
+            if world.pending is not None:
+                landed = _append(world, world.pending)
+                yield 'snapshot lands', attrs.evolve(landed, pending=None)
+        if world.pending is None and world.history:
+            yield (
+                'holder takes a snapshot',
+                attrs.evolve(
+                    world,
+                    pending=snapshot_of(self.fold(world.history), 's'),
+                ),
+            )
+        if world.first < len(world.history):
+            yield 'retention', attrs.evolve(world, first=world.first + 1)
+        for offset in range(world.reader + 1, len(world.history)):
+            yield 'read', attrs.evolve(world, reader=offset, peak=offset)
+        if self.mutant is Mutant.READERS_GO_BACK and world.reader > 0:
+            yield 'ask a peer', attrs.evolve(world, reader=0)
+
+    def fold(self, history: tuple[ConfigRecord, ...]) -> ConfigState:
+        """Return the fold of the whole history."""
+        return _folded(self._apply, history)
+
+    @functools.cached_property
+    def _apply(self) -> _Apply:
+        return self._apply_record
+
+    def _apply_record(
+        self,
+        state: ConfigState,
+        offset: int,
+        record: ConfigRecord,
+    ) -> ConfigState:
+        if self.mutant is Mutant.NO_PRECONDITION and isinstance(record, Put):
+            record = attrs.evolve(record, expects=None)
+        return apply_config(state, offset, record)
+
+    def _writes(self, world: World) -> Iterator[ConfigRecord]:
+        versions = {NO_VERSION}
+        for end in range(len(world.history) + 1):
+            resource = self.fold(world.history[:end]).resources.get(_ID)
+            if resource is not None:
+                versions.add(resource.version)
+        for expects in versions:
+            yield Delete(id=_ID, expects=expects, nonce='d')
+            yield Put(id=_ID, spec=_SPEC, expects=expects, nonce='p')
+
+    def _agrees(self, world: World) -> bool:
+        restored = self._restore(world)
+        return restored is None or (
+            restored.resources == self.fold(world.history).resources
+        )
+
+    def _restore(self, world: World) -> ConfigState | None:
+        if self.mutant is Mutant.NO_PRECONDITION:
+            return None
+        page = LogPage(
+            first=world.first,
+            end=len(world.history),
+            records=[
+                LogRecord(
+                    offset=offset,
+                    time_ms=0,
+                    payload=_payload(world.history[offset]),
+                )
+                for offset in _kept(world)
+            ],
+        )
+        if self.mutant in {Mutant.ANY_SNAPSHOT, Mutant.REPLAYED_RESOURCES}:
+            return self._restore_wrongly(world)
+        return restore_config(page)
+
+    def _restore_wrongly(self, world: World) -> ConfigState | None:
+        kept = world.history[world.first :]
+        state = ConfigState()
+        for offset, record in enumerate(kept, start=world.first):
+            match record:
+                case Snapshot() if self.mutant is Mutant.REPLAYED_RESOURCES:
+                    old = state_from_snapshot(record)
+                    state = attrs.evolve(old, offset=offset)
+                case Snapshot():
+                    state = state_from_snapshot(record)
+                case _:
+                    state = apply_config(state, offset, record)
+        return state
+
+    def _has_one_winner(self, world: World) -> bool:
+        for offset, record in enumerate(world.history):
+            before = self.fold(world.history[:offset]).resources.get(_ID)
+            after = self.fold(world.history[: offset + 1]).resources.get(_ID)
+            version = before.version if before else NO_VERSION
+            if before != after and record.expects != version:
+                return False
+        return True
+
+
+@functools.cache
+def _folded(apply: _Apply, history: tuple[ConfigRecord, ...]) -> ConfigState:
+    if not history:
+        return ConfigState()
+    state = _folded(apply, history[:-1])
+    return apply(state, len(history) - 1, history[-1])
+
+
+def _kept(world: World) -> range:
+    return range(world.first, len(world.history))
+
+
+@functools.cache
+def _payload(record: ConfigRecord) -> bytes:
+    return record_to_bytes(record)
+
+
+def _append(world: World, record: ConfigRecord) -> World:
+    return attrs.evolve(world, history=(*world.history, record))
--- /dev/null
+++ b/tests/model/ledger_spec.py
@@ -0,0 +1,335 @@
+"""Specify the idempotency ledger of one key for exhaustive checking.
+
+The log folds with the product's own ``apply_ledger``. Attempts belong to
+routers that may crash, freeze (they are just not scheduled) or give up.
+Appends land at once, late or never; answers may be lost. Any owner may
+answer, from any prefix of the log that holds the asker's own record, so
+that owner change, doubled owners and lagging readers are all covered. A
+group commit is a run of neighbouring records.
+"""
+
+import enum
+import functools
+from collections.abc import Callable, Iterator
+
+import attrs
+from minicheck import Protocol
+
+from arbutusbay.state import (
+    EMPTY_ENTRY,
+    Abandon,
+    Claim,
+    KeyEntry,
+    LedgerRecord,
+    Outcome,
+    apply_ledger,
+    may_send,
+)
+
+_KEY = 'key'
+_MAX_LOG = 6
+
+
+class Step(enum.StrEnum):
+    """Name where an attempt stands."""
+
+    IDLE = 'idle'
+    ASKING = 'asking'
+    WON = 'won'
+    SENT = 'sent'
+    ANSWERED = 'answered'
+    GIVEN_UP = 'given up'
+    FOLLOWED = 'followed'
+    CRASHED = 'crashed'
+
+
+class Told(enum.StrEnum):
+    """Name what the caller of an attempt was told."""
+
+    NOTHING = 'nothing'
+    NOT_RUN = 'not run'
+    UNKNOWN = 'unknown'
+    COMPLETE = 'complete'
+
+
+class Mutant(enum.StrEnum):
+    """Name one rule that is dropped."""
+
+    NONE = 'none'
+    TAKEOVER = 'a timeout hands a claim over'
+    SEND_AFTER_GIVING_UP = 'an attempt sends after it gave up'
+    ABANDON_AFTER_SENDING = 'a timeout after sending abandons'
+    EARLY_VERDICT = 'an owner answers before the record is in the log'
+    NOT_RUN_WHILE_LOG_DOWN = 'an attempt without a verdict tells not run'
+    NO_CLAIM_AGE_LIMIT = 'an attempt sends on a claim past the window'
+    FORGET_ABANDONED = 'the fold forgets abandoned nonces'
+    OUTCOME_OF_ANYONE = 'the fold takes an outcome from any attempt'
+
+
+@attrs.frozen(kw_only=True, cache_hash=True)
+class Attempt:
+    """Hold one attempt; ``in_network`` is a sent request not arrived."""
+
+    step: Step = Step.IDLE
+    told: Told = Told.NOTHING
+    in_network: bool = False
+    ran: bool = False
+
+
+@attrs.frozen(kw_only=True, cache_hash=True)
+class World:
+    """Hold the log since its last expiry and all attempts.
+
+    ``late`` holds appends that may land later; ``expired`` tells that the
+    key's window has passed once.
+    """
+
+    log: tuple[LedgerRecord, ...] = ()
+    late: frozenset[LedgerRecord] = frozenset()
+    attempts: tuple[Attempt, ...] = (Attempt(), Attempt())
+    runs: int = 0
+    lied: bool = False
+    expired: bool = False
+
+
+Transition = tuple[str, World]
+
+
+class LedgerSpec:
+    """Generate the transitions of the ledger, with one rule dropped."""
+
+    def __init__(self, *, mutant: Mutant = Mutant.NONE) -> None:
+        """Drop the rule that ``mutant`` names."""
+        self.mutant = mutant
+
+    def protocol(self) -> Protocol:
+        """Return the protocol with its safety properties."""
+        return Protocol(
+            name=f'ledger: {self.mutant.value}',
+            candidate=False,
+            fields=('world',),
+            initial=(World(),),
+            transitions=lambda state: [
+                (label, (world,)) for label, world in self.steps(state[0])
+            ],
+            invariants={
+                'at most once': lambda state: state['world'].runs <= 1,
+                'not run is true': lambda state: not state['world'].lied,
+                'complete means run': lambda state: _complete_means_run(
+                    state['world'],
+                ),
+                'an abandoned claim is not live': lambda state: (
+                    self._no_dead_claim(state['world'])
+                ),
+            },
+        )
+
+    def steps(self, world: World) -> Iterator[Transition]:
+        """Yield every next state."""
+        for number, attempt in enumerate(world.attempts):
+            for label, changed in self._attempt_steps(world, number, attempt):
+                yield f'{label} {number}', changed
+        for record in world.late:
+            if len(world.log) < _MAX_LOG:
+                yield (
+                    f'late {type(record).__name__} {record.nonce}',
+                    attrs.evolve(
+                        world,
+                        late=world.late - {record},
+                        log=(*world.log, record),
+                    ),
+                )
+        if not world.expired and world.log:
+            yield 'window passes', attrs.evolve(world, expired=True, log=())
+
+    def entry(self, log: tuple[LedgerRecord, ...]) -> KeyEntry:
+        """Return the fold of ``log``."""
+        return _folded(self._fold(), log)
+
+    def _attempt_steps(
+        self,
+        world: World,
+        number: int,
+        attempt: Attempt,
+    ) -> Iterator[Transition]:
+        match attempt.step:
+            case Step.IDLE if not world.expired:
+                yield 'start', _put(world, number, step=Step.ASKING)
+            case Step.ASKING:
+                yield from self._asking(world, number)
+            case Step.WON:
+                yield from self._won(world, number)
+            case Step.SENT:
+                yield from self._sent(world, number)
+            case Step.GIVEN_UP:
+                if self.mutant is Mutant.SEND_AFTER_GIVING_UP:
+                    yield 'send', _send(world, number)
+        if attempt.in_network:
+            yield 'arrive', _arrive(world, number)
+        if attempt.step in {Step.ASKING, Step.WON, Step.SENT}:
+            yield 'crash', _put(world, number, step=Step.CRASHED)
+
+    def _asking(self, world: World, number: int) -> Iterator[Transition]:
+        claim = Claim(key=_KEY, nonce=str(number))
+        if claim not in world.log and len(world.log) < _MAX_LOG:
+            yield 'append', attrs.evolve(world, log=(*world.log, claim))
+            yield 'append late', attrs.evolve(world, late=world.late | {claim})
+        yield from self._verdicts(world, number, claim)
+        gives_up = Told.UNKNOWN
+        if self.mutant is Mutant.NOT_RUN_WHILE_LOG_DOWN:
+            gives_up = Told.NOT_RUN
+        yield 'give up', _give_up(world, number, gives_up)
+
+    def _verdicts(
+        self,
+        world: World,
+        number: int,
+        claim: Claim,
+    ) -> Iterator[Transition]:
+        first = world.log.index(claim) + 1 if claim in world.log else None
+        if self.mutant is Mutant.EARLY_VERDICT and first is None:
+            early = self.entry((*world.log, claim))
+            yield 'early verdict', self._told(world, number, early)
+        if first is None:
+            return
+        for end in range(first, len(world.log) + 1):
+            entry = self.entry(world.log[:end])
+            yield f'verdict at {end}', self._told(world, number, entry)
+
+    def _told(self, world: World, number: int, entry: KeyEntry) -> World:
+        if may_send(entry, str(number)):
+            return _put(world, number, step=Step.WON)
+        if entry.outcome is not None:
+            return _put(
+                world,
+                number,
+                step=Step.FOLLOWED,
+                told=Told.COMPLETE,
+            )
+        return _put(world, number, step=Step.FOLLOWED, told=Told.UNKNOWN)
+
+    def _won(self, world: World, number: int) -> Iterator[Transition]:
+        is_fresh = not world.expired
+        if is_fresh or self.mutant is Mutant.NO_CLAIM_AGE_LIMIT:
+            yield 'send', _send(world, number)
+        if is_fresh:
+            yield (
+                'cannot connect',
+                _give_up(world, number, Told.NOT_RUN),
+            )
+        else:
+            yield 'too old', _give_up(world, number, Told.UNKNOWN)
+
+    def _sent(self, world: World, number: int) -> Iterator[Transition]:
+        attempt = world.attempts[number]
+        outcome = Outcome(
+            key=_KEY,
+            nonce=str(number),
+            status=200,
+            content_type='',
+            body=b'',
+        )
+        if attempt.ran:
+            answered = _put(
+                world,
+                number,
+                step=Step.ANSWERED,
+                told=Told.COMPLETE,
+            )
+            yield (
+                'answer',
+                attrs.evolve(answered, late=answered.late | {outcome}),
+            )
+        timed_out = _put(
+            world,
+            number,
+            step=Step.GIVEN_UP,
+            told=Told.UNKNOWN,
+        )
+        if self.mutant is Mutant.ABANDON_AFTER_SENDING:
+            timed_out = _abandon(timed_out, number)
+        yield 'time out', timed_out
+        if self.mutant is Mutant.OUTCOME_OF_ANYONE:
+            yield (
+                'guess an outcome',
+                attrs.evolve(world, late=world.late | {outcome}),
+            )
+
+    def _fold(self) -> Callable[[KeyEntry, LedgerRecord], KeyEntry]:
+        match self.mutant:
+            case Mutant.TAKEOVER:
+                return _fold_with_takeover
+            case Mutant.FORGET_ABANDONED:
+                return _fold_without_memory
+            case Mutant.OUTCOME_OF_ANYONE:
+                return _fold_any_outcome
+            case _:
+                return apply_ledger
+
+    def _no_dead_claim(self, world: World) -> bool:
+        entry = self.entry(world.log)
+        abandoned = {
+            record.nonce for record in world.log if isinstance(record, Abandon)
+        }
+        return entry.outcome is not None or entry.claimant not in abandoned
+
+
+@functools.cache
+def _folded(
+    fold: Callable[[KeyEntry, LedgerRecord], KeyEntry],
+    log: tuple[LedgerRecord, ...],
+) -> KeyEntry:
+    return functools.reduce(fold, log, EMPTY_ENTRY)
+
+
+def _complete_means_run(world: World) -> bool:
+    told = any(attempt.told is Told.COMPLETE for attempt in world.attempts)
+    return not told or world.runs == 1
+
+
+def _put(world: World, number: int, **changes: object) -> World:
+    attempts = list(world.attempts)
+    attempts[number] = attrs.evolve(attempts[number], **changes)
+    return attrs.evolve(world, attempts=tuple(attempts))
+
+
+def _send(world: World, number: int) -> World:
+    return _put(world, number, step=Step.SENT, in_network=True)
+
+
+def _arrive(world: World, number: int) -> World:
+    arrived = _put(world, number, in_network=False, ran=True)
+    told_not_run = arrived.attempts[number].told is Told.NOT_RUN
+    return attrs.evolve(
+        arrived,
+        runs=world.runs + 1,
+        lied=world.lied or told_not_run,
+    )
+
+
+def _give_up(world: World, number: int, told: Told) -> World:
+    given_up = _put(world, number, step=Step.GIVEN_UP, told=told)
+    lied = told is Told.NOT_RUN and world.runs > 0
+    return _abandon(attrs.evolve(given_up, lied=world.lied or lied), number)
+
+
+def _abandon(world: World, number: int) -> World:
+    record = Abandon(key=_KEY, nonce=str(number))
+    return attrs.evolve(world, late=world.late | {record})
+
+
+def _fold_with_takeover(entry: KeyEntry, record: LedgerRecord) -> KeyEntry:
+    if isinstance(record, Claim) and entry.outcome is None:
+        return attrs.evolve(entry, claimant=record.nonce)
+    return apply_ledger(entry, record)
+
+
+def _fold_without_memory(entry: KeyEntry, record: LedgerRecord) -> KeyEntry:
+    folded = apply_ledger(entry, record)
+    return attrs.evolve(folded, abandoned=frozenset())
+
+
+def _fold_any_outcome(entry: KeyEntry, record: LedgerRecord) -> KeyEntry:
+    if isinstance(record, Outcome):
+        return attrs.evolve(entry, outcome=record, claimant=record.nonce)
+    return apply_ledger(entry, record)
