--- a/emulator/_cluster.py
+++ b/emulator/_cluster.py
@@ -230,6 +230,17 @@
         )
         self.run_client('apply', '-f', str(path))
 
+    def put_resource(self, kind: str, name: str, spec: Any) -> Any:
+        """Declare one resource over whatever version it has."""
+        url = f'{self.nodes[0].control.url}/api/v1/{kind}/{name}'
+        return call_json(url, spec, method='PUT', headers={'If-Match': '*'})
+
+    def move_backend(self, name: str, url: str) -> None:
+        """Declare another URL for a backend server."""
+        control = self.nodes[0].control.url
+        known = call_json(f'{control}/api/v1/backend-server/{name}')
+        self.put_resource('backend-server', name, {**known['spec'], 'url': url})
+
     def run_client(self, *arguments: str) -> str:
         """Run the operators' client and return what it printed."""
         command = [sys.executable, '-m', 'arbutusbay.cli']
@@ -421,6 +432,7 @@
     body: Any = None,
     *,
     method: str | None = None,
+    headers: Mapping[str, str] | None = None,
     timeout_s: float = 5.0,
 ) -> Any:
     """Call a stand-in or a daemon and return the JSON it answers."""
@@ -429,7 +441,7 @@
         url,
         data=payload,
         method=method,
-        headers={'Content-Type': 'application/json'},
+        headers={'Content-Type': 'application/json', **(headers or {})},
     )
     with urllib_request.urlopen(request, timeout=timeout_s) as response:
         return orjson.loads(response.read())
@@ -441,14 +453,24 @@
 
 
 def wait_until(condition: Any, timeout_s: float = START_TIMEOUT_S) -> None:
-    """Wait until ``condition`` is true, or raise ``TimeoutError``."""
+    """Wait until ``condition`` is true, or raise ``TimeoutError``.
+
+    A process that can't be reached makes a condition false.
+    """
     deadline_s = time.monotonic() + timeout_s
-    while not condition():
+    while not _holds(condition):
         if time.monotonic() > deadline_s:
             raise TimeoutError('the condition did not come true in time')
         time.sleep(_POLL_S)
 
 
+def _holds(condition: Any) -> bool:
+    try:
+        return bool(condition())
+    except OSError:
+        return False
+
+
 def _is_ok(url: str) -> bool:
     try:
         call_json(url, timeout_s=1.0)
--- a/emulator/engine.py
+++ b/emulator/engine.py
@@ -194,6 +194,7 @@
                 'cached_tokens': self.cached_tokens,
                 'computed_tokens': self.batch.computed_tokens,
                 'running': len(self.batch.running),
+                'stored_blocks': len(self.cache.blocks),
                 'orders': self.orders,
             }
         )
--- a/src/arbutusbay/policy/_engine_state.py
+++ b/src/arbutusbay/policy/_engine_state.py
@@ -58,14 +58,13 @@
     failures: int = 0
     avoid_until_s: float = 0.0
 
-    def is_usable(self, now_s: float) -> bool:
+    def is_usable(self) -> bool:
         """Tell whether new work may be sent."""
-        return (
-            self.ready
-            and not self.draining
-            and not self.leaving
-            and now_s >= self.avoid_until_s
-        )
+        return self.ready and not self.draining and not self.leaving
+
+    def is_avoided(self, now_s: float) -> bool:
+        """Tell whether recent failures speak for other engines."""
+        return now_s < self.avoid_until_s
 
     def put_view(self, view: EngineView) -> None:
         """Take up what the engine's index owner told."""
--- a/src/arbutusbay/router/_debug_api.py
+++ b/src/arbutusbay/router/_debug_api.py
@@ -77,7 +77,8 @@
         },
         'engines': {
             engine.name: {
-                'usable': engine.is_usable(now_s),
+                'usable': engine.is_usable(),
+                'avoided': engine.is_avoided(now_s),
                 'ready': engine.ready,
                 'draining': engine.draining,
                 'leaving': engine.leaving,
--- a/src/arbutusbay/router/_dispatcher.py
+++ b/src/arbutusbay/router/_dispatcher.py
@@ -145,23 +145,35 @@
         return jobs_ahead * pool.service_s / places
 
     def usable_engines(self, pool: str) -> list[EngineState]:
-        """Return the engines that may get new work."""
+        """Return the engines that may get new work.
+
+        Engines that failed lately are left out while there are others.
+        """
         now_s = time.monotonic()
-        return [
+        usable = [
             engine
             for engine in self.board.engines_of(pool)
-            if engine.is_usable(now_s)
+            if engine.is_usable()
+        ]
+        preferred = [
+            engine for engine in usable if not engine.is_avoided(now_s)
         ]
+        return preferred or usable
 
     def view_for(self, job: Job, context: JobContext) -> PoolView:
         """Return what the placement of ``job`` may look at."""
         pool = self.board.pool_state(job.pool)
-        engines = [
+        candidates = [
             engine
             for engine in self.usable_engines(job.pool)
+            if _serves_version(engine, context)
+        ]
+        untried = [
+            engine
+            for engine in candidates
             if engine.name not in context.excluded
-            and _serves_version(engine, context)
         ]
+        engines = untried or candidates
         return PoolView(
             engines=engines,
             depths=context.depths,
--- a/src/arbutusbay/router/_generation_run.py
+++ b/src/arbutusbay/router/_generation_run.py
@@ -46,10 +46,14 @@
 
 @attrs.define(kw_only=True)
 class Progress:
-    """Track what a run has relayed and learned so far."""
+    """Track what a run has relayed and learned so far.
+
+    ``fruitless`` counts attempts in a row that relayed nothing.
+    """
 
     relayed: int = 0
     attempts: int = 0
+    fruitless: int = 0
     weights_version: str = ''
     excluded: frozenset[str] = frozenset()
     prompt_tokens: int = 0
@@ -92,6 +96,7 @@
                 case Ok(placement):
                     pass
             progress.attempts += 1
+            progress.fruitless += 1
             async for event in self._attempt(placement):
                 yield event
             if progress.finished:
@@ -138,6 +143,7 @@
                 case Ok(Piece() as piece):
                     watch.put_piece()
                     self.progress.relayed += 1
+                    self.progress.fruitless = 0
                     self.progress.weights_version = (
                         placement.engine.weights_version
                     )
@@ -193,13 +199,13 @@
 
     def _may_retry(self) -> bool:
         progress = self.progress
-        if progress.attempts >= self.board.settings.limits.max_attempts:
+        if progress.fruitless >= self.board.settings.limits.max_attempts:
             return False
         failure = progress.last_failure
         may_have_run = failure.told_run_state is not RunState.NOT_RUN
         if may_have_run and not self.request.idempotent:
             return False
-        if not self.board.retries.spend():
+        if not self.board.retries.spend() and not progress.relayed:
             return False
         self.metrics.retries.inc({})
         return True
--- a/src/arbutusbay/router/_settings.py
+++ b/src/arbutusbay/router/_settings.py
@@ -15,6 +15,7 @@
 class LimitSettings:
     """Bound attempts and waiting.
 
+    ``max_attempts`` counts attempts in a row that relay nothing;
     ``retry_ratio`` and ``hedge_ratio`` are shares of the traffic;
     ``queue_length`` bounds the requests that wait for one pool.
     """
