Measure policies with an open-loop load tool

Ruled out: closed-loop callers (they hide waiting). Change: arbutusbay-load (workload files, seeded arrivals, HDR histograms, JSON report, PNG plot) and emulator.measure, which runs every policy on a cluster of its own, calm, with stragglers and with crashes.

--- a/emulator/engine.py
+++ b/emulator/engine.py
@@ -1,9 +1,10 @@
 """Stand in for a model engine: batching, prefix cache, orders, faults.
 
 Faults are set with ``POST /faults``: ``slow_factor`` stretches every step,
-``stalled`` stops the batch, ``cut_after`` closes the next streams after so
-many pieces, ``crossed`` sends another attempt's id and text, ``reorder`` swaps two
-pieces, ``duplicate`` repeats one, ``leaving`` reports that the engine leaves.
+``stalled`` stops the batch, ``cut_after`` closes the next ``cuts`` streams
+after so many pieces, ``crossed`` sends another attempt's id and text,
+``reorder`` swaps two pieces, ``duplicate`` repeats one, ``leaving`` reports
+that the engine leaves.
 """
 
 import argparse
--- /dev/null
+++ b/emulator/measure.py
@@ -0,0 +1,219 @@
+"""Measure every policy on the same workloads, calm and disturbed.
+
+Prints a table for each scenario and writes all reports as JSON.
+"""
+
+import argparse
+import itertools
+import statistics
+import sys
+import threading
+import time
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
+
+import attrs
+import orjson
+from arbutusbay.load import build_report, load_workload, run_workload
+from tabulate import tabulate
+
+from emulator.cluster import (
+    Cluster,
+    ClusterOptions,
+    call_json,
+    running_cluster,
+)
+
+_EXAMPLES = Path(__file__).resolve().parent.parent / 'examples'
+_VMS = 3
+_SLOW_FACTOR = 5.0
+_SLOW_ENGINES = 2
+_WARM_S = 0.5
+_DURATION_S = 20
+_ENGINE_ARGUMENTS = ('--capacity-blocks', '900')
+_POLICIES = ('cost', 'rendezvous', 'fewest_in_flight', 'round_robin')
+_SCENARIOS = ('calm', 'stragglers', 'crashes')
+_HEADERS = (
+    'policy',
+    'hit rate',
+    'computed tokens',
+    'p95 first ms',
+    'p99 first ms',
+    'crest urgent p99 ms',
+    'complete',
+    'requests',
+)
+
+
+@attrs.frozen(kw_only=True)
+class Trial:
+    """Name one run."""
+
+    workload: str
+    scenario: str
+    policy: str
+    seed: int
+    duration_s: float
+
+
+def main() -> None:
+    """Run all trials that the arguments ask for."""
+    options = _build_parser().parse_args()
+    reports = [
+        {'trial': attrs.asdict(trial), 'report': run_trial(trial)}
+        for trial in _trials(options)
+    ]
+    for workload in options.workload:
+        for scenario in options.scenario:
+            _print_table(reports, workload, scenario)
+    if options.report is not None:
+        options.report.write_bytes(orjson.dumps(reports))
+
+
+def run_trial(trial: Trial) -> dict[str, Any]:
+    """Run one trial on a cluster of its own and return its report."""
+    workload_path = _EXAMPLES / 'workloads' / f'{trial.workload}.toml'
+    workload = load_workload(workload_path).unwrap()
+    omniscient = trial.policy == 'omniscient'
+    vms = 1 if omniscient else _VMS
+    options = ClusterOptions(
+        example=_EXAMPLES / f'{trial.workload}.toml',
+        zones=_zones(trial.workload)[:vms],
+        router={'policy': 'cost' if omniscient else trial.policy},
+        engine_arguments=_engine_arguments(omniscient=omniscient),
+    )
+    with running_cluster(options) as cluster:
+        time.sleep(_WARM_S)
+        disturber = threading.Thread(target=_disturb, args=(cluster, trial))
+        disturber.start()
+        outcomes = run_workload(
+            workload,
+            routers=[node.router.url for node in cluster.nodes],
+            seed=trial.seed,
+            duration_s=trial.duration_s,
+        )
+        disturber.join()
+    report = build_report(outcomes, trial.duration_s)
+    _say(f'{trial}: hit rate {report["prefix_hit_rate"]}')
+    return report
+
+
+def _engine_arguments(*, omniscient: bool) -> Sequence[str]:
+    if not omniscient:
+        return _ENGINE_ARGUMENTS
+    at_once = ('--event-loss', '0', '--event-lag-s', '0', '--load-lag-s')
+    return (*_ENGINE_ARGUMENTS, *at_once, '0.02')
+
+
+def _disturb(cluster: Cluster, trial: Trial) -> None:
+    match trial.scenario:
+        case 'stragglers':
+            for engine in cluster.engines()[:_SLOW_ENGINES]:
+                faults = {'slow_factor': _SLOW_FACTOR}
+                call_json(f'{engine.url}/faults', faults)
+        case 'crashes':
+            for engine in cluster.engines()[:_SLOW_ENGINES]:
+                time.sleep(trial.duration_s / (_SLOW_ENGINES + 1))
+                engine.kill()
+                engine.start()
+
+
+def _trials(options: argparse.Namespace) -> list[Trial]:
+    product = itertools.product(
+        options.workload,
+        options.scenario,
+        options.seed,
+        options.policy,
+    )
+    return [
+        Trial(
+            workload=workload,
+            scenario=scenario,
+            policy=policy,
+            seed=seed,
+            duration_s=options.duration,
+        )
+        for workload, scenario, seed, policy in product
+    ]
+
+
+def _print_table(
+    reports: Sequence[dict[str, Any]],
+    workload: str,
+    scenario: str,
+) -> None:
+    chosen = [
+        report
+        for report in reports
+        if report['trial']['workload'] == workload
+        and report['trial']['scenario'] == scenario
+    ]
+    policies = dict.fromkeys(report['trial']['policy'] for report in chosen)
+    rows = [
+        _row(
+            policy,
+            [
+                report['report']
+                for report in chosen
+                if report['trial']['policy'] == policy
+            ],
+        )
+        for policy in policies
+    ]
+    _say(f'\n{workload}, {scenario}: medians over the seeds')
+    _say(tabulate(rows, headers=_HEADERS, tablefmt='github'))
+
+
+def _row(policy: str, reports: Sequence[dict[str, Any]]) -> Sequence[Any]:
+    columns = [
+        (
+            report['prefix_hit_rate'],
+            report['computed_tokens'],
+            report['first_token_ms']['p95'],
+            report['first_token_ms']['p99'],
+            report['crest_urgent_first_token_ms']['p99'],
+            report['complete'],
+            report['requests'],
+        )
+        for report in reports
+    ]
+    return [
+        policy,
+        *(statistics.median(column) for column in zip(*columns, strict=True)),
+    ]
+
+
+def _zones(workload: str) -> Sequence[str]:
+    if workload == 'sahel':
+        return ('plateau', 'hann', 'rufisque')
+    return ('mx-norte-a', 'mx-norte-b', 'mx-norte-c')
+
+
+def _say(line: str) -> None:
+    sys.stdout.write(f'{line}\n')
+    sys.stdout.flush()
+
+
+def _build_parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(prog='measure')
+    choices = {
+        'workload': ['sahel', 'correa'],
+        'scenario': list(_SCENARIOS),
+        'policy': [*_POLICIES, 'omniscient'],
+    }
+    for name, allowed in choices.items():
+        parser.add_argument(
+            f'--{name}',
+            nargs='+',
+            choices=allowed,
+            default=allowed,
+        )
+    parser.add_argument('--seed', nargs='+', type=int, default=[1, 2, 3])
+    parser.add_argument('--duration', type=float, default=_DURATION_S)
+    parser.add_argument('--report', type=Path)
+    return parser
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/src/arbutusbay/load/__main__.py
@@ -0,0 +1,5 @@
+"""Run the load tool as a module."""
+
+from arbutusbay.load import main
+
+main()
--- /dev/null
+++ b/src/arbutusbay/load/_sender.py
@@ -0,0 +1,161 @@
+"""Send arrivals on time, whether or not earlier ones were answered."""
+
+import asyncio
+import sys
+import time
+from collections.abc import Sequence
+from typing import Any
+
+import aiohttp
+import attrs
+import orjson
+
+from arbutusbay.http import new_session
+from arbutusbay.load._arrivals import Arrival
+from arbutusbay.load._workload import ServiceKind
+
+_TIMEOUT_S = 120
+_OK_STATUS = 200
+_PROGRESS_S = 1.0
+_EVENT = b'data: '
+_DONE = b'[DONE]'
+
+
+@attrs.define(kw_only=True)
+class Outcome:
+    """Hold what became of one arrival; seconds count from its due time."""
+
+    arrival: Arrival
+    status: int = 0
+    complete: bool = False
+    first_s: float | None = None
+    last_s: float | None = None
+    pieces: int = 0
+    prompt_tokens: int = 0
+    cached_tokens: int = 0
+    error: str = ''
+
+
+class Sender:
+    """Send a schedule of arrivals to several routers in turn."""
+
+    def __init__(self, *, routers: Sequence[str]) -> None:
+        """Spread requests over ``routers`` as a balancer would."""
+        self.routers = list(routers)
+        self.outcomes: list[Outcome] = []
+        self.started_s = 0.0
+
+    async def send_all(self, arrivals: Sequence[Arrival]) -> list[Outcome]:
+        """Return the outcomes of all arrivals."""
+        async with new_session() as session:
+            self.started_s = time.monotonic()
+            tasks = []
+            progress = asyncio.create_task(self._show_progress(len(arrivals)))
+            for arrival in arrivals:
+                delay_s = self.started_s + arrival.due_s - time.monotonic()
+                await asyncio.sleep(max(0, delay_s))
+                tasks.append(asyncio.create_task(self._send(session, arrival)))
+            await asyncio.gather(*tasks)
+            progress.cancel()
+        return self.outcomes
+
+    async def _send(
+        self,
+        session: aiohttp.ClientSession,
+        arrival: Arrival,
+    ) -> None:
+        outcome = Outcome(arrival=arrival)
+        try:
+            await self._exchange(session, outcome)
+        except (aiohttp.ClientError, asyncio.TimeoutError) as error:
+            outcome.error = type(error).__name__
+        self.outcomes.append(outcome)
+
+    async def _exchange(
+        self,
+        session: aiohttp.ClientSession,
+        outcome: Outcome,
+    ) -> None:
+        arrival = outcome.arrival
+        router = self.routers[arrival.number % len(self.routers)]
+        headers = {'Authorization': f'Bearer {arrival.team.key}'}
+        timeout = aiohttp.ClientTimeout(total=_TIMEOUT_S)
+        if isinstance(arrival.kind, ServiceKind):
+            if arrival.kind.keyed:
+                key = f'{self.started_s}-{arrival.number}'
+                headers['Idempotency-Key'] = key
+            async with session.request(
+                arrival.kind.method,
+                f'{router}{arrival.kind.path}',
+                headers=headers,
+                timeout=timeout,
+            ) as response:
+                await response.read()
+                self._finish(outcome, response.status)
+            return
+        async with session.post(
+            f'{router}/v1/chat/completions',
+            data=orjson.dumps(_completion_body(arrival)),
+            headers=headers,
+            timeout=timeout,
+        ) as response:
+            outcome.status = response.status
+            await self._read_stream(outcome, response)
+
+    async def _read_stream(
+        self,
+        outcome: Outcome,
+        response: aiohttp.ClientResponse,
+    ) -> None:
+        if response.status != _OK_STATUS:
+            await response.read()
+            return
+        async for line in response.content:
+            event = line.removeprefix(_EVENT).strip()
+            if event == _DONE:
+                outcome.complete = True
+                outcome.last_s = self._since_due(outcome)
+            elif event:
+                self._put_event(outcome, orjson.loads(event))
+
+    def _put_event(self, outcome: Outcome, event: Any) -> None:
+        error = event.get('error')
+        if error is not None:
+            outcome.error = error['code']
+            return
+        if outcome.first_s is None:
+            outcome.first_s = self._since_due(outcome)
+        outcome.pieces += 1
+        usage = event.get('usage')
+        if usage is not None:
+            details = usage['prompt_tokens_details']
+            outcome.prompt_tokens = usage['prompt_tokens']
+            outcome.cached_tokens = details['cached_tokens']
+
+    def _finish(self, outcome: Outcome, status: int) -> None:
+        outcome.status = status
+        outcome.complete = status == _OK_STATUS
+        outcome.first_s = self._since_due(outcome)
+        outcome.last_s = outcome.first_s
+
+    def _since_due(self, outcome: Outcome) -> float:
+        return time.monotonic() - self.started_s - outcome.arrival.due_s
+
+    async def _show_progress(self, total: int) -> None:
+        while sys.stderr.isatty():
+            done = len(self.outcomes)
+            sys.stderr.write(f'\r{done} of {total} answered')
+            await asyncio.sleep(_PROGRESS_S)
+
+
+def _completion_body(arrival: Arrival) -> dict[str, Any]:
+    messages = [
+        {'role': 'system', 'content': level} for level in arrival.prompt_levels
+    ]
+    messages.append({'role': 'user', 'content': arrival.question})
+    return {
+        'model': arrival.kind.model,
+        'stream': True,
+        'max_tokens': arrival.kind.max_tokens,
+        'messages': messages,
+    }
