Never tell not_run for a caller's key before the ledger was asked

Ruled out: a late run (the service's clock shows the run first); the ledger's own answers (none of them was not_run after a run).

--- /dev/null
+++ b/emulator/slopes.py
@@ -0,0 +1,347 @@
+"""Measure what one more of each thing costs a daemon, and write the table.
+
+Every slope is fitted over at least three sizes; the residual is the
+largest distance from the line, relative to the largest value.
+"""
+
+import random
+import sys
+from collections.abc import Sequence
+from functools import partial
+from http import HTTPStatus
+from pathlib import Path
+
+from arbutusbay.config_exchange import entries_from_state, state_from_reply
+from arbutusbay.control import (
+    BlockTable,
+    ControlBoard,
+    ControlSettings,
+    LedgerPartition,
+    merge_member,
+)
+from arbutusbay.platform import LogRecord
+from arbutusbay.settings import NodeSettings, PlatformSettings
+from arbutusbay.state import (
+    BackendServer,
+    Claim,
+    ConfigState,
+    Outcome,
+    Put,
+    ResourceId,
+    Team,
+    apply_config,
+    ledger_batch_to_bytes,
+    record_from_bytes,
+    record_to_bytes,
+)
+from arbutusbay.wire import ConfigReply, Heartbeat, Member, decode, encode
+from tabulate import tabulate
+
+from emulator._process_costs import measure_processes
+from emulator._slope import Slope, fit_line, memory_bytes, processor_us
+
+_PAGE = Path(__file__).resolve().parent.parent / 'docs' / 'SLOPES.md'
+_BLOCK_SIZES = (50_000, 100_000, 200_000)
+_DEPTHS = (8, 16, 32)
+_LOOKUPS = 2000
+_MEMBER_SIZES = (4, 8, 17)
+_HEARTBEATS = 300
+_RESOURCE_SIZES = (250, 500, 1000)
+_KEY_SIZES = (2000, 4000, 8000)
+_SEED = 1
+_HASH_BITS = 64
+_WINDOW_MS = 86_400_000
+
+
+def main() -> None:
+    """Measure all slopes and write the page."""
+    slopes = [
+        *_index_slopes(),
+        *_membership_slopes(),
+        *_config_slopes(),
+        *_ledger_slopes(),
+        *measure_processes(),
+    ]
+    table = tabulate(
+        [
+            (
+                slope.name,
+                round(slope.slope, 2),
+                slope.unit,
+                round(slope.intercept),
+                f'{slope.residual:.1%}',
+                ', '.join(f'{size}' for size in slope.sizes),
+            )
+            for slope in slopes
+        ],
+        headers=('what', 'slope', 'unit', 'intercept', 'residual', 'sizes'),
+        tablefmt='github',
+    )
+    _PAGE.write_text(
+        f'# Slopes\n\nWritten by `make slopes` on one machine.\n\n{table}\n',
+        encoding='utf-8',
+    )
+    sys.stdout.write(f'{table}\n')
+
+
+def _index_slopes() -> list[Slope]:
+    return [
+        fit_line(
+            'index, processor time a stored block',
+            'µs',
+            _BLOCK_SIZES,
+            [processor_us(partial(_table, size)) for size in _BLOCK_SIZES],
+        ),
+        fit_line(
+            'index, processor time a block stored and evicted',
+            'µs',
+            _BLOCK_SIZES,
+            [processor_us(partial(_churn, size)) for size in _BLOCK_SIZES],
+        ),
+        fit_line(
+            'index, memory a block',
+            'bytes',
+            _BLOCK_SIZES,
+            [_table(size).size_bytes() for size in _BLOCK_SIZES],
+        ),
+        _lookup_slope(),
+    ]
+
+
+def _lookup_slope() -> Slope:
+    table = _table(_BLOCK_SIZES[0])
+    hashes = _hashes(_BLOCK_SIZES[0])
+    measured = [
+        processor_us(partial(_look_up, table, hashes[:depth]))
+        for depth in _DEPTHS
+    ]
+    return fit_line(
+        'index, processor time a hash looked up',
+        'µs',
+        _DEPTHS,
+        [found / _LOOKUPS for found in measured],
+    )
+
+
+def _membership_slopes() -> list[Slope]:
+    return [
+        fit_line(
+            'membership, processor time a member sent and received',
+            'µs',
+            _MEMBER_SIZES,
+            [
+                processor_us(partial(_exchange, size)) / _HEARTBEATS
+                for size in _MEMBER_SIZES
+            ],
+        ),
+        fit_line(
+            'membership, bytes a member in a heartbeat',
+            'bytes',
+            _MEMBER_SIZES,
+            [len(encode(_heartbeat(size, 1))) for size in _MEMBER_SIZES],
+        ),
+    ]
+
+
+def _config_slopes() -> list[Slope]:
+    states = [_config(size) for size in _RESOURCE_SIZES]
+    replies = [_reply(state) for state in states]
+    payloads = [encode(reply) for reply in replies]
+    return [
+        fit_line(
+            'configuration, memory a resource',
+            'bytes',
+            _RESOURCE_SIZES,
+            [memory_bytes(partial(_config, size)) for size in _RESOURCE_SIZES],
+        ),
+        fit_line(
+            'configuration, bytes a resource sent to a router',
+            'bytes',
+            _RESOURCE_SIZES,
+            [len(payload) for payload in payloads],
+        ),
+        fit_line(
+            'configuration, processor time a resource sent',
+            'µs',
+            _RESOURCE_SIZES,
+            [processor_us(partial(_send, state)) for state in states],
+        ),
+        fit_line(
+            'configuration, processor time a known resource received',
+            'µs',
+            _RESOURCE_SIZES,
+            [
+                processor_us(partial(_receive, state, payload))
+                for state, payload in zip(states, payloads, strict=True)
+            ],
+        ),
+        fit_line(
+            'configuration, processor time a record folded, by resources',
+            'µs',
+            _RESOURCE_SIZES,
+            [processor_us(partial(_fold_one, state)) for state in states],
+        ),
+        fit_line(
+            'configuration, memory a team',
+            'bytes',
+            _RESOURCE_SIZES,
+            [memory_bytes(partial(_teams, size)) for size in _RESOURCE_SIZES],
+        ),
+    ]
+
+
+def _ledger_slopes() -> list[Slope]:
+    return [
+        fit_line(
+            'ledger, processor time a claim and outcome folded',
+            'µs',
+            _KEY_SIZES,
+            [processor_us(partial(_ledger, size)) for size in _KEY_SIZES],
+        ),
+        fit_line(
+            'ledger, memory a key with outcome',
+            'bytes',
+            _KEY_SIZES,
+            [memory_bytes(partial(_ledger, size)) for size in _KEY_SIZES],
+        ),
+        fit_line(
+            'ledger, bytes of log a key with outcome',
+            'bytes',
+            _KEY_SIZES,
+            [
+                sum(len(batch) for batch in _batches(size))
+                for size in _KEY_SIZES
+            ],
+        ),
+    ]
+
+
+def _hashes(size: int) -> list[int]:
+    rng = random.Random(_SEED)
+    return [rng.getrandbits(_HASH_BITS) for _ in range(size)]
+
+
+def _table(size: int) -> BlockTable:
+    table = BlockTable()
+    for block_hash in _hashes(size):
+        table.add(block_hash)
+    return table
+
+
+def _churn(size: int) -> None:
+    table = _table(size)
+    for block_hash in _hashes(size):
+        table.discard(block_hash)
+
+
+def _look_up(table: BlockTable, hashes: Sequence[int]) -> None:
+    for _ in range(_LOOKUPS):
+        all(block_hash in table for block_hash in hashes)
+
+
+def _board() -> ControlBoard:
+    return ControlBoard(
+        settings=ControlSettings(
+            node=NodeSettings(id='vm-0', host='127.0.0.1', zone='zone-a'),
+            platform=PlatformSettings(log_url='-', vms_url='-'),
+        ),
+        incarnation=1,
+    )
+
+
+def _heartbeat(size: int, counter: int) -> Heartbeat:
+    members = [
+        Member(
+            node=f'vm-{number}',
+            host=f'10.20.30.{number}',
+            zone='zone-a',
+            incarnation=1,
+            counter=counter,
+        )
+        for number in range(1, size + 1)
+    ]
+    return Heartbeat(sender='vm-1', members=members)
+
+
+def _exchange(size: int) -> None:
+    board = _board()
+    for counter in range(_HEARTBEATS):
+        payload = encode(_heartbeat(size, counter))
+        for member in decode(Heartbeat, payload).unwrap().members:
+            merge_member(board, member)
+
+
+def _server_record(number: int) -> Put:
+    return Put(
+        id=ResourceId(kind='backend-server', name=f'engine-{number}'),
+        spec=BackendServer(
+            pool='language',
+            url=f'http://10.20.30.40:{number}',
+            zone='zone-a',
+        ),
+        expects=None,
+        nonce=f'{number}',
+    )
+
+
+def _config(size: int) -> ConfigState:
+    state = ConfigState()
+    for number in range(size):
+        state = apply_config(state, number, _server_record(number))
+    return state
+
+
+def _teams(size: int) -> list[Team]:
+    return [Team(api_key_digests=[f'{number:064x}']) for number in range(size)]
+
+
+def _fold_one(state: ConfigState) -> None:
+    record = record_from_bytes(record_to_bytes(_server_record(0))).unwrap()
+    apply_config(state, state.offset + 1, record)
+
+
+def _reply(state: ConfigState) -> ConfigReply:
+    return ConfigReply(
+        offset=state.offset,
+        entries=entries_from_state(state),
+        members=[],
+        changed=True,
+        leaving=[],
+    )
+
+
+def _send(state: ConfigState) -> bytes:
+    return encode(_reply(state))
+
+
+def _receive(known: ConfigState, payload: bytes) -> None:
+    state_from_reply(known, decode(ConfigReply, payload).unwrap())
+
+
+def _batches(size: int) -> list[bytes]:
+    return [
+        ledger_batch_to_bytes(
+            (
+                Claim(key=f'team/orders/{number:032x}', nonce=f'{number:032x}'),
+                Outcome(
+                    key=f'team/orders/{number:032x}',
+                    nonce=f'{number:032x}',
+                    status=HTTPStatus.OK,
+                    content_type='application/json',
+                    body=b'{"booked": true}',
+                ),
+            )
+        )
+        for number in range(size)
+    ]
+
+
+def _ledger(size: int) -> LedgerPartition:
+    partition = LedgerPartition(number=0, log=None, window_ms=_WINDOW_MS)
+    for offset, payload in enumerate(_batches(size)):
+        partition.fold(LogRecord(offset=offset, time_ms=0, payload=payload))
+    return partition
+
+
+if __name__ == '__main__':
+    main()
--- a/src/arbutusbay/control/__init__.py
+++ b/src/arbutusbay/control/__init__.py
@@ -1,7 +1,21 @@
-"""Expose the control daemon."""
+"""Expose the control daemon and the parts that are measured alone."""
 
+from arbutusbay.control._block_table import BlockTable
+from arbutusbay.control._blackboard import ControlBoard
 from arbutusbay.control._config_tail import restore_config
+from arbutusbay.control._engine_index import EngineIndex
+from arbutusbay.control._ledger_partition import LedgerPartition
 from arbutusbay.control._main import main
+from arbutusbay.control._membership import merge_member
 from arbutusbay.control._settings import ControlSettings
 
-__all__ = ('ControlSettings', 'main', 'restore_config')
+__all__ = (
+    'BlockTable',
+    'ControlBoard',
+    'ControlSettings',
+    'EngineIndex',
+    'LedgerPartition',
+    'main',
+    'merge_member',
+    'restore_config',
+)
--- a/src/arbutusbay/router/_services_api.py
+++ b/src/arbutusbay/router/_services_api.py
@@ -9,7 +9,7 @@
 from result import Err, Ok, Result
 
 from arbutusbay.backend import KEY_HEADER, ServiceAnswer, ServiceCall
-from arbutusbay.errors import ErrorKind, Failure
+from arbutusbay.errors import ErrorKind, Failure, RunState
 from arbutusbay.http import failure_response
 from arbutusbay.logs import get_logger
 from arbutusbay.router._access import check_access
@@ -65,7 +65,7 @@
         """Answer one request."""
         match await self._parse(request):
             case Err(failure):
-                return failure_response(failure)
+                return failure_response(_told_of_key(request, failure))
             case Ok(parsed):
                 pass
         answer = await self._run(parsed)
@@ -170,6 +170,16 @@
         )
 
 
+def _told_of_key(request: web.Request, failure: Failure) -> Failure:
+    """Return ``failure`` without claiming that the caller's key never ran.
+
+    Before the ledger was asked, an earlier attempt may have run.
+    """
+    if KEY_HEADER not in request.headers:
+        return failure
+    return attrs.evolve(failure, run_state=RunState.UNKNOWN)
+
+
 def _service_path(request: web.Request) -> str:
     prefix = f'/services/{request.match_info["route"]}'
     return request.path_qs.removeprefix(prefix)
--- a/tests/integration/test_proof_cold_start.py
+++ b/tests/integration/test_proof_cold_start.py
@@ -3,9 +3,14 @@
 import asyncio
 import time
 
-from emulator.cluster import call_json, running_cluster, wait_for_ok
+from emulator.cluster import (
+    call_json,
+    running_cluster,
+    wait_for_ok,
+    wait_until,
+)
 from tests.builders import build_options
-from tests.callers import expected_text, stream_chat
+from tests.callers import book, expected_text, stream_chat
 
 
 async def test_cold_vm_takes_configuration_from_peers(
@@ -40,6 +45,23 @@
         assert answer.text == expected_text('alone', 8)
 
 
+async def test_router_without_configuration_tells_the_truth(session):
+    with running_cluster(build_options()) as cluster:
+        cold = cluster.nodes[0]
+        booked = await book(session, cold.router.url, 'before')
+        assert booked.status == 200
+        for node in cluster.nodes:
+            node.control.kill()
+        cold.router.kill()
+        cold.router.start()
+        await asyncio.to_thread(wait_until, lambda: _answers(cold.router))
+        keyed = await book(session, cold.router.url, 'before')
+        assert keyed.body['error']['code'] == 'not_configured'
+        assert keyed.run_state == 'outcome_unknown'
+        chat = await stream_chat(session, cold.router.url, 'cold')
+        assert chat.error['run_state'] == 'not_run'
+
+
 async def test_all_vms_restart_together_with_a_slow_platform(session):
     with running_cluster(build_options()) as cluster:
         for node in cluster.nodes:
@@ -55,6 +77,10 @@
             assert answer.text == expected_text('herd', 8)
 
 
+def _answers(router) -> bool:
+    return call_json(f'{router.url}/healthz')['alive']
+
+
 def _wait_ready(router) -> float:
     wait_for_ok(f'{router.url}/readyz')
     return time.monotonic()
