Send routers only what changed, and encode messages without recursion

Cause: slopes show that a change costs 39 µs a resource to send and 25 µs a known resource to receive: at 4,750 resources 185 ms in the control daemon and 119 ms of stalled event loop in each router; encoding and decoding six engine views took 632 of the 1,310 µs of a lookup. Ruled out: Cap'n Proto itself (141 µs of 335 µs); parsing specs again (already skipped for known versions). Change: replies carry what was put and deleted since the asker's offset, everything only when deletions may be missing; field names are worked out once for each message type.

--- a/src/arbutusbay/_config_exchange.py
+++ b/src/arbutusbay/_config_exchange.py
@@ -1,25 +1,31 @@
 """Convert configuration between daemons' messages and folded state."""
 
+from collections.abc import Iterable
+from types import MappingProxyType
+
 from result import Err, Ok
 
 from arbutusbay.http import parse_json
 from arbutusbay.logs import get_logger
 from arbutusbay.state import (
+    NO_VERSION,
     ConfigState,
     Resource,
     ResourceId,
-    Snapshot,
     spec_from_json,
     spec_to_text,
-    state_from_snapshot,
 )
-from arbutusbay.wire import ConfigReply, ResourceEntry
+from arbutusbay.wire import ConfigReply, ResourceEntry, ResourceKey
 
 _LOG = get_logger('config_exchange')
 
 
-def entries_from_state(state: ConfigState) -> list[ResourceEntry]:
-    """Return every resource in force as message entries."""
+def entries_from_state(
+    state: ConfigState,
+    *,
+    after: int = NO_VERSION,
+) -> list[ResourceEntry]:
+    """Return the resources put after offset ``after`` as entries."""
     return [
         ResourceEntry(
             kind=resource.id.kind,
@@ -28,21 +34,34 @@
             version=resource.version,
         )
         for resource in state.resources.values()
+        if resource.version > after
+    ]
+
+
+def keys_from_ids(ids: Iterable[ResourceId]) -> list[ResourceKey]:
+    """Return resource names as message entries."""
+    return [
+        ResourceKey(kind=resource_id.kind, name=resource_id.name)
+        for resource_id in ids
     ]
 
 
 def state_from_reply(known: ConfigState, reply: ConfigReply) -> ConfigState:
-    """Return the state in ``reply``; skip entries that can't be read.
+    """Return ``known`` brought to the state in ``reply``.
 
-    Resources that ``known`` holds at the same version are not parsed again.
+    Entries that can't be read are skipped. Resources that ``known`` holds
+    at the same version are not parsed again.
     """
-    resources = (_resource(known, entry) for entry in reply.entries)
-    return state_from_snapshot(
-        Snapshot(
-            base=reply.offset,
-            resources=tuple(found for found in resources if found),
-            nonce='',
-        ),
+    resources = {} if reply.full else dict(known.resources)
+    for key in reply.removed:
+        resources.pop(ResourceId(kind=key.kind, name=key.name), None)
+    for entry in reply.entries:
+        resource = _resource(known, entry)
+        if resource is not None:
+            resources[resource.id] = resource
+    return ConfigState(
+        offset=reply.offset,
+        resources=MappingProxyType(resources),
     )
 
 
--- a/src/arbutusbay/config_exchange.py
+++ b/src/arbutusbay/config_exchange.py
@@ -1,5 +1,9 @@
 """Expose the conversion of configuration between daemons."""
 
-from arbutusbay._config_exchange import entries_from_state, state_from_reply
+from arbutusbay._config_exchange import (
+    entries_from_state,
+    keys_from_ids,
+    state_from_reply,
+)
 
-__all__ = ('entries_from_state', 'state_from_reply')
+__all__ = ('entries_from_state', 'keys_from_ids', 'state_from_reply')
--- a/src/arbutusbay/control/_blackboard.py
+++ b/src/arbutusbay/control/_blackboard.py
@@ -8,7 +8,13 @@
 from arbutusbay.control._engine_index import EngineIndex
 from arbutusbay.control._settings import ControlSettings
 from arbutusbay.coordination import Broadcast
-from arbutusbay.state import ConfigState, Lease, Resource, ResourceId
+from arbutusbay.state import (
+    ConfigState,
+    Lease,
+    Removals,
+    Resource,
+    ResourceId,
+)
 from arbutusbay.wire import NO_OFFSET, Member
 
 _MAX_DECISIONS = 1000
@@ -38,6 +44,7 @@
     incarnation: int
     config: ConfigState = attrs.field(factory=ConfigState)
     config_known: bool = False
+    removals: Removals = attrs.field(factory=Removals)
     log_reachable: bool = False
     config_changed: Broadcast = attrs.field(factory=Broadcast)
     decisions: OrderedDict[str, Decision] = attrs.field(factory=OrderedDict)
@@ -135,6 +142,8 @@
     def put_config(self, state: ConfigState) -> None:
         """Take up ``state`` if it is newer and wake who waits for it."""
         changed = state.offset > self.config.offset or not self.config_known
+        if changed:
+            self.removals.note(self.config, state)
         if state.offset > self.config.offset:
             self.config = state
         self.config_known = True
--- a/src/arbutusbay/control/_config_tail.py
+++ b/src/arbutusbay/control/_config_tail.py
@@ -62,13 +62,10 @@
         state = self.board.config
         for log_record in page.records:
             state = self._fold(state, log_record)
-        self._publish(state, page)
-
-    def _publish(self, state: ConfigState, page: LogPage) -> None:
-        if state.offset + 1 >= page.end:
+        if self.board.config_known or state.offset + 1 >= page.end:
             self.board.put_config(state)
-            return
-        self.board.config = state
+        else:
+            self.board.config = state
 
     def _fold(self, state: ConfigState, log_record: LogRecord) -> ConfigState:
         record = _parsed(log_record)
--- a/src/arbutusbay/control/_peer_api.py
+++ b/src/arbutusbay/control/_peer_api.py
@@ -3,14 +3,16 @@
 import asyncio
 import time
 
+import attrs
 from aiohttp import web
 from result import Err, Ok
 
-from arbutusbay.config_exchange import entries_from_state
+from arbutusbay.config_exchange import entries_from_state, keys_from_ids
 from arbutusbay.control._blackboard import ControlBoard
 from arbutusbay.control._ledger_api import Ledger
 from arbutusbay.control._pool_views import look_up
 from arbutusbay.http import capnp_response, failure_response, read_message
+from arbutusbay.state import NO_VERSION
 from arbutusbay.wire import (
     ConfigReply,
     ConfigRequest,
@@ -82,11 +84,24 @@
         )
 
     def _config_reply(self, asked: ConfigRequest) -> ConfigReply:
-        changed = self._has_newer(asked)
+        if not self._has_newer(asked):
+            return self._unchanged_reply()
+        removals = self.board.removals
+        full = not removals.covers(asked.after)
+        after = NO_VERSION if full else asked.after
+        return attrs.evolve(
+            self._unchanged_reply(),
+            changed=True,
+            full=full,
+            entries=entries_from_state(self.board.config, after=after),
+            removed=[] if full else keys_from_ids(removals.since(after)),
+        )
+
+    def _unchanged_reply(self) -> ConfigReply:
         return ConfigReply(
             offset=self.board.config.offset,
-            changed=changed,
-            entries=entries_from_state(self.board.config) if changed else [],
+            changed=False,
+            entries=[],
             members=self.board.live_members(),
             leaving=sorted(self.board.leaving_hosts),
         )
--- a/src/arbutusbay/state/__init__.py
+++ b/src/arbutusbay/state/__init__.py
@@ -40,6 +40,7 @@
     ledger_batch_to_bytes,
     may_send,
 )
+from arbutusbay.state._removals import Removals
 from arbutusbay.state._resources import (
     SPEC_TYPES,
     BackendKind,
@@ -74,6 +75,7 @@
     'Outcome',
     'Pool',
     'Put',
+    'Removals',
     'Resource',
     'ResourceId',
     'Route',
--- a/src/arbutusbay/wire/__init__.py
+++ b/src/arbutusbay/wire/__init__.py
@@ -13,6 +13,7 @@
     LookupRequest,
     Member,
     ResourceEntry,
+    ResourceKey,
 )
 
 __all__ = (
@@ -27,6 +28,7 @@
     'LookupRequest',
     'Member',
     'ResourceEntry',
+    'ResourceKey',
     'decode',
     'encode',
 )
--- a/src/arbutusbay/wire/_codec.py
+++ b/src/arbutusbay/wire/_codec.py
@@ -54,25 +54,38 @@
 
 def _to_fields(message: Any) -> dict[str, Any]:
     return {
-        _camel(field.name): _to_value(getattr(message, field.name))
-        for field in attrs.fields(type(message))
+        wire_name: _to_value(getattr(message, name))
+        for name, wire_name in _wire_names(type(message))
     }
 
 
 def _to_value(field_value: Any) -> Any:
-    if attrs.has(type(field_value)):
-        return _to_fields(field_value)
-    if isinstance(field_value, list):
-        return [_to_value(element) for element in field_value]
+    if isinstance(field_value, list) and field_value:
+        is_nested = attrs.has(type(field_value[0]))
+        return list(map(_to_fields, field_value)) if is_nested else field_value
     return field_value
 
 
-def _snake_keys(fields: Any) -> Any:
-    if isinstance(fields, dict):
-        return {_snake(key): _snake_keys(fields[key]) for key in fields}
-    if isinstance(fields, list):
-        return [_snake_keys(element) for element in fields]
-    return fields
+@functools.cache
+def _wire_names(message_type: type[Any]) -> tuple[tuple[str, str], ...]:
+    return tuple(
+        (field.name, _camel(field.name)) for field in attrs.fields(message_type)
+    )
+
+
+def _snake_keys(fields: dict[str, Any]) -> dict[str, Any]:
+    return {
+        _snake(wire_name): (
+            list(map(_snake_element, field_value))
+            if isinstance(field_value, list)
+            else field_value
+        )
+        for wire_name, field_value in fields.items()
+    }
+
+
+def _snake_element(element: Any) -> Any:
+    return _snake_keys(element) if isinstance(element, dict) else element
 
 
 @functools.cache
--- a/src/arbutusbay/wire/_messages.py
+++ b/src/arbutusbay/wire/_messages.py
@@ -50,15 +50,29 @@
     node: str
 
 
+@attrs.frozen(kw_only=True)
+class ResourceKey:
+    """Name one resource."""
+
+    kind: str
+    name: str
+
+
 @attrs.frozen(kw_only=True)
 class ConfigReply:
-    """Answer with the configuration at ``offset`` when ``changed``."""
+    """Answer with the configuration at ``offset`` when ``changed``.
+
+    ``entries`` holds all resources when ``full``; otherwise what was put
+    since the asker's offset, and ``removed`` what was deleted since.
+    """
 
     offset: int
     entries: list[ResourceEntry]
     members: list[Member]
     changed: bool
     leaving: list[str]
+    full: bool = True
+    removed: list[ResourceKey] = attrs.field(factory=list)
 
 
 @attrs.frozen(kw_only=True)
--- a/src/arbutusbay/wire/arbutusbay.capnp
+++ b/src/arbutusbay/wire/arbutusbay.capnp
@@ -30,12 +30,19 @@
   node @2 :Text;
 }
 
+struct ResourceKey {
+  kind @0 :Text;
+  name @1 :Text;
+}
+
 struct ConfigReply {
   offset @0 :Int64;
   entries @1 :List(ResourceEntry);
   members @2 :List(Member);
   changed @3 :Bool;
   leaving @4 :List(Text);
+  full @5 :Bool;
+  removed @6 :List(ResourceKey);
 }
 
 struct LedgerRequest {
