--- a/src/arbutusbay/policy/_placement.py
+++ b/src/arbutusbay/policy/_placement.py
@@ -14,7 +14,8 @@
 _OTHER_ZONE_S = 0.002
 _TIE_S = 0.003
 _TIE_RATIO = 0.05
-_AFFINITY = (0.3, 0.15)
+_AFFINITY = (0.5, 0.25)
+_RECOMPUTATION_WEIGHT = 1.0
 _MIN_WINDOW = 2
 _WINDOW_FACTOR = 1.5
 _LONG_RESERVE_RATIO = 0.25
@@ -179,9 +180,10 @@
     engine: EngineState,
     discounts: Mapping[str, float],
 ) -> float:
-    cost_s = predicted_first_token_s(job, view, engine)
     uncached = job.uncached_tokens(view.depths.get(engine.name, 0))
-    cost_s -= discounts.get(engine.name, 0) * uncached * view.prefill_s
+    weight = _RECOMPUTATION_WEIGHT - discounts.get(engine.name, 0)
+    cost_s = predicted_first_token_s(job, view, engine)
+    cost_s += weight * uncached * view.prefill_s
     if not has_room(engine, job, view.routers):
         cost_s += view.service_s / engine_window(engine, view.routers)
     return cost_s
