Bound the prefill backlog of engines, more tightly for normal work

Cause: urgent prompts wait behind prefill already handed to an engine, which an engine computes in the order of arrival among running sequences whatever their priority; late binding by count alone let notes fill it. Change: an engine takes a job only while its backlog stays within 3072 tokens for urgent and 1536 for normal work, or when it has none.

--- a/src/arbutusbay/policy/_placement.py
+++ b/src/arbutusbay/policy/_placement.py
@@ -4,12 +4,14 @@
 import random
 import statistics
 from collections.abc import Mapping, Sequence
+from types import MappingProxyType
 
 import attrs
 
 from arbutusbay.hashing import rendezvous_order
 from arbutusbay.policy._engine_state import EngineState
 from arbutusbay.policy._job import Job
+from arbutusbay.state import Urgency
 
 _OTHER_ZONE_S = 0.002
 _TIE_S = 0.003
@@ -19,6 +21,12 @@
 _MIN_WINDOW = 2
 _WINDOW_FACTOR = 1.5
 _LONG_RESERVE_RATIO = 0.25
+_BACKLOG_LIMITS_TOKENS = MappingProxyType(
+    {
+        Urgency.URGENT: 3072,
+        Urgency.NORMAL: 1536,
+    }
+)
 
 
 class PolicyName(enum.StrEnum):
@@ -131,11 +139,22 @@
     return max(_MIN_WINDOW, int(share * _WINDOW_FACTOR))
 
 
-def has_room(engine: EngineState, job: Job, routers: int) -> bool:
-    """Tell whether the engine's window takes ``job``.
-
-    Long work leaves the last places of each window to short work.
+def has_room(
+    engine: EngineState,
+    job: Job,
+    routers: int,
+    uncached_tokens: int,
+) -> bool:
+    """Tell whether the engine takes ``job`` now.
+
+    Prompts that wait for prefill are bounded, more tightly for normal work,
+    so that urgent work finds room. Long work leaves the last places of each
+    window to short work.
     """
+    backlog = engine.backlog_tokens()
+    limit = _BACKLOG_LIMITS_TOKENS[job.urgency]
+    if backlog and backlog + uncached_tokens > limit:
+        return False
     window = engine_window(engine, routers)
     if not job.is_long:
         return len(engine.in_flight) < window
@@ -168,7 +187,7 @@
     best_s = min(costs.values())
     limit_s = best_s + max(_TIE_S, best_s * _TIE_RATIO)
     tied = [engine for engine in view.engines if costs[engine.name] <= limit_s]
-    free = [engine for engine in tied if has_room(engine, job, view.routers)]
+    free = [engine for engine in tied if _has_room(job, view, engine)]
     if not free:
         return None
     return _choice(job, view, rng.choice(free))
@@ -184,11 +203,16 @@
     weight = _RECOMPUTATION_WEIGHT - discounts.get(engine.name, 0)
     cost_s = predicted_first_token_s(job, view, engine)
     cost_s += weight * uncached * view.prefill_s
-    if not has_room(engine, job, view.routers):
+    if not _has_room(job, view, engine):
         cost_s += view.service_s / engine_window(engine, view.routers)
     return cost_s
 
 
+def _has_room(job: Job, view: PoolView, engine: EngineState) -> bool:
+    uncached = job.uncached_tokens(view.depths.get(engine.name, 0))
+    return has_room(engine, job, view.routers, uncached)
+
+
 def _slot_wait_s(view: PoolView, engine: EngineState) -> float:
     if not engine.slots:
         return 0.0
