--- a/emulator/measure.py
+++ b/emulator/measure.py
@@ -11,6 +11,7 @@
 import time
 from collections.abc import Sequence
 from pathlib import Path
+from types import MappingProxyType
 from typing import Any
 
 import attrs
@@ -27,6 +28,12 @@
 
 _EXAMPLES = Path(__file__).resolve().parent.parent / 'examples'
 _VMS = 3
+_ZONES = MappingProxyType(
+    {
+        'sahel': ('plateau', 'hann', 'rufisque'),
+        'correa': ('mx-norte-a', 'mx-norte-b', 'mx-norte-c'),
+    }
+)
 _SLOW_FACTOR = 5.0
 _SLOW_ENGINES = 2
 _WARM_S = 0.5
@@ -55,6 +62,7 @@
     policy: str
     seed: int
     duration_s: float
+    vms: int
 
 
 def main() -> None:
@@ -76,10 +84,10 @@
     workload_path = _EXAMPLES / 'workloads' / f'{trial.workload}.toml'
     workload = load_workload(workload_path).unwrap()
     omniscient = trial.policy == 'omniscient'
-    vms = 1 if omniscient else _VMS
+    vms = 1 if omniscient else trial.vms
     options = ClusterOptions(
         example=_EXAMPLES / f'{trial.workload}.toml',
-        zones=_zones(trial.workload)[:vms],
+        zones=_zones(trial.workload, vms),
         router={'policy': 'cost' if omniscient else trial.policy},
         engine_arguments=_engine_arguments(omniscient=omniscient),
     )
@@ -133,6 +141,7 @@
             policy=policy,
             seed=seed,
             duration_s=options.duration,
+            vms=options.vms,
         )
         for workload, scenario, seed, policy in product
     ]
@@ -184,10 +193,9 @@
     ]
 
 
-def _zones(workload: str) -> Sequence[str]:
-    if workload == 'sahel':
-        return ('plateau', 'hann', 'rufisque')
-    return ('mx-norte-a', 'mx-norte-b', 'mx-norte-c')
+def _zones(workload: str, vms: int) -> Sequence[str]:
+    zones = _ZONES[workload]
+    return [zones[number % len(zones)] for number in range(vms)]
 
 
 def _say(line: str) -> None:
@@ -211,6 +219,7 @@
         )
     parser.add_argument('--seed', nargs='+', type=int, default=[1, 2, 3])
     parser.add_argument('--duration', type=float, default=_DURATION_S)
+    parser.add_argument('--vms', type=int, default=_VMS)
     parser.add_argument('--report', type=Path)
     return parser
 
--- a/src/arbutusbay/policy/_placement.py
+++ b/src/arbutusbay/policy/_placement.py
@@ -159,7 +159,7 @@
     if not job.is_long:
         return len(engine.in_flight) < window
     reserve = max(1, int(window * _LONG_RESERVE_RATIO))
-    return len(engine.in_flight) < window - reserve
+    return len(engine.in_flight) < max(1, window - reserve)
 
 
 def median_piece_s(engines: Sequence[EngineState]) -> float:
