--- a/src/arbutusbay/router/_generation_run.py
+++ b/src/arbutusbay/router/_generation_run.py
@@ -26,7 +26,8 @@
 from arbutusbay.state import Pool, Urgency
 
 _LOG = get_logger('generation')
-_SMOOTHING = 0.05
+_FASTER_WEIGHT = 0.2
+_SLOWER_WEIGHT = 0.01  # most slow samples waited for other prompts
 _MIN_TIMED_TOKENS = 200
 _PIECE_PATIENCE_S = 2.0
 _FIRST_PIECE_PATIENCE_S = 3.0
@@ -312,4 +313,6 @@
             return
         pool = self.board.pool_state(self.job.pool)
         sample_s = seen_s / uncached
-        pool.prefill_s += _SMOOTHING * (sample_s - pool.prefill_s)
+        is_faster = sample_s < pool.prefill_s
+        weight = _FASTER_WEIGHT if is_faster else _SLOWER_WEIGHT
+        pool.prefill_s += weight * (sample_s - pool.prefill_s)
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -2,6 +2,7 @@
 
 import random
 
+import attrs
 import pytest
 
 from arbutusbay.policy import (
@@ -29,6 +30,7 @@
         slots=8,
         piece_s=0.012,
         piece_seen_at_s=_NOW_S,
+        reported_at_s=_NOW_S,
         **fields,
     )
 
@@ -98,10 +100,10 @@
 def test_long_work_has_room_in_any_window(routers):
     engine = _engine('e0', waiting=8)
     job = _job(prompt_tokens=6000, max_tokens=200)
-    view = _view([engine])
+    view = attrs.evolve(_view([engine]), routers=routers)
     assert job.is_long
     assert engine_window(engine, routers) >= 1
-    assert has_room(engine, job, routers, job.uncached_tokens(0)), view
+    assert has_room(job, view, engine)
 
 
 def test_long_work_leaves_the_last_place():
@@ -114,5 +116,6 @@
             is_long=True,
         )
     long_job = _job(prompt_tokens=6000, max_tokens=200)
-    assert not has_room(engine, long_job, 1, 6000)
-    assert has_room(engine, _job(), 1, 1000)
+    view = attrs.evolve(_view([engine]), routers=1)
+    assert not has_room(long_job, view, engine)
+    assert has_room(_job(), view, engine)
