--- a/src/arbutusbay/policy/_engine_state.py
+++ b/src/arbutusbay/policy/_engine_state.py
@@ -1,6 +1,5 @@
 """Hold what one router knows of one engine."""
 
-import math
 import time
 from collections import OrderedDict
 from collections.abc import Iterable, Sequence
@@ -11,7 +10,6 @@
 
 _MAX_RECENT_BLOCKS = 20_000
 _SPEED_WEIGHT = 0.2
-_RATE_WINDOW_S = 2.0
 _FAILURE_PAUSE_S = 1.0
 _MAX_FAILURE_PAUSE_S = 8.0
 _FACTOR_HALF_LIFE_S = 3.0
@@ -52,8 +50,6 @@
     queued_tokens: int = 0
     reported_at_s: float = 0.0
     in_flight: dict[str, InFlight] = attrs.field(factory=dict)
-    sent_tokens_per_s: float = 0.0
-    rate_at_s: float = 0.0
     recent: OrderedDict[int, float] = attrs.field(factory=OrderedDict)
     piece_s: float = 0.0
     piece_seen_at_s: float = 0.0
@@ -118,40 +114,14 @@
             if attempt.sent_at_s > self.reported_at_s
         ]
 
-    def put_sent(self, attempt: str, sent: InFlight) -> None:
-        """Take up an attempt that this router sends now."""
-        self.in_flight[attempt] = sent
-        silent_s = sent.sent_at_s - self.rate_at_s
-        kept = self.sent_tokens_per_s * math.exp(-silent_s / _RATE_WINDOW_S)
-        self.sent_tokens_per_s = kept + sent.uncached_tokens / _RATE_WINDOW_S
-        self.rate_at_s = sent.sent_at_s
-
-    def backlog_tokens(
-        self,
-        *,
-        routers: int,
-        prefill_s: float,
-        now_s: float,
-    ) -> float:
-        """Return uncached tokens that probably wait for prefill now.
-
-        The last report is carried forward: the other routers are taken to
-        send as this one does, and the engine to compute one token in
-        ``prefill_s`` seconds.
-        """
+    def backlog_tokens(self) -> int:
+        """Return uncached tokens that wait for prefill."""
         own = sum(
             attempt.uncached_tokens
             for attempt in self.sent_since_report()
             if not attempt.first_token_seen
         )
-        age_s = max(0, now_s - self.reported_at_s)
-        others = self._rate(now_s) * (routers - 1) * age_s
-        computed = age_s / prefill_s
-        return own + max(0, self.queued_tokens + others - computed)
-
-    def _rate(self, now_s: float) -> float:
-        silent_s = max(0, now_s - self.rate_at_s)
-        return self.sent_tokens_per_s * math.exp(-silent_s / _RATE_WINDOW_S)
+        return self.queued_tokens + own
 
     def put_piece_gap(self, gap_s: float) -> None:
         """Take up one time between pieces."""
--- a/src/arbutusbay/policy/_placement.py
+++ b/src/arbutusbay/policy/_placement.py
@@ -124,7 +124,7 @@
 ) -> float:
     """Return the predicted seconds to the first token on ``engine``."""
     uncached = job.uncached_tokens(view.depths.get(engine.name, 0))
-    work_s = (_backlog(view, engine) + uncached) * view.prefill_s
+    work_s = (engine.backlog_tokens() + uncached) * view.prefill_s
     slow = engine.slow_factor(view.piece_s, view.now_s)
     network_s = 0 if engine.zone == view.own_zone else _OTHER_ZONE_S
     waiting_s = work_s + view.piece_s + _slot_wait_s(view, engine)
@@ -139,19 +139,23 @@
     return max(_MIN_WINDOW, int(share * _WINDOW_FACTOR))
 
 
-def has_room(job: Job, view: PoolView, engine: EngineState) -> bool:
+def has_room(
+    engine: EngineState,
+    job: Job,
+    routers: int,
+    uncached_tokens: int,
+) -> bool:
     """Tell whether the engine takes ``job`` now.
 
     Prompts that wait for prefill are bounded, more tightly for normal work,
     so that urgent work finds room. Long work leaves the last places of each
     window to short work.
     """
-    backlog = _backlog(view, engine)
-    uncached = job.uncached_tokens(view.depths.get(engine.name, 0))
+    backlog = engine.backlog_tokens()
     limit = _BACKLOG_LIMITS_TOKENS[job.urgency]
-    if backlog and backlog + uncached > limit:
+    if backlog and backlog + uncached_tokens > limit:
         return False
-    window = engine_window(engine, view.routers)
+    window = engine_window(engine, routers)
     if not job.is_long:
         return len(engine.in_flight) < window
     reserve = max(1, int(window * _LONG_RESERVE_RATIO))
@@ -183,7 +187,7 @@
     best_s = min(costs.values())
     limit_s = best_s + max(_TIE_S, best_s * _TIE_RATIO)
     tied = [engine for engine in view.engines if costs[engine.name] <= limit_s]
-    free = [engine for engine in tied if has_room(job, view, engine)]
+    free = [engine for engine in tied if _has_room(job, view, engine)]
     if not free:
         return None
     return _choice(job, view, rng.choice(free))
@@ -199,17 +203,14 @@
     weight = _RECOMPUTATION_WEIGHT - discounts.get(engine.name, 0)
     cost_s = predicted_first_token_s(job, view, engine)
     cost_s += weight * uncached * view.prefill_s
-    if not has_room(job, view, engine):
+    if not _has_room(job, view, engine):
         cost_s += view.service_s / engine_window(engine, view.routers)
     return cost_s
 
 
-def _backlog(view: PoolView, engine: EngineState) -> float:
-    return engine.backlog_tokens(
-        routers=view.routers,
-        prefill_s=view.prefill_s,
-        now_s=view.now_s,
-    )
+def _has_room(job: Job, view: PoolView, engine: EngineState) -> bool:
+    uncached = job.uncached_tokens(view.depths.get(engine.name, 0))
+    return has_room(engine, job, view.routers, uncached)
 
 
 def _slot_wait_s(view: PoolView, engine: EngineState) -> float:
--- a/src/arbutusbay/router/_dispatcher.py
+++ b/src/arbutusbay/router/_dispatcher.py
@@ -265,13 +265,10 @@
         now_s = time.monotonic()
         job = waiting.job
         attempt = uuid.uuid4().hex
-        choice.engine.put_sent(
-            attempt,
-            InFlight(
-                uncached_tokens=job.uncached_tokens(choice.depth),
-                sent_at_s=now_s,
-                is_long=job.is_long,
-            ),
+        choice.engine.in_flight[attempt] = InFlight(
+            uncached_tokens=job.uncached_tokens(choice.depth),
+            sent_at_s=now_s,
+            is_long=job.is_long,
         )
         choice.engine.remember(job.hashes)
         waiting.ticket.placed.set_result(
--- a/src/arbutusbay/router/_generation_run.py
+++ b/src/arbutusbay/router/_generation_run.py
@@ -26,8 +26,7 @@
 from arbutusbay.state import Pool, Urgency
 
 _LOG = get_logger('generation')
-_FASTER_WEIGHT = 0.2
-_SLOWER_WEIGHT = 0.01  # most slow samples waited for other prompts
+_SMOOTHING = 0.05
 _MIN_TIMED_TOKENS = 200
 _PIECE_PATIENCE_S = 2.0
 _FIRST_PIECE_PATIENCE_S = 3.0
@@ -313,6 +312,4 @@
             return
         pool = self.board.pool_state(self.job.pool)
         sample_s = seen_s / uncached
-        is_faster = sample_s < pool.prefill_s
-        weight = _FASTER_WEIGHT if is_faster else _SLOWER_WEIGHT
-        pool.prefill_s += weight * (sample_s - pool.prefill_s)
+        pool.prefill_s += _SMOOTHING * (sample_s - pool.prefill_s)
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -2,7 +2,6 @@
 
 import random
 
-import attrs
 import pytest
 
 from arbutusbay.policy import (
@@ -30,7 +29,6 @@
         slots=8,
         piece_s=0.012,
         piece_seen_at_s=_NOW_S,
-        reported_at_s=_NOW_S,
         **fields,
     )
 
@@ -100,10 +98,10 @@
 def test_long_work_has_room_in_any_window(routers):
     engine = _engine('e0', waiting=8)
     job = _job(prompt_tokens=6000, max_tokens=200)
-    view = attrs.evolve(_view([engine]), routers=routers)
+    view = _view([engine])
     assert job.is_long
     assert engine_window(engine, routers) >= 1
-    assert has_room(job, view, engine)
+    assert has_room(engine, job, routers, job.uncached_tokens(0)), view
 
 
 def test_long_work_leaves_the_last_place():
@@ -116,6 +114,5 @@
             is_long=True,
         )
     long_job = _job(prompt_tokens=6000, max_tokens=200)
-    view = attrs.evolve(_view([engine]), routers=1)
-    assert not has_room(long_job, view, engine)
-    assert has_room(_job(), view, engine)
+    assert not has_room(engine, long_job, 1, 6000)
+    assert has_room(engine, _job(), 1, 1000)
