--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -29,6 +29,7 @@
         slots=8,
         piece_s=0.012,
         piece_seen_at_s=_NOW_S,
+        reported_at_s=_NOW_S,
         **fields,
     )
 
