Tell stragglers by their fastest steps

Change: the time between pieces is followed at its 0.3 quantile; engines at twice the pool's median or more are not ranked for affinity and pay half of the longer service time.

--- a/src/arbutusbay/policy/_engine_state.py
+++ b/src/arbutusbay/policy/_engine_state.py
@@ -10,6 +10,8 @@
 
 _MAX_RECENT_BLOCKS = 20_000
 _SPEED_WEIGHT = 0.2
+_GAP_QUANTILE = 0.3
+_QUANTILE_STEP = 0.2
 _FAILURE_PAUSE_S = 1.0
 _MAX_FAILURE_PAUSE_S = 8.0
 _FACTOR_HALF_LIFE_S = 3.0
@@ -30,9 +32,9 @@
 class EngineState:
     """Hold identity, load, speed and recent prompts of one engine.
 
-    Times are seconds on the monotonic clock; ``piece_s`` is the smoothed
-    time between pieces, ``first_token_ratio`` the smoothed ratio of seen to
-    predicted time to first token.
+    Times are seconds on the monotonic clock; ``piece_s`` is a low quantile
+    of the time between pieces; ``first_token_ratio`` is the smoothed ratio
+    of seen to predicted time to first token.
     """
 
     name: str
@@ -124,8 +126,16 @@
         return self.queued_tokens + own
 
     def put_piece_gap(self, gap_s: float) -> None:
-        """Take up one time between pieces."""
-        self.piece_s = _smooth(self.piece_s or gap_s, gap_s)
+        """Take up one time between pieces.
+
+        The estimate follows a low quantile: steps that compute prompts
+        stretch some gaps of a healthy engine, but slowness stretches all.
+        """
+        self.piece_s = self.piece_s or gap_s
+        if gap_s < self.piece_s:
+            self.piece_s *= 1 - _QUANTILE_STEP * (1 - _GAP_QUANTILE)
+        else:
+            self.piece_s *= 1 + _QUANTILE_STEP * _GAP_QUANTILE
         self.piece_seen_at_s = time.monotonic()
 
     def put_first_token_ratio(self, ratio: float) -> None:
--- a/src/arbutusbay/policy/_placement.py
+++ b/src/arbutusbay/policy/_placement.py
@@ -18,6 +18,8 @@
 _TIE_RATIO = 0.05
 _AFFINITY = (2.0, 1.0)
 _RECOMPUTATION_WEIGHT = 3.0
+_SUSPECT_FACTOR = 2.0
+_SLOW_SERVICE_WEIGHT = 0.5
 _MIN_WINDOW = 2
 _WINDOW_FACTOR = 1.5
 _LONG_RESERVE_RATIO = 0.25
@@ -125,7 +127,7 @@
     """Return the predicted seconds to the first token on ``engine``."""
     uncached = job.uncached_tokens(view.depths.get(engine.name, 0))
     work_s = (engine.backlog_tokens() + uncached) * view.prefill_s
-    slow = engine.slow_factor(view.piece_s, view.now_s)
+    slow = _slowness(view, engine)
     network_s = 0 if engine.zone == view.own_zone else _OTHER_ZONE_S
     waiting_s = work_s + view.piece_s + _slot_wait_s(view, engine)
     return waiting_s * slow + network_s
@@ -173,13 +175,12 @@
     view: PoolView,
     rng: random.Random,
 ) -> Choice | None:
-    discounts = dict(
-        zip(
-            (engine.name for engine in _ranked(view)),
-            _AFFINITY,
-            strict=False,
-        ),
-    )
+    ranked = [
+        engine.name
+        for engine in _ranked(view)
+        if _slowness(view, engine) < _SUSPECT_FACTOR
+    ]
+    discounts = dict(zip(ranked, _AFFINITY, strict=False))
     costs = {
         engine.name: _cost_s(job, view, engine, discounts)
         for engine in view.engines
@@ -203,6 +204,9 @@
     weight = _RECOMPUTATION_WEIGHT - discounts.get(engine.name, 0)
     cost_s = predicted_first_token_s(job, view, engine)
     cost_s += weight * uncached * view.prefill_s
+    slowness = _slowness(view, engine)
+    if slowness >= _SUSPECT_FACTOR:
+        cost_s += _SLOW_SERVICE_WEIGHT * (slowness - 1) * view.service_s
     if not _has_room(job, view, engine):
         cost_s += view.service_s / engine_window(engine, view.routers)
     return cost_s
@@ -213,6 +217,10 @@
     return has_room(engine, job, view.routers, uncached)
 
 
+def _slowness(view: PoolView, engine: EngineState) -> float:
+    return engine.slow_factor(view.piece_s, view.now_s)
+
+
 def _slot_wait_s(view: PoolView, engine: EngineState) -> float:
     if not engine.slots:
         return 0.0
