Hold a request for a better engine only for a moment

Ruled out: the queue's order (the request was first). Change: after 0.3 s the best engine with room is taken; has_room takes the view, with its test.

--- a/src/arbutusbay/policy/_placement.py
+++ b/src/arbutusbay/policy/_placement.py
@@ -16,6 +16,7 @@
 _OTHER_ZONE_S = 0.002
 _TIE_S = 0.003
 _TIE_RATIO = 0.05
+_MAX_HOLD_S = 0.3
 _AFFINITY = (2.0, 1.0)
 _RECOMPUTATION_WEIGHT = 3.0
 _SUSPECT_FACTOR = 2.0
@@ -141,23 +142,19 @@
     return max(_MIN_WINDOW, int(share * _WINDOW_FACTOR))
 
 
-def has_room(
-    engine: EngineState,
-    job: Job,
-    routers: int,
-    uncached_tokens: int,
-) -> bool:
+def has_room(job: Job, view: PoolView, engine: EngineState) -> bool:
     """Tell whether the engine takes ``job`` now.
 
     Prompts that wait for prefill are bounded, more tightly for normal work,
     so that urgent work finds room. Long work leaves the last places of each
-    window to short work.
+    window to short work, but has one place in any window.
     """
     backlog = engine.backlog_tokens()
+    uncached = job.uncached_tokens(view.depths.get(engine.name, 0))
     limit = _BACKLOG_LIMITS_TOKENS[job.urgency]
-    if backlog and backlog + uncached_tokens > limit:
+    if backlog and backlog + uncached > limit:
         return False
-    window = engine_window(engine, routers)
+    window = engine_window(engine, view.routers)
     if not job.is_long:
         return len(engine.in_flight) < window
     reserve = max(1, int(window * _LONG_RESERVE_RATIO))
@@ -185,13 +182,26 @@
         engine.name: _cost_s(job, view, engine, discounts)
         for engine in view.engines
     }
-    best_s = min(costs.values())
-    limit_s = best_s + max(_TIE_S, best_s * _TIE_RATIO)
-    tied = [engine for engine in view.engines if costs[engine.name] <= limit_s]
-    free = [engine for engine in tied if _has_room(job, view, engine)]
+    free = [engine for engine in view.engines if has_room(job, view, engine)]
     if not free:
         return None
-    return _choice(job, view, rng.choice(free))
+    best_s = min(costs.values())
+    best_free_s = min(costs[engine.name] for engine in free)
+    if not _is_tied(best_free_s, best_s) and _may_hold(job, view):
+        return None
+    tied = [
+        engine for engine in free if _is_tied(costs[engine.name], best_free_s)
+    ]
+    return _choice(job, view, rng.choice(tied))
+
+
+def _is_tied(cost_s: float, best_s: float) -> bool:
+    return cost_s <= best_s + max(_TIE_S, abs(best_s) * _TIE_RATIO)
+
+
+def _may_hold(job: Job, view: PoolView) -> bool:
+    """Tell whether ``job`` may wait for an engine better than a free one."""
+    return view.now_s - job.arrived_s < _MAX_HOLD_S
 
 
 def _cost_s(
@@ -207,16 +217,11 @@
     slowness = _slowness(view, engine)
     if slowness >= _SUSPECT_FACTOR:
         cost_s += _SLOW_SERVICE_WEIGHT * (slowness - 1) * view.service_s
-    if not _has_room(job, view, engine):
+    if not has_room(job, view, engine):
         cost_s += view.service_s / engine_window(engine, view.routers)
     return cost_s
 
 
-def _has_room(job: Job, view: PoolView, engine: EngineState) -> bool:
-    uncached = job.uncached_tokens(view.depths.get(engine.name, 0))
-    return has_room(engine, job, view.routers, uncached)
-
-
 def _slowness(view: PoolView, engine: EngineState) -> float:
     return engine.slow_factor(view.piece_s, view.now_s)
 
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -2,6 +2,7 @@
 
 import random
 
+import attrs
 import pytest
 
 from arbutusbay.policy import (
@@ -99,10 +100,10 @@
 def test_long_work_has_room_in_any_window(routers):
     engine = _engine('e0', waiting=8)
     job = _job(prompt_tokens=6000, max_tokens=200)
-    view = _view([engine])
+    view = attrs.evolve(_view([engine]), routers=routers)
     assert job.is_long
     assert engine_window(engine, routers) >= 1
-    assert has_room(engine, job, routers, job.uncached_tokens(0)), view
+    assert has_room(job, view, engine)
 
 
 def test_long_work_leaves_the_last_place():
@@ -115,5 +116,20 @@
             is_long=True,
         )
     long_job = _job(prompt_tokens=6000, max_tokens=200)
-    assert not has_room(engine, long_job, 1, 6000)
-    assert has_room(engine, _job(), 1, 1000)
+    view = attrs.evolve(_view([engine]), routers=1)
+    assert not has_room(long_job, view, engine)
+    assert has_room(_job(), view, engine)
+
+
+def test_job_waits_for_a_better_engine_only_for_a_moment():
+    engines = [_engine(f'e{number}') for number in range(6)]
+    for number in range(engine_window(engines[0], 3)):
+        engines[0].in_flight[f'{number}'] = InFlight(
+            uncached_tokens=0,
+            sent_at_s=_NOW_S,
+            is_long=False,
+        )
+    view = _view(engines, {'e0': 60})
+    assert _choose(_job(), view) is None
+    later = attrs.evolve(view, now_s=_NOW_S + 1)
+    assert _choose(_job(), later) not in {None, 'e0'}
