Spread block hashes whose low bits are alike

Hashes come from engines, whose scheme is theirs. Change: the home slot is the top bits of a product with an odd constant. Also, found reading as a newcomer: one set of debug endpoints for both daemons, one protocol builder for all specifications, engines and services rebuilt by one function; the hedge budget, the first-token ratio and flags that nothing read are removed (hedging is not built).

--- a/emulator/engine.py
+++ b/emulator/engine.py
@@ -61,7 +61,6 @@
     event_loss: float
     checks_fencing: bool
     seed: int
-    weight_store: str
 
 
 def expected_word(prompt: str, weights_version: str, index: int) -> str:
@@ -384,7 +383,6 @@
         'event_lag_s': 0.1,
         'event_loss': 0.01,
         'seed': 1,
-        'weight_store': '',
     }
 )
 
--- a/src/arbutusbay/control/_block_table.py
+++ b/src/arbutusbay/control/_block_table.py
@@ -1,6 +1,7 @@
 """Hold a set of 64-bit block hashes in one compact array.
 
-Open addressing with linear probing; 8 bytes a slot.
+Open addressing with linear probing; 8 bytes a slot. Multiplication spreads
+hashes whose low bits are alike.
 """
 
 from array import array
@@ -9,6 +10,9 @@
 _MIN_SLOTS = 256
 _EMPTY = 0
 _WORD = 'Q'
+_WORD_BITS = 64
+_WORD_MASK = 0xFFFFFFFFFFFFFFFF
+_MULTIPLIER = 0x9E3779B97F4A7C15
 _MAX_LOAD_NUMERATOR = 7
 _MAX_LOAD_DENOMINATOR = 10
 
@@ -21,8 +25,7 @@
 
     def __init__(self) -> None:
         """Start empty."""
-        self.slots = _empty_slots(_MIN_SLOTS)
-        self.mask = _MIN_SLOTS - 1
+        self._allocate(_MIN_SLOTS)
         self.used = 0
 
     def __len__(self) -> int:
@@ -54,7 +57,7 @@
         self.used -= 1
         probe = (hole + 1) & mask
         while slots[probe] != _EMPTY:
-            home = slots[probe] & mask
+            home = self._home(slots[probe])
             if (probe - home) & mask >= (probe - hole) & mask:
                 slots[hole] = slots[probe]
                 hole = probe
@@ -63,8 +66,7 @@
 
     def clear(self) -> None:
         """Remove all hashes."""
-        self.slots = _empty_slots(_MIN_SLOTS)
-        self.mask = _MIN_SLOTS - 1
+        self._allocate(_MIN_SLOTS)
         self.used = 0
 
     def size_bytes(self) -> int:
@@ -74,11 +76,14 @@
     def _find(self, stored: int) -> int:
         slots = self.slots
         mask = self.mask
-        position = stored & mask
+        position = self._home(stored)
         while slots[position] not in {_EMPTY, stored}:
             position = (position + 1) & mask
         return position
 
+    def _home(self, stored: int) -> int:
+        return (stored * _MULTIPLIER & _WORD_MASK) >> self.shift
+
     def _is_crowded(self) -> bool:
         return (
             self.used * _MAX_LOAD_DENOMINATOR
@@ -87,10 +92,14 @@
 
     def _grow(self) -> None:
         old_slots = self.slots
-        self.slots = _empty_slots(2 * len(old_slots))
-        self.mask = len(self.slots) - 1
+        self._allocate(2 * len(old_slots))
         self._refill(old_slots)
 
+    def _allocate(self, count: int) -> None:
+        self.slots = _empty_slots(count)
+        self.mask = count - 1
+        self.shift = _WORD_BITS - self.mask.bit_length()
+
     def _refill(self, old_slots: Iterable[int]) -> None:
         for stored in old_slots:
             if stored != _EMPTY:
--- a/src/arbutusbay/control/_main.py
+++ b/src/arbutusbay/control/_main.py
@@ -8,7 +8,7 @@
 
 from arbutusbay.control._blackboard import ControlBoard
 from arbutusbay.control._config_tail import ConfigTail
-from arbutusbay.control._debug_api import DebugApi
+from arbutusbay.control._dump import dump_state
 from arbutusbay.control._index_tail import IndexTail
 from arbutusbay.control._lease_holder import LeaseHolder
 from arbutusbay.control._ledger_api import Ledger
@@ -21,6 +21,7 @@
 from arbutusbay.control._snapshots import Snapshots
 from arbutusbay.control._vm_watch import VMWatch
 from arbutusbay.daemon import run_daemon
+from arbutusbay.debug_api import DebugApi
 from arbutusbay.http import HttpService, new_application, new_session
 from arbutusbay.platform import LogService
 
@@ -63,10 +64,11 @@
     def _build_http(self) -> HttpService:
         application = new_application()
         ledger = Ledger(board=self.board, log=self.log)
+        metrics = ControlMetrics()
         DebugApi(
-            board=self.board,
-            ledger=ledger,
-            metrics=ControlMetrics(),
+            is_ready=self._is_ready,
+            dump=lambda: dump_state(self.board, ledger),
+            render=lambda: metrics.response(self.board, ledger),
         ).add_routes(application)
         PeerApi(board=self.board, ledger=ledger).add_routes(application)
         ResourceApi(
@@ -82,6 +84,9 @@
             announce=self._announce_drain,
         )
 
+    def _is_ready(self) -> bool:
+        return self.board.config_known and not self.board.draining
+
     def _announce_drain(self) -> None:
         self.board.draining = True
         self.board.config_changed.notify()
--- a/src/arbutusbay/policy/_budget.py
+++ b/src/arbutusbay/policy/_budget.py
@@ -1,4 +1,4 @@
-"""Bound retries and hedges to a share of the traffic."""
+"""Bound retries to a share of the traffic."""
 
 import attrs
 
--- a/src/arbutusbay/policy/_engine_state.py
+++ b/src/arbutusbay/policy/_engine_state.py
@@ -9,7 +9,6 @@
 from arbutusbay.wire import EngineView
 
 _MAX_RECENT_BLOCKS = 20_000
-_SPEED_WEIGHT = 0.2
 _GAP_QUANTILE = 0.3
 _QUANTILE_STEP = 0.2
 _FAILURE_PAUSE_S = 1.0
@@ -24,7 +23,6 @@
 
     uncached_tokens: int
     sent_at_s: float
-    is_long: bool
     first_token_seen: bool = False
 
 
@@ -33,8 +31,7 @@
     """Hold identity, load, speed and recent prompts of one engine.
 
     Times are seconds on the monotonic clock; ``piece_s`` is a low quantile
-    of the time between pieces; ``first_token_ratio`` is the smoothed ratio
-    of seen to predicted time to first token.
+    of the time between pieces.
     """
 
     name: str
@@ -55,8 +52,6 @@
     recent: OrderedDict[int, float] = attrs.field(factory=OrderedDict)
     piece_s: float = 0.0
     piece_seen_at_s: float = 0.0
-    first_token_ratio: float = 1.0
-    ratio_seen_at_s: float = 0.0
     failures: int = 0
     avoid_until_s: float = 0.0
 
@@ -138,11 +133,6 @@
             self.piece_s *= 1 + _QUANTILE_STEP * _GAP_QUANTILE
         self.piece_seen_at_s = time.monotonic()
 
-    def put_first_token_ratio(self, ratio: float) -> None:
-        """Take up one ratio of seen to predicted time to first token."""
-        self.first_token_ratio = _smooth(self.first_token_ratio, ratio)
-        self.ratio_seen_at_s = time.monotonic()
-
     def put_failure(self) -> None:
         """Avoid the engine for longer after each failure in a row."""
         self.failures += 1
@@ -169,7 +159,3 @@
         silent_s = max(0.0, now_s - self.piece_seen_at_s)
         faded = 0.5 ** (silent_s / _FACTOR_HALF_LIFE_S)
         return max(1.0, 1.0 + (seen - 1.0) * faded)
-
-
-def _smooth(previous: float, sample: float) -> float:
-    return previous + _SPEED_WEIGHT * (sample - previous)
--- a/src/arbutusbay/router/_blackboard.py
+++ b/src/arbutusbay/router/_blackboard.py
@@ -40,7 +40,6 @@
     zone: str
     pool: str
     draining: bool = False
-    leaving: bool = False
     in_flight: int = 0
     avoid_until_s: float = 0.0
     checks_idempotency_keys: bool = False
@@ -77,16 +76,14 @@
     services: dict[str, ServiceState] = attrs.field(factory=dict)
     pools: dict[str, PoolState] = attrs.field(factory=dict)
     retries: Budget = attrs.field(init=False)
-    hedges: Budget = attrs.field(init=False)
     rng: random.Random = attrs.field(factory=random.Random)
     in_flight: int = 0
     draining: bool = False
 
     def __attrs_post_init__(self) -> None:
-        """Set up the budgets from the settings."""
+        """Set up the budget of retries from the settings."""
         limits = self.settings.limits
         self.retries = Budget(ratio=limits.retry_ratio, burst=_BURST)
-        self.hedges = Budget(ratio=limits.hedge_ratio, burst=_BURST)
 
     def resource(self, kind: str, name: str) -> Resource | None:
         """Return one resource in force."""
--- a/src/arbutusbay/router/_completions_api.py
+++ b/src/arbutusbay/router/_completions_api.py
@@ -123,7 +123,6 @@
             case Ok(answered):
                 pass
         self.board.retries.earn()
-        self.board.hedges.earn()
         events = self._timed(answered)
         try:
             if answered.format.body.stream:
--- a/src/arbutusbay/router/_config_follower.py
+++ b/src/arbutusbay/router/_config_follower.py
@@ -1,7 +1,8 @@
 """Follow the configuration through control daemons, the own one first."""
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Mapping
+from typing import Any
 from urllib.parse import urlsplit
 
 import aiohttp
@@ -112,8 +113,10 @@
         for resource in state.resources.values()
         if isinstance(resource.spec, BackendServer)
     }
-    _put_engines(board, servers)
-    _put_services(board, servers)
+    _put_servers(board.engines, servers, BackendKind.ENGINE)
+    _put_servers(board.services, servers, BackendKind.SERVICE)
+    for name, service in board.services.items():
+        service.checks_idempotency_keys = servers[name].checks_idempotency_keys
 
 
 def mark_leaving(board: RouterBoard) -> None:
@@ -126,50 +129,27 @@
         )
 
 
-def _put_engines(
-    board: RouterBoard,
-    servers: dict[str, BackendServer],
+def _put_servers(
+    states: dict[str, Any],
+    servers: Mapping[str, BackendServer],
+    kind: BackendKind,
 ) -> None:
-    wanted = {
-        name: spec
-        for name, spec in servers.items()
-        if spec.kind is BackendKind.ENGINE
-    }
-    for name, spec in wanted.items():
-        known = board.engines.get(name)
-        if known is None or (known.url, known.pool) != (spec.url, spec.pool):
-            board.engines[name] = EngineState(
-                name=name,
-                url=spec.url,
-                zone=spec.zone,
-                pool=spec.pool,
-            )
-    _drop_others(board.engines, wanted)
-
-
-def _put_services(
-    board: RouterBoard,
-    servers: dict[str, BackendServer],
-) -> None:
-    wanted = {
-        name: spec
-        for name, spec in servers.items()
-        if spec.kind is BackendKind.SERVICE
-    }
+    wanted = {name: spec for name, spec in servers.items() if spec.kind is kind}
     for name, spec in wanted.items():
-        known = board.services.get(name)
+        known = states.get(name)
         if known is None or (known.url, known.pool) != (spec.url, spec.pool):
-            known = ServiceState(
-                name=name,
-                url=spec.url,
-                zone=spec.zone,
-                pool=spec.pool,
-            )
-            board.services[name] = known
-        known.checks_idempotency_keys = spec.checks_idempotency_keys
-    _drop_others(board.services, wanted)
-
-
-def _drop_others(states: dict[str, object], wanted: Iterable[str]) -> None:
-    for name in states.keys() - set(wanted):
-        states.pop(name)
+            states[name] = _new_state(name, spec)
+    for gone in states.keys() - wanted.keys():
+        states.pop(gone)
+
+
+def _new_state(name: str, spec: BackendServer) -> EngineState | ServiceState:
+    state_type = (
+        EngineState if spec.kind is BackendKind.ENGINE else ServiceState
+    )
+    return state_type(
+        name=name,
+        url=spec.url,
+        zone=spec.zone,
+        pool=spec.pool,
+    )
--- a/src/arbutusbay/router/_dispatcher.py
+++ b/src/arbutusbay/router/_dispatcher.py
@@ -268,7 +268,6 @@
         choice.engine.in_flight[attempt] = InFlight(
             uncached_tokens=job.uncached_tokens(choice.depth),
             sent_at_s=now_s,
-            is_long=job.is_long,
         )
         choice.engine.remember(job.hashes)
         waiting.ticket.placed.set_result(
--- a/src/arbutusbay/router/_generation_run.py
+++ b/src/arbutusbay/router/_generation_run.py
@@ -302,8 +302,6 @@
         if attempt is not None:
             attempt.first_token_seen = True
         seen_s = now_s - placement.placed_s
-        if placement.predicted_s > 0:
-            engine.put_first_token_ratio(seen_s / placement.predicted_s)
         self._put_prefill_speed(seen_s)
 
     def _put_prefill_speed(self, seen_s: float) -> None:
--- a/src/arbutusbay/router/_main.py
+++ b/src/arbutusbay/router/_main.py
@@ -6,12 +6,13 @@
 import aiomisc
 
 from arbutusbay.daemon import run_daemon
+from arbutusbay.debug_api import DebugApi
 from arbutusbay.http import HttpService, new_application, new_session
 from arbutusbay.router._blackboard import RouterBoard
 from arbutusbay.router._completions_api import CompletionsApi
 from arbutusbay.router._config_follower import ConfigFollower
-from arbutusbay.router._debug_api import DebugApi
 from arbutusbay.router._dispatcher import Dispatcher
+from arbutusbay.router._dump import dump_state
 from arbutusbay.router._keyed_call import KeyedCalls
 from arbutusbay.router._ledger_client import LedgerClient
 from arbutusbay.router._lookup import IndexLookup
@@ -70,7 +71,11 @@
             keyed=KeyedCalls(ledger=ledger, calls=calls),
             metrics=metrics,
         ).add_routes(application)
-        DebugApi(board=self.board, metrics=metrics).add_routes(application)
+        DebugApi(
+            is_ready=self._is_ready,
+            dump=lambda: dump_state(self.board),
+            render=lambda: metrics.response(self.board),
+        ).add_routes(application)
         return HttpService(
             application=application,
             host=self.settings.node.host,
@@ -79,6 +84,9 @@
             announce=self._announce_drain,
         )
 
+    def _is_ready(self) -> bool:
+        return self.board.config_known and not self.board.draining
+
     def _announce_drain(self) -> None:
         self.board.draining = True
 
--- a/src/arbutusbay/router/_metrics.py
+++ b/src/arbutusbay/router/_metrics.py
@@ -46,10 +46,6 @@
             'arbutusbay_retries_total',
             'Attempts after a failed one',
         )
-        self.hedges = self._counter(
-            'arbutusbay_hedges_total',
-            'Attempts beside a slow one',
-        )
         self.first_token = Histogram(
             'arbutusbay_first_token_seconds',
             'Seconds from arrival to the first piece, by class',
--- a/src/arbutusbay/router/_service_calls.py
+++ b/src/arbutusbay/router/_service_calls.py
@@ -83,9 +83,7 @@
         services = [
             service
             for service in self.board.services_of(pool)
-            if service.name not in tried
-            and not service.draining
-            and not service.leaving
+            if service.name not in tried and not service.draining
         ]
         now_s = time.monotonic()
         own_zone = self.board.settings.node.zone
--- a/src/arbutusbay/router/_settings.py
+++ b/src/arbutusbay/router/_settings.py
@@ -16,13 +16,12 @@
     """Bound attempts and waiting.
 
     ``max_attempts`` counts attempts in a row that relay nothing;
-    ``retry_ratio`` and ``hedge_ratio`` are shares of the traffic;
+    ``retry_ratio`` is a share of the traffic;
     ``queue_length`` bounds the requests that wait for one pool.
     """
 
     max_attempts: int = attrs.field(default=3, validator=between(1, 10))
     retry_ratio: float = attrs.field(default=0.2, validator=between(0, 1))
-    hedge_ratio: float = attrs.field(default=0.05, validator=between(0, 1))
     queue_length: int = attrs.field(default=2000, validator=between(1, 10**6))
     lookup_ms: int = attrs.field(default=20, validator=between(1, 1000))
 
--- a/tests/integration/test_whole_path.py
+++ b/tests/integration/test_whole_path.py
@@ -1,5 +1,7 @@
 """Drive requests end to end through separate processes."""
 
+import hashlib
+
 import orjson
 
 from emulator.cluster import call_json
@@ -67,3 +69,26 @@
     assert len(status['members']) == 3
     routes = orjson.loads(cluster.run_client('get', 'route', '-o', 'json'))
     assert len(routes['items']) == 4
+
+
+async def test_keys_are_in_no_log_dump_or_metric(cluster, session):
+    url = cluster.nodes[0].router.url
+    await stream_chat(session, url, 'secret?')
+    await book(session, url, 'secret-order')
+    await call(session, 'GET', f'{url}/v1/models', headers=_wrong_key())
+    texts = [
+        process.log_path.read_text(encoding='utf-8')
+        for process in cluster.processes()
+    ]
+    for node in cluster.nodes:
+        for daemon in (node.router, node.control):
+            for page in ('debug/state', 'metrics'):
+                answer = await call(session, 'GET', f'{daemon.url}/{page}')
+                texts.append(f'{answer.body}')
+    digest = hashlib.sha256(b'key-till-rolls').hexdigest()
+    for secret in ('key-till-rolls', 'key-wrong', digest):
+        assert not [text for text in texts if secret in text]
+
+
+def _wrong_key() -> dict[str, str]:
+    return {'Authorization': 'Bearer key-wrong'}
--- a/tests/model/config_spec.py
+++ b/tests/model/config_spec.py
@@ -29,6 +29,7 @@
     snapshot_of,
     state_from_snapshot,
 )
+from tests.model.spec import build_protocol
 
 _ID = ResourceId(kind='pool', name='p')
 _SPEC = Pool(model='m', weights_version='v1')
@@ -70,24 +71,16 @@
 
     def protocol(self) -> Protocol:
         """Return the protocol with its safety properties."""
-        return Protocol(
-            name=f'configuration: {self.mutant.value}',
-            candidate=False,
-            fields=('world',),
-            initial=(World(),),
-            transitions=lambda state: [
-                (label, (world,)) for label, world in self.steps(state[0])
-            ],
-            invariants={
-                'a cold reader never reverts': lambda state: self._agrees(
-                    state['world']
-                ),
-                'a reader never goes back': lambda state: (
-                    state['world'].reader >= state['world'].peak
-                ),
-                'one of two racing writes wins': lambda state: (
-                    self._has_one_winner(state['world'])
+        return build_protocol(
+            f'configuration: {self.mutant.value}',
+            World(),
+            self.steps,
+            {
+                'a cold reader never reverts': self._agrees,
+                'a reader never goes back': lambda world: (
+                    world.reader >= world.peak
                 ),
+                'one of two racing writes wins': self._has_one_winner,
             },
         )
 
--- a/tests/model/lease_spec.py
+++ b/tests/model/lease_spec.py
@@ -11,6 +11,7 @@
 from minicheck import Protocol
 
 from arbutusbay.state import Lease, LeaseRecord, apply_lease
+from tests.model.spec import build_protocol
 
 _TTL = 3
 _END = 7
@@ -52,17 +53,11 @@
 
     def protocol(self) -> Protocol:
         """Return the protocol with its safety property."""
-        return Protocol(
-            name=f'lease: {self.mutant.value}',
-            candidate=False,
-            fields=('world',),
-            initial=(World(),),
-            transitions=lambda state: [
-                (label, (world,)) for label, world in self.steps(state[0])
-            ],
-            invariants={
-                'one holder': lambda state: _believers(state['world']) <= 1,
-            },
+        return build_protocol(
+            f'lease: {self.mutant.value}',
+            World(),
+            self.steps,
+            {'one holder': lambda world: _believers(world) <= 1},
         )
 
     def steps(self, world: World) -> Iterator[tuple[str, World]]:
--- a/tests/model/ledger_spec.py
+++ b/tests/model/ledger_spec.py
@@ -25,6 +25,7 @@
     apply_ledger,
     may_send,
 )
+from tests.model.spec import build_protocol
 
 _KEY = 'key'
 _MAX_LOG = 6
@@ -104,23 +105,15 @@
 
     def protocol(self) -> Protocol:
         """Return the protocol with its safety properties."""
-        return Protocol(
-            name=f'ledger: {self.mutant.value}',
-            candidate=False,
-            fields=('world',),
-            initial=(World(),),
-            transitions=lambda state: [
-                (label, (world,)) for label, world in self.steps(state[0])
-            ],
-            invariants={
-                'at most once': lambda state: state['world'].runs <= 1,
-                'not run is true': lambda state: not state['world'].lied,
-                'complete means run': lambda state: _complete_means_run(
-                    state['world'],
-                ),
-                'an abandoned claim is not live': lambda state: (
-                    self._no_dead_claim(state['world'])
-                ),
+        return build_protocol(
+            f'ledger: {self.mutant.value}',
+            World(),
+            self.steps,
+            {
+                'at most once': lambda world: world.runs <= 1,
+                'not run is true': lambda world: not world.lied,
+                'complete means run': _complete_means_run,
+                'an abandoned claim is not live': self._no_dead_claim,
             },
         )
 
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -113,7 +113,6 @@
         engine.in_flight[f'{number}'] = InFlight(
             uncached_tokens=0,
             sent_at_s=_NOW_S,
-            is_long=True,
         )
     long_job = _job(prompt_tokens=6000, max_tokens=200)
     view = attrs.evolve(_view([engine]), routers=1)
@@ -127,7 +126,6 @@
         engines[0].in_flight[f'{number}'] = InFlight(
             uncached_tokens=0,
             sent_at_s=_NOW_S,
-            is_long=False,
         )
     view = _view(engines, {'e0': 60})
     assert _choose(_job(), view) is None
