Close the streams of a run as soon as the run ends

Cause: read as a newcomer, a caller that leaves closes only the outermost generator; the inner ones, which hold the engine's connection and place, were left to the garbage collector. Ruled out: a leak (the test of vanished callers passed).

--- a/src/arbutusbay/control/__init__.py
+++ b/src/arbutusbay/control/__init__.py
@@ -7,6 +7,7 @@
 from arbutusbay.control._ledger_partition import LedgerPartition
 from arbutusbay.control._main import main
 from arbutusbay.control._membership import merge_member
+from arbutusbay.control._rollout_plan import engines_to_load
 from arbutusbay.control._settings import ControlSettings
 
 __all__ = (
@@ -15,6 +16,7 @@
     'ControlSettings',
     'EngineIndex',
     'LedgerPartition',
+    'engines_to_load',
     'main',
     'merge_member',
     'restore_config',
--- a/src/arbutusbay/control/_rollout.py
+++ b/src/arbutusbay/control/_rollout.py
@@ -10,9 +10,9 @@
 from arbutusbay.backend import EngineClient, WeightsOrder
 from arbutusbay.control._blackboard import ControlBoard
 from arbutusbay.control._pool_views import read_pool_views
+from arbutusbay.control._rollout_plan import engines_to_load
 from arbutusbay.controller import Controller
 from arbutusbay.logs import get_logger
-from arbutusbay.policy import engines_to_load
 from arbutusbay.state import BackendServer, Pool, Resource
 from arbutusbay.wire import EngineView
 
--- a/src/arbutusbay/policy/__init__.py
+++ b/src/arbutusbay/policy/__init__.py
@@ -1,4 +1,4 @@
-"""Expose the pure decisions: placement, queueing, budgets, rollouts."""
+"""Expose the router's pure decisions: placement, queueing, budgets."""
 
 from arbutusbay.policy._budget import Budget
 from arbutusbay.policy._engine_state import EngineState, InFlight
@@ -20,7 +20,6 @@
     median_piece_s,
     predicted_first_token_s,
 )
-from arbutusbay.policy._rollout import engines_to_load
 
 __all__ = (
     'BYTES_PER_TOKEN',
@@ -41,7 +40,6 @@
     'Waiting',
     'choose_engine',
     'engine_window',
-    'engines_to_load',
     'has_room',
     'median_piece_s',
     'predicted_first_token_s',
--- a/src/arbutusbay/router/_generation_run.py
+++ b/src/arbutusbay/router/_generation_run.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 from collections.abc import AsyncIterator, Callable
+from contextlib import aclosing
 
 import attrs
 from result import Err, Ok, Result
@@ -97,8 +98,9 @@
                     pass
             progress.attempts += 1
             progress.fruitless += 1
-            async for event in self._attempt(placement):
-                yield event
+            async with aclosing(self._attempt(placement)) as events:
+                async for event in events:
+                    yield event
             if progress.finished:
                 return
             if not self._may_retry():
@@ -116,8 +118,9 @@
     async def _attempt(self, placement: Placement) -> AsyncIterator[RelayEvent]:
         service_s = None
         try:
-            async for event in self._relay_attempt(placement):
-                yield event
+            async with aclosing(self._relay_attempt(placement)) as events:
+                async for event in events:
+                    yield event
             if self.progress.finished:
                 service_s = time.monotonic() - placement.placed_s
         finally:
@@ -133,27 +136,38 @@
             placement=placement,
             job=self.request.job,
         )
-        events = client.generate(self._generation(placement))
-        async for event in stop_when_stalled(events, watch.patience_s):
-            match event:
-                case Ok(EngineIdentity() as identity):
-                    watch.put_identity(identity)
-                case Ok(StreamStart() as start):
-                    self._put_start(start, placement)
-                case Ok(Piece() as piece):
-                    watch.put_piece()
-                    self.progress.relayed += 1
-                    self.progress.fruitless = 0
-                    self.progress.weights_version = (
-                        placement.engine.weights_version
-                    )
-                    yield Ok(piece)
-                case Ok(StreamEnd() as end):
-                    self.progress.finished = True
-                    placement.engine.put_success()
-                    yield Ok(end)
-                case Err(failure):
-                    self._put_failure(placement, failure)
+        stream = client.generate(self._generation(placement))
+        async with aclosing(stream):
+            async for event in stop_when_stalled(stream, watch.patience_s):
+                self._learn(event, placement, watch)
+                if isinstance(event.ok(), Piece | StreamEnd):
+                    yield event
+
+    def _learn(
+        self,
+        event: Result[StreamEvent, Failure],
+        placement: Placement,
+        watch: 'AttemptWatch',
+    ) -> None:
+        match event:
+            case Ok(EngineIdentity() as identity):
+                watch.put_identity(identity)
+            case Ok(StreamStart() as start):
+                self._put_start(start)
+            case Ok(Piece()):
+                watch.put_piece()
+                self._put_progress(placement)
+            case Ok(StreamEnd()):
+                self.progress.finished = True
+                placement.engine.put_success()
+            case Err(failure):
+                self._put_failure(placement, failure)
+
+    def _put_progress(self, placement: Placement) -> None:
+        progress = self.progress
+        progress.relayed += 1
+        progress.fruitless = 0
+        progress.weights_version = placement.engine.weights_version
 
     def _generation(self, placement: Placement) -> Generation:
         job = self.request.job
@@ -173,7 +187,7 @@
             resume_from=self.progress.relayed,
         )
 
-    def _put_start(self, start: StreamStart, placement: Placement) -> None:
+    def _put_start(self, start: StreamStart) -> None:
         progress = self.progress
         if progress.attempts == 1:
             progress.prompt_tokens = start.prompt_tokens
