--- a/emulator/slopes.py
+++ b/emulator/slopes.py
@@ -37,6 +37,7 @@
 from arbutusbay.wire import ConfigReply, Heartbeat, Member, decode, encode
 from tabulate import tabulate
 
+from emulator._placement_cost import placement_slope
 from emulator._process_costs import measure_processes
 from emulator._slope import Slope, fit_line, memory_bytes, processor_us
 
@@ -60,6 +61,7 @@
         *_membership_slopes(),
         *_config_slopes(),
         *_ledger_slopes(),
+        placement_slope(),
         *measure_processes(),
     ]
     table = tabulate(
--- a/src/arbutusbay/load/_main.py
+++ b/src/arbutusbay/load/_main.py
@@ -38,7 +38,7 @@
     report = build_report(outcomes, options.duration)
     _write_report(report, options.report)
     if options.plot is not None:
-        from arbutusbay.load._plot import write_plot  # noqa: PLC0415
+        from arbutusbay.load._plot import write_plot
 
         write_plot(outcomes, options.plot)
 
--- a/src/arbutusbay/load/_plot.py
+++ b/src/arbutusbay/load/_plot.py
@@ -12,10 +12,10 @@
 
 def write_plot(outcomes: Sequence[Outcome], path: Path) -> None:
     """Write one dot for each answered request, coloured by kind."""
-    import matplotlib as mpl  # noqa: PLC0415
+    import matplotlib as mpl
 
     mpl.use('Agg')
-    from matplotlib import pyplot  # noqa: PLC0415
+    from matplotlib import pyplot
 
     figure, axes = pyplot.subplots(figsize=_SIZE_INCHES)
     for name in sorted({outcome.arrival.kind.name for outcome in outcomes}):
