Wait out the log's rate limit instead of refusing orders

Four callers booked so fast that the stand-in's limit of 400 appends a second was reached; each refused append failed its batch. Ruled out: the restarting control daemon (two others were live) and lost claims (no doubled run). A kind of its own says that nothing was appended.

--- a/src/arbutusbay/_errors.py
+++ b/src/arbutusbay/_errors.py
@@ -39,6 +39,7 @@
     INVALID_RESOURCE = 'invalid_resource'
     UNKNOWN_RESOURCE = 'unknown_resource'
     LOG_UNAVAILABLE = 'log_unavailable'
+    LOG_RATE_LIMITED = 'log_rate_limited'
     PEER_UNREACHABLE = 'peer_unreachable'
     BAD_MESSAGE = 'bad_message'
     INTERNAL = 'internal'
@@ -108,6 +109,10 @@
         ErrorKind.INVALID_RESOURCE: _not_run(HTTPStatus.UNPROCESSABLE_ENTITY),
         ErrorKind.UNKNOWN_RESOURCE: _not_run(HTTPStatus.NOT_FOUND),
         ErrorKind.LOG_UNAVAILABLE: _unknown(HTTPStatus.SERVICE_UNAVAILABLE),
+        ErrorKind.LOG_RATE_LIMITED: _not_run(
+            HTTPStatus.TOO_MANY_REQUESTS,
+            retryable=True,
+        ),
         ErrorKind.PEER_UNREACHABLE: _unknown(HTTPStatus.SERVICE_UNAVAILABLE),
         ErrorKind.BAD_MESSAGE: _unknown(HTTPStatus.BAD_GATEWAY),
         ErrorKind.INTERNAL: _unknown(HTTPStatus.INTERNAL_SERVER_ERROR),
--- a/src/arbutusbay/platform/_log_service.py
+++ b/src/arbutusbay/platform/_log_service.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Callable
+from http import HTTPStatus
 from typing import Any
 
 import aiohttp
@@ -18,6 +19,8 @@
 _APPEND_TIMEOUT_S = 2.0
 _READ_TIMEOUT_S = 2.0
 _PAGE_RECORDS = 500
+_RATE_TRIES = 20
+_RATE_PAUSE_S = 0.03
 _OK_STATUS = 200
 
 
@@ -63,13 +66,18 @@
         stream: str,
         payload: bytes,
     ) -> Result[Appended, Failure]:
-        """Append one record; on an error it may still be in the log."""
-        call = self.session.post(
-            self._records_url(stream),
-            data=payload,
-            timeout=aiohttp.ClientTimeout(total=_APPEND_TIMEOUT_S),
-        )
-        answer = await _call(call)
+        """Append one record; on an error it may still be in the log.
+
+        While the service limits the rate, the append is repeated for a
+        while; such an answer means that nothing was appended.
+        """
+        for _ in range(_RATE_TRIES):
+            answer = await self._append_once(stream, payload)
+            match answer:
+                case Err(Failure(kind=ErrorKind.LOG_RATE_LIMITED)):
+                    await asyncio.sleep(_RATE_PAUSE_S)
+                case _:
+                    break
         return answer.and_then(_appended_from_json)
 
     async def read(
@@ -94,6 +102,19 @@
         answer = await _call(call)
         return answer.and_then(_page_from_json)
 
+    async def _append_once(
+        self,
+        stream: str,
+        payload: bytes,
+    ) -> Result[dict[str, Any], Failure]:
+        return await _call(
+            self.session.post(
+                self._records_url(stream),
+                data=payload,
+                timeout=aiohttp.ClientTimeout(total=_APPEND_TIMEOUT_S),
+            ),
+        )
+
     def _records_url(self, stream: str) -> str:
         return f'{self.url}/v1/streams/{stream}/records'
 
@@ -128,6 +149,10 @@
             body = await response.read()
     except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
         return _unavailable(f'log service: {type(error).__name__}')
+    if response.status == HTTPStatus.TOO_MANY_REQUESTS:
+        return _failed(
+            ErrorKind.LOG_RATE_LIMITED, 'log service limits the rate'
+        )
     if response.status != _OK_STATUS:
         return _unavailable(f'log service answered {response.status}')
     try:
@@ -173,4 +198,8 @@
 
 
 def _unavailable(detail: str) -> Err[Failure]:
-    return Err(Failure(kind=ErrorKind.LOG_UNAVAILABLE, detail=detail))
+    return _failed(ErrorKind.LOG_UNAVAILABLE, detail)
+
+
+def _failed(kind: ErrorKind, detail: str) -> Err[Failure]:
+    return Err(Failure(kind=kind, detail=detail))
--- a/tests/integration/test_proof_orders.py
+++ b/tests/integration/test_proof_orders.py
@@ -75,6 +75,15 @@
     _judge(cluster, bookings)
 
 
+async def test_limited_rate_of_appends_refuses_no_order(session):
+    limited = ('--appends-per-s', '60')
+    with running_cluster(build_options(platform_arguments=limited)) as cluster:
+        bookings = Bookings()
+        await _book_all(session, cluster, bookings, 'limited', keys=200)
+        assert {told.answer.status for told in bookings.told} == {200}
+        _judge(cluster, bookings)
+
+
 async def test_router_frozen_between_claim_and_send(session):
     with running_cluster(build_options()) as cluster:
         bookings = Bookings()
