--- a/emulator/slopes.py
+++ b/emulator/slopes.py
@@ -19,7 +19,7 @@
     LedgerPartition,
     merge_member,
 )
-from arbutusbay.platform import LogRecord
+from arbutusbay.hosting import LogRecord
 from arbutusbay.settings import NodeSettings, PlatformSettings
 from arbutusbay.state import (
     BackendServer,
--- a/src/arbutusbay/_errors.py
+++ b/src/arbutusbay/_errors.py
@@ -30,6 +30,7 @@
     DEADLINE_EXCEEDED = 'deadline_exceeded'
     DRAINING = 'draining'
     NOT_CONFIGURED = 'not_configured'
+    CONFIGURATION_TOO_OLD = 'configuration_too_old'
     STREAM_BROKEN = 'stream_broken'
     LEDGER_UNAVAILABLE = 'ledger_unavailable'
     IN_PROGRESS = 'in_progress'
@@ -96,6 +97,9 @@
         ErrorKind.NOT_CONFIGURED: _not_run(
             HTTPStatus.SERVICE_UNAVAILABLE, retryable=True
         ),
+        ErrorKind.CONFIGURATION_TOO_OLD: _not_run(
+            HTTPStatus.SERVICE_UNAVAILABLE, retryable=True
+        ),
         ErrorKind.STREAM_BROKEN: ErrorAnswer(
             status=HTTPStatus.BAD_GATEWAY,
             run_state=RunState.RAN,
--- a/src/arbutusbay/control/_config_tail.py
+++ b/src/arbutusbay/control/_config_tail.py
@@ -12,7 +12,7 @@
 from arbutusbay.errors import Failure
 from arbutusbay.http import call_peer
 from arbutusbay.logs import get_logger
-from arbutusbay.platform import LogPage, LogRecord, LogService
+from arbutusbay.hosting import LogPage, LogRecord, LogService
 from arbutusbay.state import (
     ConfigRecord,
     ConfigState,
--- a/src/arbutusbay/control/_lease_holder.py
+++ b/src/arbutusbay/control/_lease_holder.py
@@ -8,7 +8,7 @@
 from arbutusbay.control._blackboard import ControlBoard
 from arbutusbay.controller import Controller
 from arbutusbay.logs import get_logger
-from arbutusbay.platform import LogRecord, LogService, read_to_end
+from arbutusbay.hosting import LogRecord, LogService, read_to_end
 from arbutusbay.state import (
     Lease,
     LeaseRecord,
--- a/src/arbutusbay/control/_ledger_api.py
+++ b/src/arbutusbay/control/_ledger_api.py
@@ -9,7 +9,7 @@
 from arbutusbay.control._ledger_partition import LedgerPartition
 from arbutusbay.coordination import ledger_partition
 from arbutusbay.errors import ErrorKind, Failure
-from arbutusbay.platform import LogService
+from arbutusbay.hosting import LogService
 from arbutusbay.state import Abandon, Claim, KeyEntry, Outcome
 from arbutusbay.wire import LedgerReply, LedgerRequest
 
--- a/src/arbutusbay/control/_ledger_partition.py
+++ b/src/arbutusbay/control/_ledger_partition.py
@@ -9,7 +9,7 @@
 from arbutusbay.coordination import ledger_stream
 from arbutusbay.errors import ErrorKind, Failure
 from arbutusbay.logs import get_logger
-from arbutusbay.platform import LogRecord, LogService, read_to_end
+from arbutusbay.hosting import LogRecord, LogService, read_to_end
 from arbutusbay.state import (
     EMPTY_ENTRY,
     KeyEntry,
--- a/src/arbutusbay/control/_main.py
+++ b/src/arbutusbay/control/_main.py
@@ -23,7 +23,7 @@
 from arbutusbay.daemon import run_daemon
 from arbutusbay.debug_api import DebugApi
 from arbutusbay.http import HttpService, new_application, new_session
-from arbutusbay.platform import LogService
+from arbutusbay.hosting import LogService
 
 
 class ControlDaemon(aiomisc.Service):
--- a/src/arbutusbay/control/_resource_api.py
+++ b/src/arbutusbay/control/_resource_api.py
@@ -15,7 +15,7 @@
 from arbutusbay.control._status import conditions_of, read_status
 from arbutusbay.errors import ErrorKind, Failure
 from arbutusbay.http import failure_response, json_response, parse_json
-from arbutusbay.platform import LogService
+from arbutusbay.hosting import LogService
 from arbutusbay.state import (
     NO_VERSION,
     SPEC_TYPES,
--- a/src/arbutusbay/control/_snapshots.py
+++ b/src/arbutusbay/control/_snapshots.py
@@ -7,7 +7,7 @@
 from arbutusbay.control._config_tail import CONFIG_STREAM
 from arbutusbay.controller import Controller
 from arbutusbay.logs import get_logger
-from arbutusbay.platform import LogService
+from arbutusbay.hosting import LogService
 from arbutusbay.state import record_to_bytes, snapshot_of
 
 _LOG = get_logger('snapshots')
--- a/src/arbutusbay/control/_vm_watch.py
+++ b/src/arbutusbay/control/_vm_watch.py
@@ -8,7 +8,7 @@
 from arbutusbay.control._blackboard import ControlBoard
 from arbutusbay.controller import Controller
 from arbutusbay.logs import get_logger
-from arbutusbay.platform import VM, VMRole, VMState, read_vm_list
+from arbutusbay.hosting import VM, VMRole, VMState, read_vm_list
 
 _LOG = get_logger('vm_watch')
 
--- /dev/null
+++ b/src/arbutusbay/fleet/_catalog.py
@@ -0,0 +1,79 @@
+"""Fold what the store tells into the configuration and servers in force."""
+
+from collections.abc import Iterator
+
+import attrs
+
+from arbutusbay.fleet._types import (
+    BackendServer,
+    Configuration,
+    LeaseClaim,
+    VMRecord,
+    WeightsTarget,
+)
+
+
+@attrs.frozen(kw_only=True)
+class NamedTarget:
+    """Hold a weights target and when this process learned of it."""
+
+    version: int
+    learned_s: float
+
+
+@attrs.frozen(kw_only=True)
+class HeldLease:
+    """Hold the newest claim of a lease, its offset and when it was seen."""
+
+    claim: LeaseClaim
+    offset: int
+    seen_s: float
+
+
+class Catalog:
+    """Hold what is in force; versions and offsets only ever rise."""
+
+    def __init__(self) -> None:
+        """Know nothing yet."""
+        self.configuration: Configuration | None = None
+        self.targets: dict[str, NamedTarget] = {}
+        self.servers: dict[str, BackendServer] = {}
+        self.vms: dict[str, VMRecord] = {}
+        self.leases: dict[str, HeldLease] = {}
+
+    def put_configuration(self, configuration: Configuration) -> bool:
+        """Take ``configuration`` up if it is newer; tell whether it was."""
+        held = self.configuration
+        if held is not None and configuration.version <= held.version:
+            return False
+        self.configuration = configuration
+        return True
+
+    def put_target(self, target: WeightsTarget, now_s: float) -> bool:
+        """Take a weights target up if it is newer; tell whether it was."""
+        held = self.targets.get(target.model)
+        if held is not None and target.version <= held.version:
+            return False
+        self.targets[target.model] = NamedTarget(
+            version=target.version,
+            learned_s=now_s,
+        )
+        return True
+
+    def put_claim(self, claim: LeaseClaim, offset: int, now_s: float) -> bool:
+        """Take a lease claim up if it is newer; tell whether it was."""
+        held = self.leases.get(claim.name)
+        if held is not None and offset <= held.offset:
+            return False
+        self.leases[claim.name] = HeldLease(
+            claim=claim,
+            offset=offset,
+            seen_s=now_s,
+        )
+        return True
+
+    def servers_of(self, service: str) -> Iterator[BackendServer]:
+        """Yield the registered backend servers of a service."""
+        for server in self.servers.values():
+            if server.service == service:
+                yield server
--- a/src/arbutusbay/logs.py
+++ b/src/arbutusbay/logs.py
@@ -1,5 +1,10 @@
 """Expose the set-up of logs."""
 
-from arbutusbay._logs import get_logger, setup_logs
+from arbutusbay._logs import (
+    LineWriter,
+    get_logger,
+    setup_logs,
+    setup_nonblocking_logs,
+)
 
-__all__ = ('get_logger', 'setup_logs')
+__all__ = ('LineWriter', 'get_logger', 'setup_logs', 'setup_nonblocking_logs')
--- /dev/null
+++ b/src/arbutusbay/node/__main__.py
@@ -0,0 +1,5 @@
+"""Run the daemon as a module."""
+
+from arbutusbay.node import main
+
+raise SystemExit(main())
--- /dev/null
+++ b/src/arbutusbay/node/_board.py
@@ -0,0 +1,99 @@
+"""Hold the state of the daemon that its controllers read and write."""
+
+import asyncio
+import random
+
+import attrs
+
+from arbutusbay.fleet import Catalog, Configuration
+from arbutusbay.node._clock import now_s
+from arbutusbay.platform import VMSettings
+from arbutusbay.scheduling import Budget, EngineView
+
+_REVOCATION_MARGIN_S = 0.4
+
+
+@attrs.define(kw_only=True)
+class Freshness:
+    """Track how old the operator's documents held here may be.
+
+    ``as_of_s`` is when the last answered read was sent; nothing that the
+    operator wrote before it is missing.
+    """
+
+    as_of_s: float = float('-inf')
+
+    def put(self, as_of_s: float) -> None:
+        """Take up that everything written before ``as_of_s`` is known."""
+        self.as_of_s = max(self.as_of_s, as_of_s)
+
+    def age_s(self) -> float:
+        """Return the greatest age of what is held, in seconds."""
+        return now_s() - self.as_of_s
+
+
+@attrs.define(kw_only=True)
+class NodeBoard:
+    """Hold what the daemon knows, and what is in progress."""
+
+    settings: VMSettings
+    catalog: Catalog = attrs.field(factory=Catalog)
+    freshness: Freshness = attrs.field(factory=Freshness)
+    views: dict[str, EngineView] = attrs.field(factory=dict)
+    budgets: dict[str, Budget] = attrs.field(factory=dict)
+    rng: random.Random = attrs.field(factory=random.Random)
+    changed: asyncio.Event = attrs.field(factory=asyncio.Event)
+    load_changed: asyncio.Event = attrs.field(factory=asyncio.Event)
+    has_read_servers: bool = False
+    is_stopping: bool = False
+    requests_in_progress: int = 0
+
+    @property
+    def configuration(self) -> Configuration | None:
+        """Return the configuration in force."""
+        return self.catalog.configuration
+
+    def is_fresh(self) -> bool:
+        """Tell whether a key taken away would certainly be known here."""
+        limit_s = self.settings.bounds.revocation_s - _REVOCATION_MARGIN_S
+        return self.freshness.age_s() < limit_s
+
+    def is_ready(self) -> bool:
+        """Tell whether the process wants new connections."""
+        return (
+            not self.is_stopping
+            and self.configuration is not None
+            and self.has_read_servers
+            and self.is_fresh()
+        )
+
+    def age_ms(self) -> int | None:
+        """Return the age of the configuration, None before the first."""
+        age_s = self.freshness.age_s()
+        return None if age_s == float('inf') else int(age_s * 1000)
+
+    def views_of(self, service: str) -> list[EngineView]:
+        """Return the backend servers of ``service``."""
+        return [view for view in self.views.values() if view.service == service]
+
+    def budget_of(self, service: str) -> Budget:
+        """Return the retry budget of ``service`` that this VM may spend."""
+        budget = self.budgets.get(service)
+        if budget is None:
+            bounds = self.settings.bounds
+            vms = max(1, len(self.catalog.vms))
+            budget = Budget(
+                ratio=bounds.retry_ratio,
+                burst=max(1.0, bounds.retry_slack / vms),
+            )
+            self.budgets[service] = budget
+        return budget
+
+    def notify(self) -> None:
+        """Wake whoever waits for a change of what is known."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def notify_load(self) -> None:
+        """Wake the controller that tells other VMs of own attempts."""
+        self.load_changed.set()
--- /dev/null
+++ b/src/arbutusbay/node/_frontend.py
@@ -0,0 +1,209 @@
+"""Serve clients: check, read, run and answer each request."""
+
+import asyncio
+
+import aiohttp
+from aiohttp import web
+from result import Err, Ok, Result
+
+from arbutusbay.errors import ErrorKind, Failure
+from arbutusbay.fleet import ClientLimits
+from arbutusbay.logs import get_logger
+from arbutusbay.node._attempts import Answer
+from arbutusbay.node._board import NodeBoard
+from arbutusbay.node._clock import now_s
+from arbutusbay.node._incoming import IncomingRequest, check_request
+from arbutusbay.node._metrics import NodeMetrics
+from arbutusbay.node._placer import Placer
+from arbutusbay.node._request_run import RequestRun, fetch_in_time
+from arbutusbay.node._stream_run import Broken, Relayed, StreamRun
+from arbutusbay.platform import retry_after_headers
+
+_LOG = get_logger('frontend')
+
+
+class Frontend:
+    """Answer the requests of clients."""
+
+    def __init__(
+        self,
+        *,
+        board: NodeBoard,
+        placer: Placer,
+        session: aiohttp.ClientSession,
+        metrics: NodeMetrics,
+    ) -> None:
+        """Send requests on through ``session``."""
+        self.board = board
+        self.placer = placer
+        self.session = session
+        self.metrics = metrics
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request."""
+        self.board.requests_in_progress += 1
+        try:
+            return await self._handle(request)
+        finally:
+            self.board.requests_in_progress -= 1
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        match check_request(self.board, request):
+            case Err(failure):
+                return self._refuse(request, failure)
+            case Ok(incoming):
+                pass
+        match await self._read_body(request):
+            case Err(failure):
+                return self._refuse(request, failure)
+            case Ok(body):
+                pass
+        run = RequestRun(
+            board=self.board,
+            placer=self.placer,
+            session=self.session,
+            incoming=incoming,
+            body=body,
+        )
+        try:
+            if incoming.is_stream:
+                return await self._relay_stream(request, run)
+            return await self._relay_plain(request, run)
+        except asyncio.CancelledError:
+            self._log_end(incoming, 'client left', run.tally.last_detail)
+            raise
+
+    async def _relay_plain(
+        self,
+        request: web.BaseRequest,
+        run: RequestRun,
+    ) -> web.StreamResponse:
+        match await fetch_in_time(run):
+            case Ok(answer):
+                self._log_end(run.incoming, f'status {answer.status}')
+                return self._respond(answer)
+            case Err(failure):
+                return self._refuse(request, failure, run.incoming)
+
+    async def _relay_stream(
+        self,
+        request: web.BaseRequest,
+        run: RequestRun,
+    ) -> web.StreamResponse:
+        stream = StreamRun(run=run, request=request)
+        match await stream.relay():
+            case Relayed():
+                self._log_end(run.incoming, f'{stream.events} events')
+                return stream.response
+            case Broken(detail=detail):
+                self._log_end(run.incoming, 'stream cut', detail)
+                _cut_connection(request)
+                return stream.response
+            case Answer() as answer:
+                self._log_end(run.incoming, f'status {answer.status}')
+                return self._respond(answer)
+            case Failure() as failure:
+                return self._refuse(request, failure, run.incoming)
+
+    async def _read_body(
+        self,
+        request: web.BaseRequest,
+    ) -> Result[bytes, Failure]:
+        if not request.can_read_body:
+            return Ok(b'')
+        limit = self._limits().max_body_bytes
+        chunks: list[bytes] = []
+        size = 0
+        async for chunk in request.content.iter_any():
+            size += len(chunk)
+            if size > limit:
+                return Err(
+                    Failure(
+                        kind=ErrorKind.BODY_TOO_LARGE,
+                        detail=f'the body exceeds {limit} bytes',
+                    ),
+                )
+            chunks.append(chunk)
+        return Ok(b''.join(chunks))
+
+    def _limits(self) -> ClientLimits:
+        configuration = self.board.configuration
+        return configuration.limits if configuration else ClientLimits()
+
+    def _respond(self, answer: Answer) -> web.Response:
+        response = web.Response(
+            status=answer.status,
+            headers=answer.headers,
+            body=answer.body,
+        )
+        return self._closing(response)
+
+    def _closing(self, response: web.Response) -> web.Response:
+        if self.board.is_stopping:
+            response.force_close()
+        return response
+
+    def _refuse(
+        self,
+        request: web.BaseRequest,
+        failure: Failure,
+        incoming: IncomingRequest | None = None,
+    ) -> web.StreamResponse:
+        attempt_id = request.headers.get('Attempt-Id', '')
+        self.metrics.refusals.inc({'kind': failure.kind.value})
+        elapsed_s = now_s() - incoming.received_s if incoming else 0
+        _LOG.info(
+            'request refused',
+            fields={
+                'request_id': attempt_id,
+                'kind': failure.kind.value,
+                'status': int(failure.answer.status),
+                'ran': failure.told_run_state.value,
+                'detail': failure.detail,
+                'retry_after_s': failure.retry_after_s,
+                'elapsed_ms': int(elapsed_s * 1000),
+                'config_version': self._config_version(),
+                'config_age_ms': self.board.age_ms(),
+            },
+        )
+        response = web.Response(
+            status=failure.answer.status,
+            text=f'{failure.kind.value}: {failure.detail}\n',
+            headers={
+                'Attempt-Id': attempt_id,
+                **retry_after_headers(failure.retry_after_s),
+            },
+        )
+        return self._closing(response)
+
+    def _log_end(
+        self,
+        incoming: IncomingRequest,
+        outcome: str,
+        detail: str = '',
+    ) -> None:
+        elapsed_s = now_s() - incoming.received_s
+        self.metrics.put_request(incoming.route.kind, elapsed_s)
+        _LOG.info(
+            'request ended',
+            fields={
+                'request_id': incoming.id,
+                'route': incoming.route.name,
+                'outcome': outcome,
+                'detail': detail,
+                'elapsed_ms': int(elapsed_s * 1000),
+                'config_version': self._config_version(),
+                'config_age_ms': self.board.age_ms(),
+            },
+        )
+
+    def _config_version(self) -> int | None:
+        configuration = self.board.configuration
+        return configuration.version if configuration else None
+
+
+def _cut_connection(request: web.BaseRequest) -> None:
+    """Close without the end of the body, so that it looks incomplete."""
+    transport = request.transport
+    if transport is not None:
+        transport.abort()
--- /dev/null
+++ b/src/arbutusbay/node/_lease.py
@@ -0,0 +1,159 @@
+"""Hold a lease by appending claims under a condition to the store."""
+
+from result import Err, Ok
+
+from arbutusbay.fleet import LeaseClaim
+from arbutusbay.logs import get_logger
+from arbutusbay.node._board import NodeBoard
+from arbutusbay.node._clock import now_s
+from arbutusbay.platform import (
+    ConditionFailed,
+    KeyedRecord,
+    StoreClient,
+    Topic,
+    VMSettings,
+    coordination_document_from_record,
+    record_from_claim,
+)
+
+_LOG = get_logger('lease')
+_ANSWER_S = 0.8
+_CLAIM_SHARE = 0.5
+_MARGIN_S = 0.2
+
+
+class Lease:
+    """Claim, renew and check one lease; its fence is the claim's offset.
+
+    A claim is valid for ``valid_s`` from its sending. Another VM claims
+    only after it has seen no claim for ``takeover_s``, which covers the
+    last order of the holder before it and the time between two holders.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        holder: str,
+        board: NodeBoard,
+        store: StoreClient,
+    ) -> None:
+        """Claim the lease ``name`` for ``holder``."""
+        self.name = name
+        self.holder = holder
+        self.board = board
+        self.store = store
+        self.end: int | None = None
+        self.fence: int | None = None
+        self.sent_s = float('-inf')
+        self.round = 0
+
+    @property
+    def valid_s(self) -> float:
+        """Return how long a claim holds."""
+        return self.settings.bounds.lease_s * _CLAIM_SHARE
+
+    @property
+    def takeover_s(self) -> float:
+        """Return how long another VM must have seen no claim."""
+        bounds = self.settings.bounds
+        slack_s = bounds.thaw_slack_s + _MARGIN_S
+        return self.valid_s + bounds.lease_s + slack_s
+
+    @property
+    def settings(self) -> VMSettings:
+        """Return the settings of the process."""
+        return self.board.settings
+
+    def valid_fence(self) -> int | None:
+        """Return the fence while the lease is held, else None."""
+        if now_s() < self.sent_s + self.valid_s:
+            return self.fence
+        return None
+
+    def is_last_holder(self) -> bool:
+        """Tell whether this VM made the newest claim that is known."""
+        held = self.board.catalog.leases.get(self.name)
+        return held is not None and held.claim.holder == self.holder
+
+    async def ensure(self) -> int | None:
+        """Return the fence of a valid claim, claiming if need be."""
+        fence = self.valid_fence()
+        if fence is not None:
+            return fence
+        if self.end is None and not await self._read():
+            return None
+        if not self._may_claim():
+            return None
+        return await self._claim()
+
+    def _may_claim(self) -> bool:
+        held = self.board.catalog.leases.get(self.name)
+        if held is None or held.claim.holder == self.holder:
+            return True
+        return now_s() - held.seen_s > self.takeover_s
+
+    async def _claim(self) -> int | None:
+        self.round += 1
+        claim = LeaseClaim(
+            name=self.name,
+            holder=self.holder,
+            round=self.round,
+        )
+        key, payload = record_from_claim(claim)
+        sent_s = now_s()
+        appended = await self.store.append(
+            Topic.COORDINATION,
+            key,
+            payload,
+            timeout_s=_ANSWER_S,
+            expected_end=self.end,
+        )
+        match appended:
+            case Ok(offset):
+                self.fence = offset
+                self.sent_s = sent_s
+                self.end = offset + 1
+                self.board.catalog.put_claim(claim, offset, now_s())
+                _LOG.info(
+                    'lease claimed',
+                    fields={'lease': self.name, 'fence': offset},
+                )
+                return self.valid_fence()
+            case Err(failure):
+                self.end = None
+                is_conflict = isinstance(failure, ConditionFailed)
+                _LOG.info(
+                    'lease not claimed',
+                    fields={
+                        'lease': self.name,
+                        'conflict': is_conflict,
+                        'failure': repr(failure),
+                    },
+                )
+                return None
+
+    async def _read(self) -> bool:
+        newest = await self.store.newest(
+            Topic.COORDINATION,
+            timeout_s=_ANSWER_S,
+        )
+        match newest:
+            case Err():
+                return False
+            case Ok(found):
+                for record in found.records:
+                    self._put(record)
+                self.end = found.end
+                return True
+
+    def _put(self, record: KeyedRecord) -> None:
+        document = coordination_document_from_record(
+            record.key,
+            record.payload,
+        )
+        match document:
+            case Ok(LeaseClaim(name=self.name) as claim):
+                self.board.catalog.put_claim(claim, record.offset, now_s())
+            case _:
+                return
--- /dev/null
+++ b/src/arbutusbay/node/_metrics.py
@@ -0,0 +1,46 @@
+"""Count requests, attempts and store calls, and time requests."""
+
+from aioprometheus import Counter, Gauge, Histogram, REGISTRY
+from aioprometheus.renderer import render
+
+from arbutusbay.fleet import RequestKind
+
+_BUCKETS_S = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8)
+
+
+class NodeMetrics:
+    """Hold the metrics of this process."""
+
+    def __init__(self) -> None:
+        """Register all metrics."""
+        self.requests = Counter(
+            'arbutusbay_requests_total',
+            'Requests that were answered or cut, by kind.',
+        )
+        self.refusals = Counter(
+            'arbutusbay_refusals_total',
+            'Requests answered with an error of our own, by error kind.',
+        )
+        self.duration = Histogram(
+            'arbutusbay_request_duration_seconds',
+            'Time from the head of a request to its end, by kind.',
+            buckets=list(_BUCKETS_S),
+        )
+        self.store_calls = Gauge(
+            'arbutusbay_store_calls_total',
+            'Calls to the store.',
+        )
+        self.log_lines_dropped = Gauge(
+            'arbutusbay_log_lines_dropped_total',
+            'Log lines dropped because standard output was full.',
+        )
+
+    def put_request(self, kind: RequestKind, elapsed_s: float) -> None:
+        """Count one request that ended."""
+        labels = {'kind': kind.value}
+        self.requests.inc(labels)
+        self.duration.observe(labels, elapsed_s)
+
+    def render(self) -> tuple[bytes, dict[str, str]]:
+        """Return the metrics as text and the headers that describe it."""
+        return render(REGISTRY, [])
--- /dev/null
+++ b/src/arbutusbay/node/_placer.py
@@ -0,0 +1,219 @@
+"""Choose a backend server for each attempt and account for it."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import attrs
+
+from arbutusbay.logs import get_logger
+from arbutusbay.node._board import NodeBoard
+from arbutusbay.node._clock import now_s
+from arbutusbay.node._incoming import IncomingRequest
+from arbutusbay.platform import AttemptOrders, EngineLoad
+from arbutusbay.scheduling import (
+    Attempt,
+    Choice,
+    EngineView,
+    ModelWork,
+    Outcome,
+    choose_for_model,
+    choose_for_plain,
+    usable_engines,
+    weights_of,
+)
+
+_LOG = get_logger('placement')
+_MOST_URGENT = 0
+_LEAST_URGENT = 9
+_SHARED_BY_ALL = 'shared'
+
+
+@attrs.frozen(kw_only=True)
+class Placement:
+    """Bind one attempt to a backend server."""
+
+    choice: Choice
+    orders: AttemptOrders
+    attempt: Attempt
+
+    @property
+    def view(self) -> EngineView:
+        """Return the chosen backend server."""
+        return self.choice.engine
+
+
+class Placer:
+    """Place attempts and learn from what became of them."""
+
+    def __init__(self, *, board: NodeBoard) -> None:
+        """Read and update the views on ``board``."""
+        self.board = board
+
+    def place(
+        self,
+        incoming: IncomingRequest,
+        excluded: frozenset[str],
+        *,
+        weights_version: int | None = None,
+        resume_after: int = 0,
+    ) -> Placement | None:
+        """Return where the next attempt goes, None if nowhere.
+
+        ``weights_version`` admits only engines that run it.
+        """
+        moment_s = now_s()
+        views = [
+            view
+            for view in self.board.views_of(incoming.service.name)
+            if weights_version is None
+            or weights_of(view, incoming.head.model) == weights_version
+        ]
+        usable = usable_engines(views, excluded, moment_s)
+        choice = self._choose(incoming, usable, moment_s)
+        if choice is None:
+            return None
+        return Placement(
+            choice=choice,
+            orders=self._orders(incoming, choice.engine, resume_after),
+            attempt=Attempt(
+                sent_s=moment_s,
+                uncached_tokens=choice.uncached_tokens,
+                resident_tokens=_resident_tokens(incoming),
+            ),
+        )
+
+    @contextmanager
+    def occupying(self, placement: Placement) -> Iterator[None]:
+        """Count the attempt as out while the block runs."""
+        placement.view.out.add(placement.attempt)
+        self.board.notify_load()
+        try:
+            yield
+        finally:
+            placement.view.out.discard(placement.attempt)
+            self.board.notify_load()
+
+    def put_load(self, view: EngineView, load: EngineLoad | None) -> None:
+        """Take up the load that an answer told."""
+        if load is not None:
+            view.put_load(
+                running=load.running,
+                waiting=load.waiting,
+                slowdown=load.slowdown,
+                now_s=now_s(),
+            )
+
+    def put_weights(
+        self,
+        view: EngineView,
+        model: str,
+        version: int | None,
+    ) -> None:
+        """Take up the weights version that an answer told."""
+        if version is not None and version > view.weights.get(model, -1):
+            view.weights[model] = version
+            self.board.notify_load()
+
+    def put_failure(self, view: EngineView, outcome: Outcome) -> None:
+        """Avoid a backend server that failed an attempt."""
+        if outcome is Outcome.REJECTED:
+            return
+        pause_s = view.put_failure(now_s())
+        _LOG.info(
+            'server avoided',
+            fields={
+                'server': view.id,
+                'outcome': outcome.value,
+                'failures': view.failures,
+                'pause_s': pause_s,
+            },
+        )
+
+    def _choose(
+        self,
+        incoming: IncomingRequest,
+        usable: list[EngineView],
+        moment_s: float,
+    ) -> Choice | None:
+        if not incoming.is_for_model:
+            return choose_for_plain(
+                usable,
+                own_zone=self.board.settings.zone,
+                now_s=moment_s,
+                rng=self.board.rng,
+            )
+        return choose_for_model(
+            work_of(incoming),
+            usable,
+            own_zone=self.board.settings.zone,
+            capacity_tokens=incoming.service.kv_capacity_tokens,
+            now_s=moment_s,
+            rng=self.board.rng,
+        )
+
+    def _orders(
+        self,
+        incoming: IncomingRequest,
+        view: EngineView,
+        resume_after: int,
+    ) -> AttemptOrders:
+        team = incoming.team
+        remaining_s = max(0.001, incoming.remaining_s())
+        name = team.name if team else ''
+        if not incoming.is_for_model:
+            return AttemptOrders(
+                instance=view.id,
+                remaining_s=remaining_s,
+                team=name,
+                priority=_priority(incoming),
+                resume_after=resume_after,
+            )
+        version = weights_of(view, incoming.head.model)
+        store = self._cache_store_address()
+        return AttemptOrders(
+            instance=view.id,
+            remaining_s=remaining_s,
+            team=name,
+            priority=_priority(incoming),
+            weights_version=version,
+            cache_salt=_cache_salt(incoming, version),
+            fetch_from=store,
+            save_to=store,
+            resume_after=resume_after,
+        )
+
+    def _cache_store_address(self) -> str:
+        configuration = self.board.configuration
+        if configuration is None or not configuration.cache_stores:
+            return ''
+        return configuration.cache_stores[0].address
+
+
+def work_of(incoming: IncomingRequest) -> ModelWork:
+    """Return what placement needs to know of a request for a model."""
+    head = incoming.head
+    shared = head.parts[:-1]
+    return ModelWork(
+        model=head.model,
+        prompt_tokens=head.prompt_tokens,
+        output_tokens=head.max_output_tokens,
+        shared_tokens=sum(part.tokens for part in shared),
+        affinity_key=shared[-1].id if shared else incoming.id,
+    )
+
+
+def _resident_tokens(incoming: IncomingRequest) -> int:
+    head = incoming.head
+    return head.prompt_tokens + head.max_output_tokens
+
+
+def _priority(incoming: IncomingRequest) -> int:
+    return min(_LEAST_URGENT, max(_MOST_URGENT, incoming.route.priority))
+
+
+def _cache_salt(incoming: IncomingRequest, version: int | None) -> str:
+    team = incoming.team
+    scope = _SHARED_BY_ALL
+    if team is not None and team.is_isolated:
+        scope = f'team-{team.name}'
+    return f'{scope}-{version}'
--- /dev/null
+++ b/src/arbutusbay/node/_request_run.py
@@ -0,0 +1,256 @@
+"""Carry one request through its attempts to a final answer."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import aiohttp
+import attrs
+from result import Err, Ok, Result
+
+from arbutusbay.errors import ErrorKind, Failure
+from arbutusbay.logs import get_logger
+from arbutusbay.node._attempts import (
+    Answer,
+    AttemptFailure,
+    OpenAnswer,
+    open_attempt,
+)
+from arbutusbay.node._board import NodeBoard
+from arbutusbay.node._clock import now_s
+from arbutusbay.node._incoming import IncomingRequest, check_still_fresh
+from arbutusbay.node._placer import Placement, Placer
+from arbutusbay.scheduling import (
+    AttemptCount,
+    NextStep,
+    Outcome,
+    is_known_not_run,
+    next_step,
+)
+
+_LOG = get_logger('request')
+_RETRY_AFTER_S = 0.5
+
+
+@attrs.define(kw_only=True)
+class Tally:
+    """Count the attempts of one request and name who failed it."""
+
+    runs: int = 0
+    rejections: int = 0
+    excluded: frozenset[str] = frozenset()
+    last_detail: str = ''
+
+    def put(self, view_id: str, failure: AttemptFailure) -> None:
+        """Take up one failed attempt."""
+        self.last_detail = failure.detail
+        match failure.outcome:
+            case Outcome.NOT_SENT | Outcome.REJECTED:
+                self.rejections += 1
+            case Outcome.UNKNOWN | Outcome.RAN_AND_FAILED:
+                self.runs += 1
+        if not self._may_try_again(failure):
+            self.excluded |= {view_id}
+
+    def count(self) -> AttemptCount:
+        """Return the counts for the decision on what follows."""
+        return AttemptCount(runs=self.runs, rejections=self.rejections)
+
+    def _may_try_again(self, failure: AttemptFailure) -> bool:
+        """Tell whether only what was expected of the engine was wrong."""
+        return failure.weights_version is not None
+
+
+class RequestRun:
+    """Make the attempts of one request."""
+
+    def __init__(
+        self,
+        *,
+        board: NodeBoard,
+        placer: Placer,
+        session: aiohttp.ClientSession,
+        incoming: IncomingRequest,
+        body: bytes,
+    ) -> None:
+        """Prepare the run of ``incoming``."""
+        self.board = board
+        self.placer = placer
+        self.session = session
+        self.incoming = incoming
+        self.body = body
+        self.tally = Tally()
+        self.in_flight = False
+        budget = board.budget_of(incoming.service.name)
+        budget.earn()
+        self.budget = budget
+
+    async def fetch(self) -> Result[Answer, Failure]:
+        """Return the whole answer, or why there is none."""
+        while True:
+            match self.place():
+                case Err() as refused:
+                    return refused
+                case Ok(placement):
+                    pass
+            match await self._fetch_once(placement):
+                case Ok() as answered:
+                    return answered
+                case Err(failure):
+                    pass
+            match self.after(placement, failure):
+                case NextStep.ANSWER:
+                    return self.final(failure)
+
+    def place(
+        self,
+        *,
+        weights_version: int | None = None,
+        resume_after: int = 0,
+    ) -> Result[Placement, Failure]:
+        """Return where the next attempt goes, or why it goes nowhere."""
+        refused = check_still_fresh(self.board, self.incoming)
+        if refused is not None:
+            return Err(self._refusal(refused))
+        if self.incoming.remaining_s() <= 0:
+            return Err(self.timed_out())
+        placement = self.placer.place(
+            self.incoming,
+            self.tally.excluded,
+            weights_version=weights_version,
+            resume_after=resume_after,
+        )
+        if placement is not None:
+            return Ok(placement)
+        return Err(
+            self._refusal(
+                Failure(
+                    kind=ErrorKind.NO_BACKEND_SERVER,
+                    detail='no backend server takes the request'
+                    f' ({self.tally.last_detail})',
+                    retry_after_s=_RETRY_AFTER_S,
+                ),
+            ),
+        )
+
+    @asynccontextmanager
+    async def attempt(
+        self,
+        placement: Placement,
+    ) -> AsyncIterator[Result[OpenAnswer, AttemptFailure]]:
+        """Send one attempt and learn from the head of its answer."""
+        view = placement.view
+        self.in_flight = True
+        with self.placer.occupying(placement):
+            async with open_attempt(
+                self.session,
+                view,
+                self.incoming,
+                self.body,
+                placement.orders,
+            ) as opened:
+                if isinstance(opened, Ok):
+                    self._learn(placement, opened.ok_value)
+                yield opened
+
+    def after(
+        self,
+        placement: Placement,
+        failure: AttemptFailure,
+    ) -> NextStep:
+        """Return what follows a failed attempt, and note it."""
+        self.in_flight = False
+        view = placement.view
+        model = self.incoming.head.model
+        self.tally.put(view.id, failure)
+        self.placer.put_weights(view, model, failure.weights_version)
+        self.placer.put_failure(view, failure.outcome)
+        step = next_step(
+            failure.outcome,
+            self.incoming.route.kind,
+            self.tally.count(),
+            self.incoming.route.max_attempts,
+        )
+        if step is NextStep.RETRY_WITHIN_BUDGET and not self.budget.spend():
+            step = NextStep.ANSWER
+        _LOG.info(
+            'attempt failed',
+            fields={
+                'request_id': self.incoming.id,
+                'server': view.id,
+                'outcome': failure.outcome.value,
+                'detail': failure.detail,
+                'runs': self.tally.runs,
+                'rejections': self.tally.rejections,
+                'next': step.value,
+                'after_ms': _elapsed_ms(self.incoming),
+            },
+        )
+        return step
+
+    def final(self, failure: AttemptFailure) -> Result[Answer, Failure]:
+        """Return the final answer after the last attempt failed."""
+        if failure.answer is not None:
+            return Ok(failure.answer)
+        kind = ErrorKind.OUTCOME_UNKNOWN
+        if is_known_not_run(self.tally.count()):
+            kind = ErrorKind.NO_BACKEND_SERVER
+        return Err(
+            Failure(
+                kind=kind,
+                detail=failure.detail,
+                retry_after_s=_RETRY_AFTER_S,
+            ),
+        )
+
+    def timed_out(self) -> Failure:
+        """Return the failure of a request whose time ran out."""
+        is_not_run = not self.in_flight and not self.tally.runs
+        return Failure(
+            kind=ErrorKind.NO_BACKEND_SERVER
+            if is_not_run
+            else ErrorKind.DEADLINE_EXCEEDED,
+            detail=f'no answer in time ({self.tally.last_detail})',
+        )
+
+    async def _fetch_once(
+        self,
+        placement: Placement,
+    ) -> Result[Answer, AttemptFailure]:
+        async with self.attempt(placement) as opened:
+            match opened:
+                case Err() as failed:
+                    return failed
+                case Ok(answer):
+                    whole = await answer.whole()
+        if isinstance(whole, Ok):
+            placement.view.put_success()
+        return whole
+
+    def _learn(self, placement: Placement, answer: OpenAnswer) -> None:
+        view = placement.view
+        self.placer.put_load(view, answer.head.load)
+        self.placer.put_weights(
+            view,
+            self.incoming.head.model,
+            answer.head.weights_version,
+        )
+
+    def _refusal(self, failure: Failure) -> Failure:
+        """Return ``failure``, without its promise if something has run."""
+        if is_known_not_run(self.tally.count()):
+            return failure
+        return attrs.evolve(failure, kind=ErrorKind.OUTCOME_UNKNOWN)
+
+
+def _elapsed_ms(incoming: IncomingRequest) -> int:
+    return int((now_s() - incoming.received_s) * 1000)
+
+
+async def fetch_in_time(run: RequestRun) -> Result[Answer, Failure]:
+    """Return the whole answer, or a failure when time runs out."""
+    try:
+        async with asyncio.timeout(max(0, run.incoming.remaining_s())):
+            return await run.fetch()
+    except TimeoutError:
+        return Err(run.timed_out())
--- /dev/null
+++ b/src/arbutusbay/node/_stream_run.py
@@ -0,0 +1,177 @@
+"""Relay a stream of events in order, resuming it where that is allowed."""
+
+import asyncio
+
+import attrs
+from aiohttp import web
+from result import Err, Ok, Result
+
+from arbutusbay.errors import ErrorKind, Failure
+from arbutusbay.logs import get_logger
+from arbutusbay.node._attempts import Answer, AttemptFailure, OpenAnswer
+from arbutusbay.node._placer import Placement
+from arbutusbay.node._request_run import RequestRun
+from arbutusbay.platform import StreamEvent
+from arbutusbay.scheduling import NextStep, Outcome
+
+_LOG = get_logger('stream')
+
+
+@attrs.frozen(kw_only=True)
+class Relayed:
+    """The stream was relayed to its end."""
+
+
+@attrs.frozen(kw_only=True)
+class Broken:
+    """The stream can't be completed; the client's connection is cut."""
+
+    detail: str
+
+
+StreamResult = Relayed | Broken | Answer | Failure
+
+
+class StreamRun:
+    """Relay one stream to a client, each event exactly once."""
+
+    def __init__(self, *, run: RequestRun, request: web.BaseRequest) -> None:
+        """Relay what ``run`` fetches in answer to ``request``."""
+        self.run = run
+        self.request = request
+        self.response: web.StreamResponse | None = None
+        self.last_number = run.incoming.head.last_event_id
+        self.weights_version: int | None = None
+        self.events = 0
+
+    async def relay(self) -> StreamResult:
+        """Relay until the end, a failure, or the deadline."""
+        try:
+            async with asyncio.timeout(
+                max(0, self.run.incoming.remaining_s()),
+            ):
+                return await self._relay_attempts()
+        except TimeoutError:
+            if self.response is not None:
+                return Broken(detail='the time of the route ran out')
+            return self.run.timed_out()
+
+    async def _relay_attempts(self) -> StreamResult:
+        while True:
+            placed = self.run.place(
+                weights_version=self.weights_version,
+                resume_after=self.last_number,
+            )
+            match placed:
+                case Err(refused):
+                    return self._ended(refused)
+                case Ok(placement):
+                    pass
+            match await self._relay_once(placement):
+                case Ok(relayed):
+                    return relayed
+                case Err(failure):
+                    pass
+            if self.run.after(placement, failure) is NextStep.ANSWER:
+                if not self._may_resume(failure):
+                    return self._final(failure)
+
+    async def _relay_once(
+        self,
+        placement: Placement,
+    ) -> Result[StreamResult, AttemptFailure]:
+        async with self.run.attempt(placement) as opened:
+            match opened:
+                case Err() as failed:
+                    return failed
+                case Ok(answer):
+                    pass
+            if not answer.is_success:
+                return await answer.whole()
+            return await self._relay_events(placement, answer)
+
+    async def _relay_events(
+        self,
+        placement: Placement,
+        answer: OpenAnswer,
+    ) -> Result[StreamResult, AttemptFailure]:
+        version = answer.head.weights_version
+        async for event in answer.events():
+            match event:
+                case Err(detail):
+                    return _cut(detail)
+                case Ok(whole):
+                    pass
+            if not self._is_next(whole):
+                return _cut(f'event {whole.number} after {self.last_number}')
+            placement.attempt.has_started = True
+            self.weights_version = whole.weights_version or version
+            await self._write(answer, whole)
+        placement.view.put_success()
+        return await self._finish(answer)
+
+    async def _finish(
+        self,
+        answer: OpenAnswer,
+    ) -> Result[StreamResult, AttemptFailure]:
+        if self.response is None:
+            self.response = await self._prepare(answer)
+        await self.response.write_eof()
+        return Ok(Relayed())
+
+    async def _write(self, answer: OpenAnswer, event: StreamEvent) -> None:
+        if self.response is None:
+            self.response = await self._prepare(answer)
+        await self.response.write(event.raw)
+        self.events += 1
+        if event.number is not None:
+            self.last_number = event.number
+
+    async def _prepare(self, answer: OpenAnswer) -> web.StreamResponse:
+        response = web.StreamResponse(
+            status=answer.status,
+            headers=answer.headers(),
+        )
+        if self.run.board.is_stopping:
+            response.force_close()
+        response.enable_chunked_encoding()
+        await response.prepare(self.request)
+        return response
+
+    def _is_next(self, event: StreamEvent) -> bool:
+        if event.number is None or not self.last_number:
+            return True
+        return event.number == self.last_number + 1
+
+    def _may_resume(self, failure: AttemptFailure) -> bool:
+        incoming = self.run.incoming
+        if not incoming.route.is_resumable or failure.answer is not None:
+            return False
+        if failure.outcome is not Outcome.UNKNOWN:
+            return False
+        if self.run.tally.runs >= incoming.route.max_attempts:
+            return False
+        return self.run.budget.spend()
+
+    def _ended(self, failure: Failure) -> StreamResult:
+        if self.response is not None:
+            return Broken(detail=failure.detail)
+        return failure
+
+    def _final(self, failure: AttemptFailure) -> StreamResult:
+        if self.response is not None:
+            return Broken(detail=failure.detail)
+        match self.run.final(failure):
+            case Ok(answer):
+                return answer
+            case Err(refusal):
+                return refusal
+
+
+def _cut(detail: str) -> Err[AttemptFailure]:
+    return Err(AttemptFailure(outcome=Outcome.UNKNOWN, detail=detail))
+
+
+def broken_failure(detail: str) -> Failure:
+    """Return the failure that stands for a cut stream in logs."""
+    return Failure(kind=ErrorKind.STREAM_BROKEN, detail=detail)
--- a/src/arbutusbay/platform/__init__.py
+++ b/src/arbutusbay/platform/__init__.py
@@ -1,22 +1,89 @@
-"""Expose the adapters of the platform's services."""
+"""Expose the adapter of the users' platform: settings, store, wire."""
 
-from arbutusbay.platform._log_service import (
-    Appended,
-    LogPage,
-    LogRecord,
-    LogService,
-    read_to_end,
+from arbutusbay.platform._documents import (
+    backend_server_from_record,
+    coordination_document_from_record,
+    operator_document_from_record,
+    record_from_claim,
+    record_from_vm,
+)
+from arbutusbay.platform._engine_calls import (
+    EngineReport,
+    LoadOrder,
+    OrderOutcome,
+    SwitchMode,
+    fetch_report,
+    send_load_order,
+)
+from arbutusbay.platform._events import EventSplitter, StreamEvent
+from arbutusbay.platform._names import READINESS_PATH, Topic
+from arbutusbay.platform._requests import (
+    AnswerHead,
+    AttemptOrders,
+    EngineLoad,
+    PromptPart,
+    RequestHead,
+    answer_head_from,
+    headers_to_client,
+    headers_to_engine,
+    request_head_from,
+    retry_after_headers,
+)
+from arbutusbay.platform._settings_file import (
+    Bounds,
+    Endpoint,
+    VMSettings,
+    endpoint_from_text,
+    read_settings,
+    settings_path,
+)
+from arbutusbay.platform._store import (
+    ConditionFailed,
+    KeyedRecord,
+    OutcomeUnknown,
+    RecordsExpired,
+    StoreClient,
+    StoreFailure,
+    StoreUnavailable,
 )
-from arbutusbay.platform._vm_list import VM, VMRole, VMState, read_vm_list
 
 __all__ = (
-    'VM',
-    'Appended',
-    'LogPage',
-    'LogRecord',
-    'LogService',
-    'VMRole',
-    'VMState',
-    'read_to_end',
-    'read_vm_list',
+    'READINESS_PATH',
+    'AnswerHead',
+    'AttemptOrders',
+    'Bounds',
+    'ConditionFailed',
+    'Endpoint',
+    'EngineLoad',
+    'EngineReport',
+    'EventSplitter',
+    'KeyedRecord',
+    'LoadOrder',
+    'OrderOutcome',
+    'OutcomeUnknown',
+    'PromptPart',
+    'RecordsExpired',
+    'RequestHead',
+    'StoreClient',
+    'StoreFailure',
+    'StoreUnavailable',
+    'StreamEvent',
+    'SwitchMode',
+    'Topic',
+    'VMSettings',
+    'answer_head_from',
+    'backend_server_from_record',
+    'coordination_document_from_record',
+    'endpoint_from_text',
+    'fetch_report',
+    'headers_to_client',
+    'headers_to_engine',
+    'operator_document_from_record',
+    'read_settings',
+    'record_from_claim',
+    'record_from_vm',
+    'request_head_from',
+    'retry_after_headers',
+    'send_load_order',
+    'settings_path',
 )
--- /dev/null
+++ b/src/arbutusbay/platform/_names.py
@@ -0,0 +1,60 @@
+"""Name what the platform calls its headers, paths, topics and keys."""
+
+import enum
+
+SETTINGS_VARIABLE = 'ARBUTUSBAY_SETTINGS'
+BEARER_PREFIX = 'Bearer '
+READINESS_PATH = '/arbutusbay/readiness'
+
+
+class Header(enum.StrEnum):
+    """Name the headers of requests and answers."""
+
+    ATTEMPT_ID = 'Attempt-Id'
+    AUTHORIZATION = 'Authorization'
+    CACHE_SALT = 'Cache-Salt'
+    DEADLINE_MS = 'Deadline-Ms'
+    EXPECT_INSTANCE = 'Expect-Instance'
+    EXPECT_VERSION = 'Expect-Version'
+    HOLD = 'Hold'
+    INSTANCE_ID = 'Instance-Id'
+    KV_BACKUP = 'Kv-Backup'
+    KV_FETCH = 'Kv-Fetch'
+    KV_FROM = 'Kv-From'
+    KV_SAVE = 'Kv-Save'
+    LAST_EVENT_ID = 'Last-Event-Id'
+    LENGTH_HINT = 'Length-Hint'
+    MODEL = 'Model'
+    NOT_EXECUTED = 'Not-Executed'
+    PIN_MS = 'Pin-Ms'
+    PROMPT_PREFIX = 'Prompt-Prefix'
+    REQUEST_PRIORITY = 'Request-Priority'
+    RESPONSE_STAMP = 'Response-Stamp'
+    RETRY_AFTER = 'Retry-After'
+    SERVER_LOAD = 'Server-Load'
+    TENANT = 'Tenant'
+    TOKEN_COUNTS = 'Token-Counts'
+    WEIGHT_VERSIONS = 'Weight-Versions'
+
+
+class Topic(enum.StrEnum):
+    """Name the topics of the store that are read or written."""
+
+    OPERATOR = 'keyed.op'
+    SERVERS = 'keyed.servers'
+    COORDINATION = 'keyed.arbutusbay'
+
+
+class StorePath(enum.StrEnum):
+    """Name the calls to the store."""
+
+    APPEND = '/arbutusbay/log-append'
+    READ = '/arbutusbay/log-read'
+    NEWEST = '/arbutusbay/log-newest'
+
+
+class EnginePath(enum.StrEnum):
+    """Name the calls to engines."""
+
+    REPORT = '/arbutusbay/report'
+    ORDER = '/arbutusbay/order'
--- a/src/arbutusbay/policy/__init__.py
+++ b/src/arbutusbay/policy/__init__.py
@@ -1,6 +1,6 @@
 """Expose the router's pure decisions: placement, queueing, budgets."""
 
-from arbutusbay.policy._budget import Budget
+from arbutusbay.scheduling import Budget
 from arbutusbay.policy._engine_state import EngineState, InFlight
 from arbutusbay.policy._fair_queue import FairQueue, Waiting
 from arbutusbay.policy._hot_levels import HotLevels, sample_depths
--- /dev/null
+++ b/src/arbutusbay/scheduling/__init__.py
@@ -0,0 +1,53 @@
+"""Expose the pure decisions on where and whether a request runs."""
+
+from arbutusbay.scheduling._budget import Budget
+from arbutusbay.scheduling._engine_view import (
+    Attempt,
+    EngineView,
+    Occupancy,
+    PeerOccupancy,
+    weights_of,
+)
+from arbutusbay.scheduling._outcomes import (
+    AttemptCount,
+    NextStep,
+    Outcome,
+    is_known_not_run,
+    next_step,
+)
+from arbutusbay.scheduling._placement import (
+    Choice,
+    ModelWork,
+    choose_for_model,
+    choose_for_plain,
+    usable_engines,
+)
+from arbutusbay.scheduling._rollout_plan import (
+    WeightsLoad,
+    next_loads,
+    outdated_engines,
+    parallel_loads,
+)
+
+__all__ = (
+    'Attempt',
+    'AttemptCount',
+    'Budget',
+    'Choice',
+    'EngineView',
+    'ModelWork',
+    'NextStep',
+    'Occupancy',
+    'Outcome',
+    'PeerOccupancy',
+    'WeightsLoad',
+    'choose_for_model',
+    'choose_for_plain',
+    'is_known_not_run',
+    'next_loads',
+    'next_step',
+    'outdated_engines',
+    'parallel_loads',
+    'usable_engines',
+    'weights_of',
+)
--- /dev/null
+++ b/src/arbutusbay/scheduling/_engine_view.py
@@ -0,0 +1,143 @@
+"""Hold what one VM knows of one backend server."""
+
+from collections.abc import Iterator, Mapping
+
+import attrs
+
+_FIRST_PAUSE_S = 0.3
+_MAX_PAUSE_S = 4.0
+_LOAD_MEMORY_S = 2.0
+_PEER_MEMORY_S = 3.0
+
+
+@attrs.define(kw_only=True, eq=False)
+class Attempt:
+    """Hold one attempt that this VM has out.
+
+    ``uncached_tokens`` wait for prefill until the first event;
+    ``resident_tokens`` occupy the engine's memory for the whole run.
+    """
+
+    sent_s: float
+    uncached_tokens: int = 0
+    resident_tokens: int = 0
+    has_started: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class Occupancy:
+    """Sum up the attempts that one VM has out at one engine."""
+
+    attempts: int = 0
+    uncached_tokens: int = 0
+    resident_tokens: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class PeerOccupancy:
+    """Hold what another VM told, and when it was heard."""
+
+    occupancy: Occupancy
+    heard_s: float
+
+
+@attrs.define(kw_only=True, eq=False)
+class EngineView:
+    """Hold identity, weights, load and recent failures of one engine.
+
+    Times are seconds on one clock; ``slowdown`` is how many times longer
+    than usual its machine takes.
+    """
+
+    id: str
+    service: str
+    address: str
+    zone: str
+    slots: int
+    weights: dict[str, int] = attrs.field(factory=dict)
+    incarnation: int = 0
+    is_draining: bool = False
+    load_until_s: float = 0.0
+    slowdown: float = 1.0
+    reported_s: float = 0.0
+    running: int = 0
+    waiting: int = 0
+    out: set[Attempt] = attrs.field(factory=set)
+    peers: dict[str, PeerOccupancy] = attrs.field(factory=dict)
+    failures: int = 0
+    avoid_until_s: float = 0.0
+
+    def put_load(
+        self,
+        *,
+        running: int,
+        waiting: int,
+        slowdown: float,
+        now_s: float,
+    ) -> None:
+        """Take up the load that an answer told."""
+        self.running = running
+        self.waiting = waiting
+        self.slowdown = slowdown
+        self.reported_s = now_s
+
+    def put_failure(self, now_s: float) -> float:
+        """Avoid the engine, longer after each failure in a row."""
+        self.failures += 1
+        pause_s = min(_MAX_PAUSE_S, _FIRST_PAUSE_S * 2**self.failures)
+        self.avoid_until_s = now_s + pause_s
+        return pause_s
+
+    def put_success(self) -> None:
+        """Forget earlier failures."""
+        self.failures = 0
+        self.avoid_until_s = 0.0
+
+    def is_avoided(self, now_s: float) -> bool:
+        """Tell whether recent failures speak for other engines."""
+        return now_s < self.avoid_until_s
+
+    def is_loading(self, now_s: float) -> bool:
+        """Tell whether the engine is expected to change weights now."""
+        return now_s < self.load_until_s
+
+    def own_occupancy(self) -> Occupancy:
+        """Return what this VM has out."""
+        return Occupancy(
+            attempts=len(self.out),
+            uncached_tokens=sum(
+                attempt.uncached_tokens
+                for attempt in self.out
+                if not attempt.has_started
+            ),
+            resident_tokens=sum(
+                attempt.resident_tokens for attempt in self.out
+            ),
+        )
+
+    def occupancy(self, now_s: float) -> Occupancy:
+        """Return what all VMs have out, as far as this one was told."""
+        parts = [self.own_occupancy(), *self._fresh_peers(now_s)]
+        return Occupancy(
+            attempts=sum(part.attempts for part in parts),
+            uncached_tokens=sum(part.uncached_tokens for part in parts),
+            resident_tokens=sum(part.resident_tokens for part in parts),
+        )
+
+    def current_slowdown(self, now_s: float) -> float:
+        """Return the slowdown while its report is recent, else 1."""
+        age_s = now_s - self.reported_s
+        if age_s > _LOAD_MEMORY_S:
+            return 1.0
+        return 1 + (self.slowdown - 1) * (1 - age_s / _LOAD_MEMORY_S)
+
+    def _fresh_peers(self, now_s: float) -> Iterator[Occupancy]:
+        for peer in self.peers.values():
+            if now_s - peer.heard_s < _PEER_MEMORY_S:
+                yield peer.occupancy
+
+
+def weights_of(view: EngineView, model: str) -> int | None:
+    """Return the weights version of ``model`` that the engine runs."""
+    weights: Mapping[str, int] = view.weights
+    return weights.get(model)
--- /dev/null
+++ b/src/arbutusbay/scheduling/_placement.py
@@ -0,0 +1,138 @@
+"""Choose the backend server that is predicted to answer first."""
+
+import random
+from collections.abc import Collection, Sequence
+
+import attrs
+
+from arbutusbay.hashing import rendezvous_order
+from arbutusbay.scheduling._engine_view import EngineView
+
+_AFFINITY_REPLICAS = 2
+_RUNNING_TOKENS = 40
+_OTHER_ZONE_TOKENS = 60
+_TIE_TOKENS = 100
+
+
+@attrs.frozen(kw_only=True)
+class ModelWork:
+    """Describe a request for a model.
+
+    ``shared_tokens`` of the prompt are parts that other requests share;
+    ``affinity_key`` names the longest shared prefix.
+    """
+
+    model: str
+    prompt_tokens: int
+    output_tokens: int
+    shared_tokens: int
+    affinity_key: str
+
+    @property
+    def resident_tokens(self) -> int:
+        """Return the memory that a run takes, in tokens."""
+        return self.prompt_tokens + self.output_tokens
+
+
+@attrs.frozen(kw_only=True)
+class Choice:
+    """Name the chosen engine and what the attempt is expected to cost."""
+
+    engine: EngineView
+    uncached_tokens: int
+    cost: float
+
+
+def usable_engines(
+    engines: Collection[EngineView],
+    excluded: Collection[str],
+    now_s: float,
+) -> list[EngineView]:
+    """Return engines that take work, avoiding those that just failed."""
+    able = [
+        engine
+        for engine in engines
+        if not engine.is_draining and engine.id not in excluded
+    ]
+    idle = [engine for engine in able if not engine.is_loading(now_s)] or able
+    return [engine for engine in idle if not engine.is_avoided(now_s)] or idle
+
+
+def choose_for_model(
+    work: ModelWork,
+    engines: Sequence[EngineView],
+    *,
+    own_zone: str,
+    capacity_tokens: int,
+    now_s: float,
+    rng: random.Random,
+) -> Choice | None:
+    """Return the engine with the least work before the first token.
+
+    Engines that are first in rendezvous order of the shared prefix are
+    expected to hold it, with no message between VMs.
+    """
+    if not engines:
+        return None
+    by_id = {engine.id: engine for engine in engines}
+    order = rendezvous_order(work.affinity_key, by_id)
+    holders = frozenset(order[:_AFFINITY_REPLICAS])
+    choices = [
+        _model_choice(
+            work,
+            engine,
+            is_holder=engine.id in holders,
+            own_zone=own_zone,
+            capacity_tokens=capacity_tokens,
+            now_s=now_s,
+        )
+        for engine in engines
+    ]
+    best = min(choice.cost for choice in choices)
+    return rng.choice(
+        [choice for choice in choices if choice.cost <= best + _TIE_TOKENS],
+    )
+
+
+def choose_for_plain(
+    engines: Sequence[EngineView],
+    *,
+    own_zone: str,
+    now_s: float,
+    rng: random.Random,
+) -> Choice | None:
+    """Return the backend server with the least work in progress."""
+    if not engines:
+        return None
+
+    def cost(engine: EngineView) -> tuple[float, bool, float]:
+        out = engine.occupancy(now_s).attempts
+        busy = max(0, out - engine.slots + 1)
+        slow = engine.current_slowdown(now_s)
+        load = (1 + out / max(1, engine.slots) + busy) * slow
+        return round(load, 1), engine.zone != own_zone, rng.random()
+
+    best = min(engines, key=cost)
+    return Choice(engine=best, uncached_tokens=0, cost=cost(best)[0])
+
+
+def _model_choice(
+    work: ModelWork,
+    engine: EngineView,
+    *,
+    is_holder: bool,
+    own_zone: str,
+    capacity_tokens: int,
+    now_s: float,
+) -> Choice:
+    uncached = work.prompt_tokens - (work.shared_tokens if is_holder else 0)
+    out = engine.occupancy(now_s)
+    running = max(out.attempts, engine.running if out.attempts else 0)
+    cost = float(out.uncached_tokens + uncached + running * _RUNNING_TOKENS)
+    resident = out.resident_tokens + work.resident_tokens
+    if capacity_tokens and resident > capacity_tokens:
+        cost += resident - capacity_tokens
+    cost *= engine.current_slowdown(now_s)
+    if engine.zone != own_zone:
+        cost += _OTHER_ZONE_TOKENS
+    return Choice(engine=engine, uncached_tokens=uncached, cost=cost)
--- a/tests/model/config_spec.py
+++ b/tests/model/config_spec.py
@@ -14,7 +14,7 @@
 from minicheck import Protocol
 
 from arbutusbay.control import restore_config
-from arbutusbay.platform import LogPage, LogRecord
+from arbutusbay.hosting import LogPage, LogRecord
 from arbutusbay.state import (
     NO_VERSION,
     ConfigRecord,
