Refuse new requests early in a shutdown, and work on overdue weights

Ruled out: the grace period itself; only requests later than the notice were cut. Engines are left out once the named version is older than the bound less a margin.

--- a/src/arbutusbay/fleet/_catalog.py
+++ b/src/arbutusbay/fleet/_catalog.py
@@ -15,10 +15,20 @@
 
 @attrs.frozen(kw_only=True)
 class NamedTarget:
-    """Hold a weights target and when this process learned of it."""
+    """Hold a weights target, when it was learned and named at the latest.
+
+    ``named_s`` is minus infinity where a process that just started found
+    the target: it may have been named long before.
+    """
 
     version: int
     learned_s: float
+    named_s: float
+
+    def is_overdue(self, version: int, moment_s: float, limit_s: float) -> bool:
+        """Tell whether work on ``version`` may no longer begin."""
+        is_older = version < self.version
+        return is_older and moment_s - self.named_s > limit_s
 
 
 @attrs.frozen(kw_only=True)
@@ -49,7 +59,13 @@
         self.configuration = configuration
         return True
 
-    def put_target(self, target: WeightsTarget, now_s: float) -> bool:
+    def put_target(
+        self,
+        target: WeightsTarget,
+        now_s: float,
+        *,
+        named_s: float,
+    ) -> bool:
         """Take a weights target up if it is newer; tell whether it was."""
         held = self.targets.get(target.model)
         if held is not None and target.version <= held.version:
@@ -57,6 +73,7 @@
         self.targets[target.model] = NamedTarget(
             version=target.version,
             learned_s=now_s,
+            named_s=named_s,
         )
         return True
 
--- a/src/arbutusbay/node/_board.py
+++ b/src/arbutusbay/node/_board.py
@@ -4,6 +4,7 @@
 import random
 
 import attrs
+from aiohttp import web
 
 from arbutusbay.fleet import Catalog, Configuration
 from arbutusbay.node._clock import now_s
@@ -34,7 +35,10 @@
 
 @attrs.define(kw_only=True)
 class NodeBoard:
-    """Hold what the daemon knows, and what is in progress."""
+    """Hold what the daemon knows, and what is in progress.
+
+    ``busy`` holds the connections on which a request is being answered.
+    """
 
     settings: VMSettings
     catalog: Catalog = attrs.field(factory=Catalog)
@@ -46,7 +50,8 @@
     load_changed: asyncio.Event = attrs.field(factory=asyncio.Event)
     has_read_servers: bool = False
     is_stopping: bool = False
-    requests_in_progress: int = 0
+    is_refusing: bool = False
+    busy: set[web.RequestHandler] = attrs.field(factory=set)
 
     @property
     def configuration(self) -> Configuration | None:
--- a/src/arbutusbay/node/_control_api.py
+++ b/src/arbutusbay/node/_control_api.py
@@ -58,7 +58,7 @@
             'stopping': board.is_stopping,
             'config_version': configuration.version if configuration else None,
             'config_age_ms': board.age_ms(),
-            'requests_in_progress': board.requests_in_progress,
+            'requests_in_progress': len(board.busy),
             'vms': sorted(board.catalog.vms),
             'targets': {
                 model: target.version
--- a/src/arbutusbay/node/_frontend.py
+++ b/src/arbutusbay/node/_frontend.py
@@ -41,11 +41,15 @@
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
-        self.board.requests_in_progress += 1
+        connection = request.protocol
+        self.board.busy.add(connection)
         try:
-            return await self._handle(request)
+            response = await self._handle(request)
+            await response.prepare(request)
+            await response.write_eof()
+            return response
         finally:
-            self.board.requests_in_progress -= 1
+            self.board.busy.discard(connection)
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         match check_request(self.board, request):
@@ -98,7 +102,7 @@
             case Broken(detail=detail):
                 self._log_end(run.incoming, 'stream cut', detail)
                 _cut_connection(request)
-                return stream.response
+                raise ConnectionAbortedError(detail)
             case Answer() as answer:
                 self._log_end(run.incoming, f'status {answer.status}')
                 return self._respond(answer)
--- a/src/arbutusbay/node/_incoming.py
+++ b/src/arbutusbay/node/_incoming.py
@@ -61,6 +61,8 @@
     request: web.BaseRequest,
 ) -> Result[IncomingRequest, Failure]:
     """Return the request with its route and team, or the refusal."""
+    if board.is_refusing:
+        return _refusal(ErrorKind.DRAINING, 'the VM is shutting down')
     configuration = board.configuration
     if configuration is None:
         return _refusal(ErrorKind.NOT_CONFIGURED, 'no configuration yet')
@@ -161,7 +163,9 @@
 
 def _refusal(kind: ErrorKind, detail: str) -> Err[Failure]:
     retry_after_s = None
-    if kind in {ErrorKind.NOT_CONFIGURED, ErrorKind.NO_BACKEND_SERVER}:
+    if kind is ErrorKind.DRAINING:
+        retry_after_s = 0.0
+    elif kind in {ErrorKind.NOT_CONFIGURED, ErrorKind.NO_BACKEND_SERVER}:
         retry_after_s = _NOT_READY_RETRY_S
     return Err(
         Failure(kind=kind, detail=detail, retry_after_s=retry_after_s),
--- a/src/arbutusbay/node/_main.py
+++ b/src/arbutusbay/node/_main.py
@@ -130,10 +130,9 @@
         frontend, servers = await self._listen()
         self._start_controllers()
         await self.stop.wait()
-        await drain(self.board, self.settings.bounds.grace_s)
+        await drain(self.board, frontend, self.settings.bounds.grace_s)
         for task in self.tasks:
             task.cancel()
-        frontend.pre_shutdown()
         for server in servers:
             server.close()
         await self.session.close()
--- a/src/arbutusbay/node/_placer.py
+++ b/src/arbutusbay/node/_placer.py
@@ -23,6 +23,7 @@
 )
 
 _LOG = get_logger('placement')
+_WEIGHTS_MARGIN_S = 1.0
 _MOST_URGENT = 0
 _LEAST_URGENT = 9
 _SHARED_BY_ALL = 'shared'
@@ -65,8 +66,7 @@
         views = [
             view
             for view in self.board.views_of(incoming.service.name)
-            if weights_version is None
-            or weights_of(view, incoming.head.model) == weights_version
+            if self._runs_wanted_weights(view, incoming, weights_version)
         ]
         usable = usable_engines(views, excluded, moment_s)
         choice = self._choose(incoming, usable, moment_s)
@@ -129,6 +129,24 @@
             },
         )
 
+    def _runs_wanted_weights(
+        self,
+        view: EngineView,
+        incoming: IncomingRequest,
+        wanted: int | None,
+    ) -> bool:
+        model = incoming.head.model
+        if not incoming.is_for_model:
+            return True
+        version = weights_of(view, model)
+        if version is None or wanted not in {None, version}:
+            return False
+        target = self.board.catalog.targets.get(model)
+        if target is None:
+            return True
+        limit_s = self.board.settings.bounds.weights_s - _WEIGHTS_MARGIN_S
+        return not target.is_overdue(version, now_s(), limit_s)
+
     def _choose(
         self,
         incoming: IncomingRequest,
--- a/src/arbutusbay/node/_store_tail.py
+++ b/src/arbutusbay/node/_store_tail.py
@@ -148,7 +148,7 @@
                 case Ok(Configuration() as configuration):
                     self._put_configuration(configuration, record.offset)
                 case Ok(WeightsTarget() as target):
-                    self._put_target(target, record.offset)
+                    self._put_target(target, record.offset, is_whole=is_whole)
 
     def put_answer(self, sent_s: float) -> None:
         """Note how fresh the documents are now."""
@@ -172,8 +172,20 @@
         )
         self.board.notify()
 
-    def _put_target(self, target: WeightsTarget, offset: int) -> None:
-        if not self.board.catalog.put_target(target, now_s()):
+    def _put_target(
+        self,
+        target: WeightsTarget,
+        offset: int,
+        *,
+        is_whole: bool,
+    ) -> None:
+        moment_s = now_s()
+        is_new = self.board.catalog.put_target(
+            target,
+            moment_s,
+            named_s=float('-inf') if is_whole else moment_s,
+        )
+        if not is_new:
             return
         _LOG.info(
             'weights version named',
