--- a/src/arbutusbay/node/_board.py
+++ b/src/arbutusbay/node/_board.py
@@ -9,7 +9,13 @@
 from arbutusbay.fleet import Catalog, Configuration
 from arbutusbay.node._clock import now_s
 from arbutusbay.platform import VMSettings
-from arbutusbay.scheduling import Budget, EngineView
+from arbutusbay.scheduling import (
+    Budget,
+    EngineView,
+    WorkMix,
+    WorkSums,
+    short_share,
+)
 
 _REVOCATION_MARGIN_S = 0.4
 
@@ -46,6 +52,8 @@
     views: dict[str, EngineView] = attrs.field(factory=dict)
     budgets: dict[str, Budget] = attrs.field(factory=dict)
     rng: random.Random = attrs.field(factory=random.Random)
+    mix: WorkMix = attrs.field(factory=WorkMix)
+    peer_mixes: dict[str, WorkSums] = attrs.field(factory=dict)
     changed: asyncio.Event = attrs.field(factory=asyncio.Event)
     load_changed: asyncio.Event = attrs.field(factory=asyncio.Event)
     has_read_servers: bool = False
@@ -94,6 +102,11 @@
             self.budgets[service] = budget
         return budget
 
+    def short_share(self) -> float:
+        """Return the share of recent work that has short prompts."""
+        own = self.mix.sums(now_s())
+        return short_share([own, *self.peer_mixes.values()])
+
     def notify(self) -> None:
         """Wake whoever waits for a change of what is known."""
         self.changed.set()
--- a/src/arbutusbay/node/_frontend.py
+++ b/src/arbutusbay/node/_frontend.py
@@ -97,10 +97,19 @@
         stream = StreamRun(run=run, request=request)
         match await stream.relay():
             case Relayed():
-                self._log_end(run.incoming, f'{stream.events} events')
+                self._log_end(
+                    run.incoming,
+                    'stream complete',
+                    **_pace_fields(run.incoming, stream),
+                )
                 return stream.response
             case Broken(detail=detail):
-                self._log_end(run.incoming, 'stream cut', detail)
+                self._log_end(
+                    run.incoming,
+                    'stream cut',
+                    detail,
+                    **_pace_fields(run.incoming, stream),
+                )
                 _cut_connection(request)
                 raise ConnectionAbortedError(detail)
             case Answer() as answer:
@@ -185,6 +194,7 @@
         incoming: IncomingRequest,
         outcome: str,
         detail: str = '',
+        **fields: float | None,
     ) -> None:
         elapsed_s = now_s() - incoming.received_s
         self.metrics.put_request(incoming.route.kind, elapsed_s)
@@ -198,6 +208,7 @@
                 'elapsed_ms': int(elapsed_s * 1000),
                 'config_version': self._config_version(),
                 'config_age_ms': self.board.age_ms(),
+                **fields,
             },
         )
 
@@ -206,6 +217,22 @@
         return configuration.version if configuration else None
 
 
+def _pace_fields(
+    incoming: IncomingRequest,
+    stream: StreamRun,
+) -> dict[str, float | None]:
+    pace = stream.pace
+    first_ms = None
+    if pace.first_s is not None:
+        first_ms = int((pace.first_s - incoming.received_s) * 1000)
+    return {
+        'events': pace.events,
+        'first_event_ms': first_ms,
+        'longest_gap_ms': int(pace.longest_gap_s * 1000),
+        'longest_gap_end_s': round(pace.longest_gap_end_s, 3),
+    }
+
+
 def _cut_connection(request: web.BaseRequest) -> None:
     """Close without the end of the body, so that it looks incomplete."""
     transport = request.transport
--- a/src/arbutusbay/node/_peers.py
+++ b/src/arbutusbay/node/_peers.py
@@ -10,11 +10,12 @@
 from arbutusbay.node._board import NodeBoard
 from arbutusbay.node._clock import now_s
 from arbutusbay.platform import endpoint_from_text
-from arbutusbay.scheduling import EngineView, Occupancy, PeerOccupancy
+from arbutusbay.scheduling import EngineView, Occupancy, PeerOccupancy, WorkSums
 
 _LOG = get_logger('peers')
 _LEAST_INTERVAL_S = 0.1
 _REFRESH_S = 1.0
+_MIX_UNIT = 1000
 
 
 class PeerChannel(asyncio.DatagramProtocol):
@@ -30,7 +31,7 @@
         self.me = me
         self.transport: asyncio.DatagramTransport | None = None
         self.last_sent = b''
-        self.loading_until_s: dict[str, float] = {}
+        self.loads: dict[str, EngineView] = {}
 
     def connection_made(self, transport: Any) -> None:
         """Keep the transport to send with."""
@@ -62,10 +63,16 @@
             self.send()
             await asyncio.sleep(_LEAST_INTERVAL_S)
 
-    def mark_loading(self, view: EngineView, until_s: float) -> None:
-        """Announce that an engine changes weights until ``until_s``."""
+    def announce_load(
+        self,
+        view: EngineView,
+        from_s: float,
+        until_s: float,
+    ) -> None:
+        """Announce when an engine changes weights."""
+        view.load_from_s = from_s
         view.load_until_s = until_s
-        self.loading_until_s[view.id] = until_s
+        self.loads[view.id] = view
         self.board.load_changed.set()
 
     def send(self) -> None:
@@ -90,8 +97,13 @@
                     held.uncached_tokens,
                     held.resident_tokens,
                 ]
-        state: dict[str, Any] = {'n': self.me.name, 'o': out}
-        loading = self._loading_ms()
+        mix = self.board.mix.sums(now_s())
+        state: dict[str, Any] = {
+            'n': self.me.name,
+            'o': out,
+            'm': [int(mix.short / _MIX_UNIT), int(mix.long / _MIX_UNIT)],
+        }
+        loading = self._load_times_ms()
         if loading:
             state['l'] = loading
             state['w'] = {
@@ -101,29 +113,38 @@
             }
         return state
 
-    def _loading_ms(self) -> dict[str, int]:
+    def _load_times_ms(self) -> dict[str, tuple[int, int]]:
         moment_s = now_s()
         recent_s = moment_s - _REFRESH_S
-        self.loading_until_s = {
-            view_id: until_s
-            for view_id, until_s in self.loading_until_s.items()
-            if until_s > recent_s
+        self.loads = {
+            view_id: view
+            for view_id, view in self.loads.items()
+            if view.load_until_s > recent_s
         }
         return {
-            view_id: max(0, int((until_s - moment_s) * 10) * 100)
-            for view_id, until_s in self.loading_until_s.items()
+            view_id: (
+                int((view.load_from_s - moment_s) * 1000),
+                int((view.load_until_s - moment_s) * 1000),
+            )
+            for view_id, view in self.loads.items()
         }
 
     def _take_up(self, state: dict[str, Any]) -> None:
         moment_s = now_s()
         sender = str(state['n'])
         out = state['o']
+        short, long = state['m']
+        self.board.peer_mixes[sender] = WorkSums(
+            short=float(short) * _MIX_UNIT,
+            long=float(long) * _MIX_UNIT,
+        )
         for view in self.board.views.values():
             self._put_occupancy(view, sender, out.get(view.id), moment_s)
-        for view_id, remaining_ms in state.get('l', {}).items():
+        for view_id, (from_ms, until_ms) in state.get('l', {}).items():
             view = self.board.views.get(view_id)
             if view is not None:
-                view.load_until_s = moment_s + int(remaining_ms) / 1000
+                view.load_from_s = moment_s + int(from_ms) / 1000
+                view.load_until_s = moment_s + int(until_ms) / 1000
         for view_id, (incarnation, weights) in state.get('w', {}).items():
             self._put_weights(view_id, incarnation, weights)
 
--- a/src/arbutusbay/node/_placer.py
+++ b/src/arbutusbay/node/_placer.py
@@ -14,10 +14,12 @@
     Attempt,
     Choice,
     EngineView,
+    ModelSetting,
     ModelWork,
     Outcome,
     choose_for_model,
     choose_for_plain,
+    short_fractions,
     usable_engines,
     weights_of,
 )
@@ -72,6 +74,7 @@
         choice = self._choose(incoming, usable, moment_s)
         if choice is None:
             return None
+        self._log_choice(incoming, choice, len(usable), moment_s)
         return Placement(
             choice=choice,
             orders=self._orders(incoming, choice.engine, resume_after),
@@ -160,14 +163,54 @@
                 now_s=moment_s,
                 rng=self.board.rng,
             )
-        return choose_for_model(
-            work_of(incoming),
-            usable,
+        setting = ModelSetting(
             own_zone=self.board.settings.zone,
             capacity_tokens=incoming.service.kv_capacity_tokens,
+            short_fractions=short_fractions(
+                self.board.views_of(incoming.service.name),
+                self.board.short_share(),
+            ),
             now_s=moment_s,
+        )
+        choice = choose_for_model(
+            work_of(incoming),
+            usable,
+            setting=setting,
             rng=self.board.rng,
         )
+        if choice is not None:
+            self.board.mix.put(
+                prompt_tokens=incoming.head.prompt_tokens,
+                uncached_tokens=choice.uncached_tokens,
+                output_tokens=incoming.head.max_output_tokens,
+                now_s=moment_s,
+            )
+        return choice
+
+    def _log_choice(
+        self,
+        incoming: IncomingRequest,
+        choice: Choice,
+        candidates: int,
+        moment_s: float,
+    ) -> None:
+        view = choice.engine
+        out = view.occupancy(moment_s)
+        _LOG.info(
+            'placed',
+            fields={
+                'request_id': incoming.id,
+                'server': view.id,
+                'candidates': candidates,
+                'cost': round(choice.cost, 1),
+                'uncached': choice.uncached_tokens,
+                'ahead': out.uncached_tokens,
+                'attempts': out.attempts,
+                'weights': weights_of(view, incoming.head.model),
+                'slowdown': view.slowdown,
+                'load_age_ms': int((moment_s - view.reported_s) * 1000),
+            },
+        )
 
     def _orders(
         self,
--- a/src/arbutusbay/node/_rollout.py
+++ b/src/arbutusbay/node/_rollout.py
@@ -23,13 +23,15 @@
 )
 from arbutusbay.scheduling import (
     EngineView,
+    NOTICE_S,
+    RolloutState,
     WeightsLoad,
     next_loads,
     outdated_engines,
 )
 
 _LOG = get_logger('rollout')
-_CALL_S = 0.5
+_CALL_S = 0.4
 _POLL_S = 0.05
 _IDLE_CHECK_S = 1.0
 _STANDBY_DELAY_S = 0.8
@@ -68,6 +70,8 @@
         self.session = session
         self.loads: dict[str, asyncio.Task[None]] = {}
         self.order_counts: dict[tuple[str, int], int] = {}
+        self.announced_s: dict[str, float] = {}
+        self.put_off_until_s: dict[str, float] = {}
 
     async def run(self) -> None:
         """Start loads whenever engines lag behind the named version."""
@@ -128,16 +132,37 @@
         if await self.lease.ensure() is None:
             await asyncio.sleep(_RETRY_PAUSE_S)
             return
-        for model, engines in self._lagging().items():
+        lagging = self._lagging()
+        for model, engines in lagging.items():
             target = self.board.catalog.targets[model]
             services = {engine.service for engine in engines}
             for service in services:
                 self._start_loads(service, model, target.version)
 
     def _start_loads(self, service: str, model: str, version: int) -> None:
+        moment_s = now_s()
         engines = self.board.views_of(service)
-        busy = {engine.id for engine in engines if engine.id in self.loads}
-        for load in next_loads(engines, model, version, busy):
+        loads = next_loads(
+            engines,
+            model,
+            version,
+            RolloutState(
+                announced_s=self.announced_s,
+                loading=self.loads.keys(),
+                put_off={
+                    name
+                    for name, until_s in self.put_off_until_s.items()
+                    if moment_s < until_s
+                },
+                now_s=moment_s,
+            ),
+        )
+        for engine in loads.announce:
+            self.announced_s[engine.id] = moment_s
+            start_s = moment_s + NOTICE_S
+            self.peers.announce_load(engine, start_s, start_s + _LOAD_GUESS_S)
+        for load in loads.start:
+            self.announced_s.pop(load.engine.id, None)
             task = asyncio.create_task(self._load(load))
             self.loads[load.engine.id] = task
             task.add_done_callback(
@@ -159,12 +184,12 @@
     async def _carry_out(self, progress: LoadProgress) -> None:
         engine = progress.load.engine
         if progress.order_count is None and not await self._ask(progress):
-            await asyncio.sleep(_RETRY_PAUSE_S)
+            self._put_off(engine)
             return
         fence = self.lease.valid_fence()
         if fence is None or self._is_done(progress):
             return
-        self.peers.mark_loading(engine, now_s() + _LOAD_GUESS_S)
+        self._mark_loading(engine, _LOAD_GUESS_S)
         outcome = await self._order(progress, fence)
         if outcome in {OrderOutcome.ACCEPTED, OrderOutcome.ALREADY_DONE}:
             await self._await_loaded(progress)
@@ -173,8 +198,8 @@
         if outcome is OrderOutcome.UNKNOWN:
             await self._await_busy(progress)
             return
-        self.peers.mark_loading(engine, now_s())
-        await asyncio.sleep(_RETRY_PAUSE_S)
+        self._mark_loading(engine, 0)
+        self._put_off(engine)
 
     async def _order(
         self,
@@ -226,10 +251,7 @@
             await self._ask(progress)
             if self._is_done(progress):
                 return
-            self.peers.mark_loading(
-                progress.load.engine,
-                now_s() + _POLL_S * 2,
-            )
+            self._mark_loading(progress.load.engine, _POLL_S * 2)
             await asyncio.sleep(_POLL_S)
 
     async def _ask(self, progress: LoadProgress) -> EngineReport | None:
@@ -261,7 +283,7 @@
 
     def _put_done(self, progress: LoadProgress) -> None:
         load = progress.load
-        self.peers.mark_loading(load.engine, now_s())
+        self._mark_loading(load.engine, 0)
         _LOG.info(
             'weights loaded',
             fields={
@@ -272,6 +294,14 @@
             },
         )
 
+    def _mark_loading(self, engine: EngineView, remaining_s: float) -> None:
+        moment_s = now_s()
+        self.peers.announce_load(engine, moment_s, moment_s + remaining_s)
+
+    def _put_off(self, engine: EngineView) -> None:
+        """Let other engines load before this one is tried again."""
+        self.put_off_until_s[engine.id] = now_s() + _RETRY_PAUSE_S
+
     def _forget_count(self, engine: EngineView) -> None:
         self.order_counts.pop((engine.id, engine.incarnation), None)
 
--- a/src/arbutusbay/node/_stream_run.py
+++ b/src/arbutusbay/node/_stream_run.py
@@ -9,6 +9,7 @@
 from arbutusbay.errors import ErrorKind, Failure
 from arbutusbay.logs import get_logger
 from arbutusbay.node._attempts import Answer, AttemptFailure, OpenAnswer
+from arbutusbay.node._clock import now_s
 from arbutusbay.node._placer import Placement
 from arbutusbay.node._request_run import RequestRun
 from arbutusbay.platform import StreamEvent
@@ -32,6 +33,30 @@
 StreamResult = Relayed | Broken | Answer | Failure
 
 
+@attrs.define(kw_only=True)
+class StreamPace:
+    """Measure when events were passed on, in seconds."""
+
+    events: int = 0
+    first_s: float | None = None
+    last_s: float = 0.0
+    longest_gap_s: float = 0.0
+    longest_gap_end_s: float = 0.0
+
+    def put_event(self) -> None:
+        """Take up that an event was passed on now."""
+        moment_s = now_s()
+        if self.first_s is None:
+            self.first_s = moment_s
+        else:
+            gap_s = moment_s - self.last_s
+            if gap_s > self.longest_gap_s:
+                self.longest_gap_s = gap_s
+                self.longest_gap_end_s = moment_s
+        self.last_s = moment_s
+        self.events += 1
+
+
 class StreamRun:
     """Relay one stream to a client, each event exactly once."""
 
@@ -42,7 +67,7 @@
         self.response: web.StreamResponse | None = None
         self.last_number = run.incoming.head.last_event_id
         self.weights_version: int | None = None
-        self.events = 0
+        self.pace = StreamPace()
 
     async def relay(self) -> StreamResult:
         """Relay until the end, a failure, or the deadline."""
@@ -123,7 +148,7 @@
         if self.response is None:
             self.response = await self._prepare(answer)
         await self.response.write(event.raw)
-        self.events += 1
+        self.pace.put_event()
         if event.number is not None:
             self.last_number = event.number
 
--- a/src/arbutusbay/scheduling/__init__.py
+++ b/src/arbutusbay/scheduling/__init__.py
@@ -17,30 +17,47 @@
 )
 from arbutusbay.scheduling._placement import (
     Choice,
+    ModelSetting,
     ModelWork,
     choose_for_model,
     choose_for_plain,
     usable_engines,
 )
 from arbutusbay.scheduling._rollout_plan import (
+    NOTICE_S,
+    NextLoads,
+    RolloutState,
     WeightsLoad,
     next_loads,
     outdated_engines,
     parallel_loads,
 )
+from arbutusbay.scheduling._sides import (
+    WorkMix,
+    WorkSums,
+    ranked_engines,
+    short_fractions,
+    short_share,
+)
 
 __all__ = (
+    'NOTICE_S',
     'Attempt',
     'AttemptCount',
     'Budget',
     'Choice',
     'EngineView',
+    'ModelSetting',
     'ModelWork',
+    'NextLoads',
     'NextStep',
     'Occupancy',
     'Outcome',
     'PeerOccupancy',
+    'RolloutState',
     'WeightsLoad',
+    'WorkMix',
+    'WorkSums',
     'choose_for_model',
     'choose_for_plain',
     'is_known_not_run',
@@ -48,6 +65,9 @@
     'next_step',
     'outdated_engines',
     'parallel_loads',
+    'ranked_engines',
+    'short_fractions',
+    'short_share',
     'usable_engines',
     'weights_of',
 )
--- a/src/arbutusbay/scheduling/_engine_view.py
+++ b/src/arbutusbay/scheduling/_engine_view.py
@@ -57,6 +57,7 @@
     weights: dict[str, int] = attrs.field(factory=dict)
     incarnation: int = 0
     is_draining: bool = False
+    load_from_s: float = float('inf')
     load_until_s: float = 0.0
     slowdown: float = 1.0
     reported_s: float = 0.0
@@ -99,7 +100,11 @@
 
     def is_loading(self, now_s: float) -> bool:
         """Tell whether the engine is expected to change weights now."""
-        return now_s < self.load_until_s
+        return self.load_from_s <= now_s < self.load_until_s
+
+    def is_load_announced(self, now_s: float) -> bool:
+        """Tell whether the engine will change weights shortly."""
+        return now_s < self.load_from_s < self.load_until_s
 
     def own_occupancy(self) -> Occupancy:
         """Return what this VM has out."""
--- a/src/arbutusbay/scheduling/_placement.py
+++ b/src/arbutusbay/scheduling/_placement.py
@@ -1,17 +1,21 @@
 """Choose the backend server that is predicted to answer first."""
 
 import random
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Mapping, Sequence
 
 import attrs
 
 from arbutusbay.hashing import rendezvous_order
 from arbutusbay.scheduling._engine_view import EngineView
+from arbutusbay.scheduling._sides import is_long_prompt
 
 _AFFINITY_REPLICAS = 2
 _RUNNING_TOKENS = 40
 _OTHER_ZONE_TOKENS = 60
 _TIE_TOKENS = 100
+_SHORT_ELSEWHERE_TOKENS = 5000
+_PAUSED_STREAM_TOKENS = 8000
+_LONG_ELSEWHERE_TOKENS = 12_000
 
 
 @attrs.frozen(kw_only=True)
@@ -34,6 +38,20 @@
         return self.prompt_tokens + self.output_tokens
 
 
+@attrs.frozen(kw_only=True)
+class ModelSetting:
+    """Hold what placement of requests for models depends on.
+
+    ``short_fractions`` says how far each engine is for short prompts;
+    ``capacity_tokens`` is an engine's memory, 0 where unknown.
+    """
+
+    own_zone: str
+    capacity_tokens: int
+    short_fractions: Mapping[str, float]
+    now_s: float
+
+
 @attrs.frozen(kw_only=True)
 class Choice:
     """Name the chosen engine and what the attempt is expected to cost."""
@@ -62,9 +80,7 @@
     work: ModelWork,
     engines: Sequence[EngineView],
     *,
-    own_zone: str,
-    capacity_tokens: int,
-    now_s: float,
+    setting: ModelSetting,
     rng: random.Random,
 ) -> Choice | None:
     """Return the engine with the least work before the first token.
@@ -74,18 +90,13 @@
     """
     if not engines:
         return None
-    by_id = {engine.id: engine for engine in engines}
-    order = rendezvous_order(work.affinity_key, by_id)
-    holders = frozenset(order[:_AFFINITY_REPLICAS])
+    holders = frozenset(
+        rendezvous_order(work.affinity_key, _own_side(work, engines, setting))[
+            :_AFFINITY_REPLICAS
+        ],
+    )
     choices = [
-        _model_choice(
-            work,
-            engine,
-            is_holder=engine.id in holders,
-            own_zone=own_zone,
-            capacity_tokens=capacity_tokens,
-            now_s=now_s,
-        )
+        _model_choice(work, engine, engine.id in holders, setting)
         for engine in engines
     ]
     best = min(choice.cost for choice in choices)
@@ -119,12 +130,11 @@
 def _model_choice(
     work: ModelWork,
     engine: EngineView,
-    *,
     is_holder: bool,
-    own_zone: str,
-    capacity_tokens: int,
-    now_s: float,
+    setting: ModelSetting,
 ) -> Choice:
+    now_s = setting.now_s
+    capacity_tokens = setting.capacity_tokens
     uncached = work.prompt_tokens - (work.shared_tokens if is_holder else 0)
     out = engine.occupancy(now_s)
     running = max(out.attempts, engine.running if out.attempts else 0)
@@ -133,6 +143,34 @@
     if capacity_tokens and resident > capacity_tokens:
         cost += resident - capacity_tokens
     cost *= engine.current_slowdown(now_s)
-    if engine.zone != own_zone:
+    cost += _other_side_tokens(work, engine, setting)
+    if engine.is_load_announced(now_s):
+        cost += _PAUSED_STREAM_TOKENS
+    if engine.zone != setting.own_zone:
         cost += _OTHER_ZONE_TOKENS
     return Choice(engine=engine, uncached_tokens=uncached, cost=cost)
+
+
+def _other_side_tokens(
+    work: ModelWork,
+    engine: EngineView,
+    setting: ModelSetting,
+) -> float:
+    fraction = setting.short_fractions.get(engine.id, 0.5)
+    if is_long_prompt(work.prompt_tokens):
+        return fraction * _LONG_ELSEWHERE_TOKENS
+    return (1 - fraction) * _SHORT_ELSEWHERE_TOKENS
+
+
+def _own_side(
+    work: ModelWork,
+    engines: Sequence[EngineView],
+    setting: ModelSetting,
+) -> list[str]:
+    """Return the engines meant for the length of the prompt."""
+    is_long = is_long_prompt(work.prompt_tokens)
+    return [
+        engine.id
+        for engine in engines
+        if (setting.short_fractions.get(engine.id, 0) < 0.5) == is_long
+    ] or [engine.id for engine in engines]
--- a/src/arbutusbay/scheduling/_rollout_plan.py
+++ b/src/arbutusbay/scheduling/_rollout_plan.py
@@ -1,12 +1,19 @@
-"""Plan which engines load new weights next."""
+"""Plan which engines load new weights, and warn of it in time.
 
-from collections.abc import Collection, Sequence
+A stream that runs on while its engine loads pauses for longer than
+clients accept. So each load is announced first: long streams then go to
+other engines, and those that run have time to end.
+"""
+
+from collections.abc import Collection, Mapping, Sequence
 
 import attrs
 
 from arbutusbay.scheduling._engine_view import EngineView
+from arbutusbay.scheduling._sides import ranked_engines
 
 _PARALLEL_SHARE = 3
+NOTICE_S = 0.35
 
 
 @attrs.frozen(kw_only=True)
@@ -18,6 +25,29 @@
     version: int
 
 
+@attrs.frozen(kw_only=True)
+class RolloutState:
+    """Hold what a rollout has announced, started and put off.
+
+    ``announced_s`` says when each engine's load was announced; ``loading``
+    names engines whose load is in progress, ``put_off`` those that did not
+    answer.
+    """
+
+    announced_s: Mapping[str, float]
+    loading: Collection[str]
+    put_off: Collection[str]
+    now_s: float
+
+
+@attrs.frozen(kw_only=True)
+class NextLoads:
+    """Say which loads to start now and which to announce."""
+
+    start: Sequence[WeightsLoad]
+    announce: Sequence[EngineView]
+
+
 def outdated_engines(
     engines: Collection[EngineView],
     model: str,
@@ -42,20 +72,48 @@
     engines: Sequence[EngineView],
     model: str,
     version: int,
-    busy: Collection[str],
-) -> list[WeightsLoad]:
-    """Return the loads to start now, the least occupied engines first.
+    state: RolloutState,
+) -> NextLoads:
+    """Return the loads to start and to announce now.
 
-    ``busy`` names engines whose load is in progress.
+    Ranks are spread over the rounds, so that of engines with the same kind
+    of work only a few load at once.
     """
-    free = parallel_loads(len(engines)) - len(busy)
+    limit = parallel_loads(len(engines))
+    outdated = outdated_engines(_spread(engines, limit), model, version)
     waiting = [
         engine
-        for engine in outdated_engines(engines, model, version)
-        if engine.id not in busy
+        for engine in outdated
+        if engine.id not in state.loading and engine.id not in state.put_off
+    ]
+    places = max(0, limit - len(state.loading))
+    start = [
+        engine for engine in waiting[:places] if _is_noticed(engine, state)
     ]
-    waiting.sort(key=lambda engine: (len(engine.out), engine.id))
+    following = waiting[: max(places, 1)] if places else waiting[:limit]
+    return NextLoads(
+        start=[
+            WeightsLoad(engine=engine, model=model, version=version)
+            for engine in start
+        ],
+        announce=[
+            engine for engine in following if engine.id not in state.announced_s
+        ],
+    )
+
+
+def _spread(engines: Sequence[EngineView], limit: int) -> list[EngineView]:
+    ranked = ranked_engines(engines)
+    rounds = max(1, -(-len(ranked) // limit))
     return [
-        WeightsLoad(engine=engine, model=model, version=version)
-        for engine in waiting[: max(0, free)]
+        engine for first in range(rounds) for engine in ranked[first::rounds]
     ]
+
+
+def _is_noticed(engine: EngineView, state: RolloutState) -> bool:
+    announced_s = state.announced_s.get(engine.id)
+    if announced_s is None:
+        return False
+    if not engine.occupancy(state.now_s).attempts:
+        return True
+    return state.now_s - announced_s >= NOTICE_S
