Count a held prefix for less beside a store of kept cache

Cause: choices assumed that a holder saves the whole shared prefix, so after each change of weights, when nothing is cached, work piled up on holders.

--- a/src/arbutusbay/node/_placer.py
+++ b/src/arbutusbay/node/_placer.py
@@ -26,6 +26,7 @@
 
 _LOG = get_logger('placement')
 _WEIGHTS_MARGIN_S = 1.0
+_SAVING_WITH_STORE = 0.4
 _MOST_URGENT = 0
 _LEAST_URGENT = 9
 _SHARED_BY_ALL = 'shared'
@@ -170,6 +171,9 @@
                 self.board.views_of(incoming.service.name),
                 self.board.short_share(),
             ),
+            holder_saving=_SAVING_WITH_STORE
+            if self._cache_store_address()
+            else 1.0,
             now_s=moment_s,
         )
         choice = choose_for_model(
--- a/src/arbutusbay/scheduling/_engine_view.py
+++ b/src/arbutusbay/scheduling/_engine_view.py
@@ -6,7 +6,7 @@
 
 _FIRST_PAUSE_S = 0.3
 _MAX_PAUSE_S = 4.0
-_LOAD_MEMORY_S = 2.0
+_LOAD_MEMORY_S = 1.0
 _PEER_MEMORY_S = 3.0
 
 
@@ -46,7 +46,8 @@
     """Hold identity, weights, load and recent failures of one engine.
 
     Times are seconds on one clock; ``slowdown`` is how many times longer
-    than usual its machine takes.
+    than usual its machine takes, ``usual_slowdown`` the least that was
+    seen.
     """
 
     id: str
@@ -60,6 +61,7 @@
     load_from_s: float = float('inf')
     load_until_s: float = 0.0
     slowdown: float = 1.0
+    usual_slowdown: float = 1.0
     reported_s: float = 0.0
     running: int = 0
     waiting: int = 0
@@ -80,6 +82,10 @@
         self.running = running
         self.waiting = waiting
         self.slowdown = slowdown
+        if self.reported_s:
+            self.usual_slowdown = min(self.usual_slowdown, slowdown)
+        else:
+            self.usual_slowdown = slowdown
         self.reported_s = now_s
 
     def put_failure(self, now_s: float) -> float:
@@ -130,11 +136,12 @@
         )
 
     def current_slowdown(self, now_s: float) -> float:
-        """Return the slowdown while its report is recent, else 1."""
+        """Return the reported slowdown, fading to the usual one."""
         age_s = now_s - self.reported_s
-        if age_s > _LOAD_MEMORY_S:
-            return 1.0
-        return 1 + (self.slowdown - 1) * (1 - age_s / _LOAD_MEMORY_S)
+        weight = max(0.0, 1 - age_s / _LOAD_MEMORY_S)
+        return self.usual_slowdown + weight * (
+            self.slowdown - self.usual_slowdown
+        )
 
     def _fresh_peers(self, now_s: float) -> Iterator[Occupancy]:
         for peer in self.peers.values():
--- a/src/arbutusbay/scheduling/_placement.py
+++ b/src/arbutusbay/scheduling/_placement.py
@@ -44,11 +44,14 @@
 
     ``short_fractions`` says how far each engine is for short prompts;
     ``capacity_tokens`` is an engine's memory, 0 where unknown.
+    ``holder_saving`` is the share of the work on a shared prefix that an
+    engine saves by holding it, which a store of kept cache makes smaller.
     """
 
     own_zone: str
     capacity_tokens: int
     short_fractions: Mapping[str, float]
+    holder_saving: float
     now_s: float
 
 
@@ -135,7 +138,9 @@
 ) -> Choice:
     now_s = setting.now_s
     capacity_tokens = setting.capacity_tokens
-    uncached = work.prompt_tokens - (work.shared_tokens if is_holder else 0)
+    uncached = work.prompt_tokens
+    if is_holder:
+        uncached -= int(work.shared_tokens * setting.holder_saving)
     out = engine.occupancy(now_s)
     running = max(out.attempts, engine.running if out.attempts else 0)
     cost = float(out.uncached_tokens + uncached + running * _RUNNING_TOKENS)
