--- a/src/arbutusbay/node/_placer.py
+++ b/src/arbutusbay/node/_placer.py
@@ -27,6 +27,7 @@
 _LOG = get_logger('placement')
 _WEIGHTS_MARGIN_S = 1.0
 _SAVING_WITH_STORE = 0.4
+_WARM_SHARE = 0.75
 _MOST_URGENT = 0
 _LEAST_URGENT = 9
 _SHARED_BY_ALL = 'shared'
@@ -176,8 +177,9 @@
             else 1.0,
             now_s=moment_s,
         )
+        work = work_of(incoming)
         choice = choose_for_model(
-            work_of(incoming),
+            work,
             usable,
             setting=setting,
             rng=self.board.rng,
@@ -185,7 +187,9 @@
         if choice is not None:
             self.board.mix.put(
                 prompt_tokens=incoming.head.prompt_tokens,
-                uncached_tokens=choice.uncached_tokens,
+                uncached_tokens=int(
+                    work.prompt_tokens - work.shared_tokens * _WARM_SHARE,
+                ),
                 output_tokens=incoming.head.max_output_tokens,
                 now_s=moment_s,
             )
