--- a/src/arbutusbay/node/_board.py
+++ b/src/arbutusbay/node/_board.py
@@ -43,7 +43,8 @@
 class NodeBoard:
     """Hold what the daemon knows, and what is in progress.
 
-    ``busy`` holds the connections on which a request is being answered.
+    ``busy`` holds the connections on which a request is being answered,
+    ``heard_s`` when each other VM was last heard of.
     """
 
     settings: VMSettings
@@ -55,6 +56,8 @@
     mix: WorkMix = attrs.field(factory=WorkMix)
     peer_mixes: dict[str, WorkSums] = attrs.field(factory=dict)
     changed: asyncio.Event = attrs.field(factory=asyncio.Event)
+    heard_s: dict[str, float] = attrs.field(factory=dict)
+    relay_changed: asyncio.Event = attrs.field(factory=asyncio.Event)
     load_changed: asyncio.Event = attrs.field(factory=asyncio.Event)
     has_read_servers: bool = False
     is_stopping: bool = False
@@ -112,6 +115,11 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def notify_relay(self) -> None:
+        """Wake the VMs that wait for news of the store."""
+        self.relay_changed.set()
+        self.relay_changed = asyncio.Event()
+
     def notify_load(self) -> None:
         """Wake the controller that tells other VMs of own attempts."""
         self.load_changed.set()
--- /dev/null
+++ b/src/arbutusbay/node/_follower.py
@@ -0,0 +1,192 @@
+"""Learn what the store holds, from the store or from another VM."""
+
+import asyncio
+
+import aiohttp
+from result import Err, Ok, Result
+
+from arbutusbay.errors import ErrorKind, Failure
+from arbutusbay.fleet import VMRecord
+from arbutusbay.logs import get_logger
+from arbutusbay.node._board import NodeBoard
+from arbutusbay.node._clock import now_s
+from arbutusbay.node._relay_api import RELAY_PATH
+from arbutusbay.node._relay_messages import (
+    RelayAnswer,
+    relay_answer_from_bytes,
+)
+from arbutusbay.node._store_reader import TopicReader
+from arbutusbay.node._topics import OperatorTopic, ServersTopic
+from arbutusbay.platform import StoreClient
+from arbutusbay.scheduling import (
+    FollowVM,
+    ReadStore,
+    Source,
+    source_name,
+    sources_in_order,
+)
+
+_LOG = get_logger('follower')
+_OPERATOR_WAIT_S = 1.0
+_SERVERS_PAUSE_S = 0.9
+_HOLD_S = 0.6
+_ANSWER_S = 0.4
+_MAX_SOURCE_AGE_S = 2.6
+_AVOID_S = 3.0
+_SILENT_S = 3.0
+_STORE_FAILURES = 3
+_LAST_RESORT_PAUSE_S = 0.3
+
+
+class Follower:
+    """Keep the topics up to date from the best source that works."""
+
+    def __init__(
+        self,
+        *,
+        board: NodeBoard,
+        store: StoreClient,
+        session: aiohttp.ClientSession,
+        operator: OperatorTopic,
+        servers: ServersTopic,
+    ) -> None:
+        """Fold into ``operator`` and ``servers``."""
+        self.board = board
+        self.session = session
+        self.operator = operator
+        self.servers = servers
+        self.operator_reader = TopicReader(
+            state=operator,
+            store=store,
+            wait_s=_OPERATOR_WAIT_S,
+            pause_s=0,
+        )
+        self.servers_reader = TopicReader(
+            state=servers,
+            store=store,
+            wait_s=0,
+            pause_s=_SERVERS_PAUSE_S,
+        )
+        self.avoid_until_s: dict[str, float] = {}
+        self.source = ''
+
+    async def run(self) -> None:
+        """Learn until cancelled."""
+        while True:
+            source = self._choose()
+            self._note(source)
+            match source:
+                case ReadStore():
+                    await self._read_store()
+                case FollowVM(vm=vm):
+                    await self._follow(vm)
+
+    def _choose(self) -> Source:
+        moment_s = now_s()
+        board = self.board
+        silent = {
+            name
+            for name, heard_s in board.heard_s.items()
+            if moment_s - heard_s > _SILENT_S
+        }
+        name = board.settings.name
+        sources = sources_in_order(name, board.catalog.vms, silent)
+        for source in sources:
+            if self.avoid_until_s.get(source_name(source), 0) <= moment_s:
+                return source
+        return ReadStore()
+
+    def _note(self, source: Source) -> None:
+        name = source_name(source)
+        if name == self.source:
+            return
+        _LOG.info(
+            'source of configuration changed',
+            fields={
+                'source': name,
+                'before': self.source,
+                'config_age_ms': self.board.age_ms(),
+            },
+        )
+        self.source = name
+
+    async def _read_store(self) -> None:
+        """Read the store until it fails or a better source is there."""
+        readers = (self.operator_reader, self.servers_reader)
+        for reader in readers:
+            reader.failures = 0
+        tasks = [asyncio.create_task(reader.run()) for reader in readers]
+        try:
+            while self.operator_reader.failures < _STORE_FAILURES:
+                await asyncio.sleep(_LAST_RESORT_PAUSE_S)
+                if not isinstance(self._choose(), ReadStore):
+                    return
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+        self._avoid('store')
+
+    async def _follow(self, vm: VMRecord) -> None:
+        sent_s = now_s()
+        match await self._ask(vm):
+            case Err(failure):
+                _LOG.info(
+                    'source failed',
+                    fields={'source': vm.name, 'detail': failure.detail},
+                )
+                self._avoid(vm.name)
+            case Ok(answer):
+                self._take_up(vm, answer, sent_s)
+
+    def _take_up(
+        self,
+        vm: VMRecord,
+        answer: RelayAnswer,
+        sent_s: float,
+    ) -> None:
+        for state, news in (
+            (self.operator, answer.operator),
+            (self.servers, answer.servers),
+        ):
+            state.put(news.records, news.end, is_whole=news.is_whole)
+        self.operator.put_read(sent_s + answer.held_s - answer.age_s)
+        if answer.age_s > _MAX_SOURCE_AGE_S:
+            _LOG.info(
+                'source is behind',
+                fields={
+                    'source': vm.name,
+                    'age_ms': int(answer.age_s * 1000),
+                },
+            )
+            self._avoid(vm.name)
+
+    async def _ask(self, vm: VMRecord) -> Result[RelayAnswer, Failure]:
+        try:
+            async with self.session.get(
+                f'http://{vm.address}{RELAY_PATH}',
+                params={
+                    'operator': _offset_text(self.operator.end),
+                    'servers': _offset_text(self.servers.end),
+                    'hold_ms': str(int(_HOLD_S * 1000)),
+                },
+                timeout=aiohttp.ClientTimeout(total=_HOLD_S + _ANSWER_S),
+            ) as response:
+                body = await response.read()
+                status = response.status
+        except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
+            return _unreachable(repr(error))
+        if status != 200:
+            return _unreachable(f'status {status}')
+        return relay_answer_from_bytes(body)
+
+    def _avoid(self, name: str) -> None:
+        self.avoid_until_s[name] = now_s() + _AVOID_S
+
+
+def _offset_text(offset: int | None) -> str:
+    return str(-1 if offset is None else offset)
+
+
+def _unreachable(detail: str) -> Err[Failure]:
+    return Err(Failure(kind=ErrorKind.PEER_UNREACHABLE, detail=detail))
--- a/src/arbutusbay/node/_main.py
+++ b/src/arbutusbay/node/_main.py
@@ -18,16 +18,18 @@
 from arbutusbay.node._board import NodeBoard
 from arbutusbay.node._connections import new_checked_session
 from arbutusbay.node._control_api import ControlApi
+from arbutusbay.node._follower import Follower
 from arbutusbay.node._frontend import Frontend
 from arbutusbay.node._lease import Lease
 from arbutusbay.node._metrics import NodeMetrics
 from arbutusbay.node._peers import PeerChannel
 from arbutusbay.node._placer import Placer
+from arbutusbay.node._relay_api import RelayApi
 from arbutusbay.node._registration import register
 from arbutusbay.node._rollout import Rollout
 from arbutusbay.node._server_views import ServerViews
 from arbutusbay.node._shutdown import drain
-from arbutusbay.node._store_tail import OperatorTail, ServersTail
+from arbutusbay.node._topics import OperatorTopic, ServersTopic
 from arbutusbay.platform import (
     Endpoint,
     StoreClient,
@@ -112,6 +114,9 @@
         )
         self.peers = PeerChannel(board=self.board, me=self.me)
         self.views = ServerViews(board=self.board)
+        self.operator = OperatorTopic(board=self.board)
+        self.servers = ServersTopic(board=self.board, views=self.views)
+        self.board.catalog.vms[self.me.name] = self.me
         self.lease = Lease(
             name='weights',
             holder=settings.name,
@@ -167,6 +172,17 @@
         ]
         if self.settings.control is not None:
             servers.append(await _listen_on(self.settings.control, operators))
+        relay = RelayApi(
+            board=self.board,
+            operator=self.operator,
+            servers=self.servers,
+        )
+        peer_endpoint = Endpoint(
+            host=self.settings.ip,
+            port=self.settings.peer_ports[0],
+        )
+        peers = web.Server(relay.handle, access_log=None)
+        servers.append(await _listen_on(peer_endpoint, peers))
         loop = asyncio.get_running_loop()
         await loop.create_datagram_endpoint(
             lambda: self.peers,
@@ -175,11 +191,12 @@
         return clients, servers
 
     def _start_controllers(self) -> None:
-        operator = OperatorTail(board=self.board, store=self.store)
-        servers = ServersTail(
+        follower = Follower(
             board=self.board,
             store=self.store,
-            views=self.views,
+            session=self.session,
+            operator=self.operator,
+            servers=self.servers,
         )
         rollout = Rollout(
             board=self.board,
@@ -188,8 +205,7 @@
             views=self.views,
             session=self.session,
         )
-        self._start('operator', operator.run())
-        self._start('servers', servers.run())
+        self._start('follower', follower.run())
         self._start('rollout', rollout.run())
         self._start('peers', self.peers.run())
         self._start(
--- a/src/arbutusbay/node/_peers.py
+++ b/src/arbutusbay/node/_peers.py
@@ -40,7 +40,9 @@
     def datagram_received(self, datagram: bytes, address: Any) -> None:
         """Take up what another VM told."""
         try:
-            self._take_up(orjson.loads(datagram))
+            state = orjson.loads(datagram)
+            self._note_sender(state, address)
+            self._take_up(state)
         except (ValueError, KeyError, TypeError, AttributeError) as error:
             _LOG.warning(
                 'datagram skipped',
@@ -100,6 +102,7 @@
         mix = self.board.mix.sums(now_s())
         state: dict[str, Any] = {
             'n': self.me.name,
+            'z': self.me.zone,
             'o': out,
             'm': [int(mix.short / _MIX_UNIT), int(mix.long / _MIX_UNIT)],
         }
@@ -129,6 +132,19 @@
             for view_id, view in self.loads.items()
         }
 
+    def _note_sender(self, state: dict[str, Any], address: Any) -> None:
+        name = str(state['n'])
+        self.board.heard_s[name] = now_s()
+        if name in self.board.catalog.vms:
+            return
+        self.board.catalog.vms[name] = VMRecord(
+            name=name,
+            address=f'{address[0]}:{address[1]}',
+            zone=str(state['z']),
+            started_ms=0,
+        )
+        _LOG.info('vm heard of', fields={'vm': name, 'zone': state['z']})
+
     def _take_up(self, state: dict[str, Any]) -> None:
         moment_s = now_s()
         sender = str(state['n'])
--- /dev/null
+++ b/src/arbutusbay/node/_relay_api.py
@@ -0,0 +1,85 @@
+"""Pass on to other VMs what this one knows of the store."""
+
+import asyncio
+from http import HTTPStatus
+
+from aiohttp import web
+
+from arbutusbay.node._board import NodeBoard
+from arbutusbay.node._clock import now_s
+from arbutusbay.node._relay_messages import (
+    RelayAnswer,
+    TopicNews,
+    relay_answer_to_bytes,
+)
+from arbutusbay.node._topics import TopicState
+
+RELAY_PATH = '/relay'
+_MAX_HOLD_S = 2.0
+
+
+class RelayApi:
+    """Answer the calls of VMs that follow this one."""
+
+    def __init__(
+        self,
+        *,
+        board: NodeBoard,
+        operator: TopicState,
+        servers: TopicState,
+    ) -> None:
+        """Pass on the records of two topics."""
+        self.board = board
+        self.operator = operator
+        self.servers = servers
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer once something changed, or after the time asked for."""
+        if request.path != RELAY_PATH:
+            return web.Response(status=HTTPStatus.NOT_FOUND)
+        try:
+            operator_offset = int(request.query['operator'])
+            servers_offset = int(request.query['servers'])
+            hold_s = min(_MAX_HOLD_S, int(request.query['hold_ms']) / 1000)
+        except (KeyError, ValueError):
+            return web.Response(status=HTTPStatus.BAD_REQUEST)
+        received_s = now_s()
+        await self._hold(operator_offset, servers_offset, hold_s)
+        if self.operator.end is None or self.servers.end is None:
+            return web.Response(status=HTTPStatus.SERVICE_UNAVAILABLE)
+        answer = RelayAnswer(
+            age_s=self.board.freshness.age_s(),
+            held_s=now_s() - received_s,
+            operator=_news(self.operator, operator_offset),
+            servers=_news(self.servers, servers_offset),
+        )
+        return web.Response(body=relay_answer_to_bytes(answer))
+
+    async def _hold(
+        self,
+        operator_offset: int,
+        servers_offset: int,
+        hold_s: float,
+    ) -> None:
+        try:
+            async with asyncio.timeout(hold_s):
+                while not self._has_news(operator_offset, servers_offset):
+                    await self.board.relay_changed.wait()
+        except TimeoutError:
+            return
+
+    def _has_news(self, operator_offset: int, servers_offset: int) -> bool:
+        if operator_offset < 0 or servers_offset < 0:
+            return True
+        return bool(
+            self.operator.since(operator_offset)
+            or self.servers.since(servers_offset),
+        )
+
+
+def _news(state: TopicState, offset: int) -> TopicNews:
+    return TopicNews(
+        records=tuple(state.since(offset)),
+        end=state.end or 0,
+        is_whole=offset < 0,
+    )
--- /dev/null
+++ b/src/arbutusbay/node/_store_reader.py
@@ -0,0 +1,135 @@
+"""Read the topics of the store for this VM and for those that follow it."""
+
+import asyncio
+
+from result import Err, Ok
+
+from arbutusbay.logs import get_logger
+from arbutusbay.node._clock import now_s
+from arbutusbay.node._topics import TopicState
+from arbutusbay.platform import RecordsExpired, StoreClient, StoreFailure
+
+_LOG = get_logger('store')
+_ANSWER_S = 0.7
+_NEWEST_ANSWER_S = 1.5
+_FIRST_PAUSE_S = 0.05
+_MAX_PAUSE_S = 0.8
+
+
+class TopicReader:
+    """Read one topic: the newest records first, then all that follows.
+
+    ``wait_s`` is how long a read may wait for a record, ``pause_s`` the
+    least time between two reads.
+    """
+
+    def __init__(
+        self,
+        *,
+        state: TopicState,
+        store: StoreClient,
+        wait_s: float,
+        pause_s: float,
+    ) -> None:
+        """Read from ``store`` into ``state``."""
+        self.state = state
+        self.store = store
+        self.wait_s = wait_s
+        self.pause_s = pause_s
+        self.must_start_over = False
+        self.failures = 0
+        self.lost_at_s: float | None = None
+
+    async def run(self) -> None:
+        """Read until cancelled."""
+        while True:
+            if await self.step():
+                await asyncio.sleep(self.pause_s)
+            else:
+                await asyncio.sleep(self._backoff_s())
+
+    async def step(self) -> bool:
+        """Read once; tell whether the store answered."""
+        sent_s = now_s()
+        failure = await self._read()
+        if failure is not None:
+            self._note_failure(failure)
+            return False
+        self._note_answer()
+        if not self.must_start_over:
+            self.state.put_read(sent_s)
+        return True
+
+    async def _read(self) -> StoreFailure | None:
+        offset = self.state.end
+        if offset is None or self.must_start_over:
+            return await self._read_newest()
+        page = await self.store.read(
+            self.state.topic,
+            offset,
+            wait_s=self.wait_s,
+            timeout_s=self.wait_s + _ANSWER_S,
+        )
+        match page:
+            case Err(RecordsExpired()):
+                _LOG.info(
+                    'records expired, reading the newest of each key',
+                    fields={
+                        'topic': self.state.topic.value,
+                        'offset': offset,
+                    },
+                )
+                self.must_start_over = True
+                return None
+            case Err(failure):
+                return failure
+            case Ok(found):
+                self.state.put(
+                    found.records,
+                    found.next_offset,
+                    is_whole=False,
+                )
+                return None
+
+    async def _read_newest(self) -> StoreFailure | None:
+        newest = await self.store.newest(
+            self.state.topic,
+            timeout_s=_NEWEST_ANSWER_S,
+        )
+        match newest:
+            case Err(failure):
+                return failure
+            case Ok(found):
+                self.must_start_over = False
+                self.state.put(found.records, found.end, is_whole=True)
+                return None
+
+    def _note_answer(self) -> None:
+        self.failures = 0
+        if self.lost_at_s is None:
+            return
+        _LOG.info(
+            'store answers again',
+            fields={
+                'topic': self.state.topic.value,
+                'lost_for_ms': int((now_s() - self.lost_at_s) * 1000),
+            },
+        )
+        self.lost_at_s = None
+
+    def _note_failure(self, failure: StoreFailure) -> None:
+        self.failures += 1
+        if self.lost_at_s is not None:
+            return
+        self.lost_at_s = now_s()
+        _LOG.warning(
+            'store does not answer',
+            fields={
+                'topic': self.state.topic.value,
+                'failure': repr(failure),
+            },
+        )
+
+    def _backoff_s(self) -> float:
+        pause_s = min(_MAX_PAUSE_S, _FIRST_PAUSE_S * 2**self.failures)
+        return pause_s * self.state.board.rng.uniform(0.5, 1.0)
--- a/src/arbutusbay/scheduling/__init__.py
+++ b/src/arbutusbay/scheduling/__init__.py
@@ -39,6 +39,13 @@
     short_fractions,
     short_share,
 )
+from arbutusbay.scheduling._sources import (
+    FollowVM,
+    ReadStore,
+    Source,
+    source_name,
+    sources_in_order,
+)
 
 __all__ = (
     'NOTICE_S',
@@ -47,6 +54,7 @@
     'Budget',
     'Choice',
     'EngineView',
+    'FollowVM',
     'ModelSetting',
     'ModelWork',
     'NextLoads',
@@ -54,7 +62,9 @@
     'Occupancy',
     'Outcome',
     'PeerOccupancy',
+    'ReadStore',
     'RolloutState',
+    'Source',
     'WeightsLoad',
     'WorkMix',
     'WorkSums',
@@ -68,6 +78,8 @@
     'ranked_engines',
     'short_fractions',
     'short_share',
+    'source_name',
+    'sources_in_order',
     'usable_engines',
     'weights_of',
 )
