Suspect silent engines and move repeatable requests away from them

An engine's own error repeats for the same request or does not come again: of 43 retried ones 14 succeeded at the first retry, none later. Change: streams that stall for 1.1 s make an engine suspect, which peers are told; repeatable attempts leave it, streams resume at the last event. Plain idempotent attempts end after 1.5 times the target latency. An engine's error is retried once, a silent one twice. Errors weigh in the choice of plain servers instead of barring them.

--- a/src/arbutusbay/node/_frontend.py
+++ b/src/arbutusbay/node/_frontend.py
@@ -16,6 +16,7 @@
 from arbutusbay.node._metrics import NodeMetrics
 from arbutusbay.node._placer import Placer
 from arbutusbay.node._request_run import RequestRun, fetch_in_time
+from arbutusbay.node._silence_watch import SilenceWatch
 from arbutusbay.node._stream_run import Broken, Relayed, StreamRun
 from arbutusbay.platform import retry_after_headers
 
@@ -31,12 +32,14 @@
         board: NodeBoard,
         placer: Placer,
         session: aiohttp.ClientSession,
+        watch: SilenceWatch,
         metrics: NodeMetrics,
     ) -> None:
         """Send requests on through ``session``."""
         self.board = board
         self.placer = placer
         self.session = session
+        self.watch = watch
         self.metrics = metrics
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -66,6 +69,7 @@
             board=self.board,
             placer=self.placer,
             session=self.session,
+            watch=self.watch,
             incoming=incoming,
             body=body,
         )
--- a/src/arbutusbay/node/_incoming.py
+++ b/src/arbutusbay/node/_incoming.py
@@ -51,6 +51,13 @@
         """Tell whether the answer is a series of events."""
         return self.route.kind is RequestKind.STREAM
 
+    @property
+    def is_repeatable(self) -> bool:
+        """Tell whether the request may run more than once."""
+        if self.route.kind is RequestKind.IDEMPOTENT:
+            return True
+        return self.is_stream and self.route.is_resumable
+
     def remaining_s(self) -> float:
         """Return the seconds left until the deadline."""
         return self.deadline_s - now_s()
--- a/src/arbutusbay/node/_main.py
+++ b/src/arbutusbay/node/_main.py
@@ -29,6 +29,7 @@
 from arbutusbay.node._rollout import Rollout
 from arbutusbay.node._server_views import ServerViews
 from arbutusbay.node._shutdown import drain
+from arbutusbay.node._silence_watch import SilenceWatch
 from arbutusbay.node._topics import OperatorTopic, ServersTopic
 from arbutusbay.platform import (
     Endpoint,
@@ -117,6 +118,7 @@
         self.operator = OperatorTopic(board=self.board)
         self.servers = ServersTopic(board=self.board, views=self.views)
         self.board.catalog.vms[self.me.name] = self.me
+        self.watch = SilenceWatch(board=self.board)
         self.lease = Lease(
             name='weights',
             holder=settings.name,
@@ -147,6 +149,7 @@
             board=self.board,
             placer=Placer(board=self.board),
             session=self.session,
+            watch=self.watch,
             metrics=self.metrics,
         )
         control = ControlApi(
@@ -206,6 +209,7 @@
             session=self.session,
         )
         self._start('follower', follower.run())
+        self._start('silence', self.watch.run())
         self._start('rollout', rollout.run())
         self._start('peers', self.peers.run())
         self._start(
--- a/src/arbutusbay/node/_peers.py
+++ b/src/arbutusbay/node/_peers.py
@@ -16,6 +16,7 @@
 _LEAST_INTERVAL_S = 0.1
 _REFRESH_S = 1.0
 _MIX_UNIT = 1000
+_SUSPICION_S = 0.4
 
 
 class PeerChannel(asyncio.DatagramProtocol):
@@ -106,6 +107,14 @@
             'o': out,
             'm': [int(mix.short / _MIX_UNIT), int(mix.long / _MIX_UNIT)],
         }
+        moment_s = now_s()
+        silent = [
+            view.id
+            for view in self.board.views.values()
+            if moment_s < view.suspected_until_s
+        ]
+        if silent:
+            state['s'] = silent
         loading = self._load_times_ms()
         if loading:
             state['l'] = loading
@@ -156,6 +165,10 @@
         )
         for view in self.board.views.values():
             self._put_occupancy(view, sender, out.get(view.id), moment_s)
+        for view_id in state.get('s', ()):
+            view = self.board.views.get(view_id)
+            if view is not None:
+                view.silent_until_s = moment_s + _SUSPICION_S
         for view_id, (from_ms, until_ms) in state.get('l', {}).items():
             view = self.board.views.get(view_id)
             if view is not None:
--- a/src/arbutusbay/node/_placer.py
+++ b/src/arbutusbay/node/_placer.py
@@ -47,6 +47,20 @@
         return self.choice.engine
 
 
+@attrs.frozen(kw_only=True)
+class Choosable:
+    """Bound the choice: all but ``excluded``, or ``only`` some."""
+
+    excluded: frozenset[str] = frozenset()
+    only: frozenset[str] | None = None
+
+    def admits(self, view: EngineView) -> bool:
+        """Tell whether ``view`` may be chosen."""
+        if self.only is not None:
+            return view.id in self.only
+        return view.id not in self.excluded
+
+
 class Placer:
     """Place attempts and learn from what became of them."""
 
@@ -57,7 +71,7 @@
     def place(
         self,
         incoming: IncomingRequest,
-        excluded: frozenset[str],
+        choosable: Choosable,
         *,
         weights_version: int | None = None,
         resume_after: int = 0,
@@ -70,9 +84,10 @@
         views = [
             view
             for view in self.board.views_of(incoming.service.name)
-            if self._runs_wanted_weights(view, incoming, weights_version)
+            if choosable.admits(view)
+            and self._runs_wanted_weights(view, incoming, weights_version)
         ]
-        usable = usable_engines(views, excluded, moment_s)
+        usable = usable_engines(views, moment_s)
         choice = self._choose(incoming, usable, moment_s)
         if choice is None:
             return None
@@ -123,6 +138,9 @@
         """Avoid a backend server that failed an attempt."""
         if outcome is Outcome.REJECTED:
             return
+        if outcome is Outcome.RAN_AND_FAILED:
+            view.put_result(1, now_s())
+            return
         pause_s = view.put_failure(now_s())
         _LOG.info(
             'server avoided',
--- a/src/arbutusbay/node/_request_run.py
+++ b/src/arbutusbay/node/_request_run.py
@@ -19,7 +19,8 @@
 from arbutusbay.node._board import NodeBoard
 from arbutusbay.node._clock import now_s
 from arbutusbay.node._incoming import IncomingRequest, check_still_fresh
-from arbutusbay.node._placer import Placement, Placer
+from arbutusbay.node._silence_watch import SilenceWatch, Watched
+from arbutusbay.node._placer import Choosable, Placement, Placer
 from arbutusbay.scheduling import (
     AttemptCount,
     NextStep,
@@ -30,6 +31,7 @@
 
 _LOG = get_logger('request')
 _RETRY_AFTER_S = 0.5
+_LATENCY_FACTOR = 1.5
 
 
 @attrs.define(kw_only=True)
@@ -39,6 +41,7 @@
     runs: int = 0
     rejections: int = 0
     excluded: frozenset[str] = frozenset()
+    ran_at: frozenset[str] = frozenset()
     last_detail: str = ''
 
     def put(self, view_id: str, failure: AttemptFailure) -> None:
@@ -49,6 +52,7 @@
                 self.rejections += 1
             case Outcome.UNKNOWN | Outcome.RAN_AND_FAILED:
                 self.runs += 1
+                self.ran_at |= {view_id}
         if not self._may_try_again(failure):
             self.excluded |= {view_id}
 
@@ -70,6 +74,7 @@
         board: NodeBoard,
         placer: Placer,
         session: aiohttp.ClientSession,
+        watch: SilenceWatch,
         incoming: IncomingRequest,
         body: bytes,
     ) -> None:
@@ -77,6 +82,7 @@
         self.board = board
         self.placer = placer
         self.session = session
+        self.watch = watch
         self.incoming = incoming
         self.body = body
         self.tally = Tally()
@@ -116,7 +122,7 @@
             return Err(self.timed_out())
         placement = self.placer.place(
             self.incoming,
-            self.tally.excluded,
+            self._choosable(),
             weights_version=weights_version,
             resume_after=resume_after,
         )
@@ -139,12 +145,11 @@
         placement: Placement,
     ) -> AsyncIterator[Result[OpenAnswer, AttemptFailure]]:
         """Send one attempt and learn from the head of its answer."""
-        view = placement.view
         self.in_flight = True
         with self.placer.occupying(placement):
             async with open_attempt(
                 self.session,
-                view,
+                placement.view,
                 self.incoming,
                 self.body,
                 placement.orders,
@@ -153,6 +158,26 @@
                     self._learn(placement, opened.ok_value)
                 yield opened
 
+    @asynccontextmanager
+    async def watching(self, placement: Placement) -> AsyncIterator[Watched]:
+        """Watch an attempt; ``TimeoutError`` ends a repeatable one."""
+        async with asyncio.timeout(self._attempt_limit_s()) as limit:
+            watched = self.watch.start(
+                placement.attempt,
+                placement.view,
+                limit if self.incoming.is_repeatable else None,
+            )
+            try:
+                yield watched
+            finally:
+                self.watch.stop(watched)
+
+    def _attempt_limit_s(self) -> float | None:
+        """Return how long a plain idempotent attempt may take."""
+        if self.incoming.is_stream or not self.incoming.is_repeatable:
+            return None
+        return self.incoming.route.target_latency_s * _LATENCY_FACTOR or None
+
     def after(
         self,
         placement: Placement,
@@ -167,9 +192,9 @@
         self.placer.put_failure(view, failure.outcome)
         step = next_step(
             failure.outcome,
-            self.incoming.route.kind,
             self.tally.count(),
-            self.incoming.route.max_attempts,
+            is_repeatable=self.incoming.is_repeatable,
+            max_attempts=self.incoming.route.max_attempts,
         )
         if step is NextStep.RETRY_WITHIN_BUDGET and not self.budget.spend():
             step = NextStep.ANSWER
@@ -216,16 +241,33 @@
     async def _fetch_once(
         self,
         placement: Placement,
+    ) -> Result[Answer, AttemptFailure]:
+        try:
+            async with self.watching(placement):
+                whole = await self._fetch_whole(placement)
+        except TimeoutError:
+            return silent_failure()
+        if isinstance(whole, Ok):
+            placement.view.put_success(now_s())
+        return whole
+
+    async def _fetch_whole(
+        self,
+        placement: Placement,
     ) -> Result[Answer, AttemptFailure]:
         async with self.attempt(placement) as opened:
             match opened:
                 case Err() as failed:
                     return failed
                 case Ok(answer):
-                    whole = await answer.whole()
-        if isinstance(whole, Ok):
-            placement.view.put_success()
-        return whole
+                    return await answer.whole()
+
+    def _choosable(self) -> Choosable:
+        """Return which backend servers may still be chosen."""
+        ran_at = self.tally.ran_at
+        if len(ran_at) < self.incoming.route.max_attempts:
+            return Choosable(excluded=self.tally.excluded)
+        return Choosable(only=ran_at)
 
     def _learn(self, placement: Placement, answer: OpenAnswer) -> None:
         view = placement.view
@@ -243,6 +285,16 @@
         return attrs.evolve(failure, kind=ErrorKind.OUTCOME_UNKNOWN)
 
 
+def silent_failure() -> Err[AttemptFailure]:
+    """Return the failure of an attempt that was not answered in time."""
+    return Err(
+        AttemptFailure(
+            outcome=Outcome.UNKNOWN,
+            detail='the backend server is silent',
+        ),
+    )
+
+
 def _elapsed_ms(incoming: IncomingRequest) -> int:
     return int((now_s() - incoming.received_s) * 1000)
 
--- a/src/arbutusbay/node/_stream_run.py
+++ b/src/arbutusbay/node/_stream_run.py
@@ -11,7 +11,8 @@
 from arbutusbay.node._attempts import Answer, AttemptFailure, OpenAnswer
 from arbutusbay.node._clock import now_s
 from arbutusbay.node._placer import Placement
-from arbutusbay.node._request_run import RequestRun
+from arbutusbay.node._request_run import RequestRun, silent_failure
+from arbutusbay.node._silence_watch import Watched
 from arbutusbay.platform import StreamEvent
 from arbutusbay.scheduling import NextStep, Outcome
 
@@ -98,26 +99,31 @@
                 case Err(failure):
                     pass
             if self.run.after(placement, failure) is NextStep.ANSWER:
-                if not self._may_resume(failure):
-                    return self._final(failure)
+                return self._final(failure)
 
     async def _relay_once(
         self,
         placement: Placement,
     ) -> Result[StreamResult, AttemptFailure]:
-        async with self.run.attempt(placement) as opened:
-            match opened:
-                case Err() as failed:
-                    return failed
-                case Ok(answer):
-                    pass
-            if not answer.is_success:
-                return await answer.whole()
-            return await self._relay_events(placement, answer)
+        try:
+            async with (
+                self.run.watching(placement) as watched,
+                self.run.attempt(placement) as opened,
+            ):
+                match opened:
+                    case Err() as failed:
+                        return failed
+                    case Ok(answer):
+                        pass
+                if not answer.is_success:
+                    return await answer.whole()
+                return await self._relay_events(watched, answer)
+        except TimeoutError:
+            return silent_failure()
 
     async def _relay_events(
         self,
-        placement: Placement,
+        watched: Watched,
         answer: OpenAnswer,
     ) -> Result[StreamResult, AttemptFailure]:
         version = answer.head.weights_version
@@ -129,10 +135,11 @@
                     pass
             if not self._is_next(whole):
                 return _cut(f'event {whole.number} after {self.last_number}')
-            placement.attempt.has_started = True
+            watched.attempt.has_started = True
+            watched.last_event_s = now_s()
             self.weights_version = whole.weights_version or version
             await self._write(answer, whole)
-        placement.view.put_success()
+        watched.view.put_success(now_s())
         return await self._finish(answer)
 
     async def _finish(
@@ -168,16 +175,6 @@
             return True
         return event.number == self.last_number + 1
 
-    def _may_resume(self, failure: AttemptFailure) -> bool:
-        incoming = self.run.incoming
-        if not incoming.route.is_resumable or failure.answer is not None:
-            return False
-        if failure.outcome is not Outcome.UNKNOWN:
-            return False
-        if self.run.tally.runs >= incoming.route.max_attempts:
-            return False
-        return self.run.budget.spend()
-
     def _ended(self, failure: Failure) -> StreamResult:
         if self.response is not None:
             return Broken(detail=failure.detail)
--- a/src/arbutusbay/scheduling/_engine_view.py
+++ b/src/arbutusbay/scheduling/_engine_view.py
@@ -8,6 +8,8 @@
 _MAX_PAUSE_S = 4.0
 _LOAD_MEMORY_S = 1.0
 _PEER_MEMORY_S = 3.0
+_ERROR_WEIGHT = 0.15
+_ERROR_HALF_LIFE_S = 4.0
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -47,7 +49,8 @@
 
     Times are seconds on one clock; ``slowdown`` is how many times longer
     than usual its machine takes, ``usual_slowdown`` the least that was
-    seen.
+    seen. ``suspected_until_s`` is this VM's own suspicion that the engine
+    is silent, ``silent_until_s`` counts that of other VMs too.
     """
 
     id: str
@@ -69,6 +72,10 @@
     peers: dict[str, PeerOccupancy] = attrs.field(factory=dict)
     failures: int = 0
     avoid_until_s: float = 0.0
+    suspected_until_s: float = 0.0
+    silent_until_s: float = 0.0
+    error_share: float = 0.0
+    error_seen_s: float = 0.0
 
     def put_load(
         self,
@@ -95,10 +102,26 @@
         self.avoid_until_s = now_s + pause_s
         return pause_s
 
-    def put_success(self) -> None:
+    def put_success(self, now_s: float) -> None:
         """Forget earlier failures."""
         self.failures = 0
         self.avoid_until_s = 0.0
+        self.put_result(0, now_s)
+
+    def put_result(self, error: float, now_s: float) -> None:
+        """Take up whether a request failed (1) or not (0) once run."""
+        held = self.current_error_share(now_s)
+        self.error_share = held + _ERROR_WEIGHT * (error - held)
+        self.error_seen_s = now_s
+
+    def current_error_share(self, now_s: float) -> float:
+        """Return the share of failed requests, fading without new ones."""
+        age_s = max(0.0, now_s - self.error_seen_s)
+        return self.error_share * 0.5 ** (age_s / _ERROR_HALF_LIFE_S)
+
+    def is_silent(self, now_s: float) -> bool:
+        """Tell whether streams at the engine stall."""
+        return now_s < self.silent_until_s
 
     def is_avoided(self, now_s: float) -> bool:
         """Tell whether recent failures speak for other engines."""
--- a/src/arbutusbay/scheduling/_outcomes.py
+++ b/src/arbutusbay/scheduling/_outcomes.py
@@ -4,8 +4,6 @@
 
 import attrs
 
-from arbutusbay.fleet import RequestKind
-
 
 class Outcome(enum.StrEnum):
     """Say what is known of an attempt that gave no whole answer.
@@ -41,34 +39,45 @@
     rejections: int
 
 
-MAX_REJECTIONS = 6
+_MAX_REJECTIONS = 6
 
 
 def next_step(
     outcome: Outcome,
-    kind: RequestKind,
     count: AttemptCount,
+    *,
+    is_repeatable: bool,
     max_attempts: int,
 ) -> NextStep:
-    """Return what follows ``outcome``."""
+    """Return what follows ``outcome``.
+
+    ``max_attempts`` bounds the backend servers that may run the request.
+    One that was silent may be asked once more; one that failed would fail
+    again.
+    """
     match outcome:
         case Outcome.NOT_SENT:
             return _unless_exhausted(count, NextStep.SEND_ELSEWHERE)
         case Outcome.REJECTED:
             return _unless_exhausted(count, NextStep.RETRY_WITHIN_BUDGET)
-        case Outcome.UNKNOWN | Outcome.RAN_AND_FAILED:
-            may_repeat = kind is RequestKind.IDEMPOTENT
-            if may_repeat and count.runs < max_attempts:
-                return NextStep.RETRY_WITHIN_BUDGET
-            return NextStep.ANSWER
+        case Outcome.UNKNOWN:
+            return _if(is_repeatable and count.runs <= max_attempts)
+        case Outcome.RAN_AND_FAILED:
+            return _if(is_repeatable and count.runs < max_attempts)
 
 
 def _unless_exhausted(count: AttemptCount, step: NextStep) -> NextStep:
-    if count.rejections >= MAX_REJECTIONS:
+    if count.rejections >= _MAX_REJECTIONS:
         return NextStep.ANSWER
     return step
 
 
+def _if(may_retry: bool) -> NextStep:
+    if may_retry:
+        return NextStep.RETRY_WITHIN_BUDGET
+    return NextStep.ANSWER
+
+
 def is_known_not_run(count: AttemptCount) -> bool:
     """Tell whether no attempt of the request can have run."""
     return count.runs == 0
--- a/src/arbutusbay/scheduling/_placement.py
+++ b/src/arbutusbay/scheduling/_placement.py
@@ -13,6 +13,7 @@
 _RUNNING_TOKENS = 40
 _OTHER_ZONE_TOKENS = 60
 _TIE_TOKENS = 100
+_ERROR_COST = 3.0
 _SHORT_ELSEWHERE_TOKENS = 5000
 _PAUSED_STREAM_TOKENS = 8000
 _LONG_ELSEWHERE_TOKENS = 12_000
@@ -66,15 +67,12 @@
 
 def usable_engines(
     engines: Collection[EngineView],
-    excluded: Collection[str],
     now_s: float,
 ) -> list[EngineView]:
     """Return engines that take work, avoiding those that just failed."""
-    able = [
-        engine
-        for engine in engines
-        if not engine.is_draining and engine.id not in excluded
-    ]
+    able = [engine for engine in engines if not engine.is_draining]
+    speaking = [engine for engine in able if not engine.is_silent(now_s)]
+    able = speaking or able
     idle = [engine for engine in able if not engine.is_loading(now_s)] or able
     return [engine for engine in idle if not engine.is_avoided(now_s)] or idle
 
@@ -123,7 +121,8 @@
         out = engine.occupancy(now_s).attempts
         busy = max(0, out - engine.slots + 1)
         slow = engine.current_slowdown(now_s)
-        load = (1 + out / max(1, engine.slots) + busy) * slow
+        errors = 1 + _ERROR_COST * engine.current_error_share(now_s)
+        load = (1 + out / max(1, engine.slots) + busy) * slow * errors
         return round(load, 1), engine.zone != own_zone, rng.random()
 
     best = min(engines, key=cost)
