Bind requests for models late, those first that can still be on time

Change: a VM sends an engine only what it can start within 0.6 of the target latency and keeps the rest in its own queue; requests that can still be on time go first, late ones take one turn in four; unservable ones are refused at once.

--- a/src/arbutusbay/node/_board.py
+++ b/src/arbutusbay/node/_board.py
@@ -44,7 +44,8 @@
     """Hold what the daemon knows, and what is in progress.
 
     ``busy`` holds the connections on which a request is being answered,
-    ``heard_s`` when each other VM was last heard of.
+    ``heard_s`` when each other VM was last heard of; ``prefill_s`` is how
+    long an engine takes for one prompt token.
     """
 
     settings: VMSettings
@@ -53,6 +54,7 @@
     views: dict[str, EngineView] = attrs.field(factory=dict)
     budgets: dict[str, Budget] = attrs.field(factory=dict)
     rng: random.Random = attrs.field(factory=random.Random)
+    prefill_s: float = 0.00002
     mix: WorkMix = attrs.field(factory=WorkMix)
     peer_mixes: dict[str, WorkSums] = attrs.field(factory=dict)
     changed: asyncio.Event = attrs.field(factory=asyncio.Event)
--- a/src/arbutusbay/node/_frontend.py
+++ b/src/arbutusbay/node/_frontend.py
@@ -12,6 +12,7 @@
 from arbutusbay.node._attempts import Answer
 from arbutusbay.node._board import NodeBoard
 from arbutusbay.node._clock import now_s
+from arbutusbay.node._dispatcher import Dispatcher
 from arbutusbay.node._incoming import IncomingRequest, check_request
 from arbutusbay.node._metrics import NodeMetrics
 from arbutusbay.node._placer import Placer
@@ -31,6 +32,7 @@
         *,
         board: NodeBoard,
         placer: Placer,
+        dispatcher: Dispatcher,
         session: aiohttp.ClientSession,
         watch: SilenceWatch,
         metrics: NodeMetrics,
@@ -38,6 +40,7 @@
         """Send requests on through ``session``."""
         self.board = board
         self.placer = placer
+        self.dispatcher = dispatcher
         self.session = session
         self.watch = watch
         self.metrics = metrics
@@ -68,6 +71,7 @@
         run = RequestRun(
             board=self.board,
             placer=self.placer,
+            dispatcher=self.dispatcher,
             session=self.session,
             watch=self.watch,
             incoming=incoming,
--- a/src/arbutusbay/node/_main.py
+++ b/src/arbutusbay/node/_main.py
@@ -18,6 +18,7 @@
 from arbutusbay.node._board import NodeBoard
 from arbutusbay.node._connections import new_checked_session
 from arbutusbay.node._control_api import ControlApi
+from arbutusbay.node._dispatcher import Dispatcher
 from arbutusbay.node._follower import Follower
 from arbutusbay.node._frontend import Frontend
 from arbutusbay.node._lease import Lease
@@ -118,6 +119,8 @@
         self.operator = OperatorTopic(board=self.board)
         self.servers = ServersTopic(board=self.board, views=self.views)
         self.board.catalog.vms[self.me.name] = self.me
+        self.placer = Placer(board=self.board)
+        self.dispatcher = Dispatcher(board=self.board, placer=self.placer)
         self.watch = SilenceWatch(board=self.board)
         self.lease = Lease(
             name='weights',
@@ -147,7 +150,8 @@
     async def _listen(self) -> tuple[web.Server, list[asyncio.Server]]:
         frontend = Frontend(
             board=self.board,
-            placer=Placer(board=self.board),
+            placer=self.placer,
+            dispatcher=self.dispatcher,
             session=self.session,
             watch=self.watch,
             metrics=self.metrics,
@@ -209,6 +213,7 @@
             session=self.session,
         )
         self._start('follower', follower.run())
+        self._start('dispatcher', self.dispatcher.run())
         self._start('silence', self.watch.run())
         self._start('rollout', rollout.run())
         self._start('peers', self.peers.run())
--- a/src/arbutusbay/node/_placer.py
+++ b/src/arbutusbay/node/_placer.py
@@ -1,8 +1,5 @@
 """Choose a backend server for each attempt and account for it."""
 
-from collections.abc import Iterator
-from contextlib import contextmanager
-
 import attrs
 
 from arbutusbay.logs import get_logger
@@ -28,6 +25,7 @@
 _WEIGHTS_MARGIN_S = 1.0
 _SAVING_WITH_STORE = 0.4
 _WARM_SHARE = 0.75
+_ROOM_SHARE = 0.6
 _MOST_URGENT = 0
 _LEAST_URGENT = 9
 _SHARED_BY_ALL = 'shared'
@@ -35,24 +33,37 @@
 
 @attrs.frozen(kw_only=True)
 class Placement:
-    """Bind one attempt to a backend server."""
+    """Bind one attempt to a backend server, one of ``candidates``."""
 
     choice: Choice
     orders: AttemptOrders
     attempt: Attempt
+    candidates: int
 
     @property
     def view(self) -> EngineView:
         """Return the chosen backend server."""
         return self.choice.engine
 
+    @property
+    def has_room(self) -> bool:
+        """Tell whether the backend server takes the attempt now."""
+        return self.choice.has_room
+
 
 @attrs.frozen(kw_only=True)
-class Choosable:
-    """Bound the choice: all but ``excluded``, or ``only`` some."""
+class Demand:
+    """Ask for a place: anywhere but ``excluded``, or ``only`` somewhere.
+
+    ``weights_version`` admits only engines that run it; ``resume_after``
+    is the last event that the client has, 0 for none.
+    """
 
+    incoming: IncomingRequest
     excluded: frozenset[str] = frozenset()
     only: frozenset[str] | None = None
+    weights_version: int | None = None
+    resume_after: int = 0
 
     def admits(self, view: EngineView) -> bool:
         """Tell whether ``view`` may be chosen."""
@@ -60,6 +71,11 @@
             return view.id in self.only
         return view.id not in self.excluded
 
+    @property
+    def may_wait(self) -> bool:
+        """Tell whether the request may wait for an engine with room."""
+        return self.incoming.is_for_model and self.weights_version is None
+
 
 class Placer:
     """Place attempts and learn from what became of them."""
@@ -68,50 +84,43 @@
         """Read and update the views on ``board``."""
         self.board = board
 
-    def place(
-        self,
-        incoming: IncomingRequest,
-        choosable: Choosable,
-        *,
-        weights_version: int | None = None,
-        resume_after: int = 0,
-    ) -> Placement | None:
-        """Return where the next attempt goes, None if nowhere.
-
-        ``weights_version`` admits only engines that run it.
-        """
+    def find(self, demand: Demand) -> Placement | None:
+        """Return where an attempt would go now, None if nowhere."""
         moment_s = now_s()
+        incoming = demand.incoming
         views = [
             view
             for view in self.board.views_of(incoming.service.name)
-            if choosable.admits(view)
-            and self._runs_wanted_weights(view, incoming, weights_version)
+            if demand.admits(view) and self._runs_wanted_weights(view, demand)
         ]
         usable = usable_engines(views, moment_s)
         choice = self._choose(incoming, usable, moment_s)
         if choice is None:
             return None
-        self._log_choice(incoming, choice, len(usable), moment_s)
         return Placement(
             choice=choice,
-            orders=self._orders(incoming, choice.engine, resume_after),
+            orders=self._orders(demand, choice.engine),
             attempt=Attempt(
                 sent_s=moment_s,
                 uncached_tokens=choice.uncached_tokens,
-                resident_tokens=_resident_tokens(incoming),
+                ahead_tokens=choice.engine.occupancy(moment_s).uncached_tokens,
+                resident_tokens=work_of(incoming).resident_tokens,
             ),
+            candidates=len(usable),
         )
 
-    @contextmanager
-    def occupying(self, placement: Placement) -> Iterator[None]:
-        """Count the attempt as out while the block runs."""
+    def commit(self, demand: Demand, placement: Placement) -> None:
+        """Count the attempt as out, until it is released."""
+        self._log_choice(demand, placement)
+        if demand.incoming.is_for_model:
+            self._put_mix(demand.incoming)
         placement.view.out.add(placement.attempt)
         self.board.notify_load()
-        try:
-            yield
-        finally:
-            placement.view.out.discard(placement.attempt)
-            self.board.notify_load()
+
+    def release(self, placement: Placement) -> None:
+        """No longer count the attempt as out."""
+        placement.view.out.discard(placement.attempt)
+        self.board.notify_load()
 
     def put_load(self, view: EngineView, load: EngineLoad | None) -> None:
         """Take up the load that an answer told."""
@@ -155,14 +164,14 @@
     def _runs_wanted_weights(
         self,
         view: EngineView,
-        incoming: IncomingRequest,
-        wanted: int | None,
+        demand: Demand,
     ) -> bool:
+        incoming = demand.incoming
         model = incoming.head.model
         if not incoming.is_for_model:
             return True
         version = weights_of(view, model)
-        if version is None or wanted not in {None, version}:
+        if version is None or demand.weights_version not in {None, version}:
             return False
         target = self.board.catalog.targets.get(model)
         if target is None:
@@ -193,46 +202,44 @@
             holder_saving=_SAVING_WITH_STORE
             if self._cache_store_address()
             else 1.0,
+            room_tokens=incoming.route.target_latency_s
+            * _ROOM_SHARE
+            / self.board.prefill_s,
             now_s=moment_s,
         )
-        work = work_of(incoming)
-        choice = choose_for_model(
-            work,
+        return choose_for_model(
+            work_of(incoming),
             usable,
             setting=setting,
             rng=self.board.rng,
         )
-        if choice is not None:
-            self.board.mix.put(
-                prompt_tokens=incoming.head.prompt_tokens,
-                uncached_tokens=int(
-                    work.prompt_tokens - work.shared_tokens * _WARM_SHARE,
-                ),
-                output_tokens=incoming.head.max_output_tokens,
-                now_s=moment_s,
-            )
-        return choice
 
-    def _log_choice(
-        self,
-        incoming: IncomingRequest,
-        choice: Choice,
-        candidates: int,
-        moment_s: float,
-    ) -> None:
-        view = choice.engine
+    def _put_mix(self, incoming: IncomingRequest) -> None:
+        work = work_of(incoming)
+        self.board.mix.put(
+            prompt_tokens=work.prompt_tokens,
+            uncached_tokens=int(
+                work.prompt_tokens - work.shared_tokens * _WARM_SHARE,
+            ),
+            output_tokens=work.output_tokens,
+            now_s=now_s(),
+        )
+
+    def _log_choice(self, demand: Demand, placement: Placement) -> None:
+        view = placement.view
+        moment_s = placement.attempt.sent_s
         out = view.occupancy(moment_s)
         _LOG.info(
             'placed',
             fields={
-                'request_id': incoming.id,
+                'request_id': demand.incoming.id,
                 'server': view.id,
-                'candidates': candidates,
-                'cost': round(choice.cost, 1),
-                'uncached': choice.uncached_tokens,
+                'candidates': placement.candidates,
+                'cost': round(placement.choice.cost, 1),
+                'uncached': placement.choice.uncached_tokens,
                 'ahead': out.uncached_tokens,
                 'attempts': out.attempts,
-                'weights': weights_of(view, incoming.head.model),
+                'weights': placement.orders.weights_version,
                 'slowdown': view.slowdown,
                 'load_age_ms': int((moment_s - view.reported_s) * 1000),
             },
@@ -240,10 +247,10 @@
 
     def _orders(
         self,
-        incoming: IncomingRequest,
+        demand: Demand,
         view: EngineView,
-        resume_after: int,
     ) -> AttemptOrders:
+        incoming = demand.incoming
         team = incoming.team
         remaining_s = max(0.001, incoming.remaining_s())
         name = team.name if team else ''
@@ -253,7 +260,7 @@
                 remaining_s=remaining_s,
                 team=name,
                 priority=_priority(incoming),
-                resume_after=resume_after,
+                resume_after=demand.resume_after,
             )
         version = weights_of(view, incoming.head.model)
         store = self._cache_store_address()
@@ -266,7 +273,7 @@
             cache_salt=_cache_salt(incoming, version),
             fetch_from=store,
             save_to=store,
-            resume_after=resume_after,
+            resume_after=demand.resume_after,
         )
 
     def _cache_store_address(self) -> str:
@@ -289,11 +296,6 @@
     )
 
 
-def _resident_tokens(incoming: IncomingRequest) -> int:
-    head = incoming.head
-    return head.prompt_tokens + head.max_output_tokens
-
-
 def _priority(incoming: IncomingRequest) -> int:
     return min(_LEAST_URGENT, max(_MOST_URGENT, incoming.route.priority))
 
--- a/src/arbutusbay/node/_request_run.py
+++ b/src/arbutusbay/node/_request_run.py
@@ -18,9 +18,10 @@
 )
 from arbutusbay.node._board import NodeBoard
 from arbutusbay.node._clock import now_s
+from arbutusbay.node._dispatcher import Dispatcher
 from arbutusbay.node._incoming import IncomingRequest, check_still_fresh
 from arbutusbay.node._silence_watch import SilenceWatch, Watched
-from arbutusbay.node._placer import Choosable, Placement, Placer
+from arbutusbay.node._placer import Demand, Placement, Placer
 from arbutusbay.scheduling import (
     AttemptCount,
     NextStep,
@@ -73,6 +74,7 @@
         *,
         board: NodeBoard,
         placer: Placer,
+        dispatcher: Dispatcher,
         session: aiohttp.ClientSession,
         watch: SilenceWatch,
         incoming: IncomingRequest,
@@ -81,6 +83,7 @@
         """Prepare the run of ``incoming``."""
         self.board = board
         self.placer = placer
+        self.dispatcher = dispatcher
         self.session = session
         self.watch = watch
         self.incoming = incoming
@@ -94,7 +97,7 @@
     async def fetch(self) -> Result[Answer, Failure]:
         """Return the whole answer, or why there is none."""
         while True:
-            match self.place():
+            match await self.place():
                 case Err() as refused:
                     return refused
                 case Ok(placement):
@@ -108,36 +111,29 @@
                 case NextStep.ANSWER:
                     return self.final(failure)
 
-    def place(
+    async def place(
         self,
         *,
         weights_version: int | None = None,
         resume_after: int = 0,
     ) -> Result[Placement, Failure]:
         """Return where the next attempt goes, or why it goes nowhere."""
-        refused = check_still_fresh(self.board, self.incoming)
+        refused = self._refused_now()
         if refused is not None:
-            return Err(self._refusal(refused))
-        if self.incoming.remaining_s() <= 0:
-            return Err(self.timed_out())
-        placement = self.placer.place(
-            self.incoming,
-            self._choosable(),
-            weights_version=weights_version,
-            resume_after=resume_after,
-        )
-        if placement is not None:
-            return Ok(placement)
-        return Err(
-            self._refusal(
-                Failure(
-                    kind=ErrorKind.NO_BACKEND_SERVER,
-                    detail='no backend server takes the request'
-                    f' ({self.tally.last_detail})',
-                    retry_after_s=_RETRY_AFTER_S,
-                ),
-            ),
+            return Err(refused)
+        placed = await self.dispatcher.place(
+            self._demand(weights_version, resume_after),
         )
+        match placed:
+            case Err(failure):
+                return Err(self._refusal(failure))
+            case Ok(placement):
+                pass
+        refused = self._refused_now()
+        if refused is not None:
+            self.dispatcher.release(placement)
+            return Err(refused)
+        return Ok(placement)
 
     @asynccontextmanager
     async def attempt(
@@ -146,7 +142,7 @@
     ) -> AsyncIterator[Result[OpenAnswer, AttemptFailure]]:
         """Send one attempt and learn from the head of its answer."""
         self.in_flight = True
-        with self.placer.occupying(placement):
+        try:
             async with open_attempt(
                 self.session,
                 placement.view,
@@ -157,6 +153,8 @@
                 if isinstance(opened, Ok):
                     self._learn(placement, opened.ok_value)
                 yield opened
+        finally:
+            self.dispatcher.release(placement)
 
     @asynccontextmanager
     async def watching(self, placement: Placement) -> AsyncIterator[Watched]:
@@ -262,12 +260,30 @@
                 case Ok(answer):
                     return await answer.whole()
 
-    def _choosable(self) -> Choosable:
-        """Return which backend servers may still be chosen."""
+    def _refused_now(self) -> Failure | None:
+        """Return why the request may no longer be sent, if so."""
+        refused = check_still_fresh(self.board, self.incoming)
+        if refused is not None:
+            return self._refusal(refused)
+        if self.incoming.remaining_s() <= 0:
+            return self.timed_out()
+        return None
+
+    def _demand(
+        self,
+        weights_version: int | None,
+        resume_after: int,
+    ) -> Demand:
+        """Return what to ask for, bounded by where the request has run."""
         ran_at = self.tally.ran_at
-        if len(ran_at) < self.incoming.route.max_attempts:
-            return Choosable(excluded=self.tally.excluded)
-        return Choosable(only=ran_at)
+        is_bound = len(ran_at) >= self.incoming.route.max_attempts
+        return Demand(
+            incoming=self.incoming,
+            excluded=self.tally.excluded,
+            only=ran_at if is_bound else None,
+            weights_version=weights_version,
+            resume_after=resume_after,
+        )
 
     def _learn(self, placement: Placement, answer: OpenAnswer) -> None:
         view = placement.view
--- a/src/arbutusbay/node/_stream_run.py
+++ b/src/arbutusbay/node/_stream_run.py
@@ -84,7 +84,7 @@
 
     async def _relay_attempts(self) -> StreamResult:
         while True:
-            placed = self.run.place(
+            placed = await self.run.place(
                 weights_version=self.weights_version,
                 resume_after=self.last_number,
             )
@@ -135,13 +135,19 @@
                     pass
             if not self._is_next(whole):
                 return _cut(f'event {whole.number} after {self.last_number}')
-            watched.attempt.has_started = True
+            if not watched.attempt.has_started:
+                self._note_start(watched)
             watched.last_event_s = now_s()
             self.weights_version = whole.weights_version or version
             await self._write(answer, whole)
         watched.view.put_success(now_s())
         return await self._finish(answer)
 
+    def _note_start(self, watched: Watched) -> None:
+        """Learn from the first event how long prompts take."""
+        watched.attempt.has_started = True
+        self.run.dispatcher.put_first_event(watched.attempt, watched.view)
+
     async def _finish(
         self,
         answer: OpenAnswer,
--- a/src/arbutusbay/scheduling/__init__.py
+++ b/src/arbutusbay/scheduling/__init__.py
@@ -15,6 +15,10 @@
     is_known_not_run,
     next_step,
 )
+from arbutusbay.scheduling._overload_queue import (
+    OverloadQueue,
+    QueuedRequest,
+)
 from arbutusbay.scheduling._placement import (
     Choice,
     ModelSetting,
@@ -61,7 +65,9 @@
     'NextStep',
     'Occupancy',
     'Outcome',
+    'OverloadQueue',
     'PeerOccupancy',
+    'QueuedRequest',
     'ReadStore',
     'RolloutState',
     'Source',
--- a/src/arbutusbay/scheduling/_engine_view.py
+++ b/src/arbutusbay/scheduling/_engine_view.py
@@ -16,12 +16,14 @@
 class Attempt:
     """Hold one attempt that this VM has out.
 
-    ``uncached_tokens`` wait for prefill until the first event;
+    ``uncached_tokens`` wait for prefill until the first event, behind
+    ``ahead_tokens`` of other attempts;
     ``resident_tokens`` occupy the engine's memory for the whole run.
     """
 
     sent_s: float
     uncached_tokens: int = 0
+    ahead_tokens: int = 0
     resident_tokens: int = 0
     has_started: bool = False
 
--- a/src/arbutusbay/scheduling/_placement.py
+++ b/src/arbutusbay/scheduling/_placement.py
@@ -35,8 +35,12 @@
 
     @property
     def resident_tokens(self) -> int:
-        """Return the memory that a run takes, in tokens."""
-        return self.prompt_tokens + self.output_tokens
+        """Return the memory that a run takes, in tokens.
+
+        Shared parts are partly in memory for other runs already.
+        """
+        own = self.prompt_tokens + self.output_tokens
+        return own - self.shared_tokens // 2
 
 
 @attrs.frozen(kw_only=True)
@@ -47,22 +51,28 @@
     ``capacity_tokens`` is an engine's memory, 0 where unknown.
     ``holder_saving`` is the share of the work on a shared prefix that an
     engine saves by holding it, which a store of kept cache makes smaller.
+    ``room_tokens`` bounds the prompt tokens that may wait at an engine.
     """
 
     own_zone: str
     capacity_tokens: int
     short_fractions: Mapping[str, float]
     holder_saving: float
+    room_tokens: float
     now_s: float
 
 
 @attrs.frozen(kw_only=True)
 class Choice:
-    """Name the chosen engine and what the attempt is expected to cost."""
+    """Name the chosen engine and what the attempt is expected to cost.
+
+    Without ``has_room`` the request should rather wait.
+    """
 
     engine: EngineView
     uncached_tokens: int
     cost: float
+    has_room: bool = True
 
 
 def usable_engines(
@@ -100,6 +110,7 @@
         _model_choice(work, engine, engine.id in holders, setting)
         for engine in engines
     ]
+    choices = [choice for choice in choices if choice.has_room] or choices
     best = min(choice.cost for choice in choices)
     return rng.choice(
         [choice for choice in choices if choice.cost <= best + _TIE_TOKENS],
@@ -152,7 +163,38 @@
         cost += _PAUSED_STREAM_TOKENS
     if engine.zone != setting.own_zone:
         cost += _OTHER_ZONE_TOKENS
-    return Choice(engine=engine, uncached_tokens=uncached, cost=cost)
+    return Choice(
+        engine=engine,
+        uncached_tokens=uncached,
+        cost=cost,
+        has_room=_has_room(uncached, work, engine, setting),
+    )
+
+
+def _has_room(
+    uncached: int,
+    work: ModelWork,
+    engine: EngineView,
+    setting: ModelSetting,
+) -> bool:
+    """Tell whether the first event may come in time at ``engine``.
+
+    An engine that computes no prompt takes one of any length.
+    """
+    out = engine.occupancy(setting.now_s)
+    if engine.slots and out.attempts >= engine.slots:
+        return False
+    fraction = setting.short_fractions.get(engine.id, 0)
+    if out.attempts and fraction * is_long_prompt(work.prompt_tokens) > 0.5:
+        return False
+    resident = out.resident_tokens + work.resident_tokens
+    capacity = setting.capacity_tokens
+    if out.attempts and capacity and resident > capacity:
+        return False
+    if not out.uncached_tokens:
+        return True
+    slowdown = engine.current_slowdown(setting.now_s)
+    return (out.uncached_tokens + uncached) * slowdown <= setting.room_tokens
 
 
 def _other_side_tokens(
--- a/src/arbutusbay/scheduling/_sides.py
+++ b/src/arbutusbay/scheduling/_sides.py
@@ -16,7 +16,7 @@
 
 _RANK_KEY = 'engine-rank'
 _HALF_LIFE_S = 8.0
-_OUTPUT_TOKEN_COST = 2
+_OUTPUT_TOKEN_COST = 0.5
 LONG_PROMPT_TOKENS = 2048
 
 
