--- a/src/arbutusbay/node/__main__.py
+++ b/src/arbutusbay/node/__main__.py
@@ -1,5 +1,7 @@
 """Run the daemon as a module."""
 
+import sys
+
 from arbutusbay.node import main
 
-raise SystemExit(main())
+sys.exit(main())
--- a/src/arbutusbay/node/_attempts.py
+++ b/src/arbutusbay/node/_attempts.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from http import HTTPStatus
 
 import aiohttp
 import attrs
@@ -24,9 +25,9 @@
 
 _CONNECT_S = 0.4
 _REFUSAL_BODY_S = 0.1
-_MISDIRECTED = 421
-_SUCCESS = range(200, 300)
-_SERVER_ERRORS = range(500, 600)
+_STATUS_CLASS = 100
+_SUCCESS_CLASS = 2
+_SERVER_ERROR_CLASS = 5
 
 
 @attrs.frozen(kw_only=True)
@@ -67,7 +68,7 @@
     @property
     def is_success(self) -> bool:
         """Tell whether the status is 2xx."""
-        return self.status in _SUCCESS
+        return _status_class(self.status) == _SUCCESS_CLASS
 
     def headers(self) -> CIMultiDict[str]:
         """Return the headers for the client."""
@@ -97,7 +98,7 @@
             headers=self.headers(),
             body=body,
         )
-        if self.status in _SERVER_ERRORS:
+        if _status_class(self.status) == _SERVER_ERROR_CLASS:
             return Err(
                 AttemptFailure(
                     outcome=Outcome.RAN_AND_FAILED,
@@ -150,10 +151,14 @@
     response: aiohttp.ClientResponse,
 ) -> Result[OpenAnswer, AttemptFailure]:
     head = answer_head_from(response.headers)
-    if head.attempt_id and head.attempt_id != incoming.id:
+    is_rejected = (
+        head.is_not_run or response.status == HTTPStatus.MISDIRECTED_REQUEST
+    )
+    is_foreign = head.attempt_id != incoming.id
+    if is_foreign and (head.attempt_id or not is_rejected):
         response.close()
         return _unknown('the answer belongs to another attempt')
-    if head.is_not_run or response.status == _MISDIRECTED:
+    if is_rejected:
         await _read_rest(response)
         return Err(
             AttemptFailure(
@@ -162,17 +167,20 @@
                 weights_version=head.weights_version,
             ),
         )
-    if response.status in _SUCCESS and not (
-        head.is_stamped and head.attempt_id
-    ):
+    is_success = _status_class(response.status) == _SUCCESS_CLASS
+    if is_success and not head.is_stamped:
         response.close()
-        return _unknown('the answer has no stamp or id')
+        return _unknown('the answer has no stamp')
     if 'Content-Encoding' in response.headers:
         response.close()
         return _unknown('the answer is encoded')
     return Ok(OpenAnswer(response=response, head=head))
 
 
+def _status_class(status: int) -> int:
+    return status // _STATUS_CLASS
+
+
 async def _read_rest(response: aiohttp.ClientResponse) -> None:
     """Read a refusal's body, so that the connection can be used again."""
     try:
--- a/src/arbutusbay/node/_control_api.py
+++ b/src/arbutusbay/node/_control_api.py
@@ -34,7 +34,7 @@
         self.store = store
         self.writer = writer
 
-    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one question."""
         if request.path in _READINESS_PATHS:
             return self._answer_readiness()
--- a/src/arbutusbay/node/_follower.py
+++ b/src/arbutusbay/node/_follower.py
@@ -1,6 +1,7 @@
 """Learn what the store holds, from the store or from another VM."""
 
 import asyncio
+from http import HTTPStatus
 
 import aiohttp
 from result import Err, Ok, Result
@@ -176,7 +177,7 @@
                 status = response.status
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
             return _unreachable(repr(error))
-        if status != 200:
+        if status != HTTPStatus.OK:
             return _unreachable(f'status {status}')
         return relay_answer_from_bytes(body)
 
--- a/src/arbutusbay/node/_frontend.py
+++ b/src/arbutusbay/node/_frontend.py
@@ -2,7 +2,6 @@
 
 import asyncio
 
-import aiohttp
 from aiohttp import web
 from result import Err, Ok, Result
 
@@ -12,12 +11,9 @@
 from arbutusbay.node._attempts import Answer
 from arbutusbay.node._board import NodeBoard
 from arbutusbay.node._clock import now_s
-from arbutusbay.node._dispatcher import Dispatcher
 from arbutusbay.node._incoming import IncomingRequest, check_request
 from arbutusbay.node._metrics import NodeMetrics
-from arbutusbay.node._placer import Placer
-from arbutusbay.node._request_run import RequestRun, fetch_in_time
-from arbutusbay.node._silence_watch import SilenceWatch
+from arbutusbay.node._request_run import RequestRun, RunTools, fetch_in_time
 from arbutusbay.node._stream_run import Broken, Relayed, StreamRun
 from arbutusbay.platform import retry_after_headers
 
@@ -31,33 +27,29 @@
         self,
         *,
         board: NodeBoard,
-        placer: Placer,
-        dispatcher: Dispatcher,
-        session: aiohttp.ClientSession,
-        watch: SilenceWatch,
+        tools: RunTools,
         metrics: NodeMetrics,
     ) -> None:
-        """Send requests on through ``session``."""
+        """Run requests with ``tools``."""
         self.board = board
-        self.placer = placer
-        self.dispatcher = dispatcher
-        self.session = session
-        self.watch = watch
+        self.tools = tools
         self.metrics = metrics
 
-    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
         connection = request.protocol
         self.board.busy.add(connection)
         try:
-            response = await self._handle(request)
+            response = await self._answer_checked(request)
             await response.prepare(request)
             await response.write_eof()
             return response
         finally:
             self.board.busy.discard(connection)
 
-    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def _answer_checked(
+        self, request: web.BaseRequest
+    ) -> web.StreamResponse:
         match check_request(self.board, request):
             case Err(failure):
                 return self._refuse(request, failure)
@@ -68,15 +60,7 @@
                 return self._refuse(request, failure)
             case Ok(body):
                 pass
-        run = RequestRun(
-            board=self.board,
-            placer=self.placer,
-            dispatcher=self.dispatcher,
-            session=self.session,
-            watch=self.watch,
-            incoming=incoming,
-            body=body,
-        )
+        run = RequestRun(tools=self.tools, incoming=incoming, body=body)
         try:
             if incoming.is_stream:
                 return await self._relay_stream(request, run)
--- a/src/arbutusbay/node/_incoming.py
+++ b/src/arbutusbay/node/_incoming.py
@@ -19,7 +19,6 @@
 from arbutusbay.platform import RequestHead, request_head_from
 
 _NOT_READY_RETRY_S = 1.0
-_TRANSPARENT_WEIGHT = 1.0
 
 
 @attrs.frozen(kw_only=True)
@@ -154,9 +153,9 @@
     if len(route.targets) == 1:
         return route.targets[0].service
     weights = [target.weight for target in route.targets]
-    if not any(weights):
-        weights = [_TRANSPARENT_WEIGHT] * len(weights)
-    return board.rng.choices(route.targets, weights)[0].service
+    if any(weights):
+        return board.rng.choices(route.targets, weights)[0].service
+    return board.rng.choice(route.targets).service
 
 
 def _too_old(board: NodeBoard) -> Failure:
--- a/src/arbutusbay/node/_lease.py
+++ b/src/arbutusbay/node/_lease.py
@@ -19,6 +19,7 @@
 _LOG = get_logger('lease')
 _ANSWER_S = 0.8
 _CLAIM_SHARE = 0.5
+WEIGHTS_LEASE = 'weights'
 _MARGIN_S = 0.2
 
 
--- a/src/arbutusbay/node/_metrics.py
+++ b/src/arbutusbay/node/_metrics.py
@@ -1,6 +1,6 @@
 """Count requests, attempts and store calls, and time requests."""
 
-from aioprometheus import Counter, Gauge, Histogram, REGISTRY
+from aioprometheus import REGISTRY, Counter, Gauge, Histogram
 from aioprometheus.renderer import render
 
 from arbutusbay.fleet import RequestKind
--- /dev/null
+++ b/src/arbutusbay/node/_parts.py
@@ -0,0 +1,115 @@
+"""Compose the parts of the daemon around one blackboard."""
+
+import time
+
+import aiohttp
+
+from arbutusbay.fleet import VMRecord
+from arbutusbay.logs import LineWriter
+from arbutusbay.node._board import NodeBoard
+from arbutusbay.node._control_api import ControlApi
+from arbutusbay.node._dispatcher import Dispatcher
+from arbutusbay.node._follower import Follower
+from arbutusbay.node._frontend import Frontend
+from arbutusbay.node._lease import WEIGHTS_LEASE, Lease
+from arbutusbay.node._metrics import NodeMetrics
+from arbutusbay.node._peers import PeerChannel
+from arbutusbay.node._placer import Placer
+from arbutusbay.node._relay_api import RelayApi
+from arbutusbay.node._request_run import RunTools
+from arbutusbay.node._rollout import Rollout
+from arbutusbay.node._server_views import ServerViews
+from arbutusbay.node._silence_watch import SilenceWatch
+from arbutusbay.node._topics import OperatorTopic, ServersTopic
+from arbutusbay.node._weights_loader import WeightsLoader
+from arbutusbay.platform import StoreClient, VMSettings
+
+
+class NodeParts:
+    """Hold the parts of the daemon; each is told of those it needs."""
+
+    def __init__(
+        self,
+        *,
+        settings: VMSettings,
+        session: aiohttp.ClientSession,
+        writer: LineWriter,
+    ) -> None:
+        """Build all parts for ``settings``; calls go through ``session``."""
+        self.board = NodeBoard(settings=settings)
+        self.me = VMRecord(
+            name=settings.name,
+            address=f'{settings.ip}:{settings.peer_ports[0]}',
+            zone=settings.zone,
+            started_ms=int(time.time() * 1000),
+        )
+        self.board.catalog.vms[self.me.name] = self.me
+        self.store = StoreClient(
+            address=str(settings.store),
+            session=session,
+        )
+        self.metrics = NodeMetrics()
+        self.peers = PeerChannel(board=self.board, me=self.me)
+        self.watch = SilenceWatch(board=self.board)
+        self._build_store_side(session)
+        self._build_request_side(session, writer)
+
+    def _build_store_side(self, session: aiohttp.ClientSession) -> None:
+        operator = OperatorTopic(board=self.board)
+        servers = ServersTopic(
+            board=self.board,
+            views=ServerViews(board=self.board),
+        )
+        self.follower = Follower(
+            board=self.board,
+            store=self.store,
+            session=session,
+            operator=operator,
+            servers=servers,
+        )
+        self.relay = RelayApi(
+            board=self.board,
+            operator=operator,
+            servers=servers,
+        )
+        lease = Lease(
+            name=WEIGHTS_LEASE,
+            holder=self.me.name,
+            board=self.board,
+            store=self.store,
+        )
+        self.rollout = Rollout(
+            board=self.board,
+            lease=lease,
+            loader=WeightsLoader(
+                board=self.board,
+                lease=lease,
+                peers=self.peers,
+                session=session,
+            ),
+        )
+
+    def _build_request_side(
+        self,
+        session: aiohttp.ClientSession,
+        writer: LineWriter,
+    ) -> None:
+        placer = Placer(board=self.board)
+        self.dispatcher = Dispatcher(board=self.board, placer=placer)
+        self.frontend = Frontend(
+            board=self.board,
+            tools=RunTools(
+                board=self.board,
+                placer=placer,
+                dispatcher=self.dispatcher,
+                watch=self.watch,
+                session=session,
+            ),
+            metrics=self.metrics,
+        )
+        self.control = ControlApi(
+            board=self.board,
+            metrics=self.metrics,
+            store=self.store,
+            writer=writer,
+        )
--- /dev/null
+++ b/src/arbutusbay/node/_peer_messages.py
@@ -0,0 +1,143 @@
+"""Encode what a VM tells the others about its attempts and engines."""
+
+from collections.abc import Mapping
+from typing import Any
+
+import attrs
+import orjson
+from result import Err, Ok, Result
+
+from arbutusbay.errors import ErrorKind, Failure
+from arbutusbay.scheduling import Occupancy, WorkSums
+
+_MIX_UNIT = 1000
+
+
+@attrs.frozen(kw_only=True)
+class LoadTimes:
+    """Say in how many seconds a load of weights starts and ends."""
+
+    from_s: float
+    until_s: float
+
+
+@attrs.frozen(kw_only=True)
+class LoadedWeights:
+    """Hold the weights versions of one start of an engine."""
+
+    incarnation: int
+    versions: Mapping[str, int]
+
+
+@attrs.frozen(kw_only=True)
+class PeerState:
+    """Hold all that one VM tells; maps are keyed by backend server.
+
+    ``silent`` names engines that the sender suspects; ``loads`` and
+    ``weights`` come from the VM that leads a rollout, ``fence`` from the
+    last holder of the lease for it.
+    """
+
+    name: str
+    zone: str
+    occupancy: Mapping[str, Occupancy]
+    mix: WorkSums
+    silent: tuple[str, ...] = ()
+    loads: Mapping[str, LoadTimes] = attrs.field(factory=dict)
+    weights: Mapping[str, LoadedWeights] = attrs.field(factory=dict)
+    fence: int | None = None
+
+
+def peer_state_to_bytes(state: PeerState) -> bytes:
+    """Return ``state`` as JSON with short names, as it is sent often."""
+    fields: dict[str, Any] = {
+        'n': state.name,
+        'z': state.zone,
+        'o': {
+            server: (
+                out.attempts,
+                out.uncached_tokens,
+                out.resident_tokens,
+            )
+            for server, out in state.occupancy.items()
+        },
+        'm': (
+            int(state.mix.short / _MIX_UNIT),
+            int(state.mix.long / _MIX_UNIT),
+        ),
+    }
+    if state.silent:
+        fields['s'] = state.silent
+    if state.loads:
+        fields['l'] = {
+            server: (int(times.from_s * 1000), int(times.until_s * 1000))
+            for server, times in state.loads.items()
+        }
+        fields['w'] = {
+            server: (loaded.incarnation, loaded.versions)
+            for server, loaded in state.weights.items()
+        }
+    if state.fence is not None:
+        fields['f'] = state.fence
+    return orjson.dumps(fields)
+
+
+def peer_state_from_bytes(datagram: bytes) -> Result[PeerState, Failure]:
+    """Return the state in ``datagram``, or ``BAD_MESSAGE``."""
+    try:
+        return Ok(_state_from_json(orjson.loads(datagram)))
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        return Err(
+            Failure(kind=ErrorKind.BAD_MESSAGE, detail=f'peer: {error!r}'),
+        )
+
+
+def _state_from_json(fields: Mapping[str, Any]) -> PeerState:
+    short, long = fields['m']
+    fence = fields.get('f')
+    return PeerState(
+        name=str(fields['n']),
+        zone=str(fields['z']),
+        occupancy={
+            str(server): _occupancy(*told)
+            for server, told in fields['o'].items()
+        },
+        mix=WorkSums(
+            short=float(short) * _MIX_UNIT,
+            long=float(long) * _MIX_UNIT,
+        ),
+        silent=tuple(str(server) for server in fields.get('s', ())),
+        loads={
+            str(server): _load_times(*told)
+            for server, told in fields.get('l', {}).items()
+        },
+        weights={
+            str(server): _loaded_weights(*told)
+            for server, told in fields.get('w', {}).items()
+        },
+        fence=None if fence is None else int(fence),
+    )
+
+
+def _occupancy(attempts: int, uncached: int, resident: int) -> Occupancy:
+    return Occupancy(
+        attempts=int(attempts),
+        uncached_tokens=int(uncached),
+        resident_tokens=int(resident),
+    )
+
+
+def _load_times(from_ms: int, until_ms: int) -> LoadTimes:
+    return LoadTimes(from_s=int(from_ms) / 1000, until_s=int(until_ms) / 1000)
+
+
+def _loaded_weights(
+    incarnation: int,
+    versions: Mapping[str, int],
+) -> LoadedWeights:
+    return LoadedWeights(
+        incarnation=int(incarnation),
+        versions={
+            str(model): int(version) for model, version in versions.items()
+        },
+    )
--- a/src/arbutusbay/node/_peers.py
+++ b/src/arbutusbay/node/_peers.py
@@ -3,20 +3,28 @@
 import asyncio
 from typing import Any
 
-import orjson
+from result import Err, Ok
 
-from arbutusbay.fleet import VMRecord
+from arbutusbay.fleet import LeaseClaim, VMRecord
 from arbutusbay.logs import get_logger
 from arbutusbay.node._board import NodeBoard
 from arbutusbay.node._clock import now_s
+from arbutusbay.node._lease import WEIGHTS_LEASE
+from arbutusbay.node._peer_messages import (
+    LoadedWeights,
+    LoadTimes,
+    PeerState,
+    peer_state_from_bytes,
+    peer_state_to_bytes,
+)
 from arbutusbay.platform import endpoint_from_text
-from arbutusbay.scheduling import EngineView, Occupancy, PeerOccupancy, WorkSums
+from arbutusbay.scheduling import EngineView, PeerOccupancy
 
 _LOG = get_logger('peers')
 _LEAST_INTERVAL_S = 0.1
 _REFRESH_S = 1.0
-_MIX_UNIT = 1000
 _SUSPICION_S = 0.4
+_SILENT_S = 5.0
 
 
 class PeerChannel(asyncio.DatagramProtocol):
@@ -40,15 +48,16 @@
 
     def datagram_received(self, datagram: bytes, address: Any) -> None:
         """Take up what another VM told."""
-        try:
-            state = orjson.loads(datagram)
-            self._note_sender(state, address)
-            self._take_up(state)
-        except (ValueError, KeyError, TypeError, AttributeError) as error:
-            _LOG.warning(
-                'datagram skipped',
-                fields={'sender': str(address), 'error': repr(error)},
-            )
+        match peer_state_from_bytes(datagram):
+            case Err(failure):
+                _LOG.warning(
+                    'datagram skipped: {}',
+                    failure.detail,
+                    fields={'sender': str(address)},
+                )
+            case Ok(state):
+                self._note_sender(state, f'{address[0]}:{address[1]}')
+                self._take_up(state)
 
     def error_received(self, error: Exception) -> None:
         """Note that a datagram could not be delivered."""
@@ -80,53 +89,55 @@
 
     def send(self) -> None:
         """Send this VM's state to the others, if it changed."""
-        state = self._state()
-        datagram = orjson.dumps(state)
+        datagram = peer_state_to_bytes(self._state())
         if self.transport is None or datagram == self.last_sent:
             return
         self.last_sent = datagram
         for vm in self.board.catalog.vms.values():
-            if vm.name != self.me.name:
+            if self._is_worth_telling(vm):
                 peer = endpoint_from_text(vm.address)
                 self.transport.sendto(datagram, (peer.host, peer.port))
 
-    def _state(self) -> dict[str, Any]:
-        out = {}
-        for view in self.board.views.values():
-            held = view.own_occupancy()
-            if held.attempts:
-                out[view.id] = [
-                    held.attempts,
-                    held.uncached_tokens,
-                    held.resident_tokens,
-                ]
-        mix = self.board.mix.sums(now_s())
-        state: dict[str, Any] = {
-            'n': self.me.name,
-            'z': self.me.zone,
-            'o': out,
-            'm': [int(mix.short / _MIX_UNIT), int(mix.long / _MIX_UNIT)],
-        }
-        moment_s = now_s()
-        silent = [
-            view.id
-            for view in self.board.views.values()
-            if moment_s < view.suspected_until_s
-        ]
-        if silent:
-            state['s'] = silent
-        loading = self._load_times_ms()
-        if loading:
-            state['l'] = loading
-            state['w'] = {
-                view.id: [view.incarnation, view.weights]
-                for view in self.board.views.values()
-                if view.weights
-            }
-        return state
-
-    def _load_times_ms(self) -> dict[str, tuple[int, int]]:
+    def _is_worth_telling(self, vm: VMRecord) -> bool:
+        if vm.name == self.me.name:
+            return False
+        heard_s = self.board.heard_s.setdefault(vm.name, now_s())
+        return now_s() - heard_s < _SILENT_S
+
+    def _state(self) -> PeerState:
         moment_s = now_s()
+        views = self.board.views.values()
+        out = {view.id: view.own_occupancy() for view in views}
+        loads = self._load_times(moment_s)
+        return PeerState(
+            name=self.me.name,
+            zone=self.me.zone,
+            occupancy={
+                name: held for name, held in out.items() if held.attempts
+            },
+            mix=self.board.mix.sums(moment_s),
+            silent=tuple(
+                view.id for view in views if moment_s < view.suspected_until_s
+            ),
+            loads=loads,
+            fence=self._own_fence(),
+            weights={
+                view.id: LoadedWeights(
+                    incarnation=view.incarnation,
+                    versions=view.weights,
+                )
+                for view in views
+                if loads and view.weights
+            },
+        )
+
+    def _own_fence(self) -> int | None:
+        held = self.board.catalog.leases.get(WEIGHTS_LEASE)
+        if held is None or held.claim.holder != self.me.name:
+            return None
+        return held.offset
+
+    def _load_times(self, moment_s: float) -> dict[str, LoadTimes]:
         recent_s = moment_s - _REFRESH_S
         self.loads = {
             view_id: view
@@ -134,78 +145,58 @@
             if view.load_until_s > recent_s
         }
         return {
-            view_id: (
-                int((view.load_from_s - moment_s) * 1000),
-                int((view.load_until_s - moment_s) * 1000),
+            view_id: LoadTimes(
+                from_s=view.load_from_s - moment_s,
+                until_s=view.load_until_s - moment_s,
             )
             for view_id, view in self.loads.items()
         }
 
-    def _note_sender(self, state: dict[str, Any], address: Any) -> None:
-        name = str(state['n'])
-        self.board.heard_s[name] = now_s()
-        if name in self.board.catalog.vms:
+    def _note_sender(self, state: PeerState, address: str) -> None:
+        self.board.heard_s[state.name] = now_s()
+        self.board.peer_mixes[state.name] = state.mix
+        if state.name in self.board.catalog.vms:
             return
-        self.board.catalog.vms[name] = VMRecord(
-            name=name,
-            address=f'{address[0]}:{address[1]}',
-            zone=str(state['z']),
+        self.board.catalog.vms[state.name] = VMRecord(
+            name=state.name,
+            address=address,
+            zone=state.zone,
             started_ms=0,
         )
-        _LOG.info('vm heard of', fields={'vm': name, 'zone': state['z']})
+        _LOG.info('vm heard of', fields={'vm': state.name, 'zone': state.zone})
 
-    def _take_up(self, state: dict[str, Any]) -> None:
+    def _take_up(self, state: PeerState) -> None:
         moment_s = now_s()
-        sender = str(state['n'])
-        out = state['o']
-        short, long = state['m']
-        self.board.peer_mixes[sender] = WorkSums(
-            short=float(short) * _MIX_UNIT,
-            long=float(long) * _MIX_UNIT,
-        )
+        if state.fence is not None:
+            claim = LeaseClaim(
+                name=WEIGHTS_LEASE,
+                holder=state.name,
+                round=0,
+            )
+            self.board.catalog.put_claim(claim, state.fence, moment_s)
         for view in self.board.views.values():
-            self._put_occupancy(view, sender, out.get(view.id), moment_s)
-        for view_id in state.get('s', ()):
-            view = self.board.views.get(view_id)
-            if view is not None:
+            self._put_occupancy(view, state, moment_s)
+            if view.id in state.silent:
                 view.silent_until_s = moment_s + _SUSPICION_S
-        for view_id, (from_ms, until_ms) in state.get('l', {}).items():
-            view = self.board.views.get(view_id)
-            if view is not None:
-                view.load_from_s = moment_s + int(from_ms) / 1000
-                view.load_until_s = moment_s + int(until_ms) / 1000
-        for view_id, (incarnation, weights) in state.get('w', {}).items():
-            self._put_weights(view_id, incarnation, weights)
+            times = state.loads.get(view.id)
+            if times is not None:
+                view.load_from_s = moment_s + times.from_s
+                view.load_until_s = moment_s + times.until_s
+            loaded = state.weights.get(view.id)
+            if loaded is not None and loaded.incarnation == view.incarnation:
+                view.put_weights(loaded.versions)
 
     def _put_occupancy(
         self,
         view: EngineView,
-        sender: str,
-        told: Any,
+        state: PeerState,
         moment_s: float,
     ) -> None:
+        told = state.occupancy.get(view.id)
         if told is None:
-            view.peers.pop(sender, None)
+            view.peers.pop(state.name, None)
             return
-        attempts, uncached, resident = told
-        view.peers[sender] = PeerOccupancy(
-            occupancy=Occupancy(
-                attempts=int(attempts),
-                uncached_tokens=int(uncached),
-                resident_tokens=int(resident),
-            ),
+        view.peers[state.name] = PeerOccupancy(
+            occupancy=told,
             heard_s=moment_s,
         )
-
-    def _put_weights(
-        self,
-        view_id: str,
-        incarnation: int,
-        weights: dict[str, int],
-    ) -> None:
-        view = self.board.views.get(view_id)
-        if view is None or view.incarnation != incarnation:
-            return
-        for model, version in weights.items():
-            if int(version) > view.weights.get(model, -1):
-                view.weights[model] = int(version)
--- a/src/arbutusbay/node/_placer.py
+++ b/src/arbutusbay/node/_placer.py
@@ -26,6 +26,7 @@
 _SAVING_WITH_STORE = 0.4
 _WARM_SHARE = 0.75
 _ROOM_SHARE = 0.6
+_LEAST_TIME_S = 0.001
 _MOST_URGENT = 0
 _LEAST_URGENT = 9
 _SHARED_BY_ALL = 'shared'
@@ -139,8 +140,7 @@
         version: int | None,
     ) -> None:
         """Take up the weights version that an answer told."""
-        if version is not None and version > view.weights.get(model, -1):
-            view.weights[model] = version
+        if version is not None and view.put_weights({model: version}):
             self.board.notify_load()
 
     def put_failure(self, view: EngineView, outcome: Outcome) -> None:
@@ -252,7 +252,7 @@
     ) -> AttemptOrders:
         incoming = demand.incoming
         team = incoming.team
-        remaining_s = max(0.001, incoming.remaining_s())
+        remaining_s = max(_LEAST_TIME_S, incoming.remaining_s())
         name = team.name if team else ''
         if not incoming.is_for_model:
             return AttemptOrders(
--- a/src/arbutusbay/node/_registration.py
+++ b/src/arbutusbay/node/_registration.py
@@ -18,7 +18,7 @@
 
 _LOG = get_logger('registration')
 _ANSWER_S = 1.0
-_PAUSE_S = 1.0
+_PAUSE_RANGE_S = (0.5, 1.5)
 _REREAD_S = 20.0
 
 
@@ -33,7 +33,7 @@
     while True:
         read = await _read_all(board, store)
         if isinstance(read, Err):
-            await asyncio.sleep(_PAUSE_S * board.rng.uniform(0.5, 1.5))
+            await asyncio.sleep(board.rng.uniform(*_PAUSE_RANGE_S))
         else:
             await asyncio.sleep(_REREAD_S)
 
@@ -56,7 +56,7 @@
                     'vm not registered yet',
                     fields={'failure': repr(failure)},
                 )
-                await asyncio.sleep(_PAUSE_S * board.rng.uniform(0.5, 1.5))
+                await asyncio.sleep(board.rng.uniform(*_PAUSE_RANGE_S))
 
 
 async def _read_all(
--- a/src/arbutusbay/node/_relay_api.py
+++ b/src/arbutusbay/node/_relay_api.py
@@ -33,7 +33,7 @@
         self.operator = operator
         self.servers = servers
 
-    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer once something changed, or after the time asked for."""
         if request.path != RELAY_PATH:
             return web.Response(status=HTTPStatus.NOT_FOUND)
--- a/src/arbutusbay/node/_request_run.py
+++ b/src/arbutusbay/node/_request_run.py
@@ -20,8 +20,8 @@
 from arbutusbay.node._clock import now_s
 from arbutusbay.node._dispatcher import Dispatcher
 from arbutusbay.node._incoming import IncomingRequest, check_still_fresh
-from arbutusbay.node._silence_watch import SilenceWatch, Watched
 from arbutusbay.node._placer import Demand, Placement, Placer
+from arbutusbay.node._silence_watch import SilenceWatch, Watched
 from arbutusbay.scheduling import (
     AttemptCount,
     NextStep,
@@ -66,31 +66,34 @@
         return failure.weights_version is not None
 
 
+@attrs.frozen(kw_only=True)
+class RunTools:
+    """Hold what the runs of all requests share."""
+
+    board: NodeBoard
+    placer: Placer
+    dispatcher: Dispatcher
+    watch: SilenceWatch
+    session: aiohttp.ClientSession
+
+
 class RequestRun:
     """Make the attempts of one request."""
 
     def __init__(
         self,
         *,
-        board: NodeBoard,
-        placer: Placer,
-        dispatcher: Dispatcher,
-        session: aiohttp.ClientSession,
-        watch: SilenceWatch,
+        tools: RunTools,
         incoming: IncomingRequest,
         body: bytes,
     ) -> None:
         """Prepare the run of ``incoming``."""
-        self.board = board
-        self.placer = placer
-        self.dispatcher = dispatcher
-        self.session = session
-        self.watch = watch
+        self.tools = tools
         self.incoming = incoming
         self.body = body
         self.tally = Tally()
         self.in_flight = False
-        budget = board.budget_of(incoming.service.name)
+        budget = tools.board.budget_of(incoming.service.name)
         budget.earn()
         self.budget = budget
 
@@ -121,7 +124,7 @@
         refused = self._refused_now()
         if refused is not None:
             return Err(refused)
-        placed = await self.dispatcher.place(
+        placed = await self.tools.dispatcher.place(
             self._demand(weights_version, resume_after),
         )
         match placed:
@@ -131,7 +134,7 @@
                 pass
         refused = self._refused_now()
         if refused is not None:
-            self.dispatcher.release(placement)
+            self.tools.dispatcher.release(placement)
             return Err(refused)
         return Ok(placement)
 
@@ -144,7 +147,7 @@
         self.in_flight = True
         try:
             async with open_attempt(
-                self.session,
+                self.tools.session,
                 placement.view,
                 self.incoming,
                 self.body,
@@ -154,13 +157,13 @@
                     self._learn(placement, opened.ok_value)
                 yield opened
         finally:
-            self.dispatcher.release(placement)
+            self.tools.dispatcher.release(placement)
 
     @asynccontextmanager
     async def watching(self, placement: Placement) -> AsyncIterator[Watched]:
         """Watch an attempt; ``TimeoutError`` ends a repeatable one."""
         async with asyncio.timeout(self._attempt_limit_s()) as limit:
-            watched = self.watch.start(
+            watched = self.tools.watch.start(
                 placement.attempt,
                 placement.view,
                 limit if self.incoming.is_repeatable else None,
@@ -168,13 +171,7 @@
             try:
                 yield watched
             finally:
-                self.watch.stop(watched)
-
-    def _attempt_limit_s(self) -> float | None:
-        """Return how long a plain idempotent attempt may take."""
-        if self.incoming.is_stream or not self.incoming.is_repeatable:
-            return None
-        return self.incoming.route.target_latency_s * _LATENCY_FACTOR or None
+                self.tools.watch.stop(watched)
 
     def after(
         self,
@@ -186,8 +183,8 @@
         view = placement.view
         model = self.incoming.head.model
         self.tally.put(view.id, failure)
-        self.placer.put_weights(view, model, failure.weights_version)
-        self.placer.put_failure(view, failure.outcome)
+        self.tools.placer.put_weights(view, model, failure.weights_version)
+        self.tools.placer.put_failure(view, failure.outcome)
         step = next_step(
             failure.outcome,
             self.tally.count(),
@@ -236,6 +233,12 @@
             detail=f'no answer in time ({self.tally.last_detail})',
         )
 
+    def _attempt_limit_s(self) -> float | None:
+        """Return how long a plain idempotent attempt may take."""
+        if self.incoming.is_stream or not self.incoming.is_repeatable:
+            return None
+        return self.incoming.route.target_latency_s * _LATENCY_FACTOR or None
+
     async def _fetch_once(
         self,
         placement: Placement,
@@ -262,7 +265,7 @@
 
     def _refused_now(self) -> Failure | None:
         """Return why the request may no longer be sent, if so."""
-        refused = check_still_fresh(self.board, self.incoming)
+        refused = check_still_fresh(self.tools.board, self.incoming)
         if refused is not None:
             return self._refusal(refused)
         if self.incoming.remaining_s() <= 0:
@@ -287,8 +290,8 @@
 
     def _learn(self, placement: Placement, answer: OpenAnswer) -> None:
         view = placement.view
-        self.placer.put_load(view, answer.head.load)
-        self.placer.put_weights(
+        self.tools.placer.put_load(view, answer.head.load)
+        self.tools.placer.put_weights(
             view,
             self.incoming.head.model,
             answer.head.weights_version,
--- a/src/arbutusbay/node/_server_views.py
+++ b/src/arbutusbay/node/_server_views.py
@@ -31,15 +31,9 @@
         if server.is_draining and not view.is_draining:
             _LOG.info('server drains', fields={'server': server.id})
         view.is_draining = server.is_draining
-        self.put_weights(view, dict(server.weights))
+        view.put_weights(server.weights)
         self.board.notify()
 
-    def put_weights(self, view: EngineView, weights: dict[str, int]) -> None:
-        """Take up loaded versions; within one start they only rise."""
-        for model, version in weights.items():
-            if version > view.weights.get(model, -1):
-                view.weights[model] = version
-
     def remove(self, server_id: str) -> None:
         """Take up that a backend server is gone."""
         self.board.catalog.servers.pop(server_id, None)
--- a/src/arbutusbay/node/_stream_run.py
+++ b/src/arbutusbay/node/_stream_run.py
@@ -110,17 +110,24 @@
                 self.run.watching(placement) as watched,
                 self.run.attempt(placement) as opened,
             ):
-                match opened:
-                    case Err() as failed:
-                        return failed
-                    case Ok(answer):
-                        pass
-                if not answer.is_success:
-                    return await answer.whole()
-                return await self._relay_events(watched, answer)
+                return await self._relay_answer(watched, opened)
         except TimeoutError:
             return silent_failure()
 
+    async def _relay_answer(
+        self,
+        watched: Watched,
+        opened: Result[OpenAnswer, AttemptFailure],
+    ) -> Result[StreamResult, AttemptFailure]:
+        match opened:
+            case Err() as failed:
+                return failed
+            case Ok(answer):
+                pass
+        if not answer.is_success:
+            return await answer.whole()
+        return await self._relay_events(watched, answer)
+
     async def _relay_events(
         self,
         watched: Watched,
@@ -146,7 +153,7 @@
     def _note_start(self, watched: Watched) -> None:
         """Learn from the first event how long prompts take."""
         watched.attempt.has_started = True
-        self.run.dispatcher.put_first_event(watched.attempt, watched.view)
+        self.run.tools.dispatcher.put_first_event(watched.attempt, watched.view)
 
     async def _finish(
         self,
@@ -170,7 +177,7 @@
             status=answer.status,
             headers=answer.headers(),
         )
-        if self.run.board.is_stopping:
+        if self.run.tools.board.is_stopping:
             response.force_close()
         response.enable_chunked_encoding()
         await response.prepare(self.request)
--- a/src/arbutusbay/platform/_documents.py
+++ b/src/arbutusbay/platform/_documents.py
@@ -167,13 +167,15 @@
     for route in routes:
         by_host.setdefault(route.host, []).append(route)
     return {
-        host: tuple(
-            sorted(entries, key=lambda route: -len(route.path_prefix)),
-        )
+        host: tuple(sorted(entries, key=_prefix_length, reverse=True))
         for host, entries in by_host.items()
     }
 
 
+def _prefix_length(route: RouteRule) -> int:
+    return len(route.path_prefix)
+
+
 def _route(entry: Any) -> RouteRule:
     table = as_table(entry, 'routes')
     kind = get_text(table, 'kind')
@@ -243,14 +245,41 @@
 
 
 def _limits(table: Mapping[str, Any]) -> ClientLimits:
+    usual = ClientLimits()
     return ClientLimits(
-        max_header_bytes=get_whole(table, 'max_header_bytes', 16_384),
-        max_body_bytes=get_whole(table, 'max_body_bytes', 4_194_304),
-        header_timeout_s=get_milliseconds(table, 'header_timeout_ms', 3000),
-        idle_timeout_s=get_milliseconds(table, 'idle_timeout_ms', 15_000),
+        max_header_bytes=get_whole(
+            table,
+            'max_header_bytes',
+            usual.max_header_bytes,
+        ),
+        max_body_bytes=get_whole(
+            table,
+            'max_body_bytes',
+            usual.max_body_bytes,
+        ),
+        header_timeout_s=_limit_s(
+            table,
+            'header_timeout_ms',
+            usual.header_timeout_s,
+        ),
+        idle_timeout_s=_limit_s(
+            table,
+            'idle_timeout_ms',
+            usual.idle_timeout_s,
+        ),
     )
 
 
+def _limit_s(
+    table: Mapping[str, Any],
+    name: str,
+    usual_s: float,
+) -> float:
+    if name in table:
+        return get_milliseconds(table, name)
+    return usual_s
+
+
 def _backend_server(key: str, table: Mapping[str, Any]) -> BackendServer:
     state = get_text(table, 'state')
     if state not in _STATES:
--- a/src/arbutusbay/platform/_engine_calls.py
+++ b/src/arbutusbay/platform/_engine_calls.py
@@ -3,6 +3,7 @@
 import asyncio
 import enum
 from collections.abc import Mapping
+from types import MappingProxyType
 from typing import Any
 
 import aiohttp
@@ -36,14 +37,16 @@
     UNKNOWN = 'unknown'
 
 
-_OUTCOMES: Mapping[int, OrderOutcome] = {
-    200: OrderOutcome.ALREADY_DONE,
-    202: OrderOutcome.ACCEPTED,
-    409: OrderOutcome.BUSY_OR_CHANGED,
-    412: OrderOutcome.FENCED,
-    421: OrderOutcome.OTHER_INCARNATION,
-    400: OrderOutcome.REFUSED,
-}
+_OUTCOMES: Mapping[int, OrderOutcome] = MappingProxyType(
+    {
+        200: OrderOutcome.ALREADY_DONE,
+        202: OrderOutcome.ACCEPTED,
+        409: OrderOutcome.BUSY_OR_CHANGED,
+        412: OrderOutcome.FENCED,
+        421: OrderOutcome.OTHER_INCARNATION,
+        400: OrderOutcome.REFUSED,
+    }
+)
 
 
 @attrs.frozen(kw_only=True)
--- a/src/arbutusbay/platform/_settings_file.py
+++ b/src/arbutusbay/platform/_settings_file.py
@@ -18,7 +18,6 @@
     get_milliseconds,
     get_number,
     get_text,
-    get_whole,
 )
 from arbutusbay.platform._names import SETTINGS_VARIABLE
 
@@ -39,36 +38,26 @@
 
 @attrs.frozen(kw_only=True)
 class Bounds:
-    """Hold the times and ratios that the deployment promises, in seconds.
+    """Hold what the deployment promises; times are seconds.
 
-    ``thaw_slack_s`` is how long orders may still arrive from a VM that was
-    suspended; ``load_limit_s`` bounds a request on replaced weights.
+    ``drain_s`` bounds new work for a leaving backend server, ``grace_s``
+    the time between SIGTERM and the kill, ``revocation_s`` work for a key
+    that was taken away, ``weights_s`` new work on replaced weights.
+    ``thaw_slack_s`` is how long orders of a suspended VM may still arrive.
+    ``retry_ratio`` and ``retry_slack`` bound repeats by all VMs together.
     """
 
-    contact_s: float
     drain_s: float
     grace_s: float
-    config_apply_s: float
     revocation_s: float
     lease_s: float
     thaw_slack_s: float
     weights_s: float
-    address_reuse_s: float
     retry_ratio: float
-    retry_window_s: float
     retry_slack: float
-    is_fencing_checked: bool
     fails_closed: bool
 
 
-@attrs.frozen(kw_only=True)
-class StoreLimits:
-    """Hold the rates that all VMs share, in calls a second."""
-
-    writes_per_s: float
-    reads_per_s: float
-
-
 @attrs.frozen(kw_only=True)
 class VMSettings:
     """Hold the checked settings of the process on one VM.
@@ -84,11 +73,6 @@
     control: Endpoint | None
     peer_ports: tuple[int, int]
     store: Endpoint
-    store_limits: StoreLimits
-    heartbeat_s: float
-    memory_mb: float
-    descriptors: int
-    zones: tuple[str, ...]
     bounds: Bounds
 
 
@@ -120,7 +104,6 @@
 
 def _settings_from(table: Mapping[str, Any]) -> VMSettings:
     listen = as_table(table.get('listen'), 'listen')
-    limits = as_table(table.get('limits'), 'limits')
     store = as_table(table.get('platform'), 'platform')
     control = listen.get('control_plane')
     return VMSettings(
@@ -132,14 +115,6 @@
         control=endpoint_from_text(control) if control else None,
         peer_ports=_port_range(table),
         store=endpoint_from_text(get_text(store, 'address')),
-        store_limits=StoreLimits(
-            writes_per_s=get_number(store, 'writes_per_s'),
-            reads_per_s=get_number(store, 'reads_per_s'),
-        ),
-        heartbeat_s=get_milliseconds(table, 'heartbeat_ms'),
-        memory_mb=get_number(limits, 'memory_mb'),
-        descriptors=get_whole(limits, 'fd_limit'),
-        zones=tuple(as_table(table.get('zones', {}), 'zones')),
         bounds=_bounds_from(as_table(table.get('bounds'), 'bounds')),
     )
 
@@ -153,18 +128,13 @@
 
 def _bounds_from(table: Mapping[str, Any]) -> Bounds:
     return Bounds(
-        contact_s=get_milliseconds(table, 'contact_ms', 3000),
-        drain_s=get_milliseconds(table, 'drain_timeout_ms', 2000),
-        grace_s=get_number(table, 'grace_period_s', 8),
-        config_apply_s=get_milliseconds(table, 'config_apply_ms', 2000),
-        revocation_s=get_milliseconds(table, 'revocation_ms', 5000),
-        lease_s=get_milliseconds(table, 'lease_ms', 3000),
-        thaw_slack_s=get_milliseconds(table, 'thaw_slack_ms', 300),
-        weights_s=get_milliseconds(table, 'version_ms', 8000),
-        address_reuse_s=get_number(table, 'reuse_after_s', 2),
-        retry_ratio=get_number(table, 'retry_budget_ratio', 0.2),
-        retry_window_s=get_number(table, 'budget_window_s', 10),
-        retry_slack=get_number(table, 'retry_budget_slack', 20),
-        is_fencing_checked=get_flag(table, 'fencing_required', default=True),
+        drain_s=get_milliseconds(table, 'drain_timeout_ms'),
+        grace_s=get_number(table, 'grace_period_s'),
+        revocation_s=get_milliseconds(table, 'revocation_ms'),
+        lease_s=get_milliseconds(table, 'lease_ms'),
+        thaw_slack_s=get_milliseconds(table, 'thaw_slack_ms'),
+        weights_s=get_milliseconds(table, 'version_ms'),
+        retry_ratio=get_number(table, 'retry_budget_ratio'),
+        retry_slack=get_number(table, 'retry_budget_slack'),
         fails_closed=get_flag(table, 'fail_closed', default=True),
     )
--- a/src/arbutusbay/scheduling/_engine_view.py
+++ b/src/arbutusbay/scheduling/_engine_view.py
@@ -97,6 +97,19 @@
             self.usual_slowdown = slowdown
         self.reported_s = now_s
 
+    def put_weights(self, versions: Mapping[str, int]) -> bool:
+        """Take up loaded versions, which only rise within one start.
+
+        Tell whether one was newer than known.
+        """
+        newer = {
+            model: version
+            for model, version in versions.items()
+            if version > self.weights.get(model, -1)
+        }
+        self.weights.update(newer)
+        return bool(newer)
+
     def put_failure(self, now_s: float) -> float:
         """Avoid the engine, longer after each failure in a row."""
         self.failures += 1
--- a/src/arbutusbay/scheduling/_placement.py
+++ b/src/arbutusbay/scheduling/_placement.py
@@ -14,6 +14,7 @@
 _OTHER_ZONE_TOKENS = 60
 _TIE_TOKENS = 100
 _ERROR_COST = 3.0
+_HALF = 0.5
 _SHORT_ELSEWHERE_TOKENS = 5000
 _PAUSED_STREAM_TOKENS = 8000
 _LONG_ELSEWHERE_TOKENS = 12_000
@@ -127,17 +128,25 @@
     """Return the backend server with the least work in progress."""
     if not engines:
         return None
+    ranked = [
+        (
+            round(_plain_cost(engine, now_s), 1),
+            engine.zone != own_zone,
+            rng.random(),
+            position,
+        )
+        for position, engine in enumerate(engines)
+    ]
+    cost, _, _, position = min(ranked)
+    return Choice(engine=engines[position], uncached_tokens=0, cost=cost)
 
-    def cost(engine: EngineView) -> tuple[float, bool, float]:
-        out = engine.occupancy(now_s).attempts
-        busy = max(0, out - engine.slots + 1)
-        slow = engine.current_slowdown(now_s)
-        errors = 1 + _ERROR_COST * engine.current_error_share(now_s)
-        load = (1 + out / max(1, engine.slots) + busy) * slow * errors
-        return round(load, 1), engine.zone != own_zone, rng.random()
 
-    best = min(engines, key=cost)
-    return Choice(engine=best, uncached_tokens=0, cost=cost(best)[0])
+def _plain_cost(engine: EngineView, now_s: float) -> float:
+    out = engine.occupancy(now_s).attempts
+    excess = max(0, out - engine.slots + 1)
+    errors = 1 + _ERROR_COST * engine.current_error_share(now_s)
+    load = 1 + out / max(1, engine.slots) + excess
+    return load * engine.current_slowdown(now_s) * errors
 
 
 def _model_choice(
@@ -184,8 +193,8 @@
     out = engine.occupancy(setting.now_s)
     if engine.slots and out.attempts >= engine.slots:
         return False
-    fraction = setting.short_fractions.get(engine.id, 0)
-    if out.attempts and fraction * is_long_prompt(work.prompt_tokens) > 0.5:
+    is_long = is_long_prompt(work.prompt_tokens)
+    if out.attempts and is_long and _is_for_short(engine, setting):
         return False
     resident = out.resident_tokens + work.resident_tokens
     capacity = setting.capacity_tokens
@@ -202,12 +211,16 @@
     engine: EngineView,
     setting: ModelSetting,
 ) -> float:
-    fraction = setting.short_fractions.get(engine.id, 0.5)
+    fraction = setting.short_fractions.get(engine.id, _HALF)
     if is_long_prompt(work.prompt_tokens):
         return fraction * _LONG_ELSEWHERE_TOKENS
     return (1 - fraction) * _SHORT_ELSEWHERE_TOKENS
 
 
+def _is_for_short(engine: EngineView, setting: ModelSetting) -> bool:
+    return setting.short_fractions.get(engine.id, 0) > _HALF
+
+
 def _own_side(
     work: ModelWork,
     engines: Sequence[EngineView],
@@ -218,5 +231,5 @@
     return [
         engine.id
         for engine in engines
-        if (setting.short_fractions.get(engine.id, 0) < 0.5) == is_long
+        if _is_for_short(engine, setting) != is_long
     ] or [engine.id for engine in engines]
--- a/src/arbutusbay_node.py
+++ b/src/arbutusbay_node.py
@@ -1,5 +1,7 @@
 """Start the daemon of one VM from a checkout, without installing it."""
 
+import sys
+
 from arbutusbay.node import main
 
-raise SystemExit(main())
+sys.exit(main())
