Add stand-ins of the users' platform and tests over real processes

The store and the engines live in the test's process, the daemons are processes of their own. Found by the tests: with a shorter revocation bound the times of following another VM exceeded it; they are now shares of it.

--- /dev/null
+++ b/emulator/fleet.py
@@ -0,0 +1,249 @@
+"""Run the daemon of several VMs on stand-ins of the users' platform.
+
+The stand-ins live in this process, the daemons are processes of their own.
+"""
+
+import asyncio
+import contextlib
+import os
+import signal
+import sys
+import time
+from collections.abc import AsyncIterator, Callable
+from pathlib import Path
+
+import aiohttp
+import attrs
+from aiohttp import web
+
+from emulator._cluster import free_prefix
+from emulator.fleet_engine import EngineOptions, FleetEngine
+from emulator.store import FleetStore
+
+CONFIGURATION_TOPIC = 'keyed.op'
+SERVERS_TOPIC = 'keyed.servers'
+_STORE_PORT = 8700
+_ENGINE_PORT = 8701
+_FRONTEND_PORT = 8702
+_READINESS_PORT = 8703
+_CONTROL_PORT = 8704
+_PEER_PORTS = (8710, 8715)
+_FIRST_VM = 10
+_FIRST_ENGINE = 100
+_WAIT_S = 15.0
+_POLL_S = 0.02
+_SOURCES = Path(__file__).resolve().parent.parent / 'src'
+
+SETTINGS = """\
+node = "{name}"
+role = "node"
+machine_class = "frontend"
+serves = ["frontend", "control_plane"]
+ip = "{ip}"
+zone = "{zone}"
+region = "here"
+internal_ports = [{peer_from}, {peer_to}]
+seeds = []
+heartbeat_ms = 1200
+a_field_that_nobody_knows = true
+[zones]
+plateau = "here"
+[listen]
+frontend = "{ip}:{frontend}"
+ready = "{ip}:{readiness}"
+control_plane = "{ip}:{control}"
+[bounds]
+drain_timeout_ms = 2000
+grace_period_s = 8
+fail_closed = true
+revocation_ms = {revocation_ms}
+retry_budget_ratio = 0.2
+retry_budget_slack = 60
+lease_ms = 1000
+thaw_slack_ms = 100
+version_ms = 8000
+[platform]
+address = "{store}"
+"""
+
+
+@attrs.define(kw_only=True)
+class FleetNode:
+    """Hold one daemon process; ``log`` is where its output goes."""
+
+    name: str
+    ip: str
+    settings: Path
+    log: Path
+    process: asyncio.subprocess.Process | None = None
+
+    @property
+    def url(self) -> str:
+        """Return the base URL for clients."""
+        return f'http://{self.ip}:{_FRONTEND_PORT}'
+
+    @property
+    def control_url(self) -> str:
+        """Return the base URL for operators."""
+        return f'http://{self.ip}:{_CONTROL_PORT}'
+
+    async def start(self) -> None:
+        """Start the process."""
+        with self.log.open('ab') as output:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                str(_SOURCES / 'arbutusbay_node.py'),
+                env={**os.environ, 'ARBUTUSBAY_SETTINGS': str(self.settings)},
+                stdout=output,
+                stderr=output,
+            )
+
+    async def stop(self, number: signal.Signals = signal.SIGTERM) -> int:
+        """Send a signal and return the exit code."""
+        if self.process.returncode is None:
+            self.process.send_signal(number)
+        return await self.process.wait()
+
+    async def is_ready(self, session: aiohttp.ClientSession) -> bool:
+        """Tell whether the platform would send it new connections."""
+        url = f'http://{self.ip}:{_READINESS_PORT}/arbutusbay/readiness'
+        try:
+            async with session.get(url) as response:
+                return response.status == 200
+        except aiohttp.ClientError:
+            return False
+
+
+class Fleet:
+    """Hold the store, the engines and the daemons of one deployment."""
+
+    def __init__(self, directory: Path) -> None:
+        """Keep settings and logs in ``directory``."""
+        self.directory = directory
+        self.prefix = free_prefix()
+        self.store = FleetStore()
+        self.engines: list[FleetEngine] = []
+        self.nodes: list[FleetNode] = []
+        self.runners: dict[str, web.AppRunner] = {}
+        self.revocation_ms = 5000
+
+    @property
+    def store_address(self) -> str:
+        """Return the address of the store."""
+        return f'{self.prefix}1:{_STORE_PORT}'
+
+    async def serve_store(self) -> None:
+        """Open the store."""
+        await self._serve(self.store.application(), self.store_address)
+
+    async def add_engine(self, options: EngineOptions) -> FleetEngine:
+        """Open and register an engine."""
+        engine = FleetEngine(options)
+        number = _FIRST_ENGINE + len(self.engines)
+        engine.address = f'{self.prefix}{number}:{_ENGINE_PORT}'
+        self.engines.append(engine)
+        await self._serve(engine.application(), engine.address)
+        self.register(engine)
+        return engine
+
+    def register(self, engine: FleetEngine) -> None:
+        """Write the engine's registration as it is now."""
+        self.store.put(
+            SERVERS_TOPIC,
+            engine.options.id,
+            engine.registration(),
+        )
+
+    async def crash(self, engine: FleetEngine) -> None:
+        """Close the engine's address; its registration stays."""
+        await self.runners.pop(engine.address).cleanup()
+
+    def configure(self, configuration: dict[str, object]) -> None:
+        """Write a configuration as the operator does."""
+        self.store.put(CONFIGURATION_TOPIC, 'config', configuration)
+
+    def name_weights(self, model: str, version: int) -> None:
+        """Name a weights version as the operator does."""
+        self.store.put(
+            CONFIGURATION_TOPIC,
+            f'version/{model}',
+            {'model': model, 'version': version},
+        )
+
+    async def add_node(self, zone: str) -> FleetNode:
+        """Start a daemon on a VM of its own address."""
+        number = len(self.nodes)
+        ip = f'{self.prefix}{_FIRST_VM + number}'
+        name = f'vm-{number}'
+        settings = self.directory / f'{name}.toml'
+        settings.write_text(
+            SETTINGS.format(
+                name=name,
+                ip=ip,
+                zone=zone,
+                peer_from=_PEER_PORTS[0],
+                peer_to=_PEER_PORTS[1],
+                frontend=_FRONTEND_PORT,
+                readiness=_READINESS_PORT,
+                control=_CONTROL_PORT,
+                revocation_ms=self.revocation_ms,
+                store=self.store_address,
+            ),
+        )
+        node = FleetNode(
+            name=name,
+            ip=ip,
+            settings=settings,
+            log=self.directory / f'{name}.log',
+        )
+        self.nodes.append(node)
+        await node.start()
+        return node
+
+    async def close(self) -> None:
+        """End all that was started."""
+        for node in self.nodes:
+            if node.process.returncode is None:
+                await node.stop(signal.SIGKILL)
+        for runner in self.runners.values():
+            await runner.cleanup()
+
+    async def _serve(self, application: web.Application, address: str) -> None:
+        host, _, port = address.partition(':')
+        runner = web.AppRunner(
+            application,
+            access_log=None,
+            shutdown_timeout=0.1,
+            handler_cancellation=True,
+        )
+        await runner.setup()
+        await web.TCPSite(runner, host, int(port)).start()
+        self.runners[address] = runner
+
+
+@contextlib.asynccontextmanager
+async def running_fleet(directory: Path) -> AsyncIterator[Fleet]:
+    """Open a store; the caller adds engines and daemons."""
+    fleet = Fleet(directory)
+    await fleet.serve_store()
+    try:
+        yield fleet
+    finally:
+        await fleet.close()
+
+
+async def wait_until(
+    condition: Callable[[], object],
+    what: str,
+    limit_s: float = _WAIT_S,
+) -> None:
+    """Wait for ``condition``, which may be a coroutine function."""
+    end_s = time.monotonic() + limit_s
+    while time.monotonic() < end_s:
+        outcome = condition()
+        if asyncio.iscoroutine(outcome):
+            outcome = await outcome
+        if outcome:
+            return
+        await asyncio.sleep(_POLL_S)
+    raise AssertionError(f'not within {limit_s} s: {what}')
--- a/src/arbutusbay/node/_follower.py
+++ b/src/arbutusbay/node/_follower.py
@@ -4,6 +4,7 @@
 from http import HTTPStatus
 
 import aiohttp
+import attrs
 from result import Err, Ok, Result
 
 from arbutusbay.errors import ErrorKind, Failure
@@ -28,17 +29,42 @@
 )
 
 _LOG = get_logger('follower')
-_OPERATOR_WAIT_S = 1.0
 _SERVERS_PAUSE_S = 0.9
-_HOLD_S = 0.6
 _ANSWER_S = 0.4
-_MAX_SOURCE_AGE_S = 2.6
-_AVOID_S = 3.0
+_WAIT_SHARE = 0.2
+_HOLD_SHARE = 0.12
+_AGE_SHARE = 0.52
+_AVOID_SHARE = 0.6
 _SILENT_S = 3.0
 _STORE_FAILURES = 3
 _LAST_RESORT_PAUSE_S = 0.3
 
 
+@attrs.frozen(kw_only=True)
+class FollowTimes:
+    """Hold the times of following, in seconds.
+
+    ``wait_s`` is how long a read of the store may wait, ``hold_s`` how
+    long a call to another VM; a source whose answers are older than
+    ``max_age_s`` is avoided for ``avoid_s``.
+    """
+
+    wait_s: float
+    hold_s: float
+    max_age_s: float
+    avoid_s: float
+
+
+def times_from_revocation(revocation_s: float) -> FollowTimes:
+    """Return times that leave room for two sources to fail in turn."""
+    return FollowTimes(
+        wait_s=revocation_s * _WAIT_SHARE,
+        hold_s=revocation_s * _HOLD_SHARE,
+        max_age_s=revocation_s * _AGE_SHARE,
+        avoid_s=revocation_s * _AVOID_SHARE,
+    )
+
+
 class Follower:
     """Keep the topics up to date from the best source that works."""
 
@@ -53,13 +79,16 @@
     ) -> None:
         """Fold into ``operator`` and ``servers``."""
         self.board = board
+        self.times = times_from_revocation(
+            board.settings.bounds.revocation_s,
+        )
         self.session = session
         self.operator = operator
         self.servers = servers
         self.operator_reader = TopicReader(
             state=operator,
             store=store,
-            wait_s=_OPERATOR_WAIT_S,
+            wait_s=self.times.wait_s,
             pause_s=0,
         )
         self.servers_reader = TopicReader(
@@ -152,7 +181,7 @@
         ):
             state.put(news.records, news.end, is_whole=news.is_whole)
         self.operator.put_read(sent_s + answer.held_s - answer.age_s)
-        if answer.age_s > _MAX_SOURCE_AGE_S:
+        if answer.age_s > self.times.max_age_s:
             _LOG.info(
                 'source is behind',
                 fields={
@@ -169,9 +198,11 @@
                 params={
                     'operator': _offset_text(self.operator.end),
                     'servers': _offset_text(self.servers.end),
-                    'hold_ms': str(int(_HOLD_S * 1000)),
+                    'hold_ms': str(int(self.times.hold_s * 1000)),
                 },
-                timeout=aiohttp.ClientTimeout(total=_HOLD_S + _ANSWER_S),
+                timeout=aiohttp.ClientTimeout(
+                    total=self.times.hold_s + _ANSWER_S
+                ),
             ) as response:
                 body = await response.read()
                 status = response.status
@@ -182,7 +213,7 @@
         return relay_answer_from_bytes(body)
 
     def _avoid(self, name: str) -> None:
-        self.avoid_until_s[name] = now_s() + _AVOID_S
+        self.avoid_until_s[name] = now_s() + self.times.avoid_s
 
 
 def _offset_text(offset: int | None) -> str:
--- /dev/null
+++ b/tests/integration/test_fleet.py
@@ -0,0 +1,360 @@
+"""Drive the daemon of the users' platform as its own process."""
+
+import asyncio
+import json
+import signal
+
+import aiohttp
+import pytest
+
+from emulator.fleet import Fleet, running_fleet, wait_until
+from emulator.fleet_engine import EngineFault
+from emulator.store import StoreFault
+from tests.fleet_builders import (
+    KEY,
+    MODEL,
+    OTHER_KEY,
+    PLAIN_HOST,
+    build_configuration,
+    build_request_headers,
+    build_teams,
+    start_fleet,
+    wait_ready,
+)
+
+_BODY = b'{"prompt": "x"}'
+
+
+@pytest.fixture
+async def fleet(tmp_path):
+    async with running_fleet(tmp_path) as opened:
+        yield opened
+
+
+@pytest.fixture
+async def http():
+    connector = aiohttp.TCPConnector(force_close=True, limit=0)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        yield session
+
+
+async def ask(http, node, attempt_id, path='/ask/1', **changes):
+    headers = build_request_headers(attempt_id, **changes)
+    async with http.post(
+        f'{node.url}{path}',
+        data=_BODY,
+        headers=headers,
+    ) as response:
+        return response.status, await response.text(), response.headers
+
+
+async def desk(http, node, attempt_id, path='/order/1', method='POST'):
+    headers = build_request_headers(attempt_id, host=PLAIN_HOST)
+    async with http.request(
+        method,
+        f'{node.url}{path}',
+        headers=headers,
+    ) as response:
+        return response.status, await response.text(), response.headers
+
+
+def runs(fleet: Fleet, attempt_id: str) -> int:
+    return sum(engine.run_counts()[attempt_id] for engine in fleet.engines)
+
+
+def whole_stream(events: int = 5) -> str:
+    return ''.join(
+        f'id: {number}\ndata: w{number}\n\n' for number in range(1, events + 1)
+    )
+
+
+async def test_stream_is_relayed_with_the_systems_headers(fleet, http):
+    (node,) = await start_fleet(fleet)
+    await wait_ready([node], http)
+    status, text, headers = await ask(
+        http,
+        node,
+        'a1',
+        Tenant='forged',
+        Hold='forged',
+        **{'Cache-Salt': 'forged', 'Expect-Instance': 'forged'},
+    )
+    assert (status, text) == (200, whole_stream())
+    assert headers['Response-Stamp'].startswith('stamp-engine')
+    assert headers['Attempt-Id'] == 'a1'
+    (run,) = [run for engine in fleet.engines for run in engine.runs]
+    assert run.headers['Tenant'] == 'till-rolls'
+    assert run.headers['Cache-Salt'] == 'shared-1'
+    assert run.headers['Expect-Version'] == '1'
+    assert run.path == '/ask/1'
+    assert run.body == _BODY
+    assert 'Hold' not in run.headers
+    assert 'Authorization' not in run.headers
+    assert 0 < int(run.headers['Deadline-Ms']) <= 5000
+
+
+async def test_isolated_team_shares_no_cache(fleet, http):
+    (node,) = await start_fleet(fleet, engines=1)
+    await wait_ready([node], http)
+    await ask(http, node, 'a1', key=OTHER_KEY)
+    assert fleet.engines[0].runs[0].headers['Cache-Salt'] == 'team-pharmacy-1'
+
+
+async def test_plain_request_and_refusals(fleet, http):
+    (node,) = await start_fleet(fleet)
+    await wait_ready([node], http)
+    status, _, headers = await desk(http, node, 'p1')
+    assert status == 200
+    assert headers['Response-Stamp'].startswith('stamp-desk')
+    assert (await desk(http, node, 'p2', path='/nowhere/'))[0] == 404
+    status, _, _ = await ask(http, node, 'p3', key='unknown')
+    assert status == 401
+    too_long = b'x' * 200_000
+    async with http.post(
+        f'{node.url}/ask/1',
+        data=too_long,
+        headers=build_request_headers('p4'),
+    ) as response:
+        assert response.status == 413
+    assert runs(fleet, 'p3') + runs(fleet, 'p4') == 0
+
+
+async def test_cut_stream_is_resumed_where_allowed(fleet, http):
+    (node,) = await start_fleet(fleet)
+    await wait_ready([node], http)
+    for engine in fleet.engines:
+        engine.spoil(EngineFault.CUT, 1)
+    for engine in fleet.engines[1:2]:
+        engine.spoil(EngineFault.NONE, 0)
+    results = [await ask(http, node, f'r{n}', path='/note/1') for n in range(4)]
+    assert {result[:2] for result in results} == {(200, whole_stream())}
+
+
+async def test_cut_stream_never_looks_complete(fleet, http):
+    (node,) = await start_fleet(fleet, engines=1)
+    await wait_ready([node], http)
+    fleet.engines[0].spoil(EngineFault.CUT, 1)
+    with pytest.raises(aiohttp.ClientError):
+        await ask(http, node, 'c1')
+    assert runs(fleet, 'c1') == 1
+
+
+@pytest.mark.parametrize('fault', [EngineFault.RESET, EngineFault.FOREIGN])
+async def test_order_that_may_have_run_is_never_repeated(fleet, http, fault):
+    (node,) = await start_fleet(fleet)
+    await wait_ready([node], http)
+    for engine in fleet.engines:
+        engine.spoil(fault, 1)
+    status, _, _ = await desk(http, node, 'o1')
+    assert status == 502
+    assert runs(fleet, 'o1') == 1
+
+
+async def test_lookup_goes_elsewhere_when_a_server_is_mute(fleet, http):
+    (node,) = await start_fleet(fleet)
+    await wait_ready([node], http)
+    desks = [engine for engine in fleet.engines if not engine.options.model]
+    desks[0].spoil(EngineFault.MUTE, 99)
+    for number in range(4):
+        status, _, _ = await desk(
+            http,
+            node,
+            f'l{number}',
+            path='/look/1',
+            method='GET',
+        )
+        assert status == 200
+
+
+async def test_order_goes_elsewhere_when_a_server_is_gone(fleet, http):
+    (node,) = await start_fleet(fleet)
+    await wait_ready([node], http)
+    await fleet.crash(fleet.engines[2])
+    for number in range(4):
+        status, _, _ = await desk(http, node, f'g{number}')
+        assert status == 200
+
+
+async def test_refusal_says_when_to_come_back(fleet, http):
+    (node,) = await start_fleet(fleet, engines=1)
+    await wait_ready([node], http)
+    fleet.engines[0].spoil(EngineFault.SHED, 1)
+    status, text, headers = await ask(http, node, 's1')
+    assert status == 503
+    assert 'no_backend_server' in text
+    assert float(headers['Retry-After']) > 0
+    assert runs(fleet, 's1') == 0
+
+
+async def test_key_taken_away_is_refused_everywhere(fleet, http):
+    nodes = await start_fleet(fleet, nodes=3)
+    await wait_ready(nodes, http)
+    fleet.configure(
+        build_configuration(2, tenants=build_teams(keys=('another',))),
+    )
+
+    async def is_refused():
+        statuses = [
+            (await ask(http, node, f'k-{node.name}'))[0] for node in nodes
+        ]
+        return set(statuses) == {401}
+
+    await wait_until(is_refused, 'key refused', limit_s=2.0)
+
+
+async def test_stale_configuration_refuses_keyed_requests(fleet, http):
+    fleet.revocation_ms = 2500
+    (node,) = await start_fleet(fleet)
+    await wait_ready([node], http)
+    fleet.store.faults[''] = StoreFault.SILENT
+
+    async def is_refused():
+        status, text, _ = await ask(http, node, 'f1')
+        return status == 503 and 'configuration_too_old' in text
+
+    await wait_until(is_refused, 'stale refused', limit_s=5.0)
+    assert not await node.is_ready(http)
+    fleet.store.faults.clear()
+    await wait_ready([node], http)
+    assert (await ask(http, node, 'f2'))[0] == 200
+
+
+async def test_vm_that_the_store_turns_away_follows_another(fleet, http):
+    fleet.revocation_ms = 2500
+    nodes = await start_fleet(fleet, nodes=2)
+    await wait_ready(nodes, http)
+    for node in nodes:
+        fleet.store.faults = {node.ip: StoreFault.BUSY}
+        await asyncio.sleep(3.0)
+        for asked in nodes:
+            assert (await ask(http, asked, f'v-{asked.name}'))[0] == 200
+
+
+async def test_few_vms_read_the_store(fleet, http):
+    nodes = await start_fleet(fleet, nodes=4)
+    await wait_ready(nodes, http)
+    await asyncio.sleep(2.0)
+    before = fleet.store.reads
+    await asyncio.sleep(3.0)
+    assert fleet.store.reads - before < 15
+
+
+async def test_weights_are_rolled_out_by_one_holder(fleet, http):
+    nodes = await start_fleet(fleet, engines=3, nodes=2)
+    await wait_ready(nodes, http)
+    fleet.name_weights(MODEL, 2)
+    engines = fleet.engines[:3]
+    await wait_until(
+        lambda: all(engine.version == 2 for engine in engines),
+        'weights loaded',
+    )
+    holders = {holder for engine in engines for holder, _ in engine.holders}
+    assert len(holders) == 1
+
+    async def is_served():
+        return (await ask(http, nodes[0], 'w1'))[0] == 200
+
+    await wait_until(is_served, 'served on new weights')
+    newest = [run for engine in engines for run in engine.runs][-1]
+    assert newest.version == 2
+    assert newest.headers['Cache-Salt'] == 'shared-2'
+
+
+async def test_another_vm_takes_the_rollout_over(fleet, http):
+    nodes = await start_fleet(fleet, engines=2, nodes=2)
+    await wait_ready(nodes, http)
+    fleet.name_weights(MODEL, 2)
+    engines = fleet.engines[:2]
+    await wait_until(
+        lambda: all(engine.version == 2 for engine in engines),
+        'first rollout',
+    )
+    first = engines[0].holders[0]
+    holder = next(node for node in nodes if node.name == first[0])
+    await holder.stop(signal.SIGKILL)
+    fleet.name_weights(MODEL, 3)
+    await wait_until(
+        lambda: all(engine.version == 3 for engine in engines),
+        'second rollout',
+    )
+    last = engines[0].holders[-1]
+    assert last[0] != first[0]
+    assert last[1] > first[1]
+
+
+async def test_draining_server_gets_no_new_work(fleet, http):
+    (node,) = await start_fleet(fleet)
+    await wait_ready([node], http)
+    leaving = fleet.engines[0]
+    leaving.is_draining = True
+    fleet.register(leaving)
+    await asyncio.sleep(1.5)
+    before = len(leaving.runs)
+    for number in range(6):
+        assert (await ask(http, node, f'd{number}'))[0] == 200
+    assert len(leaving.runs) == before
+
+
+async def test_sigterm_finishes_streams_and_refuses_late_requests(
+    fleet,
+    http,
+):
+    (node,) = await start_fleet(fleet, engines=1, event_s=0.7)
+    await wait_ready([node], http)
+    stream = asyncio.create_task(ask(http, node, 't1'))
+    await wait_until(lambda: runs(fleet, 't1'), 'stream runs')
+    node.process.send_signal(signal.SIGTERM)
+    status, text, _ = await stream
+    assert (status, text) == (200, whole_stream())
+    assert await node.process.wait() == 0
+
+
+async def test_client_that_leaves_stops_the_engine(fleet, http):
+    (node,) = await start_fleet(fleet, engines=1, event_s=0.5, events=20)
+    await wait_ready([node], http)
+    stream = asyncio.create_task(ask(http, node, 'e1'))
+    await wait_until(lambda: fleet.engines[0].running, 'stream runs')
+    stream.cancel()
+    await wait_until(
+        lambda: not fleet.engines[0].running,
+        'engine stopped',
+        limit_s=1.0,
+    )
+
+
+async def test_unreadable_records_change_nothing(fleet, http):
+    (node,) = await start_fleet(fleet)
+    await wait_ready([node], http)
+    fleet.store.topic('keyed.op').append('config', b'\xff{')
+    fleet.store.put('keyed.op', 'config', {'version': 'x'})
+    fleet.store.put('keyed.servers', 'ghost', {'service': 5})
+    await asyncio.sleep(1.2)
+    assert (await ask(http, node, 'u1'))[0] == 200
+    assert node.process.returncode is None
+
+
+async def test_logs_lead_from_the_id_to_the_cause(fleet, http):
+    (node,) = await start_fleet(fleet)
+    await wait_ready([node], http)
+    for engine in fleet.engines:
+        engine.spoil(EngineFault.RESET, 1)
+    await desk(http, node, 'x1')
+    lines = [json.loads(line) for line in node.log.read_text().splitlines()]
+    told = [line for line in lines if line.get('request_id') == 'x1']
+    messages = [line['message'] for line in told]
+    assert messages == ['placed', 'attempt failed', 'request refused']
+    assert told[1]['outcome'] == 'unknown'
+    assert told[2]['ran'] == 'outcome_unknown'
+    assert KEY not in node.log.read_text()
+
+
+async def test_dump_and_metrics_tell_no_key(fleet, http):
+    (node,) = await start_fleet(fleet)
+    await wait_ready([node], http)
+    await ask(http, node, 'm1')
+    for path in ('/debug/state', '/metrics'):
+        async with http.get(f'{node.control_url}{path}') as response:
+            text = await response.text()
+            assert response.status == 200
+            assert KEY not in text
+    assert 'arbutusbay_request_duration_seconds' in text
