--- a/src/arbutusbay/node/_lease.py
+++ b/src/arbutusbay/node/_lease.py
@@ -7,14 +7,20 @@
 from arbutusbay.node._board import NodeBoard
 from arbutusbay.node._clock import now_s
 from arbutusbay.platform import (
+    Bounds,
     ConditionFailed,
     KeyedRecord,
     StoreClient,
     Topic,
-    VMSettings,
     coordination_document_from_record,
     record_from_claim,
 )
+from arbutusbay.scheduling import (
+    LeaseTimes,
+    SeenClaim,
+    is_claim_valid,
+    may_claim,
+)
 
 _LOG = get_logger('lease')
 _ANSWER_S = 0.8
@@ -23,13 +29,18 @@
 _MARGIN_S = 0.2
 
 
-class Lease:
-    """Claim, renew and check one lease; its fence is the claim's offset.
+def times_from_bounds(bounds: Bounds) -> LeaseTimes:
+    """Return the times that keep two holders apart."""
+    valid_s = bounds.lease_s * _CLAIM_SHARE
+    slack_s = bounds.thaw_slack_s + _MARGIN_S
+    return LeaseTimes(
+        valid_s=valid_s,
+        takeover_s=valid_s + bounds.lease_s + slack_s,
+    )
 
-    A claim is valid for ``valid_s`` from its sending. Another VM claims
-    only after it has seen no claim for ``takeover_s``, which covers the
-    last order of the holder before it and the time between two holders.
-    """
+
+class Lease:
+    """Claim, renew and check one lease; its fence is the claim's offset."""
 
     def __init__(
         self,
@@ -44,31 +55,15 @@
         self.holder = holder
         self.board = board
         self.store = store
+        self.times = times_from_bounds(board.settings.bounds)
         self.end: int | None = None
         self.fence: int | None = None
         self.sent_s = float('-inf')
         self.round = 0
 
-    @property
-    def valid_s(self) -> float:
-        """Return how long a claim holds."""
-        return self.settings.bounds.lease_s * _CLAIM_SHARE
-
-    @property
-    def takeover_s(self) -> float:
-        """Return how long another VM must have seen no claim."""
-        bounds = self.settings.bounds
-        slack_s = bounds.thaw_slack_s + _MARGIN_S
-        return self.valid_s + bounds.lease_s + slack_s
-
-    @property
-    def settings(self) -> VMSettings:
-        """Return the settings of the process."""
-        return self.board.settings
-
     def valid_fence(self) -> int | None:
         """Return the fence while the lease is held, else None."""
-        if now_s() < self.sent_s + self.valid_s:
+        if is_claim_valid(self.sent_s, now_s(), self.times):
             return self.fence
         return None
 
@@ -90,9 +85,10 @@
 
     def _may_claim(self) -> bool:
         held = self.board.catalog.leases.get(self.name)
-        if held is None or held.claim.holder == self.holder:
-            return True
-        return now_s() - held.seen_s > self.takeover_s
+        seen = None
+        if held is not None:
+            seen = SeenClaim(holder=held.claim.holder, seen_s=held.seen_s)
+        return may_claim(self.holder, seen, now_s(), self.times)
 
     async def _claim(self) -> int | None:
         self.round += 1
--- a/src/arbutusbay/scheduling/__init__.py
+++ b/src/arbutusbay/scheduling/__init__.py
@@ -8,6 +8,12 @@
     PeerOccupancy,
     weights_of,
 )
+from arbutusbay.scheduling._lease_rules import (
+    LeaseTimes,
+    SeenClaim,
+    is_claim_valid,
+    may_claim,
+)
 from arbutusbay.scheduling._outcomes import (
     AttemptCount,
     NextStep,
@@ -59,6 +65,7 @@
     'Choice',
     'EngineView',
     'FollowVM',
+    'LeaseTimes',
     'ModelSetting',
     'ModelWork',
     'NextLoads',
@@ -70,13 +77,16 @@
     'QueuedRequest',
     'ReadStore',
     'RolloutState',
+    'SeenClaim',
     'Source',
     'WeightsLoad',
     'WorkMix',
     'WorkSums',
     'choose_for_model',
     'choose_for_plain',
+    'is_claim_valid',
     'is_known_not_run',
+    'may_claim',
     'next_loads',
     'next_step',
     'outdated_engines',
--- /dev/null
+++ b/tests/unit/test_engine_placement.py
@@ -0,0 +1,212 @@
+"""Check where requests of the users' platform go."""
+
+import random
+
+import attrs
+import pytest
+
+from arbutusbay.scheduling import (
+    Attempt,
+    EngineView,
+    ModelSetting,
+    ModelWork,
+    Occupancy,
+    PeerOccupancy,
+    WorkMix,
+    WorkSums,
+    choose_for_model,
+    choose_for_plain,
+    short_fractions,
+    short_share,
+    usable_engines,
+)
+
+NOW_S = 100.0
+
+
+def build_view(name: str, **changes) -> EngineView:
+    view = EngineView(
+        id=name,
+        service='language',
+        address='127.0.0.1:1',
+        zone='plateau',
+        slots=8,
+    )
+    for field, setting in changes.items():
+        setattr(view, field, setting)
+    return view
+
+
+def build_views(count: int = 4) -> list[EngineView]:
+    return [build_view(f'engine-{number}') for number in range(count)]
+
+
+def build_work(**changes) -> ModelWork:
+    work = ModelWork(
+        model='roll-advisor',
+        prompt_tokens=9000,
+        output_tokens=50,
+        shared_tokens=6000,
+        affinity_key='part-1',
+    )
+    return attrs.evolve(work, **changes)
+
+
+def build_setting(views, **changes) -> ModelSetting:
+    setting = ModelSetting(
+        own_zone='plateau',
+        capacity_tokens=100_000,
+        short_fractions={view.id: 0.0 for view in views},
+        holder_saving=1.0,
+        room_tokens=15_000,
+        now_s=NOW_S,
+    )
+    return attrs.evolve(setting, **changes)
+
+
+def choose(views, work=None, seed=1, **changes):
+    return choose_for_model(
+        work or build_work(),
+        views,
+        setting=build_setting(views, **changes),
+        rng=random.Random(seed),
+    )
+
+
+def put_out(view: EngineView, uncached: int, count: int = 1) -> None:
+    for _ in range(count):
+        view.out.add(
+            Attempt(
+                sent_s=NOW_S,
+                uncached_tokens=uncached,
+                resident_tokens=uncached,
+            ),
+        )
+
+
+def test_same_prefix_goes_to_few_engines():
+    views = build_views(8)
+    chosen = {choose(views, seed=seed).engine.id for seed in range(40)}
+    assert len(chosen) <= 2
+
+
+def test_loaded_holder_is_left_for_an_idle_engine():
+    views = build_views(3)
+    holder = choose(views).engine
+    for view in views:
+        if view.id != holder.id:
+            put_out(holder, 12_000)
+    other = choose(views)
+    assert other.engine.id != holder.id
+
+
+def test_attempts_of_other_vms_count():
+    views = build_views(2)
+    views[0].peers['vm-1'] = PeerOccupancy(
+        occupancy=Occupancy(attempts=3, uncached_tokens=40_000),
+        heard_s=NOW_S - 1,
+    )
+    assert choose(views).engine.id == views[1].id
+    views[0].peers['vm-1'] = PeerOccupancy(
+        occupancy=Occupancy(attempts=3, uncached_tokens=40_000),
+        heard_s=NOW_S - 10,
+    )
+    assert views[0].occupancy(NOW_S).attempts == 0
+
+
+def test_no_room_when_the_first_event_would_be_late():
+    views = build_views(2)
+    for view in views:
+        put_out(view, 14_000)
+    assert not choose(views).has_room
+
+
+def test_idle_engine_takes_a_prompt_of_any_length():
+    views = build_views(1)
+    work = build_work(prompt_tokens=60_000, shared_tokens=0)
+    assert choose(views, work).has_room
+
+
+def test_long_prompts_stay_off_busy_engines_for_short_ones():
+    views = build_views(2)
+    fractions = {views[0].id: 1.0, views[1].id: 0.0}
+    put_out(views[0], 100)
+    put_out(views[1], 14_500)
+    assert not choose(views, short_fractions=fractions).has_room
+    short = build_work(prompt_tokens=800, shared_tokens=100)
+    chosen = choose(views, short, short_fractions=fractions)
+    assert chosen.engine.id == views[0].id
+
+
+def test_announced_load_turns_streams_away():
+    views = build_views(2)
+    short = build_work(prompt_tokens=800, shared_tokens=0)
+    views[0].load_from_s = NOW_S + 0.3
+    views[0].load_until_s = NOW_S + 1.0
+    chosen = {choose(views, short, seed).engine.id for seed in range(10)}
+    assert chosen == {views[1].id}
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'is_draining': True},
+        {'avoid_until_s': NOW_S + 1},
+        {'silent_until_s': NOW_S + 1},
+        {'load_from_s': NOW_S - 1, 'load_until_s': NOW_S + 1},
+    ],
+)
+def test_unfit_engines_are_left_out(change):
+    views = [build_view('bad', **change), build_view('good')]
+    assert [view.id for view in usable_engines(views, NOW_S)] == ['good']
+
+
+def test_a_suspect_is_used_when_there_is_no_other():
+    views = [build_view('only', avoid_until_s=NOW_S + 1)]
+    assert usable_engines(views, NOW_S)
+    assert not usable_engines([build_view('x', is_draining=True)], NOW_S)
+
+
+def test_plain_requests_avoid_failing_servers():
+    views = build_views(2)
+    for _ in range(20):
+        views[0].put_result(1, NOW_S)
+    chosen = choose_for_plain(
+        views,
+        own_zone='plateau',
+        now_s=NOW_S,
+        rng=random.Random(1),
+    )
+    assert chosen.engine.id == views[1].id
+
+
+def test_split_follows_the_work():
+    mix = WorkMix()
+    mix.put(
+        prompt_tokens=800,
+        uncached_tokens=800,
+        output_tokens=0,
+        now_s=NOW_S,
+    )
+    mix.put(
+        prompt_tokens=9000,
+        uncached_tokens=2400,
+        output_tokens=0,
+        now_s=NOW_S,
+    )
+    share = short_share([mix.sums(NOW_S), WorkSums()])
+    assert share == pytest.approx(0.25)
+    fractions = short_fractions(build_views(8), share)
+    assert sum(fractions.values()) == pytest.approx(2)
+
+
+@pytest.mark.parametrize('share', [0.001, 0.999])
+def test_both_lengths_have_an_engine(share):
+    fractions = short_fractions(build_views(4), share)
+    assert max(fractions.values()) == 1
+    assert min(fractions.values()) == 0
+
+
+@pytest.mark.parametrize(('share', 'expected'), [(0, 0), (1, 4)])
+def test_one_length_alone_has_all_engines(share, expected):
+    assert sum(short_fractions(build_views(4), share).values()) == expected
--- /dev/null
+++ b/tests/unit/test_engine_rollout.py
@@ -0,0 +1,87 @@
+"""Check which engines load new weights when."""
+
+import pytest
+
+from arbutusbay.scheduling import NOTICE_S, RolloutState, next_loads
+from tests.unit.test_engine_placement import build_views, put_out
+
+MODEL = 'roll-advisor'
+NOW_S = 50.0
+
+
+def build_outdated(count: int):
+    views = build_views(count)
+    for view in views:
+        view.put_weights({MODEL: 1})
+    return views
+
+
+def build_state(**changes) -> RolloutState:
+    fields = {
+        'announced_s': {},
+        'loading': (),
+        'put_off': (),
+        'now_s': NOW_S,
+    }
+    return RolloutState(**{**fields, **changes})
+
+
+def test_loads_are_announced_before_they_start():
+    views = build_outdated(6)
+    for view in views:
+        put_out(view, 100)
+    loads = next_loads(views, MODEL, 2, build_state())
+    assert not loads.start
+    assert len(loads.announce) == 2
+    announced = {view.id: NOW_S for view in loads.announce}
+    later = build_state(announced_s=announced, now_s=NOW_S + NOTICE_S)
+    started = next_loads(views, MODEL, 2, later).start
+    assert {load.engine.id for load in started} == set(announced)
+
+
+def test_idle_engine_starts_at_once_after_the_announcement():
+    views = build_outdated(3)
+    (announced,) = next_loads(views, MODEL, 2, build_state()).announce
+    state = build_state(announced_s={announced.id: NOW_S})
+    assert next_loads(views, MODEL, 2, state).start
+
+
+@pytest.mark.parametrize(('count', 'limit'), [(1, 1), (3, 1), (9, 3)])
+def test_parallel_loads_are_bounded(count, limit):
+    views = build_outdated(count)
+    announced = {view.id: NOW_S - 1 for view in views}
+    loads = next_loads(views, MODEL, 2, build_state(announced_s=announced))
+    assert len(loads.start) == limit
+
+
+def test_engine_that_does_not_answer_holds_no_place():
+    views = build_outdated(3)
+    announced = {view.id: NOW_S - 1 for view in views}
+    first = next_loads(
+        views,
+        MODEL,
+        2,
+        build_state(announced_s=announced),
+    ).start[0]
+    state = build_state(
+        announced_s=announced,
+        put_off={first.engine.id},
+    )
+    second = next_loads(views, MODEL, 2, state).start[0]
+    assert second.engine.id != first.engine.id
+
+
+def test_current_and_leaving_engines_are_left_alone():
+    views = build_outdated(2)
+    views[0].put_weights({MODEL: 2})
+    views[1].is_draining = True
+    loads = next_loads(views, MODEL, 2, build_state())
+    assert not loads.start
+    assert not loads.announce
+
+
+def test_weights_only_rise():
+    (view,) = build_outdated(1)
+    assert view.put_weights({MODEL: 3})
+    assert not view.put_weights({MODEL: 2})
+    assert view.weights[MODEL] == 3
