--- a/tests/unit/test_overload_queue.py
+++ b/tests/unit/test_overload_queue.py
@@ -76,7 +76,7 @@
     return [
         build_request(
             arrived_s,
-            service_s=LARGE_S if rng.random() < 0.1 else 0.08,
+            service_s=LARGE_S if rng.randrange(10) == 0 else 0.08,
         )
         for arrived_s in times
     ]
