--- a/src/arbutusbay/node/_frontend.py
+++ b/src/arbutusbay/node/_frontend.py
@@ -41,8 +41,9 @@
         self.board.busy.add(connection)
         try:
             response = await self._answer_checked(request)
-            await response.prepare(request)
-            await response.write_eof()
+            if _is_open(request):
+                await response.prepare(request)
+                await response.write_eof()
             return response
         finally:
             self.board.busy.discard(connection)
@@ -103,7 +104,7 @@
                     **_pace_fields(run.incoming, stream),
                 )
                 _cut_connection(request)
-                raise ConnectionAbortedError(detail)
+                return stream.response
             case Answer() as answer:
                 self._log_end(run.incoming, f'status {answer.status}')
                 return self._respond(answer)
@@ -225,6 +226,11 @@
     }
 
 
+def _is_open(request: web.BaseRequest) -> bool:
+    transport = request.transport
+    return transport is not None and not transport.is_closing()
+
+
 def _cut_connection(request: web.BaseRequest) -> None:
     """Close without the end of the body, so that it looks incomplete."""
     transport = request.transport
--- a/tests/integration/test_fleet.py
+++ b/tests/integration/test_fleet.py
@@ -386,3 +386,15 @@
             assert response.status == 200
             assert KEY not in text
     assert 'arbutusbay_request_duration_seconds' in text
+
+
+async def test_cut_stream_is_logged_and_is_no_error(fleet, http):
+    node = await start_one(fleet, engines=1)
+    await wait_ready([node], http)
+    fleet.engines[0].spoil(EngineFault.CUT, 1)
+    with pytest.raises(aiohttp.ClientError):
+        await ask(http, node, 'c2')
+    lines = [json.loads(line) for line in node.log.read_text().splitlines()]
+    told = [line for line in lines if line.get('request_id') == 'c2']
+    assert told[-1]['outcome'] == 'stream cut'
+    assert not [line for line in lines if line['level'] == 'ERROR']
