Keep servers whose registration lapsed in an outage; read services safely

Cause: when the store comes back, registrations that ran out meanwhile are gone for up to two seconds, and every request of the service would be refused. Unused functions removed.

--- a/src/arbutusbay/fleet/_catalog.py
+++ b/src/arbutusbay/fleet/_catalog.py
@@ -1,7 +1,5 @@
 """Fold what the store tells into the configuration and servers in force."""
 
-from collections.abc import Iterator
-
 import attrs
 
 from arbutusbay.fleet._types import (
@@ -88,9 +86,3 @@
             seen_s=now_s,
         )
         return True
-
-    def servers_of(self, service: str) -> Iterator[BackendServer]:
-        """Yield the registered backend servers of a service."""
-        for server in self.servers.values():
-            if server.service == service:
-                yield server
--- a/src/arbutusbay/node/_board.py
+++ b/src/arbutusbay/node/_board.py
@@ -18,6 +18,7 @@
 )
 
 _REVOCATION_MARGIN_S = 0.4
+_OUTAGE_S = 2.0
 
 
 @attrs.define(kw_only=True)
@@ -25,13 +26,18 @@
     """Track how old the operator's documents held here may be.
 
     ``as_of_s`` is when the last answered read was sent; nothing that the
-    operator wrote before it is missing.
+    operator wrote before it is missing. ``outage_end_s`` is when the store
+    was heard of again after it had not been for long.
     """
 
     as_of_s: float = float('-inf')
+    outage_end_s: float = float('-inf')
 
     def put(self, as_of_s: float) -> None:
         """Take up that everything written before ``as_of_s`` is known."""
+        gap_s = as_of_s - self.as_of_s
+        if _OUTAGE_S < gap_s < float('inf'):
+            self.outage_end_s = now_s()
         self.as_of_s = max(self.as_of_s, as_of_s)
 
     def age_s(self) -> float:
--- a/src/arbutusbay/node/_follower.py
+++ b/src/arbutusbay/node/_follower.py
@@ -175,12 +175,14 @@
         answer: RelayAnswer,
         sent_s: float,
     ) -> None:
+        as_of_s = sent_s + answer.held_s - answer.age_s
+        self.operator.put_read(as_of_s)
         for state, news in (
             (self.operator, answer.operator),
             (self.servers, answer.servers),
         ):
             state.put(news.records, news.end, is_whole=news.is_whole)
-        self.operator.put_read(sent_s + answer.held_s - answer.age_s)
+        self.servers.put_read(as_of_s)
         if answer.age_s > self.times.max_age_s:
             _LOG.info(
                 'source is behind',
--- a/src/arbutusbay/node/_stream_run.py
+++ b/src/arbutusbay/node/_stream_run.py
@@ -6,7 +6,7 @@
 from aiohttp import web
 from result import Err, Ok, Result
 
-from arbutusbay.errors import ErrorKind, Failure
+from arbutusbay.errors import Failure
 from arbutusbay.logs import get_logger
 from arbutusbay.node._attempts import Answer, AttemptFailure, OpenAnswer
 from arbutusbay.node._clock import now_s
@@ -205,8 +205,3 @@
 
 def _cut(detail: str) -> Err[AttemptFailure]:
     return Err(AttemptFailure(outcome=Outcome.UNKNOWN, detail=detail))
-
-
-def broken_failure(detail: str) -> Failure:
-    """Return the failure that stands for a cut stream in logs."""
-    return Failure(kind=ErrorKind.STREAM_BROKEN, detail=detail)
--- a/src/arbutusbay/node/_topics.py
+++ b/src/arbutusbay/node/_topics.py
@@ -173,6 +173,10 @@
                 self.views.remove(record.key)
         self.board.has_read_servers = True
 
+    def put_read(self, as_of_s: float) -> None:
+        """Let removals that wait take effect in time."""
+        self.views.expire()
+
     def says_the_same(self, held: KeyedRecord, told: KeyedRecord) -> bool:
         """Tell whether only the heartbeat count differs."""
         if not held.payload or not told.payload:
--- a/src/arbutusbay/platform/_documents.py
+++ b/src/arbutusbay/platform/_documents.py
@@ -147,7 +147,7 @@
         version=get_whole(table, 'version'),
         routes_by_host=_by_host(routes),
         services={
-            entry['name']: _service(entry)
+            get_text(entry, 'name'): _service(entry)
             for entry in services
             if 'kv_store_address' not in entry
         },
--- /dev/null
+++ b/tests/unit/test_platform_decoders.py
@@ -0,0 +1,202 @@
+"""Feed every decoder of the platform's wire with what it does not expect."""
+
+import json
+import tomllib
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from multidict import CIMultiDict
+from result import Err, Ok
+
+from arbutusbay.fleet import Configuration, RequestKind
+from arbutusbay.node._peer_messages import peer_state_from_bytes
+from arbutusbay.node._relay_messages import relay_answer_from_bytes
+from arbutusbay.platform import (
+    AttemptOrders,
+    EventSplitter,
+    answer_head_from,
+    backend_server_from_record,
+    coordination_document_from_record,
+    headers_to_engine,
+    operator_document_from_record,
+    read_settings,
+    request_head_from,
+)
+from emulator.fleet import SETTINGS
+from tests.fleet_builders import build_configuration
+
+EXAMPLES = 150
+JSON = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers(-(10**6), 10**6)
+    | st.floats(allow_nan=False)
+    | st.text(max_size=8),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=8), inner, max_size=4)
+    ),
+    max_leaves=12,
+)
+HEADER_TEXT = st.text(
+    st.characters(min_codepoint=32, max_codepoint=126),
+    max_size=30,
+)
+
+
+@settings(max_examples=EXAMPLES, derandomize=True, deadline=None)
+@given(st.binary(max_size=60) | JSON.map(lambda parsed: json.dumps(parsed)))
+def test_decoders_return_a_failure_for_garbage(payload):
+    raw = payload if isinstance(payload, bytes) else payload.encode()
+    for decoded in (
+        operator_document_from_record('config', raw),
+        operator_document_from_record('version/m', raw),
+        backend_server_from_record('engine-1', raw),
+        coordination_document_from_record('vm/a', raw),
+        coordination_document_from_record('lease/weights', raw),
+        peer_state_from_bytes(raw),
+        relay_answer_from_bytes(raw),
+    ):
+        assert isinstance(decoded, Ok | Err)
+
+
+@settings(max_examples=EXAMPLES, derandomize=True, deadline=None)
+@given(st.data())
+def test_configuration_is_taken_whole_or_not_at_all(drawn):
+    document = build_configuration()
+    table = drawn.draw(
+        st.sampled_from(
+            [document, document['routes'][0], document['services'][0]],
+        ),
+    )
+    field = drawn.draw(st.sampled_from(sorted(table)))
+    table[field] = drawn.draw(JSON)
+    decoded = operator_document_from_record(
+        'config',
+        json.dumps(document).encode(),
+    )
+    if isinstance(decoded, Ok):
+        assert isinstance(decoded.ok_value, Configuration)
+    else:
+        assert decoded.err_value.detail.startswith('config: ')
+
+
+@settings(max_examples=EXAMPLES, derandomize=True, deadline=None)
+@given(st.dictionaries(HEADER_TEXT, HEADER_TEXT, max_size=6), HEADER_TEXT)
+def test_heads_are_read_whatever_they_hold(headers, text):
+    for name in ('Token-Counts', 'Prompt-Prefix', 'Deadline-Ms'):
+        headers[name] = text
+    headers['Server-Load'] = text
+    head = request_head_from(CIMultiDict(headers))
+    assert head.prompt_tokens >= 0
+    answer_head_from(CIMultiDict(headers))
+
+
+@given(st.binary(max_size=200), st.integers(1, 20))
+@settings(max_examples=EXAMPLES, derandomize=True, deadline=None)
+def test_events_are_the_same_however_they_are_cut(stream, size):
+    whole = EventSplitter()
+    expected = list(whole.feed(stream))
+    cut = EventSplitter()
+    events = [
+        event
+        for start in range(0, len(stream), size)
+        for event in cut.feed(stream[start : start + size])
+    ]
+    assert events == expected
+    assert cut.rest == whole.rest
+    joined = b''.join(event.raw for event in events)
+    assert joined + cut.rest == stream
+
+
+def test_events_carry_number_and_weights():
+    raw = b'weight-versions: 3\nid: 7\ndata: x\n\n'
+    event = next(EventSplitter().feed(raw))
+    assert (event.number, event.weights_version) == (7, 3)
+
+
+def test_forged_headers_never_reach_an_engine():
+    orders = AttemptOrders(
+        instance='engine-1',
+        remaining_s=1.5,
+        team='',
+        priority=1,
+    )
+    forged = [
+        ('Connection', 'keep-alive, X-Hop'),
+        ('X-Hop', 'x'),
+        ('tenant', 'forged'),
+        ('KV-FROM', 'forged'),
+        ('Pin-Ms', '9'),
+        ('Authorization', 'Bearer secret'),
+        ('Model', 'kept'),
+    ]
+    headers = headers_to_engine(forged, orders)
+    assert dict(headers) == {
+        'Model': 'kept',
+        'Deadline-Ms': '1500',
+        'Expect-Instance': 'engine-1',
+    }
+
+
+def build_settings(tmp_path, text: str = ''):
+    path = tmp_path / 'local.toml'
+    filled = SETTINGS.format(
+        name='vm-1',
+        ip='127.0.0.1',
+        zone='plateau',
+        peer_from=7000,
+        peer_to=7005,
+        frontend=1,
+        readiness=2,
+        control=3,
+        revocation_ms=5000,
+        store='127.0.0.1:4',
+    )
+    path.write_text(text or filled)
+    return path, filled
+
+
+def test_settings_are_read_and_unknown_fields_ignored(tmp_path):
+    path, _ = build_settings(tmp_path)
+    found = read_settings(path).unwrap()
+    assert found.name == 'vm-1'
+    assert found.bounds.revocation_s == pytest.approx(5)
+
+
+@pytest.mark.parametrize(
+    ('old', 'new', 'named'),
+    [
+        ('127.0.0.1:1"', 'nonsense"', 'IP:PORT'),
+        ('[bounds]', '[bounds]\nx = 1\n[other]', 'drain_timeout_ms'),
+        ('grace_period_s = 8', 'grace_period_s = "8"', 'grace_period_s'),
+        ('fail_closed = true', 'fail_closed = 1', 'fail_closed'),
+        ('node = "vm-1"', '', 'node'),
+        ('[listen]', '[listen', 'settings'),
+    ],
+)
+def test_wrong_settings_name_the_field(tmp_path, old, new, named):
+    _, filled = build_settings(tmp_path)
+    assert old in filled
+    path, _ = build_settings(tmp_path, filled.replace(old, new))
+    assert named in read_settings(path).unwrap_err().detail
+
+
+def test_example_of_settings_is_valid_toml(tmp_path):
+    _, filled = build_settings(tmp_path)
+    assert tomllib.loads(filled)['node'] == 'vm-1'
+
+
+def test_kinds_are_those_of_the_field():
+    decoded = operator_document_from_record(
+        'config',
+        json.dumps(build_configuration()).encode(),
+    ).unwrap()
+    routes = decoded.routes_by_host['desk.example']
+    assert {route.kind for route in routes} == {
+        RequestKind.AT_MOST_ONCE,
+        RequestKind.IDEMPOTENT,
+    }
+    assert decoded.route_for('desk.example', '/order/7').name == 'order'
+    assert decoded.route_for('desk.example', '/ord') is None
