--- a/src/arbutusbay/node/_attempts.py
+++ b/src/arbutusbay/node/_attempts.py
@@ -174,7 +174,7 @@
     if is_success and not head.is_stamped:
         response.close()
         return _unknown('the answer has no stamp')
-    if 'Content-Encoding' in response.headers:
+    if head.is_encoded:
         response.close()
         return _unknown('the answer is encoded')
     return Ok(OpenAnswer(response=response, head=head))
--- a/src/arbutusbay/node/_dispatcher.py
+++ b/src/arbutusbay/node/_dispatcher.py
@@ -9,7 +9,8 @@
 from arbutusbay.logs import get_logger
 from arbutusbay.node._board import NodeBoard
 from arbutusbay.node._clock import now_s
-from arbutusbay.node._placer import Demand, Placement, Placer, work_of
+from arbutusbay.node._placement import Demand, Placement, work_of
+from arbutusbay.node._placer import Placer
 from arbutusbay.scheduling import (
     Attempt,
     EngineView,
--- a/src/arbutusbay/node/_frontend.py
+++ b/src/arbutusbay/node/_frontend.py
@@ -15,7 +15,7 @@
 from arbutusbay.node._metrics import NodeMetrics
 from arbutusbay.node._request_run import RequestRun, RunTools, fetch_in_time
 from arbutusbay.node._stream_run import Broken, Relayed, StreamRun
-from arbutusbay.platform import retry_after_headers
+from arbutusbay.platform import attempt_id_from, refusal_headers
 
 _LOG = get_logger('frontend')
 
@@ -155,7 +155,7 @@
         failure: Failure,
         incoming: IncomingRequest | None = None,
     ) -> web.StreamResponse:
-        attempt_id = request.headers.get('Attempt-Id', '')
+        attempt_id = attempt_id_from(request.headers)
         self.metrics.refusals.inc({'kind': failure.kind.value})
         elapsed_s = now_s() - incoming.received_s if incoming else 0
         _LOG.info(
@@ -175,10 +175,7 @@
         response = web.Response(
             status=failure.answer.status,
             text=f'{failure.kind.value}: {failure.detail}\n',
-            headers={
-                'Attempt-Id': attempt_id,
-                **retry_after_headers(failure.retry_after_s),
-            },
+            headers=refusal_headers(attempt_id, failure.retry_after_s),
         )
         return self._closing(response)
 
--- a/src/arbutusbay/node/_request_run.py
+++ b/src/arbutusbay/node/_request_run.py
@@ -20,10 +20,11 @@
 from arbutusbay.node._clock import now_s
 from arbutusbay.node._dispatcher import Dispatcher
 from arbutusbay.node._incoming import IncomingRequest, check_still_fresh
-from arbutusbay.node._placer import Demand, Placement, Placer
+from arbutusbay.node._placement import Demand, Placement
+from arbutusbay.node._placer import Placer
 from arbutusbay.node._silence_watch import SilenceWatch, Watched
+from arbutusbay.node._tally import Tally
 from arbutusbay.scheduling import (
-    AttemptCount,
     NextStep,
     Outcome,
     is_known_not_run,
@@ -33,38 +34,6 @@
 _LOG = get_logger('request')
 _RETRY_AFTER_S = 0.5
 _LATENCY_FACTOR = 1.5
-_MAX_MISMATCHES = 3
-
-
-@attrs.define(kw_only=True)
-class Tally:
-    """Count the attempts of one request and name who failed it."""
-
-    runs: int = 0
-    rejections: int = 0
-    excluded: frozenset[str] = frozenset()
-    ran_at: frozenset[str] = frozenset()
-    last_detail: str = ''
-
-    def put(self, view_id: str, failure: AttemptFailure) -> None:
-        """Take up one failed attempt."""
-        self.last_detail = failure.detail
-        match failure.outcome:
-            case Outcome.NOT_SENT | Outcome.REJECTED:
-                self.rejections += 1
-            case Outcome.UNKNOWN | Outcome.RAN_AND_FAILED:
-                self.runs += 1
-                self.ran_at |= {view_id}
-        if not self._may_try_again(failure):
-            self.excluded |= {view_id}
-
-    def count(self) -> AttemptCount:
-        """Return the counts for the decision on what follows."""
-        return AttemptCount(runs=self.runs, rejections=self.rejections)
-
-    def _may_try_again(self, failure: AttemptFailure) -> bool:
-        """Tell whether only what was expected of the engine was wrong."""
-        return failure.is_mismatch and self.rejections < _MAX_MISMATCHES
 
 
 @attrs.frozen(kw_only=True)
--- a/src/arbutusbay/node/_stream_run.py
+++ b/src/arbutusbay/node/_stream_run.py
@@ -10,7 +10,7 @@
 from arbutusbay.logs import get_logger
 from arbutusbay.node._attempts import Answer, AttemptFailure, OpenAnswer
 from arbutusbay.node._clock import now_s
-from arbutusbay.node._placer import Placement
+from arbutusbay.node._placement import Placement
 from arbutusbay.node._request_run import RequestRun, silent_failure
 from arbutusbay.node._silence_watch import Watched
 from arbutusbay.platform import StreamEvent
--- a/src/arbutusbay/platform/__init__.py
+++ b/src/arbutusbay/platform/__init__.py
@@ -1,12 +1,14 @@
 """Expose the adapter of the users' platform: settings, store, wire."""
 
-from arbutusbay.platform._documents import (
-    backend_server_from_record,
+from arbutusbay.platform._coordination import (
     coordination_document_from_record,
-    operator_document_from_record,
     record_from_claim,
     record_from_vm,
 )
+from arbutusbay.platform._documents import (
+    backend_server_from_record,
+    operator_document_from_record,
+)
 from arbutusbay.platform._engine_calls import (
     EngineReport,
     LoadOrder,
@@ -24,10 +26,11 @@
     PromptPart,
     RequestHead,
     answer_head_from,
+    attempt_id_from,
     headers_to_client,
     headers_to_engine,
+    refusal_headers,
     request_head_from,
-    retry_after_headers,
 )
 from arbutusbay.platform._settings_file import (
     Bounds,
@@ -72,6 +75,7 @@
     'Topic',
     'VMSettings',
     'answer_head_from',
+    'attempt_id_from',
     'backend_server_from_record',
     'coordination_document_from_record',
     'endpoint_from_text',
@@ -83,7 +87,7 @@
     'record_from_claim',
     'record_from_vm',
     'request_head_from',
-    'retry_after_headers',
+    'refusal_headers',
     'send_load_order',
     'settings_path',
 )
--- a/src/arbutusbay/platform/_documents.py
+++ b/src/arbutusbay/platform/_documents.py
@@ -13,12 +13,10 @@
     CacheStoreSpec,
     ClientLimits,
     Configuration,
-    LeaseClaim,
     RequestKind,
     RouteRule,
     ServiceSpec,
     TeamAccess,
-    VMRecord,
     WeightedService,
     WeightsTarget,
 )
@@ -37,8 +35,6 @@
 
 _CONFIGURATION_KEY = 'config'
 _WEIGHTS_PREFIX = 'version/'
-_VM_PREFIX = 'vm/'
-_LEASE_PREFIX = 'lease/'
 _KINDS = MappingProxyType(
     {
         'safe': RequestKind.IDEMPOTENT,
@@ -49,7 +45,6 @@
 _STATES = MappingProxyType({'ready': False, 'draining': True})
 
 OperatorDocument = Configuration | WeightsTarget
-CoordinationDocument = VMRecord | LeaseClaim
 
 
 def operator_document_from_record(
@@ -57,7 +52,7 @@
     payload: bytes,
 ) -> Result[OperatorDocument | None, Failure]:
     """Return the configuration or weights target; None for other keys."""
-    return _decode(key, payload, _operator_document)
+    return decode_document(key, payload, _operator_document)
 
 
 def backend_server_from_record(
@@ -65,34 +60,13 @@
     payload: bytes,
 ) -> Result[BackendServer, Failure]:
     """Return the registered backend server."""
-    return _decode(key, payload, _backend_server)
+    return decode_document(key, payload, _backend_server)
 
 
-def coordination_document_from_record(
-    key: str,
-    payload: bytes,
-) -> Result[CoordinationDocument | None, Failure]:
-    """Return what a VM of the system wrote; None for other keys."""
-    return _decode(key, payload, _coordination_document)
-
-
-def record_from_vm(vm: VMRecord) -> tuple[str, bytes]:
-    """Return key and value that announce ``vm``."""
-    fields = {
-        'address': vm.address,
-        'zone': vm.zone,
-        'started_ms': vm.started_ms,
-    }
-    return f'{_VM_PREFIX}{vm.name}', orjson.dumps(fields)
-
-
-def record_from_claim(claim: LeaseClaim) -> tuple[str, bytes]:
-    """Return key and value of a lease claim."""
-    fields = {'holder': claim.holder, 'round': claim.round}
-    return f'{_LEASE_PREFIX}{claim.name}', orjson.dumps(fields)
-
-
-def _decode(key: str, payload: bytes, read: Any) -> Result[Any, Failure]:
+def decode_document(
+    key: str, payload: bytes, read: Any
+) -> Result[Any, Failure]:
+    """Return what ``read`` makes of the JSON table in ``payload``."""
     try:
         return Ok(read(key, as_table(orjson.loads(payload), key)))
     except ValueError as error:
@@ -115,28 +89,6 @@
     return None
 
 
-def _coordination_document(
-    key: str,
-    table: Mapping[str, Any],
-) -> CoordinationDocument | None:
-    if key.startswith(_VM_PREFIX):
-        address = get_text(table, 'address')
-        endpoint_from_text(address)
-        return VMRecord(
-            name=key.removeprefix(_VM_PREFIX),
-            address=address,
-            zone=get_text(table, 'zone'),
-            started_ms=get_whole(table, 'started_ms'),
-        )
-    if key.startswith(_LEASE_PREFIX):
-        return LeaseClaim(
-            name=key.removeprefix(_LEASE_PREFIX),
-            holder=get_text(table, 'holder'),
-            round=get_whole(table, 'round'),
-        )
-    return None
-
-
 def _configuration(table: Mapping[str, Any]) -> Configuration:
     services = [
         as_table(entry, 'services') for entry in get_list(table, 'services')
--- a/src/arbutusbay/platform/_requests.py
+++ b/src/arbutusbay/platform/_requests.py
@@ -50,6 +50,7 @@
         'server',
     )
 )
+_CONTENT_ENCODING = 'Content-Encoding'
 _LOAD_FIELDS = 3
 _USUAL_PERCENT = 100
 
@@ -112,13 +113,15 @@
 class AnswerHead:
     """Hold what the head of an engine's answer says.
 
-    ``instance`` is the id of who answered, empty where it isn't told.
+    ``instance`` is the id of who answered, empty where it isn't told;
+    an encoded body is not what the backend server made.
     """
 
     attempt_id: str
     is_stamped: bool
     is_not_run: bool
     instance: str
+    is_encoded: bool
     load: EngineLoad | None
     weights_version: int | None
 
@@ -187,16 +190,26 @@
         is_stamped=Header.RESPONSE_STAMP in headers,
         is_not_run=Header.NOT_EXECUTED in headers,
         instance=headers.get(Header.INSTANCE_ID, ''),
+        is_encoded=_CONTENT_ENCODING in headers,
         load=_load(headers.get(Header.SERVER_LOAD, '')),
         weights_version=None if version is None else int(version),
     )
 
 
-def retry_after_headers(retry_after_s: float | None) -> dict[str, str]:
-    """Return the header that tells a client when to come back."""
-    if retry_after_s is None:
-        return {}
-    return {Header.RETRY_AFTER.value: f'{retry_after_s:.2f}'}
+def attempt_id_from(headers: Mapping[str, str]) -> str:
+    """Return the id of the client's attempt, empty where there is none."""
+    return headers.get(Header.ATTEMPT_ID, '')
+
+
+def refusal_headers(
+    attempt_id: str,
+    retry_after_s: float | None,
+) -> dict[str, str]:
+    """Return the headers of a refusal: whose it is, when to come back."""
+    headers = {Header.ATTEMPT_ID.value: attempt_id}
+    if retry_after_s is not None:
+        headers[Header.RETRY_AFTER.value] = f'{retry_after_s:.2f}'
+    return headers
 
 
 def _api_key(authorization: str) -> str | None:
