--- a/src/arbutusbay/fleet/_catalog.py
+++ b/src/arbutusbay/fleet/_catalog.py
@@ -11,22 +11,29 @@
 )
 
 
+_KEPT_TARGETS = 16
+
+
 @attrs.frozen(kw_only=True)
 class NamedTarget:
     """Hold a weights target, when it was learned and named at the latest.
 
     ``named_s`` is minus infinity where a process that just started found
-    the target: it may have been named long before.
+    the target: it may have been named long before. ``earlier`` holds the
+    targets before it, the newest last.
     """
 
     version: int
     learned_s: float
     named_s: float
+    earlier: tuple['NamedTarget', ...] = ()
 
     def is_overdue(self, version: int, moment_s: float, limit_s: float) -> bool:
         """Tell whether work on ``version`` may no longer begin."""
-        is_older = version < self.version
-        return is_older and moment_s - self.named_s > limit_s
+        return any(
+            version < target.version and moment_s - target.named_s > limit_s
+            for target in (*self.earlier, self)
+        )
 
 
 @attrs.frozen(kw_only=True)
@@ -72,6 +79,7 @@
             version=target.version,
             learned_s=now_s,
             named_s=named_s,
+            earlier=self._earlier_targets(held),
         )
         return True
 
@@ -86,3 +94,12 @@
             seen_s=now_s,
         )
         return True
+
+    def _earlier_targets(
+        self,
+        held: NamedTarget | None,
+    ) -> tuple[NamedTarget, ...]:
+        if held is None:
+            return ()
+        last = attrs.evolve(held, earlier=())
+        return (*held.earlier, last)[-_KEPT_TARGETS:]
--- /dev/null
+++ b/tests/unit/test_catalog.py
@@ -0,0 +1,25 @@
+"""Check which weights versions work may still begin on."""
+
+from arbutusbay.fleet import Catalog, WeightsTarget
+
+LIMIT_S = 7.0
+
+
+def build_catalog(*named: tuple[int, float]) -> Catalog:
+    catalog = Catalog()
+    for version, named_s in named:
+        target = WeightsTarget(model='m', version=version)
+        catalog.put_target(target, named_s, named_s=named_s)
+    return catalog
+
+
+def test_a_newer_target_does_not_excuse_an_older_one():
+    target = build_catalog((4, 10), (5, 21), (6, 24)).targets['m']
+    assert target.is_overdue(3, 26, LIMIT_S)
+    assert not target.is_overdue(4, 26, LIMIT_S)
+    assert not target.is_overdue(6, 260, LIMIT_S)
+
+
+def test_targets_only_rise():
+    catalog = build_catalog((4, 10), (3, 11))
+    assert catalog.targets['m'].version == 4
