Read the VMs' records of the store in one place

Registration and the lease each read and folded the same topic; the lease's copy swallowed failures without a log line. One function serves both and logs them.

--- /dev/null
+++ b/src/arbutusbay/node/_coordination.py
@@ -0,0 +1,44 @@
+"""Read what the VMs wrote for each other in the store."""
+
+from result import Err, Ok, Result
+
+from arbutusbay.fleet import LeaseClaim, VMRecord
+from arbutusbay.logs import get_logger
+from arbutusbay.node._board import NodeBoard
+from arbutusbay.node._clock import now_s
+from arbutusbay.platform import (
+    StoreClient,
+    StoreFailure,
+    Topic,
+    coordination_document_from_record,
+)
+
+_LOG = get_logger('coordination')
+
+
+async def read_coordination(
+    board: NodeBoard,
+    store: StoreClient,
+    *,
+    timeout_s: float,
+) -> Result[int, StoreFailure]:
+    """Take up VMs and lease claims; return where the partition ends."""
+    newest = await store.newest(Topic.COORDINATION, timeout_s=timeout_s)
+    match newest:
+        case Err() as failed:
+            return failed
+        case Ok(found):
+            pass
+    for record in found.records:
+        document = coordination_document_from_record(
+            record.key,
+            record.payload,
+        )
+        match document:
+            case Ok(VMRecord() as vm):
+                board.catalog.vms[vm.name] = vm
+            case Ok(LeaseClaim() as claim):
+                board.catalog.put_claim(claim, record.offset, now_s())
+            case Err(failure):
+                _LOG.warning('record skipped: {}', failure.detail)
+    return Ok(found.end)
--- a/src/arbutusbay/node/_lease.py
+++ b/src/arbutusbay/node/_lease.py
@@ -6,13 +6,12 @@
 from arbutusbay.logs import get_logger
 from arbutusbay.node._board import NodeBoard
 from arbutusbay.node._clock import now_s
+from arbutusbay.node._coordination import read_coordination
 from arbutusbay.platform import (
     Bounds,
     ConditionFailed,
-    KeyedRecord,
     StoreClient,
     Topic,
-    coordination_document_from_record,
     record_from_claim,
 )
 from arbutusbay.scheduling import (
@@ -131,26 +130,18 @@
                 return None
 
     async def _read(self) -> bool:
-        newest = await self.store.newest(
-            Topic.COORDINATION,
+        read = await read_coordination(
+            self.board,
+            self.store,
             timeout_s=_ANSWER_S,
         )
-        match newest:
-            case Err():
-                return False
-            case Ok(found):
-                for record in found.records:
-                    self._put(record)
-                self.end = found.end
+        match read:
+            case Ok(end):
+                self.end = end
                 return True
-
-    def _put(self, record: KeyedRecord) -> None:
-        document = coordination_document_from_record(
-            record.key,
-            record.payload,
-        )
-        match document:
-            case Ok(LeaseClaim(name=self.name) as claim):
-                self.board.catalog.put_claim(claim, record.offset, now_s())
-            case _:
-                return
+            case Err(failure):
+                _LOG.info(
+                    'lease not read',
+                    fields={'lease': self.name, 'failure': repr(failure)},
+                )
+                return False
--- a/src/arbutusbay/node/_registration.py
+++ b/src/arbutusbay/node/_registration.py
@@ -2,17 +2,15 @@
 
 import asyncio
 
-from result import Err, Ok, Result
+from result import Err, Ok
 
-from arbutusbay.fleet import LeaseClaim, VMRecord
+from arbutusbay.fleet import VMRecord
 from arbutusbay.logs import get_logger
 from arbutusbay.node._board import NodeBoard
-from arbutusbay.node._clock import now_s
+from arbutusbay.node._coordination import read_coordination
 from arbutusbay.platform import (
     StoreClient,
-    StoreFailure,
     Topic,
-    coordination_document_from_record,
     record_from_vm,
 )
 
@@ -31,7 +29,7 @@
     board.catalog.vms[me.name] = me
     await _write(board, store, me)
     while True:
-        read = await _read_all(board, store)
+        read = await read_coordination(board, store, timeout_s=_ANSWER_S)
         if isinstance(read, Err):
             await asyncio.sleep(board.rng.uniform(*_PAUSE_RANGE_S))
         else:
@@ -57,28 +55,3 @@
                     fields={'failure': repr(failure)},
                 )
                 await asyncio.sleep(board.rng.uniform(*_PAUSE_RANGE_S))
-
-
-async def _read_all(
-    board: NodeBoard,
-    store: StoreClient,
-) -> Result[None, StoreFailure]:
-    newest = await store.newest(Topic.COORDINATION, timeout_s=_ANSWER_S)
-    match newest:
-        case Err() as failed:
-            return failed
-        case Ok(found):
-            pass
-    for record in found.records:
-        document = coordination_document_from_record(
-            record.key,
-            record.payload,
-        )
-        match document:
-            case Ok(VMRecord() as vm):
-                board.catalog.vms[vm.name] = vm
-            case Ok(LeaseClaim() as claim):
-                board.catalog.put_claim(claim, record.offset, now_s())
-            case Err(failure):
-                _LOG.warning('record skipped: {}', failure.detail)
-    return Ok(None)
