Load the messages' schema with its module, not at the first message

Ruled out: a descriptor leak of the unit, model, bad-input, daemon-loss and shutdown tests (15 or 18 open after each of 165). Change: the schema is loaded when the module is imported. Before: exit -6 in a process without free descriptors; after: 0. Conclusion: a daemon at its limit of descriptors no longer dies of its first message.

--- a/src/arbutusbay/wire/_codec.py
+++ b/src/arbutusbay/wire/_codec.py
@@ -18,9 +18,18 @@
 _CONVERTER = cattrs.Converter()
 
 
+def _loaded_schema() -> ModuleType:
+    capnp.remove_import_hook()
+    return capnp.load(str(_SCHEMA_PATH))
+
+
+# Loaded with the module: without a free descriptor the load aborts the process.
+_SCHEMA = _loaded_schema()
+
+
 def encode(message: Any) -> bytes:
     """Return the Cap'n Proto bytes of an attrs message."""
-    struct = getattr(_schema(), type(message).__name__)
+    struct = getattr(_SCHEMA, type(message).__name__)
     return struct.new_message(**_to_fields(message)).to_bytes()
 
 
@@ -29,7 +38,7 @@
     payload: bytes,
 ) -> Result[_MessageT, Failure]:
     """Return the message in ``payload``, or ``BAD_MESSAGE``."""
-    struct = getattr(_schema(), message_type.__name__)
+    struct = getattr(_SCHEMA, message_type.__name__)
     try:
         with struct.from_bytes(
             payload,
@@ -46,12 +55,6 @@
         )
 
 
-@functools.cache
-def _schema() -> ModuleType:
-    capnp.remove_import_hook()
-    return capnp.load(str(_SCHEMA_PATH))
-
-
 def _to_fields(message: Any) -> dict[str, Any]:
     return {
         wire_name: _to_value(getattr(message, name))
--- a/tests/unit/test_peer_calls.py
+++ b/tests/unit/test_peer_calls.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import random
+import subprocess
+import sys
 
 import pytest
 from aiohttp import web
@@ -27,6 +29,18 @@
 
 _SEED = 5
 _CORRUPTIONS = 3000
+_TIMEOUT_S = 60
+_ENCODE_WITHOUT_DESCRIPTORS = """
+import os
+import resource
+from arbutusbay.wire import LookupRequest, encode
+resource.setrlimit(resource.RLIMIT_NOFILE, (64, 64))
+try:
+    while True:
+        os.open(os.devnull, os.O_RDONLY)
+except OSError:
+    encode(LookupRequest(pool='p', hashes=[1]))
+"""
 _REQUEST = LookupRequest(pool='p', hashes=[1, 2**64 - 1])
 _REPLY = LookupReply(
     engines=[EngineView(name='e', incarnation='i', weights_version='v')],
@@ -112,3 +126,13 @@
                 assert failure.kind is ErrorKind.BAD_MESSAGE
             case Ok(parsed):
                 assert isinstance(parsed, type(message))
+
+
+def test_messages_are_encoded_without_a_free_descriptor():
+    ended = subprocess.run(
+        [sys.executable, '-c', _ENCODE_WITHOUT_DESCRIPTORS],
+        check=False,
+        capture_output=True,
+        timeout=_TIMEOUT_S,
+    )
+    assert ended.returncode == 0, ended.stderr
