--- a/emulator/demo.py
+++ b/emulator/demo.py
@@ -1,4 +1,6 @@
-"""Run both example deployments and send them requests.
+"""Run the example deployments and send them requests.
+
+The last one runs on the stand-in of the users' platform.
 
 The last line printed is one JSON object with the totals.
 """
@@ -15,6 +17,7 @@
 import orjson
 
 from emulator.cluster import Cluster, ClusterOptions, running_cluster
+from emulator.fleet_demo import FleetTotals, fleet_totals
 
 _EXAMPLES = Path(__file__).resolve().parent.parent / 'examples'
 _REQUESTS = 100
@@ -90,9 +93,27 @@
             _say(cluster.run_client('status'))
             asyncio.run(_send_all(cluster, deployment, totals))
         _say(f'stopped {deployment.example}')
+    _add_fleet(totals)
     _say(orjson.dumps(totals.to_json()).decode())
     answered = totals.complete + totals.refused
-    sys.exit(answered != _REQUESTS * len(DEPLOYMENTS))
+    sys.exit(answered != _REQUESTS * (len(DEPLOYMENTS) + 1))
+
+
+def _add_fleet(totals: Totals) -> None:
+    _say("starting three VMs on the users' platform")
+    fleet = asyncio.run(fleet_totals())
+    _say(_fleet_line(fleet))
+    totals.complete += fleet.complete
+    totals.refused += fleet.refused
+    totals.first_tokens_s.extend(fleet.first_bytes_s)
+
+
+def _fleet_line(totals: FleetTotals) -> str:
+    return (
+        f'complete {totals.complete}, refused {totals.refused}, '
+        f'engines on new weights {totals.weights}, '
+        f'exit code of the VM shut down {totals.exit_code}'
+    )
 
 
 async def _send_all(
