Log a client's reset during a stream as a client that left

The write may come before the handler is cancelled. Ruled out: a fault of the relay (the engine's attempt ends either way). Change: the write's error ends the request as 'client left'. Before: test_client_that_resets_a_stream_is_no_error failed; after: passes.

--- a/emulator/fleet.py
+++ b/emulator/fleet.py
@@ -78,10 +78,15 @@
     log: Path
     process: asyncio.subprocess.Process | None = None
 
+    @property
+    def port(self) -> int:
+        """Return the port for clients."""
+        return _FRONTEND_PORT
+
     @property
     def url(self) -> str:
         """Return the base URL for clients."""
-        return f'http://{self.ip}:{_FRONTEND_PORT}'
+        return f'http://{self.ip}:{self.port}'
 
     @property
     def control_url(self) -> str:
--- a/src/arbutusbay/node/_frontend.py
+++ b/src/arbutusbay/node/_frontend.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from aiohttp import web
+from aiohttp import ClientConnectionResetError, web
 from result import Err, Ok, Result
 
 from arbutusbay.errors import ErrorKind, Failure
@@ -45,6 +45,9 @@
                 await response.prepare(request)
                 await response.write_eof()
             return response
+        except ClientConnectionResetError:
+            # What is returned can't be sent any more.
+            return web.Response()
         finally:
             self.board.busy.discard(connection)
 
@@ -66,7 +69,7 @@
             if incoming.is_stream:
                 return await self._relay_stream(request, run)
             return await self._relay_plain(request, run)
-        except asyncio.CancelledError:
+        except (asyncio.CancelledError, ClientConnectionResetError):
             self._log_end(incoming, 'client left', run.tally.last_detail)
             raise
 
--- a/src/arbutusbay/platform/__init__.py
+++ b/src/arbutusbay/platform/__init__.py
@@ -43,6 +43,7 @@
 from arbutusbay.platform._store import (
     ConditionFailed,
     KeyedRecord,
+    NewestRecords,
     OutcomeUnknown,
     RecordsExpired,
     StoreClient,
@@ -62,6 +63,7 @@
     'EventSplitter',
     'KeyedRecord',
     'LoadOrder',
+    'NewestRecords',
     'OrderOutcome',
     'OutcomeUnknown',
     'PromptPart',
--- a/tests/fleet_builders.py
+++ b/tests/fleet_builders.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from arbutusbay.platform import Bounds, Endpoint, VMSettings
 from emulator.fleet import Fleet, FleetNode, wait_until
 from emulator.fleet_engine import EngineOptions
 
@@ -142,6 +143,17 @@
     return {**headers, **changes}
 
 
+def build_raw_request(path: str, attempt_id: str, body: bytes) -> bytes:
+    """Return a client's request as it goes over the wire."""
+    headers = {
+        **build_request_headers(attempt_id),
+        'Content-Length': str(len(body)),
+    }
+    lines = [f'{name}: {told}\r\n' for name, told in headers.items()]
+    head = f'POST {path} HTTP/1.1\r\n{"".join(lines)}\r\n'
+    return head.encode() + body
+
+
 async def start_fleet(
     fleet: Fleet,
     *,
@@ -172,3 +184,29 @@
             functools.partial(node.is_ready, session),
             f'{node.name} ready',
         )
+
+
+def build_vm_settings() -> VMSettings:
+    """Return the settings of one VM."""
+    return VMSettings(
+        name='vm-1',
+        zone='plateau',
+        ip='127.0.0.1',
+        frontend=Endpoint(host='127.0.0.1', port=1),
+        readiness=Endpoint(host='127.0.0.1', port=2),
+        control=None,
+        peer_ports=(3, 4),
+        store=Endpoint(host='127.0.0.1', port=5),
+        bounds=Bounds(
+            drain_s=2,
+            grace_s=8,
+            revocation_s=5,
+            lease_s=1,
+            thaw_slack_s=0.1,
+            weights_s=8,
+            retry_ratio=0.2,
+            retry_slack=60,
+            retry_window_s=10,
+            fails_closed=True,
+        ),
+    )
--- a/tests/integration/test_fleet.py
+++ b/tests/integration/test_fleet.py
@@ -18,6 +18,7 @@
     OTHER_KEY,
     PLAIN_HOST,
     build_configuration,
+    build_raw_request,
     build_request_headers,
     build_teams,
     start_fleet,
@@ -398,3 +399,18 @@
     told = [line for line in lines if line.get('request_id') == 'c2']
     assert told[-1]['outcome'] == 'stream cut'
     assert not [line for line in lines if line['level'] == 'ERROR']
+
+
+async def test_client_that_resets_a_stream_is_no_error(fleet, http):
+    node = await start_one(fleet, engines=1, event_s=0, events=2000)
+    await wait_ready([node], http)
+    for number in range(20):
+        reader, writer = await asyncio.open_connection(node.ip, node.port)
+        writer.write(build_raw_request('/ask/1', f'r{number}', _BODY))
+        await reader.readuntil(b'data: w1\n')
+        writer.transport.abort()
+    await wait_until(lambda: not fleet.engines[0].running, 'engine stopped')
+    lines = [json.loads(line) for line in node.log.read_text().splitlines()]
+    assert not [line for line in lines if line['level'] == 'ERROR']
+    ended = [line for line in lines if line['message'] == 'request ended']
+    assert {line['outcome'] for line in ended} == {'client left'}
