Tell other zones the sum of a zone through speakers in a large fleet

Cause: datagrams between VMs grow with the square of their number: each VM tells every other up to ten times a second. Change: from 32 VMs on, VMs of a zone tell each other; two speakers a zone pass on sums. Small fleets tell each other directly as before.

--- a/src/arbutusbay/node/_board.py
+++ b/src/arbutusbay/node/_board.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import random
+from collections.abc import Collection
 
 import attrs
 from aiohttp import web
 
 from arbutusbay.fleet import Catalog, Configuration
 from arbutusbay.node._clock import now_s
+from arbutusbay.node._peer_messages import ZoneLoad
 from arbutusbay.platform import VMSettings
 from arbutusbay.scheduling import (
     Budget,
@@ -19,6 +21,7 @@
 
 _REVOCATION_MARGIN_S = 0.4
 _OUTAGE_S = 2.0
+_PEER_MEMORY_S = 3.0
 
 
 @attrs.define(kw_only=True)
@@ -45,12 +48,21 @@
         return now_s() - self.as_of_s
 
 
+@attrs.frozen(kw_only=True)
+class HeardZone:
+    """Hold the sum of another availability zone, and when it was heard."""
+
+    load: ZoneLoad
+    heard_s: float
+
+
 @attrs.define(kw_only=True)
 class NodeBoard:
     """Hold what the daemon knows, and what is in progress.
 
     ``busy`` holds the connections on which a request is being answered,
-    ``heard_s`` when each other VM was last heard of; ``prefill_s`` is how
+    ``heard_s`` when each other VM was last heard of, ``heard_zones`` the
+    sums that the speakers of other zones told; ``prefill_s`` is how
     long an engine takes for one prompt token.
     """
 
@@ -65,6 +77,7 @@
     peer_mixes: dict[str, WorkSums] = attrs.field(factory=dict)
     changed: asyncio.Event = attrs.field(factory=asyncio.Event)
     heard_s: dict[str, float] = attrs.field(factory=dict)
+    heard_zones: dict[str, HeardZone] = attrs.field(factory=dict)
     relay_changed: asyncio.Event = attrs.field(factory=asyncio.Event)
     load_changed: asyncio.Event = attrs.field(factory=asyncio.Event)
     has_read_servers: bool = False
@@ -120,8 +133,31 @@
 
     def short_share(self) -> float:
         """Return the share of recent work that has short prompts."""
-        own = self.mix.sums(now_s())
-        return short_share([own, *self.peer_mixes.values()])
+        return short_share(
+            [
+                self.mix.sums(now_s()),
+                *self.recent_mixes(self.peer_mixes),
+                *(load.mix for load in self.loads_of_other_zones().values()),
+            ],
+        )
+
+    def recent_mixes(self, names: Collection[str]) -> list[WorkSums]:
+        """Return the recent work of those of ``names`` that still speak."""
+        recent_s = now_s() - _PEER_MEMORY_S
+        return [
+            mix
+            for name, mix in self.peer_mixes.items()
+            if name in names and self.heard_s.get(name, 0) > recent_s
+        ]
+
+    def loads_of_other_zones(self) -> dict[str, ZoneLoad]:
+        """Return the sums of other zones that were told lately."""
+        recent_s = now_s() - _PEER_MEMORY_S
+        return {
+            zone: heard.load
+            for zone, heard in self.heard_zones.items()
+            if heard.heard_s > recent_s
+        }
 
     def notify(self) -> None:
         """Wake whoever waits for a change of what is known."""
--- a/src/arbutusbay/node/_parts.py
+++ b/src/arbutusbay/node/_parts.py
@@ -84,7 +84,7 @@
             loader=WeightsLoader(
                 board=self.board,
                 lease=lease,
-                peers=self.peers,
+                reports=self.peers.reports,
                 session=session,
             ),
         )
--- a/src/arbutusbay/node/_peer_messages.py
+++ b/src/arbutusbay/node/_peer_messages.py
@@ -1,6 +1,6 @@
 """Encode what a VM tells the others about its attempts and engines."""
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import Any
 
 import attrs
@@ -29,13 +29,22 @@
     versions: Mapping[str, int]
 
 
+@attrs.frozen(kw_only=True)
+class ZoneLoad:
+    """Sum up what the VMs of an availability zone have out."""
+
+    occupancy: Mapping[str, Occupancy]
+    mix: WorkSums
+
+
 @attrs.frozen(kw_only=True)
 class PeerState:
     """Hold all that one VM tells; maps are keyed by backend server.
 
     ``silent`` names engines that the sender suspects; ``loads`` come from
     the VM that leads a rollout, ``fence`` from the last holder of the
-    lease for it; ``weights`` are those that changed lately.
+    lease for it; ``weights`` are those that changed lately. ``zones`` come
+    from the speakers of a zone, keyed by zone.
     """
 
     name: str
@@ -46,6 +55,7 @@
     loads: Mapping[str, LoadTimes] = attrs.field(factory=dict)
     weights: Mapping[str, LoadedWeights] = attrs.field(factory=dict)
     fence: int | None = None
+    zones: Mapping[str, ZoneLoad] = attrs.field(factory=dict)
 
 
 def peer_state_to_bytes(state: PeerState) -> bytes:
@@ -53,18 +63,8 @@
     fields: dict[str, Any] = {
         'n': state.name,
         'z': state.zone,
-        'o': {
-            server: (
-                out.attempts,
-                out.uncached_tokens,
-                out.resident_tokens,
-            )
-            for server, out in state.occupancy.items()
-        },
-        'm': (
-            int(state.mix.short / _MIX_UNIT),
-            int(state.mix.long / _MIX_UNIT),
-        ),
+        'o': _occupancy_fields(state.occupancy),
+        'm': _mix_fields(state.mix),
     }
     if state.silent:
         fields['s'] = state.silent
@@ -80,6 +80,11 @@
         }
     if state.fence is not None:
         fields['f'] = state.fence
+    if state.zones:
+        fields['zs'] = {
+            zone: (_occupancy_fields(load.occupancy), _mix_fields(load.mix))
+            for zone, load in state.zones.items()
+        }
     return orjson.dumps(fields)
 
 
@@ -94,19 +99,12 @@
 
 
 def _state_from_json(fields: Mapping[str, Any]) -> PeerState:
-    short, long = fields['m']
     fence = fields.get('f')
     return PeerState(
         name=str(fields['n']),
         zone=str(fields['z']),
-        occupancy={
-            str(server): _occupancy(*told)
-            for server, told in fields['o'].items()
-        },
-        mix=WorkSums(
-            short=float(short) * _MIX_UNIT,
-            long=float(long) * _MIX_UNIT,
-        ),
+        occupancy=_occupancy_by_server(fields['o']),
+        mix=_mix(*fields['m']),
         silent=tuple(str(server) for server in fields.get('s', ())),
         loads={
             str(server): _load_times(*told)
@@ -117,9 +115,44 @@
             for server, told in fields.get('w', {}).items()
         },
         fence=None if fence is None else int(fence),
+        zones={
+            str(zone): ZoneLoad(
+                occupancy=_occupancy_by_server(occupancy),
+                mix=_mix(*mix),
+            )
+            for zone, (occupancy, mix) in fields.get('zs', {}).items()
+        },
     )
 
 
+def _occupancy_fields(
+    occupancy: Mapping[str, Occupancy],
+) -> dict[str, tuple[int, int, int]]:
+    return {
+        server: (out.attempts, out.uncached_tokens, out.resident_tokens)
+        for server, out in occupancy.items()
+    }
+
+
+def _mix_fields(mix: WorkSums) -> tuple[int, int]:
+    return int(mix.short / _MIX_UNIT), int(mix.long / _MIX_UNIT)
+
+
+def _mix(short: int, long: int) -> WorkSums:
+    return WorkSums(
+        short=float(short) * _MIX_UNIT,
+        long=float(long) * _MIX_UNIT,
+    )
+
+
+def _occupancy_by_server(
+    told: Mapping[str, Sequence[int]],
+) -> dict[str, Occupancy]:
+    return {
+        str(server): _occupancy(*numbers) for server, numbers in told.items()
+    }
+
+
 def _occupancy(attempts: int, uncached: int, resident: int) -> Occupancy:
     return Occupancy(
         attempts=int(attempts),
--- /dev/null
+++ b/src/arbutusbay/node/_peer_reports.py
@@ -0,0 +1,138 @@
+"""Sum up what this VM, and as a speaker its zone, tells the other VMs."""
+
+import attrs
+
+from arbutusbay.fleet import VMRecord
+from arbutusbay.node._board import NodeBoard
+from arbutusbay.node._clock import now_s
+from arbutusbay.node._lease import WEIGHTS_LEASE
+from arbutusbay.node._peer_messages import (
+    LoadedWeights,
+    LoadTimes,
+    PeerState,
+    ZoneLoad,
+)
+from arbutusbay.scheduling import EngineView, WorkSums
+
+_RECENT_S = 1.0
+
+
+class PeerReports:
+    """Build the states that other VMs are told."""
+
+    def __init__(self, *, board: NodeBoard, me: VMRecord) -> None:
+        """Speak for the VM ``me``."""
+        self.board = board
+        self.me = me
+        self.loads: dict[str, EngineView] = {}
+
+    def announce_load(
+        self,
+        view: EngineView,
+        from_s: float,
+        until_s: float,
+    ) -> None:
+        """Announce when an engine changes weights."""
+        view.load_from_s = from_s
+        view.load_until_s = until_s
+        self.loads[view.id] = view
+        self.board.load_changed.set()
+
+    def for_near(self) -> PeerState:
+        """Return all that this VM has out and knows first."""
+        moment_s = now_s()
+        views = self.board.views.values()
+        out = {view.id: view.own_occupancy() for view in views}
+        loads = self._load_times(moment_s)
+        return PeerState(
+            name=self.me.name,
+            zone=self.me.zone,
+            occupancy={
+                name: held for name, held in out.items() if held.attempts
+            },
+            mix=self.board.mix.sums(moment_s),
+            silent=tuple(
+                view.id for view in views if moment_s < view.suspected_until_s
+            ),
+            loads=loads,
+            fence=self._own_fence(),
+            weights={
+                view.id: LoadedWeights(
+                    incarnation=view.incarnation,
+                    versions=view.weights,
+                )
+                for view in views
+                if view.weights
+                and (loads or moment_s - view.learned_s < _RECENT_S)
+            },
+        )
+
+    def for_near_of_speaker(self) -> PeerState:
+        """Return the same, with the sums of the other zones."""
+        return attrs.evolve(
+            self.for_near(),
+            zones=self.board.loads_of_other_zones(),
+        )
+
+    def for_far(self) -> PeerState:
+        """Return what is rare, and nothing that the sums hold."""
+        state = self.for_near()
+        return attrs.evolve(
+            state,
+            occupancy={},
+            mix=WorkSums(),
+            weights=state.weights if state.loads else {},
+        )
+
+    def for_speakers(self) -> PeerState:
+        """Return what is rare, with the sum of the own zone."""
+        return attrs.evolve(
+            self.for_far(),
+            zones={self.me.zone: self._own_zone_load()},
+        )
+
+    def _own_zone_load(self) -> ZoneLoad:
+        moment_s = now_s()
+        names = {
+            vm.name
+            for vm in self.board.catalog.vms.values()
+            if vm.zone == self.me.zone
+        }
+        out = {
+            view.id: view.occupancy_by(names, moment_s)
+            for view in self.board.views.values()
+        }
+        mixes = [
+            self.board.mix.sums(moment_s),
+            *self.board.recent_mixes(names),
+        ]
+        return ZoneLoad(
+            occupancy={
+                name: held for name, held in out.items() if held.attempts
+            },
+            mix=WorkSums(
+                short=sum(mix.short for mix in mixes),
+                long=sum(mix.long for mix in mixes),
+            ),
+        )
+
+    def _own_fence(self) -> int | None:
+        held = self.board.catalog.leases.get(WEIGHTS_LEASE)
+        if held is None or held.claim.holder != self.me.name:
+            return None
+        return held.offset
+
+    def _load_times(self, moment_s: float) -> dict[str, LoadTimes]:
+        recent_s = moment_s - _RECENT_S
+        self.loads = {
+            view_id: view
+            for view_id, view in self.loads.items()
+            if view.load_until_s > recent_s
+        }
+        return {
+            view_id: LoadTimes(
+                from_s=view.load_from_s - moment_s,
+                until_s=view.load_until_s - moment_s,
+            )
+            for view_id, view in self.loads.items()
+        }
--- a/src/arbutusbay/node/_peers.py
+++ b/src/arbutusbay/node/_peers.py
@@ -1,29 +1,30 @@
 """Tell the other VMs by datagrams what this one has out, and listen."""
 
 import asyncio
+import contextlib
+from collections.abc import Callable, Collection
 from typing import Any
 
 from result import Err, Ok
 
-from arbutusbay.fleet import LeaseClaim, VMRecord
+from arbutusbay.fleet import VMRecord
 from arbutusbay.logs import get_logger
 from arbutusbay.node._board import NodeBoard
 from arbutusbay.node._clock import now_s
-from arbutusbay.node._lease import WEIGHTS_LEASE
+from arbutusbay.node._peer_intake import PeerIntake
 from arbutusbay.node._peer_messages import (
-    LoadedWeights,
-    LoadTimes,
     PeerState,
     peer_state_from_bytes,
     peer_state_to_bytes,
 )
+from arbutusbay.node._peer_reports import PeerReports
 from arbutusbay.platform import endpoint_from_text
-from arbutusbay.scheduling import EngineView, PeerOccupancy
+from arbutusbay.scheduling import Audience, audience_of
 
 _LOG = get_logger('peers')
 _LEAST_INTERVAL_S = 0.1
 _REFRESH_S = 1.0
-_SUSPICION_S = 0.4
+_FAR_REFRESH_S = 2.0
 _SILENT_S = 5.0
 
 
@@ -38,9 +39,11 @@
         """Speak for the VM ``me``."""
         self.board = board
         self.me = me
+        self.reports = PeerReports(board=board, me=me)
+        self.intake = PeerIntake(board=board, me=me)
         self.transport: asyncio.DatagramTransport | None = None
-        self.last_sent = b''
-        self.loads: dict[str, EngineView] = {}
+        self.last_sent: dict[Callable[[], PeerState], tuple[bytes, float]] = {}
+        self.is_speaker = False
 
     def connection_made(self, transport: Any) -> None:
         """Keep the transport to send with."""
@@ -56,8 +59,9 @@
                     fields={'sender': str(address)},
                 )
             case Ok(state):
-                self._note_sender(state, f'{address[0]}:{address[1]}')
-                self._take_up(state)
+                self.intake.put(state, f'{address[0]}:{address[1]}')
+                if self.is_speaker:
+                    self.board.load_changed.set()
 
     def error_received(self, error: Exception) -> None:
         """Note that a datagram could not be delivered."""
@@ -66,138 +70,64 @@
     async def run(self) -> None:
         """Send whenever something changed, and once in a while."""
         while True:
-            try:
+            with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(_REFRESH_S):
                     await self.board.load_changed.wait()
-            except TimeoutError:
-                self.last_sent = b''
             self.board.load_changed.clear()
             self.send()
             await asyncio.sleep(_LEAST_INTERVAL_S)
 
-    def announce_load(
-        self,
-        view: EngineView,
-        from_s: float,
-        until_s: float,
-    ) -> None:
-        """Announce when an engine changes weights."""
-        view.load_from_s = from_s
-        view.load_until_s = until_s
-        self.loads[view.id] = view
-        self.board.load_changed.set()
-
     def send(self) -> None:
-        """Send this VM's state to the others, if it changed."""
-        datagram = peer_state_to_bytes(self._state())
-        if self.transport is None or datagram == self.last_sent:
-            return
-        self.last_sent = datagram
-        for vm in self.board.catalog.vms.values():
-            if self._is_worth_telling(vm):
-                peer = endpoint_from_text(vm.address)
-                self.transport.sendto(datagram, (peer.host, peer.port))
-
-    def _is_worth_telling(self, vm: VMRecord) -> bool:
-        if vm.name == self.me.name:
-            return False
-        heard_s = self.board.heard_s.setdefault(vm.name, now_s())
-        return now_s() - heard_s < _SILENT_S
-
-    def _state(self) -> PeerState:
+        """Tell the others what changed since they were told."""
+        audience = self._audience()
+        self._note_speaker(audience.is_speaker)
+        reports = self.reports
+        if audience.is_speaker:
+            self._tell(audience.near, reports.for_near_of_speaker, _REFRESH_S)
+            self._tell(audience.speakers, reports.for_speakers, _REFRESH_S)
+        else:
+            self._tell(audience.near, reports.for_near, _REFRESH_S)
+        if audience.far:
+            self._tell(audience.far, reports.for_far, _FAR_REFRESH_S)
+
+    def _audience(self) -> Audience:
         moment_s = now_s()
-        views = self.board.views.values()
-        out = {view.id: view.own_occupancy() for view in views}
-        loads = self._load_times(moment_s)
-        return PeerState(
-            name=self.me.name,
-            zone=self.me.zone,
-            occupancy={
-                name: held for name, held in out.items() if held.attempts
-            },
-            mix=self.board.mix.sums(moment_s),
-            silent=tuple(
-                view.id for view in views if moment_s < view.suspected_until_s
-            ),
-            loads=loads,
-            fence=self._own_fence(),
-            weights={
-                view.id: LoadedWeights(
-                    incarnation=view.incarnation,
-                    versions=view.weights,
-                )
-                for view in views
-                if view.weights
-                and (loads or moment_s - view.learned_s < _REFRESH_S)
-            },
-        )
-
-    def _own_fence(self) -> int | None:
-        held = self.board.catalog.leases.get(WEIGHTS_LEASE)
-        if held is None or held.claim.holder != self.me.name:
-            return None
-        return held.offset
-
-    def _load_times(self, moment_s: float) -> dict[str, LoadTimes]:
-        recent_s = moment_s - _REFRESH_S
-        self.loads = {
-            view_id: view
-            for view_id, view in self.loads.items()
-            if view.load_until_s > recent_s
-        }
-        return {
-            view_id: LoadTimes(
-                from_s=view.load_from_s - moment_s,
-                until_s=view.load_until_s - moment_s,
-            )
-            for view_id, view in self.loads.items()
+        heard_s = self.board.heard_s
+        silent = {
+            name
+            for name in self.board.catalog.vms
+            if moment_s - heard_s.setdefault(name, moment_s) >= _SILENT_S
         }
+        return audience_of(
+            self.me.name,
+            self.me.zone,
+            self.board.catalog.vms,
+            silent,
+        )
 
-    def _note_sender(self, state: PeerState, address: str) -> None:
-        self.board.heard_s[state.name] = now_s()
-        self.board.peer_mixes[state.name] = state.mix
-        if state.name in self.board.catalog.vms:
+    def _note_speaker(self, is_speaker: bool) -> None:
+        if is_speaker == self.is_speaker:
             return
-        self.board.catalog.vms[state.name] = VMRecord(
-            name=state.name,
-            address=address,
-            zone=state.zone,
-            started_ms=0,
+        self.is_speaker = is_speaker
+        _LOG.info(
+            'speaks for its zone' if is_speaker else 'speaks for itself',
+            fields={'zone': self.me.zone},
         )
-        _LOG.info('vm heard of', fields={'vm': state.name, 'zone': state.zone})
 
-    def _take_up(self, state: PeerState) -> None:
-        moment_s = now_s()
-        if state.fence is not None:
-            claim = LeaseClaim(
-                name=WEIGHTS_LEASE,
-                holder=state.name,
-                round=0,
-            )
-            self.board.catalog.put_claim(claim, state.fence, moment_s)
-        for view in self.board.views.values():
-            self._put_occupancy(view, state, moment_s)
-            if view.id in state.silent:
-                view.silent_until_s = moment_s + _SUSPICION_S
-            times = state.loads.get(view.id)
-            if times is not None:
-                view.load_from_s = moment_s + times.from_s
-                view.load_until_s = moment_s + times.until_s
-            loaded = state.weights.get(view.id)
-            if loaded is not None and loaded.incarnation == view.incarnation:
-                view.put_weights(loaded.versions)
-
-    def _put_occupancy(
+    def _tell(
         self,
-        view: EngineView,
-        state: PeerState,
-        moment_s: float,
+        vms: Collection[VMRecord],
+        report: Callable[[], PeerState],
+        refresh_s: float,
     ) -> None:
-        told = state.occupancy.get(view.id)
-        if told is None:
-            view.peers.pop(state.name, None)
+        """Send ``report`` if it changed, or is due again."""
+        moment_s = now_s()
+        datagram = peer_state_to_bytes(report())
+        held, sent_s = self.last_sent.get(report, (b'', 0.0))
+        is_same = datagram == held and moment_s - sent_s < refresh_s
+        if self.transport is None or is_same:
             return
-        view.peers[state.name] = PeerOccupancy(
-            occupancy=told,
-            heard_s=moment_s,
-        )
+        self.last_sent[report] = (datagram, moment_s)
+        for vm in vms:
+            peer = endpoint_from_text(vm.address)
+            self.transport.sendto(datagram, (peer.host, peer.port))
--- a/src/arbutusbay/node/_weights_loader.py
+++ b/src/arbutusbay/node/_weights_loader.py
@@ -10,7 +10,7 @@
 from arbutusbay.node._board import NodeBoard
 from arbutusbay.node._clock import now_s
 from arbutusbay.node._lease import Lease
-from arbutusbay.node._peers import PeerChannel
+from arbutusbay.node._peer_reports import PeerReports
 from arbutusbay.platform import (
     EngineReport,
     LoadOrder,
@@ -47,13 +47,13 @@
         *,
         board: NodeBoard,
         lease: Lease,
-        peers: PeerChannel,
+        reports: PeerReports,
         session: aiohttp.ClientSession,
     ) -> None:
         """Call engines through ``session``."""
         self.board = board
         self.lease = lease
-        self.peers = peers
+        self.reports = reports
         self.session = session
         self.order_counts: dict[tuple[str, int], int] = {}
         self.put_off_until_s: dict[str, float] = {}
@@ -69,7 +69,7 @@
     def announce(self, engine: EngineView, notice_s: float) -> None:
         """Tell that ``engine`` loads weights in ``notice_s`` seconds."""
         start_s = now_s() + notice_s
-        self.peers.announce_load(engine, start_s, start_s + _LOAD_GUESS_S)
+        self.reports.announce_load(engine, start_s, start_s + _LOAD_GUESS_S)
 
     async def load(self, load: WeightsLoad) -> None:
         """Order one load and wait until it is done or has failed."""
@@ -199,7 +199,7 @@
 
     def _mark_loading(self, engine: EngineView, remaining_s: float) -> None:
         moment_s = now_s()
-        self.peers.announce_load(engine, moment_s, moment_s + remaining_s)
+        self.reports.announce_load(engine, moment_s, moment_s + remaining_s)
 
     def _put_off_engine(self, engine: EngineView) -> None:
         """Let other engines load before this one is tried again."""
--- a/src/arbutusbay/scheduling/__init__.py
+++ b/src/arbutusbay/scheduling/__init__.py
@@ -1,11 +1,13 @@
 """Expose the pure decisions on where and whether a request runs."""
 
+from arbutusbay.scheduling._audience import Audience, audience_of
 from arbutusbay.scheduling._budget import Budget
 from arbutusbay.scheduling._engine_view import (
     Attempt,
     EngineView,
     Occupancy,
     PeerOccupancy,
+    total_occupancy,
     weights_of,
 )
 from arbutusbay.scheduling._lease_rules import (
@@ -61,6 +63,7 @@
     'NOTICE_S',
     'Attempt',
     'AttemptCount',
+    'Audience',
     'Budget',
     'Choice',
     'EngineView',
@@ -82,6 +85,7 @@
     'WeightsLoad',
     'WorkMix',
     'WorkSums',
+    'audience_of',
     'choose_for_model',
     'choose_for_plain',
     'is_claim_valid',
@@ -96,6 +100,7 @@
     'short_share',
     'source_name',
     'sources_in_order',
+    'total_occupancy',
     'usable_engines',
     'weights_of',
 )
--- a/src/arbutusbay/scheduling/_engine_view.py
+++ b/src/arbutusbay/scheduling/_engine_view.py
@@ -1,6 +1,6 @@
 """Hold what one VM knows of one backend server."""
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Container, Iterable, Iterator, Mapping
 
 import attrs
 
@@ -179,11 +179,21 @@
 
     def occupancy(self, now_s: float) -> Occupancy:
         """Return what all VMs have out, as far as this one was told."""
-        parts = [self.own_occupancy(), *self._fresh_peers(now_s)]
-        return Occupancy(
-            attempts=sum(part.attempts for part in parts),
-            uncached_tokens=sum(part.uncached_tokens for part in parts),
-            resident_tokens=sum(part.resident_tokens for part in parts),
+        return total_occupancy(
+            [self.own_occupancy(), *self._fresh_peers(now_s)],
+        )
+
+    def occupancy_by(self, names: Container[str], now_s: float) -> Occupancy:
+        """Return what this VM and the peers ``names`` have out."""
+        return total_occupancy(
+            [
+                self.own_occupancy(),
+                *(
+                    peer.occupancy
+                    for name, peer in self.peers.items()
+                    if name in names and now_s - peer.heard_s < _PEER_MEMORY_S
+                ),
+            ],
         )
 
     def current_slowdown(self, now_s: float) -> float:
@@ -200,6 +210,16 @@
                 yield peer.occupancy
 
 
+def total_occupancy(parts: Iterable[Occupancy]) -> Occupancy:
+    """Return the sum of ``parts``."""
+    told = list(parts)
+    return Occupancy(
+        attempts=sum(part.attempts for part in told),
+        uncached_tokens=sum(part.uncached_tokens for part in told),
+        resident_tokens=sum(part.resident_tokens for part in told),
+    )
+
+
 def weights_of(view: EngineView, model: str) -> int | None:
     """Return the weights version of ``model`` that the engine runs."""
     weights: Mapping[str, int] = view.weights
--- /dev/null
+++ b/tests/unit/test_audience.py
@@ -0,0 +1,173 @@
+"""Tell others of the load in a fleet of hundreds of VMs."""
+
+import pytest
+
+from arbutusbay.fleet import VMRecord
+from arbutusbay.node._board import NodeBoard
+from arbutusbay.node._clock import now_s
+from arbutusbay.node._peer_messages import (
+    PeerState,
+    peer_state_from_bytes,
+    peer_state_to_bytes,
+)
+from arbutusbay.node._peers import PeerChannel
+from arbutusbay.scheduling import (
+    Attempt,
+    EngineView,
+    audience_of,
+)
+from tests.fleet_builders import build_vm_settings
+
+_ZONES = ('plateau', 'hann', 'rufisque')
+_ENGINE = 'engine-0'
+
+
+def build_vms(count: int) -> dict[str, VMRecord]:
+    """Return VMs that are spread over the zones."""
+    return {
+        f'vm-{number}': VMRecord(
+            name=f'vm-{number}',
+            address=f'127.0.0.1:{number + 1}',
+            zone=_ZONES[number % len(_ZONES)],
+            started_ms=0,
+        )
+        for number in range(count)
+    }
+
+
+def audiences(vms, silent=()):
+    """Return the audience of each VM that is not silent."""
+    return {
+        name: audience_of(name, vm.zone, vms, silent)
+        for name, vm in vms.items()
+        if name not in silent
+    }
+
+
+class Network:
+    """Pass datagrams between channels in one process."""
+
+    def __init__(self, vms):
+        """Open a channel for each of ``vms``."""
+        self.sent = 0
+        self.channels = {vm.address: self.open(vm, vms) for vm in vms.values()}
+
+    def open(self, vm, vms) -> PeerChannel:
+        """Return the channel of ``vm``."""
+        board = NodeBoard(settings=build_vm_settings())
+        board.catalog.vms.update(vms)
+        board.views[_ENGINE] = EngineView(
+            id=_ENGINE,
+            service='language',
+            address='',
+            zone=vm.zone,
+            slots=8,
+        )
+        channel = PeerChannel(board=board, me=vm)
+        channel.connection_made(Endpoint(network=self, address=vm.address))
+        return channel
+
+    def send_all(self) -> None:
+        """Let each VM send once."""
+        for channel in self.channels.values():
+            channel.send()
+
+
+class Endpoint:
+    """Stand in for the transport of one channel."""
+
+    def __init__(self, *, network, address):
+        """Send from ``address``."""
+        self.network = network
+        self.sender = address.split(':')
+
+    def sendto(self, datagram, address) -> None:
+        """Deliver at once."""
+        self.network.sent += 1
+        receiver = self.network.channels[f'{address[0]}:{address[1]}']
+        receiver.datagram_received(datagram, self.sender)
+
+
+def test_small_fleets_tell_each_other_directly():
+    for name, audience in audiences(build_vms(20)).items():
+        assert name not in {vm.name for vm in audience.near}
+        assert len(audience.near) == 19
+        assert not audience.speakers
+        assert not audience.far
+
+
+@pytest.mark.parametrize('silent', [(), ('vm-1', 'vm-2', 'vm-3')])
+def test_each_zone_has_two_speakers_that_all_agree_on(silent):
+    vms = build_vms(120)
+    told = audiences(vms, silent)
+    speakers = {name for name, audience in told.items() if audience.is_speaker}
+    assert len(speakers) == 2 * len(_ZONES)
+    for name in speakers:
+        expected = {
+            other for other in speakers if vms[other].zone != vms[name].zone
+        }
+        assert {vm.name for vm in told[name].speakers} == expected
+
+
+def test_load_of_another_zone_arrives_once_and_goes_again():
+    network = Network(build_vms(60))
+    network.send_all()
+    sender = network.channels['127.0.0.1:1']
+    attempt = Attempt(sent_s=0, uncached_tokens=500, resident_tokens=700)
+    sender.board.views[_ENGINE].out.add(attempt)
+    for _ in range(3):
+        network.send_all()
+    for channel in network.channels.values():
+        assert _occupancy(channel).attempts == 1
+        assert _occupancy(channel).uncached_tokens == 500
+    sender.board.views[_ENGINE].out.clear()
+    for _ in range(3):
+        network.send_all()
+    assert not any(
+        _occupancy(channel).attempts for channel in network.channels.values()
+    )
+
+
+def test_messages_grow_with_the_zone_and_not_with_the_fleet():
+    network = Network(build_vms(150))
+    network.send_all()
+    for channel in network.channels.values():
+        channel.board.views[_ENGINE].out.add(Attempt(sent_s=0))
+    network.send_all()
+    network.sent = 0
+    for channel in network.channels.values():
+        channel.board.views[_ENGINE].out.add(Attempt(sent_s=0))
+    network.send_all()
+    per_vm = network.sent / 150
+    assert per_vm < 60
+
+
+def test_weights_loads_are_told_to_all_at_once():
+    network = Network(build_vms(60))
+    network.send_all()
+    leader = network.channels['127.0.0.1:1']
+    moment_s = now_s()
+    leader.reports.announce_load(
+        leader.board.views[_ENGINE],
+        moment_s + 5,
+        moment_s + 6,
+    )
+    leader.send()
+    for channel in network.channels.values():
+        assert channel.board.views[_ENGINE].is_load_announced(moment_s)
+
+
+def test_sums_of_zones_survive_the_wire():
+    network = Network(build_vms(60))
+    network.send_all()
+    speaker = next(
+        channel for channel in network.channels.values() if channel.is_speaker
+    )
+    speaker.board.views[_ENGINE].out.add(Attempt(sent_s=0, uncached_tokens=9))
+    told: PeerState = speaker.reports.for_speakers()
+    heard = peer_state_from_bytes(peer_state_to_bytes(told)).ok_value
+    assert heard.zones[speaker.me.zone].occupancy[_ENGINE].uncached_tokens == 9
+
+
+def _occupancy(channel: PeerChannel):
+    return channel.board.views[_ENGINE].occupancy(now_s())
