Keep the leader of a rollout from filling its own link

Change: what is sent is compared without the time that passed; only weights of engines that load or were learned lately go out; loads reach other zones through speakers, each speaker serves a share of its zone, sums go at most four times a second.

--- a/src/arbutusbay/node/_board.py
+++ b/src/arbutusbay/node/_board.py
@@ -62,8 +62,9 @@
 
     ``busy`` holds the connections on which a request is being answered,
     ``heard_s`` when each other VM was last heard of, ``heard_zones`` the
-    sums that the speakers of other zones told; ``prefill_s`` is how
-    long an engine takes for one prompt token.
+    sums that the speakers of other zones told, ``loads_elsewhere`` engines
+    that a VM of another zone loads weights into; ``prefill_s`` is how long
+    an engine takes for one prompt token.
     """
 
     settings: VMSettings
@@ -78,6 +79,7 @@
     changed: asyncio.Event = attrs.field(factory=asyncio.Event)
     heard_s: dict[str, float] = attrs.field(factory=dict)
     heard_zones: dict[str, HeardZone] = attrs.field(factory=dict)
+    loads_elsewhere: dict[str, EngineView] = attrs.field(factory=dict)
     relay_changed: asyncio.Event = attrs.field(factory=asyncio.Event)
     load_changed: asyncio.Event = attrs.field(factory=asyncio.Event)
     has_read_servers: bool = False
--- a/src/arbutusbay/node/_peer_intake.py
+++ b/src/arbutusbay/node/_peer_intake.py
@@ -71,8 +71,10 @@
             view.silent_until_s = moment_s + _SUSPICION_S
         times = state.loads.get(view.id)
         if times is not None:
-            view.load_from_s = moment_s + times.from_s
-            view.load_until_s = moment_s + times.until_s
+            view.load_from_s = times.from_s
+            view.load_until_s = times.until_s
+            if state.zone != self.me.zone:
+                self.board.loads_elsewhere[view.id] = view
         loaded = state.weights.get(view.id)
         if loaded is not None and loaded.incarnation == view.incarnation:
             view.put_weights(loaded.versions)
--- a/src/arbutusbay/node/_peer_messages.py
+++ b/src/arbutusbay/node/_peer_messages.py
@@ -11,11 +11,12 @@
 from arbutusbay.scheduling import Occupancy, WorkSums
 
 _MIX_UNIT = 1000
+_MS_PER_S = 1000
 
 
 @attrs.frozen(kw_only=True)
 class LoadTimes:
-    """Say in how many seconds a load of weights starts and ends."""
+    """Say when a load of weights starts and ends, on the node's clock."""
 
     from_s: float
     until_s: float
@@ -58,8 +59,11 @@
     zones: Mapping[str, ZoneLoad] = attrs.field(factory=dict)
 
 
-def peer_state_to_bytes(state: PeerState) -> bytes:
-    """Return ``state`` as JSON with short names, as it is sent often."""
+def peer_state_to_bytes(state: PeerState, now_s: float) -> bytes:
+    """Return ``state`` as JSON with short names, as it is sent often.
+
+    Clocks differ between VMs, so times are sent as counted from ``now_s``.
+    """
     fields: dict[str, Any] = {
         'n': state.name,
         'z': state.zone,
@@ -70,7 +74,10 @@
         fields['s'] = state.silent
     if state.loads:
         fields['l'] = {
-            server: (int(times.from_s * 1000), int(times.until_s * 1000))
+            server: (
+                _ms_until(times.from_s, now_s),
+                _ms_until(times.until_s, now_s),
+            )
             for server, times in state.loads.items()
         }
     if state.weights:
@@ -88,17 +95,20 @@
     return orjson.dumps(fields)
 
 
-def peer_state_from_bytes(datagram: bytes) -> Result[PeerState, Failure]:
+def peer_state_from_bytes(
+    datagram: bytes,
+    now_s: float,
+) -> Result[PeerState, Failure]:
     """Return the state in ``datagram``, or ``BAD_MESSAGE``."""
     try:
-        return Ok(_state_from_json(orjson.loads(datagram)))
+        return Ok(_state_from_json(orjson.loads(datagram), now_s))
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         return Err(
             Failure(kind=ErrorKind.BAD_MESSAGE, detail=f'peer: {error!r}'),
         )
 
 
-def _state_from_json(fields: Mapping[str, Any]) -> PeerState:
+def _state_from_json(fields: Mapping[str, Any], now_s: float) -> PeerState:
     fence = fields.get('f')
     return PeerState(
         name=str(fields['n']),
@@ -107,7 +117,7 @@
         mix=_mix(*fields['m']),
         silent=tuple(str(server) for server in fields.get('s', ())),
         loads={
-            str(server): _load_times(*told)
+            str(server): _load_times(now_s, *told)
             for server, told in fields.get('l', {}).items()
         },
         weights={
@@ -161,8 +171,15 @@
     )
 
 
-def _load_times(from_ms: int, until_ms: int) -> LoadTimes:
-    return LoadTimes(from_s=int(from_ms) / 1000, until_s=int(until_ms) / 1000)
+def _ms_until(moment_s: float, now_s: float) -> int:
+    return int((moment_s - now_s) * _MS_PER_S)
+
+
+def _load_times(now_s: float, from_ms: int, until_ms: int) -> LoadTimes:
+    return LoadTimes(
+        from_s=now_s + int(from_ms) / _MS_PER_S,
+        until_s=now_s + int(until_ms) / _MS_PER_S,
+    )
 
 
 def _loaded_weights(
--- a/src/arbutusbay/node/_peer_reports.py
+++ b/src/arbutusbay/node/_peer_reports.py
@@ -1,5 +1,7 @@
 """Sum up what this VM, and as a speaker its zone, tells the other VMs."""
 
+from collections.abc import Mapping
+
 import attrs
 
 from arbutusbay.fleet import VMRecord
@@ -43,7 +45,7 @@
         moment_s = now_s()
         views = self.board.views.values()
         out = {view.id: view.own_occupancy() for view in views}
-        loads = self._load_times(moment_s)
+        self.loads = _current(self.loads, moment_s)
         return PeerState(
             name=self.me.name,
             zone=self.me.zone,
@@ -54,43 +56,54 @@
             silent=tuple(
                 view.id for view in views if moment_s < view.suspected_until_s
             ),
-            loads=loads,
+            loads=_load_times(self.loads),
             fence=self._own_fence(),
             weights={
-                view.id: LoadedWeights(
-                    incarnation=view.incarnation,
-                    versions=view.weights,
-                )
+                view.id: _loaded_weights(view)
                 for view in views
-                if view.weights
-                and (loads or moment_s - view.learned_s < _RECENT_S)
+                if self._is_first_to_know(view, moment_s)
             },
         )
 
-    def for_near_of_speaker(self) -> PeerState:
-        """Return the same, with the sums of the other zones."""
+    def for_served(self) -> PeerState:
+        """Return the same, with what the other zones said."""
+        state = self.for_near()
+        relayed = _current(self.board.loads_elsewhere, now_s())
+        self.board.loads_elsewhere = relayed
         return attrs.evolve(
-            self.for_near(),
+            state,
             zones=self.board.loads_of_other_zones(),
+            loads={**_load_times(relayed), **state.loads},
+            weights={
+                **{view.id: _loaded_weights(view) for view in relayed.values()},
+                **state.weights,
+            },
         )
 
     def for_far(self) -> PeerState:
-        """Return what is rare, and nothing that the sums hold."""
-        state = self.for_near()
+        """Return that this VM lives, and what all must know at once."""
         return attrs.evolve(
-            state,
+            self.for_near(),
             occupancy={},
             mix=WorkSums(),
-            weights=state.weights if state.loads else {},
+            loads={},
+            weights={},
         )
 
-    def for_speakers(self) -> PeerState:
-        """Return what is rare, with the sum of the own zone."""
+    def for_speakers(self, *, is_speaker: bool) -> PeerState:
+        """Return what is new of engines, with the sum of the own zone."""
+        zones = {self.me.zone: self._own_zone_load()} if is_speaker else {}
         return attrs.evolve(
-            self.for_far(),
-            zones={self.me.zone: self._own_zone_load()},
+            self.for_near(),
+            occupancy={},
+            mix=WorkSums(),
+            zones=zones,
         )
 
+    def _is_first_to_know(self, view: EngineView, moment_s: float) -> bool:
+        is_new = moment_s - view.learned_s < _RECENT_S
+        return bool(view.weights) and (is_new or view.id in self.loads)
+
     def _own_zone_load(self) -> ZoneLoad:
         moment_s = now_s()
         names = {
@@ -122,17 +135,25 @@
             return None
         return held.offset
 
-    def _load_times(self, moment_s: float) -> dict[str, LoadTimes]:
-        recent_s = moment_s - _RECENT_S
-        self.loads = {
-            view_id: view
-            for view_id, view in self.loads.items()
-            if view.load_until_s > recent_s
-        }
-        return {
-            view_id: LoadTimes(
-                from_s=view.load_from_s - moment_s,
-                until_s=view.load_until_s - moment_s,
-            )
-            for view_id, view in self.loads.items()
-        }
+
+def _current(
+    loads: Mapping[str, EngineView],
+    moment_s: float,
+) -> dict[str, EngineView]:
+    """Return the loads that are not long over."""
+    return {
+        view_id: view
+        for view_id, view in loads.items()
+        if view.load_until_s > moment_s - _RECENT_S
+    }
+
+
+def _load_times(loads: Mapping[str, EngineView]) -> dict[str, LoadTimes]:
+    return {
+        view_id: LoadTimes(from_s=view.load_from_s, until_s=view.load_until_s)
+        for view_id, view in loads.items()
+    }
+
+
+def _loaded_weights(view: EngineView) -> LoadedWeights:
+    return LoadedWeights(incarnation=view.incarnation, versions=view.weights)
--- a/src/arbutusbay/node/_peers.py
+++ b/src/arbutusbay/node/_peers.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Collection
 from typing import Any
 
+import attrs
 from result import Err, Ok
 
 from arbutusbay.fleet import VMRecord
@@ -23,11 +24,41 @@
 
 _LOG = get_logger('peers')
 _LEAST_INTERVAL_S = 0.1
+_SUMS_INTERVAL_S = 0.25
+_AUDIENCE_S = 0.5
 _REFRESH_S = 1.0
 _FAR_REFRESH_S = 2.0
 _SILENT_S = 5.0
 
 
+@attrs.define(kw_only=True, eq=False)
+class Telling:
+    """Hold what one group of VMs was told last, and when.
+
+    It is told anew when ``report`` changed, at the most every ``least_s``
+    seconds, and whenever ``refresh_s`` have passed.
+    """
+
+    report: Callable[[], PeerState]
+    least_s: float = _LEAST_INTERVAL_S
+    refresh_s: float = _REFRESH_S
+    told: bytes = b''
+    sent_s: float = float('-inf')
+
+    def next_datagram(self, moment_s: float) -> bytes | None:
+        """Return what to send now, None if nothing is due."""
+        since_s = moment_s - self.sent_s
+        if since_s < self.least_s:
+            return None
+        state = self.report()
+        told = peer_state_to_bytes(state, 0)
+        if told == self.told and since_s < self.refresh_s:
+            return None
+        self.told = told
+        self.sent_s = moment_s
+        return peer_state_to_bytes(state, moment_s)
+
+
 class PeerChannel(asyncio.DatagramProtocol):
     """Exchange occupancy and weights with the other VMs.
 
@@ -42,8 +73,21 @@
         self.reports = PeerReports(board=board, me=me)
         self.intake = PeerIntake(board=board, me=me)
         self.transport: asyncio.DatagramTransport | None = None
-        self.last_sent: dict[Callable[[], PeerState], tuple[bytes, float]] = {}
-        self.is_speaker = False
+        self.audience = Audience(near=())
+        self.audience_until_s = 0.0
+        self.near = Telling(report=self.reports.for_near)
+        self.served = Telling(
+            report=self.reports.for_served,
+            least_s=_SUMS_INTERVAL_S,
+        )
+        self.speakers = Telling(
+            report=self._report_for_speakers,
+            least_s=_SUMS_INTERVAL_S,
+        )
+        self.far = Telling(
+            report=self.reports.for_far,
+            refresh_s=_FAR_REFRESH_S,
+        )
 
     def connection_made(self, transport: Any) -> None:
         """Keep the transport to send with."""
@@ -51,7 +95,7 @@
 
     def datagram_received(self, datagram: bytes, address: Any) -> None:
         """Take up what another VM told."""
-        match peer_state_from_bytes(datagram):
+        match peer_state_from_bytes(datagram, now_s()):
             case Err(failure):
                 _LOG.warning(
                     'datagram skipped: {}',
@@ -60,7 +104,7 @@
                 )
             case Ok(state):
                 self.intake.put(state, f'{address[0]}:{address[1]}')
-                if self.is_speaker:
+                if self.audience.is_speaker:
                     self.board.load_changed.set()
 
     def error_received(self, error: Exception) -> None:
@@ -71,7 +115,7 @@
         """Send whenever something changed, and once in a while."""
         while True:
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(_REFRESH_S):
+                async with asyncio.timeout(self._wait_s()):
                     await self.board.load_changed.wait()
             self.board.load_changed.clear()
             self.send()
@@ -79,55 +123,55 @@
 
     def send(self) -> None:
         """Tell the others what changed since they were told."""
-        audience = self._audience()
-        self._note_speaker(audience.is_speaker)
-        reports = self.reports
-        if audience.is_speaker:
-            self._tell(audience.near, reports.for_near_of_speaker, _REFRESH_S)
-            self._tell(audience.speakers, reports.for_speakers, _REFRESH_S)
-        else:
-            self._tell(audience.near, reports.for_near, _REFRESH_S)
-        if audience.far:
-            self._tell(audience.far, reports.for_far, _FAR_REFRESH_S)
-
-    def _audience(self) -> Audience:
+        self._choose_audience()
+        audience = self.audience
+        for telling, vms in (
+            (self.near, audience.near),
+            (self.served, audience.served),
+            (self.speakers, audience.speakers),
+            (self.far, audience.far),
+        ):
+            if vms:
+                self._tell(telling, vms)
+
+    def _wait_s(self) -> float:
+        """Return after how long to send without a change."""
+        return _SUMS_INTERVAL_S if self.audience.speakers else _REFRESH_S
+
+    def _choose_audience(self) -> None:
         moment_s = now_s()
+        if moment_s < self.audience_until_s:
+            return
+        self.audience_until_s = moment_s + _AUDIENCE_S
         heard_s = self.board.heard_s
         silent = {
             name
             for name in self.board.catalog.vms
             if moment_s - heard_s.setdefault(name, moment_s) >= _SILENT_S
         }
-        return audience_of(
+        was_speaker = self.audience.is_speaker
+        self.audience = audience_of(
             self.me.name,
             self.me.zone,
             self.board.catalog.vms,
             silent,
         )
-
-    def _note_speaker(self, is_speaker: bool) -> None:
-        if is_speaker == self.is_speaker:
-            return
-        self.is_speaker = is_speaker
-        _LOG.info(
-            'speaks for its zone' if is_speaker else 'speaks for itself',
-            fields={'zone': self.me.zone},
-        )
-
-    def _tell(
-        self,
-        vms: Collection[VMRecord],
-        report: Callable[[], PeerState],
-        refresh_s: float,
-    ) -> None:
-        """Send ``report`` if it changed, or is due again."""
-        moment_s = now_s()
-        datagram = peer_state_to_bytes(report())
-        held, sent_s = self.last_sent.get(report, (b'', 0.0))
-        is_same = datagram == held and moment_s - sent_s < refresh_s
-        if self.transport is None or is_same:
+        if was_speaker != self.audience.is_speaker:
+            _LOG.info(
+                'speaker of the zone changed',
+                fields={
+                    'zone': self.me.zone,
+                    'is_speaker': self.audience.is_speaker,
+                },
+            )
+
+    def _report_for_speakers(self) -> PeerState:
+        return self.reports.for_speakers(is_speaker=self.audience.is_speaker)
+
+    def _tell(self, telling: Telling, vms: Collection[VMRecord]) -> None:
+        datagram = telling.next_datagram(now_s())
+        if self.transport is None or datagram is None:
             return
-        self.last_sent[report] = (datagram, moment_s)
         for vm in vms:
             peer = endpoint_from_text(vm.address)
             self.transport.sendto(datagram, (peer.host, peer.port))
--- a/src/arbutusbay/node/_weights_loader.py
+++ b/src/arbutusbay/node/_weights_loader.py
@@ -26,6 +26,7 @@
 _POLL_S = 0.05
 _FIRST_REPORT_S = 0.55
 _LOAD_GUESS_S = 0.7
+_EXTENSION_S = 0.2
 _MAX_LOAD_S = 3.0
 _RETRY_PAUSE_S = 0.3
 
@@ -154,7 +155,7 @@
             await self._ask(progress)
             if self._is_done(progress):
                 return
-            self._mark_loading(progress.load.engine, _POLL_S * 2)
+            self._extend_loading(progress.load.engine)
             await asyncio.sleep(_POLL_S)
 
     async def _ask(self, progress: LoadProgress) -> EngineReport | None:
@@ -201,6 +202,11 @@
         moment_s = now_s()
         self.reports.announce_load(engine, moment_s, moment_s + remaining_s)
 
+    def _extend_loading(self, engine: EngineView) -> None:
+        """Announce a later end when the load takes longer than guessed."""
+        if engine.load_until_s - now_s() < _POLL_S:
+            self._mark_loading(engine, _EXTENSION_S)
+
     def _put_off_engine(self, engine: EngineView) -> None:
         """Let other engines load before this one is tried again."""
         self.put_off_until_s[engine.id] = now_s() + _RETRY_PAUSE_S
--- a/src/arbutusbay/scheduling/_audience.py
+++ b/src/arbutusbay/scheduling/_audience.py
@@ -2,8 +2,9 @@
 
 If every VM told every other, messages would grow with the square of their
 number. So in a large fleet the VMs of an availability zone tell each other,
-and two speakers of each zone tell the sum of theirs to the speakers of the
-other zones, who pass it on in their own.
+and a few speakers of each zone tell the sum of theirs to the speakers of the
+other zones. Each speaker passes those on to a share of its own zone, since
+links are narrow.
 """
 
 from collections.abc import Collection, Mapping, Sequence
@@ -14,7 +15,8 @@
 from arbutusbay.hashing import rendezvous_order
 
 _DIRECT_VMS = 32
-_SPEAKERS_PER_ZONE = 2
+_MIN_SPEAKERS = 2
+_VMS_PER_SPEAKER = 12
 _RANK_KEY = 'speakers'
 
 
@@ -22,11 +24,14 @@
 class Audience:
     """Say who is told what.
 
-    ``near`` VMs are told of each attempt, ``speakers`` of the sum of the
-    zone, ``far`` ones only what is rare.
+    ``near`` VMs are told of each attempt. ``served`` ones are told that
+    and what the other zones say. ``speakers`` of other zones are told what
+    is new of engines and, by a speaker, the sum of its zone. ``far`` VMs
+    are told only that this VM lives.
     """
 
     near: Sequence[VMRecord]
+    served: Sequence[VMRecord] = ()
     speakers: Sequence[VMRecord] = ()
     far: Sequence[VMRecord] = ()
     is_speaker: bool = False
@@ -46,27 +51,41 @@
     }
     if len(heard) < _DIRECT_VMS:
         return Audience(near=list(heard.values()))
-    names = _speaker_names(own_name, own_zone, heard)
-    elsewhere = [vm for vm in heard.values() if vm.zone != own_zone]
-    is_speaker = own_name in names
+    speakers = _speakers(own_name, own_zone, heard)
+    own_speakers = speakers.pop(own_zone)
+    elsewhere = {name for names in speakers.values() for name in names}
+    near = [vm for vm in heard.values() if vm.zone == own_zone]
+    others = [vm for vm in heard.values() if vm.zone != own_zone]
+    served = [
+        vm for vm in near if _speaker_of(vm.name, own_speakers) == own_name
+    ]
     return Audience(
-        near=[vm for vm in heard.values() if vm.zone == own_zone],
-        speakers=[vm for vm in elsewhere if is_speaker and vm.name in names],
-        far=[vm for vm in elsewhere if not is_speaker or vm.name not in names],
-        is_speaker=is_speaker,
+        near=[vm for vm in near if vm not in served],
+        served=served,
+        speakers=[vm for vm in others if vm.name in elsewhere],
+        far=[vm for vm in others if vm.name not in elsewhere],
+        is_speaker=own_name in own_speakers,
     )
 
 
-def _speaker_names(
+def _speakers(
     own_name: str,
     own_zone: str,
     heard: Mapping[str, VMRecord],
-) -> frozenset[str]:
+) -> dict[str, list[str]]:
+    """Return the names of the speakers of each zone."""
     zones = {own_name: own_zone}
     zones.update({name: vm.zone for name, vm in heard.items()})
     ranked: dict[str, list[str]] = {}
     for name in rendezvous_order(_RANK_KEY, zones):
         ranked.setdefault(zones[name], []).append(name)
-    return frozenset(
-        name for names in ranked.values() for name in names[:_SPEAKERS_PER_ZONE]
-    )
+    return {
+        zone: names[: max(_MIN_SPEAKERS, len(names) // _VMS_PER_SPEAKER)]
+        for zone, names in ranked.items()
+    }
+
+
+def _speaker_of(name: str, speakers: Sequence[str]) -> str:
+    """Return which speaker serves a VM: a speaker is served by the next."""
+    others = [speaker for speaker in speakers if speaker != name]
+    return rendezvous_order(name, others)[0]
