--- a/src/arbutusbay/node/_board.py
+++ b/src/arbutusbay/node/_board.py
@@ -16,6 +16,7 @@
     EngineView,
     WorkMix,
     WorkSums,
+    is_within,
     short_share,
 )
 
@@ -95,7 +96,7 @@
     def is_fresh(self) -> bool:
         """Tell whether a key taken away would certainly be known here."""
         limit_s = self.settings.bounds.revocation_s - _REVOCATION_MARGIN_S
-        return self.freshness.age_s() < limit_s
+        return is_within(self.freshness.age_s(), limit_s)
 
     def is_ready(self) -> bool:
         """Tell whether the process wants new connections."""
--- a/src/arbutusbay/node/_follower.py
+++ b/src/arbutusbay/node/_follower.py
@@ -24,6 +24,7 @@
     FollowVM,
     ReadStore,
     Source,
+    relayed_as_of_s,
     source_name,
     sources_in_order,
 )
@@ -175,7 +176,7 @@
         answer: RelayAnswer,
         sent_s: float,
     ) -> None:
-        as_of_s = sent_s + answer.held_s - answer.age_s
+        as_of_s = relayed_as_of_s(sent_s, answer.held_s, answer.age_s)
         self.operator.put_read(as_of_s)
         for state, news in (
             (self.operator, answer.operator),
--- a/src/arbutusbay/scheduling/__init__.py
+++ b/src/arbutusbay/scheduling/__init__.py
@@ -10,6 +10,7 @@
     total_occupancy,
     weights_of,
 )
+from arbutusbay.scheduling._freshness_rules import is_within, relayed_as_of_s
 from arbutusbay.scheduling._lease_rules import (
     LeaseTimes,
     SeenClaim,
@@ -90,12 +91,14 @@
     'choose_for_plain',
     'is_claim_valid',
     'is_known_not_run',
+    'is_within',
     'may_claim',
     'next_loads',
     'next_step',
     'outdated_engines',
     'parallel_loads',
     'ranked_engines',
+    'relayed_as_of_s',
     'short_fractions',
     'short_share',
     'source_name',
