Add arbutusbay explain: a request's way and cause from the logs

Reads JSON lines of all VMs whatever stands before them, prints the lines of the id, those of its VM and its backend servers around it, and the cause in one sentence.

--- a/src/arbutusbay/cli/_main.py
+++ b/src/arbutusbay/cli/_main.py
@@ -9,6 +9,7 @@
 
 from arbutusbay.cli import _commands
 from arbutusbay.cli._client import ApiClient
+from arbutusbay.cli._explain import explain
 from arbutusbay.http import new_session
 from arbutusbay.state import SPEC_TYPES
 
@@ -27,8 +28,11 @@
 
 
 def _run(options: argparse.Namespace) -> int:
-    if options.command == 'validate':
-        return _commands.validate(options)
+    match options.command:
+        case 'validate':
+            return _commands.validate(options)
+        case 'explain':
+            return explain(options)
     return asyncio.run(_run_with_client(options))
 
 
@@ -63,11 +67,22 @@
         ('status', 'print members and engines'),
     ):
         _add_output(commands.add_parser(name, help=text))
+    _add_explain(commands)
     dump = commands.add_parser('dump', help='print the state of a process')
     dump.add_argument('process', metavar='URL', help='URL of the process')
     return parser
 
 
+def _add_explain(commands: object) -> None:
+    command = commands.add_parser(
+        'explain',
+        help="print a request's way and cause from the VMs' logs",
+        epilog='Example: arbutusbay explain 8c3e18b3cc04896b vm-*.log',
+    )
+    command.add_argument('id', help='the Attempt-Id of the request')
+    command.add_argument('files', nargs='+', type=Path, metavar='FILE')
+
+
 def _add_file_command(commands: object, name: str, text: str) -> None:
     command = commands.add_parser(name, help=text)
     command.add_argument('-f', '--file', type=Path, required=True)
--- a/tests/integration/test_fleet.py
+++ b/tests/integration/test_fleet.py
@@ -9,6 +9,7 @@
 import aiohttp
 import pytest
 
+from arbutusbay.cli import main
 from emulator.fleet import Fleet, running_fleet, wait_until
 from emulator.fleet_engine import EngineFault, EngineRun
 from emulator.store import StoreFault
@@ -377,6 +378,35 @@
     assert KEY not in node.log.read_text()
 
 
+def explained(capsys, request_id, nodes) -> str:
+    with pytest.raises(SystemExit) as ended:
+        main(['explain', request_id, *(str(node.log) for node in nodes)])
+    assert ended.value.code == 0
+    return capsys.readouterr().out
+
+
+async def test_command_explains_three_failures(fleet, http, capsys):
+    fleet.revocation_ms = 1500
+    node = await start_one(fleet)
+    await wait_ready([node], http)
+    for engine in fleet.engines:
+        engine.spoil(EngineFault.RESET, 1)
+    await desk(http, node, 'broken-off')
+    await ask(http, node, 'wrong-key', key='nobodys')
+    fleet.store.faults[''] = StoreFault.BUSY
+    await wait_until(
+        functools.partial(refuses_as_stale, http, node),
+        'refused as stale',
+    )
+    broken_off = explained(capsys, 'broken-off', [node])
+    assert 'broke off after the request was sent' in broken_off
+    assert 'server avoided' in broken_off
+    assert 'key is not' in explained(capsys, 'wrong-key', [node])
+    stale = explained(capsys, 'f1', [node])
+    assert 'keys were last confirmed' in stale
+    assert 'store does not answer' in stale
+
+
 async def test_dump_and_metrics_tell_no_key(fleet, http):
     node = await start_one(fleet)
     await wait_ready([node], http)
