Expect the new weights once an announced load should be over

Change: an announcement says which weights it brings; after its end the engine is expected to run them for a second, unless it says otherwise. The load is one value (AnnouncedLoad) instead of two times.

--- a/src/arbutusbay/node/_peer_intake.py
+++ b/src/arbutusbay/node/_peer_intake.py
@@ -69,10 +69,9 @@
     ) -> None:
         if view.id in state.silent:
             view.silent_until_s = moment_s + _SUSPICION_S
-        times = state.loads.get(view.id)
-        if times is not None:
-            view.load_from_s = times.from_s
-            view.load_until_s = times.until_s
+        load = state.loads.get(view.id)
+        if load is not None:
+            view.load = load
             if state.zone != self.me.zone:
                 self.board.loads_elsewhere[view.id] = view
         loaded = state.weights.get(view.id)
--- a/src/arbutusbay/node/_peer_messages.py
+++ b/src/arbutusbay/node/_peer_messages.py
@@ -8,20 +8,12 @@
 from result import Err, Ok, Result
 
 from arbutusbay.errors import ErrorKind, Failure
-from arbutusbay.scheduling import Occupancy, WorkSums
+from arbutusbay.scheduling import AnnouncedLoad, Occupancy, WorkSums
 
 _MIX_UNIT = 1000
 _MS_PER_S = 1000
 
 
-@attrs.frozen(kw_only=True)
-class LoadTimes:
-    """Say when a load of weights starts and ends, on the node's clock."""
-
-    from_s: float
-    until_s: float
-
-
 @attrs.frozen(kw_only=True)
 class LoadedWeights:
     """Hold the weights versions of one start of an engine."""
@@ -53,7 +45,7 @@
     occupancy: Mapping[str, Occupancy]
     mix: WorkSums
     silent: tuple[str, ...] = ()
-    loads: Mapping[str, LoadTimes] = attrs.field(factory=dict)
+    loads: Mapping[str, AnnouncedLoad] = attrs.field(factory=dict)
     weights: Mapping[str, LoadedWeights] = attrs.field(factory=dict)
     fence: int | None = None
     zones: Mapping[str, ZoneLoad] = attrs.field(factory=dict)
@@ -75,10 +67,12 @@
     if state.loads:
         fields['l'] = {
             server: (
-                _ms_until(times.from_s, now_s),
-                _ms_until(times.until_s, now_s),
+                load.model,
+                load.version,
+                _ms_until(load.from_s, now_s),
+                _ms_until(load.until_s, now_s),
             )
-            for server, times in state.loads.items()
+            for server, load in state.loads.items()
         }
     if state.weights:
         fields['w'] = {
@@ -117,7 +111,7 @@
         mix=_mix(*fields['m']),
         silent=tuple(str(server) for server in fields.get('s', ())),
         loads={
-            str(server): _load_times(now_s, *told)
+            str(server): _announced_load(now_s, *told)
             for server, told in fields.get('l', {}).items()
         },
         weights={
@@ -175,8 +169,16 @@
     return int((moment_s - now_s) * _MS_PER_S)
 
 
-def _load_times(now_s: float, from_ms: int, until_ms: int) -> LoadTimes:
-    return LoadTimes(
+def _announced_load(
+    now_s: float,
+    model: str,
+    version: int,
+    from_ms: int,
+    until_ms: int,
+) -> AnnouncedLoad:
+    return AnnouncedLoad(
+        model=str(model),
+        version=int(version),
         from_s=now_s + int(from_ms) / _MS_PER_S,
         until_s=now_s + int(until_ms) / _MS_PER_S,
     )
--- a/src/arbutusbay/node/_peer_reports.py
+++ b/src/arbutusbay/node/_peer_reports.py
@@ -10,11 +10,10 @@
 from arbutusbay.node._lease import WEIGHTS_LEASE
 from arbutusbay.node._peer_messages import (
     LoadedWeights,
-    LoadTimes,
     PeerState,
     ZoneLoad,
 )
-from arbutusbay.scheduling import EngineView, WorkSums
+from arbutusbay.scheduling import AnnouncedLoad, EngineView, WorkSums
 
 _RECENT_S = 1.0
 
@@ -28,15 +27,9 @@
         self.me = me
         self.loads: dict[str, EngineView] = {}
 
-    def announce_load(
-        self,
-        view: EngineView,
-        from_s: float,
-        until_s: float,
-    ) -> None:
+    def announce_load(self, view: EngineView, load: AnnouncedLoad) -> None:
         """Announce when an engine changes weights."""
-        view.load_from_s = from_s
-        view.load_until_s = until_s
+        view.load = load
         self.loads[view.id] = view
         self.board.load_changed.set()
 
@@ -56,7 +49,7 @@
             silent=tuple(
                 view.id for view in views if moment_s < view.suspected_until_s
             ),
-            loads=_load_times(self.loads),
+            loads=_announced(self.loads),
             fence=self._own_fence(),
             weights={
                 view.id: _loaded_weights(view)
@@ -73,7 +66,7 @@
         return attrs.evolve(
             state,
             zones=self.board.loads_of_other_zones(),
-            loads={**_load_times(relayed), **state.loads},
+            loads={**_announced(relayed), **state.loads},
             weights={
                 **{view.id: _loaded_weights(view) for view in relayed.values()},
                 **state.weights,
@@ -144,14 +137,15 @@
     return {
         view_id: view
         for view_id, view in loads.items()
-        if view.load_until_s > moment_s - _RECENT_S
+        if view.load is not None and view.load.until_s > moment_s - _RECENT_S
     }
 
 
-def _load_times(loads: Mapping[str, EngineView]) -> dict[str, LoadTimes]:
+def _announced(loads: Mapping[str, EngineView]) -> dict[str, AnnouncedLoad]:
     return {
-        view_id: LoadTimes(from_s=view.load_from_s, until_s=view.load_until_s)
+        view_id: view.load
         for view_id, view in loads.items()
+        if view.load is not None
     }
 
 
--- a/src/arbutusbay/node/_placer.py
+++ b/src/arbutusbay/node/_placer.py
@@ -116,6 +116,7 @@
         guess = target.version if target else expected
         if guess == expected and registered is not None:
             guess = registered.weights.get(model, expected)
+        view.load = None
         self.put_weights(view, model, guess)
         _LOG.info(
             'weights expected anew',
@@ -149,7 +150,7 @@
         model = incoming.head.model
         if not incoming.is_for_model:
             return True
-        version = weights_of(view, model)
+        version = view.expected_weights(model, now_s())
         if version is None or demand.weights_version not in {None, version}:
             return False
         target = self.board.catalog.targets.get(model)
@@ -241,7 +242,7 @@
                 priority=_priority(incoming),
                 resume_after=demand.resume_after,
             )
-        version = weights_of(view, incoming.head.model)
+        version = view.expected_weights(incoming.head.model, now_s())
         store = self._cache_store_address()
         return AttemptOrders(
             instance=view.id,
--- a/src/arbutusbay/node/_rollout.py
+++ b/src/arbutusbay/node/_rollout.py
@@ -120,9 +120,9 @@
                 now_s=moment_s,
             ),
         )
-        for engine in loads.announce:
-            self.announced_s[engine.id] = moment_s
-            self.loader.announce(engine, NOTICE_S)
+        for load in loads.announce:
+            self.announced_s[load.engine.id] = moment_s
+            self.loader.announce(load, NOTICE_S)
         for load in loads.start:
             self.announced_s.pop(load.engine.id, None)
             self._start(load)
--- a/src/arbutusbay/node/_weights_loader.py
+++ b/src/arbutusbay/node/_weights_loader.py
@@ -19,14 +19,15 @@
     fetch_report,
     send_load_order,
 )
-from arbutusbay.scheduling import EngineView, WeightsLoad
+from arbutusbay.scheduling import AnnouncedLoad, EngineView, WeightsLoad
 
 _LOG = get_logger('loads')
 _CALL_S = 0.4
 _POLL_S = 0.05
 _FIRST_REPORT_S = 0.55
-_LOAD_GUESS_S = 0.7
-_EXTENSION_S = 0.2
+_LOAD_GUESS_S = 0.62
+_REPORT_LAG_S = 0.35
+_EXTENSION_S = 0.4
 _MAX_LOAD_S = 3.0
 _RETRY_PAUSE_S = 0.3
 
@@ -67,10 +68,9 @@
             if moment_s < until_s
         }
 
-    def announce(self, engine: EngineView, notice_s: float) -> None:
-        """Tell that ``engine`` loads weights in ``notice_s`` seconds."""
-        start_s = now_s() + notice_s
-        self.reports.announce_load(engine, start_s, start_s + _LOAD_GUESS_S)
+    def announce(self, load: WeightsLoad, notice_s: float) -> None:
+        """Tell that an engine loads weights in ``notice_s`` seconds."""
+        self._tell(load, now_s() + notice_s, _LOAD_GUESS_S)
 
     async def load(self, load: WeightsLoad) -> None:
         """Order one load and wait until it is done or has failed."""
@@ -93,7 +93,7 @@
         fence = self.lease.valid_fence()
         if fence is None or self._is_done(progress):
             return
-        self._mark_loading(engine, _LOAD_GUESS_S)
+        self._tell(progress.load, now_s(), _LOAD_GUESS_S)
         outcome = await self._order(progress, fence)
         if outcome in {OrderOutcome.ACCEPTED, OrderOutcome.ALREADY_DONE}:
             await self._await_loaded(progress)
@@ -102,7 +102,7 @@
         if outcome is OrderOutcome.UNKNOWN:
             await self._await_busy(progress)
             return
-        self._mark_loading(engine, 0)
+        self._tell(progress.load, now_s(), 0)
         self._put_off_engine(engine)
 
     async def _order(
@@ -155,7 +155,7 @@
             await self._ask(progress)
             if self._is_done(progress):
                 return
-            self._extend_loading(progress.load.engine)
+            self._extend(progress.load)
             await asyncio.sleep(_POLL_S)
 
     async def _ask(self, progress: LoadProgress) -> EngineReport | None:
@@ -187,7 +187,7 @@
 
     def _put_done(self, progress: LoadProgress) -> None:
         load = progress.load
-        self._mark_loading(load.engine, 0)
+        self._tell(load, now_s(), 0)
         _LOG.info(
             'weights loaded',
             fields={
@@ -198,14 +198,20 @@
             },
         )
 
-    def _mark_loading(self, engine: EngineView, remaining_s: float) -> None:
-        moment_s = now_s()
-        self.reports.announce_load(engine, moment_s, moment_s + remaining_s)
+    def _tell(self, load: WeightsLoad, from_s: float, lasts_s: float) -> None:
+        announced = AnnouncedLoad(
+            model=load.model,
+            version=load.version,
+            from_s=from_s,
+            until_s=from_s + lasts_s,
+        )
+        self.reports.announce_load(load.engine, announced)
 
-    def _extend_loading(self, engine: EngineView) -> None:
+    def _extend(self, load: WeightsLoad) -> None:
         """Announce a later end when the load takes longer than guessed."""
-        if engine.load_until_s - now_s() < _POLL_S:
-            self._mark_loading(engine, _EXTENSION_S)
+        announced = load.engine.load
+        if announced is None or now_s() > announced.until_s + _REPORT_LAG_S:
+            self._tell(load, now_s(), _EXTENSION_S)
 
     def _put_off_engine(self, engine: EngineView) -> None:
         """Let other engines load before this one is tried again."""
--- a/src/arbutusbay/scheduling/__init__.py
+++ b/src/arbutusbay/scheduling/__init__.py
@@ -3,6 +3,7 @@
 from arbutusbay.scheduling._audience import Audience, audience_of
 from arbutusbay.scheduling._budget import Budget
 from arbutusbay.scheduling._engine_view import (
+    AnnouncedLoad,
     Attempt,
     EngineView,
     Occupancy,
@@ -62,6 +63,7 @@
 
 __all__ = (
     'NOTICE_S',
+    'AnnouncedLoad',
     'Attempt',
     'AttemptCount',
     'Audience',
--- a/src/arbutusbay/scheduling/_engine_view.py
+++ b/src/arbutusbay/scheduling/_engine_view.py
@@ -45,6 +45,32 @@
     heard_s: float
 
 
+@attrs.frozen(kw_only=True)
+class AnnouncedLoad:
+    """Say when an engine is expected to change to other weights.
+
+    Times are on the node's clock. A load of no length was called off.
+    """
+
+    model: str
+    version: int
+    from_s: float
+    until_s: float
+
+    def is_running(self, now_s: float) -> bool:
+        """Tell whether it goes on now."""
+        return self.from_s <= now_s < self.until_s
+
+    def is_ahead(self, now_s: float) -> bool:
+        """Tell whether it begins shortly."""
+        return now_s < self.from_s < self.until_s
+
+    def is_just_over(self, now_s: float) -> bool:
+        """Tell whether it should be done; what engines report lags."""
+        is_carried_out = self.from_s < self.until_s
+        return is_carried_out and 0 <= now_s - self.until_s < _LOAD_MEMORY_S
+
+
 @attrs.define(kw_only=True, eq=False)
 class EngineView:
     """Hold identity, weights, load and recent failures of one engine.
@@ -64,8 +90,7 @@
     weights: dict[str, int] = attrs.field(factory=dict)
     incarnation: int = 0
     is_draining: bool = False
-    load_from_s: float = float('inf')
-    load_until_s: float = 0.0
+    load: AnnouncedLoad | None = None
     slowdown: float = 1.0
     usual_slowdown: float = 1.0
     learned_s: float = float('-inf')
@@ -157,11 +182,19 @@
 
     def is_loading(self, now_s: float) -> bool:
         """Tell whether the engine is expected to change weights now."""
-        return self.load_from_s <= now_s < self.load_until_s
+        return self.load is not None and self.load.is_running(now_s)
 
     def is_load_announced(self, now_s: float) -> bool:
         """Tell whether the engine will change weights shortly."""
-        return now_s < self.load_from_s < self.load_until_s
+        return self.load is not None and self.load.is_ahead(now_s)
+
+    def expected_weights(self, model: str, now_s: float) -> int | None:
+        """Return the version that the engine should run now, if known."""
+        known = weights_of(self, model)
+        load = self.load
+        if known is None or load is None or load.model != model:
+            return known
+        return max(known, load.version) if load.is_just_over(now_s) else known
 
     def own_occupancy(self) -> Occupancy:
         """Return what this VM has out."""
--- a/src/arbutusbay/scheduling/_rollout_plan.py
+++ b/src/arbutusbay/scheduling/_rollout_plan.py
@@ -45,7 +45,7 @@
     """Say which loads to start now and which to announce."""
 
     start: Sequence[WeightsLoad]
-    announce: Sequence[EngineView]
+    announce: Sequence[WeightsLoad]
 
 
 def outdated_engines(
@@ -91,17 +91,26 @@
         engine for engine in waiting[:places] if _is_noticed(engine, state)
     ]
     following = waiting[: max(places, 1)] if places else waiting[:limit]
+    announce = [
+        engine for engine in following if engine.id not in state.announced_s
+    ]
     return NextLoads(
-        start=[
-            WeightsLoad(engine=engine, model=model, version=version)
-            for engine in start
-        ],
-        announce=[
-            engine for engine in following if engine.id not in state.announced_s
-        ],
+        start=_loads(start, model, version),
+        announce=_loads(announce, model, version),
     )
 
 
+def _loads(
+    engines: Sequence[EngineView],
+    model: str,
+    version: int,
+) -> list[WeightsLoad]:
+    return [
+        WeightsLoad(engine=engine, model=model, version=version)
+        for engine in engines
+    ]
+
+
 def _spread(engines: Sequence[EngineView], limit: int) -> list[EngineView]:
     ranked = ranked_engines(engines)
     rounds = max(1, -(-len(ranked) // limit))
--- a/tests/unit/test_audience.py
+++ b/tests/unit/test_audience.py
@@ -13,6 +13,7 @@
 )
 from arbutusbay.node._peers import PeerChannel
 from arbutusbay.scheduling import (
+    AnnouncedLoad,
     Attempt,
     EngineView,
     audience_of,
@@ -53,6 +54,16 @@
     }
 
 
+def build_load(from_s: float) -> AnnouncedLoad:
+    """Return a load of the second weights that begins at ``from_s``."""
+    return AnnouncedLoad(
+        model='roll-advisor',
+        version=2,
+        from_s=from_s,
+        until_s=from_s + 0.7,
+    )
+
+
 def audiences(vms, silent=()):
     """Return the audience of each VM that is not silent."""
     return {
@@ -174,8 +185,7 @@
     moment_s = now_s()
     leader.reports.announce_load(
         leader.board.views[_ENGINE],
-        moment_s + 5,
-        moment_s + 6,
+        build_load(moment_s + 5),
     )
     for _ in range(3):
         network.send_all()
@@ -211,6 +221,6 @@
     moment_s = now_s()
     for number, view in enumerate(leader.board.views.values()):
         from_s = moment_s + number / 10
-        leader.reports.announce_load(view, from_s, from_s + 0.7)
+        leader.reports.announce_load(view, build_load(from_s))
         network.send_all()
     assert max(network.bytes_by_sender.values()) < 31 * 0.1 * _LINK_BYTES_S
--- a/tests/unit/test_engine_placement.py
+++ b/tests/unit/test_engine_placement.py
@@ -6,6 +6,7 @@
 import pytest
 
 from arbutusbay.scheduling import (
+    AnnouncedLoad,
     Attempt,
     EngineView,
     ModelSetting,
@@ -22,6 +23,17 @@
 )
 
 NOW_S = 100.0
+MODEL = 'roll-advisor'
+
+
+def build_load(from_s: float, until_s: float) -> AnnouncedLoad:
+    """Return a load of the second weights."""
+    return AnnouncedLoad(
+        model=MODEL,
+        version=2,
+        from_s=from_s,
+        until_s=until_s,
+    )
 
 
 def build_view(name: str, **changes) -> EngineView:
@@ -141,8 +153,7 @@
 def test_announced_load_turns_streams_away():
     views = build_views(2)
     short = build_work(prompt_tokens=800, shared_tokens=0)
-    views[0].load_from_s = NOW_S + 0.3
-    views[0].load_until_s = NOW_S + 1.0
+    views[0].load = build_load(NOW_S + 0.3, NOW_S + 1.0)
     chosen = {choose(views, short, seed).engine.id for seed in range(10)}
     assert chosen == {views[1].id}
 
@@ -153,7 +164,7 @@
         {'is_draining': True},
         {'avoid_until_s': NOW_S + 1},
         {'silent_until_s': NOW_S + 1},
-        {'load_from_s': NOW_S - 1, 'load_until_s': NOW_S + 1},
+        {'load': build_load(NOW_S - 1, NOW_S + 1)},
     ],
 )
 def test_unfit_engines_are_left_out(change):
@@ -161,6 +172,28 @@
     assert [view.id for view in usable_engines(views, NOW_S)] == ['good']
 
 
+@pytest.mark.parametrize(
+    ('load', 'expected'),
+    [
+        (None, 1),
+        (build_load(NOW_S - 0.5, NOW_S + 0.1), 1),
+        (build_load(NOW_S - 0.7, NOW_S - 0.1), 2),
+        (build_load(NOW_S - 0.1, NOW_S - 0.1), 1),
+        (build_load(NOW_S - 9, NOW_S - 8), 1),
+    ],
+)
+def test_weights_are_expected_once_their_load_should_be_over(load, expected):
+    view = build_view('e', weights={MODEL: 1}, load=load)
+    assert view.expected_weights(MODEL, NOW_S) == expected
+    assert view.expected_weights('other', NOW_S) is None
+
+
+def test_newer_weights_than_announced_are_kept():
+    load = build_load(NOW_S - 0.7, NOW_S - 0.1)
+    view = build_view('e', weights={MODEL: 3}, load=load)
+    assert view.expected_weights(MODEL, NOW_S) == 3
+
+
 def test_a_suspect_is_used_when_there_is_no_other():
     views = [build_view('only', avoid_until_s=NOW_S + 1)]
     assert usable_engines(views, NOW_S)
--- a/tests/unit/test_engine_rollout.py
+++ b/tests/unit/test_engine_rollout.py
@@ -33,7 +33,7 @@
     loads = next_loads(views, MODEL, 2, build_state())
     assert not loads.start
     assert len(loads.announce) == 2
-    announced = {view.id: NOW_S for view in loads.announce}
+    announced = {load.engine.id: NOW_S for load in loads.announce}
     later = build_state(announced_s=announced, now_s=NOW_S + NOTICE_S)
     started = next_loads(views, MODEL, 2, later).start
     assert {load.engine.id for load in started} == set(announced)
@@ -41,7 +41,7 @@
 
 def test_idle_engine_starts_at_once_after_the_announcement():
     views = build_outdated(3)
-    announced = next_loads(views, MODEL, 2, build_state()).announce[0]
+    announced = next_loads(views, MODEL, 2, build_state()).announce[0].engine
     state = build_state(announced_s={announced.id: NOW_S})
     assert next_loads(views, MODEL, 2, state).start
 
