--- a/src/arbutusbay/node/_registration.py
+++ b/src/arbutusbay/node/_registration.py
@@ -17,7 +17,16 @@
 _LOG = get_logger('registration')
 _ANSWER_S = 1.0
 _PAUSE_RANGE_S = (0.5, 1.5)
-_REREAD_S = 20.0
+_LEAST_REREAD_S = 20.0
+_REREADS_PER_S = 1.0
+
+
+def reread_pause_s(vm_count: int) -> float:
+    """Return when to read again, so that all VMs together read seldom.
+
+    New VMs make themselves heard; a read only mends what was missed.
+    """
+    return max(_LEAST_REREAD_S, vm_count / _REREADS_PER_S)
 
 
 async def register(
@@ -33,7 +42,7 @@
         if isinstance(read, Err):
             await asyncio.sleep(board.rng.uniform(*_PAUSE_RANGE_S))
         else:
-            await asyncio.sleep(_REREAD_S)
+            await asyncio.sleep(reread_pause_s(len(board.catalog.vms)))
 
 
 async def _write(board: NodeBoard, store: StoreClient, me: VMRecord) -> None:
