--- a/src/arbutusbay/backend/__init__.py
+++ b/src/arbutusbay/backend/__init__.py
@@ -1,10 +1,10 @@
 """Expose the adapters of model engines and plain services."""
 
 from arbutusbay.backend._blocks import CacheIdentity, chain_hashes
-from arbutusbay.backend._engine import (
+from arbutusbay.backend._engine import EngineClient
+from arbutusbay.backend._engine_messages import (
     CacheEvent,
     CacheEvents,
-    EngineClient,
     EngineIdentity,
     Generation,
     LoadReport,
