Measure slopes of the platform's daemon; halve the cost of a decision

Cause: CAPACITY.md lacked slopes of this daemon. The decision computed what others have out, and the slowdown, twice for each engine.

--- /dev/null
+++ b/emulator/_node_costs.py
@@ -0,0 +1,267 @@
+"""Measure what one more of each thing costs the daemon of a VM."""
+
+import asyncio
+import os
+import random
+import tempfile
+from collections.abc import Awaitable, Callable
+from functools import partial
+from pathlib import Path
+
+import aiohttp
+import orjson
+
+from arbutusbay.node._peer_messages import (
+    PeerState,
+    peer_state_from_bytes,
+    peer_state_to_bytes,
+)
+from arbutusbay.platform import operator_document_from_record
+from arbutusbay.scheduling import (
+    EngineView,
+    ModelSetting,
+    ModelWork,
+    Occupancy,
+    WorkSums,
+    choose_for_model,
+)
+from emulator._process_costs import processor_s, resident_bytes
+from emulator._slope import Slope, fit_line, memory_bytes, processor_us
+from emulator.fleet import Fleet, FleetNode, running_fleet, wait_until
+from emulator.fleet_engine import EngineOptions
+
+_CONFIGURATION = (
+    Path(__file__).resolve().parent.parent / 'examples' / 'fleet.json'
+)
+_ENGINE_SIZES = (9, 35, 140)
+_TEAM_SIZES = (50, 150, 350)
+_REQUEST_SIZES = (100, 300, 600)
+_EVENT_SIZES = (10, 60, 120)
+_STREAMS = 60
+_REPEATS = 200
+_CONCURRENCY = 8
+_US_PER_S = 1_000_000
+_SEED = 1
+_SLOTS = 32
+_PROMPT_TOKENS = 3000
+_SHARED_TOKENS = 2000
+_ROOM_TOKENS = 20_000
+_CAPACITY_TOKENS = 100_000
+
+
+def measure_node() -> list[Slope]:
+    """Return slopes of decisions, messages, requests and memory."""
+    return [
+        _engine_slope('a decision, an engine of the pool', _decisions),
+        _engine_slope('a message of a VM, an engine in it', _messages),
+        fit_line(
+            'node, processor time of a configuration read, a team',
+            'µs',
+            _TEAM_SIZES,
+            [
+                processor_us(partial(_read_configuration, size))
+                for size in _TEAM_SIZES
+            ],
+        ),
+        fit_line(
+            'node, memory a followed engine',
+            'bytes',
+            _ENGINE_SIZES,
+            [memory_bytes(partial(_views, size)) for size in _ENGINE_SIZES],
+        ),
+        *asyncio.run(_process_slopes()),
+    ]
+
+
+def _engine_slope(name: str, run: Callable[[int], None]) -> Slope:
+    return fit_line(
+        f'node, processor time of {name}',
+        'µs',
+        _ENGINE_SIZES,
+        [processor_us(partial(run, size)) / _REPEATS for size in _ENGINE_SIZES],
+    )
+
+
+def _views(size: int) -> list[EngineView]:
+    return [
+        EngineView(
+            id=f'i-{number:010x}',
+            service='language',
+            address=f'10.1.64.{number}:8627',
+            zone='zone-a',
+            slots=_SLOTS,
+            weights={'roll-advisor': 1},
+        )
+        for number in range(size)
+    ]
+
+
+def _decisions(size: int) -> None:
+    views = _views(size)
+    rng = random.Random(_SEED)
+    work = ModelWork(
+        model='roll-advisor',
+        prompt_tokens=_PROMPT_TOKENS,
+        output_tokens=60,
+        shared_tokens=_SHARED_TOKENS,
+        affinity_key='part',
+    )
+    setting = ModelSetting(
+        own_zone='zone-a',
+        capacity_tokens=_CAPACITY_TOKENS,
+        short_fractions={},
+        holder_saving=1.0,
+        room_tokens=_ROOM_TOKENS,
+        now_s=1.0,
+    )
+    for _ in range(_REPEATS):
+        choose_for_model(work, views, setting=setting, rng=rng)
+
+
+def _messages(size: int) -> None:
+    held = Occupancy(
+        attempts=3,
+        uncached_tokens=_PROMPT_TOKENS,
+        resident_tokens=_ROOM_TOKENS,
+    )
+    state = PeerState(
+        name='vm-1',
+        zone='zone-a',
+        occupancy={view.id: held for view in _views(size)},
+        mix=WorkSums(short=_PROMPT_TOKENS, long=_ROOM_TOKENS),
+    )
+    for _ in range(_REPEATS):
+        peer_state_from_bytes(peer_state_to_bytes(state, 0), 0)
+
+
+def _read_configuration(team_count: int) -> None:
+    document = orjson.loads(_CONFIGURATION.read_bytes())
+    document['tenants'] = [
+        {'name': f'team-{number}', 'api_keys': [f'key-{number}']}
+        for number in range(team_count)
+    ]
+    operator_document_from_record('config', orjson.dumps(document)).unwrap()
+
+
+async def _process_slopes() -> list[Slope]:
+    with tempfile.TemporaryDirectory() as directory:
+        async with running_fleet(Path(directory)) as fleet:
+            return await _slopes_of(fleet)
+
+
+async def _slopes_of(fleet: Fleet) -> list[Slope]:
+    fleet.configure(orjson.loads(_CONFIGURATION.read_bytes()))
+    for service, model in (('language', 'roll-advisor'), ('desk', '')):
+        options = EngineOptions(
+            id=f'{service}-1',
+            service=service,
+            zone='zone-a',
+            model=model,
+            slots=_CONCURRENCY,
+            event_s=0,
+        )
+        await fleet.add_engine(options)
+    node = await fleet.add_node('zone-a')
+    async with aiohttp.ClientSession() as session:
+        await wait_until(partial(node.is_ready, session), 'ready')
+        return [
+            _resident(node),
+            await _slope(
+                'a plain request',
+                node,
+                _REQUEST_SIZES,
+                partial(_ask_many, session, node, is_stream=False),
+            ),
+            await _slope(
+                'a relayed event',
+                node,
+                _EVENT_SIZES,
+                partial(_stream_many, session, fleet, node),
+                per=_STREAMS,
+            ),
+        ]
+
+
+def _resident(node: FleetNode) -> Slope:
+    return Slope(
+        name='node, resident once ready',
+        unit='bytes',
+        sizes=(1,),
+        slope=resident_bytes(node.process.pid),
+        intercept=0,
+        residual=0,
+    )
+
+
+async def _slope(
+    name: str,
+    node: FleetNode,
+    sizes: tuple[int, ...],
+    run: Callable[[int], Awaitable[None]],
+    *,
+    per: int = 1,
+) -> Slope:
+    measured = []
+    for size in sizes:
+        before_s = processor_s(node.process.pid)
+        await run(size)
+        used_s = processor_s(node.process.pid) - before_s
+        measured.append(used_s * _US_PER_S / per)
+    return fit_line(f'node, {name}', 'µs', sizes, measured)
+
+
+async def _stream_many(
+    session: aiohttp.ClientSession,
+    fleet: Fleet,
+    node: FleetNode,
+    events: int,
+) -> None:
+    for engine in fleet.engines:
+        engine.options.events = events
+    await _ask_many(session, node, _STREAMS, is_stream=True)
+
+
+async def _ask_many(
+    session: aiohttp.ClientSession,
+    node: FleetNode,
+    count: int,
+    *,
+    is_stream: bool,
+) -> None:
+    limit = asyncio.Semaphore(_CONCURRENCY)
+    await asyncio.gather(
+        *(
+            _ask(session, node, limit, is_stream=is_stream)
+            for _ in range(count)
+        ),
+    )
+
+
+async def _ask(
+    session: aiohttp.ClientSession,
+    node: FleetNode,
+    limit: asyncio.Semaphore,
+    *,
+    is_stream: bool,
+) -> None:
+    headers = {
+        'Host': 'language.example' if is_stream else 'desk.example',
+        'Attempt-Id': os.urandom(6).hex(),
+        'Authorization': 'Bearer key-of-till-rolls',
+        'Deadline-Ms': '5000',
+    }
+    if is_stream:
+        headers.update(Model='roll-advisor')
+        headers['Token-Counts'] = '900,20'
+    path = 'advice' if is_stream else 'lookup'
+    async with (
+        limit,
+        session.request(
+            'POST' if is_stream else 'GET',
+            f'{node.url}/{path}/1',
+            headers=headers,
+            data=b'{}' if is_stream else None,
+        ) as response,
+    ):
+        await response.read()
+        response.raise_for_status()
--- a/emulator/_process_costs.py
+++ b/emulator/_process_costs.py
@@ -45,17 +45,17 @@
         ]
 
 
-def processor_s(process: Process) -> float:
-    """Return user and system seconds that ``process`` has used."""
-    stat = Path(f'/proc/{process.popen.pid}/stat').read_text(encoding='utf-8')
+def processor_s(pid: int) -> float:
+    """Return user and system seconds that a process has used."""
+    stat = Path(f'/proc/{pid}/stat').read_text(encoding='utf-8')
     fields = stat.rpartition(')')[2].split()
     ticks = [int(field) for field in fields[_USER_FIELD : _USER_FIELD + 2]]
     return sum(ticks) * _TICK_S
 
 
-def resident_bytes(process: Process) -> int:
-    """Return the resident memory of ``process``."""
-    statm = Path(f'/proc/{process.popen.pid}/statm')
+def resident_bytes(pid: int) -> int:
+    """Return the resident memory of a process."""
+    statm = Path(f'/proc/{pid}/statm')
     pages = int(statm.read_text(encoding='utf-8').split()[_RESIDENT_FIELD])
     return pages * os.sysconf('SC_PAGE_SIZE')
 
@@ -65,7 +65,7 @@
         name=name,
         unit='bytes',
         sizes=(1,),
-        slope=resident_bytes(process),
+        slope=resident_bytes(process.popen.pid),
         intercept=0,
         residual=0,
     )
@@ -78,9 +78,9 @@
 ) -> Slope:
     measured = []
     for size in _REQUEST_SIZES:
-        before_s = processor_s(process)
+        before_s = processor_s(process.popen.pid)
         asyncio.run(run(size))
-        measured.append((processor_s(process) - before_s) * _US_PER_S)
+        measured.append((processor_s(process.popen.pid) - before_s) * _US_PER_S)
     return fit_line(name, 'µs', _REQUEST_SIZES, measured)
 
 
@@ -88,9 +88,9 @@
     router = cluster.nodes[0].router
     measured = []
     for pieces in _PIECE_SIZES:
-        before_s = processor_s(router)
+        before_s = processor_s(router.popen.pid)
         asyncio.run(_ask_many(cluster, _STREAMS, pieces=pieces))
-        used_s = processor_s(router) - before_s
+        used_s = processor_s(router.popen.pid) - before_s
         measured.append(used_s * _US_PER_S / _STREAMS)
     return fit_line(
         'router, a relayed piece',
--- a/emulator/slopes.py
+++ b/emulator/slopes.py
@@ -37,6 +37,7 @@
     record_to_bytes,
 )
 from arbutusbay.wire import ConfigReply, Heartbeat, Member, decode, encode
+from emulator._node_costs import measure_node
 from emulator._placement_cost import placement_slope
 from emulator._process_costs import measure_processes
 from emulator._slope import Slope, fit_line, memory_bytes, processor_us
@@ -63,6 +64,7 @@
         *_ledger_slopes(),
         placement_slope(),
         *measure_processes(),
+        *measure_node(),
     ]
     table = tabulate(
         [
--- a/src/arbutusbay/scheduling/_placement.py
+++ b/src/arbutusbay/scheduling/_placement.py
@@ -6,7 +6,7 @@
 import attrs
 
 from arbutusbay.hashing import rendezvous_order
-from arbutusbay.scheduling._engine_view import EngineView
+from arbutusbay.scheduling._engine_view import EngineView, Occupancy
 from arbutusbay.scheduling._sides import is_long_prompt
 
 _AFFINITY_REPLICAS = 2
@@ -155,55 +155,70 @@
     is_holder: bool,
     setting: ModelSetting,
 ) -> Choice:
-    now_s = setting.now_s
-    capacity_tokens = setting.capacity_tokens
     uncached = work.prompt_tokens
     if is_holder:
         uncached -= int(work.shared_tokens * setting.holder_saving)
-    out = engine.occupancy(now_s)
-    running = max(out.attempts, engine.running if out.attempts else 0)
-    cost = float(out.uncached_tokens + uncached + running * _RUNNING_TOKENS)
-    resident = out.resident_tokens + work.resident_tokens
-    if capacity_tokens and resident > capacity_tokens:
-        cost += resident - capacity_tokens
-    cost *= engine.current_slowdown(now_s)
-    cost += _other_side_tokens(work, engine, setting)
-    if engine.is_load_announced(now_s):
-        cost += _PAUSED_STREAM_TOKENS
-    if engine.zone != setting.own_zone:
-        cost += _OTHER_ZONE_TOKENS
+    out = engine.occupancy(setting.now_s)
+    slowdown = engine.current_slowdown(setting.now_s)
+    tokens = out.uncached_tokens + uncached
+    # An engine that computes no prompt takes one of any length.
+    is_in_time = (
+        not out.uncached_tokens or tokens * slowdown <= setting.room_tokens
+    )
+    cost = tokens + _crowd_tokens(work, engine, out, setting)
     return Choice(
         engine=engine,
         uncached_tokens=uncached,
-        cost=cost,
-        has_room=_has_room(uncached, work, engine, setting),
+        cost=cost * slowdown + _detour_tokens(work, engine, setting),
+        has_room=is_in_time and _has_slot(work, engine, out, setting),
     )
 
 
-def _has_room(
-    uncached: int,
+def _crowd_tokens(
     work: ModelWork,
     engine: EngineView,
+    out: Occupancy,
     setting: ModelSetting,
-) -> bool:
-    """Tell whether the first event may come in time at ``engine``.
+) -> float:
+    """Return what other runs at ``engine`` cost, in prompt tokens."""
+    running = max(out.attempts, engine.running if out.attempts else 0)
+    tokens = running * _RUNNING_TOKENS
+    resident = out.resident_tokens + work.resident_tokens
+    if setting.capacity_tokens and resident > setting.capacity_tokens:
+        tokens += resident - setting.capacity_tokens
+    return tokens
 
-    An engine that computes no prompt takes one of any length.
-    """
-    out = engine.occupancy(setting.now_s)
+
+def _detour_tokens(
+    work: ModelWork,
+    engine: EngineView,
+    setting: ModelSetting,
+) -> float:
+    """Return what it costs that ``engine`` is not meant for ``work``."""
+    tokens = _other_side_tokens(work, engine, setting)
+    if engine.is_load_announced(setting.now_s):
+        tokens += _PAUSED_STREAM_TOKENS
+    if engine.zone != setting.own_zone:
+        tokens += _OTHER_ZONE_TOKENS
+    return tokens
+
+
+def _has_slot(
+    work: ModelWork,
+    engine: EngineView,
+    out: Occupancy,
+    setting: ModelSetting,
+) -> bool:
+    """Tell whether ``engine`` takes the attempt besides those it has."""
+    if not out.attempts:
+        return True
     if engine.slots and out.attempts >= engine.slots:
         return False
     is_long = is_long_prompt(work.prompt_tokens)
-    if out.attempts and is_long and _is_for_short(engine, setting):
+    if is_long and _is_for_short(engine, setting):
         return False
     resident = out.resident_tokens + work.resident_tokens
-    capacity = setting.capacity_tokens
-    if out.attempts and capacity and resident > capacity:
-        return False
-    if not out.uncached_tokens:
-        return True
-    slowdown = engine.current_slowdown(setting.now_s)
-    return (out.uncached_tokens + uncached) * slowdown <= setting.room_tokens
+    return not setting.capacity_tokens or resident <= setting.capacity_tokens
 
 
 def _other_side_tokens(
