Count arrivals, not placements, in the mix of prompt lengths

Cause: after all VMs restart the mix starts empty. Long prompts that found no engine meant for them were not placed and so never counted; with only short ones counted every engine is for short prompts and takes a long one only when idle. Ruled out: the engines (other requests answered in 65 ms), the learned time of prompts, and sources that changed during the run (seen again on a clean clone). Change: a request is counted when it asks for its first place. A refusal names the time that was waited as the time to come back after. Before: test_long_prompt_finds_an_engine_among_short_ones failed; after: it passes.

--- a/src/arbutusbay/node/_dispatcher.py
+++ b/src/arbutusbay/node/_dispatcher.py
@@ -51,6 +51,7 @@
         """
         if not demand.may_wait:
             return self._place_now(demand)
+        self.placer.put_arrival(demand.incoming)
         name = demand.incoming.service.name
         queue = self.queues.setdefault(name, OverloadQueue())
         ticket = self._ticket(demand)
@@ -181,7 +182,7 @@
         Failure(
             kind=ErrorKind.OVERLOADED,
             detail=f'no engine had room for {waited_s:.1f} s',
-            retry_after_s=_RETRY_AFTER_S,
+            retry_after_s=max(_RETRY_AFTER_S, waited_s),
         ),
     )
 
--- a/src/arbutusbay/node/_placer.py
+++ b/src/arbutusbay/node/_placer.py
@@ -63,11 +63,25 @@
             candidates=len(usable),
         )
 
+    def put_arrival(self, incoming: IncomingRequest) -> None:
+        """Count a request for a model, whether it finds a place or not.
+
+        Were only placed ones counted, a kind that finds no engine meant
+        for it would never get one.
+        """
+        work = work_of(incoming)
+        self.board.mix.put(
+            prompt_tokens=work.prompt_tokens,
+            uncached_tokens=int(
+                work.prompt_tokens - work.shared_tokens * _WARM_SHARE,
+            ),
+            output_tokens=work.output_tokens,
+            now_s=now_s(),
+        )
+
     def commit(self, demand: Demand, placement: Placement) -> None:
         """Count the attempt as out, until it is released."""
         self._log_choice(demand, placement)
-        if demand.incoming.is_for_model:
-            self._put_mix(demand.incoming)
         placement.view.out.add(placement.attempt)
         self.board.notify_load()
 
@@ -194,17 +208,6 @@
             rng=self.board.rng,
         )
 
-    def _put_mix(self, incoming: IncomingRequest) -> None:
-        work = work_of(incoming)
-        self.board.mix.put(
-            prompt_tokens=work.prompt_tokens,
-            uncached_tokens=int(
-                work.prompt_tokens - work.shared_tokens * _WARM_SHARE,
-            ),
-            output_tokens=work.output_tokens,
-            now_s=now_s(),
-        )
-
     def _log_choice(self, demand: Demand, placement: Placement) -> None:
         view = placement.view
         moment_s = placement.attempt.sent_s
--- a/tests/integration/test_fleet.py
+++ b/tests/integration/test_fleet.py
@@ -444,3 +444,21 @@
     assert not [line for line in lines if line['level'] == 'ERROR']
     ended = [line for line in lines if line['message'] == 'request ended']
     assert {line['outcome'] for line in ended} == {'client left'}
+
+
+async def test_long_prompt_finds_an_engine_among_short_ones(fleet, http):
+    node = await start_one(fleet, event_s=0.1, events=30)
+    await wait_ready([node], http)
+    short = [
+        asyncio.create_task(ask(http, node, f's{number}'))
+        for number in range(8)
+    ]
+    await wait_until(
+        lambda: all(engine.running for engine in fleet.engines[:2]),
+        'short streams on both engines',
+    )
+    headers = {'Token-Counts': '6000,20', 'Prompt-Prefix': 'aa01:400'}
+    long = asyncio.create_task(ask(http, node, 'long', **headers))
+    await wait_until(lambda: runs(fleet, 'long'), 'it runs', limit_s=1.0)
+    assert (await long)[0] == 200
+    await asyncio.gather(*short)
