--- a/src/arbutusbay/scheduling/_overload_queue.py
+++ b/src/arbutusbay/scheduling/_overload_queue.py
@@ -2,9 +2,7 @@
 
 If all wait in the order of arrival, all become late together. So those
 that can still be on time go first, and those that can't any more take one
-turn in a few, so that long prompts are never starved. Whoever has waited
-for much longer than its objective is better told to come back, as clients
-leave without an answer.
+turn in a few, so that long prompts are never starved.
 """
 
 from collections.abc import Iterator
@@ -12,7 +10,6 @@
 import attrs
 
 _LATE_TURN = 4
-_PATIENCE = 2.5
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -34,10 +31,7 @@
         return now_s + self.service_s <= self.target_s
 
     def is_servable(self, now_s: float) -> bool:
-        """Tell whether waiting on is of use."""
-        patience_s = _PATIENCE * (self.target_s - self.arrived_s)
-        if now_s - self.arrived_s > patience_s:
-            return False
+        """Tell whether an answer may still come before the end."""
         return now_s + self.service_s < self.end_s
 
 
@@ -81,7 +75,7 @@
             yield from late
 
     def unservable(self, now_s: float) -> list[QueuedRequest]:
-        """Return the requests for which waiting on is of no use."""
+        """Return the requests that can't be answered in time any more."""
         return [
             request
             for request in self.waiting
