--- a/src/arbutusbay/policy/_engine_state.py
+++ b/src/arbutusbay/policy/_engine_state.py
@@ -79,6 +79,16 @@
         self.ready = view.ready
         self.leaving = view.leaving
 
+    def may_run(self, weights_version: str) -> bool:
+        """Tell whether the engine may run ``weights_version``, '' for any.
+
+        An engine whose version is not known yet may: it refuses what
+        differs, and tells which version it runs.
+        """
+        if not weights_version or not self.weights_version:
+            return True
+        return self.weights_version == weights_version
+
     def put_identity(self, incarnation: str, weights_version: str) -> None:
         """Drop what is remembered of another life or other weights."""
         known = (self.incarnation, self.weights_version)
--- a/src/arbutusbay/router/_dispatcher.py
+++ b/src/arbutusbay/router/_dispatcher.py
@@ -166,7 +166,7 @@
         candidates = [
             engine
             for engine in self.usable_engines(job.pool)
-            if _serves_version(engine, context)
+            if engine.may_run(context.weights_version)
         ]
         untried = [
             engine
@@ -285,12 +285,6 @@
         self.pump(pool_name)
 
 
-def _serves_version(engine: EngineState, context: JobContext) -> bool:
-    if not context.weights_version:
-        return True
-    return engine.weights_version == context.weights_version
-
-
 def _refused(
     kind: ErrorKind,
     detail: str,
--- a/src/arbutusbay/router/_generation_run.py
+++ b/src/arbutusbay/router/_generation_run.py
@@ -179,7 +179,9 @@
             team=job.team,
             model=pool.model,
             adapter=pool.adapter,
-            weights_version=engine.weights_version or pool.weights_version,
+            weights_version=engine.weights_version
+            or self.progress.weights_version
+            or pool.weights_version,
             incarnation=engine.incarnation if placement.depth else '',
             prompt=self.request.prompt,
             max_tokens=job.max_tokens,
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -131,3 +131,17 @@
     assert _choose(_job(), view) is None
     later = attrs.evolve(view, now_s=_NOW_S + 1)
     assert _choose(_job(), later) not in {None, 'e0'}
+
+
+@pytest.mark.parametrize(
+    ('known', 'wanted', 'expected'),
+    [
+        ('', 'v2', True),
+        ('v2', '', True),
+        ('v2', 'v2', True),
+        ('v1', 'v2', False),
+    ],
+)
+def test_engine_of_unknown_weights_may_resume_a_stream(known, wanted, expected):
+    engine = _engine('a', weights_version=known)
+    assert engine.may_run(wanted) is expected
