--- a/emulator/fleet.py
+++ b/emulator/fleet.py
@@ -57,6 +57,7 @@
 grace_period_s = 8
 fail_closed = true
 revocation_ms = {revocation_ms}
+config_apply_ms = 2000
 retry_budget_ratio = 0.2
 retry_budget_slack = 60
 budget_window_s = 10
--- a/src/arbutusbay/node/_follower.py
+++ b/src/arbutusbay/node/_follower.py
@@ -35,6 +35,9 @@
 _WAIT_SHARE = 0.2
 _HOLD_SHARE = 0.12
 _AGE_SHARE = 0.52
+_CONFIG_WAIT_SHARE = 0.2
+_CONFIG_HOLD_SHARE = 0.15
+_CONFIG_AGE_SHARE = 0.6
 _AVOID_SHARE = 0.6
 _SILENT_S = 3.0
 _STORE_FAILURES = 3
@@ -56,12 +59,24 @@
     avoid_s: float
 
 
-def times_from_revocation(revocation_s: float) -> FollowTimes:
-    """Return times that leave room for two sources to fail in turn."""
+def times_from_bounds(revocation_s: float, config_s: float) -> FollowTimes:
+    """Return times that leave room for two sources to fail in turn.
+
+    In normal work nothing is older than two reads of the store may wait.
+    """
     return FollowTimes(
-        wait_s=revocation_s * _WAIT_SHARE,
-        hold_s=revocation_s * _HOLD_SHARE,
-        max_age_s=revocation_s * _AGE_SHARE,
+        wait_s=min(
+            revocation_s * _WAIT_SHARE,
+            config_s * _CONFIG_WAIT_SHARE,
+        ),
+        hold_s=min(
+            revocation_s * _HOLD_SHARE,
+            config_s * _CONFIG_HOLD_SHARE,
+        ),
+        max_age_s=min(
+            revocation_s * _AGE_SHARE,
+            config_s * _CONFIG_AGE_SHARE,
+        ),
         avoid_s=revocation_s * _AVOID_SHARE,
     )
 
@@ -80,8 +95,9 @@
     ) -> None:
         """Fold into ``operator`` and ``servers``."""
         self.board = board
-        self.times = times_from_revocation(
+        self.times = times_from_bounds(
             board.settings.bounds.revocation_s,
+            board.settings.bounds.config_s,
         )
         self.session = session
         self.operator = operator
@@ -194,18 +210,22 @@
             )
             self._avoid(vm.name)
 
+    def _hold_s(self) -> float:
+        """Return how long a call may wait: not at all while behind."""
+        is_behind = self.board.freshness.age_s() > self.times.max_age_s
+        return 0 if is_behind else self.times.hold_s
+
     async def _ask(self, vm: VMRecord) -> Result[RelayAnswer, Failure]:
+        hold_s = self._hold_s()
         try:
             async with self.session.get(
                 f'http://{vm.address}{RELAY_PATH}',
                 params={
                     'operator': _offset_text(self.operator.end),
                     'servers': _offset_text(self.servers.end),
-                    'hold_ms': str(int(self.times.hold_s * 1000)),
+                    'hold_ms': str(int(hold_s * 1000)),
                 },
-                timeout=aiohttp.ClientTimeout(
-                    total=self.times.hold_s + _ANSWER_S
-                ),
+                timeout=aiohttp.ClientTimeout(total=hold_s + _ANSWER_S),
             ) as response:
                 body = await response.read()
                 status = response.status
--- a/src/arbutusbay/platform/_settings_file.py
+++ b/src/arbutusbay/platform/_settings_file.py
@@ -42,7 +42,8 @@
 
     ``drain_s`` bounds new work for a leaving backend server, ``grace_s``
     the time between SIGTERM and the kill, ``revocation_s`` work for a key
-    that was taken away, ``weights_s`` new work on replaced weights.
+    that was taken away, ``config_s`` the time until a configuration is in
+    force, ``weights_s`` new work on replaced weights.
     ``thaw_slack_s`` is how long orders of a suspended VM may still arrive.
     ``retry_ratio`` and ``retry_slack`` bound repeats by all VMs together
     in any ``retry_window_s``.
@@ -51,6 +52,7 @@
     drain_s: float
     grace_s: float
     revocation_s: float
+    config_s: float
     lease_s: float
     thaw_slack_s: float
     weights_s: float
@@ -133,6 +135,7 @@
         drain_s=get_milliseconds(table, 'drain_timeout_ms'),
         grace_s=get_number(table, 'grace_period_s'),
         revocation_s=get_milliseconds(table, 'revocation_ms'),
+        config_s=get_milliseconds(table, 'config_apply_ms'),
         lease_s=get_milliseconds(table, 'lease_ms'),
         thaw_slack_s=get_milliseconds(table, 'thaw_slack_ms'),
         weights_s=get_milliseconds(table, 'version_ms'),
--- a/tests/fleet_builders.py
+++ b/tests/fleet_builders.py
@@ -201,6 +201,7 @@
             drain_s=2,
             grace_s=8,
             revocation_s=5,
+            config_s=2,
             lease_s=1,
             thaw_slack_s=0.1,
             weights_s=8,
