Compute what a VM tells, and a placement's inputs, once

Found on reading the change again; no behaviour is meant to change. - a VM's own state was built up to four times for each sending (once for each group that is told); it is built once and derived from - a placement read the clock for each engine twice, filtered the service's engines twice and described the request twice - the same sum of what others have out, the same time after which it is forgotten, and the same search for silent VMs stood in two places each; one (PEER_MEMORY_S, silent_vms, occupancy_by) serves both - two ways to build an attempt's orders are one - gone: EngineView.waiting, ModelWork.model, weights_of, an export and a max() that did nothing; notify_load is called instead of its body - the claim of a lease is called a claim again Unit and fleet tests and lint pass.

--- a/emulator/_node_costs.py
+++ b/emulator/_node_costs.py
@@ -100,7 +100,6 @@
     views = _views(size)
     rng = random.Random(_SEED)
     work = ModelWork(
-        model='roll-advisor',
         prompt_tokens=_PROMPT_TOKENS,
         output_tokens=60,
         shared_tokens=_SHARED_TOKENS,
--- a/src/arbutusbay/node/_board.py
+++ b/src/arbutusbay/node/_board.py
@@ -12,6 +12,7 @@
 from arbutusbay.node._peer_messages import ZoneLoad
 from arbutusbay.platform import VMSettings
 from arbutusbay.scheduling import (
+    PEER_MEMORY_S,
     Budget,
     EngineView,
     WorkMix,
@@ -22,7 +23,6 @@
 
 _REVOCATION_MARGIN_S = 0.4
 _OUTAGE_S = 2.0
-_PEER_MEMORY_S = 3.0
 
 
 @attrs.define(kw_only=True)
@@ -144,9 +144,18 @@
             ],
         )
 
+    def silent_vms(self, limit_s: float) -> set[str]:
+        """Return the VMs that were last heard of over ``limit_s`` ago."""
+        moment_s = now_s()
+        return {
+            name
+            for name, heard_s in self.heard_s.items()
+            if moment_s - heard_s > limit_s
+        }
+
     def recent_mixes(self, names: Collection[str]) -> list[WorkSums]:
         """Return the recent work of those of ``names`` that still speak."""
-        recent_s = now_s() - _PEER_MEMORY_S
+        recent_s = now_s() - PEER_MEMORY_S
         return [
             mix
             for name, mix in self.peer_mixes.items()
@@ -155,7 +164,7 @@
 
     def loads_of_other_zones(self) -> dict[str, ZoneLoad]:
         """Return the sums of other zones that were told lately."""
-        recent_s = now_s() - _PEER_MEMORY_S
+        recent_s = now_s() - PEER_MEMORY_S
         return {
             zone: heard.load
             for zone, heard in self.heard_zones.items()
--- a/src/arbutusbay/node/_follower.py
+++ b/src/arbutusbay/node/_follower.py
@@ -130,14 +130,11 @@
 
     def _choose(self) -> Source:
         moment_s = now_s()
-        board = self.board
-        silent = {
-            name
-            for name, heard_s in board.heard_s.items()
-            if moment_s - heard_s > _SILENT_S
-        }
-        name = board.settings.name
-        sources = sources_in_order(name, board.catalog.vms, silent)
+        sources = sources_in_order(
+            self.board.settings.name,
+            self.board.catalog.vms,
+            self.board.silent_vms(_SILENT_S),
+        )
         for source in sources:
             if self.avoid_until_s.get(source_name(source), 0) <= moment_s:
                 return source
--- a/src/arbutusbay/node/_lease.py
+++ b/src/arbutusbay/node/_lease.py
@@ -82,7 +82,7 @@
                 return None
             if not self._may_claim():
                 return None
-            if not await self._has_lost_race():
+            if not await self._claim():
                 break
         return self.valid_fence()
 
@@ -93,8 +93,8 @@
             seen = SeenClaim(holder=held.claim.holder, seen_s=held.seen_s)
         return may_claim(self.holder, seen, now_s(), self.times)
 
-    async def _has_lost_race(self) -> bool:
-        """Claim; tell whether someone appended between read and claim."""
+    async def _claim(self) -> bool:
+        """Append a claim; tell whether another record came in between."""
         self.round += 1
         claim = LeaseClaim(
             name=self.name,
--- a/src/arbutusbay/node/_peer_reports.py
+++ b/src/arbutusbay/node/_peer_reports.py
@@ -31,9 +31,9 @@
         """Announce when an engine changes weights."""
         view.load = load
         self.loads[view.id] = view
-        self.board.load_changed.set()
+        self.board.notify_load()
 
-    def for_near(self) -> PeerState:
+    def own_state(self) -> PeerState:
         """Return all that this VM has out and knows first."""
         moment_s = now_s()
         views = self.board.views.values()
@@ -58,36 +58,39 @@
             },
         )
 
-    def for_served(self) -> PeerState:
-        """Return the same, with what the other zones said."""
-        state = self.for_near()
+    def for_near(self, own: PeerState) -> PeerState:
+        """Return all of ``own``."""
+        return own
+
+    def for_served(self, own: PeerState) -> PeerState:
+        """Return ``own`` with what the other zones said."""
         relayed = _current(self.board.loads_elsewhere, now_s())
         self.board.loads_elsewhere = relayed
         return attrs.evolve(
-            state,
+            own,
             zones=self.board.loads_of_other_zones(),
-            loads={**_announced(relayed), **state.loads},
+            loads={**_announced(relayed), **own.loads},
             weights={
                 **{view.id: _loaded_weights(view) for view in relayed.values()},
-                **state.weights,
+                **own.weights,
             },
         )
 
-    def for_far(self) -> PeerState:
+    def for_far(self, own: PeerState) -> PeerState:
         """Return that this VM lives, and what all must know at once."""
         return attrs.evolve(
-            self.for_near(),
+            own,
             occupancy={},
             mix=WorkSums(),
             loads={},
             weights={},
         )
 
-    def for_speakers(self, *, is_speaker: bool) -> PeerState:
+    def for_speakers(self, own: PeerState, *, is_speaker: bool) -> PeerState:
         """Return what is new of engines, with the sum of the own zone."""
         zones = {self.me.zone: self._own_zone_load()} if is_speaker else {}
         return attrs.evolve(
-            self.for_near(),
+            own,
             occupancy={},
             mix=WorkSums(),
             zones=zones,
--- a/src/arbutusbay/node/_peers.py
+++ b/src/arbutusbay/node/_peers.py
@@ -39,18 +39,18 @@
     seconds, and whenever ``refresh_s`` have passed.
     """
 
-    report: Callable[[], PeerState]
+    report: Callable[[PeerState], PeerState]
     least_s: float = _LEAST_INTERVAL_S
     refresh_s: float = _REFRESH_S
     told: bytes = b''
     sent_s: float = float('-inf')
 
-    def next_datagram(self, moment_s: float) -> bytes | None:
-        """Return what to send now, None if nothing is due."""
+    def next_datagram(self, own: PeerState, moment_s: float) -> bytes | None:
+        """Return what to send of ``own`` now, None if nothing is due."""
         since_s = moment_s - self.sent_s
         if since_s < self.least_s:
             return None
-        state = self.report()
+        state = self.report(own)
         told = peer_state_to_bytes(state, 0)
         if told == self.told and since_s < self.refresh_s:
             return None
@@ -105,7 +105,7 @@
             case Ok(state):
                 self.intake.put(state, f'{address[0]}:{address[1]}')
                 if self.audience.is_speaker:
-                    self.board.load_changed.set()
+                    self.board.notify_load()
 
     def error_received(self, error: Exception) -> None:
         """Note that a datagram could not be delivered."""
@@ -125,6 +125,7 @@
         """Tell the others what changed since they were told."""
         self._choose_audience()
         audience = self.audience
+        own = self.reports.own_state()
         for telling, vms in (
             (self.near, audience.near),
             (self.served, audience.served),
@@ -132,7 +133,7 @@
             (self.far, audience.far),
         ):
             if vms:
-                self._tell(telling, vms)
+                self._tell(telling, vms, own)
 
     def _wait_s(self) -> float:
         """Return after how long to send without a change."""
@@ -143,18 +144,14 @@
         if moment_s < self.audience_until_s:
             return
         self.audience_until_s = moment_s + _AUDIENCE_S
-        heard_s = self.board.heard_s
-        silent = {
-            name
-            for name in self.board.catalog.vms
-            if moment_s - heard_s.setdefault(name, moment_s) >= _SILENT_S
-        }
+        for name in self.board.catalog.vms:
+            self.board.heard_s.setdefault(name, moment_s)
         was_speaker = self.audience.is_speaker
         self.audience = audience_of(
             self.me.name,
             self.me.zone,
             self.board.catalog.vms,
-            silent,
+            self.board.silent_vms(_SILENT_S),
         )
         if was_speaker != self.audience.is_speaker:
             _LOG.info(
@@ -165,11 +162,19 @@
                 },
             )
 
-    def _report_for_speakers(self) -> PeerState:
-        return self.reports.for_speakers(is_speaker=self.audience.is_speaker)
+    def _report_for_speakers(self, own: PeerState) -> PeerState:
+        return self.reports.for_speakers(
+            own,
+            is_speaker=self.audience.is_speaker,
+        )
 
-    def _tell(self, telling: Telling, vms: Collection[VMRecord]) -> None:
-        datagram = telling.next_datagram(now_s())
+    def _tell(
+        self,
+        telling: Telling,
+        vms: Collection[VMRecord],
+        own: PeerState,
+    ) -> None:
+        datagram = telling.next_datagram(own, now_s())
         if self.transport is None or datagram is None:
             return
         for vm in vms:
--- a/src/arbutusbay/node/_placement.py
+++ b/src/arbutusbay/node/_placement.py
@@ -59,7 +59,6 @@
     head = incoming.head
     shared = head.parts[:-1]
     return ModelWork(
-        model=head.model,
         prompt_tokens=head.prompt_tokens,
         output_tokens=head.max_output_tokens,
         shared_tokens=sum(part.tokens for part in shared),
--- a/src/arbutusbay/node/_placer.py
+++ b/src/arbutusbay/node/_placer.py
@@ -1,5 +1,7 @@
 """Choose a backend server for each attempt and account for it."""
 
+import attrs
+
 from arbutusbay.logs import get_logger
 from arbutusbay.node._board import NodeBoard
 from arbutusbay.node._clock import now_s
@@ -11,12 +13,12 @@
     Choice,
     EngineView,
     ModelSetting,
+    ModelWork,
     Outcome,
     choose_for_model,
     choose_for_plain,
     short_fractions,
     usable_engines,
-    weights_of,
 )
 
 _LOG = get_logger('placement')
@@ -41,23 +43,26 @@
         """Return where an attempt would go now, None if nowhere."""
         moment_s = now_s()
         incoming = demand.incoming
-        views = [
+        work = work_of(incoming)
+        views = self.board.views_of(incoming.service.name)
+        admitted = [
             view
-            for view in self.board.views_of(incoming.service.name)
-            if demand.admits(view) and self._runs_wanted_weights(view, demand)
+            for view in views
+            if demand.admits(view)
+            and self._runs_wanted_weights(view, demand, moment_s)
         ]
-        usable = usable_engines(views, moment_s)
-        choice = self._choose(incoming, usable, moment_s)
+        usable = usable_engines(admitted, moment_s)
+        choice = self._choose(incoming, usable, views, work, moment_s)
         if choice is None:
             return None
         return Placement(
             choice=choice,
-            orders=self._orders(demand, choice.engine),
+            orders=self._orders(demand, choice.engine, moment_s),
             attempt=Attempt(
                 sent_s=moment_s,
                 uncached_tokens=choice.uncached_tokens,
                 ahead_tokens=choice.engine.occupancy(moment_s).uncached_tokens,
-                resident_tokens=work_of(incoming).resident_tokens,
+                resident_tokens=work.resident_tokens,
             ),
             model=incoming.head.model,
             candidates=len(usable),
@@ -95,7 +100,6 @@
         if load is not None:
             view.put_load(
                 running=load.running,
-                waiting=load.waiting,
                 slowdown=load.slowdown,
                 now_s=now_s(),
             )
@@ -107,7 +111,7 @@
         version: int | None,
     ) -> None:
         """Take up the weights version that an answer told."""
-        if version is None or weights_of(view, model) == version:
+        if version is None or view.weights.get(model) == version:
             return
         view.put_answered_weights(model, version, now_s())
         self.board.notify_load()
@@ -159,24 +163,27 @@
         self,
         view: EngineView,
         demand: Demand,
+        moment_s: float,
     ) -> bool:
         incoming = demand.incoming
         model = incoming.head.model
         if not incoming.is_for_model:
             return True
-        version = view.expected_weights(model, now_s())
+        version = view.expected_weights(model, moment_s)
         if version is None or demand.weights_version not in {None, version}:
             return False
         target = self.board.catalog.targets.get(model)
         if target is None:
             return True
         limit_s = self.board.settings.bounds.weights_s - _WEIGHTS_MARGIN_S
-        return not target.is_overdue(version, now_s(), limit_s)
+        return not target.is_overdue(version, moment_s, limit_s)
 
     def _choose(
         self,
         incoming: IncomingRequest,
         usable: list[EngineView],
+        views: list[EngineView],
+        work: ModelWork,
         moment_s: float,
     ) -> Choice | None:
         if not incoming.is_for_model:
@@ -190,7 +197,7 @@
             own_zone=self.board.settings.zone,
             capacity_tokens=incoming.service.kv_capacity_tokens,
             short_fractions=short_fractions(
-                self.board.views_of(incoming.service.name),
+                views,
                 self.board.short_share(),
             ),
             holder_saving=_SAVING_WITH_STORE
@@ -202,7 +209,7 @@
             now_s=moment_s,
         )
         return choose_for_model(
-            work_of(incoming),
+            work,
             usable,
             setting=setting,
             rng=self.board.rng,
@@ -232,31 +239,28 @@
         self,
         demand: Demand,
         view: EngineView,
+        moment_s: float,
     ) -> AttemptOrders:
         incoming = demand.incoming
         team = incoming.team
         remaining_s = max(_LEAST_TIME_S, incoming.remaining_s())
-        name = team.name if team else ''
-        if not incoming.is_for_model:
-            return AttemptOrders(
-                instance=view.id,
-                remaining_s=remaining_s,
-                team=name,
-                priority=_priority(incoming),
-                resume_after=demand.resume_after,
-            )
-        version = view.expected_weights(incoming.head.model, now_s())
-        store = self._cache_store_address()
-        return AttemptOrders(
+        orders = AttemptOrders(
             instance=view.id,
             remaining_s=remaining_s,
-            team=name,
+            team=team.name if team else '',
             priority=_priority(incoming),
+            resume_after=demand.resume_after,
+        )
+        if not incoming.is_for_model:
+            return orders
+        version = view.expected_weights(incoming.head.model, moment_s)
+        store = self._cache_store_address()
+        return attrs.evolve(
+            orders,
             weights_version=version,
             cache_salt=_cache_salt(incoming, version),
             fetch_from=store,
             save_to=store,
-            resume_after=demand.resume_after,
         )
 
     def _cache_store_address(self) -> str:
--- a/src/arbutusbay/scheduling/__init__.py
+++ b/src/arbutusbay/scheduling/__init__.py
@@ -3,13 +3,13 @@
 from arbutusbay.scheduling._audience import Audience, audience_of
 from arbutusbay.scheduling._budget import Budget
 from arbutusbay.scheduling._engine_view import (
+    PEER_MEMORY_S,
     AnnouncedLoad,
     Attempt,
     EngineView,
     Occupancy,
     PeerOccupancy,
     total_occupancy,
-    weights_of,
 )
 from arbutusbay.scheduling._freshness_rules import is_within, relayed_as_of_s
 from arbutusbay.scheduling._lease_rules import (
@@ -44,7 +44,6 @@
     WeightsLoad,
     next_loads,
     outdated_engines,
-    parallel_loads,
 )
 from arbutusbay.scheduling._sides import (
     WorkMix,
@@ -63,6 +62,7 @@
 
 __all__ = (
     'NOTICE_S',
+    'PEER_MEMORY_S',
     'AnnouncedLoad',
     'Attempt',
     'AttemptCount',
@@ -98,7 +98,6 @@
     'next_loads',
     'next_step',
     'outdated_engines',
-    'parallel_loads',
     'ranked_engines',
     'relayed_as_of_s',
     'short_fractions',
@@ -107,5 +106,4 @@
     'sources_in_order',
     'total_occupancy',
     'usable_engines',
-    'weights_of',
 )
--- a/src/arbutusbay/scheduling/_engine_view.py
+++ b/src/arbutusbay/scheduling/_engine_view.py
@@ -1,13 +1,13 @@
 """Hold what one VM knows of one backend server."""
 
-from collections.abc import Container, Iterable, Iterator, Mapping
+from collections.abc import Container, Iterable, Mapping
 
 import attrs
 
 _FIRST_PAUSE_S = 0.3
 _MAX_PAUSE_S = 4.0
 _LOAD_MEMORY_S = 1.0
-_PEER_MEMORY_S = 3.0
+PEER_MEMORY_S = 3.0
 _ERROR_WEIGHT = 0.15
 _ERROR_HALF_LIFE_S = 4.0
 
@@ -96,7 +96,6 @@
     learned_s: float = float('-inf')
     reported_s: float = 0.0
     running: int = 0
-    waiting: int = 0
     out: set[Attempt] = attrs.field(factory=set)
     peers: dict[str, PeerOccupancy] = attrs.field(factory=dict)
     failures: int = 0
@@ -110,13 +109,11 @@
         self,
         *,
         running: int,
-        waiting: int,
         slowdown: float,
         now_s: float,
     ) -> None:
         """Take up the load that an answer told."""
         self.running = running
-        self.waiting = waiting
         self.slowdown = slowdown
         if self.reported_s:
             self.usual_slowdown = min(self.usual_slowdown, slowdown)
@@ -190,7 +187,7 @@
 
     def expected_weights(self, model: str, now_s: float) -> int | None:
         """Return the version that the engine should run now, if known."""
-        known = weights_of(self, model)
+        known = self.weights.get(model)
         load = self.load
         if known is None or load is None or load.model != model:
             return known
@@ -212,9 +209,7 @@
 
     def occupancy(self, now_s: float) -> Occupancy:
         """Return what all VMs have out, as far as this one was told."""
-        return total_occupancy(
-            [self.own_occupancy(), *self._fresh_peers(now_s)],
-        )
+        return self.occupancy_by(self.peers, now_s)
 
     def occupancy_by(self, names: Container[str], now_s: float) -> Occupancy:
         """Return what this VM and the peers ``names`` have out."""
@@ -224,7 +219,7 @@
                 *(
                     peer.occupancy
                     for name, peer in self.peers.items()
-                    if name in names and now_s - peer.heard_s < _PEER_MEMORY_S
+                    if name in names and now_s - peer.heard_s < PEER_MEMORY_S
                 ),
             ],
         )
@@ -237,11 +232,6 @@
             self.slowdown - self.usual_slowdown
         )
 
-    def _fresh_peers(self, now_s: float) -> Iterator[Occupancy]:
-        for peer in self.peers.values():
-            if now_s - peer.heard_s < _PEER_MEMORY_S:
-                yield peer.occupancy
-
 
 def total_occupancy(parts: Iterable[Occupancy]) -> Occupancy:
     """Return the sum of ``parts``."""
@@ -251,9 +241,3 @@
         uncached_tokens=sum(part.uncached_tokens for part in told),
         resident_tokens=sum(part.resident_tokens for part in told),
     )
-
-
-def weights_of(view: EngineView, model: str) -> int | None:
-    """Return the weights version of ``model`` that the engine runs."""
-    weights: Mapping[str, int] = view.weights
-    return weights.get(model)
--- a/src/arbutusbay/scheduling/_placement.py
+++ b/src/arbutusbay/scheduling/_placement.py
@@ -28,7 +28,6 @@
     ``affinity_key`` names the longest shared prefix.
     """
 
-    model: str
     prompt_tokens: int
     output_tokens: int
     shared_tokens: int
--- a/src/arbutusbay/scheduling/_rollout_plan.py
+++ b/src/arbutusbay/scheduling/_rollout_plan.py
@@ -90,7 +90,7 @@
     start = [
         engine for engine in waiting[:places] if _is_noticed(engine, state)
     ]
-    following = waiting[: max(places, 1)] if places else waiting[:limit]
+    following = waiting[: places or limit]
     announce = [
         engine for engine in following if engine.id not in state.announced_s
     ]
--- a/tests/unit/test_audience.py
+++ b/tests/unit/test_audience.py
@@ -202,7 +202,10 @@
         if channel.audience.is_speaker
     )
     speaker.board.views[_ENGINE].out.add(Attempt(sent_s=0, uncached_tokens=9))
-    told = speaker.reports.for_speakers(is_speaker=True)
+    told = speaker.reports.for_speakers(
+        speaker.reports.own_state(),
+        is_speaker=True,
+    )
     heard = peer_state_from_bytes(peer_state_to_bytes(told, 5), 9).ok_value
     assert heard.zones[speaker.me.zone].occupancy[_ENGINE].uncached_tokens == 9
 
--- a/tests/unit/test_engine_placement.py
+++ b/tests/unit/test_engine_placement.py
@@ -55,7 +55,6 @@
 
 def build_work(**changes) -> ModelWork:
     work = ModelWork(
-        model='roll-advisor',
         prompt_tokens=9000,
         output_tokens=50,
         shared_tokens=6000,
