--- a/emulator/fleet_engine.py
+++ b/emulator/fleet_engine.py
@@ -25,7 +25,8 @@
     CUT aborts the connection in the middle of a stream and RESET before the
     response. FAIL responds 500. SHED rejects requests with 503 as not
     executed until another fault is set. FOREIGN responds with the ID of
-    another attempt. MUTE delays the response by a minute.
+    another attempt. MUTE delays the response by a minute. ENDLESS_HEAD and
+    ENDLESS_LINE send head lines, or one line, without end, ENDLESS_BODY a body.
     """
 
     NONE = 'none'
@@ -35,6 +36,14 @@
     SHED = 'shed'
     FOREIGN = 'foreign'
     MUTE = 'mute'
+    ENDLESS_HEAD = 'endless_head'
+    ENDLESS_LINE = 'endless_line'
+    ENDLESS_BODY = 'endless_body'
+
+
+_MAX_ENDLESS_BYTES = 200_000_000
+_CHUNK_BYTES = 65_536
+_HEAD_LINE = b'X-Noise: 0123456789\r\n'
 
 
 @attrs.frozen(kw_only=True)
@@ -80,14 +89,20 @@
         self.order_holders: list[tuple[str, int]] = []
         self.is_loading_weights = False
         self.is_draining = False
+        self.is_leaving = False
+        self.requested_pause_s: float | None = None
+        self.heartbeat_count = 0
         self.fault = EngineFault.NONE
         self.remaining_faults = 0
         self.running = 0
         self.executions: list[ExecutedRequest] = []
+        self.rejected_at_s: list[float] = []
+        self.endless_bytes_sent = 0
 
     def application(self) -> web.Application:
         """Build the HTTP application."""
         application = web.Application()
+        application.on_response_prepare.append(self._add_departure)
         router = application.router
         router.add_get('/arbutusbay/report', self.report)
         router.add_post('/arbutusbay/order', self.order)
@@ -96,6 +111,7 @@
 
     def registration(self) -> dict[str, object]:
         """Return the registration that the engine writes to the store."""
+        self.heartbeat_count += 1
         return {
             'service': self.options.service,
             'address': self.address,
@@ -105,7 +121,7 @@
             'state': 'draining' if self.is_draining else 'ready',
             'cold_remaining_ms': 0,
             'models': self._models(),
-            'sequence': 1,
+            'sequence': self.heartbeat_count,
             'born': self.born_ms,
         }
 
@@ -194,12 +210,21 @@
         if expected != str(self.version):
             return web.Response(status=HTTPStatus.MISDIRECTED_REQUEST)
         if self.is_loading_weights or self.fault is EngineFault.SHED:
+            headers = {_NOT_EXECUTED: '1'}
+            if self.requested_pause_s is not None:
+                headers['Retry-After'] = str(self.requested_pause_s)
+            self.rejected_at_s.append(time.monotonic())
             return web.Response(
-                status=HTTPStatus.SERVICE_UNAVAILABLE,
-                headers={_NOT_EXECUTED: '1'},
+                status=HTTPStatus.SERVICE_UNAVAILABLE, headers=headers
             )
         return None
 
+    async def _add_departure(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        if self.is_leaving:
+            response.headers['Server-Leaving'] = '1'
+
     def _take_due_fault(self) -> EngineFault:
         if not self.remaining_faults:
             return EngineFault.NONE
@@ -222,11 +247,41 @@
                 return web.Response(
                     status=HTTPStatus.INTERNAL_SERVER_ERROR, headers=headers
                 )
+            case (
+                EngineFault.ENDLESS_HEAD
+                | EngineFault.ENDLESS_LINE
+                | EngineFault.ENDLESS_BODY
+            ):
+                await self._send_endless_bytes(request, fault)
+                return web.Response()
         if not self.options.model:
             headers = self._response_headers(request, fault)
             return web.Response(text=self.options.id, headers=headers)
         return await self._stream_events(request, fault)
 
+    async def _send_endless_bytes(
+        self, request: web.Request, fault: EngineFault
+    ) -> None:
+        """Send bytes until the caller closes, within a limit."""
+        transport = request.transport
+        transport.write(b'HTTP/1.1 200 OK\r\n')
+        if fault is EngineFault.ENDLESS_BODY:
+            for name, text in self._response_headers(request, fault).items():
+                transport.write(f'{name}: {text}\r\n'.encode())
+            transport.write(b'\r\n')
+        is_head = fault is EngineFault.ENDLESS_HEAD
+        pattern = _HEAD_LINE if is_head else b'x'
+        chunk = pattern * (_CHUNK_BYTES // len(pattern))
+        while (
+            not transport.is_closing()
+            and self.endless_bytes_sent < _MAX_ENDLESS_BYTES
+        ):
+            if transport.get_write_buffer_size() < len(chunk):
+                transport.write(chunk)
+                self.endless_bytes_sent += len(chunk)
+            await asyncio.sleep(0)
+        transport.abort()
+
     async def _stream_events(
         self,
         request: web.Request,
--- a/emulator/store.py
+++ b/emulator/store.py
@@ -1,4 +1,8 @@
-"""Emulate the platform's store: topics of keyed records, with faults."""
+"""Emulate the platform's store: topics of keyed records, with faults.
+
+The store can be restored from a copy, as after a disaster drill: records
+appended since are lost, their offsets are assigned again and the era rises.
+"""
 
 import asyncio
 import base64
@@ -13,6 +17,7 @@
 _OFFSET_BYTES = 8
 _PATH_PREFIX = '/arbutusbay/'
 _SILENCE_S = 60
+_ERA_HEADER = 'Store-Era'
 
 
 class StoreFault(enum.StrEnum):
@@ -58,6 +63,10 @@
         newest_by_key = {record.key: record for record in self.records}
         return [record for record in newest_by_key.values() if record.payload]
 
+    def truncate(self, end: int) -> None:
+        """Drop the records from the offset ``end`` on."""
+        self.records = self.records[:end]
+
     def append(self, key: str, payload: bytes) -> int:
         """Append a record, wake up readers and return its offset."""
         offset = self.next_offset
@@ -73,18 +82,21 @@
     """Serve append, read and newest calls on topics in memory.
 
     ``faults`` maps the IP address of a caller to its fault; the empty
-    string applies to all other callers.
+    string applies to all other callers. ``era`` counts how often the store
+    was restored, from 1 on.
     """
 
     def __init__(self) -> None:
         """Start without topics and faults."""
         self.topics: dict[str, StoredTopic] = {}
         self.faults: dict[str, StoreFault] = {}
+        self.era = 1
         self.read_count = 0
 
     def application(self) -> web.Application:
         """Build the HTTP application."""
         application = web.Application()
+        application.on_response_prepare.append(self._add_era)
         router = application.router
         router.add_post(f'{_PATH_PREFIX}log-append', self.append)
         router.add_get(f'{_PATH_PREFIX}log-read', self.read)
@@ -95,6 +107,16 @@
         """Return a topic and create it on first use."""
         return self.topics.setdefault(name, StoredTopic())
 
+    def copy_ends(self) -> dict[str, int]:
+        """Return where each topic ends, as the copy to restore from."""
+        return {name: topic.next_offset for name, topic in self.topics.items()}
+
+    def restore(self, ends: dict[str, int]) -> None:
+        """Lose all records that are newer than the copy ``ends``."""
+        for name, topic in self.topics.items():
+            topic.truncate(ends.get(name, 0))
+        self.era += 1
+
     def append_document(self, topic: str, key: str, document: object) -> int:
         """Append a JSON document without HTTP and return its offset.
 
@@ -130,14 +152,14 @@
         """Return records from an offset, in binary form.
 
         Waits up to ``wait_ms`` for a record at that offset. Responds 410 if
-        the offset has expired.
+        the offset has expired or lies beyond the end.
         """
         self.read_count += 1
         if await self._fault_for_caller(request) is StoreFault.BUSY:
             return web.Response(status=HTTPStatus.SERVICE_UNAVAILABLE)
         topic = self.topic(request.query['topic'])
         start = int(request.query['from'])
-        if start < topic.first_offset:
+        if not topic.first_offset <= start <= topic.next_offset:
             return web.json_response(
                 {'first': topic.first_offset}, status=HTTPStatus.GONE
             )
@@ -170,6 +192,11 @@
             {'items': records, 'has_more': False, 'end': topic.next_offset},
         )
 
+    async def _add_era(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        response.headers[_ERA_HEADER] = str(self.era)
+
     async def _fault_for_caller(self, request: web.Request) -> StoreFault:
         fault = self.faults.get(request.remote or '')
         fault = fault or self.faults.get('', StoreFault.NONE)
--- a/src/arbutusbay/fleet/_catalog.py
+++ b/src/arbutusbay/fleet/_catalog.py
@@ -52,19 +52,19 @@
 class LeaseState:
     """Hold the newest claim of a lease.
 
-    ``offset`` is the position of the claim in the store, ``observed_s`` when
-    this VM observed it, in seconds on its clock.
+    ``fence`` is the fencing token of the claim, which orders claims;
+    ``observed_s`` is when this VM observed it, in seconds on its clock.
     """
 
     claim: LeaseClaim
-    offset: int
+    fence: int
     observed_s: float
 
 
 class FleetCatalog:
     """Hold the newest known configuration, targets, servers, VMs and leases.
 
-    Configuration versions, target versions and claim offsets only rise.
+    Configuration versions, target versions and fencing tokens only rise.
     """
 
     def __init__(self) -> None:
@@ -105,19 +105,17 @@
         )
         return True
 
-    def update_claim(
-        self, claim: LeaseClaim, offset: int, now_s: float
-    ) -> bool:
+    def update_claim(self, claim: LeaseClaim, fence: int, now_s: float) -> bool:
         """Store a lease's claim if it is newer; return whether it was.
 
-        A claim is newer if its ``offset`` in the store is higher.
+        A claim is newer if its fencing token ``fence`` is higher.
         """
         current = self.leases.get(claim.name)
-        if current is not None and offset <= current.offset:
+        if current is not None and fence <= current.fence:
             return False
         self.leases[claim.name] = LeaseState(
             claim=claim,
-            offset=offset,
+            fence=fence,
             observed_s=now_s,
         )
         return True
--- a/src/arbutusbay/fleet/_types.py
+++ b/src/arbutusbay/fleet/_types.py
@@ -141,7 +141,8 @@
     ``slots`` is the number of requests that it runs concurrently.
     ``warmup_remaining_s`` is its remaining warm-up time in seconds. ``weights``
     maps models to the loaded version; ``incarnation`` changes with each
-    start.
+    start. ``heartbeat_count`` rises with each heartbeat of an incarnation and
+    does not count in comparisons.
     """
 
     id: str
@@ -153,6 +154,7 @@
     warmup_remaining_s: float
     weights: Mapping[str, int]
     incarnation: int
+    heartbeat_count: int = attrs.field(default=0, eq=False)
 
 
 @attrs.frozen(kw_only=True)
--- a/src/arbutusbay/node/_attempts.py
+++ b/src/arbutusbay/node/_attempts.py
@@ -25,10 +25,13 @@
     build_client_headers,
     parse_response_head,
 )
+from arbutusbay.response_body import read_body
 from arbutusbay.scheduling import AttemptOutcome, EngineView
 
 _CONNECT_TIMEOUT_S = 0.4
 _DRAIN_TIMEOUT_S = 0.1
+_MAX_DRAINED_BYTES = 65_536
+_MAX_BODY_BYTES = 8_388_608
 _STATUS_CLASS_SIZE = 100
 _SUCCESS_CLASS = 2
 _SERVER_ERROR_CLASS = 5
@@ -51,7 +54,8 @@
     request and reported a server error. ``is_expectation_mismatch`` is set if
     the server rejected the attempt because its instance id or weights version
     differs from the expected one; ``reported_instance`` is then the id it
-    reported, empty if none.
+    reported, empty if none. ``response_head`` holds the headers of a response
+    that belongs to the attempt, None if there was none.
     """
 
     outcome: AttemptOutcome
@@ -59,6 +63,7 @@
     error_response: BufferedResponse | None = None
     is_expectation_mismatch: bool = False
     reported_instance: str = ''
+    response_head: ResponseHead | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -92,6 +97,9 @@
             async for chunk in self.response.content.iter_any():
                 for event in parser.parse_chunk(chunk):
                     yield Ok(event)
+                if parser.is_overflowing():
+                    yield Err('an event has no end')
+                    return
         except (aiohttp.ClientError, OSError) as error:
             yield Err(repr(error))
             return
@@ -101,10 +109,10 @@
     async def read_response(self) -> Result[BufferedResponse, AttemptFailure]:
         """Read the body and return the response, or the failure.
 
-        Fails if the body is incomplete or the status is 5xx.
+        Fails if the body is incomplete or too long, or the status is 5xx.
         """
         try:
-            body = await self.response.read()
+            body = await read_body(self.response, _MAX_BODY_BYTES)
         except (aiohttp.ClientError, OSError) as error:
             return _unknown_outcome(f'response body is incomplete: {error!r}')
         answer = BufferedResponse(
@@ -186,6 +194,7 @@
                 is_expectation_mismatch=response.status
                 == HTTPStatus.MISDIRECTED_REQUEST,
                 reported_instance=head.instance,
+                response_head=head,
             ),
         )
     is_success = _status_class(response.status) == _SUCCESS_CLASS
@@ -209,7 +218,7 @@
     """
     try:
         async with asyncio.timeout(_DRAIN_TIMEOUT_S):
-            await response.read()
+            await read_body(response, _MAX_DRAINED_BYTES)
     except (aiohttp.ClientError, asyncio.TimeoutError, OSError):
         response.close()
 
--- a/src/arbutusbay/node/_control_api.py
+++ b/src/arbutusbay/node/_control_api.py
@@ -72,6 +72,7 @@
                     'service': view.service,
                     'weights': view.weights,
                     'draining': view.is_draining,
+                    'leaving': view.is_leaving,
                     'avoided': view.is_in_backoff(moment_s),
                     'loading': view.is_loading_weights(moment_s),
                     'attempts': view.occupancy(moment_s).attempts,
--- a/src/arbutusbay/node/_dispatcher.py
+++ b/src/arbutusbay/node/_dispatcher.py
@@ -136,8 +136,12 @@
         for pending in queue.in_service_order(moment_s):
             placement = self.placer.find_placement(pending.request)
             match placement:
+                case None if self._may_be_accepted_later(pending):
+                    continue
                 case None:
-                    self._resolve(queue, pending, _no_server())
+                    self._resolve(
+                        queue, pending, self._rejection_of(pending.request)
+                    )
                     return True
                 case Placement() if placement.has_capacity:
                     self._resolve(
@@ -146,6 +150,18 @@
                     return True
         return False
 
+    def _may_be_accepted_later(self, pending: PendingPlacement) -> bool:
+        """Return whether a server that asked for a pause may accept in time."""
+        accepted_s = self.placer.next_acceptance_s(pending.request)
+        return accepted_s is not None and pending.can_meet_deadline(accepted_s)
+
+    def _rejection_of(self, request: PlacementRequest) -> Err[Failure]:
+        """Return the failure of a request that no server accepts now."""
+        accepted_s = self.placer.next_acceptance_s(request)
+        if accepted_s is None:
+            return _no_server()
+        return _pause_requested(accepted_s - now_s())
+
     def _resolve(
         self,
         queue: RequestQueue,
@@ -163,10 +179,10 @@
         self, request: PlacementRequest
     ) -> Result[Placement, Failure]:
         placement = self.placer.find_placement(request)
-        if placement is None:
-            return _no_server()
-        self.placer.commit(request, placement)
-        return Ok(placement)
+        if placement is not None:
+            self.placer.commit(request, placement)
+            return Ok(placement)
+        return self._rejection_of(request)
 
     def _withdraw(self, queue: RequestQueue, pending: PendingPlacement) -> None:
         """Remove a request whose client disconnected while it was queued.
@@ -221,6 +237,16 @@
     )
 
 
+def _pause_requested(pause_s: float) -> Err[Failure]:
+    return Err(
+        Failure(
+            kind=ErrorKind.OVERLOADED,
+            detail='all backend servers asked for a pause',
+            retry_after_s=pause_s,
+        ),
+    )
+
+
 def _no_server() -> Err[Failure]:
     return Err(
         Failure(
--- a/src/arbutusbay/node/_follower.py
+++ b/src/arbutusbay/node/_follower.py
@@ -15,11 +15,13 @@
 from arbutusbay.node._relay_api import RELAY_PATH
 from arbutusbay.node._relay_messages import (
     RelayResponse,
+    position_parameters,
     relay_response_from_bytes,
 )
 from arbutusbay.node._topic_reader import TopicReader
 from arbutusbay.node._topics import OperatorTopicState, ServersTopicState
 from arbutusbay.platform import StoreClient
+from arbutusbay.response_body import read_body
 from arbutusbay.scheduling import (
     DirectRead,
     PeerRead,
@@ -41,6 +43,7 @@
 _REVOCATION_AVOID_RATIO = 0.6
 _SILENT_AFTER_S = 3.0
 _MAX_STORE_FAILURES = 3
+_MAX_RELAY_BYTES = 33_554_432
 _SOURCE_CHECK_INTERVAL_S = 0.3
 
 
@@ -193,17 +196,27 @@
         answer: RelayResponse,
         sent_s: float,
     ) -> None:
-        as_of_s = relayed_data_time_s(sent_s, answer.held_s, answer.age_s)
-        self.operator_topic.record_read(as_of_s)
-        for state, update in (
+        updates = (
             (self.operator_topic, answer.operator),
             (self.servers_topic, answer.servers),
-        ):
+        )
+        for _, update in updates:
+            self.node_state.observe_store_era(update.end.era)
+        was_applied = [
             state.apply_records(
-                update.records,
-                update.end_offset,
-                is_complete=update.is_complete,
+                update.records, update.end, is_complete=update.is_complete
             )
+            for state, update in updates
+        ]
+        if not all(was_applied):
+            _LOG.info(
+                'source knows an earlier era of the store',
+                fields={'source': vm.name},
+            )
+            self._avoid_source(vm.name)
+            return
+        as_of_s = relayed_data_time_s(sent_s, answer.held_s, answer.age_s)
+        self.operator_topic.record_read(as_of_s)
         self.servers_topic.record_read(as_of_s)
         if answer.age_s > self.timings.max_age_s:
             _LOG.info(
@@ -232,17 +245,15 @@
             async with self.session.get(
                 f'http://{vm.address}{RELAY_PATH}',
                 params={
-                    'operator': _offset_parameter(
-                        self.operator_topic.end_offset
-                    ),
-                    'servers': _offset_parameter(self.servers_topic.end_offset),
+                    **position_parameters('operator', self.operator_topic.end),
+                    **position_parameters('servers', self.servers_topic.end),
                     'hold_ms': str(int(hold_s * 1000)),
                 },
                 timeout=aiohttp.ClientTimeout(
                     total=hold_s + _RESPONSE_TIMEOUT_S,
                 ),
             ) as response:
-                body = await response.read()
+                body = await read_body(response, _MAX_RELAY_BYTES)
                 status = response.status
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
             return _peer_unreachable(repr(error))
@@ -254,10 +265,5 @@
         self.backoff_until_s[name] = now_s() + self.timings.avoid_s
 
 
-def _offset_parameter(offset: int | None) -> str:
-    """Return the query parameter for ``offset``; None requests all keys."""
-    return str(-1 if offset is None else offset)
-
-
 def _peer_unreachable(detail: str) -> Err[Failure]:
     return Err(Failure(kind=ErrorKind.PEER_UNREACHABLE, detail=detail))
--- a/src/arbutusbay/node/_lease.py
+++ b/src/arbutusbay/node/_lease.py
@@ -11,13 +11,16 @@
     ConditionFailed,
     DeploymentLimits,
     StoreClient,
+    StorePosition,
     Topic,
     encode_lease_claim,
 )
 from arbutusbay.scheduling import (
     LeaseDurations,
     ObservedClaim,
+    ObservedEra,
     can_claim,
+    fencing_token,
     is_claim_valid,
 )
 
@@ -47,8 +50,9 @@
 class Lease:
     """Claim, renew and check one lease.
 
-    The offset of a claim is its fencing token (``fence``). ``end_offset`` is
-    the end offset of the topic, None if the topic has to be read again.
+    The position of a claim gives its fencing token (``fence``). ``end`` is the
+    end of the topic, None if the topic has to be read again. A claim made
+    before the store was restored is void.
     """
 
     def __init__(
@@ -65,14 +69,18 @@
         self.node_state = node_state
         self.store = store
         self.durations = lease_durations_from_bounds(node_state.settings.bounds)
-        self.end_offset: int | None = None
+        self.end: StorePosition | None = None
+        self.claim_era: int | None = None
         self.fence: int | None = None
         self.claim_sent_s = float('-inf')
         self.claim_number = 0
 
     def valid_fence(self) -> int | None:
         """Return the fencing token while the lease is held, else None."""
-        if is_claim_valid(self.claim_sent_s, now_s(), self.durations):
+        is_era_current = self.claim_era == self.node_state.store_era.number
+        if is_era_current and is_claim_valid(
+            self.claim_sent_s, now_s(), self.durations
+        ):
             return self.fence
         return None
 
@@ -91,14 +99,18 @@
         if fence is not None:
             return fence
         for _ in range(_MAX_CLAIM_ATTEMPTS):
-            if self.end_offset is None and not await self._read_claims():
+            if not self._is_end_current() and not await self._read_claims():
                 return None
             if not self._can_claim():
                 return None
-            if not await self._append_claim():
+            if not await self._append_claim(self.end):
                 break
         return self.valid_fence()
 
+    def _is_end_current(self) -> bool:
+        era = self.node_state.store_era.number
+        return self.end is not None and self.end.era == era
+
     def _can_claim(self) -> bool:
         known = self.node_state.catalog.leases.get(self.name)
         observed = None
@@ -106,10 +118,17 @@
             observed = ObservedClaim(
                 holder=known.claim.holder, observed_s=known.observed_s
             )
-        return can_claim(self.holder, observed, now_s(), self.durations)
+        era = self.node_state.store_era.first_read or ObservedEra(
+            observed_s=now_s(), is_restored=False
+        )
+        return can_claim(self.holder, observed, era, now_s(), self.durations)
 
-    async def _append_claim(self) -> bool:
-        """Append a claim; return whether it conflicted with another append."""
+    async def _append_claim(self, end: StorePosition) -> bool:
+        """Append a claim at ``end``; return whether another append came first.
+
+        A claim that the store appended in a later era does not count: offsets
+        are assigned again there, so the condition proves nothing.
+        """
         self.claim_number += 1
         claim = LeaseClaim(
             name=self.name,
@@ -123,21 +142,22 @@
             key,
             payload,
             timeout_s=_STORE_TIMEOUT_S,
-            expected_end=self.end_offset,
+            expected_end=end.offset,
         )
         match appended:
-            case Ok(offset):
-                self.fence = offset
-                self.claim_sent_s = sent_s
-                self.end_offset = offset + 1
-                self.node_state.catalog.update_claim(claim, offset, now_s())
+            case Ok(position) if position.era == end.era:
+                self._record_claim(claim, position, sent_s)
+                return False
+            case Ok(position):
+                self.node_state.observe_store_era(position.era)
+                self.end = None
                 _LOG.info(
-                    'lease claimed',
-                    fields={'lease': self.name, 'fence': offset},
+                    'lease claim void; store was restored',
+                    fields={'lease': self.name, 'era': position.era},
                 )
                 return False
             case Err(failure):
-                self.end_offset = None
+                self.end = None
                 is_conflict = isinstance(failure, ConditionFailed)
                 _LOG.info(
                     'lease not claimed',
@@ -149,6 +169,20 @@
                 )
                 return is_conflict
 
+    def _record_claim(
+        self, claim: LeaseClaim, position: StorePosition, sent_s: float
+    ) -> None:
+        fence = fencing_token(store_era=position.era, offset=position.offset)
+        self.fence = fence
+        self.claim_era = position.era
+        self.claim_sent_s = sent_s
+        self.end = StorePosition(era=position.era, offset=position.offset + 1)
+        self.node_state.catalog.update_claim(claim, fence, now_s())
+        _LOG.info(
+            'lease claimed',
+            fields={'lease': self.name, 'fence': fence},
+        )
+
     async def _read_claims(self) -> bool:
         read = await read_coordination_topic(
             self.node_state,
@@ -156,8 +190,8 @@
             timeout_s=_STORE_TIMEOUT_S,
         )
         match read:
-            case Ok(end):
-                self.end_offset = end
+            case Ok(found):
+                self.end = found.end
                 return True
             case Err(failure):
                 _LOG.info(
--- a/src/arbutusbay/node/_node_state.py
+++ b/src/arbutusbay/node/_node_state.py
@@ -8,12 +8,14 @@
 from aiohttp import web
 
 from arbutusbay.fleet import Configuration, FleetCatalog
+from arbutusbay.logs import get_logger
 from arbutusbay.node._clock import now_s
 from arbutusbay.node._peer_messages import ZoneLoad
 from arbutusbay.platform import VMSettings
 from arbutusbay.scheduling import (
     PEER_REPORT_TTL_S,
     EngineView,
+    ObservedEra,
     RecentWork,
     RetryBudget,
     WorkTotals,
@@ -23,6 +25,7 @@
 
 _REVOCATION_MARGIN_S = 0.4
 _OUTAGE_THRESHOLD_S = 2.0
+_LOG = get_logger('store')
 
 
 @attrs.define(kw_only=True)
@@ -48,11 +51,40 @@
             self.outage_end_s = now_s()
         self.as_of_s = max(self.as_of_s, as_of_s)
 
+    def record_restored_store(self) -> None:
+        """Treat the restoration of the store as an outage that just ended."""
+        self.outage_end_s = now_s()
+
     def age_s(self) -> float:
         """Return the maximum age of the local copy, in seconds."""
         return now_s() - self.as_of_s
 
 
+@attrs.define(kw_only=True)
+class StoreEra:
+    """Track the highest era of the store that any response named.
+
+    ``number`` is None until the first response. ``first_read`` tells when
+    this VM first learned of the era, ``changed`` is set when it rises.
+    """
+
+    number: int | None = None
+    first_read: ObservedEra | None = None
+    changed: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    def observe(self, number: int) -> bool:
+        """Record that the store has reached an era; return whether it rose."""
+        if self.number is not None and number <= self.number:
+            return False
+        self.first_read = ObservedEra(
+            observed_s=now_s(), is_restored=self.number is not None
+        )
+        self.number = number
+        self.changed.set()
+        self.changed = asyncio.Event()
+        return self.first_read.is_restored
+
+
 @attrs.frozen(kw_only=True)
 class ReceivedZoneLoad:
     """Hold the load of another availability zone and its time of receipt."""
@@ -91,6 +123,7 @@
     settings: VMSettings
     catalog: FleetCatalog = attrs.field(factory=FleetCatalog)
     freshness: Freshness = attrs.field(factory=Freshness)
+    store_era: StoreEra = attrs.field(factory=StoreEra)
     engine_views: dict[str, EngineView] = attrs.field(factory=dict)
     retry_budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
     rng: random.Random = attrs.field(factory=random.Random)
@@ -131,6 +164,16 @@
             and self.is_fresh()
         )
 
+    def observe_store_era(self, number: int) -> None:
+        """Record the era that a response of the store named.
+
+        Registrations of running servers may be missing from a restored
+        store until the servers write them again.
+        """
+        if self.store_era.observe(number):
+            self.freshness.record_restored_store()
+            _LOG.warning('store was restored', fields={'era': number})
+
     def configuration_age_ms(self) -> int | None:
         """Return the age of the configuration in milliseconds.
 
--- a/src/arbutusbay/node/_peer_messages.py
+++ b/src/arbutusbay/node/_peer_messages.py
@@ -42,7 +42,8 @@
 
     Maps are keyed by backend server, except ``zones``, which is keyed by
     availability zone and reported by aggregators only. ``suspected_engines``
-    names the engines that the sender suspects to be stalled. ``loads`` holds
+    names the engines that the sender suspects to be stalled, and
+    ``leaving_engines`` the incarnation of those that shut down. ``loads`` holds
     planned weights loads, reported by the VM that runs the rollout, and
     ``fence`` is the fencing token, reported by the last holder of the
     rollout's lease. ``weights`` holds the engines whose weights changed
@@ -54,6 +55,7 @@
     occupancy: Mapping[str, Occupancy]
     work_totals: WorkTotals
     suspected_engines: tuple[str, ...] = ()
+    leaving_engines: Mapping[str, int] = attrs.field(factory=dict)
     loads: Mapping[str, PlannedWeightsLoad] = attrs.field(factory=dict)
     weights: Mapping[str, LoadedWeights] = attrs.field(factory=dict)
     fence: int | None = None
@@ -74,6 +76,8 @@
     }
     if state.suspected_engines:
         fields['s'] = state.suspected_engines
+    if state.leaving_engines:
+        fields['g'] = state.leaving_engines
     if state.loads:
         fields['l'] = {
             server: (
@@ -130,6 +134,10 @@
         occupancy=_occupancies_from_fields(fields['o']),
         work_totals=_work_from_fields(*fields['m']),
         suspected_engines=tuple(str(server) for server in fields.get('s', ())),
+        leaving_engines={
+            str(server): int(incarnation)
+            for server, incarnation in fields.get('g', {}).items()
+        },
         loads={
             str(server): _load_from_fields(now_s, *encoded)
             for server, encoded in fields.get('l', {}).items()
--- a/src/arbutusbay/node/_peer_reports.py
+++ b/src/arbutusbay/node/_peer_reports.py
@@ -59,6 +59,9 @@
                 for view in views
                 if moment_s < view.locally_suspected_until_s
             ),
+            leaving_engines={
+                view.id: view.incarnation for view in views if view.is_leaving
+            },
             loads=_announced_loads(self.own_loads),
             fence=self._own_fence(),
             weights={
@@ -91,8 +94,8 @@
     def heartbeat_report(self, own: PeerState) -> PeerState:
         """Return a heartbeat for VMs of other zones that aren't aggregators.
 
-        It keeps only what every VM must learn at once: suspected engines and
-        the fencing token of the lease.
+        It keeps only what every VM must learn at once: suspected and leaving
+        engines and the fencing token of the lease.
         """
         return attrs.evolve(
             own,
@@ -159,7 +162,7 @@
         known = self.node_state.catalog.leases.get(WEIGHTS_LEASE_NAME)
         if known is None or known.claim.holder != self.own_vm.name:
             return None
-        return known.offset
+        return known.fence
 
 
 def _unexpired_loads(
--- a/src/arbutusbay/node/_peer_state_receiver.py
+++ b/src/arbutusbay/node/_peer_state_receiver.py
@@ -76,6 +76,8 @@
     ) -> None:
         if view.id in state.suspected_engines:
             view.unresponsive_until_s = moment_s + _REMOTE_SUSPICION_S
+        if state.leaving_engines.get(view.id) == view.incarnation:
+            view.is_leaving = True
         load = state.loads.get(view.id)
         if load is not None:
             view.planned_load = load
--- a/src/arbutusbay/node/_placer.py
+++ b/src/arbutusbay/node/_placer.py
@@ -15,7 +15,7 @@
     PlacementRequest,
     request_size_of,
 )
-from arbutusbay.platform import AttemptHeaders, EngineLoad
+from arbutusbay.platform import AttemptHeaders, EngineLoad, ResponseHead
 from arbutusbay.scheduling import (
     Attempt,
     AttemptOutcome,
@@ -26,6 +26,7 @@
     choose_model_engine,
     choose_plain_server,
     eligible_engines,
+    next_acceptance_s,
     short_prompt_fractions,
 )
 
@@ -37,6 +38,7 @@
 _MIN_REMAINING_S = 0.001
 _HIGHEST_PRIORITY = 0
 _LOWEST_PRIORITY = 9
+_MAX_REQUESTED_PAUSE_S = 3600.0
 _SHARED_CACHE_SCOPE = 'shared'
 
 
@@ -84,6 +86,15 @@
             candidate_count=len(usable),
         )
 
+    def next_acceptance_s(self, request: PlacementRequest) -> float | None:
+        """Return when a server that asked for a pause may get ``request``.
+
+        None means that no such server is among the allowed ones.
+        """
+        views = self.node_state.views_of_service(request.incoming.service.name)
+        allowed = [view for view in views if request.allows_server(view)]
+        return next_acceptance_s(allowed, now_s())
+
     def record_arrival(self, incoming: IncomingRequest) -> None:
         """Count an arriving model request in the recent work.
 
@@ -123,6 +134,25 @@
                 now_s=now_s(),
             )
 
+    def record_departure(self, view: EngineView, head: ResponseHead) -> None:
+        """Stop using a server whose response says that it shuts down."""
+        if head.is_leaving and not view.is_leaving:
+            view.is_leaving = True
+            _LOG.info('server leaves', fields={'server': view.id})
+            self.node_state.notify_report_changed()
+            self.node_state.notify_state_changed()
+
+    def record_rejection(self, view: EngineView, head: ResponseHead) -> None:
+        """Record for how long a server that rejected wants no request."""
+        if not head.retry_after_s:
+            return
+        pause_s = min(_MAX_REQUESTED_PAUSE_S, head.retry_after_s)
+        view.rejects_until_s = max(view.rejects_until_s, now_s() + pause_s)
+        _LOG.info(
+            'server asked for a pause',
+            fields={'server': view.id, 'pause_s': pause_s},
+        )
+
     def record_weights(
         self,
         view: EngineView,
--- a/src/arbutusbay/node/_registration.py
+++ b/src/arbutusbay/node/_registration.py
@@ -1,6 +1,7 @@
 """Register this VM in the store and discover the other VMs."""
 
 import asyncio
+import contextlib
 
 from result import Err, Ok
 
@@ -39,7 +40,7 @@
     """Write the record of this VM, then reread those of all VMs.
 
     Run until cancelled. Failed calls to the store are retried after a
-    random delay.
+    random delay. The record is written again if a restored store lost it.
     """
     node_state.catalog.vms[own_vm.name] = own_vm
     await _write_vm_record(node_state, store, own_vm)
@@ -47,10 +48,32 @@
         read = await read_coordination_topic(
             node_state, store, timeout_s=_STORE_TIMEOUT_S
         )
-        if isinstance(read, Err):
-            await asyncio.sleep(node_state.rng.uniform(*_RETRY_DELAY_RANGE_S))
-        else:
-            await asyncio.sleep(reread_interval_s(len(node_state.catalog.vms)))
+        match read:
+            case Err():
+                await asyncio.sleep(
+                    node_state.rng.uniform(*_RETRY_DELAY_RANGE_S)
+                )
+            case Ok(found) if own_vm.name not in found.registered_vms:
+                await _write_vm_record(node_state, store, own_vm)
+                await asyncio.sleep(
+                    node_state.rng.uniform(*_RETRY_DELAY_RANGE_S)
+                )
+            case Ok():
+                await _wait_for_next_read(node_state)
+
+
+async def _wait_for_next_read(node_state: NodeState) -> None:
+    """Wait for the reread interval, less if the store is restored.
+
+    The VMs of a fleet then read at different times, to spread the load.
+    """
+    vm_count = len(node_state.catalog.vms)
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(reread_interval_s(vm_count)):
+            await node_state.store_era.changed.wait()
+            await asyncio.sleep(
+                node_state.rng.uniform(0, vm_count / _MAX_FLEET_REREADS_PER_S)
+            )
 
 
 async def _write_vm_record(
@@ -67,8 +90,11 @@
             timeout_s=_STORE_TIMEOUT_S,
         )
         match written:
-            case Ok(offset):
-                _LOG.info('vm registered', fields={'offset': offset})
+            case Ok(position):
+                _LOG.info(
+                    'vm registered',
+                    fields={'offset': position.offset, 'era': position.era},
+                )
                 return
             case Err(failure):
                 _LOG.info(
--- a/src/arbutusbay/node/_relay_api.py
+++ b/src/arbutusbay/node/_relay_api.py
@@ -10,9 +10,11 @@
 from arbutusbay.node._relay_messages import (
     RelayResponse,
     TopicUpdate,
+    position_from_parameters,
     relay_response_to_bytes,
 )
 from arbutusbay.node._topics import TopicState
+from arbutusbay.platform import StorePosition
 
 RELAY_PATH = '/relay'
 _MAX_HOLD_S = 2.0
@@ -44,52 +46,68 @@
         if request.path != RELAY_PATH:
             return web.Response(status=HTTPStatus.NOT_FOUND)
         try:
-            operator_offset = int(request.query['operator'])
-            servers_offset = int(request.query['servers'])
+            operator_start = position_from_parameters('operator', request.query)
+            servers_start = position_from_parameters('servers', request.query)
             hold_s = min(_MAX_HOLD_S, int(request.query['hold_ms']) / 1000)
         except (KeyError, ValueError):
             return web.Response(status=HTTPStatus.BAD_REQUEST)
         received_s = now_s()
-        await self._wait_for_changes(operator_offset, servers_offset, hold_s)
-        if (
-            self.operator_topic.end_offset is None
-            or self.servers_topic.end_offset is None
-        ):
+        await self._wait_for_changes(operator_start, servers_start, hold_s)
+        operator = _topic_update(self.operator_topic, operator_start)
+        servers = _topic_update(self.servers_topic, servers_start)
+        if operator is None or servers is None:
             return web.Response(status=HTTPStatus.SERVICE_UNAVAILABLE)
         answer = RelayResponse(
             age_s=self.node_state.freshness.age_s(),
             held_s=now_s() - received_s,
-            operator=_topic_update(self.operator_topic, operator_offset),
-            servers=_topic_update(self.servers_topic, servers_offset),
+            operator=operator,
+            servers=servers,
         )
         return web.Response(body=relay_response_to_bytes(answer))
 
     async def _wait_for_changes(
         self,
-        operator_offset: int,
-        servers_offset: int,
+        operator_start: StorePosition | None,
+        servers_start: StorePosition | None,
         hold_s: float,
     ) -> None:
         try:
             async with asyncio.timeout(hold_s):
-                while not self._has_changes(operator_offset, servers_offset):
+                while not (
+                    _has_changes(self.operator_topic, operator_start)
+                    or _has_changes(self.servers_topic, servers_start)
+                ):
                     await self.node_state.topics_changed.wait()
         except TimeoutError:
             return
 
-    def _has_changes(self, operator_offset: int, servers_offset: int) -> bool:
-        if operator_offset < 0 or servers_offset < 0:
-            return True
-        return bool(
-            self.operator_topic.records_since(operator_offset)
-            or self.servers_topic.records_since(servers_offset),
-        )
 
+def _has_changes(state: TopicState, start: StorePosition | None) -> bool:
+    """Return whether an update since ``start`` would hold records.
+
+    It always does if it has to be complete.
+    """
+    if start is None or not state.is_of_current_era(start.era):
+        return True
+    return bool(state.records_since(start.offset))
+
+
+def _topic_update(
+    state: TopicState, start: StorePosition | None
+) -> TopicUpdate | None:
+    """Return the records since ``start``, None before the topic was read.
 
-def _topic_update(state: TopicState, offset: int) -> TopicUpdate:
-    """Return the records since ``offset``; a negative one requests all."""
+    All records are returned if ``start`` is None or of another era.
+    """
+    if state.end is None:
+        return None
+    is_complete = start is None or not state.is_of_current_era(start.era)
     return TopicUpdate(
-        records=tuple(state.records_since(offset)),
-        end_offset=state.end_offset or 0,
-        is_complete=offset < 0,
+        records=tuple(
+            state.latest_records.values()
+            if is_complete
+            else state.records_since(start.offset)
+        ),
+        end=state.end,
+        is_complete=is_complete,
     )
--- a/src/arbutusbay/node/_relay_messages.py
+++ b/src/arbutusbay/node/_relay_messages.py
@@ -2,6 +2,7 @@
 
 import base64
 import binascii
+from collections.abc import Mapping
 from typing import Any
 
 import attrs
@@ -9,19 +10,21 @@
 from result import Err, Ok, Result
 
 from arbutusbay.errors import ErrorKind, Failure
-from arbutusbay.platform import KeyedRecord
+from arbutusbay.platform import KeyedRecord, StorePosition
+
+_ALL_RECORDS_OFFSET = -1
 
 
 @attrs.frozen(kw_only=True)
 class TopicUpdate:
-    """Hold the records of one topic since an offset.
+    """Hold the records of one topic since a position.
 
-    ``end_offset`` is the next offset to ask for. ``is_complete`` means that the
+    ``end`` is the next position to ask for. ``is_complete`` means that the
     records cover all keys of the topic.
     """
 
     records: tuple[KeyedRecord, ...]
-    end_offset: int
+    end: StorePosition
     is_complete: bool
 
 
@@ -40,6 +43,32 @@
     servers: TopicUpdate
 
 
+def position_parameters(
+    topic: str, position: StorePosition | None
+) -> dict[str, str]:
+    """Return the query parameters that ask for a topic's records.
+
+    These are the records since ``position``, all of them if it is None.
+    """
+    if position is None:
+        return {topic: str(_ALL_RECORDS_OFFSET)}
+    return {topic: str(position.offset), f'{topic}_era': str(position.era)}
+
+
+def position_from_parameters(
+    topic: str, query: Mapping[str, str]
+) -> StorePosition | None:
+    """Return the position that ``position_parameters`` encoded.
+
+    Raise ``KeyError`` or ``ValueError`` if a parameter is missing or
+    malformed.
+    """
+    offset = int(query[topic])
+    if offset < 0:
+        return None
+    return StorePosition(era=int(query.get(f'{topic}_era', 0)), offset=offset)
+
+
 def relay_response_to_bytes(answer: RelayResponse) -> bytes:
     """Return ``answer`` as JSON.
 
@@ -79,7 +108,8 @@
 
 def _update_to_json(update: TopicUpdate) -> dict[str, Any]:
     return {
-        'end': update.end_offset,
+        'end': update.end.offset,
+        'era': update.end.era,
         'whole': update.is_complete,
         'records': [
             (
@@ -102,6 +132,8 @@
             )
             for key, payload, offset in fields['records']
         ),
-        end_offset=int(fields['end']),
+        end=StorePosition(
+            era=int(fields.get('era', 0)), offset=int(fields['end'])
+        ),
         is_complete=bool(fields['whole']),
     )
--- a/src/arbutusbay/node/_request_executor.py
+++ b/src/arbutusbay/node/_request_executor.py
@@ -24,6 +24,7 @@
 from arbutusbay.node._placement import Placement, PlacementRequest
 from arbutusbay.node._placer import Placer
 from arbutusbay.node._stall_detector import MonitoredAttempt, StallDetector
+from arbutusbay.platform import ResponseHead
 from arbutusbay.scheduling import (
     AttemptOutcome,
     RetryAction,
@@ -141,8 +142,7 @@
                 self.body,
                 placement.attempt_headers,
             ) as opened:
-                if isinstance(opened, Ok):
-                    self._record_response_headers(placement, opened.ok_value)
+                self._record_head(placement, opened)
                 yield opened
         finally:
             self.dependencies.dispatcher.release(placement)
@@ -240,7 +240,7 @@
         """Return the failure for a request that exceeded its deadline.
 
         If no attempt can have run, it is ``NO_BACKEND_SERVER`` instead of
-        ``DEADLINE_EXCEEDED``.
+        ``DEADLINE_EXCEEDED``, and the client may send the request again.
         """
         is_not_executed = (
             not self.in_flight and not self.attempt_history.possible_executions
@@ -323,16 +323,26 @@
             resume_after_event_id=resume_after_event_id,
         )
 
-    def _record_response_headers(
-        self, placement: Placement, answer: OpenResponse
+    def _record_head(
+        self,
+        placement: Placement,
+        opened: Result[OpenResponse, AttemptFailure],
     ) -> None:
+        """Record what the headers of a response tell about its server."""
+        placer = self.dependencies.placer
         view = placement.view
-        self.dependencies.placer.record_load(view, answer.parsed_headers.load)
-        self.dependencies.placer.record_weights(
-            view,
-            self.incoming.parsed_headers.model,
-            answer.parsed_headers.weights_version,
-        )
+        match opened:
+            case Ok(OpenResponse(parsed_headers=head)):
+                placer.record_departure(view, head)
+                placer.record_load(view, head.load)
+                placer.record_weights(
+                    view,
+                    self.incoming.parsed_headers.model,
+                    head.weights_version,
+                )
+            case Err(AttemptFailure(response_head=ResponseHead() as head)):
+                placer.record_departure(view, head)
+                placer.record_rejection(view, head)
 
     def _downgrade_if_run(self, failure: Failure) -> Failure:
         """Make ``failure`` ``OUTCOME_UNKNOWN`` if the request may have run.
--- a/src/arbutusbay/node/_topic_reader.py
+++ b/src/arbutusbay/node/_topic_reader.py
@@ -7,7 +7,13 @@
 from arbutusbay.logs import get_logger
 from arbutusbay.node._clock import now_s
 from arbutusbay.node._topics import TopicState
-from arbutusbay.platform import RecordsExpired, StoreClient, StoreFailure
+from arbutusbay.platform import (
+    OutcomeUnknown,
+    RecordsExpired,
+    StoreClient,
+    StoreFailure,
+    StorePosition,
+)
 
 _LOG = get_logger('store')
 _READ_TIMEOUT_MARGIN_S = 0.7
@@ -33,6 +39,7 @@
     ) -> None:
         """Read from ``store`` and apply the records to ``topic_state``."""
         self.topic_state = topic_state
+        self.node_state = topic_state.node_state
         self.store = store
         self.wait_s = wait_s
         self.read_interval_s = read_interval_s
@@ -62,12 +69,12 @@
         return True
 
     async def _read(self) -> StoreFailure | None:
-        offset = self.topic_state.end_offset
-        if offset is None or self.must_read_newest:
+        known_end = self.topic_state.end
+        if known_end is None or self.must_read_newest:
             return await self._read_newest()
         page = await self.store.read(
             self.topic_state.topic,
-            offset,
+            known_end.offset,
             wait_s=self.wait_s,
             timeout_s=self.wait_s + _READ_TIMEOUT_MARGIN_S,
         )
@@ -77,7 +84,7 @@
                     'records expired; reading the newest record of each key',
                     fields={
                         'topic': self.topic_state.topic.value,
-                        'offset': offset,
+                        'offset': known_end.offset,
                     },
                 )
                 self.must_read_newest = True
@@ -85,12 +92,16 @@
             case Err(failure):
                 return failure
             case Ok(found):
-                self.topic_state.apply_records(
-                    found.records,
-                    found.next_offset,
-                    is_complete=False,
-                )
-                return None
+                pass
+        self.node_state.observe_store_era(found.era)
+        was_applied = self.topic_state.apply_records(
+            found.records,
+            StorePosition(era=found.era, offset=found.next_offset),
+            is_complete=False,
+        )
+        # Offsets of a restored store lie elsewhere than before.
+        self.must_read_newest = not was_applied
+        return None
 
     async def _read_newest(self) -> StoreFailure | None:
         newest = await self.store.read_latest(
@@ -101,11 +112,17 @@
             case Err(failure):
                 return failure
             case Ok(found):
-                self.must_read_newest = False
-                self.topic_state.apply_records(
-                    found.records, found.end, is_complete=True
-                )
-                return None
+                pass
+        self.node_state.observe_store_era(found.era)
+        was_applied = self.topic_state.apply_records(
+            found.records,
+            StorePosition(era=found.era, offset=found.end),
+            is_complete=True,
+        )
+        if not was_applied:
+            return OutcomeUnknown(detail=f'records of earlier era {found.era}')
+        self.must_read_newest = False
+        return None
 
     def _record_success(self) -> None:
         self.failures = 0
@@ -135,4 +152,4 @@
 
     def _backoff_s(self) -> float:
         pause_s = min(_MAX_BACKOFF_S, _BASE_BACKOFF_S * 2**self.failures)
-        return pause_s * self.topic_state.node_state.rng.uniform(0.5, 1.0)
+        return pause_s * self.node_state.rng.uniform(0.5, 1.0)
--- a/src/arbutusbay/node/_topics.py
+++ b/src/arbutusbay/node/_topics.py
@@ -1,30 +1,36 @@
 """Apply the records of the store's topics to the shared state."""
 
+import functools
 from collections.abc import Iterable
 
+import attrs
 from result import Err, Ok
 
-from arbutusbay.fleet import Configuration, WeightsTarget
+from arbutusbay.fleet import BackendServer, Configuration, WeightsTarget
 from arbutusbay.logs import get_logger
 from arbutusbay.node._clock import now_s
 from arbutusbay.node._node_state import NodeState
 from arbutusbay.node._server_registry import ServerRegistry
 from arbutusbay.platform import (
     KeyedRecord,
+    StorePosition,
     Topic,
     decode_backend_server,
     decode_operator_record,
 )
 
 _LOG = get_logger('topics')
+_EARLIER_ERA_OFFSET = -1
+_DECODED_SERVERS_KEPT = 1024
 
 
 class TopicState:
     """Hold the newest record of each key of one topic.
 
-    ``end_offset`` is the next offset to read, None before the first read.
-    Offsets are those of the store, so records and ``end_offset`` are valid on
-    other VMs, too.
+    ``end`` is the position of the next read, None before the first read.
+    Positions are those of the store, so records and ``end`` are valid on
+    other VMs, too. A record that is kept from an earlier era of the store has
+    the offset ``_EARLIER_ERA_OFFSET``.
     """
 
     topic: Topic
@@ -32,35 +38,48 @@
     def __init__(self, *, node_state: NodeState) -> None:
         """Apply the records to ``node_state``."""
         self.node_state = node_state
-        self.end_offset: int | None = None
+        self.end: StorePosition | None = None
         self.latest_records: dict[str, KeyedRecord] = {}
 
     def apply_records(
         self,
         records: Iterable[KeyedRecord],
-        end: int,
+        end: StorePosition,
         *,
         is_complete: bool,
-    ) -> None:
-        """Apply ``records``, read up to the offset ``end``.
+    ) -> bool:
+        """Apply ``records``, read up to the position ``end``.
 
         ``is_complete`` means that they cover all keys of the topic: any other
         key that is known here was deleted.
+
+        Returns False, and applies nothing, if the records are of an earlier
+        era of the store, or of a later one but incomplete.
         """
+        if not self._enter_era(end.era, is_complete=is_complete):
+            return False
         received = {record.key: record for record in records}
         if is_complete:
             for key in self.latest_records.keys() - received.keys():
-                received[key] = KeyedRecord(key=key, payload=b'', offset=end)
+                received[key] = KeyedRecord(
+                    key=key, payload=b'', offset=end.offset
+                )
         changed = [
             record
             for record in received.values()
             if self._update_newest(record)
         ]
-        is_first = self.end_offset is None
-        self.end_offset = max(end, self.end_offset or 0)
+        is_first = self.end is None
+        if self.end is None or self.end.offset < end.offset:
+            self.end = end
         self.apply_changes(changed, is_first=is_first)
         if changed or is_first:
             self.node_state.notify_topics_changed()
+        return True
+
+    def is_of_current_era(self, era: int) -> bool:
+        """Return whether the known records are of ``era``."""
+        return self.end is not None and self.end.era == era
 
     def records_since(self, offset: int) -> list[KeyedRecord]:
         """Return the newest records whose offset is at least ``offset``."""
@@ -86,6 +105,30 @@
         """Return whether two records of a key have the same meaning."""
         return known.payload == received.payload
 
+    def is_superseded(self, restored: KeyedRecord) -> bool:
+        """Return whether a record of an earlier era replaces ``restored``.
+
+        A store that was restored from a copy holds records that are older
+        than those it held before.
+        """
+        raise NotImplementedError
+
+    def _enter_era(self, era: int, *, is_complete: bool) -> bool:
+        """Return whether records of ``era`` can be applied.
+
+        On a change of era, positions of earlier records mean nothing more.
+        """
+        if self.end is None or self.end.era == era:
+            return True
+        if era < self.end.era or not is_complete:
+            return False
+        self.latest_records = {
+            key: attrs.evolve(record, offset=_EARLIER_ERA_OFFSET)
+            for key, record in self.latest_records.items()
+        }
+        self.end = StorePosition(era=era, offset=0)
+        return True
+
     def _update_newest(self, record: KeyedRecord) -> bool:
         known = self.latest_records.get(record.key)
         if known is None:
@@ -93,6 +136,9 @@
             return True
         if record.offset < known.offset or self.is_equivalent(known, record):
             return False
+        is_known_from_earlier_era = known.offset == _EARLIER_ERA_OFFSET
+        if is_known_from_earlier_era and self.is_superseded(record):
+            return False
         self.latest_records[record.key] = record
         return True
 
@@ -125,6 +171,23 @@
         """Update how recent the operator's documents are."""
         self.node_state.freshness.record_read(as_of_s)
 
+    def is_superseded(self, restored: KeyedRecord) -> bool:
+        """Return whether a newer version of the document is in force.
+
+        The operator deletes no documents, so a missing one was lost.
+        """
+        if not restored.payload:
+            return True
+        catalog = self.node_state.catalog
+        match decode_operator_record(restored.key, restored.payload):
+            case Ok(Configuration() as configuration):
+                current = catalog.configuration
+            case Ok(WeightsTarget() as configuration):
+                current = catalog.targets.get(configuration.model)
+            case _:
+                return False
+        return current is not None and configuration.version < current.version
+
     def _apply_configuration(
         self,
         configuration: Configuration,
@@ -170,8 +233,26 @@
         self.node_state.notify_state_changed()
 
 
+@attrs.frozen(kw_only=True)
+class Heartbeat:
+    """Identify a heartbeat of a backend server."""
+
+    incarnation: int
+    count: int
+
+
+# Each registration is decoded to compare it with the next heartbeat.
+_decode_server = functools.lru_cache(_DECODED_SERVERS_KEPT)(
+    decode_backend_server
+)
+
+
 class ServersTopicState(TopicState):
-    """Apply the registrations of backend servers."""
+    """Apply the registrations of backend servers.
+
+    ``last_heartbeats`` holds the newest heartbeat of each server by its id,
+    also of servers that are gone.
+    """
 
     topic = Topic.SERVERS
 
@@ -181,6 +262,7 @@
         """Keep ``server_registry`` in sync with the registrations."""
         super().__init__(node_state=node_state)
         self.server_registry = server_registry
+        self.last_heartbeats: dict[str, Heartbeat] = {}
 
     def apply_changes(
         self, records: list[KeyedRecord], *, is_first: bool
@@ -201,12 +283,49 @@
         """Return whether two registrations differ in the heartbeat at most."""
         if not known.payload or not received.payload:
             return known.payload == received.payload
-        before = decode_backend_server(known.key, known.payload)
-        after = decode_backend_server(received.key, received.payload)
-        return isinstance(after, Ok) and before == after
+        before = _decode_server(known.key, known.payload)
+        after = _decode_server(received.key, received.payload)
+        if not isinstance(after, Ok) or before != after:
+            return False
+        self._record_heartbeat(after.ok_value)
+        return True
+
+    def is_superseded(self, restored: KeyedRecord) -> bool:
+        """Return whether the server has written since ``restored``.
+
+        A server that drains or is gone must not return in its former state.
+        If it is alive, its next heartbeat replaces the known record.
+        """
+        if not restored.payload:
+            return False
+        match _decode_server(restored.key, restored.payload):
+            case Ok(server):
+                pass
+            case Err():
+                return False
+        last = self.last_heartbeats.get(server.id)
+        if last is None or last.incarnation != server.incarnation:
+            return False
+        known = self.latest_records[restored.key]
+        if known.payload:
+            return server.heartbeat_count < last.count
+        return server.heartbeat_count <= last.count
+
+    def _record_heartbeat(self, server: BackendServer) -> None:
+        last = self.last_heartbeats.get(server.id)
+        heartbeat = Heartbeat(
+            incarnation=server.incarnation, count=server.heartbeat_count
+        )
+        is_newer = (
+            last is None
+            or last.incarnation != heartbeat.incarnation
+            or last.count < heartbeat.count
+        )
+        if is_newer:
+            self.last_heartbeats[server.id] = heartbeat
 
     def _apply_registration(self, record: KeyedRecord) -> None:
-        match decode_backend_server(record.key, record.payload):
+        match _decode_server(record.key, record.payload):
             case Err(failure):
                 _LOG.warning(
                     'malformed registration skipped: {}',
@@ -214,4 +333,5 @@
                     fields={'offset': record.offset},
                 )
             case Ok(server):
+                self._record_heartbeat(server)
                 self.server_registry.apply_registration(server)
--- a/src/arbutusbay/platform/__init__.py
+++ b/src/arbutusbay/platform/__init__.py
@@ -52,9 +52,11 @@
     KeyedRecord,
     LatestRecords,
     OutcomeUnknown,
+    ReadPage,
     RecordsExpired,
     StoreClient,
     StoreFailure,
+    StorePosition,
     StoreUnavailable,
 )
 
@@ -72,6 +74,7 @@
     'LoadOrderResult',
     'OutcomeUnknown',
     'PromptSegment',
+    'ReadPage',
     'RecordsExpired',
     'RequestHead',
     'ResponseHead',
@@ -79,6 +82,7 @@
     'ServerSentEventParser',
     'StoreClient',
     'StoreFailure',
+    'StorePosition',
     'StoreUnavailable',
     'Topic',
     'VMSettings',
--- a/src/arbutusbay/platform/_engine_calls.py
+++ b/src/arbutusbay/platform/_engine_calls.py
@@ -3,6 +3,7 @@
 import asyncio
 import enum
 from collections.abc import Mapping
+from http import HTTPStatus
 from types import MappingProxyType
 from typing import Any
 
@@ -19,6 +20,9 @@
 )
 from arbutusbay.platform._operator_records import parse_weights_versions
 from arbutusbay.platform._protocol_names import EngineEndpoint, HeaderName
+from arbutusbay.response_body import read_body
+
+_MAX_REPORT_BYTES = 1_048_576
 
 
 class WeightsSwitchMode(enum.StrEnum):
@@ -105,24 +109,25 @@
 ) -> Result[EngineReport, Failure]:
     """Fetch the report of the engine at ``address`` (IP:PORT).
 
-    Return a failure of kind ``PEER_UNREACHABLE`` if the call fails or the
-    report is malformed.
+    Return a failure of kind ``PEER_UNREACHABLE`` if the call fails, its
+    status is not 200 or the report is malformed.
     """
     try:
         async with session.get(
             f'http://{address}{EngineEndpoint.REPORT.value}',
             timeout=aiohttp.ClientTimeout(total=timeout_s),
         ) as response:
-            return Ok(_parse_report(await response.read()))
+            body = await read_body(response, _MAX_REPORT_BYTES)
+            if response.status != HTTPStatus.OK:
+                return _no_report(f'status {response.status}')
+            return Ok(_parse_report(body))
     except (
         aiohttp.ClientError,
         asyncio.TimeoutError,
         OSError,
         ValueError,
     ) as error:
-        return Err(
-            Failure(kind=ErrorKind.PEER_UNREACHABLE, detail=repr(error)),
-        )
+        return _no_report(repr(error))
 
 
 async def send_load_order(
@@ -168,6 +173,10 @@
         return LoadOrderResult.UNKNOWN
 
 
+def _no_report(detail: str) -> Err[Failure]:
+    return Err(Failure(kind=ErrorKind.PEER_UNREACHABLE, detail=detail))
+
+
 def _parse_report(body: bytes) -> EngineReport:
     fields = require_mapping(orjson.loads(body), 'report')
     return EngineReport(
--- a/src/arbutusbay/platform/_http_headers.py
+++ b/src/arbutusbay/platform/_http_headers.py
@@ -48,6 +48,7 @@
 _DROPPED_RESPONSE_HEADERS = frozenset(
     header.lower()
     for header in (
+        HeaderName.SERVER_LEAVING,
         HeaderName.SERVER_LOAD,
         HeaderName.INSTANCE_ID,
         HeaderName.NOT_EXECUTED,
@@ -56,6 +57,7 @@
     )
 )
 _CONTENT_ENCODING = 'Content-Encoding'
+_IS_SET = '1'
 _REQUIRED_LOAD_FIELDS = 3
 _NO_SLOWDOWN_PERCENT = 100
 
@@ -134,6 +136,9 @@
     instance id of the backend server that answered, empty if it is missing.
     ``has_content_encoding`` tells that the header ``Content-Encoding`` is
     present; the body is then not as the backend server made it.
+    ``is_leaving`` tells that the server shuts down soon. ``retry_after_s`` is
+    for how long, in seconds, the server wants no further request of this VM;
+    None if it names no such time.
     """
 
     attempt_id: str
@@ -143,6 +148,8 @@
     has_content_encoding: bool
     load: EngineLoad | None
     weights_version: int | None
+    is_leaving: bool = False
+    retry_after_s: float | None = None
 
 
 def parse_request_head(headers: Mapping[str, str]) -> RequestHead:
@@ -175,8 +182,11 @@
     reserved for this system, and the headers from ``attempt_headers``.
     """
     forwarded = CIMultiDict(raw_headers)
-    connection_options = forwarded.get('connection', '').lower().split(',')
-    dropped = {name.strip() for name in connection_options}
+    dropped = {
+        option.strip().lower()
+        for field in forwarded.getall('connection', ())
+        for option in field.split(',')
+    }
     dropped |= _HOP_BY_HOP_HEADERS | _RESERVED_REQUEST_HEADERS
     for name in {name.lower() for name in forwarded} & dropped:
         forwarded.popall(name)
@@ -230,6 +240,8 @@
         has_content_encoding=_CONTENT_ENCODING in headers,
         load=_parse_load(headers.get(HeaderName.SERVER_LOAD, '')),
         weights_version=None if version is None else int(version),
+        is_leaving=headers.get(HeaderName.SERVER_LEAVING, '') == _IS_SET,
+        retry_after_s=_parse_number(headers.get(HeaderName.RETRY_AFTER, '')),
     )
 
 
--- a/src/arbutusbay/platform/_operator_records.py
+++ b/src/arbutusbay/platform/_operator_records.py
@@ -272,6 +272,7 @@
         warmup_remaining_s=get_duration_s(fields, 'cold_remaining_ms', 0),
         weights=parse_weights_versions(fields),
         incarnation=get_integer(fields, 'born', 0),
+        heartbeat_count=get_integer(fields, 'sequence', 0),
     )
 
 
--- a/src/arbutusbay/platform/_sse_parser.py
+++ b/src/arbutusbay/platform/_sse_parser.py
@@ -1,10 +1,13 @@
 """Split a byte stream of server-sent events (SSE) into events."""
 
+import re
 from collections.abc import Iterator
 
 import attrs
 
-_EVENT_SEPARATOR = b'\n\n'
+_EVENT_END = re.compile(rb'\r\n\r\n|\n\n|\r\r')
+_LONGEST_EVENT_END_BYTES = 4
+_MAX_EVENT_BYTES = 1_048_576
 _ID_FIELD = b'id'
 _WEIGHTS_VERSION_FIELD = b'weight-versions'
 
@@ -24,29 +27,40 @@
 
 
 class ServerSentEventParser:
-    """Split a stream into events; ``buffer`` holds the incomplete one."""
+    """Split a stream into events; ``buffer`` holds the incomplete one.
+
+    The first ``searched_bytes`` of the buffer hold no end of an event.
+    """
 
     def __init__(self) -> None:
         """Start with an empty buffer."""
         self.buffer = b''
+        self.searched_bytes = 0
 
     def parse_chunk(self, chunk: bytes) -> Iterator[ServerSentEvent]:
         """Buffer ``chunk`` and yield the events that are now complete."""
         self.buffer += chunk
         while True:
-            end = self.buffer.find(_EVENT_SEPARATOR)
-            if end < 0:
+            found = _EVENT_END.search(self.buffer, self.searched_bytes)
+            if found is None:
+                self.searched_bytes = max(
+                    0, len(self.buffer) - _LONGEST_EVENT_END_BYTES
+                )
                 return
-            end += len(_EVENT_SEPARATOR)
-            raw = self.buffer[:end]
-            self.buffer = self.buffer[end:]
+            raw = self.buffer[: found.end()]
+            self.buffer = self.buffer[found.end() :]
+            self.searched_bytes = 0
             yield _parse_event(raw)
 
+    def is_overflowing(self) -> bool:
+        """Return whether the incomplete event exceeds the size limit."""
+        return len(self.buffer) > _MAX_EVENT_BYTES
+
 
 def _parse_event(raw: bytes) -> ServerSentEvent:
     event_id = None
     weights_version = None
-    for line in raw.split(b'\n'):
+    for line in raw.splitlines():
         name, _, text = line.partition(b':')
         digits = text.strip()
         if not digits.isdigit():
--- a/src/arbutusbay/platform/_store_client.py
+++ b/src/arbutusbay/platform/_store_client.py
@@ -2,11 +2,16 @@
 
 The calls read records from an offset, read the newest record of each key
 and append a record. Only partition 0 of a topic is used.
+
+The store may be restored from a copy. Its era then rises by one, offsets are
+assigned again, and records written since the copy are lost. An offset is
+therefore only meaningful together with its era.
 """
 
 import asyncio
 import base64
 import binascii
+from collections.abc import Mapping, Sequence
 from typing import Any
 
 import aiohttp
@@ -14,7 +19,12 @@
 import orjson
 from result import Err, Ok, Result
 
-from arbutusbay.platform._protocol_names import StoreEndpoint, Topic
+from arbutusbay.platform._protocol_names import (
+    HeaderName,
+    StoreEndpoint,
+    Topic,
+)
+from arbutusbay.response_body import read_body
 
 _RECORD_LENGTH_BYTES = 4
 _PAGE_HEADER_BYTES = 16
@@ -24,6 +34,9 @@
 _CONDITION_FAILED_STATUS = 412
 _NO_EFFECT_STATUSES = frozenset((429, 503, 507))
 _MAX_PAGES = 1000
+_MAX_KEY_BYTES = 255
+_MAX_RESPONSE_BYTES = 33_554_432
+_UNKNOWN_ERA = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -66,6 +79,25 @@
 )
 
 
+@attrs.frozen(kw_only=True)
+class StorePosition:
+    """Locate a record, or the end of a topic, in one era of the store."""
+
+    era: int
+    offset: int
+
+
+@attrs.frozen(kw_only=True)
+class StoreResponse:
+    """Hold the body of a successful call and the era that it names.
+
+    ``era`` is 0 if the store names none.
+    """
+
+    body: bytes
+    era: int
+
+
 @attrs.frozen(kw_only=True)
 class KeyedRecord:
     """Represent a record; ``payload`` is empty if the key was deleted."""
@@ -77,7 +109,7 @@
 
 @attrs.frozen(kw_only=True)
 class ReadPage:
-    """Hold records in the order of their offsets.
+    """Hold records in the order of their offsets, all of one ``era``.
 
     ``next_offset`` is where the next read starts, ``end`` the offset that
     the next append gets.
@@ -86,14 +118,19 @@
     records: tuple[KeyedRecord, ...]
     next_offset: int
     end: int
+    era: int = _UNKNOWN_ERA
 
 
 @attrs.frozen(kw_only=True)
 class LatestRecords:
-    """Hold the newest record of each key; later reads start at ``end``."""
+    """Hold the newest record of each key; later reads start at ``end``.
+
+    All records, and ``end``, are of one ``era``.
+    """
 
     records: tuple[KeyedRecord, ...]
     end: int
+    era: int = _UNKNOWN_ERA
 
 
 class StoreClient:
@@ -132,7 +169,7 @@
         result = await self._call(
             'GET', StoreEndpoint.READ, query, b'', timeout_s
         )
-        return result.and_then(lambda body: _parse_page(body, offset))
+        return result.and_then(lambda response: _parse_page(response, offset))
 
     async def read_latest(
         self,
@@ -144,12 +181,15 @@
 
         The ``end`` of the result is that of the first page, so that a read
         from there misses no record written during the later pages. The call
-        for each page takes at most ``timeout_s`` seconds.
+        for each page takes at most ``timeout_s`` seconds. Fails if the era
+        changes between pages.
         """
-        records: list[KeyedRecord] = []
         query = {'topic': topic.value, 'part': '0'}
-        end = None
-        for _ in range(_MAX_PAGES):
+        pages: list[LatestRecords] = []
+        has_more = True
+        while has_more:
+            if len(pages) >= _MAX_PAGES:
+                return _unknown(f'more than {_MAX_PAGES} pages')
             result = await self._call(
                 'GET',
                 StoreEndpoint.NEWEST,
@@ -161,12 +201,12 @@
                 case Err() as failed:
                     return failed
                 case Ok((page, has_more)):
-                    records.extend(page.records)
-                    end = page.end if end is None else end
-            if not has_more or not page.records:
-                break
-            query['after'] = page.records[-1].key
-        return Ok(LatestRecords(records=tuple(records), end=end or 0))
+                    pages.append(page)
+            if has_more and not page.records:
+                return _unknown('a page without records is not the last one')
+            if has_more:
+                query['after'] = page.records[-1].key
+        return _join_pages(pages)
 
     async def append(
         self,
@@ -176,17 +216,22 @@
         *,
         timeout_s: float,
         expected_end: int | None = None,
-    ) -> Result[int, StoreFailure]:
-        """Append one keyed record and return its offset.
+    ) -> Result[StorePosition, StoreFailure]:
+        """Append one keyed record and return its position.
 
         With ``expected_end`` the record is appended only at that offset;
-        otherwise the call fails with ``ConditionFailed``. The call takes at
-        most ``timeout_s`` seconds.
+        otherwise the call fails with ``ConditionFailed``. The store compares
+        offsets only, so the caller has to compare the era as well. The call
+        takes at most ``timeout_s`` seconds.
         """
         query = {'topic': topic.value, 'part': '0'}
         if expected_end is not None:
             query['at'] = str(expected_end)
         name = key.encode()
+        if len(name) > _MAX_KEY_BYTES:
+            return Err(
+                StoreUnavailable(detail=f'key exceeds {_MAX_KEY_BYTES} bytes')
+            )
         record = bytes((len(name),)) + name + payload
         body = len(record).to_bytes(_RECORD_LENGTH_BYTES, 'big') + record
         result = await self._call(
@@ -196,7 +241,7 @@
             body,
             timeout_s,
         )
-        return result.and_then(_parse_offset)
+        return result.and_then(_parse_position)
 
     async def _call(
         self,
@@ -205,7 +250,7 @@
         query: dict[str, str],
         body: bytes,
         timeout_s: float,
-    ) -> Result[bytes, StoreFailure]:
+    ) -> Result[StoreResponse, StoreFailure]:
         self.call_count += 1
         try:
             async with self.session.request(
@@ -216,7 +261,11 @@
                 timeout=aiohttp.ClientTimeout(total=timeout_s),
             ) as response:
                 return _result_from_response(
-                    response.status, await response.read()
+                    response.status,
+                    StoreResponse(
+                        body=await read_body(response, _MAX_RESPONSE_BYTES),
+                        era=_parse_era(response.headers),
+                    ),
                 )
         except aiohttp.ClientConnectorError as error:
             return Err(StoreUnavailable(detail=str(error)))
@@ -225,16 +274,16 @@
 
 
 def _result_from_response(
-    status: int, body: bytes
-) -> Result[bytes, StoreFailure]:
+    status: int, response: StoreResponse
+) -> Result[StoreResponse, StoreFailure]:
     if status == _OK_STATUS:
-        return Ok(body)
+        return Ok(response)
     if status == _GONE_STATUS:
         return Err(RecordsExpired())
     if status in _NO_EFFECT_STATUSES:
         return Err(StoreUnavailable(detail=f'status {status}'))
     if status == _CONDITION_FAILED_STATUS:
-        return _parse_condition_failure(body)
+        return _parse_condition_failure(response.body)
     return Err(OutcomeUnknown(detail=f'status {status}'))
 
 
@@ -247,10 +296,30 @@
         )
 
 
+def _parse_era(headers: Mapping[str, str]) -> int:
+    text = headers.get(HeaderName.STORE_ERA, '')
+    return int(text) if text.isdecimal() else _UNKNOWN_ERA
+
+
+def _unknown(detail: str) -> Err[StoreFailure]:
+    return Err(OutcomeUnknown(detail=detail))
+
+
+def _join_pages(
+    pages: Sequence[LatestRecords],
+) -> Result[LatestRecords, StoreFailure]:
+    first = pages[0]
+    if any(page.era != first.era for page in pages):
+        return _unknown('the store was restored between two pages')
+    records = tuple(record for page in pages for record in page.records)
+    return Ok(attrs.evolve(first, records=records))
+
+
 def _parse_page(
-    body: bytes,
+    response: StoreResponse,
     offset: int,
 ) -> Result[ReadPage, StoreFailure]:
+    body = response.body
     if len(body) < _PAGE_HEADER_BYTES:
         return Err(
             OutcomeUnknown(detail='read response is shorter than its header')
@@ -273,7 +342,12 @@
             records.append(record)
         next_offset += 1
     return Ok(
-        ReadPage(records=tuple(records), next_offset=next_offset, end=end),
+        ReadPage(
+            records=tuple(records),
+            next_offset=next_offset,
+            end=end,
+            era=response.era,
+        ),
     )
 
 
@@ -289,14 +363,16 @@
 
 
 def _parse_newest(
-    body: bytes,
+    response: StoreResponse,
 ) -> Result[tuple[LatestRecords, bool], StoreFailure]:
     try:
-        fields = orjson.loads(body)
+        fields = orjson.loads(response.body)
         records = tuple(
             _parse_newest_record(entry) for entry in fields['items']
         )
-        page = LatestRecords(records=records, end=int(fields['end']))
+        page = LatestRecords(
+            records=records, end=int(fields['end']), era=response.era
+        )
         return Ok((page, bool(fields['has_more'])))
     except (ValueError, KeyError, TypeError, binascii.Error) as error:
         return Err(
@@ -314,10 +390,11 @@
     )
 
 
-def _parse_offset(body: bytes) -> Result[int, StoreFailure]:
+def _parse_position(
+    response: StoreResponse,
+) -> Result[StorePosition, StoreFailure]:
     try:
-        return Ok(int(orjson.loads(body)['offset']))
+        offset = int(orjson.loads(response.body)['offset'])
     except (ValueError, KeyError, TypeError) as error:
-        return Err(
-            OutcomeUnknown(detail=f'malformed append response: {error!r}')
-        )
+        return _unknown(f'malformed append response: {error!r}')
+    return Ok(StorePosition(era=response.era, offset=offset))
--- a/src/arbutusbay/scheduling/__init__.py
+++ b/src/arbutusbay/scheduling/__init__.py
@@ -12,7 +12,9 @@
 from arbutusbay.scheduling._lease_rules import (
     LeaseDurations,
     ObservedClaim,
+    ObservedEra,
     can_claim,
+    fencing_token,
     is_claim_valid,
 )
 from arbutusbay.scheduling._outcomes import (
@@ -29,6 +31,7 @@
     choose_model_engine,
     choose_plain_server,
     eligible_engines,
+    next_acceptance_s,
 )
 from arbutusbay.scheduling._prompt_length_partition import (
     RecentWork,
@@ -79,6 +82,7 @@
     'LoadSchedule',
     'ModelRequestSize',
     'ObservedClaim',
+    'ObservedEra',
     'Occupancy',
     'PeerRead',
     'PlacementContext',
@@ -100,8 +104,10 @@
     'choose_report_recipients',
     'choose_retry_action',
     'eligible_engines',
+    'fencing_token',
     'is_claim_valid',
     'is_fresh_enough',
+    'next_acceptance_s',
     'outdated_engines',
     'rank_engines',
     'rank_sources',
--- a/src/arbutusbay/scheduling/_engine_view.py
+++ b/src/arbutusbay/scheduling/_engine_view.py
@@ -101,6 +101,8 @@
     long this VM suspects the server to be unresponsive;
     ``unresponsive_until_s`` includes the suspicions of other VMs.
     ``error_rate`` is a moving average, as of ``error_rate_updated_s``.
+    ``is_leaving`` is set for good once a response said that the server shuts
+    down. Until ``rejects_until_s`` it wants no request of this VM.
     """
 
     id: str
@@ -111,6 +113,8 @@
     weights: dict[str, int] = attrs.field(factory=dict)
     incarnation: int = 0
     is_draining: bool = False
+    is_leaving: bool = False
+    rejects_until_s: float = 0.0
     planned_load: PlannedWeightsLoad | None = None
     slowdown: float = 1.0
     min_slowdown: float = 1.0
@@ -201,6 +205,11 @@
         """Return whether this VM or another suspects stalled streams."""
         return now_s < self.unresponsive_until_s
 
+    def accepts_requests(self, now_s: float) -> bool:
+        """Return whether the server has not asked to be left alone."""
+        is_going = self.is_draining or self.is_leaving
+        return not is_going and now_s >= self.rejects_until_s
+
     def is_in_backoff(self, now_s: float) -> bool:
         """Return whether the engine is in backoff after recent failures."""
         return now_s < self.backoff_until_s
--- a/src/arbutusbay/scheduling/_lease_rules.py
+++ b/src/arbutusbay/scheduling/_lease_rules.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+_FENCE_ERA_SHIFT_BITS = 32
+
 
 @attrs.frozen(kw_only=True)
 class LeaseDurations:
@@ -25,17 +27,43 @@
     observed_s: float
 
 
+@attrs.frozen(kw_only=True)
+class ObservedEra:
+    """Hold when a VM first read the store in its present era, in seconds.
+
+    ``is_restored`` tells that the VM has known an earlier era.
+    """
+
+    observed_s: float
+    is_restored: bool
+
+
+def fencing_token(*, store_era: int, offset: int) -> int:
+    """Return the fencing token of a claim, given its position in the store.
+
+    Offsets fall when the store is restored from a copy; the era never does.
+    """
+    return (store_era << _FENCE_ERA_SHIFT_BITS) + offset
+
+
 def can_claim(
     own_name: str,
     newest_claim: ObservedClaim | None,
+    era: ObservedEra,
     now_s: float,
     durations: LeaseDurations,
 ) -> bool:
     """Return whether the VM ``own_name`` may claim the lease now.
 
-    It may if no claim is known, if it made the newest one itself, or if
-    more than ``takeover_after_s`` has passed since it observed that claim.
+    It may if it made the newest known claim itself, or if more than
+    ``takeover_after_s`` has passed since it observed that claim. A restored
+    store may have lost a newer claim, so in that case, and if no claim is
+    known at all, that time has to pass since the era was first observed.
     """
+    era_age_s = now_s - era.observed_s
+    if newest_claim is None or era.is_restored:
+        if era_age_s <= durations.takeover_after_s:
+            return False
     if newest_claim is None or newest_claim.holder == own_name:
         return True
     return now_s - newest_claim.observed_s > durations.takeover_after_s
--- a/src/arbutusbay/scheduling/_placement.py
+++ b/src/arbutusbay/scheduling/_placement.py
@@ -89,10 +89,11 @@
 ) -> list[EngineView]:
     """Return the engines that an attempt may be sent to.
 
-    Draining engines are always left out. Engines that are unresponsive,
-    loading weights or in backoff are left out unless no others remain.
+    Engines that drain, leave or asked for a pause are always left out.
+    Engines that are unresponsive, loading weights or in backoff are left out
+    unless no others remain.
     """
-    active = [engine for engine in engines if not engine.is_draining]
+    active = [engine for engine in engines if engine.accepts_requests(now_s)]
     responsive = [
         engine for engine in active if not engine.is_unresponsive(now_s)
     ]
@@ -105,6 +106,25 @@
     ] or ready
 
 
+def next_acceptance_s(
+    engines: Collection[EngineView], now_s: float
+) -> float | None:
+    """Return when the first of ``engines`` accepts requests again.
+
+    None means that none of them asked for a pause, in seconds on the clock
+    of ``now_s``, or that all of them drain or leave.
+    """
+    return min(
+        (
+            engine.rejects_until_s
+            for engine in engines
+            if engine.rejects_until_s > now_s
+            and not (engine.is_draining or engine.is_leaving)
+        ),
+        default=None,
+    )
+
+
 def choose_model_engine(
     request_size: ModelRequestSize,
     engines: Sequence[EngineView],
--- a/src/arbutusbay/scheduling/_rollout_plan.py
+++ b/src/arbutusbay/scheduling/_rollout_plan.py
@@ -60,7 +60,7 @@
         for engine in engines
         if model in engine.weights
         and engine.weights[model] < version
-        and not engine.is_draining
+        and not (engine.is_draining or engine.is_leaving)
     ]
 
 
--- a/tests/fleet_builders.py
+++ b/tests/fleet_builders.py
@@ -132,6 +132,23 @@
     )
 
 
+def build_registration(**changes: Any) -> dict[str, Any]:
+    """Return the registration of a model engine in the store."""
+    registration = {
+        'service': ENGINE_SERVICE,
+        'address': '127.0.0.1:1',
+        'zone': 'plateau',
+        'version': 'v1',
+        'slots': 8,
+        'state': 'ready',
+        'cold_remaining_ms': 0,
+        'models': [{'name': MODEL, 'version': 1, 'adapters': []}],
+        'sequence': 1,
+        'born': 1,
+    }
+    return {**registration, **changes}
+
+
 def build_request_headers(
     attempt_id: str,
     *,
--- a/tests/integration/test_fleet_store.py
+++ b/tests/integration/test_fleet_store.py
@@ -8,6 +8,7 @@
 import asyncio
 import functools
 import signal
+import time
 
 from emulator.fleet import wait_for_condition
 from emulator.store import StoreFault
@@ -27,6 +28,9 @@
     request_succeeds,
 )
 
+_RESTORED_FOR_S = 1.5
+_MANY_REQUESTS = 12
+
 
 async def test_revoked_api_key_is_rejected_by_all_vms(fleet, http):
     nodes = await start_fleet(fleet, nodes=3)
@@ -150,3 +154,80 @@
     await asyncio.sleep(1.2)
     assert (await request_stream(http, node, 'u1'))[0] == 200
     assert node.process.returncode is None
+
+
+async def test_restored_store_reverts_nothing(fleet, http):
+    nodes = await start_fleet(fleet, nodes=2)
+    await wait_until_ready(nodes, http)
+    copy = fleet.store.copy_ends()
+    fleet.configure(
+        build_configuration(2, tenants=build_teams(keys=('another',))),
+    )
+    await wait_for_condition(
+        functools.partial(all_reject_key, http, nodes), 'revoked key rejected'
+    )
+    fleet.store.restore(copy)
+    end_s = time.monotonic() + _RESTORED_FOR_S
+    while time.monotonic() < end_s:
+        assert await all_reject_key(http, nodes)
+        await asyncio.sleep(0.1)
+    fleet.configure(build_configuration(2, tenants=build_teams(keys=('x',))))
+    fleet.configure(build_configuration(3))
+    await wait_for_condition(
+        functools.partial(request_succeeds, http, nodes[0], 'after'),
+        'configuration 3 in force',
+    )
+    assert (await request_stream(http, nodes[1], 'other'))[0] == 200
+
+
+async def test_restored_store_keeps_fences_of_orders_rising(fleet, http):
+    copy = fleet.store.copy_ends()
+    nodes = await start_fleet(fleet, engines=2, nodes=2)
+    await wait_until_ready(nodes, http)
+    fleet.set_target_weights_version(MODEL, 2)
+    engines = fleet.engines[:2]
+    await wait_for_condition(
+        lambda: all(engine.version == 2 for engine in engines),
+        'first rollout',
+    )
+    fleet.store.restore({**copy, 'keyed.op': 1, 'keyed.servers': 4})
+    fleet.set_target_weights_version(MODEL, 2)
+    fleet.set_target_weights_version(MODEL, 3)
+    await wait_for_condition(
+        lambda: all(engine.version == 3 for engine in engines),
+        'second rollout',
+    )
+    for engine in engines:
+        fences = [fence for _, fence in engine.order_holders]
+        assert fences == sorted(fences)
+        assert fences[0] < fences[-1]
+
+
+async def test_vm_registers_again_in_a_restored_store(fleet, http):
+    node = await start_single_node(fleet)
+    await wait_until_ready([node], http)
+    topic = fleet.store.topic('keyed.arbutusbay')
+    await wait_for_condition(topic.newest_records, 'VM registered')
+    ends = fleet.store.copy_ends()
+    fleet.store.restore({**ends, 'keyed.arbutusbay': 0})
+    await wait_for_condition(topic.newest_records, 'VM registered again')
+
+
+async def test_server_that_says_that_it_leaves_gets_no_request(fleet, http):
+    nodes = await start_fleet(fleet, nodes=2)
+    await wait_until_ready(nodes, http)
+    leaving = fleet.engines[0]
+    leaving.is_leaving = True
+    for number in range(_MANY_REQUESTS):
+        assert (await request_stream(http, nodes[0], f'g{number}'))[0] == 200
+        if leaving.executions:
+            break
+    await asyncio.sleep(1.0)
+    count_before = len(leaving.executions)
+    assert count_before == 1
+    fleet.register(leaving)
+    for number in range(_MANY_REQUESTS):
+        for node in nodes:
+            attempt_id = f'h{number}-{node.name}'
+            assert (await request_stream(http, node, attempt_id))[0] == 200
+    assert len(leaving.executions) == count_before
--- a/tests/model/test_weights_lease_model.py
+++ b/tests/model/test_weights_lease_model.py
@@ -12,19 +12,31 @@
     WeightsLeaseSpec,
 )
 
-_MAX_MUTANT_STATES = 400_000
+_MAX_MUTANT_STATES = 120_000
+_RESTORATION_MUTANTS = frozenset(
+    (
+        DroppedRule.FENCE_WITHOUT_ERA,
+        DroppedRule.NO_WAIT_AFTER_RESTORATION,
+        DroppedRule.ERA_OF_APPEND_IGNORED,
+    )
+)
 _MUTANTS = tuple(
     mutant for mutant in DroppedRule if mutant is not DroppedRule.NONE
 )
 
 
-def test_lease_holds():
-    assert_all_properties_hold(WeightsLeaseSpec().protocol())
+@pytest.mark.parametrize('restorations', [0, 1])
+def test_lease_holds(restorations):
+    spec = WeightsLeaseSpec(restorations=restorations)
+    assert_all_properties_hold(spec.protocol())
 
 
 @pytest.mark.parametrize('mutant', _MUTANTS)
 def test_mutant_is_refuted(mutant):
-    protocol = WeightsLeaseSpec(mutant=mutant).protocol()
+    spec = WeightsLeaseSpec(
+        mutant=mutant, restorations=mutant in _RESTORATION_MUTANTS
+    )
+    protocol = spec.protocol()
     assert_some_property_fails(protocol, _MAX_MUTANT_STATES)
 
 
--- a/tests/model/weights_lease_spec.py
+++ b/tests/model/weights_lease_spec.py
@@ -2,8 +2,9 @@
 
 A claim is a conditional append: it succeeds only if the log still ends where
 the claimant read it. Claims may be appended late and their responses may be
-lost. A VM may be suspended at any time. The model calls the lease rules of
-the product.
+lost. A VM may be suspended at any time. The store may be restored from a copy,
+which loses claims and assigns their offsets again in a new era. The model
+calls the lease rules of the product.
 """
 
 import enum
@@ -15,7 +16,9 @@
 from arbutusbay.scheduling import (
     LeaseDurations,
     ObservedClaim,
+    ObservedEra,
     can_claim,
+    fencing_token,
     is_claim_valid,
 )
 from tests.model.spec import build_protocol, replace_node
@@ -24,6 +27,7 @@
 _VALID_TICKS = 1
 _MAX_CLAIMS = 2
 _MAX_AGE_TICKS = 3
+_UNREAD = -1
 _NAMES = ('a', 'b')
 _TIMES = LeaseDurations(
     validity_s=_VALID_TICKS,
@@ -40,31 +44,45 @@
     OWN_FENCE = 'the holder counts the fencing token instead of the store'
     TERM_FROM_ANSWER = 'the validity of a claim starts at its response'
     SUSPENDED_CLOCK = 'a clock stops during a suspension'
+    FENCE_WITHOUT_ERA = 'the fencing token is the offset alone'
+    NO_WAIT_AFTER_RESTORATION = 'a claim follows a restoration at once'
+    ERA_OF_APPEND_IGNORED = 'a claim counts in whichever era it is appended'
 
 
 @attrs.frozen(kw_only=True, cache_hash=True)
 class Claim:
-    """Describe a pending claim; ``offset`` is set once it is appended."""
+    """Describe a pending claim.
+
+    ``offset`` and ``era`` are set once it is appended.
+    """
 
     sent_age: int
     expected_end: int
+    expected_era: int
     offset: int | None = None
+    era: int = 0
 
 
 @attrs.frozen(kw_only=True, cache_hash=True)
 class Node:
-    """Hold the state of one VM; ages are in ticks and capped.
+    """Hold the state of one VM.
 
-    ``end`` is where the log ended when it was last read. ``local_claim_age``
-    is the age of the VM's last successful claim, measured by its own clock.
-    ``claim_count`` is its own count of claims.
+    Ages are in ticks, and capped where a higher one changes no decision.
+
+    ``end`` is where the log ended when it was last read, ``_UNREAD`` if it has
+    to be read again. ``era`` is the highest known era of the store.
+    ``local_claim_age`` is the age of the VM's last successful claim, measured
+    by its own clock. ``claim_count`` is its own count of claims.
     """
 
     end: int = 0
-    seen_offset: int = -1
+    era: int = 0
+    era_age: int = _MAX_AGE_TICKS
+    seen_holder: int | None = None
     seen_age: int = 0
     fence: int | None = None
-    local_claim_age: int = _MAX_AGE_TICKS
+    claim_era: int = 0
+    local_claim_age: int = _VALID_TICKS
     claim_count: int = 0
     pending_claim: Claim | None = None
 
@@ -83,6 +101,7 @@
     """Hold the log of claims, both VMs and the last order."""
 
     log: tuple[int, ...] = ()
+    era: int = 0
     nodes: tuple[Node, ...] = (Node(), Node())
     last_order: Order | None = None
     violation: str = ''
@@ -91,9 +110,18 @@
 class WeightsLeaseSpec:
     """Generate the transitions, without the rule that a mutant drops."""
 
-    def __init__(self, *, mutant: DroppedRule = DroppedRule.NONE) -> None:
-        """Create the model that lacks the rule of ``mutant``."""
+    def __init__(
+        self,
+        *,
+        mutant: DroppedRule = DroppedRule.NONE,
+        restorations: int = 0,
+    ) -> None:
+        """Create the model that lacks the rule of ``mutant``.
+
+        The store is restored at most ``restorations`` times.
+        """
         self.mutant = mutant
+        self.restorations = restorations
 
     def protocol(self) -> Protocol:
         """Return the protocol with its safety property."""
@@ -111,6 +139,9 @@
         if system_state.violation:
             return
         yield 'tick', _tick(system_state, suspended=None)
+        if system_state.era < self.restorations:
+            for end, _ in enumerate(system_state.log):
+                yield f'store restored to {end}', _restore(system_state, end)
         for number, node in enumerate(system_state.nodes):
             yield from self._node_steps(system_state, number, node)
 
@@ -123,7 +154,11 @@
         name = _NAMES[number]
         if self.mutant is DroppedRule.SUSPENDED_CLOCK:
             yield f'{name} suspended', _tick(system_state, suspended=number)
-        if node.end < len(system_state.log):
+        is_behind = (node.end, node.era) != (
+            len(system_state.log),
+            system_state.era,
+        )
+        if is_behind and node.pending_claim is None:
             yield f'{name} reads', self._read_log(system_state, number)
         if node.pending_claim is None and self._may_claim(system_state, number):
             yield f'{name} claims', self._send_claim(system_state, number)
@@ -160,31 +195,39 @@
 
     def _may_claim(self, system_state: SystemState, number: int) -> bool:
         node = system_state.nodes[number]
-        if len(system_state.log) >= _MAX_CLAIMS:
+        if len(system_state.log) >= _MAX_CLAIMS or node.end == _UNREAD:
             return False
         if self.mutant is DroppedRule.NO_WAIT:
             return True
         seen = None
-        if node.seen_offset >= 0:
+        if node.seen_holder is not None:
             seen = ObservedClaim(
-                holder=_NAMES[system_state.log[node.seen_offset]],
+                holder=_NAMES[node.seen_holder],
                 observed_s=-node.seen_age,
             )
-        return can_claim(_NAMES[number], seen, 0, _TIMES)
+        era = ObservedEra(
+            observed_s=-node.era_age,
+            is_restored=node.era > 0
+            and self.mutant is not DroppedRule.NO_WAIT_AFTER_RESTORATION,
+        )
+        return can_claim(_NAMES[number], seen, era, 0, _TIMES)
 
     def _is_valid(self, system_state: SystemState, number: int) -> bool:
         node = system_state.nodes[number]
-        if node.fence is None:
+        if node.fence is None or node.claim_era != node.era:
             return False
         return is_claim_valid(-node.local_claim_age, 0, _TIMES)
 
     def _read_log(self, system_state: SystemState, number: int) -> SystemState:
+        observed = _observe_era(system_state, number, system_state.era)
         end = len(system_state.log)
+        if not end:
+            return replace_node(observed, number, end=end)
         return replace_node(
-            system_state,
+            observed,
             number,
             end=end,
-            seen_offset=end - 1,
+            seen_holder=system_state.log[-1],
             seen_age=0,
         )
 
@@ -194,6 +237,7 @@
         claim = Claim(
             sent_age=0,
             expected_end=system_state.nodes[number].end,
+            expected_era=system_state.nodes[number].era,
         )
         return replace_node(system_state, number, pending_claim=claim)
 
@@ -208,7 +252,7 @@
         return replace_node(
             appended,
             number,
-            pending_claim=attrs.evolve(claim, offset=end),
+            pending_claim=attrs.evolve(claim, offset=end, era=system_state.era),
         )
 
     def _receive_response(
@@ -217,6 +261,12 @@
         number: int,
         claim: Claim,
     ) -> SystemState:
+        is_era_checked = self.mutant is not DroppedRule.ERA_OF_APPEND_IGNORED
+        if is_era_checked and claim.era != claim.expected_era:
+            observed = _observe_era(system_state, number, claim.era)
+            return replace_node(
+                observed, number, pending_claim=None, end=_UNREAD
+            )
         is_own_count = self.mutant is DroppedRule.OWN_FENCE
         claim_count = system_state.nodes[number].claim_count + is_own_count
         counts_from_response = self.mutant is DroppedRule.TERM_FROM_ANSWER
@@ -225,13 +275,20 @@
             number,
             pending_claim=None,
             claim_count=claim_count,
-            fence=claim_count if is_own_count else claim.offset,
+            fence=claim_count if is_own_count else self._fence(claim),
+            claim_era=claim.era,
+            era=max(system_state.nodes[number].era, claim.era),
             local_claim_age=0 if counts_from_response else claim.sent_age,
             end=claim.offset + 1,
-            seen_offset=claim.offset,
+            seen_holder=number,
             seen_age=0,
         )
 
+    def _fence(self, claim: Claim) -> int:
+        if self.mutant is DroppedRule.FENCE_WITHOUT_ERA:
+            return claim.offset
+        return fencing_token(store_era=claim.era, offset=claim.offset)
+
     def _order(self, system_state: SystemState, number: int) -> SystemState:
         order = Order(
             holder=number,
@@ -244,6 +301,20 @@
         )
 
 
+def _restore(system_state: SystemState, end: int) -> SystemState:
+    return attrs.evolve(
+        system_state, log=system_state.log[:end], era=system_state.era + 1
+    )
+
+
+def _observe_era(
+    system_state: SystemState, number: int, era: int
+) -> SystemState:
+    if era <= system_state.nodes[number].era:
+        return system_state
+    return replace_node(system_state, number, era=era, era_age=0)
+
+
 def _tick(system_state: SystemState, *, suspended: int | None) -> SystemState:
     """Advance the time by one tick.
 
@@ -257,7 +328,7 @@
     if last_order is not None:
         last_order = attrs.evolve(
             last_order,
-            age=min(_MAX_AGE_TICKS, last_order.age + 1),
+            age=min(_LEASE_TICKS, last_order.age + 1),
         )
     return attrs.evolve(system_state, nodes=nodes, last_order=last_order)
 
@@ -265,15 +336,17 @@
 def _advance(node: Node, *, is_clock_running: bool) -> Node:
     pending_claim = node.pending_claim
     if pending_claim is not None:
-        age = min(_MAX_AGE_TICKS, pending_claim.sent_age + 1)
+        age = min(_VALID_TICKS, pending_claim.sent_age + 1)
         pending_claim = attrs.evolve(pending_claim, sent_age=age)
+    local_claim_age = min(_VALID_TICKS, node.local_claim_age + is_clock_running)
+    is_claim_valid_still = local_claim_age < _VALID_TICKS
     return attrs.evolve(
         node,
+        fence=node.fence if is_claim_valid_still else None,
+        claim_era=node.claim_era if is_claim_valid_still else 0,
         seen_age=min(_MAX_AGE_TICKS, node.seen_age + 1),
-        local_claim_age=min(
-            _MAX_AGE_TICKS,
-            node.local_claim_age + is_clock_running,
-        ),
+        era_age=min(_MAX_AGE_TICKS, node.era_age + 1),
+        local_claim_age=local_claim_age,
         pending_claim=pending_claim,
     )
 
--- a/tests/unit/test_lease.py
+++ b/tests/unit/test_lease.py
@@ -3,9 +3,15 @@
 import attrs
 from result import Err, Ok
 
+from arbutusbay.node._clock import now_s
 from arbutusbay.node._lease import WEIGHTS_LEASE_NAME, Lease
 from arbutusbay.node._node_state import NodeState
-from arbutusbay.platform import ConditionFailed, LatestRecords
+from arbutusbay.platform import (
+    ConditionFailed,
+    LatestRecords,
+    StorePosition,
+)
+from arbutusbay.scheduling import ObservedEra, fencing_token
 from tests.fleet_builders import build_vm_settings
 
 _RACES = 2
@@ -15,16 +21,20 @@
 class ContendedStore:
     """Fake a store in which another VM appends just before a claim.
 
-    ``races`` is how many more claims lose in this way.
+    ``races`` is how many more claims lose in this way. The store is restored
+    ``restorations_before_append`` times before an append that holds, and ends
+    at the same offset again.
     """
 
-    races: int
+    races: int = 0
     end: int = 5
+    era: int = 1
     appends: int = 0
+    restorations_before_append: int = 0
 
     async def read_latest(self, topic, *, timeout_s):
         """Return no records and the end offset of the topic."""
-        return Ok(LatestRecords(records=(), end=self.end))
+        return Ok(LatestRecords(records=(), end=self.end, era=self.era))
 
     async def append(self, topic, key, payload, *, timeout_s, expected_end):
         """Append unless ``expected_end`` is no longer the end offset."""
@@ -35,22 +45,29 @@
         if expected_end != self.end:
             return Err(ConditionFailed(end=self.end))
         self.end += 1
-        return Ok(self.end - 1)
+        self.era += self.restorations_before_append
+        return Ok(StorePosition(era=self.era, offset=self.end - 1))
 
 
 def build_lease(store) -> Lease:
     """Return the weights lease of ``vm-1``, which no VM has claimed yet."""
+    node_state = NodeState(settings=build_vm_settings())
+    node_state.store_era.number = store.era
+    node_state.store_era.first_read = ObservedEra(
+        observed_s=float('-inf'), is_restored=False
+    )
     return Lease(
         name=WEIGHTS_LEASE_NAME,
         holder='vm-1',
-        node_state=NodeState(settings=build_vm_settings()),
+        node_state=node_state,
         store=store,
     )
 
 
 async def test_claim_is_retried_at_once_after_a_lost_race():
     store = ContendedStore(races=_RACES)
-    assert await build_lease(store).acquire_or_renew() == 5 + _RACES
+    fence = fencing_token(store_era=1, offset=5 + _RACES)
+    assert await build_lease(store).acquire_or_renew() == fence
     assert store.appends == 1 + _RACES
 
 
@@ -58,3 +75,41 @@
     store = ContendedStore(races=100)
     assert await build_lease(store).acquire_or_renew() is None
     assert store.appends < 10
+
+
+async def test_lease_without_claims_is_not_claimed_right_after_a_start():
+    # A restored store may have lost the claim of a VM that still acts on it.
+    lease = build_lease(ContendedStore())
+    lease.node_state.store_era.first_read = ObservedEra(
+        observed_s=now_s(), is_restored=False
+    )
+    assert await lease.acquire_or_renew() is None
+
+
+async def test_fence_is_void_once_a_restored_store_is_known():
+    lease = build_lease(ContendedStore())
+    assert await lease.acquire_or_renew() is not None
+    lease.node_state.observe_store_era(2)
+    assert lease.valid_fence() is None
+
+
+async def test_last_holder_waits_after_the_store_was_restored():
+    store = ContendedStore()
+    lease = build_lease(store)
+    assert await lease.acquire_or_renew() is not None
+    store.era = 2
+    store.end -= 1
+    lease.node_state.observe_store_era(2)
+    assert await lease.acquire_or_renew() is None
+
+
+async def test_claim_appended_after_a_restoration_does_not_count():
+    # The condition holds again by chance, since offsets are assigned anew.
+    lease = build_lease(ContendedStore(restorations_before_append=1))
+    assert await lease.acquire_or_renew() is None
+    assert lease.valid_fence() is None
+
+
+def test_fencing_tokens_rise_when_offsets_fall():
+    before = fencing_token(store_era=1, offset=9000)
+    assert fencing_token(store_era=2, offset=3) > before
