Touch only the engines that a load report names, and rank less often

Cause: each report of a peer walked all engines, each placement added up all reports of all engines and ranked them anew, each turn of the dispatcher tried every waiting request, and it woke 50 times a second without one. Every VM polled 20 times a second while weights were outdated, also far from its turn.

Ruled out as the largest part: sending, 0.3 ms a report.

Change: the receiver looks at the engines of a report and of the one before; an engine's total is kept until something changes it; rankings are cached, the partition of engines by prompt length is kept for 0.1 s; the dispatcher tries 16 waiting requests a turn and sleeps without any; a VM polls for a rollout only near its turn. The attempts in flight have a module of their own.

--- a/src/arbutusbay/node/_control_api.py
+++ b/src/arbutusbay/node/_control_api.py
@@ -75,7 +75,7 @@
                     'leaving': view.is_leaving,
                     'avoided': view.is_in_backoff(moment_s),
                     'loading': view.is_loading_weights(moment_s),
-                    'attempts': view.occupancy(moment_s).attempts,
+                    'attempts': view.occupancy.total(moment_s).attempts,
                 }
                 for view in node_state.engine_views.values()
             ],
--- a/src/arbutusbay/node/_dispatcher.py
+++ b/src/arbutusbay/node/_dispatcher.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import itertools
 
 import attrs
 from result import Err, Ok, Result
@@ -29,6 +30,7 @@
 
 _LOG = get_logger('dispatcher')
 _DISPATCH_INTERVAL_S = 0.02
+_MAX_TRIED_PER_TURN = 16
 _RETRY_AFTER_S = 1.0
 _MIN_SAMPLE_TOKENS = 2000
 _SMOOTHING_FACTOR = 0.1
@@ -55,6 +57,7 @@
         self.node_state = node_state
         self.placer = placer
         self.queues: dict[str, RequestQueue] = {}
+        self.has_waiting = asyncio.Event()
 
     async def place(
         self, request: PlacementRequest
@@ -74,6 +77,7 @@
         queue.push(pending)
         self._dispatch_queue(queue)
         if not pending.future.done():
+            self.has_waiting.set()
             self._log_wait(pending, queue)
         try:
             return await pending.future
@@ -109,15 +113,21 @@
         self.place_waiting()
 
     async def run(self) -> None:
-        """Place queued requests at a fixed interval until cancelled."""
+        """Place queued requests at a fixed interval until cancelled.
+
+        Without queued requests it sleeps.
+        """
         while True:
+            await self.has_waiting.wait()
             await asyncio.sleep(_DISPATCH_INTERVAL_S)
             self.place_waiting()
+            if not any(self.queues.values()):
+                self.has_waiting.clear()
 
     def place_waiting(self) -> None:
         """Place queued requests that fit now and reject expired ones."""
         for queue in self.queues.values():
-            if len(queue):
+            if queue:
                 self._dispatch_queue(queue)
 
     def _dispatch_queue(self, queue: RequestQueue) -> None:
@@ -125,15 +135,19 @@
         for expired in queue.expired_requests(moment_s):
             self._resolve(queue, expired, _overloaded(expired, moment_s))
         has_progress = True
-        while has_progress and len(queue):
+        while has_progress and queue:
             has_progress = self._place_next(queue, moment_s)
 
     def _place_next(self, queue: RequestQueue, moment_s: float) -> bool:
         """Resolve the first request that can be placed or has no server.
 
-        Returns False if all queued requests have to keep waiting.
+        Returns False if all queued requests have to keep waiting. Only the
+        first ones are tried: where these do not fit, the others rarely do.
         """
-        for pending in queue.in_service_order(moment_s):
+        first = itertools.islice(
+            queue.in_service_order(moment_s), _MAX_TRIED_PER_TURN
+        )
+        for pending in first:
             placement = self.placer.find_placement(pending.request)
             match placement:
                 case None if self._may_be_accepted_later(pending):
--- a/src/arbutusbay/node/_peer_reports.py
+++ b/src/arbutusbay/node/_peer_reports.py
@@ -43,7 +43,7 @@
         """Return this VM's state, without what only other VMs reported."""
         moment_s = now_s()
         views = self.node_state.engine_views.values()
-        occupancies = {view.id: view.local_occupancy() for view in views}
+        occupancies = {view.id: view.occupancy.local_total() for view in views}
         self.own_loads = _unexpired_loads(self.own_loads, moment_s)
         return PeerState(
             name=self.own_vm.name,
@@ -135,7 +135,7 @@
             if vm.zone == self.own_vm.zone
         }
         occupancies = {
-            view.id: view.occupancy_of(names, moment_s)
+            view.id: view.occupancy.total_of(names, moment_s)
             for view in self.node_state.engine_views.values()
         }
         totals_by_vm = [
--- a/src/arbutusbay/node/_peer_state_receiver.py
+++ b/src/arbutusbay/node/_peer_state_receiver.py
@@ -1,19 +1,25 @@
 """Apply the load reports received from other VMs."""
 
+from collections.abc import Iterable, Iterator, Mapping
+
 from arbutusbay.fleet import LeaseClaim, VMRegistration
 from arbutusbay.logs import get_logger
 from arbutusbay.node._clock import now_s
 from arbutusbay.node._lease import WEIGHTS_LEASE_NAME
 from arbutusbay.node._node_state import NodeState, ReceivedZoneLoad
 from arbutusbay.node._peer_messages import PeerState, ZoneLoad
-from arbutusbay.scheduling import EngineView, Occupancy, ReportedOccupancy
+from arbutusbay.scheduling import EngineView, Occupancy
 
 _LOG = get_logger('peers')
 _REMOTE_SUSPICION_S = 0.4
 
 
 class PeerStateReceiver:
-    """Apply the states that other VMs report to the shared state."""
+    """Apply the states that other VMs report to the shared state.
+
+    ``occupied_by_sender`` holds the engines that the last report of each VM
+    or zone named as occupied.
+    """
 
     def __init__(
         self, *, node_state: NodeState, own_vm: VMRegistration
@@ -21,6 +27,7 @@
         """Receive on behalf of this VM, ``own_vm``."""
         self.node_state = node_state
         self.own_vm = own_vm
+        self.occupied_by_sender: dict[str, frozenset[str]] = {}
 
     def apply_report(self, state: PeerState, address: str) -> None:
         """Apply one state, received from ``address`` (host and port)."""
@@ -32,10 +39,8 @@
             for zone, load in state.zones.items()
             if zone != self.own_vm.zone
         }
-        for view in self.node_state.engine_views.values():
-            occupancy = state.occupancy.get(view.id)
-            _store_occupancy(view, state.name, occupancy, moment_s)
-            self._apply_engine_report(view, state, moment_s)
+        self._store_occupancies(state.name, state.occupancy, moment_s)
+        self._apply_engine_reports(state, moment_s)
         for zone, load in other_zones.items():
             self._apply_zone_load(zone, load, moment_s)
 
@@ -68,24 +73,21 @@
         )
         self.node_state.catalog.update_claim(claim, state.fence, moment_s)
 
-    def _apply_engine_report(
-        self,
-        view: EngineView,
-        state: PeerState,
-        moment_s: float,
-    ) -> None:
-        if view.id in state.suspected_engines:
+    def _apply_engine_reports(self, state: PeerState, moment_s: float) -> None:
+        """Apply what ``state`` reports of engines beside their occupancy."""
+        for view in self._known_views(state.suspected_engines):
             view.unresponsive_until_s = moment_s + _REMOTE_SUSPICION_S
-        if state.leaving_engines.get(view.id) == view.incarnation:
-            view.is_leaving = True
-        load = state.loads.get(view.id)
-        if load is not None:
-            view.planned_load = load
+        for view in self._known_views(state.leaving_engines):
+            if state.leaving_engines[view.id] == view.incarnation:
+                view.is_leaving = True
+        for view in self._known_views(state.loads):
+            view.planned_load = state.loads[view.id]
             if state.zone != self.own_vm.zone:
                 self.node_state.remote_weights_loads[view.id] = view
-        loaded = state.weights.get(view.id)
-        if loaded is not None and loaded.incarnation == view.incarnation:
-            view.merge_weights(loaded.versions)
+        for view in self._known_views(state.weights):
+            loaded = state.weights[view.id]
+            if loaded.incarnation == view.incarnation:
+                view.merge_weights(loaded.versions)
 
     def _apply_zone_load(
         self,
@@ -96,20 +98,29 @@
         self.node_state.reported_zone_loads[zone] = ReceivedZoneLoad(
             load=load, received_at_s=moment_s
         )
-        for view in self.node_state.engine_views.values():
-            occupancy = load.occupancy.get(view.id)
-            _store_occupancy(view, zone, occupancy, moment_s)
+        self._store_occupancies(zone, load.occupancy, moment_s)
+
+    def _store_occupancies(
+        self,
+        sender: str,
+        occupancies: Mapping[str, Occupancy],
+        moment_s: float,
+    ) -> None:
+        """Replace the occupancies that ``sender`` reported before.
 
+        Only engines that one of the two reports names are touched: a report
+        names few of them, and reports are frequent.
+        """
+        before = self.occupied_by_sender.get(sender, frozenset())
+        self.occupied_by_sender[sender] = frozenset(occupancies)
+        for view in self._known_views(before | occupancies.keys()):
+            view.occupancy.record_report(
+                sender, occupancies.get(view.id), moment_s
+            )
 
-def _store_occupancy(
-    view: EngineView,
-    sender: str,
-    occupancy: Occupancy | None,
-    moment_s: float,
-) -> None:
-    if occupancy is None:
-        view.occupancy_by_sender.pop(sender, None)
-        return
-    view.occupancy_by_sender[sender] = ReportedOccupancy(
-        occupancy=occupancy, received_at_s=moment_s
-    )
+    def _known_views(self, names: Iterable[str]) -> Iterator[EngineView]:
+        views = self.node_state.engine_views
+        for name in names:
+            view = views.get(name)
+            if view is not None:
+                yield view
--- a/src/arbutusbay/node/_placer.py
+++ b/src/arbutusbay/node/_placer.py
@@ -4,6 +4,8 @@
 views of servers from the responses and failures of attempts.
 """
 
+from collections.abc import Mapping
+
 import attrs
 
 from arbutusbay.logs import get_logger
@@ -39,15 +41,28 @@
 _HIGHEST_PRIORITY = 0
 _LOWEST_PRIORITY = 9
 _MAX_REQUESTED_PAUSE_S = 3600.0
+_PARTITION_LIFETIME_S = 0.1
 _SHARED_CACHE_SCOPE = 'shared'
 
 
+@attrs.frozen(kw_only=True)
+class Partition:
+    """Hold the fraction of each engine that is for short prompts."""
+
+    computed_s: float
+    fractions: Mapping[str, float]
+
+
 class Placer:
-    """Choose backend servers and record the outcomes of attempts."""
+    """Choose backend servers and record the outcomes of attempts.
+
+    ``partitions`` holds the last partition of each service's engines.
+    """
 
     def __init__(self, *, node_state: NodeState) -> None:
         """Read and update the views of servers on ``node_state``."""
         self.node_state = node_state
+        self.partitions: dict[str, Partition] = {}
 
     def find_placement(self, request: PlacementRequest) -> Placement | None:
         """Return the best placement now, None if no server is eligible.
@@ -77,7 +92,7 @@
             attempt=Attempt(
                 sent_s=moment_s,
                 uncached_tokens=choice.uncached_tokens,
-                queued_ahead_tokens=choice.engine.occupancy(
+                queued_ahead_tokens=choice.engine.occupancy.total(
                     moment_s
                 ).uncached_tokens,
                 kv_tokens=size.kv_tokens,
@@ -117,12 +132,12 @@
     def commit(self, request: PlacementRequest, placement: Placement) -> None:
         """Count the attempt as in flight until ``release``."""
         self._log_placement(request, placement)
-        placement.view.open_attempts.add(placement.attempt)
+        placement.view.occupancy.open_attempt(placement.attempt)
         self.node_state.notify_report_changed()
 
     def release(self, placement: Placement) -> None:
         """Stop counting the attempt as in flight."""
-        placement.view.open_attempts.discard(placement.attempt)
+        placement.view.occupancy.close_attempt(placement.attempt)
         self.node_state.notify_report_changed()
 
     def record_load(self, view: EngineView, load: EngineLoad | None) -> None:
@@ -263,9 +278,8 @@
         placement_context = PlacementContext(
             own_zone=self.node_state.settings.zone,
             cache_capacity_tokens=incoming.service.kv_capacity_tokens,
-            short_prompt_fractions=short_prompt_fractions(
-                views,
-                self.node_state.short_prompt_share(),
+            short_prompt_fractions=self._short_prompt_fractions(
+                incoming.service.name, views, moment_s
             ),
             prefix_hit_saving=_PREFIX_SAVING_WITH_CACHE_STORE
             if self._cache_store_address()
@@ -282,12 +296,35 @@
             rng=self.node_state.rng,
         )
 
+    def _short_prompt_fractions(
+        self, service: str, views: list[EngineView], moment_s: float
+    ) -> Mapping[str, float]:
+        """Return the partition of the service's engines, kept for a moment.
+
+        It follows work that is averaged over seconds.
+        """
+        known = self.partitions.get(service)
+        is_outdated = (
+            known is None
+            or moment_s - known.computed_s > _PARTITION_LIFETIME_S
+            or len(known.fractions) != len(views)
+        )
+        if is_outdated:
+            known = Partition(
+                computed_s=moment_s,
+                fractions=short_prompt_fractions(
+                    views, self.node_state.short_prompt_share()
+                ),
+            )
+            self.partitions[service] = known
+        return known.fractions
+
     def _log_placement(
         self, request: PlacementRequest, placement: Placement
     ) -> None:
         view = placement.view
         moment_s = placement.attempt.sent_s
-        occupancy = view.occupancy(moment_s)
+        occupancy = view.occupancy.total(moment_s)
         _LOG.info(
             'placed',
             fields={
--- a/src/arbutusbay/node/_rollout.py
+++ b/src/arbutusbay/node/_rollout.py
@@ -63,11 +63,16 @@
             return
 
     def _check_interval_s(self) -> float:
-        return (
-            _POLL_INTERVAL_S
-            if self._outdated_by_model()
-            else _IDLE_CHECK_INTERVAL_S
-        )
+        """Return how long to wait for a change, in seconds.
+
+        It is short for the VM that has the lease or may claim it soon only.
+        """
+        if not self._outdated_by_model():
+            return _IDLE_CHECK_INTERVAL_S
+        due_in_s = self._takeover_rank() * _STANDBY_DELAY_S
+        if self.outdated_since_s is not None:
+            due_in_s -= now_s() - self.outdated_since_s
+        return min(_IDLE_CHECK_INTERVAL_S, max(_POLL_INTERVAL_S, due_in_s))
 
     def _outdated_by_model(self) -> dict[str, list[EngineView]]:
         outdated = {}
--- a/src/arbutusbay/node/_stream_relay.py
+++ b/src/arbutusbay/node/_stream_relay.py
@@ -188,7 +188,7 @@
 
     def _record_start(self, monitored: MonitoredAttempt) -> None:
         """Update the prefill time estimate from the first event."""
-        monitored.attempt.has_first_event = True
+        monitored.view.occupancy.record_first_event(monitored.attempt)
         self.executor.dependencies.dispatcher.record_first_event(
             monitored.attempt, monitored.view
         )
--- a/src/arbutusbay/scheduling/__init__.py
+++ b/src/arbutusbay/scheduling/__init__.py
@@ -1,13 +1,8 @@
 """Schedule requests and weights loads with functions free of I/O."""
 
 from arbutusbay.scheduling._engine_view import (
-    PEER_REPORT_TTL_S,
-    Attempt,
     EngineView,
-    Occupancy,
     PlannedWeightsLoad,
-    ReportedOccupancy,
-    sum_occupancies,
 )
 from arbutusbay.scheduling._lease_rules import (
     LeaseDurations,
@@ -17,6 +12,12 @@
     fencing_token,
     is_claim_valid,
 )
+from arbutusbay.scheduling._occupancy import (
+    PEER_REPORT_TTL_S,
+    Attempt,
+    Occupancy,
+    OccupancyTracker,
+)
 from arbutusbay.scheduling._outcomes import (
     AttemptCounts,
     AttemptOutcome,
@@ -84,13 +85,13 @@
     'ObservedClaim',
     'ObservedEra',
     'Occupancy',
+    'OccupancyTracker',
     'PeerRead',
     'PlacementContext',
     'PlannedWeightsLoad',
     'QueuedRequest',
     'RecentWork',
     'ReportRecipients',
-    'ReportedOccupancy',
     'RequestQueue',
     'RetryAction',
     'RetryBudget',
@@ -116,6 +117,5 @@
     'short_prompt_fractions',
     'short_prompt_share',
     'source_name',
-    'sum_occupancies',
     'was_certainly_not_executed',
 )
--- a/src/arbutusbay/scheduling/_engine_view.py
+++ b/src/arbutusbay/scheduling/_engine_view.py
@@ -4,55 +4,19 @@
 and the reports of other VMs.
 """
 
-from collections.abc import Container, Iterable, Mapping
+from collections.abc import Mapping
 
 import attrs
 
+from arbutusbay.scheduling._occupancy import OccupancyTracker
+
 _BACKOFF_BASE_S = 0.3
 _MAX_BACKOFF_S = 4.0
 _MAX_REPORT_AGE_S = 1.0
-PEER_REPORT_TTL_S = 3.0
 _ERROR_SMOOTHING = 0.15
 _ERROR_RATE_HALF_LIFE_S = 4.0
 
 
-@attrs.define(kw_only=True, eq=False)
-class Attempt:
-    """Describe an attempt in flight that this VM sent to a backend server.
-
-    ``uncached_tokens`` is the number of prompt tokens that the engine prefills
-    before the first event, after the ``queued_ahead_tokens`` of earlier
-    attempts. ``kv_tokens`` occupy the engine's KV cache until the attempt
-    ends. ``has_first_event`` is set when the first event arrives.
-    """
-
-    sent_s: float
-    uncached_tokens: int = 0
-    queued_ahead_tokens: int = 0
-    kv_tokens: int = 0
-    has_first_event: bool = False
-
-
-@attrs.frozen(kw_only=True)
-class Occupancy:
-    """Total the attempts in flight at one engine.
-
-    ``uncached_tokens`` counts only attempts without a first event.
-    """
-
-    attempts: int = 0
-    uncached_tokens: int = 0
-    kv_tokens: int = 0
-
-
-@attrs.frozen(kw_only=True)
-class ReportedOccupancy:
-    """Hold the occupancy that a VM or zone reported, and when it arrived."""
-
-    occupancy: Occupancy
-    received_at_s: float
-
-
 @attrs.frozen(kw_only=True)
 class PlannedWeightsLoad:
     """Describe a planned load of a weights version into an engine.
@@ -94,8 +58,7 @@
     running. ``slowdown`` is the reported factor by which processing takes
     longer than normal, ``min_slowdown`` the lowest factor reported so far.
     ``weights_changed_s`` is when a response last named a version that differed
-    from the known one. ``open_attempts`` holds this VM's attempts in flight,
-    ``occupancy_by_sender`` the occupancy reported by each other VM or zone.
+    from the known one. ``occupancy`` tracks the attempts in flight of all VMs.
     ``consecutive_failures`` counts consecutive failures; the server is in
     backoff until ``backoff_until_s``. ``locally_suspected_until_s`` is how
     long this VM suspects the server to be unresponsive;
@@ -121,10 +84,7 @@
     weights_changed_s: float = float('-inf')
     load_reported_s: float = 0.0
     running_requests: int = 0
-    open_attempts: set[Attempt] = attrs.field(factory=set)
-    occupancy_by_sender: dict[str, ReportedOccupancy] = attrs.field(
-        factory=dict
-    )
+    occupancy: OccupancyTracker = attrs.field(factory=OccupancyTracker)
     consecutive_failures: int = 0
     backoff_until_s: float = 0.0
     locally_suspected_until_s: float = 0.0
@@ -239,39 +199,6 @@
             else reported
         )
 
-    def local_occupancy(self) -> Occupancy:
-        """Return the total of this VM's attempts in flight."""
-        return Occupancy(
-            attempts=len(self.open_attempts),
-            uncached_tokens=sum(
-                attempt.uncached_tokens
-                for attempt in self.open_attempts
-                if not attempt.has_first_event
-            ),
-            kv_tokens=sum(attempt.kv_tokens for attempt in self.open_attempts),
-        )
-
-    def occupancy(self, now_s: float) -> Occupancy:
-        """Return the total of this VM and of all recent peer reports."""
-        return self.occupancy_of(self.occupancy_by_sender, now_s)
-
-    def occupancy_of(self, names: Container[str], now_s: float) -> Occupancy:
-        """Return the total of this VM and of the peer reports from ``names``.
-
-        Reports older than ``PEER_REPORT_TTL_S`` do not count.
-        """
-        return sum_occupancies(
-            [
-                self.local_occupancy(),
-                *(
-                    report.occupancy
-                    for name, report in self.occupancy_by_sender.items()
-                    if name in names
-                    and now_s - report.received_at_s < PEER_REPORT_TTL_S
-                ),
-            ],
-        )
-
     def current_slowdown(self, now_s: float) -> float:
         """Return the slowdown, estimated from the last report.
 
@@ -280,13 +207,3 @@
         age_s = now_s - self.load_reported_s
         weight = max(0.0, 1 - age_s / _MAX_REPORT_AGE_S)
         return self.min_slowdown + weight * (self.slowdown - self.min_slowdown)
-
-
-def sum_occupancies(parts: Iterable[Occupancy]) -> Occupancy:
-    """Return the total of ``parts``."""
-    occupancies = list(parts)
-    return Occupancy(
-        attempts=sum(part.attempts for part in occupancies),
-        uncached_tokens=sum(part.uncached_tokens for part in occupancies),
-        kv_tokens=sum(part.kv_tokens for part in occupancies),
-    )
--- /dev/null
+++ b/src/arbutusbay/scheduling/_occupancy.py
@@ -0,0 +1,148 @@
+"""Track the attempts in flight at one backend server, of all VMs."""
+
+from collections.abc import Container, Iterable
+
+import attrs
+
+PEER_REPORT_TTL_S = 3.0
+
+
+@attrs.define(kw_only=True, eq=False)
+class Attempt:
+    """Describe an attempt in flight that this VM sent to a backend server.
+
+    ``uncached_tokens`` is the number of prompt tokens that the engine prefills
+    before the first event, after the ``queued_ahead_tokens`` of earlier
+    attempts. ``kv_tokens`` occupy the engine's KV cache until the attempt
+    ends. ``has_first_event`` is set when the first event arrives.
+    """
+
+    sent_s: float
+    uncached_tokens: int = 0
+    queued_ahead_tokens: int = 0
+    kv_tokens: int = 0
+    has_first_event: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class Occupancy:
+    """Total the attempts in flight at one engine.
+
+    ``uncached_tokens`` counts only attempts without a first event.
+    """
+
+    attempts: int = 0
+    uncached_tokens: int = 0
+    kv_tokens: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class ReportedOccupancy:
+    """Hold the occupancy that a VM or zone reported, and when it arrived."""
+
+    occupancy: Occupancy
+    received_at_s: float
+
+
+@attrs.define(kw_only=True, eq=False)
+class OccupancyTracker:
+    """Add up the attempts of this VM and those that other VMs report.
+
+    ``open_attempts`` holds this VM's attempts in flight, ``reports_by_sender``
+    the reports of each other VM or zone. ``known_total`` is the last total,
+    None after a change.
+    """
+
+    open_attempts: set[Attempt] = attrs.field(factory=set)
+    reports_by_sender: dict[str, ReportedOccupancy] = attrs.field(factory=dict)
+    known_total: Occupancy | None = None
+    known_total_expires_s: float = float('-inf')
+
+    def open_attempt(self, attempt: Attempt) -> None:
+        """Count an attempt of this VM as in flight."""
+        self.open_attempts.add(attempt)
+        self.known_total = None
+
+    def close_attempt(self, attempt: Attempt) -> None:
+        """Stop counting an attempt of this VM."""
+        self.open_attempts.discard(attempt)
+        self.known_total = None
+
+    def record_first_event(self, attempt: Attempt) -> None:
+        """Record that the engine has prefilled the prompt of an attempt."""
+        attempt.has_first_event = True
+        self.known_total = None
+
+    def record_report(
+        self, sender: str, occupancy: Occupancy | None, now_s: float
+    ) -> None:
+        """Replace the occupancy that ``sender`` reported, None for none."""
+        self.known_total = None
+        if occupancy is None:
+            self.reports_by_sender.pop(sender, None)
+            return
+        self.reports_by_sender[sender] = ReportedOccupancy(
+            occupancy=occupancy, received_at_s=now_s
+        )
+
+    def local_total(self) -> Occupancy:
+        """Return the total of this VM's attempts in flight."""
+        return Occupancy(
+            attempts=len(self.open_attempts),
+            uncached_tokens=sum(
+                attempt.uncached_tokens
+                for attempt in self.open_attempts
+                if not attempt.has_first_event
+            ),
+            kv_tokens=sum(attempt.kv_tokens for attempt in self.open_attempts),
+        )
+
+    def total(self, now_s: float) -> Occupancy:
+        """Return the total of this VM and of all recent peer reports.
+
+        The total is kept until an attempt, a report or the age of a report
+        changes it, because a placement compares all engines.
+        """
+        known = self.known_total
+        if known is None or now_s >= self.known_total_expires_s:
+            known = self.total_of(self.reports_by_sender, now_s)
+            self.known_total = known
+            self.known_total_expires_s = self._next_report_expiry_s(now_s)
+        return known
+
+    def total_of(self, names: Container[str], now_s: float) -> Occupancy:
+        """Return the total of this VM and of the peer reports from ``names``.
+
+        Reports older than ``PEER_REPORT_TTL_S`` do not count.
+        """
+        return sum_occupancies(
+            [
+                self.local_total(),
+                *(
+                    report.occupancy
+                    for name, report in self.reports_by_sender.items()
+                    if name in names
+                    and now_s - report.received_at_s < PEER_REPORT_TTL_S
+                ),
+            ],
+        )
+
+    def _next_report_expiry_s(self, now_s: float) -> float:
+        return min(
+            (
+                report.received_at_s + PEER_REPORT_TTL_S
+                for report in self.reports_by_sender.values()
+                if now_s - report.received_at_s < PEER_REPORT_TTL_S
+            ),
+            default=float('inf'),
+        )
+
+
+def sum_occupancies(parts: Iterable[Occupancy]) -> Occupancy:
+    """Return the total of ``parts``."""
+    occupancies = list(parts)
+    return Occupancy(
+        attempts=sum(part.attempts for part in occupancies),
+        uncached_tokens=sum(part.uncached_tokens for part in occupancies),
+        kv_tokens=sum(part.kv_tokens for part in occupancies),
+    )
--- a/src/arbutusbay/scheduling/_placement.py
+++ b/src/arbutusbay/scheduling/_placement.py
@@ -11,7 +11,8 @@
 import attrs
 
 from arbutusbay.hashing import rank_by_rendezvous_hash
-from arbutusbay.scheduling._engine_view import EngineView, Occupancy
+from arbutusbay.scheduling._engine_view import EngineView
+from arbutusbay.scheduling._occupancy import Occupancy
 from arbutusbay.scheduling._prompt_length_partition import is_long_prompt
 
 _AFFINITY_REPLICAS = 2
@@ -191,7 +192,7 @@
 
 
 def _server_cost(engine: EngineView, now_s: float) -> float:
-    attempts = engine.occupancy(now_s).attempts
+    attempts = engine.occupancy.total(now_s).attempts
     excess = max(0, attempts - engine.slots + 1)
     errors = 1 + _ERROR_RATE_COST_FACTOR * engine.current_error_rate(now_s)
     load = 1 + attempts / max(1, engine.slots) + excess
@@ -210,7 +211,7 @@
             request_size.shared_prefix_tokens
             * placement_context.prefix_hit_saving
         )
-    occupancy = engine.occupancy(placement_context.now_s)
+    occupancy = engine.occupancy.total(placement_context.now_s)
     slowdown = engine.current_slowdown(placement_context.now_s)
     tokens = occupancy.uncached_tokens + uncached_tokens
     # An engine without queued prefill accepts a prompt of any length.
--- a/src/arbutusbay/scheduling/_rollout_plan.py
+++ b/src/arbutusbay/scheduling/_rollout_plan.py
@@ -136,6 +136,6 @@
     announced_at_s = state.announced_at_s.get(engine.id)
     if announced_at_s is None:
         return False
-    if not engine.occupancy(state.now_s).attempts:
+    if not engine.occupancy.total(state.now_s).attempts:
         return True
     return state.now_s - announced_at_s >= WEIGHTS_LOAD_NOTICE_S
--- a/tests/fleet_fakes.py
+++ b/tests/fleet_fakes.py
@@ -1,4 +1,4 @@
-"""Fake the platform's store inside the process of a test."""
+"""Fake the clock and the platform's store inside the process of a test."""
 
 import attrs
 from result import Ok
@@ -6,6 +6,17 @@
 from arbutusbay.platform import KeyedRecord, LatestRecords, ReadPage
 
 
+@attrs.define(kw_only=True)
+class FakeClock:
+    """Return ``moment_s``, which the test advances, as the present time."""
+
+    moment_s: float = 100.0
+
+    def __call__(self) -> float:
+        """Return the present time in seconds."""
+        return self.moment_s
+
+
 @attrs.define(kw_only=True)
 class ScriptedStore:
     """Return prepared results; ``calls`` names the reads in their order.
--- a/tests/unit/test_engine_placement.py
+++ b/tests/unit/test_engine_placement.py
@@ -6,6 +6,7 @@
 import pytest
 
 from arbutusbay.scheduling import (
+    PEER_REPORT_TTL_S,
     Attempt,
     EngineView,
     ModelRequestSize,
@@ -13,7 +14,6 @@
     PlacementContext,
     PlannedWeightsLoad,
     RecentWork,
-    ReportedOccupancy,
     WorkTotals,
     choose_model_engine,
     choose_plain_server,
@@ -86,7 +86,7 @@
 
 def add_attempts(view: EngineView, uncached: int, count: int = 1) -> None:
     for _ in range(count):
-        view.open_attempts.add(
+        view.occupancy.open_attempt(
             Attempt(
                 sent_s=NOW_S,
                 uncached_tokens=uncached,
@@ -113,16 +113,33 @@
 
 def test_peer_attempts_count_until_their_report_expires():
     views = build_views(2)
-    views[0].occupancy_by_sender['vm-1'] = ReportedOccupancy(
-        occupancy=Occupancy(attempts=3, uncached_tokens=40_000),
-        received_at_s=NOW_S - 1,
+    views[0].occupancy.record_report(
+        'vm-1', Occupancy(attempts=3, uncached_tokens=40_000), NOW_S - 1
     )
     assert choose(views).engine.id == views[1].id
-    views[0].occupancy_by_sender['vm-1'] = ReportedOccupancy(
-        occupancy=Occupancy(attempts=3, uncached_tokens=40_000),
-        received_at_s=NOW_S - 10,
+    views[0].occupancy.record_report(
+        'vm-1', Occupancy(attempts=3, uncached_tokens=40_000), NOW_S - 10
     )
-    assert views[0].occupancy(NOW_S).attempts == 0
+    assert views[0].occupancy.total(NOW_S).attempts == 0
+
+
+def test_total_of_an_engine_follows_each_change():
+    view = build_views(1)[0]
+    attempt = Attempt(sent_s=NOW_S, uncached_tokens=700, kv_tokens=900)
+    view.occupancy.open_attempt(attempt)
+    reported = Occupancy(attempts=2, uncached_tokens=50, kv_tokens=60)
+    view.occupancy.record_report('vm-1', reported, NOW_S)
+    assert view.occupancy.total(NOW_S) == Occupancy(
+        attempts=3, uncached_tokens=750, kv_tokens=960
+    )
+    view.occupancy.record_first_event(attempt)
+    assert view.occupancy.total(NOW_S).uncached_tokens == 50
+    view.occupancy.close_attempt(attempt)
+    assert view.occupancy.total(NOW_S) == reported
+    # No event announces that a report has become too old.
+    assert view.occupancy.total(NOW_S + PEER_REPORT_TTL_S) == Occupancy()
+    view.occupancy.record_report('vm-1', None, NOW_S)
+    assert view.occupancy.total(NOW_S) == Occupancy()
 
 
 def test_no_capacity_if_the_first_event_would_be_late():
--- a/tests/unit/test_report_recipients.py
+++ b/tests/unit/test_report_recipients.py
@@ -5,7 +5,12 @@
 import pytest
 
 from arbutusbay.fleet import VMRegistration
-from arbutusbay.node._clock import now_s
+from arbutusbay.node import (
+    _node_state,
+    _peer_channel,
+    _peer_reports,
+    _peer_state_receiver,
+)
 from arbutusbay.node._node_state import NodeState
 from arbutusbay.node._peer_channel import PeerChannel
 from arbutusbay.node._peer_messages import (
@@ -19,10 +24,26 @@
     choose_report_recipients,
 )
 from tests.fleet_builders import build_vm_settings
+from tests.fleet_fakes import FakeClock
 
 _ZONES = ('plateau', 'hann', 'rufisque')
 _ENGINE = 'engine-0'
 _LINK_BYTES_PER_S = 5_000_000 / 8
+_ROUND_S = 0.1
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    """Return the clock that all channels of a network read."""
+    fake = FakeClock()
+    for module in (
+        _node_state,
+        _peer_channel,
+        _peer_reports,
+        _peer_state_receiver,
+    ):
+        monkeypatch.setattr(module, 'now_s', fake)
+    return fake
 
 
 def build_vms(count: int) -> dict[str, VMRegistration]:
@@ -76,8 +97,9 @@
 class Network:
     """Simulate the network between the peer channels of one process."""
 
-    def __init__(self, vms):
-        """Open a channel for each of ``vms``."""
+    def __init__(self, vms, clock):
+        """Open a channel for each of ``vms``, which read ``clock``."""
+        self.clock = clock
         self.sent = 0
         self.bytes_by_sender = Counter()
         self.channels = {vm.address: self.open(vm, vms) for vm in vms.values()}
@@ -92,7 +114,11 @@
         return channel
 
     def send_all_reports(self) -> None:
-        """Let each VM send once, with its rate limits expired."""
+        """Let each VM send once, with its rate limits expired.
+
+        A round takes ``_ROUND_S`` seconds.
+        """
+        self.clock.moment_s += _ROUND_S
         for channel in self.channels.values():
             for schedule in (
                 channel.zone_peer_schedule,
@@ -155,18 +181,18 @@
         assert len(all_recipients) == len(recipients) - 1
 
 
-def test_remote_load_is_counted_once_and_removed_again():
-    network = Network(build_vms(60))
+def test_remote_load_is_counted_once_and_removed_again(clock):
+    network = Network(build_vms(60), clock)
     network.send_all_reports()
     sender = network.channels['127.0.0.1:1']
     attempt = Attempt(sent_s=0, uncached_tokens=500, kv_tokens=700)
-    sender.node_state.engine_views[_ENGINE].open_attempts.add(attempt)
+    sender.node_state.engine_views[_ENGINE].occupancy.open_attempt(attempt)
     for _ in range(3):
         network.send_all_reports()
     for channel in network.channels.values():
         assert _occupancy(channel).attempts == 1
         assert _occupancy(channel).uncached_tokens == 500
-    sender.node_state.engine_views[_ENGINE].open_attempts.clear()
+    sender.node_state.engine_views[_ENGINE].occupancy.close_attempt(attempt)
     for _ in range(3):
         network.send_all_reports()
     assert not any(
@@ -174,17 +200,17 @@
     )
 
 
-def test_messages_per_vm_are_bounded_by_the_zone_size():
-    network = Network(build_vms(150))
+def test_messages_per_vm_are_bounded_by_the_zone_size(clock):
+    network = Network(build_vms(150), clock)
     network.send_all_reports()
     for channel in network.channels.values():
-        channel.node_state.engine_views[_ENGINE].open_attempts.add(
+        channel.node_state.engine_views[_ENGINE].occupancy.open_attempt(
             Attempt(sent_s=0)
         )
     network.send_all_reports()
     network.sent = 0
     for channel in network.channels.values():
-        channel.node_state.engine_views[_ENGINE].open_attempts.add(
+        channel.node_state.engine_views[_ENGINE].occupancy.open_attempt(
             Attempt(sent_s=0)
         )
     network.send_all_reports()
@@ -192,11 +218,11 @@
     assert messages_per_vm < 60
 
 
-def test_planned_weights_loads_reach_every_vm():
-    network = Network(build_vms(60))
+def test_planned_weights_loads_reach_every_vm(clock):
+    network = Network(build_vms(60), clock)
     network.send_all_reports()
     leader = network.channels['127.0.0.1:1']
-    moment_s = now_s()
+    moment_s = clock.moment_s
     leader.report_builder.announce_load(
         leader.node_state.engine_views[_ENGINE],
         build_load(moment_s + 5),
@@ -209,15 +235,15 @@
         )
 
 
-def test_zone_totals_survive_serialization():
-    network = Network(build_vms(60))
+def test_zone_totals_survive_serialization(clock):
+    network = Network(build_vms(60), clock)
     network.send_all_reports()
     aggregator = next(
         channel
         for channel in network.channels.values()
         if channel.recipients.is_aggregator
     )
-    aggregator.node_state.engine_views[_ENGINE].open_attempts.add(
+    aggregator.node_state.engine_views[_ENGINE].occupancy.open_attempt(
         Attempt(sent_s=0, uncached_tokens=9),
     )
     report = aggregator.report_builder.aggregator_report(
@@ -232,17 +258,18 @@
 
 
 def _occupancy(channel: PeerChannel):
-    return channel.node_state.engine_views[_ENGINE].occupancy(now_s())
+    moment_s = _peer_channel.now_s()
+    return channel.node_state.engine_views[_ENGINE].occupancy.total(moment_s)
 
 
-def test_rollout_reports_fit_the_bandwidth_of_the_leader():
-    network = Network(build_vms(136))
+def test_rollout_reports_fit_the_bandwidth_of_the_leader(clock):
+    network = Network(build_vms(136), clock)
     for channel in network.channels.values():
         channel.node_state.engine_views.update(build_views(30))
     network.send_all_reports()
     leader = network.channels['127.0.0.1:1']
     network.bytes_by_sender.clear()
-    moment_s = now_s()
+    moment_s = clock.moment_s
     for number, view in enumerate(leader.node_state.engine_views.values()):
         start_s = moment_s + number / 10
         leader.report_builder.announce_load(view, build_load(start_s))
--- a/tests/unit/test_server_registry.py
+++ b/tests/unit/test_server_registry.py
@@ -11,6 +11,7 @@
 from arbutusbay.node import _server_registry
 from arbutusbay.node._node_state import Freshness, NodeState
 from arbutusbay.node._server_registry import ServerRegistry
+from tests.fleet_fakes import FakeClock
 
 SERVER = BackendServer(
     id='engine-1',
@@ -25,14 +26,6 @@
 )
 
 
-@attrs.define
-class FakeClock:
-    moment_s: float = 100.0
-
-    def __call__(self) -> float:
-        return self.moment_s
-
-
 @pytest.fixture
 def clock(monkeypatch):
     fake = FakeClock()
