Learn how long a weights load takes and keep assumptions apart from facts

Loads took 1.31 to 1.35 s until reported; all VMs believed them done after 0.62 s, a constant.

Ruled out: unheard announcements as the main cause: the rejections lie between 0.62 s and 1.3 s after each order.

Change: the leader measures loads and announces that time, others take it over; a 421 or 503 right after the expected end means that the load goes on; an assumption is kept apart from what responses and reports named, is never older than that, and is not told to others; a server that rejects is avoided for 0.15 s if there are others.

--- a/src/arbutusbay/fleet/_catalog.py
+++ b/src/arbutusbay/fleet/_catalog.py
@@ -47,6 +47,13 @@
             for target in (*self.previous_targets, self)
         )
 
+    def named_versions(self) -> tuple[int, ...]:
+        """Return this version and the previous ones, newest first."""
+        return (
+            self.version,
+            *(target.version for target in reversed(self.previous_targets)),
+        )
+
 
 @attrs.frozen(kw_only=True)
 class LeaseState:
--- a/src/arbutusbay/node/_node_state.py
+++ b/src/arbutusbay/node/_node_state.py
@@ -15,6 +15,7 @@
 from arbutusbay.scheduling import (
     PEER_REPORT_TTL_S,
     EngineView,
+    LoadDuration,
     ObservedEra,
     RecentWork,
     RetryBudget,
@@ -102,6 +103,7 @@
         retry_budgets: Retry budgets by service.
         prefill_s_per_token: Prefill time of an engine per prompt token, in
             seconds.
+        load_duration: Time that an engine takes to load weights.
         recent_work: Recent work that this VM dispatched, by prompt length.
         peer_work_totals: The same as last reported by each other VM.
         state_changed: Set when the catalog or the set of engines changes.
@@ -128,6 +130,7 @@
     retry_budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
     rng: random.Random = attrs.field(factory=random.Random)
     prefill_s_per_token: float = 0.00002
+    load_duration: LoadDuration = attrs.field(factory=LoadDuration)
     recent_work: RecentWork = attrs.field(factory=RecentWork)
     peer_work_totals: dict[str, WorkTotals] = attrs.field(factory=dict)
     state_changed: asyncio.Event = attrs.field(factory=asyncio.Event)
--- a/src/arbutusbay/node/_peer_state_receiver.py
+++ b/src/arbutusbay/node/_peer_state_receiver.py
@@ -81,7 +81,12 @@
             if state.leaving_engines[view.id] == view.incarnation:
                 view.is_leaving = True
         for view in self._known_views(state.loads):
-            view.planned_load = state.loads[view.id]
+            load = state.loads[view.id]
+            view.planned_load = load
+            if load.is_upcoming(moment_s):
+                self.node_state.load_duration.adopt(
+                    load.finish_s - load.start_s
+                )
             if state.zone != self.own_vm.zone:
                 self.node_state.remote_weights_loads[view.id] = view
         for view in self._known_views(state.weights):
--- a/src/arbutusbay/node/_placer.py
+++ b/src/arbutusbay/node/_placer.py
@@ -186,8 +186,8 @@
         If another instance answers at the address, or no weights version
         was expected, the server is avoided for a while. Otherwise its
         weights differ from the expected ones, for example because a load
-        order was executed late. The operator's target version is expected
-        next, or the registered version if the target was the one rejected.
+        takes longer. Another version is expected next; if none is left, the
+        server is avoided as well.
         """
         view = placement.view
         expected = placement.attempt_headers.weights_version
@@ -196,28 +196,33 @@
             view.record_failure(now_s())
             return
         target = self.node_state.catalog.targets.get(model)
-        registered = self.node_state.catalog.servers.get(view.id)
-        next_expected = target.version if target else expected
-        if next_expected == expected and registered is not None:
-            next_expected = registered.weights.get(model, expected)
-        view.planned_load = None
-        self.record_weights(view, model, next_expected)
+        named_versions = target.named_versions() if target else ()
+        next_expected = view.refuse_version(
+            model, expected, named_versions, now_s()
+        )
+        if next_expected is None:
+            view.record_failure(now_s())
         _LOG.info(
             'weights expected anew',
             fields={
                 'server': view.id,
                 'before': expected,
                 'now': next_expected,
+                'known': view.weights.get(model),
+                'is_loading': view.is_loading_weights(now_s()),
             },
         )
 
     def record_failure(self, view: EngineView, outcome: AttemptOutcome) -> None:
         """Avoid a backend server after a failed attempt.
 
-        A rejection has no effect, and a server error only raises the error
-        rate of the server.
+        After a rejection it is only avoided for a moment; a load of weights
+        that should have ended takes longer, then. A server error only raises
+        the error rate of the server.
         """
         if outcome is AttemptOutcome.REJECTED:
+            view.postpone_load(now_s())
+            view.record_rejection(now_s())
             return
         if outcome is AttemptOutcome.RAN_AND_FAILED:
             view.record_result(1, now_s())
--- a/src/arbutusbay/node/_weights_loader.py
+++ b/src/arbutusbay/node/_weights_loader.py
@@ -24,8 +24,7 @@
 _LOG = get_logger('loads')
 _CALL_TIMEOUT_S = 0.4
 _POLL_INTERVAL_S = 0.05
-_FIRST_POLL_DELAY_S = 0.55
-_EXPECTED_LOAD_S = 0.62
+_MIN_REPORT_LAG_S = 0.05
 _MAX_REPORT_LAG_S = 0.35
 _LOAD_EXTENSION_S = 0.4
 _LOAD_TIMEOUT_S = 3.0
@@ -79,7 +78,8 @@
 
     def announce(self, load: WeightsLoad, notice_s: float) -> None:
         """Announce that an engine loads weights in ``notice_s`` seconds."""
-        self._publish_load(load, now_s() + notice_s, _EXPECTED_LOAD_S)
+        duration_s = self.node_state.load_duration.estimate_s
+        self._publish_load(load, now_s() + notice_s, duration_s)
 
     async def run_load(self, load: WeightsLoad) -> None:
         """Order one load and wait until it has finished or failed."""
@@ -104,10 +104,16 @@
         fence = self.lease.valid_fence()
         if fence is None or self._is_done(progress):
             return
-        self._publish_load(progress.load, now_s(), _EXPECTED_LOAD_S)
+        progress.started_s = now_s()
+        duration_s = self.node_state.load_duration.estimate_s
+        self._publish_load(progress.load, progress.started_s, duration_s)
         outcome = await self._send_order(progress, fence)
         if outcome in {LoadOrderResult.ACCEPTED, LoadOrderResult.ALREADY_DONE}:
             await self._await_loaded(progress)
+            if outcome is LoadOrderResult.ACCEPTED and self._is_done(progress):
+                self.node_state.load_duration.record_load(
+                    now_s() - progress.started_s
+                )
             return
         self._discard_order_count(engine)
         if outcome is LoadOrderResult.UNKNOWN:
@@ -159,14 +165,15 @@
             await self._await_loaded(progress)
 
     async def _await_loaded(self, progress: LoadProgress) -> None:
-        await asyncio.sleep(_FIRST_POLL_DELAY_S)
+        expected_s = self.node_state.load_duration.estimate_s
+        await asyncio.sleep(expected_s + _MIN_REPORT_LAG_S)
         while now_s() - progress.started_s < _LOAD_TIMEOUT_S:
             if self._is_done(progress):
                 return
             await self._fetch_report(progress)
             if self._is_done(progress):
                 return
-            self._extend_announcement(progress.load)
+            self._extend_announcement(progress)
             await asyncio.sleep(_POLL_INTERVAL_S)
 
     async def _fetch_report(
@@ -226,14 +233,18 @@
         )
         self.report_builder.announce_load(load.engine, announced)
 
-    def _extend_announcement(self, load: WeightsLoad) -> None:
+    def _extend_announcement(self, progress: LoadProgress) -> None:
         """Announce a later end if the load takes longer than expected."""
+        load = progress.load
         announced = load.engine.planned_load
         if (
             announced is None
             or now_s() > announced.finish_s + _MAX_REPORT_LAG_S
         ):
-            self._publish_load(load, now_s(), _LOAD_EXTENSION_S)
+            elapsed_s = now_s() - progress.started_s
+            self._publish_load(
+                load, progress.started_s, elapsed_s + _LOAD_EXTENSION_S
+            )
 
     def _defer_engine(self, engine: EngineView) -> None:
         """Let other engines load before this one is retried."""
--- a/src/arbutusbay/scheduling/__init__.py
+++ b/src/arbutusbay/scheduling/__init__.py
@@ -12,6 +12,7 @@
     fencing_token,
     is_claim_valid,
 )
+from arbutusbay.scheduling._load_duration import LoadDuration
 from arbutusbay.scheduling._occupancy import (
     PEER_REPORT_TTL_S,
     Attempt,
@@ -80,6 +81,7 @@
     'EngineChoice',
     'EngineView',
     'LeaseDurations',
+    'LoadDuration',
     'LoadSchedule',
     'ModelRequestSize',
     'ObservedClaim',
--- a/src/arbutusbay/scheduling/_engine_view.py
+++ b/src/arbutusbay/scheduling/_engine_view.py
@@ -4,13 +4,15 @@
 and the reports of other VMs.
 """
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 
 import attrs
 
 from arbutusbay.scheduling._occupancy import OccupancyTracker
 
 _BACKOFF_BASE_S = 0.3
+_REJECTION_PAUSE_S = 0.15
+_LOAD_POSTPONEMENT_S = 0.2
 _MAX_BACKOFF_S = 4.0
 _MAX_REPORT_AGE_S = 1.0
 _ERROR_SMOOTHING = 0.15
@@ -58,7 +60,10 @@
     running. ``slowdown`` is the reported factor by which processing takes
     longer than normal, ``min_slowdown`` the lowest factor reported so far.
     ``weights_changed_s`` is when a response last named a version that differed
-    from the known one. ``occupancy`` tracks the attempts in flight of all VMs.
+    from the known one. ``assumed_weights`` holds the versions that replace
+    ``weights`` in expectations after an engine refused these, and
+    ``refused_versions`` those refused since ``weights`` changed. ``occupancy``
+    tracks the attempts in flight of all VMs.
     ``consecutive_failures`` counts consecutive failures; the server is in
     backoff until ``backoff_until_s``. ``locally_suspected_until_s`` is how
     long this VM suspects the server to be unresponsive;
@@ -82,6 +87,8 @@
     slowdown: float = 1.0
     min_slowdown: float = 1.0
     weights_changed_s: float = float('-inf')
+    assumed_weights: dict[str, int] = attrs.field(factory=dict)
+    refused_versions: dict[str, frozenset[int]] = attrs.field(factory=dict)
     load_reported_s: float = 0.0
     running_requests: int = 0
     occupancy: OccupancyTracker = attrs.field(factory=OccupancyTracker)
@@ -119,6 +126,8 @@
             if version > self.weights.get(model, -1)
         }
         self.weights.update(newer)
+        for model in newer:
+            self._drop_assumption(model)
         return bool(newer)
 
     def set_weights_version(
@@ -128,10 +137,60 @@
         now_s: float,
     ) -> None:
         """Set the version that a response named, even if it is older."""
+        self._drop_assumption(model)
         if self.weights.get(model) != version:
             self.weights[model] = version
             self.weights_changed_s = now_s
 
+    def refuse_version(
+        self,
+        model: str,
+        version: int,
+        named_versions: Sequence[int],
+        now_s: float,
+    ) -> int | None:
+        """Record that the engine does not run ``version``.
+
+        If that version should just have been loaded, the load takes longer.
+        Otherwise the engine runs another one of ``named_versions``, which the
+        operator named, newest first. Return the version to expect next, None
+        if all of them were refused.
+        """
+        if self.postpone_load(now_s) and self.planned_load.version == version:
+            return self.weights.get(model)
+        refused = self.refused_versions.get(model, frozenset()) | {version}
+        known = self.weights.get(model, 0)
+        candidates = [
+            named
+            for named in (*named_versions, known)
+            if named >= known and named not in refused
+        ]
+        if not candidates:
+            self._drop_assumption(model)
+            return None
+        self.refused_versions[model] = refused
+        self.assumed_weights[model] = candidates[0]
+        return candidates[0]
+
+    def postpone_load(self, now_s: float) -> bool:
+        """Expect a load that should have ended recently to go on.
+
+        Return whether there is one.
+        """
+        load = self.planned_load
+        if load is None or not load.ended_recently(now_s):
+            return False
+        self.planned_load = attrs.evolve(
+            load, finish_s=now_s + _LOAD_POSTPONEMENT_S
+        )
+        return True
+
+    def record_rejection(self, now_s: float) -> None:
+        """Prefer other servers for a moment after a rejected attempt."""
+        self.backoff_until_s = max(
+            self.backoff_until_s, now_s + _REJECTION_PAUSE_S
+        )
+
     def record_failure(self, now_s: float) -> float:
         """Start a backoff that doubles with each consecutive failure.
 
@@ -189,7 +248,7 @@
 
     def expected_weights(self, model: str, now_s: float) -> int | None:
         """Return the version that the engine is assumed to run, or None."""
-        reported = self.weights.get(model)
+        reported = self.assumed_weights.get(model, self.weights.get(model))
         load = self.planned_load
         if reported is None or load is None or load.model != model:
             return reported
@@ -207,3 +266,7 @@
         age_s = now_s - self.load_reported_s
         weight = max(0.0, 1 - age_s / _MAX_REPORT_AGE_S)
         return self.min_slowdown + weight * (self.slowdown - self.min_slowdown)
+
+    def _drop_assumption(self, model: str) -> None:
+        self.assumed_weights.pop(model, None)
+        self.refused_versions.pop(model, None)
--- /dev/null
+++ b/src/arbutusbay/scheduling/_load_duration.py
@@ -0,0 +1,35 @@
+"""Estimate how long an engine takes to load new weights.
+
+The time depends on the model and the hardware. Requests placed on an engine
+that is believed to have finished, but has not, are rejected.
+"""
+
+import attrs
+
+_INITIAL_DURATION_S = 0.62
+_REPORT_LAG_S = 0.2
+_MIN_DURATION_S = 0.1
+_SMOOTHING_FACTOR = 0.5
+
+
+@attrs.define(kw_only=True)
+class LoadDuration:
+    """Hold the estimate, in seconds; it is a default until the first load."""
+
+    estimate_s: float = _INITIAL_DURATION_S
+    is_measured: bool = False
+
+    def record_load(self, reported_after_s: float) -> None:
+        """Add a load that an engine reported as done after that time.
+
+        Reports lag behind by a fraction of a second.
+        """
+        sample_s = max(_MIN_DURATION_S, reported_after_s - _REPORT_LAG_S)
+        factor = _SMOOTHING_FACTOR if self.is_measured else 1.0
+        self.estimate_s += factor * (sample_s - self.estimate_s)
+        self.is_measured = True
+
+    def adopt(self, duration_s: float) -> None:
+        """Take over the estimate of the VM that runs the rollout."""
+        self.estimate_s = max(_MIN_DURATION_S, duration_s)
+        self.is_measured = True
