Bound the messages of a VM by the size of its zone, not of the fleet

Cause: beyond 32 VMs each VM still sent a heartbeat to every VM of the other zones every 2 s, and at once on each suspicion, which every VM tells on its own: with 195 VMs 78 datagrams a second out and in without any work, and 156 times 195 for one silent engine. Reports within a zone of 39 went out up to ten times a second, 380 datagrams a second in.

Change: heartbeats to other zones are at most 20 a second in all, and silence there counts after 2.5 of them; a suspicion that another VM has just told is not told to all again; reports within a zone are at most 200 datagrams a second. Small fleets are as before.

Test: test_messages_without_load_do_not_grow_with_the_fleet, 400 VMs.

--- a/src/arbutusbay/node/_node_state.py
+++ b/src/arbutusbay/node/_node_state.py
@@ -21,6 +21,7 @@
     RetryBudget,
     WorkTotals,
     is_fresh_enough,
+    remote_silence_limit_s,
     short_prompt_share,
 )
 
@@ -230,12 +231,25 @@
         )
 
     def silent_vms(self, limit_s: float) -> set[str]:
-        """Return the VMs that sent nothing for over ``limit_s`` seconds."""
+        """Return the VMs that sent nothing for over ``limit_s`` seconds.
+
+        VMs of other zones may be silent for longer in a large fleet.
+        """
+        vms = self.catalog.vms
+        own_zone = {
+            name for name, vm in vms.items() if vm.zone == self.settings.zone
+        }
+        remote_limit_s = remote_silence_limit_s(
+            limit_s,
+            zone_vms=len(own_zone),
+            remote_vms=len(vms) - len(own_zone),
+        )
         moment_s = now_s()
         return {
             name
             for name, report_s in self.last_report_s.items()
             if moment_s - report_s > limit_s
+            and (name in own_zone or moment_s - report_s > remote_limit_s)
         }
 
     def recent_peer_work_totals(
--- a/src/arbutusbay/node/_peer_channel.py
+++ b/src/arbutusbay/node/_peer_channel.py
@@ -20,14 +20,19 @@
 from arbutusbay.node._peer_reports import PeerReportBuilder
 from arbutusbay.node._peer_state_receiver import PeerStateReceiver
 from arbutusbay.platform import parse_endpoint
-from arbutusbay.scheduling import ReportRecipients, choose_report_recipients
+from arbutusbay.scheduling import (
+    ReportRecipients,
+    choose_report_recipients,
+    remote_heartbeat_interval_s,
+    zone_report_interval_s,
+)
 
 _LOG = get_logger('peers')
 _MIN_SEND_INTERVAL_S = 0.1
 _ZONE_LOAD_SEND_INTERVAL_S = 0.25
 _RECIPIENTS_TTL_S = 0.5
 _REFRESH_INTERVAL_S = 1.0
-_REMOTE_REFRESH_INTERVAL_S = 2.0
+_MIN_HEARTBEAT_SEND_INTERVAL_S = 0.3
 _SILENT_AFTER_S = 5.0
 
 
@@ -101,7 +106,7 @@
         )
         self.remote_peer_schedule = ReportSchedule(
             build_report=self.report_builder.heartbeat_report,
-            refresh_interval_s=_REMOTE_REFRESH_INTERVAL_S,
+            min_interval_s=_MIN_HEARTBEAT_SEND_INTERVAL_S,
         )
 
     def connection_made(self, transport: Any) -> None:
@@ -174,6 +179,12 @@
             self.node_state.catalog.vms,
             self.node_state.silent_vms(_SILENT_AFTER_S),
         )
+        self.remote_peer_schedule.refresh_interval_s = (
+            remote_heartbeat_interval_s(len(self.recipients.remote_peers))
+        )
+        self.zone_peer_schedule.min_interval_s = zone_report_interval_s(
+            len(self.recipients.zone_peers)
+        )
         if was_aggregator != self.recipients.is_aggregator:
             _LOG.info(
                 'speaker of the zone changed',
--- a/src/arbutusbay/node/_peer_reports.py
+++ b/src/arbutusbay/node/_peer_reports.py
@@ -95,10 +95,18 @@
         """Return a heartbeat for VMs of other zones that aren't aggregators.
 
         It keeps only what every VM must learn at once: suspected and leaving
-        engines and the fencing token of the lease.
+        engines and the fencing token of the lease. A suspicion that another
+        VM has just reported is not repeated to all.
         """
+        moment_s = now_s()
+        views = self.node_state.engine_views
         return attrs.evolve(
             own,
+            suspected_engines=tuple(
+                name
+                for name in own.suspected_engines
+                if views[name].remotely_suspected_until_s <= moment_s
+            ),
             occupancy={},
             work_totals=WorkTotals(),
             loads={},
--- a/src/arbutusbay/node/_peer_state_receiver.py
+++ b/src/arbutusbay/node/_peer_state_receiver.py
@@ -76,7 +76,8 @@
     def _apply_engine_reports(self, state: PeerState, moment_s: float) -> None:
         """Apply what ``state`` reports of engines beside their occupancy."""
         for view in self._known_views(state.suspected_engines):
-            view.unresponsive_until_s = moment_s + _REMOTE_SUSPICION_S
+            view.remotely_suspected_until_s = moment_s + _REMOTE_SUSPICION_S
+            view.unresponsive_until_s = view.remotely_suspected_until_s
         for view in self._known_views(state.leaving_engines):
             if state.leaving_engines[view.id] == view.incarnation:
                 view.is_leaving = True
--- a/src/arbutusbay/scheduling/__init__.py
+++ b/src/arbutusbay/scheduling/__init__.py
@@ -45,6 +45,9 @@
 from arbutusbay.scheduling._report_recipients import (
     ReportRecipients,
     choose_report_recipients,
+    remote_heartbeat_interval_s,
+    remote_silence_limit_s,
+    zone_report_interval_s,
 )
 from arbutusbay.scheduling._request_queue import (
     QueuedRequest,
@@ -115,9 +118,12 @@
     'rank_engines',
     'rank_sources',
     'relayed_data_time_s',
+    'remote_heartbeat_interval_s',
+    'remote_silence_limit_s',
     'schedule_loads',
     'short_prompt_fractions',
     'short_prompt_share',
     'source_name',
     'was_certainly_not_executed',
+    'zone_report_interval_s',
 )
--- a/src/arbutusbay/scheduling/_engine_view.py
+++ b/src/arbutusbay/scheduling/_engine_view.py
@@ -67,7 +67,8 @@
     ``consecutive_failures`` counts consecutive failures; the server is in
     backoff until ``backoff_until_s``. ``locally_suspected_until_s`` is how
     long this VM suspects the server to be unresponsive;
-    ``unresponsive_until_s`` includes the suspicions of other VMs.
+    ``remotely_suspected_until_s`` how long another one does;
+    ``unresponsive_until_s`` covers both.
     ``error_rate`` is a moving average, as of ``error_rate_updated_s``.
     ``is_leaving`` is set for good once a response said that the server shuts
     down. Until ``rejects_until_s`` it wants no request of this VM.
@@ -95,6 +96,7 @@
     consecutive_failures: int = 0
     backoff_until_s: float = 0.0
     locally_suspected_until_s: float = 0.0
+    remotely_suspected_until_s: float = 0.0
     unresponsive_until_s: float = 0.0
     error_rate: float = 0.0
     error_rate_updated_s: float = 0.0
--- a/src/arbutusbay/scheduling/_report_recipients.py
+++ b/src/arbutusbay/scheduling/_report_recipients.py
@@ -19,6 +19,11 @@
 _MIN_AGGREGATORS_PER_ZONE = 2
 _VMS_PER_AGGREGATOR = 12
 _RENDEZVOUS_KEY = 'speakers'
+_MIN_HEARTBEAT_INTERVAL_S = 2.0
+_MAX_REMOTE_HEARTBEATS_PER_S = 20
+_MISSED_HEARTBEATS = 2.5
+_MIN_SEND_INTERVAL_S = 0.1
+_MAX_ZONE_REPORTS_PER_S = 200
 
 
 @attrs.frozen(kw_only=True)
@@ -40,6 +45,38 @@
     is_aggregator: bool = False
 
 
+def remote_heartbeat_interval_s(remote_vms: int) -> float:
+    """Return the time between two heartbeats to each VM of other zones.
+
+    It grows with their number, so that the messages of one VM do not.
+    """
+    return max(
+        _MIN_HEARTBEAT_INTERVAL_S, remote_vms / _MAX_REMOTE_HEARTBEATS_PER_S
+    )
+
+
+def zone_report_interval_s(zone_peers: int) -> float:
+    """Return the least time between two reports to the VMs of a zone.
+
+    It grows with their number, so that the messages of one VM do not.
+    """
+    return max(_MIN_SEND_INTERVAL_S, zone_peers / _MAX_ZONE_REPORTS_PER_S)
+
+
+def remote_silence_limit_s(
+    limit_s: float, *, zone_vms: int, remote_vms: int
+) -> float:
+    """Return after which silence a VM of another zone counts as gone.
+
+    ``limit_s`` holds for VMs that send reports at a fixed interval, as all
+    do in a full mesh.
+    """
+    if zone_vms + remote_vms <= _MIN_TIERED_PEERS:
+        return limit_s
+    interval_s = remote_heartbeat_interval_s(remote_vms)
+    return max(limit_s, _MISSED_HEARTBEATS * interval_s)
+
+
 def choose_report_recipients(
     own_name: str,
     own_zone: str,
--- a/tests/unit/test_report_recipients.py
+++ b/tests/unit/test_report_recipients.py
@@ -46,13 +46,14 @@
     return fake
 
 
-def build_vms(count: int) -> dict[str, VMRegistration]:
-    """Return VMs that are distributed evenly over the zones."""
+def build_vms(count: int, *, zones: int = 3) -> dict[str, VMRegistration]:
+    """Return VMs that are distributed evenly over ``zones`` zones."""
+    names = [*_ZONES, *(f'zone-{number}' for number in range(zones))][:zones]
     return {
         f'vm-{number}': VMRegistration(
             name=f'vm-{number}',
             address=f'127.0.0.1:{number + 1}',
-            zone=_ZONES[number % len(_ZONES)],
+            zone=names[number % zones],
             started_ms=0,
         )
         for number in range(count)
@@ -275,3 +276,33 @@
         leader.report_builder.announce_load(view, build_load(start_s))
         network.send_all_reports()
     assert max(network.bytes_by_sender.values()) < 31 * 0.1 * _LINK_BYTES_PER_S
+
+
+@pytest.mark.parametrize(('count', 'limit_per_s'), [(150, 260), (400, 260)])
+def test_messages_without_load_do_not_grow_with_the_fleet(
+    clock, count, limit_per_s
+):
+    network = Network(build_vms(count, zones=count // 40), clock)
+    channel = network.channels['127.0.0.1:1']
+    channel.send()
+    network.bytes_by_sender.clear()
+    network.sent = 0
+    for _ in range(100):
+        clock.moment_s += _ROUND_S
+        channel.send()
+    assert network.sent / (100 * _ROUND_S) < limit_per_s
+
+
+def test_suspicion_that_another_vm_told_is_not_repeated_to_all(clock):
+    network = Network(build_vms(60), clock)
+    network.send_all_reports()
+    channel = network.channels['127.0.0.1:1']
+    view = channel.node_state.engine_views[_ENGINE]
+    view.locally_suspected_until_s = clock.moment_s + 1
+    own = channel.report_builder.build_own_state()
+    report = channel.report_builder.heartbeat_report(own)
+    assert report.suspected_engines == (_ENGINE,)
+    view.remotely_suspected_until_s = clock.moment_s + 1
+    report = channel.report_builder.heartbeat_report(own)
+    assert not report.suspected_engines
+    assert own.suspected_engines == (_ENGINE,)
