Close the connection on which another request's response arrived

Cause: a late second copy of a response was taken for the response of the next request on that connection and refused by its id, but a response that was received whole had returned its connection to the pool by then. The true response arrived for the request after that, and so on: each got a 502. The ids kept callers from wrong responses; none was ever served on it again.

Change: a response keeps its connection, which is closed on such a mismatch.

Before: the third request of test_late_second_copy_of_a_response_reaches_no_ other_caller got 502 (its connection still one response behind). After: 200. test_planned_stop_under_load_cuts_no_accepted_request, the slow and the trickling stream and malformed messages: no fault shown, refuted by test.

--- a/emulator/fleet_engine.py
+++ b/emulator/fleet_engine.py
@@ -17,6 +17,8 @@
 
 _NOT_EXECUTED = 'Not-Executed'
 _MUTE_S = 60
+_SECOND_COPY_DELAY_S = 0.1
+_TRICKLE_S = 0.3
 
 
 class EngineFault(enum.StrEnum):
@@ -39,6 +41,8 @@
     ENDLESS_HEAD = 'endless_head'
     ENDLESS_LINE = 'endless_line'
     ENDLESS_BODY = 'endless_body'
+    SECOND_COPY = 'second_copy'
+    TRICKLE = 'trickle'
 
 
 _MAX_ENDLESS_BYTES = 200_000_000
@@ -62,7 +66,8 @@
     """Configure one backend server; ``model`` is empty for a plain service.
 
     ``events`` is the number of events of a stream, ``event_s`` the seconds
-    between them and ``load_s`` the seconds that loading weights takes.
+    between them and ``load_s`` the seconds that loading weights takes. A
+    plain service takes ``service_s`` seconds for a request.
     """
 
     id: str
@@ -73,6 +78,7 @@
     events: int = 5
     event_s: float = 0.01
     load_s: float = 0.3
+    service_s: float = 0.0
 
 
 class FleetEngine:
@@ -255,10 +261,30 @@
                 await self._send_endless_bytes(request, fault)
                 return web.Response()
         if not self.options.model:
-            headers = self._response_headers(request, fault)
-            return web.Response(text=self.options.id, headers=headers)
+            return await self._serve_plainly(request, fault)
         return await self._stream_events(request, fault)
 
+    async def _serve_plainly(
+        self, request: web.Request, fault: EngineFault
+    ) -> web.Response:
+        await asyncio.sleep(self.options.service_s)
+        headers = self._response_headers(request, fault)
+        text = f'{self.options.id} {request.path}'
+        if fault is EngineFault.SECOND_COPY:
+            lines = [
+                'HTTP/1.1 200 OK',
+                f'Content-Length: {len(text)}',
+                *(f'{name}: {field}' for name, field in headers.items()),
+                '',
+                text,
+            ]
+            asyncio.get_running_loop().call_later(
+                _SECOND_COPY_DELAY_S,
+                request.transport.write,
+                '\r\n'.join(lines).encode(),
+            )
+        return web.Response(text=text, headers=headers)
+
     async def _send_endless_bytes(
         self, request: web.Request, fault: EngineFault
     ) -> None:
@@ -298,6 +324,10 @@
                 await response.write(b'id: ')
                 request.transport.abort()
                 return response
+            if fault is EngineFault.TRICKLE and number > last_event_id + 2:
+                await response.write(b':')
+                await asyncio.sleep(_TRICKLE_S)
+                continue
             await response.write(f'id: {number}\ndata: w{number}\n\n'.encode())
             await asyncio.sleep(self.options.event_s)
         return response
--- a/src/arbutusbay/node/_attempts.py
+++ b/src/arbutusbay/node/_attempts.py
@@ -15,6 +15,7 @@
 from result import Err, Ok, Result
 from yarl import URL
 
+from arbutusbay.node._http_client import ConnectionResponse
 from arbutusbay.node._incoming_request import IncomingRequest
 from arbutusbay.platform import (
     AttemptHeaders,
@@ -183,7 +184,7 @@
     )
     is_id_different = head.attempt_id != incoming.attempt_id
     if is_id_different and (head.attempt_id or not is_rejected):
-        response.close()
+        _close_connection(response)
         return _unknown_outcome('response lacks the id of this attempt')
     if is_rejected:
         await _drain_body(response)
@@ -223,6 +224,15 @@
         response.close()
 
 
+def _close_connection(response: aiohttp.ClientResponse) -> None:
+    """Close a connection on which responses and requests do not match."""
+    match response:
+        case ConnectionResponse():
+            response.close_connection()
+        case _:
+            response.close()
+
+
 def _has_unread_body(response: aiohttp.ClientResponse) -> bool:
     return not response.content.is_eof()
 
--- a/src/arbutusbay/node/_http_client.py
+++ b/src/arbutusbay/node/_http_client.py
@@ -48,6 +48,25 @@
         super().connection_lost(exc)
 
 
+class ConnectionResponse(aiohttp.ClientResponse):
+    """Keep the connection of a response also once it was received whole.
+
+    A complete response returns its connection to the pool. If it turns out
+    to belong to another request, that connection must not be used again.
+    """
+
+    async def start(self, connection: Any) -> aiohttp.ClientResponse:
+        """Read the head of the response from ``connection``."""
+        self.used_connection = connection.protocol
+        return await super().start(connection)
+
+    def close_connection(self) -> None:
+        """Close the connection, whoever uses it now."""
+        self.close()
+        self.used_connection.force_close()
+        self.used_connection.close()
+
+
 class StrictConnector(aiohttp.TCPConnector):
     """Create connections that use ``StrictConnection`` as protocol."""
 
@@ -94,6 +113,7 @@
     )
     session = aiohttp.ClientSession(
         connector=connector,
+        response_class=ConnectionResponse,
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         skip_auto_headers=_SKIPPED_AUTO_HEADERS,
