--- a/src/arbutusbay/_errors.py
+++ b/src/arbutusbay/_errors.py
@@ -29,6 +29,7 @@
 
     BAD_REQUEST = 'bad_request'
     BODY_TOO_LARGE = 'body_too_large'
+    UPLOAD_TIMEOUT = 'upload_timeout'
     BAD_API_KEY = 'bad_api_key'
     UNKNOWN_MODEL = 'unknown_model'
     UNKNOWN_ROUTE = 'unknown_route'
@@ -86,6 +87,9 @@
     {
         ErrorKind.BAD_REQUEST: _not_run(HTTPStatus.BAD_REQUEST),
         ErrorKind.BODY_TOO_LARGE: _not_run(HTTPStatus.REQUEST_ENTITY_TOO_LARGE),
+        ErrorKind.UPLOAD_TIMEOUT: _not_run(
+            HTTPStatus.REQUEST_TIMEOUT, retryable=True
+        ),
         ErrorKind.BAD_API_KEY: _not_run(HTTPStatus.UNAUTHORIZED),
         ErrorKind.UNKNOWN_MODEL: _not_run(HTTPStatus.NOT_FOUND),
         ErrorKind.UNKNOWN_ROUTE: _not_run(HTTPStatus.NOT_FOUND),
--- a/src/arbutusbay/cli/_causes.py
+++ b/src/arbutusbay/cli/_causes.py
@@ -15,6 +15,7 @@
         'draining': 'the VM was shutting down; nothing was sent',
         'not_configured': 'the VM had just started without a configuration',
         'deadline_exceeded': 'the deadline of the request passed',
+        'upload_timeout': 'the body did not arrive before the deadline',
         'body_too_large': 'the body exceeds the configured size limit',
     },
 )
--- a/src/arbutusbay/node/_daemon.py
+++ b/src/arbutusbay/node/_daemon.py
@@ -1,8 +1,9 @@
 """Run the node daemon until a signal, then drain it."""
 
 import asyncio
+import functools
 import signal
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 from result import Err, Ok
@@ -21,6 +22,7 @@
 
 _LOG = get_logger('daemon')
 _FLUSH_INTERVAL_S = 0.2
+_RESTART_DELAY_S = 0.5
 
 
 async def serve(
@@ -57,13 +59,13 @@
 
 
 class Supervisor:
-    """Run background tasks until a signal or the failure of one of them."""
+    """Run background tasks until a signal, and restart those that end."""
 
     def __init__(self, *, settings: VMSettings) -> None:
         """Compare the settings file with ``settings`` on each reload."""
         self.settings = settings
         self.stop_requested = asyncio.Event()
-        self.tasks: set[asyncio.Task[None]] = set()
+        self.tasks: list[asyncio.Task[None]] = []
 
     def install_signal_handlers(self) -> None:
         """Stop on SIGTERM and SIGINT; check the settings file on SIGHUP.
@@ -76,29 +78,40 @@
         loop.add_signal_handler(signal.SIGINT, self.stop_requested.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload_settings)
 
-    def start(self, name: str, coroutine: Coroutine[Any, Any, None]) -> None:
-        """Run a background task until the process stops."""
-        task = asyncio.create_task(coroutine, name=name)
-        self.tasks.add(task)
-        task.add_done_callback(self._handle_task_end)
+    def start(
+        self, name: str, run: Callable[[], Coroutine[Any, Any, None]]
+    ) -> None:
+        """Run a background task until the process stops.
+
+        ``run`` is called again after a pause whenever the task fails or
+        returns, so that one unexpected error does not end the process.
+        """
+        self.tasks.append(
+            asyncio.create_task(self._keep_running(name, run), name=name)
+        )
 
     def cancel(self) -> None:
         """Cancel all background tasks."""
         for task in self.tasks:
             task.cancel()
 
-    def _handle_task_end(self, task: asyncio.Task[None]) -> None:
-        self.tasks.discard(task)
-        if task.cancelled() or task.exception() is None:
-            return
-        _LOG.error(
-            'background task failed; stopping the process',
-            fields={
-                'controller': task.get_name(),
-                'error': repr(task.exception()),
-            },
-        )
-        self.stop_requested.set()
+    async def _keep_running(
+        self, name: str, run: Callable[[], Coroutine[Any, Any, None]]
+    ) -> None:
+        while True:
+            try:
+                await run()
+            except Exception:
+                _LOG.exception(
+                    'background task failed; restarting',
+                    fields={'controller': name},
+                )
+            else:
+                _LOG.error(
+                    'background task returned; restarting',
+                    fields={'controller': name},
+                )
+            await asyncio.sleep(_RESTART_DELAY_S)
 
     def _reload_settings(self) -> None:
         match read_settings(settings_path_from_environment()):
@@ -114,19 +127,22 @@
     components: NodeComponents,
     log_writer: NonblockingLineWriter,
 ) -> None:
-    coroutines = {
-        'follower': components.follower.run(),
-        'dispatcher': components.dispatcher.run(),
-        'silence': components.stall_detector.run(),
-        'rollout': components.rollout.run(),
-        'peers': components.peer_channel.run(),
-        'registration': run_registration(
-            components.node_state, components.store, components.own_vm
+    tasks: dict[str, Callable[[], Coroutine[Any, Any, None]]] = {
+        'follower': components.follower.run,
+        'dispatcher': components.dispatcher.run,
+        'silence': components.stall_detector.run,
+        'rollout': components.rollout.run,
+        'peers': components.peer_channel.run,
+        'registration': functools.partial(
+            run_registration,
+            components.node_state,
+            components.store,
+            components.own_vm,
         ),
-        'logs': _flush_periodically(log_writer),
+        'logs': functools.partial(_flush_periodically, log_writer),
     }
-    for name, coroutine in coroutines.items():
-        supervisor.start(name, coroutine)
+    for name, run in tasks.items():
+        supervisor.start(name, run)
 
 
 async def _flush_periodically(log_writer: NonblockingLineWriter) -> None:
--- a/src/arbutusbay/node/_dispatcher.py
+++ b/src/arbutusbay/node/_dispatcher.py
@@ -70,7 +70,6 @@
         """
         if not request.can_queue:
             return self._place_immediately(request)
-        self.placer.record_arrival(request.incoming)
         name = request.incoming.service.name
         queue = self.queues.setdefault(name, RequestQueue())
         pending = self._build_pending(request)
--- a/src/arbutusbay/node/_frontend.py
+++ b/src/arbutusbay/node/_frontend.py
@@ -77,9 +77,9 @@
                 return self._reject_request(request, failure)
             case Ok(incoming):
                 pass
-        match await self._read_body(request):
+        match await self._read_body_in_time(request, incoming):
             case Err(failure):
-                return self._reject_request(request, failure)
+                return self._reject_request(request, failure, incoming)
             case Ok(body):
                 pass
         executor = RequestExecutor(
@@ -136,6 +136,24 @@
             case Failure() as failure:
                 return self._reject_request(request, failure, executor.incoming)
 
+    async def _read_body_in_time(
+        self, request: web.BaseRequest, incoming: IncomingRequest
+    ) -> Result[bytes, Failure]:
+        """Return the body, or a failure if it is too long or too slow."""
+        try:
+            async with asyncio.timeout(max(0, incoming.remaining_s())):
+                return await self._read_body(request)
+        except TimeoutError:
+            return Err(
+                Failure(
+                    kind=ErrorKind.UPLOAD_TIMEOUT,
+                    detail='request body did not arrive before the deadline',
+                ),
+            )
+        except (asyncio.CancelledError, ClientConnectionResetError):
+            self._log_outcome(incoming, 'client left', 'during the upload')
+            raise
+
     async def _read_body(
         self,
         request: web.BaseRequest,
--- a/src/arbutusbay/node/_incoming_request.py
+++ b/src/arbutusbay/node/_incoming_request.py
@@ -159,7 +159,9 @@
     if service is None:
         return _rejection(ErrorKind.NO_BACKEND_SERVER, f'no service {name}')
     received_s = now_s()
-    limit_s = min(route.timeout_s, head.time_to_deadline_s or route.timeout_s)
+    limit_s = route.timeout_s
+    if head.time_to_deadline_s is not None:
+        limit_s = min(limit_s, head.time_to_deadline_s)
     return Ok(
         IncomingRequest(
             method=request.method,
--- a/src/arbutusbay/node/_request_executor.py
+++ b/src/arbutusbay/node/_request_executor.py
@@ -8,7 +8,7 @@
 import attrs
 from result import Err, Ok, Result
 
-from arbutusbay.errors import ErrorKind, Failure
+from arbutusbay.errors import ErrorKind, Failure, RunState
 from arbutusbay.logs import get_logger
 from arbutusbay.node._attempt_history import AttemptHistory
 from arbutusbay.node._attempts import (
@@ -71,6 +71,8 @@
         budget = dependencies.node_state.retry_budget_of(incoming.service.name)
         budget.deposit()
         self.budget = budget
+        if incoming.is_model_request:
+            dependencies.placer.record_arrival(incoming)
 
     async def execute(self) -> Result[BufferedResponse, Failure]:
         """Return the buffered response, or the failure once retries end."""
@@ -250,6 +252,7 @@
             if is_not_executed
             else ErrorKind.DEADLINE_EXCEEDED,
             detail=f'no response in time ({self.attempt_history.last_detail})',
+            run_state=None if is_not_executed else RunState.UNKNOWN,
         )
 
     def _attempt_timeout_s(self) -> float | None:
--- a/src/arbutusbay/node/_rollout.py
+++ b/src/arbutusbay/node/_rollout.py
@@ -119,6 +119,8 @@
 
     async def _advance(self) -> None:
         if await self.lease.acquire_or_renew() is None:
+            # Another VM may lead the rollout now and announce its own loads.
+            self.announced_at_s.clear()
             await asyncio.sleep(_LEASE_RETRY_DELAY_S)
             return
         outdated = self._outdated_by_model()
@@ -137,7 +139,8 @@
             version,
             RolloutState(
                 announced_at_s=self.announced_at_s,
-                loading_engines=self.load_tasks.keys(),
+                loading_engines=self.load_tasks.keys()
+                & {engine.id for engine in engines},
                 deferred_engines=self.loader.deferred_engines(moment_s),
                 now_s=moment_s,
             ),
--- a/src/arbutusbay/node/_stream_relay.py
+++ b/src/arbutusbay/node/_stream_relay.py
@@ -181,7 +181,10 @@
             if not monitored.attempt.has_first_event:
                 self._record_start(monitored)
             monitored.last_event_s = now_s()
-            self.weights_version = event.weights_version or version
+            # An event names its weights only where they change.
+            if event.weights_version is not None:
+                version = event.weights_version
+            self.weights_version = version
             await self._write_event(answer, event)
         monitored.view.record_success(now_s())
         return await self._finish_response(answer)
