--- a/src/arbutusbay/scheduling/__init__.py
+++ b/src/arbutusbay/scheduling/__init__.py
@@ -1,5 +1,6 @@
 """Schedule requests and weights loads with functions free of I/O."""
 
+from arbutusbay.scheduling._cache_transfer import CacheTransfer
 from arbutusbay.scheduling._engine_view import (
     EngineView,
     PlannedWeightsLoad,
@@ -80,6 +81,7 @@
     'Attempt',
     'AttemptCounts',
     'AttemptOutcome',
+    'CacheTransfer',
     'DirectRead',
     'EngineChoice',
     'EngineView',
