--- a/src/arbutusbay/fleet/_types.py
+++ b/src/arbutusbay/fleet/_types.py
@@ -58,29 +58,23 @@
     """Describe a service that executes requests.
 
     ``models`` is empty for services without language models. ``slots`` and
-    ``kv_capacity_tokens`` apply to each backend server and are 0 if unknown,
-    as is ``kv_token_bytes``, the size of the KV cache of one token.
+    ``kv_capacity_tokens`` apply to each backend server and are 0 if unknown.
     """
 
     name: str
     models: tuple[str, ...] = ()
     slots: int = 0
     kv_capacity_tokens: int = 0
-    kv_token_bytes: int = 0
     max_connections: int = 0
 
 
 @attrs.frozen(kw_only=True)
 class KVCacheStoreSpec:
-    """Locate a store that keeps KV cache entries outside the engines.
-
-    ``link_bytes_per_s`` is the bandwidth of its link, 0 if unknown.
-    """
+    """Locate a store that keeps KV cache entries outside the engines."""
 
     name: str
     address: str
     zone: str
-    link_bytes_per_s: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
--- a/src/arbutusbay/node/_placer.py
+++ b/src/arbutusbay/node/_placer.py
@@ -8,7 +8,6 @@
 
 import attrs
 
-from arbutusbay.fleet import KVCacheStoreSpec
 from arbutusbay.logs import get_logger
 from arbutusbay.node._clock import now_s
 from arbutusbay.node._incoming_request import IncomingRequest
@@ -22,7 +21,6 @@
 from arbutusbay.scheduling import (
     Attempt,
     AttemptOutcome,
-    CacheTransfer,
     EngineChoice,
     EngineView,
     ModelRequestSize,
@@ -289,7 +287,7 @@
                 incoming.service.name, views, moment_s
             ),
             prefix_hit_saving=_PREFIX_SAVING_WITH_CACHE_STORE
-            if self._cache_store()
+            if self._cache_store_address()
             else 1.0,
             max_queued_tokens=incoming.route.target_latency_s
             * _QUEUED_PREFILL_LATENCY_SHARE
@@ -367,7 +365,7 @@
         if not incoming.is_model_request:
             return attempt_headers
         version = view.expected_weights(incoming.parsed_headers.model, moment_s)
-        store = self._useful_cache_store(incoming, view)
+        store = self._cache_store_address()
         return attrs.evolve(
             attempt_headers,
             weights_version=version,
@@ -376,32 +374,11 @@
             kv_save_address=store,
         )
 
-    def _useful_cache_store(
-        self, incoming: IncomingRequest, view: EngineView
-    ) -> str:
-        """Return the address of the store to use, empty for none.
-
-        A prefix that the engine computes sooner than it could fetch it is
-        neither fetched nor saved.
-        """
-        store = self._cache_store()
-        if store is None:
-            return ''
-        transfer = CacheTransfer(
-            prefix_tokens=request_size_of(incoming).shared_prefix_tokens,
-            token_bytes=incoming.service.kv_token_bytes,
-            link_bytes_per_s=store.link_bytes_per_s,
-            is_in_other_zone=store.zone != view.zone,
-        )
-        if transfer.is_worthwhile(self.node_state.prefill_s_per_token):
-            return store.address
-        return ''
-
-    def _cache_store(self) -> KVCacheStoreSpec | None:
+    def _cache_store_address(self) -> str:
         configuration = self.node_state.configuration
         if configuration is None or not configuration.kv_cache_stores:
-            return None
-        return configuration.kv_cache_stores[0]
+            return ''
+        return configuration.kv_cache_stores[0].address
 
 
 def _priority(incoming: IncomingRequest) -> int:
--- a/src/arbutusbay/platform/_operator_records.py
+++ b/src/arbutusbay/platform/_operator_records.py
@@ -37,7 +37,6 @@
 from arbutusbay.platform._settings_file import parse_endpoint
 
 _CONFIGURATION_KEY = 'config'
-_BYTES_PER_MEGABIT = 125_000
 _WEIGHTS_KEY_PREFIX = 'version/'
 _REQUEST_KINDS = MappingProxyType(
     {
@@ -194,7 +193,6 @@
         ),
         slots=get_integer(engine, 'slots', 0),
         kv_capacity_tokens=get_integer(engine, 'kv_capacity_tokens', 0),
-        kv_token_bytes=get_integer(engine, 'kv_token_bytes', 0),
         max_connections=get_integer(fields, 'max_connections', 0),
     )
 
@@ -206,8 +204,6 @@
         name=get_string(fields, 'name'),
         address=address,
         zone=get_string(fields, 'zone'),
-        link_bytes_per_s=get_number(fields, 'link_mbps', 0)
-        * _BYTES_PER_MEGABIT,
     )
 
 
--- a/src/arbutusbay/scheduling/__init__.py
+++ b/src/arbutusbay/scheduling/__init__.py
@@ -1,6 +1,5 @@
 """Schedule requests and weights loads with functions free of I/O."""
 
-from arbutusbay.scheduling._cache_transfer import CacheTransfer
 from arbutusbay.scheduling._engine_view import (
     EngineView,
     PlannedWeightsLoad,
@@ -81,7 +80,6 @@
     'Attempt',
     'AttemptCounts',
     'AttemptOutcome',
-    'CacheTransfer',
     'DirectRead',
     'EngineChoice',
     'EngineView',
