--- a/src/arbutusbay/scheduling/__init__.py
+++ b/src/arbutusbay/scheduling/__init__.py
@@ -35,6 +35,7 @@
     eligible_engines,
     next_acceptance_s,
 )
+from arbutusbay.scheduling._prefill_time import PrefillTime
 from arbutusbay.scheduling._prompt_length_partition import (
     RecentWork,
     WorkTotals,
@@ -95,6 +96,7 @@
     'PlacementContext',
     'PlannedWeightsLoad',
     'QueuedRequest',
+    'PrefillTime',
     'RecentWork',
     'ReportRecipients',
     'RequestQueue',
