--- a/src/arbutusbay/node/_dispatcher.py
+++ b/src/arbutusbay/node/_dispatcher.py
@@ -33,6 +33,9 @@
 _MAX_TRIED_PER_TURN = 16
 _RETRY_AFTER_S = 1.0
 _MIN_SAMPLE_TOKENS = 2000
+_SMOOTHING_FACTOR = 0.1
+_MIN_PREFILL_S_PER_TOKEN = 0.000005
+_MAX_PREFILL_S_PER_TOKEN = 0.0001
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -87,17 +90,23 @@
         self.place_waiting()
 
     def record_first_event(self, attempt: Attempt, view: EngineView) -> None:
-        """Update the estimated prefill time, then place queued requests.
+        """Update the prefill time per token, then place queued requests.
 
-        The time is corrected for the engine's slowdown. Prompts of few tokens
-        are ignored.
+        The estimate is an exponential moving average, corrected for the
+        engine's slowdown. Prompts of few tokens are ignored.
         """
         tokens = attempt.uncached_tokens + attempt.queued_ahead_tokens
         if tokens >= _MIN_SAMPLE_TOKENS:
             moment_s = now_s()
             slowdown = max(1.0, view.current_slowdown(moment_s))
-            self.node_state.prefill_time.record(
-                tokens, (moment_s - attempt.sent_s) / slowdown
+            sample_s = (moment_s - attempt.sent_s) / tokens / slowdown
+            previous_s = self.node_state.prefill_s_per_token
+            estimate_s = previous_s + _SMOOTHING_FACTOR * (
+                sample_s - previous_s
+            )
+            self.node_state.prefill_s_per_token = min(
+                _MAX_PREFILL_S_PER_TOKEN,
+                max(_MIN_PREFILL_S_PER_TOKEN, estimate_s),
             )
         self.node_state.notify_report_changed()
         self.place_waiting()
@@ -211,7 +220,7 @@
             first_event_due_s=incoming.received_s
             + incoming.route.target_latency_s,
             deadline_s=incoming.deadline_s,
-            service_s=tokens * self.node_state.prefill_time.s_per_token,
+            service_s=tokens * self.node_state.prefill_s_per_token,
             request=request,
             future=loop.create_future(),
         )
--- a/src/arbutusbay/node/_node_state.py
+++ b/src/arbutusbay/node/_node_state.py
@@ -17,7 +17,6 @@
     EngineView,
     LoadDuration,
     ObservedEra,
-    PrefillTime,
     RecentWork,
     RetryBudget,
     WorkTotals,
@@ -103,7 +102,8 @@
     Attributes:
         engine_views: Engines by the id of their backend server.
         retry_budgets: Retry budgets by service.
-        prefill_time: Time of an engine to the first event of a prompt.
+        prefill_s_per_token: Prefill time of an engine per prompt token, in
+            seconds.
         load_duration: Time that an engine takes to load weights.
         recent_work: Recent work that this VM dispatched, by prompt length.
         peer_work_totals: The same as last reported by each other VM.
@@ -130,7 +130,7 @@
     engine_views: dict[str, EngineView] = attrs.field(factory=dict)
     retry_budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
     rng: random.Random = attrs.field(factory=random.Random)
-    prefill_time: PrefillTime = attrs.field(factory=PrefillTime)
+    prefill_s_per_token: float = 0.00002
     load_duration: LoadDuration = attrs.field(factory=LoadDuration)
     recent_work: RecentWork = attrs.field(factory=RecentWork)
     peer_work_totals: dict[str, WorkTotals] = attrs.field(factory=dict)
--- a/src/arbutusbay/node/_placer.py
+++ b/src/arbutusbay/node/_placer.py
@@ -291,7 +291,7 @@
             else 1.0,
             max_queued_tokens=incoming.route.target_latency_s
             * _QUEUED_PREFILL_LATENCY_SHARE
-            / self.node_state.prefill_time.s_per_token,
+            / self.node_state.prefill_s_per_token,
             now_s=moment_s,
         )
         return choose_model_engine(
--- a/src/arbutusbay/scheduling/__init__.py
+++ b/src/arbutusbay/scheduling/__init__.py
@@ -35,7 +35,6 @@
     eligible_engines,
     next_acceptance_s,
 )
-from arbutusbay.scheduling._prefill_time import PrefillTime
 from arbutusbay.scheduling._prompt_length_partition import (
     RecentWork,
     WorkTotals,
@@ -96,7 +95,6 @@
     'PlacementContext',
     'PlannedWeightsLoad',
     'QueuedRequest',
-    'PrefillTime',
     'RecentWork',
     'ReportRecipients',
     'RequestQueue',
