Do not take another VM's default for a measured load time

A VM that took the lead had adopted the default of the one before as if measured, and then moved from it by halves. Each rejection put the end off by 0.2 s only, so each VM met three of them.

Change: an adopted time is replaced by the first measured one; a load that takes longer is put off by half of what it has taken.

--- a/src/arbutusbay/scheduling/_engine_view.py
+++ b/src/arbutusbay/scheduling/_engine_view.py
@@ -12,7 +12,8 @@
 
 _BACKOFF_BASE_S = 0.3
 _REJECTION_PAUSE_S = 0.15
-_LOAD_POSTPONEMENT_S = 0.2
+_MIN_POSTPONEMENT_S = 0.2
+_POSTPONEMENT_RATIO = 0.5
 _MAX_BACKOFF_S = 4.0
 _MAX_REPORT_AGE_S = 1.0
 _ERROR_SMOOTHING = 0.15
@@ -177,13 +178,17 @@
     def postpone_load(self, now_s: float) -> bool:
         """Expect a load that should have ended recently to go on.
 
-        Return whether there is one.
+        The longer it has taken, the later it is expected to end. Return
+        whether there is one.
         """
         load = self.planned_load
         if load is None or not load.ended_recently(now_s):
             return False
+        elapsed_s = now_s - load.start_s
         self.planned_load = attrs.evolve(
-            load, finish_s=now_s + _LOAD_POSTPONEMENT_S
+            load,
+            finish_s=now_s
+            + max(_MIN_POSTPONEMENT_S, elapsed_s * _POSTPONEMENT_RATIO),
         )
         return True
 
--- a/src/arbutusbay/scheduling/_load_duration.py
+++ b/src/arbutusbay/scheduling/_load_duration.py
@@ -14,7 +14,10 @@
 
 @attrs.define(kw_only=True)
 class LoadDuration:
-    """Hold the estimate, in seconds; it is a default until the first load."""
+    """Hold the estimate, in seconds.
+
+    It is a default, or that of another VM, until this VM has measured a load.
+    """
 
     estimate_s: float = _INITIAL_DURATION_S
     is_measured: bool = False
@@ -30,6 +33,9 @@
         self.is_measured = True
 
     def adopt(self, duration_s: float) -> None:
-        """Take over the estimate of the VM that runs the rollout."""
-        self.estimate_s = max(_MIN_DURATION_S, duration_s)
-        self.is_measured = True
+        """Take over the estimate of the VM that runs the rollout.
+
+        It may be a default, so it does not replace a measured one.
+        """
+        if not self.is_measured:
+            self.estimate_s = max(_MIN_DURATION_S, duration_s)
