--- a/emulator/fleet_engine.py
+++ b/emulator/fleet_engine.py
@@ -29,6 +29,8 @@
     executed until another fault is set. FOREIGN responds with the ID of
     another attempt. MUTE delays the response by a minute. ENDLESS_HEAD and
     ENDLESS_LINE send head lines, or one line, without end, ENDLESS_BODY a body.
+    SECOND_COPY sends the response of a plain service again a moment later.
+    TRICKLE sends two events and then a byte now and then.
     """
 
     NONE = 'none'
--- a/src/arbutusbay/node/_dispatcher.py
+++ b/src/arbutusbay/node/_dispatcher.py
@@ -65,7 +65,8 @@
         """Return a placement, waiting for capacity if the request may wait.
 
         Fails with ``NO_BACKEND_SERVER`` if no server is eligible, and with
-        ``OVERLOADED`` once the request can't be served before its deadline.
+        ``OVERLOADED`` once the request can't be served before its deadline,
+        or at once if all servers asked for a pause that ends too late.
         The caller must release every placement that it gets.
         """
         if not request.can_queue:
--- a/src/arbutusbay/node/_peer_channel.py
+++ b/src/arbutusbay/node/_peer_channel.py
@@ -21,6 +21,7 @@
 from arbutusbay.node._peer_state_receiver import PeerStateReceiver
 from arbutusbay.platform import parse_endpoint
 from arbutusbay.scheduling import (
+    MIN_REPORT_INTERVAL_S,
     ReportRecipients,
     choose_report_recipients,
     remote_heartbeat_interval_s,
@@ -28,7 +29,6 @@
 )
 
 _LOG = get_logger('peers')
-_MIN_SEND_INTERVAL_S = 0.1
 _ZONE_LOAD_SEND_INTERVAL_S = 0.25
 _RECIPIENTS_TTL_S = 0.5
 _REFRESH_INTERVAL_S = 1.0
@@ -46,7 +46,7 @@
     """
 
     build_report: Callable[[PeerState], PeerState]
-    min_interval_s: float = _MIN_SEND_INTERVAL_S
+    min_interval_s: float = MIN_REPORT_INTERVAL_S
     refresh_interval_s: float = _REFRESH_INTERVAL_S
     last_payload: bytes = b''
     last_sent_s: float = float('-inf')
@@ -141,7 +141,7 @@
                     await self.node_state.report_changed.wait()
             self.node_state.report_changed.clear()
             self.send()
-            await asyncio.sleep(_MIN_SEND_INTERVAL_S)
+            await asyncio.sleep(MIN_REPORT_INTERVAL_S)
 
     def send(self) -> None:
         """Send the reports that are due to each group of VMs."""
--- a/src/arbutusbay/node/_peer_state_receiver.py
+++ b/src/arbutusbay/node/_peer_state_receiver.py
@@ -79,8 +79,13 @@
             view.remotely_suspected_until_s = moment_s + _REMOTE_SUSPICION_S
             view.unresponsive_until_s = view.remotely_suspected_until_s
         for view in self._known_views(state.leaving_engines):
-            if state.leaving_engines[view.id] == view.incarnation:
+            is_same = state.leaving_engines[view.id] == view.incarnation
+            if is_same and not view.is_leaving:
                 view.is_leaving = True
+                _LOG.info(
+                    'server leaves',
+                    fields={'server': view.id, 'told_by': state.name},
+                )
         for view in self._known_views(state.loads):
             load = state.loads[view.id]
             view.planned_load = load
--- a/src/arbutusbay/node/_topic_reader.py
+++ b/src/arbutusbay/node/_topic_reader.py
@@ -1,6 +1,7 @@
 """Read topics from the store, with backoff while it is unreachable."""
 
 import asyncio
+from collections.abc import Iterable
 
 from result import Err, Ok
 
@@ -8,6 +9,7 @@
 from arbutusbay.node._clock import now_s
 from arbutusbay.node._topics import TopicState
 from arbutusbay.platform import (
+    KeyedRecord,
     OutcomeUnknown,
     RecordsExpired,
     StoreClient,
@@ -92,15 +94,11 @@
             case Err(failure):
                 return failure
             case Ok(found):
-                pass
-        self.node_state.observe_store_era(found.era)
-        was_applied = self.topic_state.apply_records(
-            found.records,
-            StorePosition(era=found.era, offset=found.next_offset),
-            is_complete=False,
-        )
+                end = StorePosition(era=found.era, offset=found.next_offset)
         # Offsets of a restored store lie elsewhere than before.
-        self.must_read_newest = not was_applied
+        self.must_read_newest = not self._apply(
+            found.records, end, is_complete=False
+        )
         return None
 
     async def _read_newest(self) -> StoreFailure | None:
@@ -112,18 +110,25 @@
             case Err(failure):
                 return failure
             case Ok(found):
-                pass
-        self.node_state.observe_store_era(found.era)
-        was_applied = self.topic_state.apply_records(
-            found.records,
-            StorePosition(era=found.era, offset=found.end),
-            is_complete=True,
-        )
-        if not was_applied:
+                end = StorePosition(era=found.era, offset=found.end)
+        if not self._apply(found.records, end, is_complete=True):
             return OutcomeUnknown(detail=f'records of earlier era {found.era}')
         self.must_read_newest = False
         return None
 
+    def _apply(
+        self,
+        records: Iterable[KeyedRecord],
+        end: StorePosition,
+        *,
+        is_complete: bool,
+    ) -> bool:
+        """Apply records of the store; return whether their era allows it."""
+        self.node_state.observe_store_era(end.era)
+        return self.topic_state.apply_records(
+            records, end, is_complete=is_complete
+        )
+
     def _record_success(self) -> None:
         self.failures = 0
         if self.unreachable_since_s is None:
--- a/src/arbutusbay/scheduling/__init__.py
+++ b/src/arbutusbay/scheduling/__init__.py
@@ -43,6 +43,7 @@
     short_prompt_share,
 )
 from arbutusbay.scheduling._report_recipients import (
+    MIN_REPORT_INTERVAL_S,
     ReportRecipients,
     choose_report_recipients,
     remote_heartbeat_interval_s,
@@ -75,6 +76,7 @@
 )
 
 __all__ = (
+    'MIN_REPORT_INTERVAL_S',
     'PEER_REPORT_TTL_S',
     'WEIGHTS_LOAD_NOTICE_S',
     'Attempt',
--- a/src/arbutusbay/scheduling/_engine_view.py
+++ b/src/arbutusbay/scheduling/_engine_view.py
@@ -102,6 +102,11 @@
     error_rate: float = 0.0
     error_rate_updated_s: float = 0.0
 
+    @property
+    def is_departing(self) -> bool:
+        """Return whether the server shuts down, by any source."""
+        return self.is_draining or self.is_leaving
+
     def record_load(
         self,
         *,
@@ -232,9 +237,8 @@
         return now_s < self.unresponsive_until_s
 
     def accepts_requests(self, now_s: float) -> bool:
-        """Return whether the server has not asked to be left alone."""
-        is_going = self.is_draining or self.is_leaving
-        return not is_going and now_s >= self.rejects_until_s
+        """Return whether the server stays and has not asked for a pause."""
+        return not self.is_departing and now_s >= self.rejects_until_s
 
     def is_in_backoff(self, now_s: float) -> bool:
         """Return whether the engine is in backoff after recent failures."""
--- a/src/arbutusbay/scheduling/_placement.py
+++ b/src/arbutusbay/scheduling/_placement.py
@@ -112,15 +112,14 @@
 ) -> float | None:
     """Return when the first of ``engines`` accepts requests again.
 
-    None means that none of them asked for a pause, in seconds on the clock
-    of ``now_s``, or that all of them drain or leave.
+    The time is in seconds on the clock of ``now_s``. None means that no engine
+    that stays has asked for a pause.
     """
     return min(
         (
             engine.rejects_until_s
             for engine in engines
-            if engine.rejects_until_s > now_s
-            and not (engine.is_draining or engine.is_leaving)
+            if engine.rejects_until_s > now_s and not engine.is_departing
         ),
         default=None,
     )
--- a/src/arbutusbay/scheduling/_report_recipients.py
+++ b/src/arbutusbay/scheduling/_report_recipients.py
@@ -22,7 +22,7 @@
 _MIN_HEARTBEAT_INTERVAL_S = 2.0
 _MAX_REMOTE_HEARTBEATS_PER_S = 20
 _MISSED_HEARTBEATS = 2.5
-_MIN_SEND_INTERVAL_S = 0.1
+MIN_REPORT_INTERVAL_S = 0.1
 _MAX_ZONE_REPORTS_PER_S = 200
 
 
@@ -60,7 +60,7 @@
 
     It grows with their number, so that the messages of one VM do not.
     """
-    return max(_MIN_SEND_INTERVAL_S, zone_peers / _MAX_ZONE_REPORTS_PER_S)
+    return max(MIN_REPORT_INTERVAL_S, zone_peers / _MAX_ZONE_REPORTS_PER_S)
 
 
 def remote_silence_limit_s(
--- a/src/arbutusbay/scheduling/_rollout_plan.py
+++ b/src/arbutusbay/scheduling/_rollout_plan.py
@@ -54,13 +54,13 @@
     model: str,
     version: int,
 ) -> list[EngineView]:
-    """Return non-draining engines that run an older version of ``model``."""
+    """Return engines that stay and run an older version of ``model``."""
     return [
         engine
         for engine in engines
         if model in engine.weights
         and engine.weights[model] < version
-        and not (engine.is_draining or engine.is_leaving)
+        and not engine.is_departing
     ]
 
 
--- a/tests/integration/test_fleet_store.py
+++ b/tests/integration/test_fleet_store.py
@@ -1,8 +1,9 @@
 """Check how daemons follow the store and roll out weights.
 
 The tests guard against revoked API keys that stay valid, configuration that
-becomes stale while the store is unreachable, too many reads of the store, two
-VMs that roll out weights at once, and malformed records in the store.
+becomes stale while the store is unreachable or reverts when it is restored,
+too many reads of the store, two VMs that roll out weights at once, servers that
+leave, and malformed records in the store.
 """
 
 import asyncio
@@ -32,6 +33,14 @@
 _MANY_REQUESTS = 12
 
 
+async def wait_until_loaded(engines, version: int) -> None:
+    """Wait until all ``engines`` run a weights version."""
+    await wait_for_condition(
+        lambda: all(engine.version == version for engine in engines),
+        f'weights {version} loaded',
+    )
+
+
 async def test_revoked_api_key_is_rejected_by_all_vms(fleet, http):
     nodes = await start_fleet(fleet, nodes=3)
     await wait_until_ready(nodes, http)
@@ -90,10 +99,7 @@
     await wait_until_ready(nodes, http)
     fleet.set_target_weights_version(MODEL, 2)
     engines = fleet.engines[:3]
-    await wait_for_condition(
-        lambda: all(engine.version == 2 for engine in engines),
-        'weights loaded',
-    )
+    await wait_until_loaded(engines, 2)
     holders = {
         holder_name
         for engine in engines
@@ -115,18 +121,12 @@
     await wait_until_ready(nodes, http)
     fleet.set_target_weights_version(MODEL, 2)
     engines = fleet.engines[:2]
-    await wait_for_condition(
-        lambda: all(engine.version == 2 for engine in engines),
-        'first rollout',
-    )
+    await wait_until_loaded(engines, 2)
     first_holder = engines[0].order_holders[0]
     holder_node = next(node for node in nodes if node.name == first_holder[0])
     await holder_node.stop(signal.SIGKILL)
     fleet.set_target_weights_version(MODEL, 3)
-    await wait_for_condition(
-        lambda: all(engine.version == 3 for engine in engines),
-        'second rollout',
-    )
+    await wait_until_loaded(engines, 3)
     last_holder = engines[0].order_holders[-1]
     assert last_holder[0] != first_holder[0]
     assert last_holder[1] > first_holder[1]
@@ -186,17 +186,11 @@
     await wait_until_ready(nodes, http)
     fleet.set_target_weights_version(MODEL, 2)
     engines = fleet.engines[:2]
-    await wait_for_condition(
-        lambda: all(engine.version == 2 for engine in engines),
-        'first rollout',
-    )
+    await wait_until_loaded(engines, 2)
     fleet.store.restore({**copy, 'keyed.op': 1, 'keyed.servers': 4})
     fleet.set_target_weights_version(MODEL, 2)
     fleet.set_target_weights_version(MODEL, 3)
-    await wait_for_condition(
-        lambda: all(engine.version == 3 for engine in engines),
-        'second rollout',
-    )
+    await wait_until_loaded(engines, 3)
     for engine in engines:
         fences = [fence for _, fence in engine.order_holders]
         assert fences == sorted(fences)
--- a/tests/integration/test_operator_troubles.py
+++ b/tests/integration/test_operator_troubles.py
@@ -118,13 +118,11 @@
 async def test_malformed_messages_end_no_process(fleet, http):
     node = await start_single_node(fleet)
     await wait_until_ready([node], http)
-    for port in (_PEER_PORT,):
-        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
-            for datagram in _GARBAGE:
-                sender.sendto(datagram, (node.ip, port))
-        for raw in _GARBAGE:
-            await _send_raw(node.ip, port, raw)
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+        for datagram in _GARBAGE:
+            sender.sendto(datagram, (node.ip, _PEER_PORT))
     for raw in _GARBAGE:
+        await _send_raw(node.ip, _PEER_PORT, raw)
         await _send_raw(node.ip, node.port, raw)
     assert (await request_stream(http, node, 'after'))[0] == 200
     assert node.process.returncode is None
