Log the shared segments of a failed attempt and how far its response had come

'attempt failed' now has 'segments' and 'progress' (not_started, starting, underway). No decision uses them yet.

--- a/src/arbutusbay/node/_attempts.py
+++ b/src/arbutusbay/node/_attempts.py
@@ -27,7 +27,11 @@
     parse_response_head,
 )
 from arbutusbay.response_body import read_body
-from arbutusbay.scheduling import AttemptOutcome, EngineView
+from arbutusbay.scheduling import (
+    AttemptOutcome,
+    EngineView,
+    ResponseProgress,
+)
 
 _CONNECT_TIMEOUT_S = 0.4
 _DRAIN_TIMEOUT_S = 0.1
@@ -56,7 +60,8 @@
     the server rejected the attempt because its instance id or weights version
     differs from the expected one; ``reported_instance`` is then the id it
     reported, empty if none. ``response_head`` holds the headers of a response
-    that belongs to the attempt, None if there was none.
+    that belongs to the attempt, None if there was none. ``progress`` tells how
+    far the response had come.
     """
 
     outcome: AttemptOutcome
@@ -65,6 +70,7 @@
     is_expectation_mismatch: bool = False
     reported_instance: str = ''
     response_head: ResponseHead | None = None
+    progress: ResponseProgress = ResponseProgress.NOT_STARTED
 
 
 @attrs.frozen(kw_only=True)
@@ -115,7 +121,10 @@
         try:
             body = await read_body(self.response, _MAX_BODY_BYTES)
         except (aiohttp.ClientError, OSError) as error:
-            return _unknown_outcome(f'response body is incomplete: {error!r}')
+            return _unknown_outcome(
+                f'response body is incomplete: {error!r}',
+                ResponseProgress.STARTING,
+            )
         answer = BufferedResponse(
             status=self.status,
             headers=self.headers(),
@@ -237,8 +246,15 @@
     return not response.content.is_eof()
 
 
-def _unknown_outcome(detail: str) -> Err[AttemptFailure]:
-    return Err(AttemptFailure(outcome=AttemptOutcome.UNKNOWN, detail=detail))
+def _unknown_outcome(
+    detail: str,
+    progress: ResponseProgress = ResponseProgress.NOT_STARTED,
+) -> Err[AttemptFailure]:
+    return Err(
+        AttemptFailure(
+            outcome=AttemptOutcome.UNKNOWN, detail=detail, progress=progress
+        )
+    )
 
 
 def _not_sent(detail: str) -> Err[AttemptFailure]:
--- a/src/arbutusbay/node/_placement.py
+++ b/src/arbutusbay/node/_placement.py
@@ -81,7 +81,7 @@
     is none.
     """
     head = incoming.parsed_headers
-    shared = head.prompt_segments[:-1]
+    shared = head.shared_segments
     return ModelRequestSize(
         prompt_tokens=head.prompt_tokens,
         output_tokens=head.max_output_tokens,
--- a/src/arbutusbay/node/_request_executor.py
+++ b/src/arbutusbay/node/_request_executor.py
@@ -227,6 +227,11 @@
                 'server': view.id,
                 'outcome': failure.outcome.value,
                 'detail': failure.detail,
+                'progress': failure.progress.value,
+                'segments': [
+                    segment.id
+                    for segment in self.incoming.parsed_headers.shared_segments
+                ],
                 'instance': failure.reported_instance,
                 'expected_weights': placement.attempt_headers.weights_version,
                 'runs': self.attempt_history.possible_executions,
--- a/src/arbutusbay/node/_stream_relay.py
+++ b/src/arbutusbay/node/_stream_relay.py
@@ -25,9 +25,14 @@
 )
 from arbutusbay.node._stall_detector import MonitoredAttempt
 from arbutusbay.platform import ServerSentEvent
-from arbutusbay.scheduling import AttemptOutcome, RetryAction
+from arbutusbay.scheduling import (
+    AttemptOutcome,
+    ResponseProgress,
+    RetryAction,
+)
 
 _LOG = get_logger('stream')
+_RESPONSE_START_S = 0.3
 
 
 @attrs.frozen(kw_only=True)
@@ -168,18 +173,21 @@
         answer: OpenResponse,
     ) -> Result[StreamResult, AttemptFailure]:
         version = answer.parsed_headers.weights_version
+        started_s: float | None = None
         async for received in answer.events():
             match received:
                 case Err(detail):
-                    return _broken_stream(detail)
+                    return _broken_stream(detail, started_s)
                 case Ok(event):
                     pass
             if not self._is_expected(event):
                 return _broken_stream(
                     f'received event {event.event_id} after event '
                     f'{self.last_event_number}',
+                    started_s,
                 )
-            if not monitored.attempt.has_first_event:
+            if started_s is None:
+                started_s = now_s()
                 self._record_start(monitored)
             monitored.last_event_s = now_s()
             # An event names its weights only where they change.
@@ -247,5 +255,20 @@
                 return refusal
 
 
-def _broken_stream(detail: str) -> Err[AttemptFailure]:
-    return Err(AttemptFailure(outcome=AttemptOutcome.UNKNOWN, detail=detail))
+def _broken_stream(detail: str, started_s: float | None) -> Err[AttemptFailure]:
+    """Return the failure of a stream whose first event came at ``started_s``.
+
+    None stands for a stream without an event.
+    """
+    is_underway = (
+        started_s is not None and now_s() - started_s > _RESPONSE_START_S
+    )
+    return Err(
+        AttemptFailure(
+            outcome=AttemptOutcome.UNKNOWN,
+            detail=detail,
+            progress=ResponseProgress.UNDERWAY
+            if is_underway
+            else ResponseProgress.STARTING,
+        )
+    )
--- a/src/arbutusbay/platform/_http_headers.py
+++ b/src/arbutusbay/platform/_http_headers.py
@@ -89,6 +89,11 @@
     prompt_segments: tuple[PromptSegment, ...]
     last_event_id: int
 
+    @property
+    def shared_segments(self) -> tuple[PromptSegment, ...]:
+        """Return all segments but the last, which no other request shares."""
+        return self.prompt_segments[:-1]
+
 
 @attrs.frozen(kw_only=True)
 class EngineLoad:
--- a/src/arbutusbay/scheduling/__init__.py
+++ b/src/arbutusbay/scheduling/__init__.py
@@ -22,6 +22,7 @@
 from arbutusbay.scheduling._outcomes import (
     AttemptCounts,
     AttemptOutcome,
+    ResponseProgress,
     RetryAction,
     choose_retry_action,
     was_certainly_not_executed,
@@ -100,6 +101,7 @@
     'RecentWork',
     'ReportRecipients',
     'RequestQueue',
+    'ResponseProgress',
     'RetryAction',
     'RetryBudget',
     'RolloutState',
--- a/src/arbutusbay/scheduling/_outcomes.py
+++ b/src/arbutusbay/scheduling/_outcomes.py
@@ -23,6 +23,19 @@
     RAN_AND_FAILED = 'ran_and_failed'
 
 
+class ResponseProgress(enum.StrEnum):
+    """Tell how far the response of a failed attempt had come.
+
+    ``NOT_STARTED``: no head was received. ``STARTING``: the head was, but no
+    part of the body, or its first part only a moment ago. ``UNDERWAY``: parts
+    of the body were received for longer.
+    """
+
+    NOT_STARTED = 'not_started'
+    STARTING = 'starting'
+    UNDERWAY = 'underway'
+
+
 class RetryAction(enum.StrEnum):
     """Name the action after a failed attempt.
 
--- a/tests/unit/test_dispatcher.py
+++ b/tests/unit/test_dispatcher.py
@@ -53,7 +53,7 @@
             received_s=received_s,
             deadline_s=received_s + 5,
             parsed_headers=SimpleNamespace(
-                prompt_segments=(), prompt_tokens=10, max_output_tokens=1
+                shared_segments=(), prompt_tokens=10, max_output_tokens=1
             ),
         ),
     )
