--- a/emulator/fleet.py
+++ b/emulator/fleet.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import functools
 import os
 import signal
 import sys
@@ -147,6 +148,9 @@
         self.runners_by_address: dict[str, web.AppRunner] = {}
         self.revocation_ms = 5000
         self.version_ms = 8000
+        self.restart_s = 1.0
+        self.end_moments_s: list[float] = []
+        self.tasks: set[asyncio.Task[None]] = set()
 
     @property
     def store_address(self) -> str:
@@ -162,9 +166,7 @@
         engine = FleetEngine(options)
         number = _FIRST_ENGINE_HOST + len(self.engines)
         engine.address = f'{self.address_prefix}{number}:{_ENGINE_PORT}'
-        self.engines.append(engine)
-        await self._serve(engine.application(), engine.address)
-        self.register(engine)
+        await self._start_engine(engine)
         return engine
 
     def register(self, engine: FleetEngine) -> None:
@@ -179,6 +181,21 @@
         """Stop to serve the engine but leave its registration in the store."""
         await self.runners_by_address.pop(engine.address).cleanup()
 
+    async def restart_engine(self, engine: FleetEngine) -> FleetEngine:
+        """Start an engine that has ended again, with a new id and address kept.
+
+        Its registration expires at the same moment.
+        """
+        name, _, count = engine.options.id.partition('+')
+        options = attrs.evolve(
+            engine.options, id=f'{name}+{int(count or 0) + 1}'
+        )
+        restarted = FleetEngine(options)
+        restarted.address = engine.address
+        self.store.append_document(SERVERS_TOPIC, engine.options.id, None)
+        await self._start_engine(restarted)
+        return restarted
+
     def configure(self, configuration: dict[str, object]) -> None:
         """Write the operator's configuration to the store."""
         self.store.append_document(CONFIGURATION_TOPIC, 'config', configuration)
@@ -233,9 +250,34 @@
         for node in self.nodes:
             if node.process.returncode is None:
                 await node.stop(signal.SIGKILL)
+        for task in tuple(self.tasks):
+            task.cancel()
         for runner in self.runners_by_address.values():
             await runner.cleanup()
 
+    async def _start_engine(self, engine: FleetEngine) -> None:
+        self.engines.append(engine)
+        engine.report_end = functools.partial(self._handle_end, engine)
+        await self._serve(engine.application(), engine.address)
+        self.register(engine)
+
+    def _handle_end(self, engine: FleetEngine) -> None:
+        """Stop listening for an engine that has ended, then restart it."""
+        self.end_moments_s.append(time.monotonic())
+        runner = self.runners_by_address.pop(engine.address)
+        for site in runner.sites:
+            site._server.close()  # noqa: SLF001
+        task = asyncio.create_task(self._restart_later(engine, runner))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _restart_later(
+        self, engine: FleetEngine, runner: web.AppRunner
+    ) -> None:
+        await runner.cleanup()
+        await asyncio.sleep(self.restart_s)
+        await self.restart_engine(engine)
+
     async def _serve(self, application: web.Application, address: str) -> None:
         host, _, port = address.partition(':')
         runner = web.AppRunner(
--- a/emulator/fleet_engine.py
+++ b/emulator/fleet_engine.py
@@ -8,6 +8,7 @@
 import enum
 import time
 from collections import Counter
+from collections.abc import Callable
 from http import HTTPStatus
 
 import attrs
@@ -30,7 +31,8 @@
     another attempt. MUTE delays the response by a minute. ENDLESS_HEAD and
     ENDLESS_LINE send head lines, or one line, without end, ENDLESS_BODY a body.
     SECOND_COPY sends the response of a plain service again a moment later.
-    TRICKLE sends two events and then a byte now and then.
+    TRICKLE sends two events and then a byte now and then. END ends the engine
+    as it begins to respond.
     """
 
     NONE = 'none'
@@ -45,6 +47,7 @@
     ENDLESS_BODY = 'endless_body'
     SECOND_COPY = 'second_copy'
     TRICKLE = 'trickle'
+    END = 'end'
 
 
 _MAX_ENDLESS_BYTES = 200_000_000
@@ -63,6 +66,17 @@
     version: int
 
 
+@attrs.frozen(kw_only=True)
+class ArrivedPrompt:
+    """Record the shared segments of a prompt that reached the engine.
+
+    ``moment_s`` is in seconds of ``time.monotonic``.
+    """
+
+    moment_s: float
+    segments: frozenset[str]
+
+
 @attrs.define(kw_only=True)
 class EngineOptions:
     """Configure one backend server; ``model`` is empty for a plain service.
@@ -71,7 +85,8 @@
     between them and ``load_s`` the seconds that loading weights takes. A
     plain service takes ``service_s`` seconds for a request. An engine that does
     not accept orders keeps its weights. A request waits ``queue_s`` seconds
-    before it is executed.
+    before it is executed. An engine ends when it begins to respond to a prompt
+    with one of ``fatal_segments``, after ``fatal_after_events`` events.
     """
 
     id: str
@@ -85,6 +100,8 @@
     service_s: float = 0.0
     accepts_orders: bool = True
     queue_s: float = 0.0
+    fatal_segments: frozenset[str] = frozenset()
+    fatal_after_events: int = 0
 
 
 class FleetEngine:
@@ -110,6 +127,10 @@
         self.executions: list[ExecutedRequest] = []
         self.rejected_at_s: list[float] = []
         self.endless_bytes_sent = 0
+        self.arrived_prompts: list[ArrivedPrompt] = []
+        self.transports: set[asyncio.Transport] = set()
+        self.has_ended = False
+        self.report_end: Callable[[], None] = _ignore_end
 
     def application(self) -> web.Application:
         """Build the HTTP application."""
@@ -196,8 +217,27 @@
         )
         return web.Response(status=HTTPStatus.ACCEPTED)
 
+    def end(self) -> None:
+        """End like a process that crashes: reset all connections at once."""
+        self.has_ended = True
+        for transport in self.transports:
+            transport.abort()
+        self.report_end()
+
     async def execute(self, request: web.Request) -> web.StreamResponse:
         """Execute a request, or reject it before its execution."""
+        self.transports.add(request.transport)
+        self.arrived_prompts.append(
+            ArrivedPrompt(
+                moment_s=time.monotonic(), segments=_shared_segments(request)
+            )
+        )
+        try:
+            return await self._execute(request)
+        finally:
+            self.transports.discard(request.transport)
+
+    async def _execute(self, request: web.Request) -> web.StreamResponse:
         rejection = self._rejection(request)
         if rejection is not None:
             return rejection
@@ -213,7 +253,10 @@
         )
         self.running += 1
         try:
-            return await self._respond(request, self._take_due_fault())
+            fault = self._take_due_fault()
+            if _shared_segments(request) & self.options.fatal_segments:
+                fault = EngineFault.END
+            return await self._respond(request, fault)
         finally:
             self.running -= 1
 
@@ -327,7 +370,12 @@
         response.content_type = 'text/event-stream'
         await response.prepare(request)
         last_event_id = int(request.headers.get('Last-Event-Id', 0))
+        first_fatal = last_event_id + self.options.fatal_after_events
         for number in range(last_event_id + 1, self.options.events + 1):
+            if fault is EngineFault.END and number > first_fatal:
+                await asyncio.sleep(self.options.event_s)
+                self.end()
+                return response
             if fault is EngineFault.CUT and number > last_event_id + 2:
                 await response.write(b'id: ')
                 request.transport.abort()
@@ -369,3 +417,12 @@
     def _finish_load(self, version: int) -> None:
         self.version = version
         self.is_loading_weights = False
+
+
+def _ignore_end() -> None:
+    """Do nothing when an engine ends that no fleet serves."""
+
+
+def _shared_segments(request: web.Request) -> frozenset[str]:
+    entries = request.headers.get('Prompt-Prefix', '').split(',')[:-1]
+    return frozenset(entry.partition(':')[0] for entry in entries)
