Keep prompts with a segment that crashes engines from all engines

Cause: only the engine was taken to have failed. Nothing was learned of what it was working on when it ended: the request went to the next engine, and the next request with the same segment was placed like any other, on every VM.

Change, one core without I/O (quarantine/) and its edge (node/quarantine/): - A broken connection is followed by one connection to the engine. If it is refused, the engine has ended, and the segments of the requests whose responses had just started (half: had not started) are suspected. Engines that leave, or that listen, say nothing. - A segment without any sound response within a minute is blamed after three ends, one that was sound after four or five since its last response. Engines that end together count once, and an end that one segment explains speaks against no other. - VMs report ends, responses to suspected segments and verdicts to each other; a verdict has a revision, so none brings an older one back. One VM writes it to the store, where it outlasts all processes. - Requests with such a segment are refused at once as not run, also those that wait at a VM; those that wait at an engine are withdrawn. A request is not repeated if one of its unproven segments was at another end as well. - After 30 s, then three times as long, one VM lets one request through; a response that goes on, or an operator, lifts the quarantine.

--- a/src/arbutusbay/cli/_causes.py
+++ b/src/arbutusbay/cli/_causes.py
@@ -85,6 +85,8 @@
     match kind:
         case 'configuration_too_old':
             return _describe_stale_configuration(last, context_lines)
+        case 'prompt_quarantined':
+            return _describe_quarantine(last, context_lines)
         case 'outcome_unknown':
             return (
                 f'{_describe_last_server(request_lines)} broke off after the '
@@ -107,6 +109,19 @@
     return _REFUSAL_CAUSES.get(kind, str(last.fields.get('detail', '')))
 
 
+def _describe_quarantine(
+    last: LogLine, context_lines: Sequence[LogLine]
+) -> str:
+    verdicts = [
+        f'{line.fields.get("ends")} ends counted, {line.fields.get("answers")} '
+        f'sound responses, told by {line.fields.get("told_by") or "itself"}'
+        for line in context_lines
+        if line.message == 'segment quarantined'
+    ]
+    since = verdicts[0] if verdicts else 'quarantined earlier'
+    return f'{last.fields.get("detail", "")} ({since}); it was not sent'
+
+
 def _describe_stale_configuration(
     last: LogLine,
     context_lines: Sequence[LogLine],
--- a/src/arbutusbay/node/_attempts.py
+++ b/src/arbutusbay/node/_attempts.py
@@ -61,7 +61,7 @@
     differs from the expected one; ``reported_instance`` is then the id it
     reported, empty if none. ``response_head`` holds the headers of a response
     that belongs to the attempt, None if there was none. ``progress`` tells how
-    far the response had come.
+    far the response had come, ``is_connection_lost`` that it broke there.
     """
 
     outcome: AttemptOutcome
@@ -71,6 +71,15 @@
     reported_instance: str = ''
     response_head: ResponseHead | None = None
     progress: ResponseProgress = ResponseProgress.NOT_STARTED
+    is_connection_lost: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class BrokenStream:
+    """Tell why a stream ended early, and whether its connection was lost."""
+
+    detail: str
+    is_connection_lost: bool
 
 
 @attrs.frozen(kw_only=True)
@@ -94,7 +103,18 @@
         """Return the headers to forward to the client."""
         return build_client_headers(self.response.headers.items())
 
-    async def events(self) -> AsyncIterator[Result[ServerSentEvent, str]]:
+    @property
+    def is_close_delimited(self) -> bool:
+        """Return whether the body ends when the connection closes."""
+        headers = self.response.headers
+        return (
+            'Content-Length' not in headers
+            and 'Transfer-Encoding' not in headers
+        )
+
+    async def events(
+        self,
+    ) -> AsyncIterator[Result[ServerSentEvent, BrokenStream]]:
         """Yield complete events; the last one is an error if the stream broke.
 
         The stream broke if the connection failed, or ended within an event.
@@ -105,13 +125,15 @@
                 for event in parser.parse_chunk(chunk):
                     yield Ok(event)
                 if parser.is_overflowing():
-                    yield Err('an event has no end')
+                    yield _broken_stream(
+                        'an event has no end', is_connection_lost=False
+                    )
                     return
         except (aiohttp.ClientError, OSError) as error:
-            yield Err(repr(error))
+            yield _broken_stream(repr(error))
             return
         if parser.buffer:
-            yield Err('stream ended in the middle of an event')
+            yield _broken_stream('stream ended in the middle of an event')
 
     async def read_response(self) -> Result[BufferedResponse, AttemptFailure]:
         """Read the body and return the response, or the failure.
@@ -121,7 +143,7 @@
         try:
             body = await read_body(self.response, _MAX_BODY_BYTES)
         except (aiohttp.ClientError, OSError) as error:
-            return _unknown_outcome(
+            return _connection_lost(
                 f'response body is incomplete: {error!r}',
                 ResponseProgress.STARTING,
             )
@@ -174,7 +196,9 @@
         yield _not_sent(repr(error))
         return
     except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
-        yield _unknown_outcome(f'no response: {error!r}')
+        yield _connection_lost(
+            f'no response: {error!r}', ResponseProgress.NOT_STARTED
+        )
         return
     try:
         yield await _validate_response(incoming, response)
@@ -246,13 +270,27 @@
     return not response.content.is_eof()
 
 
-def _unknown_outcome(
-    detail: str,
-    progress: ResponseProgress = ResponseProgress.NOT_STARTED,
+def _unknown_outcome(detail: str) -> Err[AttemptFailure]:
+    return Err(AttemptFailure(outcome=AttemptOutcome.UNKNOWN, detail=detail))
+
+
+def _broken_stream(
+    detail: str, *, is_connection_lost: bool = True
+) -> Err[BrokenStream]:
+    return Err(
+        BrokenStream(detail=detail, is_connection_lost=is_connection_lost)
+    )
+
+
+def _connection_lost(
+    detail: str, progress: ResponseProgress
 ) -> Err[AttemptFailure]:
     return Err(
         AttemptFailure(
-            outcome=AttemptOutcome.UNKNOWN, detail=detail, progress=progress
+            outcome=AttemptOutcome.UNKNOWN,
+            detail=detail,
+            progress=progress,
+            is_connection_lost=True,
         )
     )
 
--- a/src/arbutusbay/node/_components.py
+++ b/src/arbutusbay/node/_components.py
@@ -1,10 +1,7 @@
 """Create the components of the daemon and connect them."""
 
-import time
-
 import aiohttp
 
-from arbutusbay.fleet import VMRegistration
 from arbutusbay.logs import NonblockingLineWriter
 from arbutusbay.node._control_api import ControlApi
 from arbutusbay.node._dispatcher import Dispatcher
@@ -15,6 +12,7 @@
 from arbutusbay.node._node_state import NodeState
 from arbutusbay.node._peer_channel import PeerChannel
 from arbutusbay.node._placer import Placer
+from arbutusbay.node._registration import build_own_registration
 from arbutusbay.node._relay_api import RelayApi
 from arbutusbay.node._request_executor import RequestDependencies
 from arbutusbay.node._rollout import Rollout
@@ -23,6 +21,11 @@
 from arbutusbay.node._stall_detector import StallDetector
 from arbutusbay.node._topics import OperatorTopicState, ServersTopicState
 from arbutusbay.node._weights_loader import WeightsLoader
+from arbutusbay.node.quarantine import (
+    EngineEndDetector,
+    PromptQuarantine,
+    VerdictRecorder,
+)
 from arbutusbay.platform import StoreClient, VMSettings
 
 
@@ -41,12 +44,7 @@
     ) -> None:
         """Create all components; ``session`` is used for outgoing calls."""
         self.node_state = NodeState(settings=settings)
-        self.own_vm = VMRegistration(
-            name=settings.name,
-            address=f'{settings.ip}:{settings.peer_ports[0]}',
-            zone=settings.zone,
-            started_ms=int(time.time() * 1000),
-        )
+        self.own_vm = build_own_registration(settings)
         self.node_state.catalog.vms[self.own_vm.name] = self.own_vm
         self.store = StoreClient(
             address=str(settings.store),
@@ -102,12 +100,24 @@
     ) -> None:
         placer = Placer(node_state=self.node_state)
         self.dispatcher = Dispatcher(node_state=self.node_state, placer=placer)
+        self.quarantine = PromptQuarantine(
+            node_state=self.node_state,
+            dispatcher=self.dispatcher,
+            stall_detector=self.stall_detector,
+        )
+        self.verdict_recorder = VerdictRecorder(
+            node_state=self.node_state,
+            store=self.store,
+            quarantine=self.quarantine,
+        )
         self.frontend = Frontend(
             node_state=self.node_state,
             dependencies=RequestDependencies(
                 node_state=self.node_state,
                 placer=placer,
                 feedback=ServerFeedback(node_state=self.node_state),
+                engine_ends=EngineEndDetector(node_state=self.node_state),
+                quarantine=self.quarantine,
                 dispatcher=self.dispatcher,
                 stall_detector=self.stall_detector,
                 session=session,
--- a/src/arbutusbay/node/_control_api.py
+++ b/src/arbutusbay/node/_control_api.py
@@ -6,15 +6,17 @@
 import orjson
 from aiohttp import web
 
-from arbutusbay.clock import now_s
+from arbutusbay.clock import milliseconds, now_s
 from arbutusbay.logs import NonblockingLineWriter
 from arbutusbay.node._metrics import NodeMetrics
 from arbutusbay.node._node_state import NodeState
 from arbutusbay.platform import READINESS_PATH, StoreClient
+from arbutusbay.quarantine import segment_key
 
 _READINESS_PATHS = frozenset((READINESS_PATH, '/readyz'))
 _METRICS_PATH = '/metrics'
 _DUMP_PATH = '/debug/state'
+_QUARANTINE_PATH = '/debug/quarantine'
 
 
 class ControlApi:
@@ -47,6 +49,8 @@
                 body=orjson.dumps(self.dump()),
                 content_type='application/json',
             )
+        if request.path == _QUARANTINE_PATH and request.method == 'DELETE':
+            return self._lift_quarantine(request)
         return web.Response(status=HTTPStatus.NOT_FOUND)
 
     def dump(self) -> dict[str, Any]:
@@ -79,8 +83,38 @@
                 }
                 for view in node_state.engine_views.values()
             ],
+            'quarantine': [
+                {
+                    'model': key.model,
+                    'segment': key.segment,
+                    'quarantined': verdict.is_quarantined,
+                    'revision': verdict.revision,
+                    'probes': verdict.probes,
+                    'age_ms': milliseconds(moment_s - verdict.changed_s),
+                }
+                for key, verdict in node_state.quarantine.table.verdicts.items()
+            ],
         }
 
+    def _lift_quarantine(self, request: web.BaseRequest) -> web.Response:
+        """Lift the quarantine of the segment that the query names.
+
+        Responds 400 if the query is incomplete and 404 if there is none.
+        """
+        model = request.query.get('model')
+        segment = request.query.get('segment')
+        if not model or not segment:
+            return web.Response(
+                status=HTTPStatus.BAD_REQUEST,
+                text='the query needs model and segment\n',
+            )
+        is_lifted = self.node_state.quarantine.lift(
+            segment_key(model, segment), now_s()
+        )
+        return web.Response(
+            status=HTTPStatus.OK if is_lifted else HTTPStatus.NOT_FOUND
+        )
+
     def _readiness_response(self) -> web.Response:
         return web.Response(
             status=HTTPStatus.OK
@@ -90,6 +124,11 @@
 
     def _metrics_response(self) -> web.Response:
         self.metrics.store_calls.set({}, self.store.call_count)
+        quarantine = self.node_state.quarantine
+        self.metrics.quarantined_segments.set(
+            {}, len(quarantine.table.quarantined)
+        )
+        self.metrics.recent_engine_ends.set({}, len(quarantine.evidence.ends))
         self.metrics.log_lines_dropped.set({}, self.log_writer.dropped_lines)
         content, headers = self.metrics.render()
         return web.Response(body=content, headers=headers)
--- a/src/arbutusbay/node/_coordination.py
+++ b/src/arbutusbay/node/_coordination.py
@@ -1,5 +1,6 @@
-"""Read the VM records and lease claims from the store."""
+"""Read the VM records, lease claims and verdicts from the store."""
 
+import time
 from collections.abc import Set
 
 import attrs
@@ -14,11 +15,14 @@
     StoreFailure,
     StorePosition,
     Topic,
+    VerdictRecord,
     decode_coordination_record,
 )
 from arbutusbay.scheduling import fencing_token
 
 _LOG = get_logger('coordination')
+_MS_PER_S = 1000
+_STORE_NAME = 'store'
 
 
 @attrs.frozen(kw_only=True)
@@ -39,7 +43,7 @@
     *,
     timeout_s: float,
 ) -> Result[CoordinationRead, StoreFailure]:
-    """Apply all VM records and lease claims to ``node_state``.
+    """Apply all VM records, lease claims and verdicts to ``node_state``.
 
     Malformed records are logged and skipped. Fails if the store does, which
     has ``timeout_s`` seconds to respond.
@@ -64,6 +68,8 @@
             case Ok(LeaseClaim() as claim):
                 fence = fencing_token(store_era=found.era, offset=record.offset)
                 node_state.catalog.update_claim(claim, fence, now_s())
+            case Ok(VerdictRecord() as stored):
+                _apply_verdict(node_state, stored)
             case Err(failure):
                 _LOG.warning('malformed record skipped: {}', failure.detail)
     return Ok(
@@ -72,3 +78,14 @@
             registered_vms=registered_vms,
         )
     )
+
+
+def _apply_verdict(node_state: NodeState, stored: VerdictRecord) -> None:
+    """Take over a stored verdict if it is newer than the known one."""
+    moment_s = now_s()
+    age_s = max(0.0, time.time() - stored.changed_ms / _MS_PER_S)
+    verdict = attrs.evolve(stored.verdict, changed_s=moment_s - age_s)
+    node_state.quarantine.merge_verdict(
+        stored.key, verdict, moment_s, reporter=_STORE_NAME
+    )
+    node_state.stored_revisions[stored.key] = stored.verdict.revision
--- a/src/arbutusbay/node/_daemon.py
+++ b/src/arbutusbay/node/_daemon.py
@@ -133,6 +133,8 @@
         'servers': components.server_registry.run,
         'dispatcher': components.dispatcher.run,
         'silence': components.stall_detector.run,
+        'quarantine': components.quarantine.run,
+        'verdicts': components.verdict_recorder.run,
         'rollout': components.rollout.run,
         'peers': components.peer_channel.run,
         'registration': functools.partial(
--- a/src/arbutusbay/node/_dispatcher.py
+++ b/src/arbutusbay/node/_dispatcher.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import itertools
+from collections.abc import Callable
 
 import attrs
 from result import Err, Ok, Result
@@ -14,6 +15,7 @@
 from arbutusbay.clock import now_s
 from arbutusbay.errors import ErrorKind, Failure
 from arbutusbay.logs import get_logger
+from arbutusbay.node._incoming_request import IncomingRequest
 from arbutusbay.node._node_state import NodeState
 from arbutusbay.node._placement import (
     Placement,
@@ -116,6 +118,16 @@
         self.node_state.notify_report_changed()
         self.place_waiting()
 
+    def reject_queued(
+        self, refuse: Callable[[IncomingRequest], Failure | None]
+    ) -> None:
+        """Reject the queued requests for which ``refuse`` returns a failure."""
+        for queue in self.queues.values():
+            for pending in tuple(queue.waiting):
+                failure = refuse(pending.request.incoming)
+                if failure is not None and not pending.future.done():
+                    self._resolve(queue, pending, Err(failure))
+
     async def run(self) -> None:
         """Place queued requests at a fixed interval until cancelled.
 
--- a/src/arbutusbay/node/_frontend.py
+++ b/src/arbutusbay/node/_frontend.py
@@ -102,6 +102,8 @@
                 incoming, 'client left', executor.attempt_history.last_detail
             )
             raise
+        finally:
+            self.dependencies.quarantine.end_request(incoming)
 
     async def _proxy_buffered(
         self,
--- a/src/arbutusbay/node/_incoming_request.py
+++ b/src/arbutusbay/node/_incoming_request.py
@@ -22,6 +22,7 @@
 from arbutusbay.node._client_connection import look_at_connection
 from arbutusbay.node._node_state import NodeState
 from arbutusbay.platform import RequestHead, parse_request_head
+from arbutusbay.quarantine import SegmentKey, segment_key
 
 _NOT_READY_RETRY_AFTER_S = 1.0
 
@@ -34,6 +35,7 @@
     ``deadline_s`` are in seconds on the clock of ``now_s``. A request is
     received when its bytes arrive, which may be long before they are read.
     ``team`` is None for public routes and for configurations without teams.
+    ``segment_keys`` identifies the shared segments of the prompt in order.
     """
 
     method: str
@@ -45,6 +47,7 @@
     team: TeamSpec | None
     received_s: float
     deadline_s: float
+    segment_keys: tuple[SegmentKey, ...] = ()
 
     @property
     def attempt_id(self) -> str:
@@ -176,6 +179,12 @@
             team=team,
             received_s=received_s,
             deadline_s=received_s + limit_s,
+            segment_keys=tuple(
+                segment_key(head.model, segment.id)
+                for segment in head.shared_segments
+            )
+            if service.models
+            else (),
         ),
     )
 
--- a/src/arbutusbay/node/_metrics.py
+++ b/src/arbutusbay/node/_metrics.py
@@ -30,6 +30,14 @@
             'arbutusbay_store_calls_total',
             'Calls to the store.',
         )
+        self.quarantined_segments = Gauge(
+            'arbutusbay_quarantined_segments',
+            'Prompt segments that are kept from the engines.',
+        )
+        self.recent_engine_ends = Gauge(
+            'arbutusbay_recent_engine_ends',
+            'Engines that ended under requests in the last minute.',
+        )
         self.log_lines_dropped = Gauge(
             'arbutusbay_log_lines_dropped_total',
             'Log lines dropped because standard output was full.',
--- a/src/arbutusbay/node/_node_state.py
+++ b/src/arbutusbay/node/_node_state.py
@@ -15,6 +15,7 @@
 from arbutusbay.node._own_pauses import OwnPauses
 from arbutusbay.node._peer_messages import ZoneLoad
 from arbutusbay.platform import VMSettings
+from arbutusbay.quarantine import SegmentKey, SegmentQuarantine
 from arbutusbay.scheduling import (
     PEER_REPORT_TTL_S,
     EngineView,
@@ -139,6 +140,8 @@
             shutdown.
         busy_connections: Connections that have a request in progress.
         own_pauses: When this VM last did not run.
+        quarantine: Prompt segments that crash engines.
+        stored_revisions: Revisions of the verdicts that the store holds.
     """
 
     settings: VMSettings
@@ -163,6 +166,8 @@
     is_rejecting_requests: bool = False
     busy_connections: set[web.RequestHandler] = attrs.field(factory=set)
     own_pauses: OwnPauses = attrs.field(factory=OwnPauses)
+    quarantine: SegmentQuarantine = attrs.field(factory=SegmentQuarantine)
+    stored_revisions: dict[SegmentKey, int] = attrs.field(factory=dict)
 
     @property
     def configuration(self) -> Configuration | None:
@@ -195,6 +200,7 @@
         """
         if self.store_era.observe(number):
             self.freshness.record_restored_store()
+            self.stored_revisions.clear()
             _LOG.warning('store was restored', fields={'era': number})
 
     def configuration_age_ms(self) -> int | None:
--- a/src/arbutusbay/node/_peer_messages.py
+++ b/src/arbutusbay/node/_peer_messages.py
@@ -11,6 +11,11 @@
 from result import Err, Ok, Result
 
 from arbutusbay.errors import ErrorKind, Failure
+from arbutusbay.node._quarantine_messages import (
+    quarantine_from_fields,
+    quarantine_to_fields,
+)
+from arbutusbay.quarantine import QuarantineReport
 from arbutusbay.scheduling import Occupancy, PlannedWeightsLoad, WorkTotals
 
 _WORK_UNIT_TOKENS = 1000
@@ -47,7 +52,8 @@
     planned weights loads, reported by the VM that runs the rollout, and
     ``fence`` is the fencing token, reported by the last holder of the
     rollout's lease. ``weights`` holds the engines whose weights changed
-    recently.
+    recently, ``quarantine`` what the sender knows of prompt segments that crash
+    engines.
     """
 
     name: str
@@ -60,6 +66,7 @@
     weights: Mapping[str, LoadedWeights] = attrs.field(factory=dict)
     fence: int | None = None
     zones: Mapping[str, ZoneLoad] = attrs.field(factory=dict)
+    quarantine: QuarantineReport = attrs.field(factory=QuarantineReport)
 
 
 def peer_state_to_bytes(state: PeerState, now_s: float) -> bytes:
@@ -103,6 +110,9 @@
             )
             for zone, load in state.zones.items()
         }
+    quarantine = quarantine_to_fields(state.quarantine, now_s)
+    if quarantine:
+        fields['q'] = quarantine
     return orjson.dumps(fields)
 
 
@@ -154,6 +164,7 @@
             )
             for zone, (occupancy, totals) in fields.get('zs', {}).items()
         },
+        quarantine=quarantine_from_fields(fields.get('q', {}), now_s),
     )
 
 
--- a/src/arbutusbay/node/_peer_reports.py
+++ b/src/arbutusbay/node/_peer_reports.py
@@ -64,6 +64,7 @@
             },
             loads=_announced_loads(self.own_loads),
             fence=self._own_fence(),
+            quarantine=self.node_state.quarantine.report(moment_s),
             weights={
                 view.id: _loaded_weights(view)
                 for view in views
--- a/src/arbutusbay/node/_peer_state_receiver.py
+++ b/src/arbutusbay/node/_peer_state_receiver.py
@@ -43,6 +43,9 @@
         self._apply_engine_reports(state, moment_s)
         for zone, load in other_zones.items():
             self._apply_zone_load(zone, load, moment_s)
+        self.node_state.quarantine.merge_report(
+            state.name, state.quarantine, moment_s
+        )
 
     def _record_sender(
         self,
--- a/src/arbutusbay/node/_registration.py
+++ b/src/arbutusbay/node/_registration.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import time
 
 from result import Err, Ok
 
@@ -12,16 +13,28 @@
 from arbutusbay.platform import (
     StoreClient,
     Topic,
+    VMSettings,
     encode_vm_record,
 )
 
 _LOG = get_logger('registration')
 _STORE_TIMEOUT_S = 1.0
+_MS_PER_S = 1000
 _RETRY_DELAY_RANGE_S = (0.5, 1.5)
 _MIN_REREAD_INTERVAL_S = 20.0
 _MAX_FLEET_REREADS_PER_S = 1.0
 
 
+def build_own_registration(settings: VMSettings) -> VMRegistration:
+    """Return the registration of a VM that starts now."""
+    return VMRegistration(
+        name=settings.name,
+        address=f'{settings.ip}:{settings.peer_ports[0]}',
+        zone=settings.zone,
+        started_ms=int(time.time() * _MS_PER_S),
+    )
+
+
 def reread_interval_s(vm_count: int) -> float:
     """Return the delay between two reads of the records, in seconds.
 
--- a/src/arbutusbay/node/_request_executor.py
+++ b/src/arbutusbay/node/_request_executor.py
@@ -26,6 +26,11 @@
 from arbutusbay.node._placer import Placer
 from arbutusbay.node._server_feedback import ServerFeedback
 from arbutusbay.node._stall_detector import MonitoredAttempt, StallDetector
+from arbutusbay.node.quarantine import (
+    EngineEndDetector,
+    PromptQuarantine,
+    RequestEvidence,
+)
 from arbutusbay.platform import ResponseHead
 from arbutusbay.scheduling import (
     AttemptOutcome,
@@ -46,6 +51,8 @@
     node_state: NodeState
     placer: Placer
     feedback: ServerFeedback
+    engine_ends: EngineEndDetector
+    quarantine: PromptQuarantine
     dispatcher: Dispatcher
     stall_detector: StallDetector
     session: aiohttp.ClientSession
@@ -76,6 +83,11 @@
         self.is_client_connected = is_client_connected
         self.attempt_history = AttemptHistory()
         self.in_flight = False
+        self.evidence = RequestEvidence(
+            incoming=incoming,
+            engine_ends=dependencies.engine_ends,
+            quarantine=dependencies.node_state.quarantine,
+        )
         budget = dependencies.node_state.retry_budget_of(incoming.service.name)
         budget.deposit()
         self.budget = budget
@@ -95,7 +107,7 @@
                     return answered
                 case Err(failure):
                     pass
-            match self.record_failed_attempt(placement, failure):
+            match await self.record_failed_attempt(placement, failure):
                 case RetryAction.RETURN_FAILURE:
                     return self.final_result(failure)
 
@@ -180,6 +192,7 @@
                 placement.view,
                 abort_timeout,
                 is_retryable=self.incoming.is_retryable,
+                segment_keys=self.incoming.segment_keys,
                 start_by_s=placement.start_by_s
                 if self.incoming.is_stream
                 else float('inf'),
@@ -189,15 +202,15 @@
             finally:
                 self.dependencies.stall_detector.stop_monitoring(monitored)
 
-    def record_failed_attempt(
+    async def record_failed_attempt(
         self,
         placement: Placement,
         failure: AttemptFailure,
     ) -> RetryAction:
         """Record a failed attempt and return the next step.
 
-        A retry that the retry budget does not cover becomes
-        ``RetryAction.RETURN_FAILURE``.
+        A retry that the retry budget does not cover, or that might end one more
+        engine, becomes ``RetryAction.RETURN_FAILURE``.
         """
         self.in_flight = False
         view = placement.view
@@ -213,13 +226,9 @@
             is_retryable=self.incoming.is_retryable,
             max_attempts=self.incoming.route.max_attempts,
         )
-        if (
-            action is RetryAction.RETRY_WITHIN_BUDGET
-            and not self.budget.try_withdraw(
-                now_s(),
-            )
-        ):
-            action = RetryAction.RETURN_FAILURE
+        has_ended = await self.evidence.has_engine_ended(view, failure)
+        if action is RetryAction.RETRY_WITHIN_BUDGET:
+            action = self._limit_retry(action, has_ended=has_ended)
         _LOG.info(
             'attempt failed',
             fields={
@@ -232,6 +241,7 @@
                     segment.id
                     for segment in self.incoming.parsed_headers.shared_segments
                 ],
+                'server_ended': has_ended,
                 'instance': failure.reported_instance,
                 'expected_weights': placement.attempt_headers.weights_version,
                 'runs': self.attempt_history.possible_executions,
@@ -292,6 +302,16 @@
             or None
         )
 
+    def _limit_retry(
+        self, action: RetryAction, *, has_ended: bool
+    ) -> RetryAction:
+        """Return ``action``, or that the request must not be repeated."""
+        if has_ended and not self.evidence.may_retry():
+            return RetryAction.RETURN_FAILURE
+        if self.budget.try_withdraw(now_s()):
+            return action
+        return RetryAction.RETURN_FAILURE
+
     async def _fetch_once(
         self,
         placement: Placement,
@@ -304,6 +324,9 @@
             return aborted_attempt_failure(monitored)
         if isinstance(fetched, Ok):
             placement.view.record_success(now_s())
+            self.evidence.record_sound_response(
+                placement.view, now_s(), is_end_certain=False
+            )
         return fetched
 
     async def _fetch_response(
@@ -327,7 +350,9 @@
 
     def _check_may_send(self) -> Failure | None:
         """Return a failure if the request may no longer be sent."""
-        refused = recheck_access(self.dependencies.node_state, self.incoming)
+        refused = recheck_access(
+            self.dependencies.node_state, self.incoming
+        ) or self.dependencies.quarantine.refuse(self.incoming)
         if refused is not None:
             return self._downgrade_if_run(refused)
         if self.incoming.remaining_s() <= 0:
@@ -402,7 +427,7 @@
         return Err(
             AttemptFailure(
                 outcome=AttemptOutcome.WITHDRAWN,
-                detail='not begun while the weights could be used',
+                detail='withdrawn before it began',
             ),
         )
     return Err(
--- a/src/arbutusbay/node/_stall_detector.py
+++ b/src/arbutusbay/node/_stall_detector.py
@@ -12,6 +12,7 @@
 from arbutusbay.clock import milliseconds, now_s
 from arbutusbay.logs import get_logger
 from arbutusbay.node._node_state import NodeState
+from arbutusbay.quarantine import SegmentKey
 from arbutusbay.scheduling import Attempt, EngineView
 
 _LOG = get_logger('silence')
@@ -39,6 +40,7 @@
     is_retryable: bool
     last_event_s: float
     start_by_s: float
+    segment_keys: tuple[SegmentKey, ...] = ()
     is_withdrawn: bool = False
 
 
@@ -59,6 +61,7 @@
         *,
         is_retryable: bool,
         start_by_s: float,
+        segment_keys: tuple[SegmentKey, ...] = (),
     ) -> MonitoredAttempt:
         """Start to monitor an attempt.
 
@@ -71,6 +74,7 @@
             is_retryable=is_retryable,
             last_event_s=now_s(),
             start_by_s=start_by_s,
+            segment_keys=segment_keys,
         )
         self.monitored.add(monitored)
         return monitored
@@ -79,6 +83,18 @@
         """Stop monitoring an attempt."""
         self.monitored.discard(monitored)
 
+    def withdraw(self, key: SegmentKey) -> None:
+        """Abort the attempts with a segment whose responses have not begun."""
+        for monitored in self.monitored:
+            is_waiting = not monitored.attempt.has_first_event
+            if (
+                is_waiting
+                and key in monitored.segment_keys
+                and not monitored.abort_timeout.expired()
+            ):
+                monitored.is_withdrawn = True
+                _abort(monitored, 'attempt withdrawn for its prompt')
+
     async def run(self) -> None:
         """Check for stalls at a fixed interval until cancelled."""
         while True:
--- a/src/arbutusbay/node/_stream_relay.py
+++ b/src/arbutusbay/node/_stream_relay.py
@@ -15,6 +15,7 @@
 from arbutusbay.logs import get_logger
 from arbutusbay.node._attempts import (
     AttemptFailure,
+    BrokenStream,
     BufferedResponse,
     OpenResponse,
 )
@@ -35,6 +36,11 @@
 _RESPONSE_START_S = 0.3
 
 
+_EMPTY_STREAM = BrokenStream(
+    detail='connection closed before the first event', is_connection_lost=True
+)
+
+
 @attrs.frozen(kw_only=True)
 class StreamCompleted:
     """Report that the stream was relayed to its end."""
@@ -82,6 +88,35 @@
         self.event_count += 1
 
 
+@attrs.define(kw_only=True)
+class StreamProgress:
+    """Track how far the stream of one attempt has come.
+
+    ``started_s`` is the time of its first event, None before that.
+    ``has_earlier_events`` tells that an attempt before had events.
+    """
+
+    has_earlier_events: bool
+    started_s: float | None = None
+
+    @property
+    def is_empty(self) -> bool:
+        """Return whether no attempt had an event."""
+        return self.started_s is None and not self.has_earlier_events
+
+    def record_event(self, moment_s: float) -> None:
+        """Record an event of this attempt."""
+        if self.started_s is None:
+            self.started_s = moment_s
+
+    def is_underway(self, moment_s: float) -> bool:
+        """Return whether the stream has gone on after its first event."""
+        return (
+            self.started_s is not None
+            and moment_s - self.started_s > _RESPONSE_START_S
+        )
+
+
 class StreamRelay:
     """Relay one stream to a client, each numbered event exactly once.
 
@@ -133,10 +168,10 @@
                     return relayed
                 case Err(failure):
                     pass
-            if (
-                self.executor.record_failed_attempt(placement, failure)
-                is RetryAction.RETURN_FAILURE
-            ):
+            action = await self.executor.record_failed_attempt(
+                placement, failure
+            )
+            if action is RetryAction.RETURN_FAILURE:
                 return self._attempt_failure_result(failure)
 
     async def _relay_attempt(
@@ -172,32 +207,59 @@
         monitored: MonitoredAttempt,
         answer: OpenResponse,
     ) -> Result[StreamResult, AttemptFailure]:
+        progress = StreamProgress(
+            has_earlier_events=bool(self.last_event_number)
+        )
         version = answer.parsed_headers.weights_version
-        started_s: float | None = None
         async for received in answer.events():
             match received:
-                case Err(detail):
-                    return _broken_stream(detail, started_s)
+                case Err(broken):
+                    return _stream_failure(broken, progress)
                 case Ok(event):
                     pass
             if not self._is_expected(event):
-                return _broken_stream(
-                    f'received event {event.event_id} after event '
-                    f'{self.last_event_number}',
-                    started_s,
-                )
-            if started_s is None:
-                started_s = now_s()
+                return _stream_failure(self._event_gap(event), progress)
+            if progress.started_s is None:
                 self._record_start(monitored)
+            progress.record_event(now_s())
             monitored.last_event_s = now_s()
             # An event names its weights only where they change.
             if event.weights_version is not None:
                 version = event.weights_version
             self.weights_version = version
             await self._write_event(answer, event)
+        if progress.is_empty and answer.is_close_delimited:
+            return _stream_failure(_EMPTY_STREAM, progress)
         monitored.view.record_success(now_s())
+        self._record_sound_response(monitored, answer, progress)
         return await self._finish_response(answer)
 
+    def _event_gap(self, event: ServerSentEvent) -> BrokenStream:
+        return BrokenStream(
+            detail=f'received event {event.event_id} after event '
+            f'{self.last_event_number}',
+            is_connection_lost=False,
+        )
+
+    def _record_sound_response(
+        self,
+        monitored: MonitoredAttempt,
+        answer: OpenResponse,
+        progress: StreamProgress,
+    ) -> None:
+        """Record a stream that ended as sound, if it had any event.
+
+        A stream that ends with its connection may have lost its engine.
+        """
+        if progress.started_s is None:
+            return
+        self.executor.evidence.record_sound_response(
+            monitored.view,
+            progress.started_s,
+            is_end_certain=not answer.is_close_delimited
+            or progress.is_underway(now_s()),
+        )
+
     def _record_start(self, monitored: MonitoredAttempt) -> None:
         """Update the prefill time estimate from the first event."""
         monitored.view.occupancy.record_first_event(monitored.attempt)
@@ -255,20 +317,16 @@
                 return refusal
 
 
-def _broken_stream(detail: str, started_s: float | None) -> Err[AttemptFailure]:
-    """Return the failure of a stream whose first event came at ``started_s``.
-
-    None stands for a stream without an event.
-    """
-    is_underway = (
-        started_s is not None and now_s() - started_s > _RESPONSE_START_S
-    )
+def _stream_failure(
+    broken: BrokenStream, progress: StreamProgress
+) -> Err[AttemptFailure]:
     return Err(
         AttemptFailure(
             outcome=AttemptOutcome.UNKNOWN,
-            detail=detail,
+            detail=broken.detail,
+            is_connection_lost=broken.is_connection_lost,
             progress=ResponseProgress.UNDERWAY
-            if is_underway
+            if progress.is_underway(now_s())
             else ResponseProgress.STARTING,
         )
     )
--- /dev/null
+++ b/src/arbutusbay/node/quarantine/_prompt_quarantine.py
@@ -0,0 +1,138 @@
+"""Keep requests with segments that crash engines from the engines."""
+
+import asyncio
+
+from arbutusbay.clock import milliseconds, now_s
+from arbutusbay.errors import ErrorKind, Failure
+from arbutusbay.hashing import rank_by_rendezvous_hash
+from arbutusbay.logs import get_logger
+from arbutusbay.node._dispatcher import Dispatcher
+from arbutusbay.node._incoming_request import IncomingRequest
+from arbutusbay.node._node_state import NodeState
+from arbutusbay.node._stall_detector import StallDetector
+from arbutusbay.quarantine import SegmentKey, VerdictChange
+
+_LOG = get_logger('quarantine')
+_CHECK_INTERVAL_S = 0.1
+_IDLE_CHECK_INTERVAL_S = 0.5
+_MIN_RETRY_AFTER_S = 1.0
+_SILENT_VM_S = 3.0
+_PROBE_END_DELAY_S = 1.0
+
+
+class PromptQuarantine:
+    """Refuse requests with quarantined segments and act on new verdicts."""
+
+    def __init__(
+        self,
+        *,
+        node_state: NodeState,
+        dispatcher: Dispatcher,
+        stall_detector: StallDetector,
+    ) -> None:
+        """Act on the verdicts of ``node_state``.
+
+        Requests that wait for an engine are rejected by ``dispatcher``, and
+        those that wait at one withdrawn by ``stall_detector``.
+        """
+        self.node_state = node_state
+        self.dispatcher = dispatcher
+        self.stall_detector = stall_detector
+        self.core = node_state.quarantine
+        self.core.announce = self._handle_change
+
+    async def run(self) -> None:
+        """Evaluate the evidence at a fixed interval until cancelled."""
+        while True:
+            has_evidence = bool(self.core.evidence.ends)
+            await asyncio.sleep(
+                _CHECK_INTERVAL_S if has_evidence else _IDLE_CHECK_INTERVAL_S
+            )
+            self.core.evaluate(now_s(), self._weights_versions())
+
+    def refuse(self, incoming: IncomingRequest) -> Failure | None:
+        """Return a failure if the request must not be sent to an engine.
+
+        Now and then one request of the fleet is let through instead, to find
+        out whether its segment is sound again.
+        """
+        key = self.core.find_withheld(
+            incoming.segment_keys, incoming.attempt_id
+        )
+        if key is None:
+            return None
+        moment_s = now_s()
+        version = self._weights_versions().get(key.model, 0)
+        due_s = self.core.next_probe_s(key, version)
+        if moment_s >= due_s and self._may_probe(key, incoming):
+            self.core.start_probe(
+                key,
+                request_id=incoming.attempt_id,
+                now_s=moment_s,
+                weights_version=version,
+            )
+            return self.refuse(incoming)
+        return Failure(
+            kind=ErrorKind.PROMPT_QUARANTINED,
+            detail=f'engines crashed under segment {key.segment} of the prompt',
+            retry_after_s=max(_MIN_RETRY_AFTER_S, due_s - moment_s),
+        )
+
+    def end_request(self, incoming: IncomingRequest) -> None:
+        """Forget a request that was let through, once its response counted."""
+        request_id = incoming.attempt_id
+        if request_id in self.core.probing_requests.values():
+            asyncio.get_running_loop().call_later(
+                _PROBE_END_DELAY_S, self.core.end_probe, request_id
+            )
+
+    def is_owner(self, key: SegmentKey) -> bool:
+        """Return whether this VM acts on a segment for the fleet.
+
+        It stores the verdict and tries the segment. All VMs that know the same
+        ones agree on it.
+        """
+        own_name = self.node_state.settings.name
+        silent = self.node_state.silent_vms(_SILENT_VM_S)
+        names = set(self.node_state.catalog.vms) - silent | {own_name}
+        ranked = rank_by_rendezvous_hash(str(key), sorted(names))
+        return ranked[0] == own_name
+
+    def _may_probe(self, key: SegmentKey, incoming: IncomingRequest) -> bool:
+        """Return whether this VM tries a quarantined segment with a request.
+
+        A VM that can't tell what is in force, or whose request has another bad
+        segment, tries none.
+        """
+        quarantined = self.core.table.find_quarantined(incoming.segment_keys)
+        if quarantined != [key] or not incoming.attempt_id:
+            return False
+        return self.node_state.is_fresh() and self.is_owner(key)
+
+    def _weights_versions(self) -> dict[str, int]:
+        targets = self.node_state.catalog.targets
+        return {model: target.version for model, target in targets.items()}
+
+    def _handle_change(self, change: VerdictChange) -> None:
+        verdict = change.verdict
+        moment_s = now_s()
+        _LOG.warning(
+            'segment quarantined'
+            if verdict.is_quarantined
+            else 'quarantine lifted',
+            fields={
+                'model': change.key.model,
+                'segment': change.key.segment,
+                'reason': change.reason.value,
+                'told_by': change.reporter,
+                'revision': verdict.revision,
+                'age_ms': milliseconds(moment_s - verdict.changed_s),
+                'probes': verdict.probes,
+                'ends': change.blame.score,
+                'answers': change.answers.count,
+            },
+        )
+        self.node_state.notify_report_changed()
+        if verdict.is_quarantined and not verdict.probes:
+            self.dispatcher.reject_queued(self.refuse)
+            self.stall_detector.withdraw(change.key)
--- /dev/null
+++ b/src/arbutusbay/node/quarantine/_request_evidence.py
@@ -0,0 +1,77 @@
+"""Tell the quarantine what one request shows about its prompt."""
+
+import asyncio
+
+from arbutusbay.clock import now_s
+from arbutusbay.node._attempts import AttemptFailure
+from arbutusbay.node._incoming_request import IncomingRequest
+from arbutusbay.node.quarantine._engine_ends import (
+    EngineEndDetector,
+    incarnation_of,
+)
+from arbutusbay.quarantine import SegmentQuarantine
+from arbutusbay.scheduling import EngineView
+
+_ENGINE_END_NOTICE_S = 0.5
+
+
+class RequestEvidence:
+    """Record what the attempts of one request show about its segments."""
+
+    def __init__(
+        self,
+        *,
+        incoming: IncomingRequest,
+        engine_ends: EngineEndDetector,
+        quarantine: SegmentQuarantine,
+    ) -> None:
+        """Record evidence on ``incoming`` in ``quarantine``."""
+        self.incoming = incoming
+        self.engine_ends = engine_ends
+        self.quarantine = quarantine
+
+    async def has_engine_ended(
+        self, view: EngineView, failure: AttemptFailure
+    ) -> bool:
+        """Record a failed attempt; return whether its engine has ended."""
+        if not self.incoming.is_model_request or not failure.is_connection_lost:
+            return False
+        return await self.engine_ends.record_break(
+            view, self.incoming.segment_keys, failure.progress
+        )
+
+    def may_retry(self) -> bool:
+        """Return whether the request may be repeated after an engine ended."""
+        return self.quarantine.may_retry(self.incoming.segment_keys, now_s())
+
+    def record_sound_response(
+        self, view: EngineView, started_s: float, *, is_end_certain: bool
+    ) -> None:
+        """Record that a response which began at ``started_s`` went on.
+
+        Unless ``is_end_certain``, it may have ended with its engine, which is
+        noticed a moment later.
+        """
+        if is_end_certain:
+            self._record_answer(started_s)
+            return
+        asyncio.get_running_loop().call_later(
+            _ENGINE_END_NOTICE_S,
+            self._record_answer_unless_ended,
+            view,
+            started_s,
+        )
+
+    def _record_answer_unless_ended(
+        self, view: EngineView, started_s: float
+    ) -> None:
+        if incarnation_of(view) not in self.quarantine.evidence.ends:
+            self._record_answer(started_s)
+
+    def _record_answer(self, started_s: float) -> None:
+        self.quarantine.record_answer(
+            self.incoming.segment_keys,
+            request_id=self.incoming.attempt_id,
+            started_s=started_s,
+            now_s=now_s(),
+        )
--- a/src/arbutusbay/platform/__init__.py
+++ b/src/arbutusbay/platform/__init__.py
@@ -5,9 +5,12 @@
 """
 
 from arbutusbay.platform._coordination_records import (
+    VerdictRecord,
     decode_coordination_record,
     encode_lease_claim,
+    encode_verdict,
     encode_vm_record,
+    verdict_record_key,
 )
 from arbutusbay.platform._engine_calls import (
     EngineReport,
@@ -86,6 +89,7 @@
     'StoreUnavailable',
     'Topic',
     'VMSettings',
+    'VerdictRecord',
     'WeightsSwitchMode',
     'build_backend_headers',
     'build_client_headers',
@@ -94,6 +98,7 @@
     'decode_coordination_record',
     'decode_operator_record',
     'encode_lease_claim',
+    'encode_verdict',
     'encode_vm_record',
     'fetch_engine_report',
     'get_attempt_id',
@@ -103,4 +108,5 @@
     'read_settings',
     'send_load_order',
     'settings_path_from_environment',
+    'verdict_record_key',
 )
--- a/src/arbutusbay/platform/_coordination_records.py
+++ b/src/arbutusbay/platform/_coordination_records.py
@@ -6,19 +6,41 @@
 from collections.abc import Mapping
 from typing import Any
 
+import attrs
 import orjson
 from result import Result
 
 from arbutusbay.errors import Failure
 from arbutusbay.fleet import LeaseClaim, VMRegistration
-from arbutusbay.platform._field_validation import get_integer, get_string
+from arbutusbay.platform._field_validation import (
+    get_boolean,
+    get_integer,
+    get_string,
+)
 from arbutusbay.platform._operator_records import decode_json_object
 from arbutusbay.platform._settings_file import parse_endpoint
+from arbutusbay.quarantine import SegmentKey, Verdict
 
 _VM_KEY_PREFIX = 'vm/'
 _LEASE_KEY_PREFIX = 'lease/'
 
-CoordinationRecord = VMRegistration | LeaseClaim
+_VERDICT_KEY_PREFIX = 'quarantine/'
+
+
+@attrs.frozen(kw_only=True)
+class VerdictRecord:
+    """Hold the verdict about a prompt segment as it is stored.
+
+    ``changed_ms`` is the time of its last change in milliseconds since the
+    epoch, which replaces that in ``verdict``.
+    """
+
+    key: SegmentKey
+    verdict: Verdict
+    changed_ms: int
+
+
+CoordinationRecord = VMRegistration | LeaseClaim | VerdictRecord
 
 
 def decode_coordination_record(
@@ -27,8 +49,8 @@
 ) -> Result[CoordinationRecord | None, Failure]:
     """Decode a record of the coordination topic.
 
-    Return the VM record or lease claim, None for a key of another kind, or
-    a failure of kind ``BAD_MESSAGE`` if the payload is malformed.
+    Return the VM record, lease claim or verdict, None for a key of another
+    kind, or a failure of kind ``BAD_MESSAGE`` if the payload is malformed.
     """
     return decode_json_object(key, payload, _parse_coordination_document)
 
@@ -49,6 +71,26 @@
     return f'{_LEASE_KEY_PREFIX}{claim.name}', orjson.dumps(fields)
 
 
+def verdict_record_key(key: SegmentKey) -> str:
+    """Return the key of the record of a verdict."""
+    return f'{_VERDICT_KEY_PREFIX}{key.model}/{key.segment}'
+
+
+def encode_verdict(record: VerdictRecord) -> tuple[str, bytes]:
+    """Return the key and the JSON payload of the record of a verdict."""
+    verdict = record.verdict
+    fields = {
+        'model': record.key.model,
+        'segment': record.key.segment,
+        'revision': verdict.revision,
+        'is_quarantined': verdict.is_quarantined,
+        'probes': verdict.probes,
+        'weights_version': verdict.weights_version,
+        'changed_ms': record.changed_ms,
+    }
+    return verdict_record_key(record.key), orjson.dumps(fields)
+
+
 def _parse_coordination_document(
     key: str,
     fields: Mapping[str, Any],
@@ -68,4 +110,23 @@
             holder=get_string(fields, 'holder'),
             claim_number=get_integer(fields, 'round'),
         )
+    if key.startswith(_VERDICT_KEY_PREFIX):
+        return _parse_verdict(fields)
     return None
+
+
+def _parse_verdict(fields: Mapping[str, Any]) -> VerdictRecord:
+    return VerdictRecord(
+        key=SegmentKey(
+            model=get_string(fields, 'model'),
+            segment=get_string(fields, 'segment'),
+        ),
+        verdict=Verdict(
+            revision=get_integer(fields, 'revision'),
+            is_quarantined=get_boolean(fields, 'is_quarantined', default=None),
+            changed_s=0.0,
+            probes=get_integer(fields, 'probes'),
+            weights_version=get_integer(fields, 'weights_version'),
+        ),
+        changed_ms=get_integer(fields, 'changed_ms'),
+    )
--- a/src/arbutusbay/platform/_field_validation.py
+++ b/src/arbutusbay/platform/_field_validation.py
@@ -62,7 +62,9 @@
     )
 
 
-def get_boolean(fields: Mapping[str, Any], name: str, *, default: bool) -> bool:
+def get_boolean(
+    fields: Mapping[str, Any], name: str, *, default: bool | None
+) -> bool:
     """Return a boolean."""
     flag = fields.get(name, default)
     if isinstance(flag, bool):
--- /dev/null
+++ b/src/arbutusbay/quarantine/__init__.py
@@ -0,0 +1,51 @@
+"""Find prompt segments that crash engines, and keep them from the engines.
+
+Everything here is free of I/O: evidence goes in, verdicts come out.
+"""
+
+from arbutusbay.quarantine._answer_history import AnswerHistory
+from arbutusbay.quarantine._attribution import (
+    Blame,
+    SoundResponses,
+    blame_of,
+    find_culprits,
+    is_unproven,
+)
+from arbutusbay.quarantine._evidence import Evidence
+from arbutusbay.quarantine._quarantine import (
+    ChangeReason,
+    SegmentQuarantine,
+    VerdictChange,
+)
+from arbutusbay.quarantine._reports import QuarantineReport
+from arbutusbay.quarantine._types import (
+    AnswerTotals,
+    EngineEnd,
+    SegmentKey,
+    Suspect,
+    Verdict,
+    segment_key,
+)
+from arbutusbay.quarantine._verdicts import VerdictTable, is_newer_verdict
+
+__all__ = (
+    'AnswerHistory',
+    'AnswerTotals',
+    'Blame',
+    'EngineEnd',
+    'ChangeReason',
+    'Evidence',
+    'QuarantineReport',
+    'SegmentKey',
+    'SegmentQuarantine',
+    'SoundResponses',
+    'Suspect',
+    'Verdict',
+    'VerdictChange',
+    'VerdictTable',
+    'blame_of',
+    'find_culprits',
+    'is_newer_verdict',
+    'is_unproven',
+    'segment_key',
+)
--- a/tests/unit/test_causes.py
+++ b/tests/unit/test_causes.py
@@ -53,6 +53,14 @@
             build_line('request ended', outcome='stream cut', detail='reset'),
             'backend server e-1 broke off the stream: reset',
         ),
+        (
+            build_line(
+                'request refused',
+                kind='prompt_quarantined',
+                detail='engines crashed under segment dd04 of the prompt',
+            ),
+            'under segment dd04 of the prompt (quarantined earlier)',
+        ),
         (build_line('request ended', outcome='status 500'), 'executed it'),
         (build_line('placed', server='e-1'), 'its end was not logged'),
     ],
