Let a VM take requests only once it knows what is quarantined

Test test_vm_that_starts_cold_knows_the_quarantine failed before: a VM that starts was ready after it had read the configuration, which is before the verdicts in the store, and sent a quarantined segment to engines. It reads these before it writes its own record now, and is not ready for 2 s at most without them: a VM that the store turns away hears of verdicts from the others.

--- a/src/arbutusbay/node/_coordination.py
+++ b/src/arbutusbay/node/_coordination.py
@@ -72,6 +72,7 @@
                 _apply_verdict(node_state, stored)
             case Err(failure):
                 _LOG.warning('malformed record skipped: {}', failure.detail)
+    node_state.has_read_verdicts = True
     return Ok(
         CoordinationRead(
             end=StorePosition(era=found.era, offset=found.end),
--- a/src/arbutusbay/node/_node_state.py
+++ b/src/arbutusbay/node/_node_state.py
@@ -30,6 +30,7 @@
 )
 
 _REVOCATION_MARGIN_S = 0.4
+_MAX_WAIT_FOR_VERDICTS_S = 2.0
 _LOG = get_logger('store')
 
 
@@ -142,6 +143,9 @@
         own_pauses: When this VM last did not run.
         quarantine: Prompt segments that crash engines.
         stored_revisions: Revisions of the verdicts that the store holds.
+        has_read_verdicts: Whether the verdicts in the store, or those of
+            another VM, have been read.
+        started_s: When this process started.
     """
 
     settings: VMSettings
@@ -168,6 +172,8 @@
     own_pauses: OwnPauses = attrs.field(factory=OwnPauses)
     quarantine: SegmentQuarantine = attrs.field(factory=SegmentQuarantine)
     stored_revisions: dict[SegmentKey, int] = attrs.field(factory=dict)
+    has_read_verdicts: bool = False
+    started_s: float = attrs.field(factory=now_s)
 
     @property
     def configuration(self) -> Configuration | None:
@@ -185,12 +191,15 @@
 
     def is_ready(self) -> bool:
         """Return whether the process accepts new connections."""
-        return (
-            not self.is_stopping
-            and self.configuration is not None
-            and self.has_read_servers
-            and self.is_fresh()
-        )
+        return not self.is_stopping and self._has_read_all() and self.is_fresh()
+
+    def knows_verdicts(self) -> bool:
+        """Return whether this VM knows which segments are quarantined.
+
+        A VM whose store does not respond starts without them after a while.
+        """
+        uptime_s = now_s() - self.started_s
+        return self.has_read_verdicts or uptime_s > _MAX_WAIT_FOR_VERDICTS_S
 
     def observe_store_era(self, number: int) -> None:
         """Record the era that a response of the store named.
@@ -309,3 +318,10 @@
     def notify_report_changed(self) -> None:
         """Wake the task that reports the load of this VM to other VMs."""
         self.report_changed.set()
+
+    def _has_read_all(self) -> bool:
+        return (
+            self.configuration is not None
+            and self.has_read_servers
+            and self.knows_verdicts()
+        )
--- a/src/arbutusbay/node/_peer_state_receiver.py
+++ b/src/arbutusbay/node/_peer_state_receiver.py
@@ -46,6 +46,8 @@
         self.node_state.quarantine.merge_report(
             state.name, state.quarantine, moment_s
         )
+        if state.quarantine.verdicts:
+            self.node_state.has_read_verdicts = True
 
     def _record_sender(
         self,
--- a/src/arbutusbay/node/_registration.py
+++ b/src/arbutusbay/node/_registration.py
@@ -50,12 +50,15 @@
     store: StoreClient,
     own_vm: VMRegistration,
 ) -> None:
-    """Write the record of this VM, then reread those of all VMs.
+    """Read what the VMs stored, write the record of this one, then reread.
 
-    Run until cancelled. Failed calls to the store are retried after a
+    The verdicts about prompts are needed before the first request, and the
+    records of VMs that start at the same time after the own one is there. Run
+    until cancelled. Failed calls to the store are retried after a
     random delay. The record is written again if a restored store lost it.
     """
     node_state.catalog.vms[own_vm.name] = own_vm
+    await read_coordination_topic(node_state, store, timeout_s=_STORE_TIMEOUT_S)
     await _write_vm_record(node_state, store, own_vm)
     while True:
         read = await read_coordination_topic(
--- a/src/arbutusbay/node/quarantine/_prompt_quarantine.py
+++ b/src/arbutusbay/node/quarantine/_prompt_quarantine.py
@@ -56,6 +56,12 @@
         Now and then one request of the fleet is let through instead, to find
         out whether its segment is sound again.
         """
+        if incoming.segment_keys and not self.node_state.knows_verdicts():
+            return Failure(
+                kind=ErrorKind.NOT_CONFIGURED,
+                detail='quarantined segments not read yet',
+                retry_after_s=_MIN_RETRY_AFTER_S,
+            )
         key = self.core.find_withheld(
             incoming.segment_keys, incoming.attempt_id
         )
