--- a/src/arbutusbay/node/_components.py
+++ b/src/arbutusbay/node/_components.py
@@ -21,11 +21,7 @@
 from arbutusbay.node._stall_detector import StallDetector
 from arbutusbay.node._topics import OperatorTopicState, ServersTopicState
 from arbutusbay.node._weights_loader import WeightsLoader
-from arbutusbay.node.quarantine import (
-    EngineEndDetector,
-    PromptQuarantine,
-    VerdictRecorder,
-)
+from arbutusbay.node.quarantine import PromptQuarantine, VerdictRecorder
 from arbutusbay.platform import StoreClient, VMSettings
 
 
@@ -116,7 +112,6 @@
                 node_state=self.node_state,
                 placer=placer,
                 feedback=ServerFeedback(node_state=self.node_state),
-                engine_ends=EngineEndDetector(node_state=self.node_state),
                 quarantine=self.quarantine,
                 dispatcher=self.dispatcher,
                 stall_detector=self.stall_detector,
--- a/src/arbutusbay/node/_request_executor.py
+++ b/src/arbutusbay/node/_request_executor.py
@@ -26,11 +26,7 @@
 from arbutusbay.node._placer import Placer
 from arbutusbay.node._server_feedback import ServerFeedback
 from arbutusbay.node._stall_detector import MonitoredAttempt, StallDetector
-from arbutusbay.node.quarantine import (
-    EngineEndDetector,
-    PromptQuarantine,
-    RequestEvidence,
-)
+from arbutusbay.node.quarantine import PromptQuarantine, RequestEvidence
 from arbutusbay.platform import ResponseHead
 from arbutusbay.scheduling import (
     AttemptOutcome,
@@ -51,7 +47,6 @@
     node_state: NodeState
     placer: Placer
     feedback: ServerFeedback
-    engine_ends: EngineEndDetector
     quarantine: PromptQuarantine
     dispatcher: Dispatcher
     stall_detector: StallDetector
@@ -85,7 +80,7 @@
         self.in_flight = False
         self.evidence = RequestEvidence(
             incoming=incoming,
-            engine_ends=dependencies.engine_ends,
+            engine_ends=dependencies.quarantine.engine_ends,
             quarantine=dependencies.node_state.quarantine,
         )
         budget = dependencies.node_state.retry_budget_of(incoming.service.name)
--- a/src/arbutusbay/node/quarantine/__init__.py
+++ b/src/arbutusbay/node/quarantine/__init__.py
@@ -1,12 +1,10 @@
 """Notice engines that crash under prompts, and act on the verdicts."""
 
-from arbutusbay.node.quarantine._engine_ends import EngineEndDetector
 from arbutusbay.node.quarantine._prompt_quarantine import PromptQuarantine
 from arbutusbay.node.quarantine._request_evidence import RequestEvidence
 from arbutusbay.node.quarantine._verdict_recorder import VerdictRecorder
 
 __all__ = (
-    'EngineEndDetector',
     'PromptQuarantine',
     'RequestEvidence',
     'VerdictRecorder',
--- a/src/arbutusbay/node/quarantine/_prompt_quarantine.py
+++ b/src/arbutusbay/node/quarantine/_prompt_quarantine.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from arbutusbay.clock import milliseconds, now_s
+from arbutusbay.engine_ends import EngineEndDetector
 from arbutusbay.errors import ErrorKind, Failure
 from arbutusbay.hashing import rank_by_rendezvous_hash
 from arbutusbay.logs import get_logger
@@ -10,7 +11,7 @@
 from arbutusbay.node._incoming_request import IncomingRequest
 from arbutusbay.node._node_state import NodeState
 from arbutusbay.node._stall_detector import StallDetector
-from arbutusbay.quarantine import SegmentKey, VerdictChange
+from arbutusbay.quarantine import EngineEnd, SegmentKey, VerdictChange
 
 _LOG = get_logger('quarantine')
 _CHECK_INTERVAL_S = 0.1
@@ -40,6 +41,7 @@
         self.stall_detector = stall_detector
         self.core = node_state.quarantine
         self.core.announce = self._handle_change
+        self.engine_ends = EngineEndDetector(record_end=self._record_end)
 
     async def run(self) -> None:
         """Evaluate the evidence at a fixed interval until cancelled."""
@@ -115,6 +117,10 @@
             return False
         return self.node_state.is_fresh() and self.is_owner(key)
 
+    def _record_end(self, incarnation: str, end: EngineEnd) -> None:
+        self.core.record_end(incarnation, end)
+        self.node_state.notify_report_changed()
+
     def _weights_versions(self) -> dict[str, int]:
         targets = self.node_state.catalog.targets
         return {model: target.version for model, target in targets.items()}
--- a/src/arbutusbay/node/quarantine/_request_evidence.py
+++ b/src/arbutusbay/node/quarantine/_request_evidence.py
@@ -3,14 +3,12 @@
 import asyncio
 
 from arbutusbay.clock import now_s
+from arbutusbay.engine_ends import EngineEndDetector, EngineProcess
 from arbutusbay.node._attempts import AttemptFailure
 from arbutusbay.node._incoming_request import IncomingRequest
-from arbutusbay.node.quarantine._engine_ends import (
-    EngineEndDetector,
-    incarnation_of,
-)
+from arbutusbay.platform import parse_endpoint
 from arbutusbay.quarantine import SegmentQuarantine
-from arbutusbay.scheduling import EngineView
+from arbutusbay.scheduling import EngineView, ResponseProgress
 
 _ENGINE_END_NOTICE_S = 0.5
 
@@ -33,11 +31,19 @@
     async def has_engine_ended(
         self, view: EngineView, failure: AttemptFailure
     ) -> bool:
-        """Record a failed attempt; return whether its engine has ended."""
+        """Record a failed attempt; return whether its engine has ended.
+
+        An engine that leaves as planned, or broke off a response that was
+        under way, says nothing about the prompt.
+        """
         if not self.incoming.is_model_request or not failure.is_connection_lost:
             return False
+        if view.is_departing or failure.progress is ResponseProgress.UNDERWAY:
+            return False
         return await self.engine_ends.record_break(
-            view, self.incoming.segment_keys, failure.progress
+            _process_of(view),
+            self.incoming.segment_keys,
+            is_starting=failure.progress is ResponseProgress.STARTING,
         )
 
     def may_retry(self) -> bool:
@@ -65,7 +71,7 @@
     def _record_answer_unless_ended(
         self, view: EngineView, started_s: float
     ) -> None:
-        if incarnation_of(view) not in self.quarantine.evidence.ends:
+        if _incarnation_of(view) not in self.quarantine.evidence.ends:
             self._record_answer(started_s)
 
     def _record_answer(self, started_s: float) -> None:
@@ -75,3 +81,16 @@
             started_s=started_s,
             now_s=now_s(),
         )
+
+
+def _incarnation_of(view: EngineView) -> str:
+    return f'{view.id}@{view.incarnation}'
+
+
+def _process_of(view: EngineView) -> EngineProcess:
+    endpoint = parse_endpoint(view.address)
+    return EngineProcess(
+        incarnation=_incarnation_of(view),
+        host=endpoint.host,
+        port=endpoint.port,
+    )
