Keep completions that crash engines from the engines of our own interface

Change: the router uses the same core. The segments of a prompt are its chained block hashes (the first 32 and the whole prompt), so other weights are other segments.

Not done here: verdicts are kept by control daemons in memory, so that they are lost if all of these end; completions that wait at an engine are not withdrawn; a bad part beyond the first 32 blocks is found only under the same prompt.

--- a/emulator/engine.py
+++ b/emulator/engine.py
@@ -11,11 +11,13 @@
   lines of the stream with the ID of another attempt;
 - ``reorder`` swaps that many pieces with their successors;
 - ``duplicate`` sends that many pieces twice;
-- ``leaving`` reports in the load report that the engine is shutting down.
+- ``leaving`` reports in the load report that the engine is shutting down;
+- ``fatal_text`` ends the process when it begins to respond to a prompt with it.
 """
 
 import argparse
 import asyncio
+import os
 import random
 import time
 import uuid
@@ -53,6 +55,7 @@
     reorder: int = 0
     duplicate: int = 0
     leaving: bool = False
+    fatal_text: str = ''
 
 
 @attrs.frozen(kw_only=True)
@@ -328,6 +331,8 @@
                         'prompt_tokens': sequence.prompt_tokens,
                     }
                 )
+                if self._is_fatal(fields['prompt']):
+                    os._exit(1)
             if cut_after == 0:
                 request.transport.abort()
                 return
@@ -342,6 +347,10 @@
             }
         )
 
+    def _is_fatal(self, prompt: str) -> bool:
+        fatal_text = self.faults.fatal_text
+        return bool(fatal_text) and fatal_text in prompt
+
     def _count_prompt(self, sequence: EngineSequence) -> None:
         self.prompt_tokens += sequence.prompt_tokens
         self.cached_tokens += sequence.cached_tokens
--- a/src/arbutusbay/control/_peer_api.py
+++ b/src/arbutusbay/control/_peer_api.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 from result import Err, Ok
 
+from arbutusbay.clock import now_s
 from arbutusbay.config_messages import (
     build_resource_entries,
     build_resource_keys,
@@ -19,12 +20,15 @@
     failure_response,
     read_request_message,
 )
+from arbutusbay.quarantine import build_merged_report
+from arbutusbay.quarantine_exchange import build_exchange, read_exchange
 from arbutusbay.state import NO_VERSION
 from arbutusbay.wire import (
     ConfigReply,
     ConfigRequest,
     LedgerRequest,
     LookupRequest,
+    QuarantineExchange,
 )
 
 _MAX_WAIT_MS = 5000
@@ -45,6 +49,9 @@
         application.router.add_post('/peer/config', self.handle_config_request)
         application.router.add_post('/peer/lookup', self.handle_lookup_request)
         application.router.add_post('/peer/ledger', self.handle_ledger_request)
+        application.router.add_post(
+            '/peer/quarantine', self.handle_quarantine_exchange
+        )
 
     async def handle_config_request(self, request: web.Request) -> web.Response:
         """Return a newer configuration; wait for one if requested (long poll).
@@ -101,6 +108,29 @@
             case Ok(reply):
                 return capnp_response(reply)
 
+    async def handle_quarantine_exchange(
+        self, request: web.Request
+    ) -> web.Response:
+        """Record what a router reports; reply with what all of them did."""
+        match await read_request_message(request, QuarantineExchange):
+            case Err(failure):
+                return failure_response(failure)
+            case Ok(exchange):
+                pass
+        moment_s = now_s()
+        quarantine = self.shared_state.quarantine
+        quarantine.merge_report(
+            exchange.reporter, read_exchange(exchange, moment_s), moment_s
+        )
+        quarantine.evidence.drop_expired(moment_s)
+        quarantine.table.drop_expired(moment_s)
+        merged = build_merged_report(
+            quarantine.evidence, quarantine.table, moment_s
+        )
+        return capnp_response(
+            build_exchange(self.shared_state.node_id, merged, moment_s)
+        )
+
     def _has_newer(self, peer_request: ConfigRequest) -> bool:
         return self.shared_state.config_known and (
             self.shared_state.config.offset > peer_request.after
--- a/src/arbutusbay/control/_shared_state.py
+++ b/src/arbutusbay/control/_shared_state.py
@@ -9,6 +9,7 @@
 from arbutusbay.control._engine_cache_index import EngineCacheIndex
 from arbutusbay.control._settings import ControlSettings
 from arbutusbay.coordination import ChangeNotifier
+from arbutusbay.quarantine import SegmentQuarantine
 from arbutusbay.state import (
     ConfigState,
     DeletionLog,
@@ -80,6 +81,7 @@
     lease_first_seen_s: float = 0.0
     own_lease_ends_at_s: float = 0.0
     draining: bool = False
+    quarantine: SegmentQuarantine = attrs.field(factory=SegmentQuarantine)
 
     @property
     def node_id(self) -> str:
--- a/src/arbutusbay/node/quarantine/_prompt_quarantine.py
+++ b/src/arbutusbay/node/quarantine/_prompt_quarantine.py
@@ -2,18 +2,23 @@
 
 import asyncio
 
-from arbutusbay.clock import milliseconds, now_s
+from arbutusbay.clock import now_s
 from arbutusbay.engine_ends import EngineEndDetector
 from arbutusbay.errors import ErrorKind, Failure
 from arbutusbay.hashing import rank_by_rendezvous_hash
-from arbutusbay.logs import get_logger
 from arbutusbay.node._dispatcher import Dispatcher
 from arbutusbay.node._incoming_request import IncomingRequest
 from arbutusbay.node._node_state import NodeState
 from arbutusbay.node._stall_detector import StallDetector
-from arbutusbay.quarantine import EngineEnd, SegmentKey, VerdictChange
+from arbutusbay.quarantine import (
+    EngineEnd,
+    SegmentKey,
+    VerdictChange,
+    WithheldRequest,
+    build_refusal,
+)
+from arbutusbay.verdict_log import log_verdict_change
 
-_LOG = get_logger('quarantine')
 _CHECK_INTERVAL_S = 0.1
 _IDLE_CHECK_INTERVAL_S = 0.5
 _MIN_RETRY_AFTER_S = 1.0
@@ -64,27 +69,13 @@
                 detail='quarantined segments not read yet',
                 retry_after_s=_MIN_RETRY_AFTER_S,
             )
-        key = self.core.find_withheld(
-            incoming.segment_keys, incoming.attempt_id
-        )
-        if key is None:
-            return None
-        moment_s = now_s()
-        version = self._weights_versions().get(key.model, 0)
-        due_s = self.core.next_probe_s(key, version)
-        if moment_s >= due_s and self._may_probe(key, incoming):
-            self.core.start_probe(
-                key,
-                request_id=incoming.attempt_id,
-                now_s=moment_s,
-                weights_version=version,
-            )
-            return self.refuse(incoming)
-        return Failure(
-            kind=ErrorKind.PROMPT_QUARANTINED,
-            detail=f'engines crashed under segment {key.segment} of the prompt',
-            retry_after_s=max(_MIN_RETRY_AFTER_S, due_s - moment_s),
+        withheld = self.core.withhold(
+            WithheldRequest(id=incoming.attempt_id, keys=incoming.segment_keys),
+            now_s=now_s(),
+            weights_versions=self._weights_versions(),
+            may_probe=self._may_probe,
         )
+        return None if withheld is None else build_refusal(withheld)
 
     def end_request(self, incoming: IncomingRequest) -> None:
         """Forget a request that was let through, once its response counted."""
@@ -106,15 +97,11 @@
         ranked = rank_by_rendezvous_hash(str(key), sorted(names))
         return ranked[0] == own_name
 
-    def _may_probe(self, key: SegmentKey, incoming: IncomingRequest) -> bool:
-        """Return whether this VM tries a quarantined segment with a request.
+    def _may_probe(self, key: SegmentKey) -> bool:
+        """Return whether this VM tries a quarantined segment.
 
-        A VM that can't tell what is in force, or whose request has another bad
-        segment, tries none.
+        A VM that can't tell what is in force tries none.
         """
-        quarantined = self.core.table.find_quarantined(incoming.segment_keys)
-        if quarantined != [key] or not incoming.attempt_id:
-            return False
         return self.node_state.is_fresh() and self.is_owner(key)
 
     def _record_end(self, incarnation: str, end: EngineEnd) -> None:
@@ -126,25 +113,9 @@
         return {model: target.version for model, target in targets.items()}
 
     def _handle_change(self, change: VerdictChange) -> None:
-        verdict = change.verdict
-        moment_s = now_s()
-        _LOG.warning(
-            'segment quarantined'
-            if verdict.is_quarantined
-            else 'quarantine lifted',
-            fields={
-                'model': change.key.model,
-                'segment': change.key.segment,
-                'reason': change.reason.value,
-                'told_by': change.reporter,
-                'revision': verdict.revision,
-                'age_ms': milliseconds(moment_s - verdict.changed_s),
-                'probes': verdict.probes,
-                'ends': change.blame.score,
-                'answers': change.answers.count,
-            },
-        )
+        log_verdict_change(change)
         self.node_state.notify_report_changed()
+        verdict = change.verdict
         if verdict.is_quarantined and not verdict.probes:
             self.dispatcher.reject_queued(self.refuse)
             self.stall_detector.withdraw(change.key)
--- a/src/arbutusbay/quarantine/__init__.py
+++ b/src/arbutusbay/quarantine/__init__.py
@@ -16,8 +16,14 @@
     ChangeReason,
     SegmentQuarantine,
     VerdictChange,
+    WithheldRequest,
+    WithheldSegment,
+)
+from arbutusbay.quarantine._refusal import build_refusal
+from arbutusbay.quarantine._reports import (
+    QuarantineReport,
+    build_merged_report,
 )
-from arbutusbay.quarantine._reports import QuarantineReport
 from arbutusbay.quarantine._types import (
     AnswerTotals,
     EngineEnd,
@@ -43,6 +49,10 @@
     'Verdict',
     'VerdictChange',
     'VerdictTable',
+    'WithheldRequest',
+    'WithheldSegment',
+    'build_merged_report',
+    'build_refusal',
     'blame_of',
     'find_culprits',
     'is_newer_verdict',
--- a/src/arbutusbay/quarantine/_quarantine.py
+++ b/src/arbutusbay/quarantine/_quarantine.py
@@ -51,6 +51,28 @@
     reporter: str = ''
 
 
+@attrs.frozen(kw_only=True)
+class WithheldRequest:
+    """Identify a request and the segments of its prompt, in their order.
+
+    ``id`` is empty if the client gave none; such a request is never tried.
+    """
+
+    id: str
+    keys: tuple[SegmentKey, ...]
+
+
+@attrs.frozen(kw_only=True)
+class WithheldSegment:
+    """Name the segment for which a request is refused.
+
+    After ``retry_after_s`` seconds a request may be tried.
+    """
+
+    key: SegmentKey
+    retry_after_s: float
+
+
 class SegmentQuarantine:
     """Collect evidence, make verdicts and merge those of other processes.
 
@@ -145,29 +167,33 @@
                 return key
         return None
 
-    def next_probe_s(self, key: SegmentKey, weights_version: int) -> float:
-        """Return when a request with a withheld segment may be tried.
-
-        Of a segment that is only suspected, that is when it is decided.
-        """
-        if key in self.table.quarantined:
-            return next_probe_s(self.table.verdicts[key], weights_version)
-        return self.suspected_since_s[key] + _SETTLE_S
-
-    def start_probe(
+    def withhold(
         self,
-        key: SegmentKey,
+        request: WithheldRequest,
         *,
-        request_id: str,
         now_s: float,
-        weights_version: int,
-    ) -> None:
-        """Let one request with a quarantined segment through."""
-        self.probing_requests[key] = request_id
+        weights_versions: Mapping[str, int],
+        may_probe: Callable[[SegmentKey], bool],
+    ) -> WithheldSegment | None:
+        """Return the segment for which a request must not be sent, if any.
+
+        When one request of the fleet is due to be tried, and ``may_probe``
+        tells that this process tries the segment, it is let through.
+        """
+        key = self.find_withheld(request.keys, request.id)
+        if key is None:
+            return None
+        version = weights_versions.get(key.model, 0)
+        due_s = self._next_probe_s(key, version)
+        is_only_one = self.table.find_quarantined(request.keys) == [key]
+        if now_s < due_s or not (request.id and is_only_one and may_probe(key)):
+            return WithheldSegment(key=key, retry_after_s=due_s - now_s)
+        self.probing_requests[key] = request.id
         verdict = self.table.record_probe(
-            key, now_s=now_s, weights_version=weights_version
+            key, now_s=now_s, weights_version=version
         )
         self._announce(key, verdict, ChangeReason.PROBE_SENT, now_s)
+        return None
 
     def end_probe(self, request_id: str) -> None:
         """Forget a request that was let through and has ended."""
@@ -208,6 +234,15 @@
         """Return what to tell the other processes."""
         return build_report(self.evidence, self.table, now_s)
 
+    def _next_probe_s(self, key: SegmentKey, weights_version: int) -> float:
+        """Return when a request with a withheld segment may be tried.
+
+        Of a segment that is only suspected, that is when it is decided.
+        """
+        if key in self.table.quarantined:
+            return next_probe_s(self.table.verdicts[key], weights_version)
+        return self.suspected_since_s[key] + _SETTLE_S
+
     def _culprits(self, now_s: float) -> list[SegmentKey]:
         if not self.evidence.ends:
             return []
--- a/src/arbutusbay/router/_completions_api.py
+++ b/src/arbutusbay/router/_completions_api.py
@@ -241,6 +241,7 @@
 
     def _log_completion(self, completion: ActiveCompletion) -> None:
         job = completion.run.request.job
+        self.shared_state.quarantine.end_probe(job.id)
         progress = completion.run.progress
         failure = completion.failure
         if not progress.finished and failure is None:
--- a/src/arbutusbay/router/_generation_run.py
+++ b/src/arbutusbay/router/_generation_run.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import AsyncIterator, Callable
 from contextlib import aclosing
+from urllib.parse import urlsplit
 
 import attrs
 from result import Err, Ok, Result
@@ -18,11 +19,14 @@
     Priority,
     TextPiece,
 )
+from arbutusbay.clock import now_s
+from arbutusbay.engine_ends import EngineProcess
 from arbutusbay.errors import ErrorKind, Failure, RunState
 from arbutusbay.logs import get_logger
-from arbutusbay.policy import Job
+from arbutusbay.policy import EngineState, Job
 from arbutusbay.router._dispatcher import Dispatcher, JobContext, Placement
 from arbutusbay.router._metrics import RouterMetrics
+from arbutusbay.router._prompt_quarantine import refuse_job, segment_keys_of
 from arbutusbay.router._shared_state import RouterState
 from arbutusbay.state import Pool, Urgency
 
@@ -32,6 +36,8 @@
 _PIECE_TIMEOUT_S = 2.0
 _MIN_FIRST_PIECE_TIMEOUT_S = 3.0
 _FIRST_PIECE_TIMEOUT_FACTOR = 5.0
+_RESPONSE_START_S = 0.3
+_DEFAULT_PORT = 80
 
 
 @attrs.frozen(kw_only=True)
@@ -52,7 +58,9 @@
     ``relayed_pieces`` counts pieces of output, and ``unproductive_attempts``
     the consecutive attempts that relayed none. ``weights_version`` is the
     version that produced the output. ``excluded`` holds the engines of failed
-    attempts that may have run.
+    attempts that may have run. ``has_started`` and ``first_piece_s`` tell of
+    the last attempt whether its response began, and when its first piece came,
+    in seconds on the clock of ``now_s``.
     """
 
     relayed_pieces: int = 0
@@ -64,6 +72,22 @@
     cached_tokens: int = 0
     finished: bool = False
     last_failure: Failure | None = None
+    has_started: bool = False
+    first_piece_s: float | None = None
+
+    def begin_attempt(self) -> None:
+        """Count an attempt, which has not started yet."""
+        self.attempts += 1
+        self.unproductive_attempts += 1
+        self.has_started = False
+        self.first_piece_s = None
+
+    def is_underway(self, moment_s: float) -> bool:
+        """Return whether the attempt has gone on after its first piece."""
+        return (
+            self.first_piece_s is not None
+            and moment_s - self.first_piece_s > _RESPONSE_START_S
+        )
 
 
 RelayEvent = Result[TextPiece | GenerationEnd, Failure]
@@ -103,18 +127,34 @@
                     return
                 case Ok(placement):
                     pass
-            progress.attempts += 1
-            progress.unproductive_attempts += 1
+            progress.begin_attempt()
             async with aclosing(self._run_attempt(placement)) as events:
                 async for event in events:
                     yield event
             if progress.finished:
                 return
-            if not self._may_retry():
+            has_ended = await self._has_engine_ended(placement)
+            if not self._may_retry(has_ended=has_ended):
                 yield Err(self._reported_failure(progress.last_failure))
                 return
 
     async def _place(self) -> Result[Placement, Failure]:
+        """Return a placement, unless the prompt must not be sent.
+
+        A prompt may be quarantined while it waits for an engine.
+        """
+        refused = refuse_job(self.shared_state, self.request.job)
+        if refused is not None:
+            return Err(refused)
+        placed = await self._place_in_queue()
+        refused = refuse_job(self.shared_state, self.request.job)
+        match placed:
+            case Ok(placement) if refused is not None:
+                self.dispatcher.release(placement)
+                return Err(refused)
+        return placed
+
+    async def _place_in_queue(self) -> Result[Placement, Failure]:
         context = attrs.evolve(
             self.request.context,
             excluded=self.progress.excluded,
@@ -171,11 +211,22 @@
             case Ok(GenerationEnd()):
                 self.progress.finished = True
                 placement.engine.record_success()
+                self._record_sound_response()
             case Err(failure):
                 self._record_failure(placement, failure)
 
+    def _record_sound_response(self) -> None:
+        self.shared_state.quarantine.record_answer(
+            segment_keys_of(self.request.job),
+            request_id=self.request.job.id,
+            started_s=self.progress.first_piece_s or now_s(),
+            now_s=now_s(),
+        )
+
     def _record_piece(self, placement: Placement) -> None:
         progress = self.progress
+        if progress.first_piece_s is None:
+            progress.first_piece_s = now_s()
         progress.relayed_pieces += 1
         progress.unproductive_attempts = 0
         progress.weights_version = placement.engine.weights_version
@@ -202,6 +253,7 @@
 
     def _record_start(self, start: GenerationStart) -> None:
         progress = self.progress
+        progress.has_started = True
         if progress.attempts == 1:
             progress.prompt_tokens = start.prompt_tokens
             progress.cached_tokens = start.cached_tokens
@@ -224,8 +276,30 @@
             },
         )
 
-    def _may_retry(self) -> bool:
+    async def _has_engine_ended(self, placement: Placement) -> bool:
+        """Record a failed attempt; return whether its engine has ended.
+
+        An engine that broke off a response that was under way says nothing
+        about the prompt.
+        """
         progress = self.progress
+        if (
+            progress.last_failure.effective_run_state is RunState.NOT_RUN
+            or progress.is_underway(now_s())
+        ):
+            return False
+        return await self.shared_state.engine_ends.record_break(
+            _process_of(placement.engine),
+            segment_keys_of(self.request.job),
+            is_starting=progress.has_started,
+        )
+
+    def _may_retry(self, *, has_ended: bool) -> bool:
+        progress = self.progress
+        if has_ended and not self.shared_state.quarantine.may_retry(
+            segment_keys_of(self.request.job), now_s()
+        ):
+            return False
         if (
             progress.unproductive_attempts
             >= self.shared_state.settings.limits.max_attempts
@@ -264,6 +338,15 @@
         return bool(self.progress.excluded)
 
 
+def _process_of(engine: EngineState) -> EngineProcess:
+    address = urlsplit(engine.url)
+    return EngineProcess(
+        incarnation=f'{engine.name}@{engine.incarnation}',
+        host=address.hostname or '',
+        port=address.port or _DEFAULT_PORT,
+    )
+
+
 async def fail_when_stalled(
     events: AsyncIterator[Result[GenerationEvent, Failure]],
     event_timeout_s: Callable[[], float],
--- a/src/arbutusbay/router/_shared_state.py
+++ b/src/arbutusbay/router/_shared_state.py
@@ -6,12 +6,14 @@
 
 import attrs
 
+from arbutusbay.engine_ends import EngineEndDetector
 from arbutusbay.policy import (
     EngineState,
     FairQueue,
     HotPrefixCounter,
     RetryBudget,
 )
+from arbutusbay.quarantine import SegmentQuarantine
 from arbutusbay.router._settings import RouterSettings
 from arbutusbay.state import (
     BackendServer,
@@ -94,9 +96,14 @@
     rng: random.Random = attrs.field(factory=random.Random)
     in_flight: int = 0
     draining: bool = False
+    quarantine: SegmentQuarantine = attrs.field(factory=SegmentQuarantine)
+    engine_ends: EngineEndDetector = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        """Create the retry budget from the settings."""
+        """Create the retry budget, and what notices engines that end."""
+        self.engine_ends = EngineEndDetector(
+            record_end=self.quarantine.record_end
+        )
         limits = self.settings.limits
         self.retry_budget = RetryBudget(
             ratio=limits.retry_ratio, burst=_RETRY_BURST
--- a/src/arbutusbay/wire/__init__.py
+++ b/src/arbutusbay/wire/__init__.py
@@ -3,8 +3,11 @@
 from arbutusbay.wire._codec import decode_message, encode_message
 from arbutusbay.wire._messages import (
     NO_OFFSET,
+    AnswerEntry,
     ConfigReply,
     ConfigRequest,
+    EndEntry,
+    EndSuspect,
     EngineView,
     Heartbeat,
     LedgerReply,
@@ -12,14 +15,19 @@
     LookupReply,
     LookupRequest,
     Member,
+    QuarantineExchange,
     ResourceEntry,
     ResourceKey,
+    VerdictEntry,
 )
 
 __all__ = (
     'NO_OFFSET',
+    'AnswerEntry',
     'ConfigReply',
     'ConfigRequest',
+    'EndEntry',
+    'EndSuspect',
     'EngineView',
     'Heartbeat',
     'LedgerReply',
@@ -27,8 +35,10 @@
     'LookupReply',
     'LookupRequest',
     'Member',
+    'QuarantineExchange',
     'ResourceEntry',
     'ResourceKey',
+    'VerdictEntry',
     'decode_message',
     'encode_message',
 )
--- a/src/arbutusbay/wire/_messages.py
+++ b/src/arbutusbay/wire/_messages.py
@@ -161,3 +161,54 @@
     """Reply to a lookup with the engines whose cache index the VM owns."""
 
     engines: list[EngineView]
+
+
+@attrs.frozen(kw_only=True)
+class EndSuspect:
+    """Name a prompt segment that an engine had when it ended."""
+
+    model: str
+    segment: str
+    depth: int
+    is_starting: bool
+
+
+@attrs.frozen(kw_only=True)
+class EndEntry:
+    """Tell that an engine ended ``age_ms`` milliseconds ago."""
+
+    incarnation: str
+    age_ms: int
+    suspects: list[EndSuspect]
+
+
+@attrs.frozen(kw_only=True)
+class AnswerEntry:
+    """Count recent sound responses; the last started ``age_ms`` ago."""
+
+    model: str
+    segment: str
+    count: int
+    age_ms: int
+
+
+@attrs.frozen(kw_only=True)
+class VerdictEntry:
+    """Tell whether a prompt segment is quarantined, since ``age_ms``."""
+
+    model: str
+    segment: str
+    revision: int
+    is_quarantined: bool
+    age_ms: int
+    probes: int
+
+
+@attrs.frozen(kw_only=True)
+class QuarantineExchange:
+    """Tell a control daemon about prompt segments; it replies in kind."""
+
+    reporter: str
+    ends: list[EndEntry]
+    answers: list[AnswerEntry]
+    verdicts: list[VerdictEntry]
--- a/src/arbutusbay/wire/arbutusbay.capnp
+++ b/src/arbutusbay/wire/arbutusbay.capnp
@@ -84,3 +84,39 @@
 struct LookupReply {
   engines @0 :List(EngineView);
 }
+
+struct EndSuspect {
+  model @0 :Text;
+  segment @1 :Text;
+  depth @2 :UInt32;
+  isStarting @3 :Bool;
+}
+
+struct EndEntry {
+  incarnation @0 :Text;
+  ageMs @1 :UInt32;
+  suspects @2 :List(EndSuspect);
+}
+
+struct AnswerEntry {
+  model @0 :Text;
+  segment @1 :Text;
+  count @2 :UInt32;
+  ageMs @3 :UInt32;
+}
+
+struct VerdictEntry {
+  model @0 :Text;
+  segment @1 :Text;
+  revision @2 :UInt32;
+  isQuarantined @3 :Bool;
+  ageMs @4 :UInt32;
+  probes @5 :UInt32;
+}
+
+struct QuarantineExchange {
+  reporter @0 :Text;
+  ends @1 :List(EndEntry);
+  answers @2 :List(AnswerEntry);
+  verdicts @3 :List(VerdictEntry);
+}
