Give each revision of a verdict its own record, and specify how verdicts spread

The specification (tests/model/verdict_spec.py, minicheck, shares the comparison of verdicts with the product) refuted the first design: with one record per segment a late write of an older revision replaces a newer one, and a VM that restarts then reads the older opinion. Each revision has a record now; the VM that acts on a segment deletes earlier and expired ones.

Found by the unit tests added here: a segment that had been quarantined stayed withheld as suspected until the next evaluation after its quarantine was lifted.

A check whether an engine listens takes 150 ms at most (400 before), since a retry waits for it. Streams that end with their connection: whole ones are, broken ones are not taken for whole (three cases).

--- a/src/arbutusbay/_engine_ends.py
+++ b/src/arbutusbay/_engine_ends.py
@@ -11,7 +11,7 @@
 
 _LOG = get_logger('servers')
 _COLLECT_S = 0.03
-_CONNECT_TIMEOUT_S = 0.4
+_CONNECT_TIMEOUT_S = 0.15
 _REMEMBERED_S = 2.0
 
 
--- a/src/arbutusbay/node/_coordination.py
+++ b/src/arbutusbay/node/_coordination.py
@@ -89,4 +89,5 @@
     node_state.quarantine.merge_verdict(
         stored.key, verdict, moment_s, reporter=_STORE_NAME
     )
-    node_state.stored_revisions[stored.key] = stored.verdict.revision
+    revisions = node_state.stored_revisions.setdefault(stored.key, set())
+    revisions.add(stored.verdict.revision)
--- a/src/arbutusbay/node/_node_state.py
+++ b/src/arbutusbay/node/_node_state.py
@@ -171,7 +171,7 @@
     busy_connections: set[web.RequestHandler] = attrs.field(factory=set)
     own_pauses: OwnPauses = attrs.field(factory=OwnPauses)
     quarantine: SegmentQuarantine = attrs.field(factory=SegmentQuarantine)
-    stored_revisions: dict[SegmentKey, int] = attrs.field(factory=dict)
+    stored_revisions: dict[SegmentKey, set[int]] = attrs.field(factory=dict)
     has_read_verdicts: bool = False
     started_s: float = attrs.field(factory=now_s)
 
--- a/src/arbutusbay/node/quarantine/_verdict_recorder.py
+++ b/src/arbutusbay/node/quarantine/_verdict_recorder.py
@@ -51,8 +51,8 @@
             await asyncio.sleep(_CHECK_INTERVAL_S)
             for key in self._missing_keys():
                 await self._write(key)
-            for key in self._expired_keys():
-                await self._delete(key)
+            for key, revision in self._outdated_records():
+                await self._delete(key, revision)
 
     def _missing_keys(self) -> list[SegmentKey]:
         verdicts = self.node_state.quarantine.table.verdicts
@@ -60,16 +60,19 @@
         return [
             key
             for key, verdict in verdicts.items()
-            if stored.get(key, 0) < verdict.revision
+            if verdict.revision > max(stored.get(key, ()), default=0)
             and self.quarantine.is_owner(key)
         ]
 
-    def _expired_keys(self) -> list[SegmentKey]:
+    def _outdated_records(self) -> list[tuple[SegmentKey, int]]:
+        """Return the records of expired verdicts and of earlier revisions."""
         verdicts = self.node_state.quarantine.table.verdicts
         return [
-            key
-            for key in self.node_state.stored_revisions
-            if key not in verdicts and self.quarantine.is_owner(key)
+            (key, revision)
+            for key, revisions in self.node_state.stored_revisions.items()
+            for revision in revisions
+            if (key not in verdicts or revision < max(revisions))
+            and self.quarantine.is_owner(key)
         ]
 
     async def _write(self, key: SegmentKey) -> None:
@@ -83,11 +86,12 @@
             )
         )
         if await self._append(name, payload):
-            self.node_state.stored_revisions[key] = verdict.revision
+            revisions = self.node_state.stored_revisions
+            revisions.setdefault(key, set()).add(verdict.revision)
 
-    async def _delete(self, key: SegmentKey) -> None:
-        if await self._append(verdict_record_key(key), b''):
-            self.node_state.stored_revisions.pop(key, None)
+    async def _delete(self, key: SegmentKey, revision: int) -> None:
+        if await self._append(verdict_record_key(key, revision), b''):
+            self.node_state.stored_revisions[key].discard(revision)
 
     async def _append(self, name: str, payload: bytes) -> bool:
         """Append a record; return whether the store has it."""
--- a/src/arbutusbay/platform/_coordination_records.py
+++ b/src/arbutusbay/platform/_coordination_records.py
@@ -71,9 +71,12 @@
     return f'{_LEASE_KEY_PREFIX}{claim.name}', orjson.dumps(fields)
 
 
-def verdict_record_key(key: SegmentKey) -> str:
-    """Return the key of the record of a verdict."""
-    return f'{_VERDICT_KEY_PREFIX}{key.model}/{key.segment}'
+def verdict_record_key(key: SegmentKey, revision: int) -> str:
+    """Return the key of the record of a verdict.
+
+    Each revision has its own, so that a late write replaces no newer one.
+    """
+    return f'{_VERDICT_KEY_PREFIX}{key.model}/{key.segment}/{revision}'
 
 
 def encode_verdict(record: VerdictRecord) -> tuple[str, bytes]:
@@ -88,7 +91,8 @@
         'weights_version': verdict.weights_version,
         'changed_ms': record.changed_ms,
     }
-    return verdict_record_key(record.key), orjson.dumps(fields)
+    name = verdict_record_key(record.key, verdict.revision)
+    return name, orjson.dumps(fields)
 
 
 def _parse_coordination_document(
--- a/src/arbutusbay/quarantine/_quarantine.py
+++ b/src/arbutusbay/quarantine/_quarantine.py
@@ -145,8 +145,9 @@
             key: self.suspected_since_s.get(key, now_s)
             for key in self._culprits(now_s)
         }
-        for key, since_s in self.suspected_since_s.items():
+        for key, since_s in tuple(self.suspected_since_s.items()):
             if now_s - since_s >= _SETTLE_S:
+                self.suspected_since_s.pop(key)
                 self._quarantine(key, now_s, weights_versions)
         for key in self.table.quarantined:
             if self._is_refuted(key, now_s):
--- a/src/arbutusbay/router/_dump.py
+++ b/src/arbutusbay/router/_dump.py
@@ -20,6 +20,9 @@
         'members': [attrs.asdict(member) for member in shared_state.members],
         'leaving_hosts': sorted(shared_state.leaving_hosts),
         'retry_budget': shared_state.retry_budget.tokens,
+        'quarantine': sorted(
+            key.segment for key in shared_state.quarantine.table.quarantined
+        ),
         'pools': {
             pool.name: {
                 'queued': len(pool.queue),
--- a/tests/integration/test_fleet_backends.py
+++ b/tests/integration/test_fleet_backends.py
@@ -8,11 +8,21 @@
 import time
 from pathlib import Path
 
+import aiohttp
 import pytest
 
 from emulator.fleet_engine import EngineFault
-from tests.fleet_builders import start_single_node, wait_until_ready
-from tests.fleet_clients import request_service, request_stream
+from tests.fleet_builders import (
+    build_request_headers,
+    start_single_node,
+    wait_until_ready,
+)
+from tests.fleet_clients import (
+    REQUEST_BODY,
+    complete_stream_text,
+    request_service,
+    request_stream,
+)
 
 _PAUSE_S = 3.0
 _REACTION_S = 0.5
@@ -123,3 +133,31 @@
             await asyncio.sleep(0.01)
     except asyncio.CancelledError:
         return peak_bytes
+
+
+# Guards against streams that have neither a length nor chunks: whole ones must
+# not be cut, and broken ones must not pass for whole.
+@pytest.mark.parametrize(
+    ('fault', 'status', 'is_whole'),
+    [
+        (EngineFault.NONE, 200, True),
+        (EngineFault.CUT, 200, False),
+        (EngineFault.END, 502, False),
+    ],
+)
+async def test_stream_that_ends_with_its_connection(
+    fleet, http, fault, status, is_whole
+):
+    node = await start_single_node(fleet, engines=1, is_close_delimited=True)
+    await wait_until_ready([node], http)
+    fleet.engines[0].inject_fault(fault, 1)
+    headers = build_request_headers('close-delimited')
+    async with http.post(
+        f'{node.url}/ask/1', data=REQUEST_BODY, headers=headers
+    ) as response:
+        assert response.status == status
+        try:
+            text = await response.text()
+        except aiohttp.ClientPayloadError:
+            text = ''
+    assert (text == complete_stream_text()) is is_whole
--- a/tests/model/test_platform_models.py
+++ b/tests/model/test_platform_models.py
@@ -1,14 +1,15 @@
-"""Check the models of revocation and delayed orders, and refute each mutant."""
+"""Check the models of the platform's edge, and refute each mutant."""
 
 import pytest
 
-from tests.model import delayed_orders_spec, revocation_spec
+from tests.model import delayed_orders_spec, revocation_spec, verdict_spec
 from tests.model.delayed_orders_spec import LateOrdersSpec
 from tests.model.revocation_spec import FreshnessSpec
 from tests.model.spec import (
     assert_all_properties_hold,
     assert_some_property_fails,
 )
+from tests.model.verdict_spec import VerdictSpec
 
 _MUTANTS = (
     *(
@@ -21,10 +22,17 @@
         for mutant in delayed_orders_spec.DroppedRule
         if mutant is not delayed_orders_spec.DroppedRule.NONE
     ),
+    *(
+        VerdictSpec(mutant=mutant)
+        for mutant in verdict_spec.DroppedRule
+        if mutant is not verdict_spec.DroppedRule.NONE
+    ),
 )
 
 
-@pytest.mark.parametrize('spec', [FreshnessSpec(), LateOrdersSpec()])
+@pytest.mark.parametrize(
+    'spec', [FreshnessSpec(), LateOrdersSpec(), VerdictSpec()]
+)
 def test_rules_hold(spec):
     assert_all_properties_hold(spec.protocol())
 
--- a/tests/unit/test_dispatcher.py
+++ b/tests/unit/test_dispatcher.py
@@ -7,6 +7,7 @@
 from result import Ok
 
 from arbutusbay.clock import now_s
+from arbutusbay.errors import ErrorKind, Failure
 from arbutusbay.node._dispatcher import Dispatcher
 from arbutusbay.node._placement import Placement, PlacementRequest
 
@@ -121,3 +122,17 @@
     with pytest.raises(asyncio.CancelledError):
         await gone
     assert dispatcher.placer.in_flight == 0
+
+
+# Guards against a prompt that crashes engines and waits for one of them when
+# that becomes known.
+async def test_queued_request_that_is_refused_does_not_wait_on(dispatcher):
+    placed = await dispatcher.place(build_request('first'))
+    bad, sound = await start_waiting(dispatcher, 'bad', 'sound')
+    failure = Failure(kind=ErrorKind.PROMPT_QUARANTINED, detail='')
+    dispatcher.reject_queued(
+        lambda incoming: failure if incoming.attempt_id == 'bad' else None
+    )
+    assert (await bad).err_value is failure
+    dispatcher.release(placed.ok_value)
+    assert isinstance(await sound, Ok)
--- a/tests/unit/test_stall_detector.py
+++ b/tests/unit/test_stall_detector.py
@@ -6,6 +6,7 @@
 from arbutusbay.node import _stall_detector
 from arbutusbay.node._node_state import NodeState
 from arbutusbay.node._stall_detector import StallDetector
+from arbutusbay.quarantine import segment_key
 from arbutusbay.scheduling import Attempt
 from tests.fleet_fakes import FakeClock
 from tests.unit.test_engine_placement import build_view
@@ -111,3 +112,31 @@
         clock.moment_s += 2 * CHECK_INTERVAL_S
         detector.check(clock.moment_s)
     assert is_suspect(monitored, clock)
+
+
+# Guards against a prompt that crashes engines and waits at one of them when
+# that becomes known; its response has not begun.
+async def test_attempts_with_a_quarantined_segment_are_withdrawn(
+    detector, clock
+):
+    key = segment_key('model', 'bad')
+    waiting, answering, other = (
+        detector.start_monitoring(
+            Attempt(sent_s=clock.moment_s, has_first_event=has_first_event),
+            build_view('engine-1'),
+            FakeTimeout(),
+            is_retryable=True,
+            start_by_s=float('inf'),
+            segment_keys=keys,
+        )
+        for has_first_event, keys in (
+            (False, (key,)),
+            (True, (key,)),
+            (False, ()),
+        )
+    )
+    detector.withdraw(key)
+    assert waiting.is_withdrawn
+    assert waiting.abort_timeout.due_s is not None
+    assert not answering.is_withdrawn
+    assert not other.is_withdrawn
