Tell routers at once when another one saw an engine end

Cause: a router without evidence asked its control daemon every second only, and told others every 0.3 s; each completion takes about 0.15 s and can end two engines before the others hear of it.

Change: the router's question waits at the daemon until there is news (long poll), and what is new is told within 0.1 s. The daemon joins reports without making verdicts of its own.

--- a/src/arbutusbay/control/_main.py
+++ b/src/arbutusbay/control/_main.py
@@ -102,6 +102,7 @@
     def _start_draining(self) -> None:
         self.shared_state.draining = True
         self.shared_state.config_changed.notify()
+        self.shared_state.quarantine_changed.notify()
         self.membership.send_heartbeats()
 
 
--- a/src/arbutusbay/control/_peer_api.py
+++ b/src/arbutusbay/control/_peer_api.py
@@ -20,7 +20,6 @@
     failure_response,
     read_request_message,
 )
-from arbutusbay.quarantine import build_merged_report
 from arbutusbay.quarantine_exchange import build_exchange, read_exchange
 from arbutusbay.state import NO_VERSION
 from arbutusbay.wire import (
@@ -111,24 +110,35 @@
     async def handle_quarantine_exchange(
         self, request: web.Request
     ) -> web.Response:
-        """Record what a router reports; reply with what all of them did."""
+        """Record what a router reports; reply with what all of them did.
+
+        The reply waits for something new from others if requested (long poll).
+        """
         match await read_request_message(request, QuarantineExchange):
             case Err(failure):
                 return failure_response(failure)
             case Ok(exchange):
                 pass
-        moment_s = now_s()
         quarantine = self.shared_state.quarantine
+        moment_s = now_s()
+        before = quarantine.merged_report()
         quarantine.merge_report(
             exchange.reporter, read_exchange(exchange, moment_s), moment_s
         )
-        quarantine.evidence.drop_expired(moment_s)
-        quarantine.table.drop_expired(moment_s)
-        merged = build_merged_report(
-            quarantine.evidence, quarantine.table, moment_s
-        )
+        if quarantine.merged_report() != before:
+            self.shared_state.quarantine_changed.notify()
+        elif exchange.wait_ms and not self.shared_state.draining:
+            await self.shared_state.quarantine_changed.wait(
+                min(exchange.wait_ms, _MAX_WAIT_MS) / 1000
+            )
+        moment_s = now_s()
+        quarantine.drop_expired(moment_s)
         return capnp_response(
-            build_exchange(self.shared_state.node_id, merged, moment_s)
+            build_exchange(
+                self.shared_state.node_id,
+                quarantine.merged_report(),
+                moment_s,
+            )
         )
 
     def _has_newer(self, peer_request: ConfigRequest) -> bool:
--- a/src/arbutusbay/control/_shared_state.py
+++ b/src/arbutusbay/control/_shared_state.py
@@ -9,7 +9,7 @@
 from arbutusbay.control._engine_cache_index import EngineCacheIndex
 from arbutusbay.control._settings import ControlSettings
 from arbutusbay.coordination import ChangeNotifier
-from arbutusbay.quarantine import SegmentQuarantine
+from arbutusbay.quarantine import SharedEvidence
 from arbutusbay.state import (
     ConfigState,
     DeletionLog,
@@ -81,7 +81,8 @@
     lease_first_seen_s: float = 0.0
     own_lease_ends_at_s: float = 0.0
     draining: bool = False
-    quarantine: SegmentQuarantine = attrs.field(factory=SegmentQuarantine)
+    quarantine: SharedEvidence = attrs.field(factory=SharedEvidence)
+    quarantine_changed: ChangeNotifier = attrs.field(factory=ChangeNotifier)
 
     @property
     def node_id(self) -> str:
--- a/src/arbutusbay/quarantine/__init__.py
+++ b/src/arbutusbay/quarantine/__init__.py
@@ -20,10 +20,8 @@
     WithheldSegment,
 )
 from arbutusbay.quarantine._refusal import build_refusal
-from arbutusbay.quarantine._reports import (
-    QuarantineReport,
-    build_merged_report,
-)
+from arbutusbay.quarantine._reports import QuarantineReport
+from arbutusbay.quarantine._shared_evidence import SharedEvidence
 from arbutusbay.quarantine._types import (
     AnswerTotals,
     EngineEnd,
@@ -44,6 +42,7 @@
     'QuarantineReport',
     'SegmentKey',
     'SegmentQuarantine',
+    'SharedEvidence',
     'SoundResponses',
     'Suspect',
     'Verdict',
@@ -51,7 +50,6 @@
     'VerdictTable',
     'WithheldRequest',
     'WithheldSegment',
-    'build_merged_report',
     'build_refusal',
     'blame_of',
     'find_culprits',
--- a/src/arbutusbay/quarantine/_reports.py
+++ b/src/arbutusbay/quarantine/_reports.py
@@ -55,29 +55,6 @@
     )
 
 
-def build_merged_report(
-    evidence: Evidence, table: VerdictTable, now_s: float
-) -> QuarantineReport:
-    """Return what all processes have reported to this one."""
-    return QuarantineReport(
-        ends=dict(evidence.ends),
-        answers={
-            key: totals
-            for key, totals in _answers_of_suspects(evidence, now_s).items()
-            if totals.count
-        },
-        verdicts=dict(table.verdicts),
-    )
-
-
-def _answers_of_suspects(
-    evidence: Evidence, now_s: float
-) -> dict[SegmentKey, AnswerTotals]:
-    suspects = evidence.suspects()
-    models = {model_key(key.model) for key in suspects}
-    return {key: evidence.answers_of(key, now_s) for key in suspects | models}
-
-
 def _reported_ends(evidence: Evidence, now_s: float) -> dict[str, EngineEnd]:
     """Return the last ends, each with the segments that were answered least."""
     recent = sorted(
--- a/src/arbutusbay/router/_main.py
+++ b/src/arbutusbay/router/_main.py
@@ -16,8 +16,11 @@
 from arbutusbay.router._ledger_client import LedgerClient
 from arbutusbay.router._lookup import CacheIndexLookup
 from arbutusbay.router._metrics import RouterMetrics
+from arbutusbay.router._prompt_quarantine import (
+    PromptQuarantine,
+    QuarantineFollower,
+)
 from arbutusbay.router._service_calls import ServiceCaller
-from arbutusbay.router._prompt_quarantine import PromptQuarantine
 from arbutusbay.router._services_api import ServicesApi
 from arbutusbay.router._settings import RouterSettings
 from arbutusbay.router._shared_state import RouterState
@@ -44,6 +47,9 @@
             PromptQuarantine(
                 shared_state=self.shared_state, session=self.session
             ),
+            QuarantineFollower(
+                shared_state=self.shared_state, session=self.session
+            ),
         )
         await self.http.start()
 
--- a/src/arbutusbay/router/_prompt_quarantine.py
+++ b/src/arbutusbay/router/_prompt_quarantine.py
@@ -7,6 +7,7 @@
 import asyncio
 
 import aiohttp
+import attrs
 from result import Ok
 
 from arbutusbay.clock import now_s
@@ -29,8 +30,9 @@
 
 _MAX_PROMPT_BLOCKS = 32
 _CHECK_INTERVAL_S = 0.1
-_BUSY_EXCHANGE_S = 0.3
-_IDLE_EXCHANGE_S = 1.0
+_REPEAT_S = 1.0
+_WAIT_S = 4.0
+_MS_PER_S = 1000
 _CALL_TIMEOUT_S = 0.5
 _SOURCE = 'control'
 
@@ -46,7 +48,7 @@
 
 
 class PromptQuarantine(Controller):
-    """Refuse completions with quarantined prompts and spread the verdicts."""
+    """Make verdicts, and tell the control daemons of all VMs."""
 
     shared_state: RouterState
     session: aiohttp.ClientSession
@@ -54,47 +56,79 @@
     async def prepare(self) -> None:
         """Log each verdict that changes."""
         self.shared_state.quarantine.announce = log_verdict_change
-        self.next_exchange_s = now_s()
+        self.last_report = QuarantineReport()
+        self.last_told_s = now_s()
 
     async def step(self) -> None:
-        """Evaluate the evidence, and exchange it with control daemons."""
+        """Evaluate the evidence, and tell what is new."""
         await asyncio.sleep(_CHECK_INTERVAL_S)
         moment_s = now_s()
         quarantine = self.shared_state.quarantine
         quarantine.evaluate(moment_s, {})
-        if moment_s < self.next_exchange_s:
-            return
-        is_busy = bool(quarantine.evidence.ends)
-        interval_s = _BUSY_EXCHANGE_S if is_busy else _IDLE_EXCHANGE_S
-        self.next_exchange_s = moment_s + interval_s
         report = quarantine.report(moment_s)
-        await asyncio.gather(
-            *(
-                self._exchange(url, report)
-                for url in self._control_urls(is_busy=is_busy)
+        is_repeated = moment_s - self.last_told_s > _REPEAT_S
+        if report == QuarantineReport():
+            return
+        if report != self.last_report or is_repeated:
+            self.last_report = report
+            self.last_told_s = moment_s
+            await asyncio.gather(
+                *(
+                    exchange_reports(
+                        self.shared_state, self.session, url, report
+                    )
+                    for url in self.shared_state.control_urls().values()
+                )
             )
-        )
 
-    def _control_urls(self, *, is_busy: bool) -> list[str]:
-        if is_busy:
-            return list(self.shared_state.control_urls().values())
-        return [self.shared_state.settings.node.control_url]
 
-    async def _exchange(self, url: str, report: QuarantineReport) -> None:
-        reply = await call_peer(
+class QuarantineFollower(Controller):
+    """Hear from the control daemon of this VM what other routers told."""
+
+    shared_state: RouterState
+    session: aiohttp.ClientSession
+
+    async def step(self) -> None:
+        """Wait for news, and for a moment if the daemon does not answer."""
+        is_answered = await exchange_reports(
+            self.shared_state,
             self.session,
-            f'{url}/peer/quarantine',
-            build_exchange(self.shared_state.settings.node.id, report, now_s()),
-            QuarantineExchange,
-            timeout_s=_CALL_TIMEOUT_S,
+            self.shared_state.settings.node.control_url,
+            QuarantineReport(),
+            wait_s=_WAIT_S,
         )
-        if isinstance(reply, Ok):
-            moment_s = now_s()
-            self.shared_state.quarantine.merge_report(
-                f'{_SOURCE}-{reply.ok_value.reporter}',
-                read_exchange(reply.ok_value, moment_s),
-                moment_s,
-            )
+        await asyncio.sleep(_CHECK_INTERVAL_S if is_answered else _REPEAT_S)
+
+
+async def exchange_reports(
+    shared_state: RouterState,
+    session: aiohttp.ClientSession,
+    url: str,
+    report: QuarantineReport,
+    *,
+    wait_s: float = 0.0,
+) -> bool:
+    """Tell a control daemon ``report``; return whether it answered.
+
+    Its reply, which may take ``wait_s`` seconds, is added to the evidence.
+    """
+    message = build_exchange(shared_state.settings.node.id, report, now_s())
+    reply = await call_peer(
+        session,
+        f'{url}/peer/quarantine',
+        attrs.evolve(message, wait_ms=int(wait_s * _MS_PER_S)),
+        QuarantineExchange,
+        timeout_s=_CALL_TIMEOUT_S + wait_s,
+    )
+    if not isinstance(reply, Ok):
+        return False
+    moment_s = now_s()
+    shared_state.quarantine.merge_report(
+        f'{_SOURCE}-{reply.ok_value.reporter}',
+        read_exchange(reply.ok_value, moment_s),
+        moment_s,
+    )
+    return True
 
 
 def refuse_job(shared_state: RouterState, job: Job) -> Failure | None:
--- a/src/arbutusbay/wire/_messages.py
+++ b/src/arbutusbay/wire/_messages.py
@@ -206,9 +206,14 @@
 
 @attrs.frozen(kw_only=True)
 class QuarantineExchange:
-    """Tell a control daemon about prompt segments; it replies in kind."""
+    """Tell a control daemon about prompt segments; it replies in kind.
+
+    The reply may be delayed by up to ``wait_ms`` milliseconds until another
+    router has told something new.
+    """
 
     reporter: str
     ends: list[EndEntry]
     answers: list[AnswerEntry]
     verdicts: list[VerdictEntry]
+    wait_ms: int = 0
--- a/src/arbutusbay/wire/arbutusbay.capnp
+++ b/src/arbutusbay/wire/arbutusbay.capnp
@@ -119,4 +119,5 @@
   ends @1 :List(EndEntry);
   answers @2 :List(AnswerEntry);
   verdicts @3 :List(VerdictEntry);
+  waitMs @4 :UInt32;
 }
