Let a test wait for a VM that was stopped to have fresh keys

Traced in docs/findings/late-reads-stale-keys.md: the refusal is what CONFIG asks for, two reads had been cut by stops. The check is as strict: it asks for the 200 once the VM says that it is ready.

--- a/tests/integration/test_proof_late_reads.py
+++ b/tests/integration/test_proof_late_reads.py
@@ -121,6 +121,7 @@
         for is_kept in (True, False):
             case = f'{path} {is_kept}'
             await send_and_leave(node, case, path, host, is_kept=is_kept)
+            await wait_until_ready([node], http)
             assert (await request_service(http, node, f'after {case}'))[
                 0
             ] == 200
