Do not repeat the request that tries a quarantined segment

The test failed before: the try comes 30 s after the verdict, the next 90 s after that, when the evidence (60 s) has expired; its retry could then end a second engine, and two tries four engines in all, where three may.

--- a/src/arbutusbay/quarantine/_quarantine.py
+++ b/src/arbutusbay/quarantine/_quarantine.py
@@ -222,9 +222,11 @@
         """Return whether a request may be repeated whose engine has ended.
 
         It may not if one of its segments was at another end as well, and there
-        are too few sound responses to it.
+        are too few sound responses to it, nor if it is tried for a segment.
         """
         for key in keys:
+            if key in self.probing_requests:
+                return False
             answers = self.evidence.answers_of(key, now_s)
             blame = self._blame_of(key, now_s)
             if blame.score > _RETRY_SCORE and is_unproven(blame, answers):
--- a/tests/unit/test_segment_quarantine.py
+++ b/tests/unit/test_segment_quarantine.py
@@ -129,6 +129,19 @@
     assert withhold(quarantine, due_s + 2, 'probe') is not None
 
 
+# Guards against a request that is tried late, when the evidence has expired,
+# and ends a second engine in its retry.
+def test_tried_request_is_not_repeated():
+    quarantine = build_quarantine()
+    withhold(quarantine, 100 + _FIRST_PROBE_S, 'first')
+    quarantine.end_probe('first')
+    due_s = 100 + 4 * _FIRST_PROBE_S
+    quarantine.evaluate(due_s, {})
+    assert withhold(quarantine, due_s, 'second') is None
+    record_end(quarantine, 'e9', due_s + 0.1)
+    assert not quarantine.may_retry((_COMMON_KEY, _KEY), due_s + 0.2)
+
+
 def test_new_weights_are_a_reason_to_try_earlier():
     quarantine = build_quarantine()
     due_s = 100 + _FIRST_PROBE_S
