Log why a stream was cut and what a suspicion rests on

The lines of a cut stream did not tell whether the engine broke off or this VM gave it up, and a suspicion of another VM left no line.

--- a/src/arbutusbay/cli/_causes.py
+++ b/src/arbutusbay/cli/_causes.py
@@ -8,6 +8,7 @@
 
 _CONTEXT_MARGIN = timedelta(seconds=6)
 _FINAL_MESSAGES = frozenset(('request ended', 'request refused'))
+_OWN_CUT_REASONS = frozenset(('silent', 'no_replacement'))
 _REFUSAL_CAUSES = MappingProxyType(
     {
         'bad_api_key': 'the API key is not in the configuration (any more)',
@@ -143,6 +144,11 @@
     request_lines: Sequence[LogLine],
 ) -> str:
     detail = str(last.fields.get('detail', ''))
+    if last.fields.get('reason') in _OWN_CUT_REASONS:
+        return (
+            f'this VM gave up {_describe_last_server(request_lines)} and did '
+            f'not send the rest to another: {detail}'
+        )
     if 'time of the route' not in detail:
         return (
             f'{_describe_last_server(request_lines)} broke off the stream: '
--- a/src/arbutusbay/node/_attempts.py
+++ b/src/arbutusbay/node/_attempts.py
@@ -62,6 +62,7 @@
     reported, empty if none. ``response_head`` holds the headers of a response
     that belongs to the attempt, None if there was none. ``progress`` tells how
     far the response had come, ``is_connection_lost`` that it broke there.
+    ``is_ended_here`` is set if this VM ended the attempt.
     """
 
     outcome: AttemptOutcome
@@ -72,6 +73,7 @@
     response_head: ResponseHead | None = None
     progress: ResponseProgress = ResponseProgress.NOT_STARTED
     is_connection_lost: bool = False
+    is_ended_here: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/src/arbutusbay/node/_frontend.py
+++ b/src/arbutusbay/node/_frontend.py
@@ -131,11 +131,13 @@
                     **_timing_fields(executor.incoming, stream),
                 )
                 return stream.response
-            case StreamAborted(detail=detail):
+            case StreamAborted(reason=reason, detail=detail):
+                self.metrics.streams_cut.inc({'reason': reason.value})
                 self._log_outcome(
                     executor.incoming,
                     'stream cut',
                     detail,
+                    reason=reason.value,
                     **_timing_fields(executor.incoming, stream),
                 )
                 _abort_connection(request)
@@ -237,7 +239,7 @@
         incoming: IncomingRequest,
         outcome: str,
         detail: str = '',
-        **fields: float | None,
+        **fields: float | str | None,
     ) -> None:
         elapsed_s = now_s() - incoming.received_s
         self.metrics.observe_request(incoming.route.kind, elapsed_s)
--- a/src/arbutusbay/node/_metrics.py
+++ b/src/arbutusbay/node/_metrics.py
@@ -21,6 +21,10 @@
             'arbutusbay_refusals_total',
             'Requests answered with an error of our own, by error kind.',
         )
+        self.streams_cut = Counter(
+            'arbutusbay_streams_cut_total',
+            'Streams ended early after their response had started, by reason.',
+        )
         self.duration = Histogram(
             'arbutusbay_request_duration_seconds',
             'Time from the head of a request to its end, by kind.',
--- a/src/arbutusbay/node/_peer_state_receiver.py
+++ b/src/arbutusbay/node/_peer_state_receiver.py
@@ -81,8 +81,7 @@
     def _apply_engine_reports(self, state: PeerState, moment_s: float) -> None:
         """Apply what ``state`` reports of engines beside their occupancy."""
         for view in self._known_views(state.suspected_engines):
-            view.remotely_suspected_until_s = moment_s + _REMOTE_SUSPICION_S
-            view.unresponsive_until_s = view.remotely_suspected_until_s
+            _suspect(view, state.name, moment_s)
         for view in self._known_views(state.leaving_engines):
             is_same = state.leaving_engines[view.id] == view.incarnation
             if is_same and not view.is_leaving:
@@ -140,3 +139,13 @@
             view = views.get(name)
             if view is not None:
                 yield view
+
+
+def _suspect(view: EngineView, sender: str, moment_s: float) -> None:
+    """Take over the suspicion of another VM for a moment."""
+    if not view.is_unresponsive(moment_s):
+        _LOG.info(
+            'server silent', fields={'server': view.id, 'told_by': sender}
+        )
+    view.remotely_suspected_until_s = moment_s + _REMOTE_SUSPICION_S
+    view.unresponsive_until_s = view.remotely_suspected_until_s
--- a/src/arbutusbay/node/_request_executor.py
+++ b/src/arbutusbay/node/_request_executor.py
@@ -232,6 +232,7 @@
                 'outcome': failure.outcome.value,
                 'detail': failure.detail,
                 'progress': failure.progress.value,
+                'ended_here': failure.is_ended_here,
                 'segments': [
                     segment.id
                     for segment in self.incoming.parsed_headers.shared_segments
@@ -423,12 +424,14 @@
             AttemptFailure(
                 outcome=AttemptOutcome.WITHDRAWN,
                 detail='withdrawn before it began',
+                is_ended_here=True,
             ),
         )
     return Err(
         AttemptFailure(
             outcome=AttemptOutcome.UNKNOWN,
             detail='backend server stopped responding',
+            is_ended_here=True,
         ),
     )
 
--- a/src/arbutusbay/node/_stall_detector.py
+++ b/src/arbutusbay/node/_stall_detector.py
@@ -115,7 +115,7 @@
                     moment_s - _SUSPECT_AFTER_S / 2,
                 )
             elif self._has_stalled(monitored, moment_s, _SUSPECT_AFTER_S):
-                self._mark_suspect(monitored.view, moment_s)
+                self._mark_suspect(monitored, moment_s)
         for monitored in self.monitored:
             if not monitored.abort_timeout.expired():
                 self._abort_if_due(monitored, moment_s)
@@ -172,9 +172,19 @@
             is_suspect and moment_s - monitored.last_event_s > _SUSPECT_AFTER_S
         )
 
-    def _mark_suspect(self, view: EngineView, moment_s: float) -> None:
+    def _mark_suspect(self, stalled: MonitoredAttempt, moment_s: float) -> None:
+        view = stalled.view
         if not view.is_unresponsive(moment_s):
-            _LOG.info('server silent', fields={'server': view.id})
+            _LOG.info(
+                'server silent',
+                fields={
+                    'server': view.id,
+                    'silent_ms': milliseconds(moment_s - stalled.last_event_s),
+                    'attempts': sum(
+                        monitored.view is view for monitored in self.monitored
+                    ),
+                },
+            )
             self.node_state.notify_report_changed()
         view.locally_suspected_until_s = moment_s + _SUSPICION_DURATION_S
         view.unresponsive_until_s = view.locally_suspected_until_s
--- a/src/arbutusbay/node/_stream_relay.py
+++ b/src/arbutusbay/node/_stream_relay.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import enum
 
 import attrs
 from aiohttp import web
@@ -46,6 +47,21 @@
     """Report that the stream was relayed to its end."""
 
 
+class CutReason(enum.StrEnum):
+    """Name why a stream ended after its response had started.
+
+    ``DEADLINE``: the time of the route ran out. ``BROKEN``: the engine broke
+    off, and the stream may not be resumed. ``SILENT``: this VM ended the
+    attempt, and did not send another one. ``NO_REPLACEMENT``: no engine was
+    found to resume it.
+    """
+
+    DEADLINE = 'deadline'
+    BROKEN = 'broken'
+    SILENT = 'silent'
+    NO_REPLACEMENT = 'no_replacement'
+
+
 @attrs.frozen(kw_only=True)
 class StreamAborted:
     """Report that a stream failed after its response had started.
@@ -53,6 +69,7 @@
     The status is already sent, so the caller must abort the connection.
     """
 
+    reason: CutReason
     detail: str
 
 
@@ -149,7 +166,10 @@
                 return await self._relay_attempts()
         except TimeoutError:
             if self.response is not None:
-                return StreamAborted(detail='the time of the route ran out')
+                return StreamAborted(
+                    reason=CutReason.DEADLINE,
+                    detail='the time of the route ran out',
+                )
             return self.executor.deadline_failure()
 
     async def _relay_attempts(self) -> StreamResult:
@@ -304,12 +324,19 @@
 
     def _placement_failure_result(self, failure: Failure) -> StreamResult:
         if self.response is not None:
-            return StreamAborted(detail=failure.detail)
+            return StreamAborted(
+                reason=CutReason.NO_REPLACEMENT, detail=failure.detail
+            )
         return failure
 
     def _attempt_failure_result(self, failure: AttemptFailure) -> StreamResult:
         if self.response is not None:
-            return StreamAborted(detail=failure.detail)
+            return StreamAborted(
+                reason=CutReason.SILENT
+                if failure.is_ended_here
+                else CutReason.BROKEN,
+                detail=failure.detail,
+            )
         match self.executor.final_result(failure):
             case Ok(answer):
                 return answer
