--- a/emulator/fleet_engine.py
+++ b/emulator/fleet_engine.py
@@ -15,6 +15,7 @@
 from aiohttp import web
 
 from emulator._server_main import read_json_object
+from emulator._silence import Silence
 
 _NOT_EXECUTED = 'Not-Executed'
 _MUTE_S = 60
@@ -134,8 +135,7 @@
         self.transports: set[asyncio.Transport] = set()
         self.has_ended = False
         self.report_end: Callable[[], None] = _ignore_end
-        self.speaking = asyncio.Event()
-        self.speaking.set()
+        self.silence = Silence()
 
     def application(self) -> web.Application:
         """Build the HTTP application."""
@@ -172,17 +172,9 @@
         self.fault = fault
         self.remaining_faults = times
 
-    def fall_silent(self, duration_s: float) -> None:
-        """Send nothing for ``duration_s`` seconds, then go on.
-
-        Connections are still accepted.
-        """
-        self.speaking.clear()
-        asyncio.get_running_loop().call_later(duration_s, self.speaking.set)
-
     async def report(self, request: web.Request) -> web.Response:
         """Return weights, load and the number of accepted orders."""
-        await self.speaking.wait()
+        await self.silence.over.wait()
         return web.json_response(
             {
                 'stage': 'prefill_and_decode',
@@ -204,7 +196,7 @@
         token is stale, 200 if the version is loaded already and 409 while
         loading or if the expected order count differs.
         """
-        await self.speaking.wait()
+        await self.silence.over.wait()
         if request.headers.get('Expect-Instance') != self.options.id:
             return web.Response(status=HTTPStatus.MISDIRECTED_REQUEST)
         fields = await read_json_object(request)
@@ -253,11 +245,11 @@
             self.transports.discard(request.transport)
 
     async def _execute(self, request: web.Request) -> web.StreamResponse:
-        await self.speaking.wait()
+        await self.silence.over.wait()
         rejection = self._rejection(request)
         if rejection is not None:
             return rejection
-        await asyncio.sleep(self.options.queue_s)
+        await self.silence.sleep(self.options.queue_s)
         self.executions.append(
             ExecutedRequest(
                 attempt_id=request.headers['Attempt-Id'],
@@ -333,8 +325,7 @@
     async def _serve_plainly(
         self, request: web.Request, fault: EngineFault
     ) -> web.Response:
-        await asyncio.sleep(self.options.service_s)
-        await self.speaking.wait()
+        await self.silence.sleep(self.options.service_s)
         headers = self._response_headers(request, fault)
         text = f'{self.options.id} {request.path}'
         if fault is EngineFault.SECOND_COPY:
@@ -388,7 +379,6 @@
         last_event_id = int(request.headers.get('Last-Event-Id', 0))
         first_fatal = last_event_id + self.options.fatal_after_events
         for number in range(last_event_id + 1, self.options.events + 1):
-            await self.speaking.wait()
             if fault is EngineFault.END and number > first_fatal:
                 await asyncio.sleep(self.options.event_s)
                 self.end()
@@ -402,7 +392,7 @@
                 await asyncio.sleep(_TRICKLE_S)
                 continue
             await response.write(f'id: {number}\ndata: w{number}\n\n'.encode())
-            await asyncio.sleep(self.options.event_s)
+            await self.silence.sleep(self.options.event_s)
         return response
 
     async def _stream_until_close(
@@ -420,8 +410,7 @@
         )
         transport.write(f'{head}\r\n\r\n'.encode())
         for number in range(1, self.options.events + 1):
-            await asyncio.sleep(self.options.event_s)
-            await self.speaking.wait()
+            await self.silence.sleep(self.options.event_s)
             if fault is EngineFault.END:
                 self.end()
                 break
