Give up an attempt at a silent server only once a place elsewhere is reserved

Cause: a silence was taken for a failure. The stall detector ended a resumable stream after 1.6 s, or 1.1 s where any VM suspected the engine, and idempotent calls ended after 1.5 times their target; only then were the retry budget, an engine with the weights of the events already sent and a place there looked for. Where one of them was missing, the response that the engine would have continued was lost.

Change: the detector asks the request for a place elsewhere first. It is reserved, with its token of the retry budget, at a server that nothing speaks against, and the attempt ends only then; without one it goes on until the deadline of the request. After 2 s of silence a server without capacity will do. Events that arrive once an attempt is being ended are not passed on, as the next attempt resumes behind the last one that was. All attempts that were moved from one silent server count as one failure of it.

--- a/src/arbutusbay/node/_attempt_history.py
+++ b/src/arbutusbay/node/_attempt_history.py
@@ -15,15 +15,26 @@
     ``possible_executions`` counts attempts that may have run,
     ``possible_execution_servers`` holds the ids of their servers;
     ``unexecuted_attempts`` counts attempts that certainly did not run.
-    ``excluded_servers`` holds the ids of servers that must not be tried again.
+    ``excluded_servers`` holds the ids of servers that must not be tried again,
+    ``silent_servers`` those of them that the request was moved away from.
     """
 
     possible_executions: int = 0
     unexecuted_attempts: int = 0
     excluded_servers: frozenset[str] = frozenset()
     possible_execution_servers: frozenset[str] = frozenset()
+    silent_servers: frozenset[str] = frozenset()
     last_detail: str = ''
 
+    def if_moved_from(self, server_id: str) -> 'AttemptHistory':
+        """Return what the history is if the current attempt is given up."""
+        history = attrs.evolve(self)
+        history.record_attempt(
+            server_id,
+            AttemptFailure(outcome=AttemptOutcome.MOVED, detail=''),
+        )
+        return history
+
     def record_attempt(self, server_id: str, failure: AttemptFailure) -> None:
         """Record one failed attempt."""
         self.last_detail = failure.detail
@@ -33,10 +44,13 @@
             case (
                 AttemptOutcome.UNKNOWN
                 | AttemptOutcome.WITHDRAWN
+                | AttemptOutcome.MOVED
                 | AttemptOutcome.RAN_AND_FAILED
             ):
                 self.possible_executions += 1
                 self.possible_execution_servers |= {server_id}
+        if failure.outcome is AttemptOutcome.MOVED:
+            self.silent_servers |= {server_id}
         if not self._may_retry_server(failure):
             self.excluded_servers |= {server_id}
 
--- a/src/arbutusbay/node/_components.py
+++ b/src/arbutusbay/node/_components.py
@@ -14,7 +14,7 @@
 from arbutusbay.node._placer import Placer
 from arbutusbay.node._registration import build_own_registration
 from arbutusbay.node._relay_api import RelayApi
-from arbutusbay.node._request_executor import RequestDependencies
+from arbutusbay.node._request_dependencies import RequestDependencies
 from arbutusbay.node._rollout import Rollout
 from arbutusbay.node._server_feedback import ServerFeedback
 from arbutusbay.node._server_registry import ServerRegistry
--- a/src/arbutusbay/node/_frontend.py
+++ b/src/arbutusbay/node/_frontend.py
@@ -19,8 +19,8 @@
 from arbutusbay.node._incoming_request import IncomingRequest, validate_request
 from arbutusbay.node._metrics import NodeMetrics
 from arbutusbay.node._node_state import NodeState
+from arbutusbay.node._request_dependencies import RequestDependencies
 from arbutusbay.node._request_executor import (
-    RequestDependencies,
     RequestExecutor,
     execute_before_deadline,
 )
@@ -103,6 +103,7 @@
             )
             raise
         finally:
+            executor.replacement.release()
             self.dependencies.quarantine.end_request(incoming)
 
     async def _proxy_buffered(
--- a/src/arbutusbay/node/_placement.py
+++ b/src/arbutusbay/node/_placement.py
@@ -41,22 +41,31 @@
         return self.choice.has_capacity
 
 
+@attrs.frozen(kw_only=True)
+class ResumePoint:
+    """Tell where a stream goes on.
+
+    ``event_id`` is the number of the last event that the client received, 0 for
+    none. ``weights_version`` is the version that produced it, None if any will
+    do.
+    """
+
+    event_id: int = 0
+    weights_version: int | None = None
+
+
 @attrs.frozen(kw_only=True)
 class PlacementRequest:
     """Request a placement for one attempt.
 
     ``allowed_servers``, if set, is the set of ids of the eligible backend
     servers; otherwise all but those in ``excluded_servers`` are eligible.
-    ``weights_version`` restricts them to engines that run it.
-    ``resume_after_event_id`` is the number of the last event that the client
-    received, 0 for none.
     """
 
     incoming: IncomingRequest
     excluded_servers: frozenset[str] = frozenset()
     allowed_servers: frozenset[str] | None = None
-    weights_version: int | None = None
-    resume_after_event_id: int = 0
+    resume_point: ResumePoint = ResumePoint()
 
     def allows_server(self, view: EngineView) -> bool:
         """Return whether ``view`` is a server that the request allows."""
@@ -70,7 +79,10 @@
 
         Requests without a model and resumed streams are placed immediately.
         """
-        return self.incoming.is_model_request and self.weights_version is None
+        return (
+            self.incoming.is_model_request
+            and self.resume_point.weights_version is None
+        )
 
 
 def request_size_of(incoming: IncomingRequest) -> ModelRequestSize:
--- a/src/arbutusbay/node/_placer.py
+++ b/src/arbutusbay/node/_placer.py
@@ -155,7 +155,8 @@
         if not incoming.is_model_request:
             return True
         version = view.expected_weights(model, moment_s)
-        if version is None or request.weights_version not in {None, version}:
+        required = request.resume_point.weights_version
+        if version is None or required not in {None, version}:
             return False
         target = self.node_state.catalog.targets.get(model)
         if target is None:
@@ -287,7 +288,7 @@
             time_to_deadline_s=remaining_s,
             team=team.name if team else '',
             priority=_priority(incoming),
-            resume_after_event_id=request.resume_after_event_id,
+            resume_after_event_id=request.resume_point.event_id,
         )
         if not incoming.is_model_request:
             return attempt_headers
--- /dev/null
+++ b/src/arbutusbay/node/_replacement.py
@@ -0,0 +1,54 @@
+"""Reserve a place elsewhere before an attempt is given up."""
+
+import attrs
+
+from arbutusbay.clock import now_s
+from arbutusbay.node._dispatcher import Dispatcher
+from arbutusbay.node._placement import Placement, PlacementRequest
+from arbutusbay.node._placer import Placer
+from arbutusbay.scheduling import RetryBudget
+
+
+@attrs.define(kw_only=True)
+class Replacement:
+    """Hold the place that one request has reserved, if any.
+
+    A reserved place counts as an attempt in flight until ``release``, or until
+    the attempt ends that ``take`` was called for.
+    """
+
+    placer: Placer
+    dispatcher: Dispatcher
+    budget: RetryBudget
+    reserved: Placement | None = None
+
+    def try_reserve(
+        self, request: PlacementRequest, *, needs_capacity: bool
+    ) -> bool:
+        """Reserve a place and return whether there is one.
+
+        Only a server that nothing speaks against is considered, with capacity
+        now if ``needs_capacity``. Withdraws a token of the retry budget.
+        """
+        placement = self.placer.find_placement(request)
+        if placement is None or not placement.view.is_dependable(now_s()):
+            return False
+        if needs_capacity and not placement.has_capacity:
+            return False
+        if not self.budget.try_withdraw(now_s()):
+            return False
+        self.placer.commit(request, placement)
+        self.reserved = placement
+        return True
+
+    def take(self) -> Placement | None:
+        """Return the reserved place, if any, which the caller must release."""
+        placement = self.reserved
+        self.reserved = None
+        return placement
+
+    def release(self) -> None:
+        """Release the reserved place if it was not taken."""
+        placement = self.take()
+        if placement is not None:
+            self.dispatcher.release(placement)
--- a/src/arbutusbay/node/_request_executor.py
+++ b/src/arbutusbay/node/_request_executor.py
@@ -1,10 +1,10 @@
 """Execute one client request, with retries on other backend servers."""
 
 import asyncio
+import functools
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
-import aiohttp
 import attrs
 from aiohttp import ClientConnectionResetError
 from result import Err, Ok, Result
@@ -19,14 +19,19 @@
     OpenResponse,
     open_attempt,
 )
-from arbutusbay.node._dispatcher import Dispatcher
 from arbutusbay.node._incoming_request import IncomingRequest, recheck_access
-from arbutusbay.node._node_state import NodeState
-from arbutusbay.node._placement import Placement, PlacementRequest
-from arbutusbay.node._placer import Placer
-from arbutusbay.node._server_feedback import ServerFeedback
-from arbutusbay.node._stall_detector import MonitoredAttempt, StallDetector
-from arbutusbay.node.quarantine import PromptQuarantine, RequestEvidence
+from arbutusbay.node._placement import (
+    Placement,
+    PlacementRequest,
+    ResumePoint,
+)
+from arbutusbay.node._replacement import Replacement
+from arbutusbay.node._request_dependencies import RequestDependencies
+from arbutusbay.node._stall_detector import (
+    MonitoredAttempt,
+    aborted_attempt_failure,
+)
+from arbutusbay.node.quarantine import RequestEvidence
 from arbutusbay.platform import ResponseHead
 from arbutusbay.scheduling import (
     AttemptOutcome,
@@ -37,27 +42,15 @@
 
 _LOG = get_logger('request')
 _RETRY_AFTER_S = 0.5
-_ATTEMPT_TIMEOUT_FACTOR = 1.5
-
-
-@attrs.frozen(kw_only=True)
-class RequestDependencies:
-    """Hold the dependencies that all request executions share."""
-
-    node_state: NodeState
-    placer: Placer
-    feedback: ServerFeedback
-    quarantine: PromptQuarantine
-    dispatcher: Dispatcher
-    stall_detector: StallDetector
-    session: aiohttp.ClientSession
+_MOVE_AFTER_TARGET_FACTOR = 1.5
+_FULL_SERVER_AFTER_S = 2.0
 
 
 class RequestExecutor:
     """Execute one request in one or more attempts.
 
     ``in_flight`` is True from the sending of an attempt until its failure is
-    recorded.
+    recorded. ``resume_point`` is where a stream goes on in the next attempt.
     """
 
     def __init__(
@@ -86,6 +79,12 @@
         budget = dependencies.node_state.retry_budget_of(incoming.service.name)
         budget.deposit()
         self.budget = budget
+        self.resume_point = ResumePoint()
+        self.replacement = Replacement(
+            placer=dependencies.placer,
+            dispatcher=dependencies.dispatcher,
+            budget=budget,
+        )
         if incoming.is_model_request:
             dependencies.placer.record_arrival(incoming)
 
@@ -106,19 +105,12 @@
                 case RetryAction.RETURN_FAILURE:
                     return self.final_result(failure)
 
-    async def place(
-        self,
-        *,
-        weights_version: int | None = None,
-        resume_after_event_id: int = 0,
-    ) -> Result[Placement, Failure]:
+    async def place(self) -> Result[Placement, Failure]:
         """Place the next attempt on a backend server, waiting for capacity.
 
-        ``weights_version`` restricts the choice to engines with that version;
-        ``resume_after_event_id`` is the number of the last event that the
-        client received, 0 for none. Fails if no server is available or has
-        capacity in time, the deadline has passed or access was revoked.
-        Raises ``ClientConnectionResetError`` if the client has left.
+        Fails if no server is available or has capacity in time, the deadline
+        has passed or access was revoked. Raises ``ClientConnectionResetError``
+        if the client has left.
 
         ``send_attempt`` releases the placement.
         """
@@ -126,12 +118,7 @@
         refused = self._check_may_send()
         if refused is not None:
             return Err(refused)
-        placement_result = await self.dependencies.dispatcher.place(
-            self._build_placement_request(
-                weights_version, resume_after_event_id
-            ),
-        )
-        match placement_result:
+        match await self._find_place():
             case Err(failure):
                 return Err(self._downgrade_if_run(failure))
             case Ok(placement):
@@ -177,25 +164,30 @@
     ) -> AsyncIterator[MonitoredAttempt]:
         """Monitor an attempt for stalls while the context is active.
 
-        Raises ``TimeoutError`` if a retryable attempt stalls, if an
-        idempotent one that is not a stream exceeds its time limit, or if a
-        stream has not begun while its weights may be used.
+        Raises ``TimeoutError`` if a retryable attempt had better go on at
+        another server and a place is reserved there, or if a stream has not
+        begun while its weights may be used.
         """
-        async with asyncio.timeout(self._attempt_timeout_s()) as abort_timeout:
-            monitored = self.dependencies.stall_detector.start_monitoring(
-                placement.attempt,
-                placement.view,
-                abort_timeout,
-                is_retryable=self.incoming.is_retryable,
-                segment_keys=self.incoming.segment_keys,
+        detector = self.dependencies.stall_detector
+        async with asyncio.timeout(None) as abort_timeout:
+            monitored = MonitoredAttempt(
+                attempt=placement.attempt,
+                view=placement.view,
+                abort_timeout=abort_timeout,
+                last_event_s=now_s(),
                 start_by_s=placement.start_by_s
                 if self.incoming.is_stream
                 else float('inf'),
+                move_due_s=now_s() + self._move_after_s(),
+                try_move=functools.partial(self._try_move, placement),
+                request_id=self.incoming.attempt_id,
+                segment_keys=self.incoming.segment_keys,
             )
+            detector.start_monitoring(monitored)
             try:
                 yield monitored
             finally:
-                self.dependencies.stall_detector.stop_monitoring(monitored)
+                detector.stop_monitoring(monitored)
 
     async def record_failed_attempt(
         self,
@@ -286,18 +278,66 @@
             run_state=None if is_not_executed else RunState.UNKNOWN,
         )
 
-    def _attempt_timeout_s(self) -> float | None:
-        """Return the time limit of an idempotent non-streaming attempt.
+    def _move_after_s(self) -> float:
+        """Return after how long an attempt had better go on elsewhere.
 
-        None means no limit, also where the route has no target latency.
+        That is for idempotent requests that are no streams. Infinity means
+        never, also where the route has no target latency.
         """
         if self.incoming.is_stream or not self.incoming.is_retryable:
-            return None
+            return float('inf')
         return (
-            self.incoming.route.target_latency_s * _ATTEMPT_TIMEOUT_FACTOR
-            or None
+            self.incoming.route.target_latency_s * _MOVE_AFTER_TARGET_FACTOR
+            or float('inf')
         )
 
+    def _try_move(self, placement: Placement, silent_s: float) -> bool:
+        """Reserve a place for a request whose server is silent.
+
+        Returns whether there is one. A server that has no capacity now will do
+        once the silence is longer than that of a sound server.
+        """
+        if not self.incoming.is_retryable or not self.evidence.may_move():
+            return False
+        if recheck_access(self.dependencies.node_state, self.incoming):
+            return False
+        history = self.attempt_history.if_moved_from(placement.view.id)
+        action = choose_retry_action(
+            AttemptOutcome.UNKNOWN,
+            history.attempt_count(),
+            is_retryable=True,
+            max_attempts=self.incoming.route.max_attempts,
+        )
+        if action is RetryAction.RETURN_FAILURE:
+            return False
+        request = self._build_placement_request(history)
+        return self.replacement.try_reserve(
+            _without_server(request, placement.view.id),
+            needs_capacity=silent_s < _FULL_SERVER_AFTER_S,
+        )
+
+    async def _find_place(self) -> Result[Placement, Failure]:
+        """Return the reserved place, or a new one.
+
+        If no other server is available, one that was only silent is tried
+        again.
+        """
+        reserved = self.replacement.take()
+        if reserved is not None:
+            return Ok(reserved)
+        dispatcher = self.dependencies.dispatcher
+        request = self._build_placement_request(self.attempt_history)
+        placed = await dispatcher.place(request)
+        silent_servers = self.attempt_history.silent_servers
+        match placed:
+            case Err(Failure(kind=ErrorKind.NO_BACKEND_SERVER)) if (
+                silent_servers
+            ):
+                return await dispatcher.place(
+                    attrs.evolve(request, allowed_servers=silent_servers)
+                )
+        return placed
+
     def _limit_retry(
         self, action: RetryAction, *, has_ended: bool
     ) -> RetryAction:
@@ -356,29 +396,24 @@
         return None
 
     def _build_placement_request(
-        self,
-        weights_version: int | None,
-        resume_after_event_id: int,
+        self, history: AttemptHistory
     ) -> PlacementRequest:
-        """Build the placement request for the next attempt.
+        """Build the placement request for the attempt after ``history``.
 
         Once the request may have run on ``max_attempts`` servers, only
         these may be chosen again.
         """
-        possible_execution_servers = (
-            self.attempt_history.possible_execution_servers
-        )
+        possible_execution_servers = history.possible_execution_servers
         is_server_limit_reached = (
             len(possible_execution_servers) >= self.incoming.route.max_attempts
         )
         return PlacementRequest(
             incoming=self.incoming,
-            excluded_servers=self.attempt_history.excluded_servers,
+            excluded_servers=history.excluded_servers,
             allowed_servers=possible_execution_servers
             if is_server_limit_reached
             else None,
-            weights_version=weights_version,
-            resume_after_event_id=resume_after_event_id,
+            resume_point=self.resume_point,
         )
 
     def _record_head(
@@ -412,27 +447,16 @@
         return attrs.evolve(failure, kind=ErrorKind.OUTCOME_UNKNOWN)
 
 
-def aborted_attempt_failure(
-    monitored: MonitoredAttempt | None,
-) -> Err[AttemptFailure]:
-    """Return the failure of an attempt that was withdrawn or stalled.
-
-    None stands for an attempt that ended before it was monitored.
-    """
-    if monitored is not None and monitored.is_withdrawn:
-        return Err(
-            AttemptFailure(
-                outcome=AttemptOutcome.WITHDRAWN,
-                detail='withdrawn before it began',
-                is_ended_here=True,
-            ),
-        )
-    return Err(
-        AttemptFailure(
-            outcome=AttemptOutcome.UNKNOWN,
-            detail='backend server stopped responding',
-            is_ended_here=True,
-        ),
+def _without_server(
+    request: PlacementRequest, server_id: str
+) -> PlacementRequest:
+    allowed = request.allowed_servers
+    if allowed is not None:
+        allowed -= {server_id}
+    return attrs.evolve(
+        request,
+        allowed_servers=allowed,
+        excluded_servers=request.excluded_servers | {server_id},
     )
 
 
--- a/src/arbutusbay/node/_server_feedback.py
+++ b/src/arbutusbay/node/_server_feedback.py
@@ -94,13 +94,16 @@
     def record_failure(self, view: EngineView, outcome: AttemptOutcome) -> None:
         """Avoid a backend server after a failed attempt.
 
-        An attempt that this VM withdrew says nothing about the server. After a
+        An attempt that this VM withdrew says nothing about the server, and all
+        that were moved away from a silent one count as one failure. After a
         rejection it is only avoided for a moment; a load of weights that should
         have ended takes longer, then. A server error only raises the error rate
         of the server.
         """
         if outcome is AttemptOutcome.WITHDRAWN:
             return
+        if outcome is AttemptOutcome.MOVED and view.is_in_backoff(now_s()):
+            return
         if outcome is AttemptOutcome.REJECTED:
             view.postpone_load(now_s())
             view.record_rejection(now_s())
--- a/src/arbutusbay/node/_stall_detector.py
+++ b/src/arbutusbay/node/_stall_detector.py
@@ -1,47 +1,71 @@
-"""Detect engines that stop responding and abort retryable attempts there.
+"""Detect engines that stop responding and move retryable attempts away.
 
 An engine that loses power sends nothing more, and its open connections
 report no error. Streams that stop sending events reveal it within about a
-second.
+second. A sound engine may be silent for as long and then go on, so silence
+alone ends no attempt: it goes on until a place elsewhere is reserved.
 """
 
 import asyncio
+from collections.abc import Callable
 
 import attrs
+from result import Err
 
 from arbutusbay.clock import milliseconds, now_s
 from arbutusbay.logs import get_logger
+from arbutusbay.node._attempts import AttemptFailure
 from arbutusbay.node._node_state import NodeState
 from arbutusbay.quarantine import SegmentKey
-from arbutusbay.scheduling import Attempt, EngineView
+from arbutusbay.scheduling import Attempt, AttemptOutcome, EngineView
 
 _LOG = get_logger('silence')
 _CHECK_INTERVAL_S = 0.1
 _MIN_PAUSE_S = 0.2
 _SUSPECT_AFTER_S = 1.1
-_ABORT_AFTER_S = 1.6
+_MOVE_AFTER_S = 1.6
 _SUSPICION_DURATION_S = 0.6
 
 
+def _cannot_move(silent_s: float) -> bool:
+    return False
+
+
 @attrs.define(kw_only=True, eq=False)
 class MonitoredAttempt:
     """Represent a monitored attempt.
 
     ``abort_timeout`` is the timeout that is rescheduled to abort the attempt,
-    which raises ``TimeoutError`` in its task. Only an attempt that
-    ``is_retryable`` is aborted for a stall. An attempt without an event by
-    ``start_by_s`` is withdrawn in any case. Times are in seconds on the clock
-    of ``now_s``.
+    which raises ``TimeoutError`` in its task. ``try_move`` takes the seconds of
+    silence, reserves a place for the request at another server and returns
+    whether it did; only then is the attempt aborted for a silence. From
+    ``move_due_s`` on it is tried whatever was received. An attempt without an
+    event by ``start_by_s`` is withdrawn in any case. Times
+    are in seconds on the clock of ``now_s``.
     """
 
     attempt: Attempt
     view: EngineView
     abort_timeout: asyncio.Timeout
-    is_retryable: bool
     last_event_s: float
-    start_by_s: float
+    start_by_s: float = float('inf')
+    move_due_s: float = float('inf')
+    try_move: Callable[[float], bool] = _cannot_move
+    request_id: str = ''
     segment_keys: tuple[SegmentKey, ...] = ()
     is_withdrawn: bool = False
+    is_moved: bool = False
+    move_timer: asyncio.TimerHandle | None = None
+
+    @property
+    def is_ending(self) -> bool:
+        """Return whether the attempt is being aborted."""
+        return self.is_withdrawn or self.is_moved
+
+    def shift(self, paused_s: float, moment_s: float) -> None:
+        """Leave out a pause of this VM that ended at ``moment_s``."""
+        self.last_event_s = min(moment_s, self.last_event_s + paused_s)
+        self.move_due_s += paused_s
 
 
 class StallDetector:
@@ -53,35 +77,24 @@
         self.monitored: set[MonitoredAttempt] = set()
         self.last_check_s: float | None = None
 
-    def start_monitoring(
-        self,
-        attempt: Attempt,
-        view: EngineView,
-        abort_timeout: asyncio.Timeout,
-        *,
-        is_retryable: bool,
-        start_by_s: float,
-        segment_keys: tuple[SegmentKey, ...] = (),
-    ) -> MonitoredAttempt:
+    def start_monitoring(self, monitored: MonitoredAttempt) -> None:
         """Start to monitor an attempt.
 
-        The caller must pass the returned object to ``stop_monitoring``.
+        The caller must pass it to ``stop_monitoring`` in the end.
         """
-        monitored = MonitoredAttempt(
-            attempt=attempt,
-            view=view,
-            abort_timeout=abort_timeout,
-            is_retryable=is_retryable,
-            last_event_s=now_s(),
-            start_by_s=start_by_s,
-            segment_keys=segment_keys,
-        )
         self.monitored.add(monitored)
-        return monitored
+        if monitored.move_due_s < float('inf'):
+            monitored.move_timer = asyncio.get_running_loop().call_later(
+                monitored.move_due_s - now_s(),
+                self._move_when_due,
+                monitored,
+            )
 
     def stop_monitoring(self, monitored: MonitoredAttempt) -> None:
         """Stop monitoring an attempt."""
         self.monitored.discard(monitored)
+        if monitored.move_timer is not None:
+            monitored.move_timer.cancel()
 
     def withdraw(self, key: SegmentKey) -> None:
         """Abort the attempts with a segment whose responses have not begun."""
@@ -90,7 +103,7 @@
             if (
                 is_waiting
                 and key in monitored.segment_keys
-                and not monitored.abort_timeout.expired()
+                and not monitored.is_ending
             ):
                 monitored.is_withdrawn = True
                 _abort(monitored, 'attempt withdrawn for its prompt')
@@ -102,7 +115,7 @@
             self.check(now_s())
 
     def check(self, moment_s: float) -> None:
-        """Mark stalled engines as suspect and abort retryable attempts there.
+        """Mark stalled engines as suspect and move retryable attempts away.
 
         While an engine loads weights its streams are expected to pause, so
         such a pause counts for at most half the suspicion threshold.
@@ -114,11 +127,21 @@
                     monitored.last_event_s,
                     moment_s - _SUSPECT_AFTER_S / 2,
                 )
-            elif self._has_stalled(monitored, moment_s, _SUSPECT_AFTER_S):
+            elif _has_stalled(monitored, moment_s, _SUSPECT_AFTER_S):
                 self._mark_suspect(monitored, moment_s)
         for monitored in self.monitored:
-            if not monitored.abort_timeout.expired():
-                self._abort_if_due(monitored, moment_s)
+            if not monitored.is_ending:
+                self._end_if_due(monitored, moment_s)
+
+    def _move_when_due(self, monitored: MonitoredAttempt) -> None:
+        """Try to move an attempt whose time has come, unless it comes late.
+
+        A late timer shows that this VM did not run, which the next check
+        takes into account.
+        """
+        moment_s = now_s()
+        if moment_s - monitored.move_due_s < _MIN_PAUSE_S:
+            self._end_if_due(monitored, moment_s)
 
     def _exclude_own_pause(self, moment_s: float) -> None:
         """Do not count as silence the time in which this VM did not run."""
@@ -130,48 +153,22 @@
         if paused_s < _MIN_PAUSE_S:
             return
         for monitored in self.monitored:
-            monitored.last_event_s = min(
-                moment_s, monitored.last_event_s + paused_s
-            )
+            monitored.shift(paused_s, moment_s)
 
-    def _abort_if_due(
-        self, monitored: MonitoredAttempt, moment_s: float
-    ) -> None:
+    def _end_if_due(self, monitored: MonitoredAttempt, moment_s: float) -> None:
         if _is_start_overdue(monitored, moment_s):
             monitored.is_withdrawn = True
             _abort(monitored, 'attempt ended before its late start')
-        elif self._must_abort(monitored, moment_s):
+            return
+        silent_s = moment_s - monitored.last_event_s
+        if _should_move(monitored, moment_s) and monitored.try_move(silent_s):
+            monitored.is_moved = True
             _abort(
                 monitored,
-                'attempt ended at a silent server',
-                silent_ms=milliseconds(moment_s - monitored.last_event_s),
+                'attempt moved from a silent server',
+                silent_ms=milliseconds(silent_s),
             )
 
-    def _has_stalled(
-        self,
-        monitored: MonitoredAttempt,
-        moment_s: float,
-        limit_s: float,
-    ) -> bool:
-        silent_s = moment_s - monitored.last_event_s
-        return monitored.attempt.has_first_event and silent_s > limit_s
-
-    def _must_abort(self, monitored: MonitoredAttempt, moment_s: float) -> bool:
-        """Return whether to abort an attempt.
-
-        An attempt at a suspect engine is aborted after a shorter silence, and
-        even if it has not received an event yet. Other VMs may have reported
-        the engine as suspect.
-        """
-        if not monitored.is_retryable:
-            return False
-        if self._has_stalled(monitored, moment_s, _ABORT_AFTER_S):
-            return True
-        is_suspect = monitored.view.is_unresponsive(moment_s)
-        return (
-            is_suspect and moment_s - monitored.last_event_s > _SUSPECT_AFTER_S
-        )
-
     def _mark_suspect(self, stalled: MonitoredAttempt, moment_s: float) -> None:
         view = stalled.view
         if not view.is_unresponsive(moment_s):
@@ -190,6 +187,28 @@
         view.unresponsive_until_s = view.locally_suspected_until_s
 
 
+def _has_stalled(
+    monitored: MonitoredAttempt, moment_s: float, limit_s: float
+) -> bool:
+    silent_s = moment_s - monitored.last_event_s
+    return monitored.attempt.has_first_event and silent_s > limit_s
+
+
+def _should_move(monitored: MonitoredAttempt, moment_s: float) -> bool:
+    """Return whether an attempt had better go on at another server.
+
+    An attempt at a suspect engine is moved after a shorter silence, and even
+    if it has not received an event yet. Other VMs may have reported the engine
+    as suspect.
+    """
+    if moment_s >= monitored.move_due_s:
+        return True
+    if _has_stalled(monitored, moment_s, _MOVE_AFTER_S):
+        return True
+    is_suspect = monitored.view.is_unresponsive(moment_s)
+    return is_suspect and moment_s - monitored.last_event_s > _SUSPECT_AFTER_S
+
+
 def _is_start_overdue(monitored: MonitoredAttempt, moment_s: float) -> bool:
     has_started = monitored.attempt.has_first_event
     return not has_started and moment_s >= monitored.start_by_s
@@ -198,6 +217,32 @@
 def _abort(
     monitored: MonitoredAttempt, message: str, **fields: int | None
 ) -> None:
-    _LOG.info(message, fields={'server': monitored.view.id, **fields})
+    _LOG.info(
+        message,
+        fields={
+            'request_id': monitored.request_id,
+            'server': monitored.view.id,
+            **fields,
+        },
+    )
     loop = asyncio.get_running_loop()
     monitored.abort_timeout.reschedule(loop.time())
+
+
+def aborted_attempt_failure(
+    monitored: MonitoredAttempt | None,
+) -> Err[AttemptFailure]:
+    """Return the failure of an attempt that was withdrawn or moved.
+
+    None stands for an attempt that ended before it was monitored.
+    """
+    outcome = AttemptOutcome.UNKNOWN
+    detail = 'backend server stopped responding'
+    if monitored is not None and monitored.is_withdrawn:
+        outcome = AttemptOutcome.WITHDRAWN
+        detail = 'withdrawn before it began'
+    elif monitored is not None and monitored.is_moved:
+        outcome = AttemptOutcome.MOVED
+    return Err(
+        AttemptFailure(outcome=outcome, detail=detail, is_ended_here=True)
+    )
--- a/src/arbutusbay/node/_stream_relay.py
+++ b/src/arbutusbay/node/_stream_relay.py
@@ -20,12 +20,12 @@
     BufferedResponse,
     OpenResponse,
 )
-from arbutusbay.node._placement import Placement
-from arbutusbay.node._request_executor import (
-    RequestExecutor,
+from arbutusbay.node._placement import Placement, ResumePoint
+from arbutusbay.node._request_executor import RequestExecutor
+from arbutusbay.node._stall_detector import (
+    MonitoredAttempt,
     aborted_attempt_failure,
 )
-from arbutusbay.node._stall_detector import MonitoredAttempt
 from arbutusbay.platform import ServerSentEvent
 from arbutusbay.scheduling import (
     AttemptOutcome,
@@ -148,8 +148,9 @@
         self.executor = executor
         self.request = request
         self.response: web.StreamResponse | None = None
-        self.last_event_number = executor.incoming.parsed_headers.last_event_id
-        self.weights_version: int | None = None
+        executor.resume_point = ResumePoint(
+            event_id=executor.incoming.parsed_headers.last_event_id
+        )
         self.event_timing = StreamTiming()
 
     async def relay(self) -> StreamResult:
@@ -174,11 +175,7 @@
 
     async def _relay_attempts(self) -> StreamResult:
         while True:
-            placement_result = await self.executor.place(
-                weights_version=self.weights_version,
-                resume_after_event_id=self.last_event_number,
-            )
-            match placement_result:
+            match await self.executor.place():
                 case Err(refused):
                     return self._placement_failure_result(refused)
                 case Ok(placement):
@@ -228,7 +225,7 @@
         answer: OpenResponse,
     ) -> Result[StreamResult, AttemptFailure]:
         progress = StreamProgress(
-            has_earlier_events=bool(self.last_event_number)
+            has_earlier_events=bool(self.executor.resume_point.event_id)
         )
         version = answer.parsed_headers.weights_version
         async for received in answer.events():
@@ -237,17 +234,20 @@
                     return _stream_failure(broken, progress)
                 case Ok(event):
                     pass
+            if monitored.is_ending:
+                # Its next attempt resumes after the last event that went out.
+                return aborted_attempt_failure(monitored)
             if not self._is_expected(event):
                 return _stream_failure(self._event_gap(event), progress)
             if progress.started_s is None:
                 self._record_start(monitored)
             progress.record_event(now_s())
-            monitored.last_event_s = now_s()
             # An event names its weights only where they change.
             if event.weights_version is not None:
                 version = event.weights_version
-            self.weights_version = version
+            monitored.last_event_s = now_s()
             await self._write_event(answer, event)
+            self._advance(event, version)
         if progress.is_empty and answer.is_close_delimited:
             return _stream_failure(_EMPTY_STREAM, progress)
         monitored.view.record_success(now_s())
@@ -257,7 +257,7 @@
     def _event_gap(self, event: ServerSentEvent) -> BrokenStream:
         return BrokenStream(
             detail=f'received event {event.event_id} after event '
-            f'{self.last_event_number}',
+            f'{self.executor.resume_point.event_id}',
             is_connection_lost=False,
         )
 
@@ -303,8 +303,6 @@
             self.response = await self._start_response(answer)
         await self.response.write(event.raw_bytes)
         self.event_timing.record_event()
-        if event.event_id is not None:
-            self.last_event_number = event.event_id
 
     async def _start_response(self, answer: OpenResponse) -> web.StreamResponse:
         response = web.StreamResponse(
@@ -317,10 +315,20 @@
         await response.prepare(self.request)
         return response
 
+    def _advance(self, event: ServerSentEvent, version: int | None) -> None:
+        """Move the point to resume at behind an event that went out."""
+        event_id = event.event_id
+        if event_id is None:
+            event_id = self.executor.resume_point.event_id
+        self.executor.resume_point = ResumePoint(
+            event_id=event_id, weights_version=version
+        )
+
     def _is_expected(self, event: ServerSentEvent) -> bool:
-        if event.event_id is None or not self.last_event_number:
+        last_event_id = self.executor.resume_point.event_id
+        if event.event_id is None or not last_event_id:
             return True
-        return event.event_id == self.last_event_number + 1
+        return event.event_id == last_event_id + 1
 
     def _placement_failure_result(self, failure: Failure) -> StreamResult:
         if self.response is not None:
--- a/src/arbutusbay/node/quarantine/_request_evidence.py
+++ b/src/arbutusbay/node/quarantine/_request_evidence.py
@@ -50,6 +50,13 @@
         """Return whether the request may be repeated after an engine ended."""
         return self.quarantine.may_retry(self.incoming.segment_keys, now_s())
 
+    def may_move(self) -> bool:
+        """Return whether the request may be sent to another engine now."""
+        withheld = self.quarantine.find_withheld(
+            self.incoming.segment_keys, self.incoming.attempt_id
+        )
+        return withheld is None and self.may_retry()
+
     def record_sound_response(
         self, view: EngineView, started_s: float, *, is_end_certain: bool
     ) -> None:
--- a/src/arbutusbay/scheduling/_engine_view.py
+++ b/src/arbutusbay/scheduling/_engine_view.py
@@ -240,6 +240,15 @@
         """Return whether the server stays and has not asked for a pause."""
         return not self.is_departing and now_s >= self.rejects_until_s
 
+    def is_dependable(self, now_s: float) -> bool:
+        """Return whether nothing speaks against the server now."""
+        return (
+            self.accepts_requests(now_s)
+            and not self.is_unresponsive(now_s)
+            and not self.is_loading_weights(now_s)
+            and not self.is_in_backoff(now_s)
+        )
+
     def is_in_backoff(self, now_s: float) -> bool:
         """Return whether the engine is in backoff after recent failures."""
         return now_s < self.backoff_until_s
--- a/src/arbutusbay/scheduling/_outcomes.py
+++ b/src/arbutusbay/scheduling/_outcomes.py
@@ -12,14 +12,16 @@
     server reported that it did not execute the request. ``UNKNOWN``: the
     request may have been executed. ``WITHDRAWN``: so it may, but this VM
     aborted the attempt for a reason that is no fault of the backend server.
-    ``RAN_AND_FAILED``: the backend server executed the request and reported a
-    failure.
+    ``MOVED``: so it may, but this VM aborted the attempt at a silent backend
+    server after it had reserved a place at another one. ``RAN_AND_FAILED``: the
+    backend server executed the request and reported a failure.
     """
 
     NOT_SENT = 'not_sent'
     REJECTED = 'rejected'
     UNKNOWN = 'unknown'
     WITHDRAWN = 'withdrawn'
+    MOVED = 'moved'
     RAN_AND_FAILED = 'ran_and_failed'
 
 
@@ -78,10 +80,13 @@
     ``is_retryable``, and at most ``max_attempts`` backend servers may execute
     it. After an unknown outcome one more server is allowed, because the last
     one may only have stopped responding; a request that failed on execution
-    would fail again. An attempt that was certainly not executed is followed by
-    another one until there were ``_MAX_UNEXECUTED_ATTEMPTS`` of them.
+    would fail again. A moved request has its next place and its token of the
+    retry budget already. An attempt that was certainly not executed is followed
+    by another one until there were ``_MAX_UNEXECUTED_ATTEMPTS`` of them.
     """
     match outcome:
+        case AttemptOutcome.MOVED:
+            return RetryAction.SEND_ELSEWHERE
         case AttemptOutcome.NOT_SENT:
             return _unless_exhausted(count, RetryAction.SEND_ELSEWHERE)
         case AttemptOutcome.REJECTED:
--- a/tests/unit/test_late_start.py
+++ b/tests/unit/test_late_start.py
@@ -6,9 +6,12 @@
 
 from arbutusbay.clock import now_s
 from arbutusbay.node._node_state import NodeState
-from arbutusbay.node._request_executor import aborted_attempt_failure
 from arbutusbay.node._server_feedback import ServerFeedback
-from arbutusbay.node._stall_detector import StallDetector
+from arbutusbay.node._stall_detector import (
+    MonitoredAttempt,
+    StallDetector,
+    aborted_attempt_failure,
+)
 from arbutusbay.scheduling import Attempt, AttemptOutcome
 from tests.fleet_builders import build_vm_settings
 from tests.unit.test_engine_placement import build_view
@@ -27,13 +30,14 @@
     attempt.has_first_event = has_first_event
     detector = StallDetector(node_state=node_state)
     async with asyncio.timeout(None) as abort_timeout:
-        monitored = detector.start_monitoring(
-            attempt,
-            build_view('engine-1'),
-            abort_timeout,
-            is_retryable=False,
+        monitored = MonitoredAttempt(
+            attempt=attempt,
+            view=build_view('engine-1'),
+            abort_timeout=abort_timeout,
+            last_event_s=now_s(),
             start_by_s=now_s() + 0.3,
         )
+        detector.start_monitoring(monitored)
         detector.check(now_s())
         assert not monitored.is_withdrawn
         detector.check(now_s() + 0.4)
--- a/tests/unit/test_stall_detector.py
+++ b/tests/unit/test_stall_detector.py
@@ -5,7 +5,7 @@
 
 from arbutusbay.node import _stall_detector
 from arbutusbay.node._node_state import NodeState
-from arbutusbay.node._stall_detector import StallDetector
+from arbutusbay.node._stall_detector import MonitoredAttempt, StallDetector
 from arbutusbay.quarantine import segment_key
 from arbutusbay.scheduling import Attempt
 from tests.fleet_fakes import FakeClock
@@ -52,13 +52,15 @@
         kv_tokens=0,
     )
     attempt.has_first_event = True
-    return detector.start_monitoring(
-        attempt,
-        build_view('engine-1'),
-        FakeTimeout(),
-        is_retryable=True,
-        start_by_s=float('inf'),
+    stream = MonitoredAttempt(
+        attempt=attempt,
+        view=build_view('engine-1'),
+        abort_timeout=FakeTimeout(),
+        last_event_s=clock.moment_s,
+        try_move=lambda silent_s: True,
     )
+    detector.start_monitoring(stream)
+    return stream
 
 
 def check_for(detector, clock, duration_s: float) -> None:
@@ -121,12 +123,13 @@
 ):
     key = segment_key('model', 'bad')
     waiting, answering, other = (
-        detector.start_monitoring(
-            Attempt(sent_s=clock.moment_s, has_first_event=has_first_event),
-            build_view('engine-1'),
-            FakeTimeout(),
-            is_retryable=True,
-            start_by_s=float('inf'),
+        MonitoredAttempt(
+            attempt=Attempt(
+                sent_s=clock.moment_s, has_first_event=has_first_event
+            ),
+            view=build_view('engine-1'),
+            abort_timeout=FakeTimeout(),
+            last_event_s=clock.moment_s,
             segment_keys=keys,
         )
         for has_first_event, keys in (
@@ -135,6 +138,8 @@
             (False, ()),
         )
     )
+    for monitored in (waiting, answering, other):
+        detector.start_monitoring(monitored)
     detector.withdraw(key)
     assert waiting.is_withdrawn
     assert waiting.abort_timeout.due_s is not None
