Do not take a client that reads slowly for a silent engine

A client that did not read for over a second had its engine suspected by all VMs, and a resumable stream moved to another one. The event whose write the move interrupted had gone out but did not count, so that the client got it twice.

Evidence: the new test failed before (the stream was cut), and with the order of counting mended alone the engine was still suspected. Now the silence of an engine does not count while an event of it is being written, and an event counts as sent from when it is handed to the transport.

--- a/emulator/fleet_engine.py
+++ b/emulator/fleet_engine.py
@@ -84,7 +84,8 @@
 
     ``events`` is the number of events of a stream, ``event_s`` the seconds
     between them and ``load_s`` the seconds that loading weights takes. A
-    plain service takes ``service_s`` seconds for a request. An engine that does
+    plain service takes ``service_s`` seconds for a request. Each event has
+    ``padding_bytes`` more than it needs. An engine that does
     not accept orders keeps its weights. A request waits ``queue_s`` seconds
     before it is executed. An engine ends when it begins to respond to a prompt
     with one of ``fatal_segments``, after ``fatal_after_events`` events. Streams
@@ -106,6 +107,7 @@
     fatal_segments: frozenset[str] = frozenset()
     fatal_after_events: int = 0
     is_close_delimited: bool = False
+    padding_bytes: int = 0
 
 
 class FleetEngine:
@@ -391,7 +393,9 @@
                 await response.write(b':')
                 await asyncio.sleep(_TRICKLE_S)
                 continue
-            await response.write(f'id: {number}\ndata: w{number}\n\n'.encode())
+            padding = 'x' * self.options.padding_bytes
+            event = f'id: {number}\ndata: w{number}{padding}\n\n'
+            await response.write(event.encode())
             await self.silence.sleep(self.options.event_s)
         return response
 
--- a/src/arbutusbay/node/_stall_detector.py
+++ b/src/arbutusbay/node/_stall_detector.py
@@ -40,8 +40,9 @@
     silence, reserves a place for the request at another server and returns
     whether it did; only then is the attempt aborted for a silence. From
     ``move_due_s`` on it is tried whatever was received. An attempt without an
-    event by ``start_by_s`` is withdrawn in any case. Times
-    are in seconds on the clock of ``now_s``.
+    event by ``start_by_s`` is withdrawn in any case. While ``is_relaying`` the
+    client is awaited, not the engine. Times are in seconds on the clock of
+    ``now_s``.
     """
 
     attempt: Attempt
@@ -53,6 +54,7 @@
     try_move: Callable[[float], bool] = _cannot_move
     request_id: str = ''
     segment_keys: tuple[SegmentKey, ...] = ()
+    is_relaying: bool = False
     is_withdrawn: bool = False
     is_moved: bool = False
     move_timer: asyncio.TimerHandle | None = None
@@ -62,6 +64,11 @@
         """Return whether the attempt is being aborted."""
         return self.is_withdrawn or self.is_moved
 
+    def record_event(self, moment_s: float) -> None:
+        """Record that an event was received and passed on."""
+        self.last_event_s = moment_s
+        self.is_relaying = False
+
     def shift(self, paused_s: float, moment_s: float) -> None:
         """Leave out a pause of this VM that ended at ``moment_s``."""
         self.last_event_s = min(moment_s, self.last_event_s + paused_s)
@@ -191,7 +198,11 @@
     monitored: MonitoredAttempt, moment_s: float, limit_s: float
 ) -> bool:
     silent_s = moment_s - monitored.last_event_s
-    return monitored.attempt.has_first_event and silent_s > limit_s
+    return (
+        monitored.attempt.has_first_event
+        and not monitored.is_relaying
+        and silent_s > limit_s
+    )
 
 
 def _should_move(monitored: MonitoredAttempt, moment_s: float) -> bool:
@@ -201,6 +212,8 @@
     if it has not received an event yet. Other VMs may have reported the engine
     as suspect.
     """
+    if monitored.is_relaying:
+        return False
     if moment_s >= monitored.move_due_s:
         return True
     if _has_stalled(monitored, moment_s, _MOVE_AFTER_S):
--- a/src/arbutusbay/node/_stream_relay.py
+++ b/src/arbutusbay/node/_stream_relay.py
@@ -245,9 +245,10 @@
             # An event names its weights only where they change.
             if event.weights_version is not None:
                 version = event.weights_version
-            monitored.last_event_s = now_s()
-            await self._write_event(answer, event)
             self._advance(event, version)
+            monitored.is_relaying = True
+            await self._write_event(answer, event)
+            monitored.record_event(now_s())
         if progress.is_empty and answer.is_close_delimited:
             return _stream_failure(_EMPTY_STREAM, progress)
         monitored.view.record_success(now_s())
@@ -316,7 +317,7 @@
         return response
 
     def _advance(self, event: ServerSentEvent, version: int | None) -> None:
-        """Move the point to resume at behind an event that went out."""
+        """Move the point to resume at behind an event that goes out now."""
         event_id = event.event_id
         if event_id is None:
             event_id = self.executor.resume_point.event_id
--- a/tests/integration/test_silent_engines.py
+++ b/tests/integration/test_silent_engines.py
@@ -15,12 +15,14 @@
 from emulator.fleet import Fleet, FleetNode, wait_for_condition
 from tests.fleet_builders import (
     build_configuration,
+    build_request_headers,
     build_routes,
     start_fleet,
     start_single_node,
     wait_until_ready,
 )
 from tests.fleet_clients import (
+    REQUEST_BODY,
     complete_stream_text,
     count_runs,
     request_service,
@@ -36,6 +38,9 @@
 _RESUMABLE = '/note/1'
 _STREAMS = 6
 _MANY_STREAMS = 100
+_CLIENT_PAUSE_S = 2.5
+_LARGE_EVENTS = 60
+_LARGE_EVENT_BYTES = 500_000
 
 
 @attrs.frozen(kw_only=True)
@@ -236,3 +241,23 @@
     else:
         assert (await request_service(http, node, 'once', path))[0] == 200
     assert count_runs(fleet, 'once') == 1
+
+
+# Guards against a client that reads slowly: its engine was suspected, and the
+# stream went on elsewhere with an event that had gone out already.
+async def test_pause_of_a_client_is_no_silence_of_its_engine(fleet, http):
+    node = await start_single_node(
+        fleet, engines=2, events=_LARGE_EVENTS, padding_bytes=_LARGE_EVENT_BYTES
+    )
+    await wait_until_ready([node], http)
+    async with http.post(
+        f'{node.url}{_RESUMABLE}',
+        data=REQUEST_BODY,
+        headers=build_request_headers('slow'),
+    ) as response:
+        await asyncio.sleep(_CLIENT_PAUSE_S)
+        text = await response.text()
+    ids = [line for line in text.split('\n') if line.startswith('id: ')]
+    assert ids == [f'id: {number + 1}' for number in range(_LARGE_EVENTS)]
+    assert count_runs(fleet, 'slow') == 1
+    assert 'server silent' not in node.log_path.read_text()
