--- a/tests/unit/test_stall_detector.py
+++ b/tests/unit/test_stall_detector.py
@@ -145,3 +145,59 @@
     assert waiting.abort_timeout.due_s is not None
     assert not answering.is_withdrawn
     assert not other.is_withdrawn
+
+
+# Guards against a stream that is ended while it has nowhere else to go on.
+async def test_silent_attempt_goes_on_until_a_place_is_reserved(
+    detector, monitored, clock
+):
+    monitored.try_move = lambda silent_s: False
+    check_for(detector, clock, 4.0)
+    assert is_suspect(monitored, clock)
+    assert monitored.abort_timeout.due_s is None
+    monitored.try_move = lambda silent_s: True
+    check_for(detector, clock, 0.1)
+    assert monitored.is_moved
+    assert monitored.abort_timeout.due_s is not None
+
+
+async def test_place_is_reserved_once_only(detector, monitored, clock):
+    silences_s = []
+    monitored.try_move = lambda silent_s: not silences_s.append(silent_s)
+    check_for(detector, clock, 3.0)
+    assert len(silences_s) == 1
+
+
+# Guards against a slow client whose engine all VMs would avoid.
+async def test_client_that_is_awaited_makes_no_engine_silent(
+    detector, monitored, clock
+):
+    monitored.is_relaying = True
+    check_for(detector, clock, 3.0)
+    assert not is_suspect(monitored, clock)
+    assert monitored.abort_timeout.due_s is None
+    monitored.record_event(clock.moment_s)
+    check_for(detector, clock, 1.0)
+    assert not is_suspect(monitored, clock)
+
+
+# Guards against calls that a VM moves after its own suspension, although their
+# answers lie in its sockets.
+async def test_pause_of_the_vm_puts_off_the_move_of_a_call(detector, clock):
+    call = MonitoredAttempt(
+        attempt=Attempt(sent_s=clock.moment_s),
+        view=build_view('desk-1'),
+        abort_timeout=FakeTimeout(),
+        last_event_s=clock.moment_s,
+        move_due_s=clock.moment_s + 0.6,
+        try_move=lambda silent_s: True,
+    )
+    detector.start_monitoring(call)
+    check_for(detector, clock, 0.3)
+    clock.moment_s += PAUSE_S
+    detector._move_when_due(call)
+    assert not call.is_moved
+    check_for(detector, clock, 0.2)
+    assert not call.is_moved
+    check_for(detector, clock, 0.3)
+    assert call.is_moved
