Leave out servers that have become quiet where a silent attempt could go

When all engines of a service fall silent at once, their last events are up to an event's gap apart: a stream whose engine was noticed first moved to one that was silent as well, and used up one of its servers. Engines whose streams had no event for half a second are not considered. A moved attempt is logged with the progress that it had.

--- a/src/arbutusbay/node/_request_executor.py
+++ b/src/arbutusbay/node/_request_executor.py
@@ -29,6 +29,7 @@
 from arbutusbay.node._request_dependencies import RequestDependencies
 from arbutusbay.node._stall_detector import (
     MonitoredAttempt,
+    Silence,
     aborted_attempt_failure,
 )
 from arbutusbay.node.quarantine import RequestEvidence
@@ -291,7 +292,7 @@
             or float('inf')
         )
 
-    def _try_move(self, placement: Placement, silent_s: float) -> bool:
+    def _try_move(self, placement: Placement, silence: Silence) -> bool:
         """Reserve a place for a request whose server is silent.
 
         Returns whether there is one. A server that has no capacity now will do
@@ -312,8 +313,8 @@
             return False
         request = self._build_placement_request(history)
         return self.replacement.try_reserve(
-            _without_server(request, placement.view.id),
-            needs_capacity=silent_s < _FULL_SERVER_AFTER_S,
+            _without_servers(request, silence.quiet_servers),
+            needs_capacity=silence.duration_s < _FULL_SERVER_AFTER_S,
         )
 
     async def _find_place(self) -> Result[Placement, Failure]:
@@ -447,16 +448,16 @@
         return attrs.evolve(failure, kind=ErrorKind.OUTCOME_UNKNOWN)
 
 
-def _without_server(
-    request: PlacementRequest, server_id: str
+def _without_servers(
+    request: PlacementRequest, server_ids: frozenset[str]
 ) -> PlacementRequest:
     allowed = request.allowed_servers
     if allowed is not None:
-        allowed -= {server_id}
+        allowed -= server_ids
     return attrs.evolve(
         request,
         allowed_servers=allowed,
-        excluded_servers=request.excluded_servers | {server_id},
+        excluded_servers=request.excluded_servers | server_ids,
     )
 
 
--- a/src/arbutusbay/node/_stall_detector.py
+++ b/src/arbutusbay/node/_stall_detector.py
@@ -17,17 +17,35 @@
 from arbutusbay.node._attempts import AttemptFailure
 from arbutusbay.node._node_state import NodeState
 from arbutusbay.quarantine import SegmentKey
-from arbutusbay.scheduling import Attempt, AttemptOutcome, EngineView
+from arbutusbay.scheduling import (
+    Attempt,
+    AttemptOutcome,
+    EngineView,
+    ResponseProgress,
+)
 
 _LOG = get_logger('silence')
 _CHECK_INTERVAL_S = 0.1
 _MIN_PAUSE_S = 0.2
 _SUSPECT_AFTER_S = 1.1
 _MOVE_AFTER_S = 1.6
+_QUIET_AFTER_S = 0.5
 _SUSPICION_DURATION_S = 0.6
 
 
-def _cannot_move(silent_s: float) -> bool:
+@attrs.frozen(kw_only=True)
+class Silence:
+    """Describe the silence of a server, in seconds.
+
+    ``quiet_servers`` holds the ids of all servers, this one among them, whose
+    streams had no event for a while either, though none may be suspected yet.
+    """
+
+    duration_s: float
+    quiet_servers: frozenset[str]
+
+
+def _cannot_move(silence: Silence) -> bool:
     return False
 
 
@@ -36,7 +54,7 @@
     """Represent a monitored attempt.
 
     ``abort_timeout`` is the timeout that is rescheduled to abort the attempt,
-    which raises ``TimeoutError`` in its task. ``try_move`` takes the seconds of
+    which raises ``TimeoutError`` in its task. ``try_move`` takes the
     silence, reserves a place for the request at another server and returns
     whether it did; only then is the attempt aborted for a silence. From
     ``move_due_s`` on it is tried whatever was received. An attempt without an
@@ -51,7 +69,7 @@
     last_event_s: float
     start_by_s: float = float('inf')
     move_due_s: float = float('inf')
-    try_move: Callable[[float], bool] = _cannot_move
+    try_move: Callable[[Silence], bool] = _cannot_move
     request_id: str = ''
     segment_keys: tuple[SegmentKey, ...] = ()
     is_relaying: bool = False
@@ -167,15 +185,28 @@
             monitored.is_withdrawn = True
             _abort(monitored, 'attempt ended before its late start')
             return
-        silent_s = moment_s - monitored.last_event_s
-        if _should_move(monitored, moment_s) and monitored.try_move(silent_s):
+        if not _should_move(monitored, moment_s):
+            return
+        silence = self._silence_of(monitored, moment_s)
+        if monitored.try_move(silence):
             monitored.is_moved = True
             _abort(
                 monitored,
                 'attempt moved from a silent server',
-                silent_ms=milliseconds(silent_s),
+                silent_ms=milliseconds(silence.duration_s),
             )
 
+    def _silence_of(self, silent: MonitoredAttempt, moment_s: float) -> Silence:
+        quiet_servers = {
+            monitored.view.id
+            for monitored in self.monitored
+            if _has_stalled(monitored, moment_s, _QUIET_AFTER_S)
+        }
+        return Silence(
+            duration_s=moment_s - silent.last_event_s,
+            quiet_servers=frozenset(quiet_servers | {silent.view.id}),
+        )
+
     def _mark_suspect(self, stalled: MonitoredAttempt, moment_s: float) -> None:
         view = stalled.view
         if not view.is_unresponsive(moment_s):
@@ -256,6 +287,14 @@
         detail = 'withdrawn before it began'
     elif monitored is not None and monitored.is_moved:
         outcome = AttemptOutcome.MOVED
+    has_begun = monitored is not None and monitored.attempt.has_first_event
     return Err(
-        AttemptFailure(outcome=outcome, detail=detail, is_ended_here=True)
+        AttemptFailure(
+            outcome=outcome,
+            detail=detail,
+            progress=ResponseProgress.UNDERWAY
+            if has_begun
+            else ResponseProgress.NOT_STARTED,
+            is_ended_here=True,
+        )
     )
--- a/tests/integration/test_silent_engines.py
+++ b/tests/integration/test_silent_engines.py
@@ -13,6 +13,7 @@
 import pytest
 
 from emulator.fleet import Fleet, FleetNode, wait_for_condition
+from emulator.fleet_engine import EngineFault
 from tests.fleet_builders import (
     build_configuration,
     build_request_headers,
@@ -243,6 +244,21 @@
     assert count_runs(fleet, 'once') == 1
 
 
+# Guards against a stream that has left a silent engine for one that rejects it,
+# and does not return.
+async def test_stream_returns_to_a_silent_engine_if_the_other_rejects_it(
+    fleet, http
+):
+    node = await start_node(fleet, http, engines=2, slots=64)
+    tasks = await start_streams(fleet, http, node)
+    silent = max(fleet.engines[:2], key=lambda engine: engine.running)
+    for engine in fleet.engines[:2]:
+        engine.inject_fault(EngineFault.SHED, 1)
+    silent.inject_fault(EngineFault.NONE, 0)
+    silent.silence.begin(_SILENCE_S)
+    assert_all_whole(await asyncio.gather(*tasks))
+
+
 # Guards against a client that reads slowly: its engine was suspected, and the
 # stream went on elsewhere with an event that had gone out already.
 async def test_pause_of_a_client_is_no_silence_of_its_engine(fleet, http):
--- a/tests/unit/test_stall_detector.py
+++ b/tests/unit/test_stall_detector.py
@@ -57,7 +57,7 @@
         view=build_view('engine-1'),
         abort_timeout=FakeTimeout(),
         last_event_s=clock.moment_s,
-        try_move=lambda silent_s: True,
+        try_move=lambda silence: True,
     )
     detector.start_monitoring(stream)
     return stream
@@ -151,21 +151,39 @@
 async def test_silent_attempt_goes_on_until_a_place_is_reserved(
     detector, monitored, clock
 ):
-    monitored.try_move = lambda silent_s: False
+    monitored.try_move = lambda silence: False
     check_for(detector, clock, 4.0)
     assert is_suspect(monitored, clock)
     assert monitored.abort_timeout.due_s is None
-    monitored.try_move = lambda silent_s: True
+    monitored.try_move = lambda silence: True
     check_for(detector, clock, 0.1)
     assert monitored.is_moved
     assert monitored.abort_timeout.due_s is not None
 
 
 async def test_place_is_reserved_once_only(detector, monitored, clock):
-    silences_s = []
-    monitored.try_move = lambda silent_s: not silences_s.append(silent_s)
+    silences = []
+    monitored.try_move = lambda silence: not silences.append(silence)
     check_for(detector, clock, 3.0)
-    assert len(silences_s) == 1
+    assert len(silences) == 1
+
+
+# Guards against a stream that moves from one silent engine to another, whose
+# silence began a moment later.
+async def test_engine_that_has_become_quiet_is_named(
+    detector, monitored, clock
+):
+    later = MonitoredAttempt(
+        attempt=Attempt(sent_s=clock.moment_s, has_first_event=True),
+        view=build_view('engine-2'),
+        abort_timeout=FakeTimeout(),
+        last_event_s=clock.moment_s + 0.5,
+    )
+    detector.start_monitoring(later)
+    silences = []
+    monitored.try_move = lambda silence: not silences.append(silence)
+    check_for(detector, clock, 2.0)
+    assert silences[0].quiet_servers == {'engine-1', 'engine-2'}
 
 
 # Guards against a slow client whose engine all VMs would avoid.
@@ -190,7 +208,7 @@
         abort_timeout=FakeTimeout(),
         last_event_s=clock.moment_s,
         move_due_s=clock.moment_s + 0.6,
-        try_move=lambda silent_s: True,
+        try_move=lambda silence: True,
     )
     detector.start_monitoring(call)
     check_for(detector, clock, 0.3)
