Look for places of silent attempts at an interval, with one look at the servers

Each silent attempt compared itself with all others and asked for a place ten times a second; with hundreds of them, as when all engines of a service fall silent, that would keep the event loop busy for most of the time. The quiet servers are found once a check, and an attempt asks every 0.2 s. A place that is reserved already needs no second token if the attempt then fails by itself.

--- a/src/arbutusbay/node/_request_executor.py
+++ b/src/arbutusbay/node/_request_executor.py
@@ -345,6 +345,8 @@
         """Return ``action``, or that the request must not be repeated."""
         if has_ended and not self.evidence.may_retry():
             return RetryAction.RETURN_FAILURE
+        if self.replacement.reserved is not None:
+            return action
         if self.budget.try_withdraw(now_s()):
             return action
         return RetryAction.RETURN_FAILURE
--- a/src/arbutusbay/node/_stall_detector.py
+++ b/src/arbutusbay/node/_stall_detector.py
@@ -7,7 +7,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import attrs
 from result import Err
@@ -30,6 +30,7 @@
 _SUSPECT_AFTER_S = 1.1
 _MOVE_AFTER_S = 1.6
 _QUIET_AFTER_S = 0.5
+_MOVE_INTERVAL_S = 0.2
 _SUSPICION_DURATION_S = 0.6
 
 
@@ -76,6 +77,7 @@
     is_withdrawn: bool = False
     is_moved: bool = False
     move_timer: asyncio.TimerHandle | None = None
+    next_move_s: float = 0.0
 
     @property
     def is_ending(self) -> bool:
@@ -155,8 +157,17 @@
             elif _has_stalled(monitored, moment_s, _SUSPECT_AFTER_S):
                 self._mark_suspect(monitored, moment_s)
         for monitored in self.monitored:
-            if not monitored.is_ending:
-                self._end_if_due(monitored, moment_s)
+            if _is_start_overdue(monitored, moment_s):
+                monitored.is_withdrawn = True
+                _abort(monitored, 'attempt ended before its late start')
+        self._move(
+            [
+                monitored
+                for monitored in self.monitored
+                if _should_move(monitored, moment_s)
+            ],
+            moment_s,
+        )
 
     def _move_when_due(self, monitored: MonitoredAttempt) -> None:
         """Try to move an attempt whose time has come, unless it comes late.
@@ -165,8 +176,9 @@
         takes into account.
         """
         moment_s = now_s()
-        if moment_s - monitored.move_due_s < _MIN_PAUSE_S:
-            self._end_if_due(monitored, moment_s)
+        is_late = moment_s - monitored.move_due_s >= _MIN_PAUSE_S
+        if not is_late and _should_move(monitored, moment_s):
+            self._move([monitored], moment_s)
 
     def _exclude_own_pause(self, moment_s: float) -> None:
         """Do not count as silence the time in which this VM did not run."""
@@ -180,32 +192,30 @@
         for monitored in self.monitored:
             monitored.shift(paused_s, moment_s)
 
-    def _end_if_due(self, monitored: MonitoredAttempt, moment_s: float) -> None:
-        if _is_start_overdue(monitored, moment_s):
-            monitored.is_withdrawn = True
-            _abort(monitored, 'attempt ended before its late start')
-            return
-        if not _should_move(monitored, moment_s):
+    def _move(
+        self, silent: Sequence[MonitoredAttempt], moment_s: float
+    ) -> None:
+        """Move the attempts for which a place elsewhere can be reserved."""
+        if not silent:
             return
-        silence = self._silence_of(monitored, moment_s)
-        if monitored.try_move(silence):
-            monitored.is_moved = True
-            _abort(
-                monitored,
-                'attempt moved from a silent server',
-                silent_ms=milliseconds(silence.duration_s),
-            )
-
-    def _silence_of(self, silent: MonitoredAttempt, moment_s: float) -> Silence:
-        quiet_servers = {
+        quiet_servers = frozenset(
             monitored.view.id
             for monitored in self.monitored
             if _has_stalled(monitored, moment_s, _QUIET_AFTER_S)
-        }
-        return Silence(
-            duration_s=moment_s - silent.last_event_s,
-            quiet_servers=frozenset(quiet_servers | {silent.view.id}),
         )
+        for monitored in silent:
+            monitored.next_move_s = moment_s + _MOVE_INTERVAL_S
+            silence = Silence(
+                duration_s=moment_s - monitored.last_event_s,
+                quiet_servers=quiet_servers | {monitored.view.id},
+            )
+            if monitored.try_move(silence):
+                monitored.is_moved = True
+                _abort(
+                    monitored,
+                    'attempt moved from a silent server',
+                    silent_ms=milliseconds(silence.duration_s),
+                )
 
     def _mark_suspect(self, stalled: MonitoredAttempt, moment_s: float) -> None:
         view = stalled.view
@@ -237,13 +247,15 @@
 
 
 def _should_move(monitored: MonitoredAttempt, moment_s: float) -> bool:
-    """Return whether an attempt had better go on at another server.
+    """Return whether an attempt had better go on at another server now.
 
     An attempt at a suspect engine is moved after a shorter silence, and even
     if it has not received an event yet. Other VMs may have reported the engine
     as suspect.
     """
-    if monitored.is_relaying:
+    if monitored.is_ending or monitored.is_relaying:
+        return False
+    if moment_s < monitored.next_move_s:
         return False
     if moment_s >= monitored.move_due_s:
         return True
@@ -254,8 +266,9 @@
 
 
 def _is_start_overdue(monitored: MonitoredAttempt, moment_s: float) -> bool:
-    has_started = monitored.attempt.has_first_event
-    return not has_started and moment_s >= monitored.start_by_s
+    if monitored.is_ending or monitored.attempt.has_first_event:
+        return False
+    return moment_s >= monitored.start_by_s
 
 
 def _abort(
