--- a/tests/integration/test_silent_engines.py
+++ b/tests/integration/test_silent_engines.py
@@ -15,6 +15,7 @@
 from emulator.fleet import Fleet, FleetNode, wait_for_condition
 from emulator.fleet_engine import EngineFault
 from tests.fleet_builders import (
+    MODEL,
     build_configuration,
     build_request_headers,
     build_routes,
@@ -152,6 +153,28 @@
     assert_all_whole(await asyncio.gather(*tasks))
 
 
+# Guards against streams that can't go on elsewhere because new weights are
+# named while their engine is silent.
+async def test_silence_beside_new_weights_loses_no_stream(fleet, http):
+    node = await start_node(fleet, http, engines=2, slots=64)
+    tasks = await start_streams(fleet, http, node)
+    silent = max(fleet.engines[:2], key=lambda engine: engine.running)
+    silent.silence.begin(_SILENCE_S)
+    fleet.set_target_weights_version(MODEL, 2)
+    assert_all_whole(await asyncio.gather(*tasks))
+
+
+# Guards against streams that a planned stop of the VM cuts while their engine
+# is silent.
+async def test_silence_beside_a_planned_stop_loses_no_stream(fleet, http):
+    node = await start_node(fleet, http, engines=1, slots=64)
+    tasks = await start_streams(fleet, http, node)
+    fleet.engines[0].silence.begin(_SILENCE_S)
+    stopped = asyncio.create_task(node.stop())
+    assert_all_whole(await asyncio.gather(*tasks))
+    assert await stopped == 0
+
+
 # Guards against a second silence that finds the alternatives used up.
 async def test_two_silences_in_a_row_lose_no_stream(fleet, http):
     node = await start_node(fleet, http, engines=2, slots=64)
