--- a/src/arbutusbay/_debug_api.py
+++ b/src/arbutusbay/_debug_api.py
@@ -14,7 +14,7 @@
 class DebugApi:
     """Serve the endpoints that monitoring and operators query.
 
-    ``is_ready`` tells whether the process accepts new requests, ``dump``
+    ``is_ready`` returns whether the process accepts new requests, ``dump``
     returns its state as JSON-compatible values without secrets, and
     ``render_metrics`` returns the metrics.
     """
--- a/src/arbutusbay/_errors.py
+++ b/src/arbutusbay/_errors.py
@@ -14,7 +14,7 @@
 
 
 class RunState(enum.StrEnum):
-    """Tell whether a failed request was executed and may have had effects.
+    """Classify whether a failed request was executed and may have had effects.
 
     ``UNKNOWN`` means that it may have been executed.
     """
@@ -60,7 +60,7 @@
     """Define the response for one error kind.
 
     ``status`` is an HTTP status. ``run_state`` is the default for failures
-    that don't set their own. ``retryable`` tells the client whether to retry.
+    that don't set their own. ``retryable`` is whether the client should retry.
     """
 
     status: int
--- a/src/arbutusbay/_verdict_log.py
+++ b/src/arbutusbay/_verdict_log.py
@@ -18,7 +18,7 @@
             'model': change.key.model,
             'segment': change.key.segment,
             'reason': change.reason.value,
-            'told_by': change.reporter,
+            'reported_by': change.reporter,
             'revision': verdict.revision,
             'age_ms': milliseconds(now_s() - verdict.changed_s),
             'probes': verdict.probes,
--- a/src/arbutusbay/backend/_engine_messages.py
+++ b/src/arbutusbay/backend/_engine_messages.py
@@ -101,7 +101,7 @@
     """Hold a page of cache events and the engine's load.
 
     ``next_sequence`` is the sequence number after which the next page
-    starts. ``gap`` tells that events before or within this page were
+    starts. ``gap`` means that events before or within this page were
     lost.
     """
 
--- a/src/arbutusbay/cli/_causes.py
+++ b/src/arbutusbay/cli/_causes.py
@@ -115,7 +115,7 @@
 ) -> str:
     verdicts = [
         f'{line.fields.get("ends")} ends counted, {line.fields.get("answers")} '
-        f'sound responses, told by {line.fields.get("told_by") or "itself"}'
+        f'sound responses, reported by {line.fields.get("reported_by") or "itself"}'
         for line in context_lines
         if line.message == 'segment quarantined'
     ]
--- a/src/arbutusbay/control/_block_hash_set.py
+++ b/src/arbutusbay/control/_block_hash_set.py
@@ -20,7 +20,7 @@
 class BlockHashSet:
     """Store a set of block hashes.
 
-    The value 0 marks an empty slot, so ``has_zero`` tells whether the hash 0
+    The value 0 marks an empty slot, so ``has_zero`` is whether the hash 0
     is stored. ``hash_count`` is the number of occupied slots, ``slots`` has a
     power of two as its length, ``mask`` is that length minus one, and
     ``shift`` reduces a product to the bits of a slot index.
--- a/src/arbutusbay/node/_failed_reads.py
+++ b/src/arbutusbay/node/_failed_reads.py
@@ -13,7 +13,7 @@
 
     Times are in seconds on the node's clock. ``failing_s`` is for how long
     reads have failed. A gap between two failures counts only in part, since
-    the VM may have been suspended. ``has_own_failure`` tells that not only
+    the VM may have been suspended. ``has_own_failure`` means that not only
     the reads of a relay have failed.
     """
 
--- a/src/arbutusbay/node/_follower.py
+++ b/src/arbutusbay/node/_follower.py
@@ -230,7 +230,7 @@
             self._avoid_source(vm.name)
 
     def _record_store_state(self, answer: RelayResponse, sent_s: float) -> None:
-        """Record what a relay tells of an outage of the store."""
+        """Record an outage of the store that a relay reports."""
         freshness = self.node_state.freshness
         ago_s = answer.store_returned_ago_s
         if ago_s is not None:
--- a/src/arbutusbay/node/_node_state.py
+++ b/src/arbutusbay/node/_node_state.py
@@ -85,7 +85,7 @@
 class StoreEra:
     """Track the highest era of the store that any response named.
 
-    ``number`` is None until the first response. ``first_read`` tells when
+    ``number`` is None until the first response. ``first_read`` is when
     this VM first learned of the era, ``changed`` is set when it rises.
     """
 
--- a/src/arbutusbay/node/_peer_state_receiver.py
+++ b/src/arbutusbay/node/_peer_state_receiver.py
@@ -88,7 +88,7 @@
                 view.is_leaving = True
                 _LOG.info(
                     'server leaves',
-                    fields={'server': view.id, 'told_by': state.name},
+                    fields={'server': view.id, 'reported_by': state.name},
                 )
         for view in self._known_views(state.loads):
             load = state.loads[view.id]
@@ -145,7 +145,7 @@
     """Take over the suspicion of another VM for a moment."""
     if not view.is_unresponsive(moment_s):
         _LOG.info(
-            'server silent', fields={'server': view.id, 'told_by': sender}
+            'server silent', fields={'server': view.id, 'reported_by': sender}
         )
     view.remotely_suspected_until_s = moment_s + _REMOTE_SUSPICION_S
     view.unresponsive_until_s = view.remotely_suspected_until_s
--- a/src/arbutusbay/node/_placement.py
+++ b/src/arbutusbay/node/_placement.py
@@ -43,7 +43,7 @@
 
 @attrs.frozen(kw_only=True)
 class ResumePoint:
-    """Tell where a stream goes on.
+    """Identify where a stream goes on.
 
     ``event_id`` is the number of the last event that the client received, 0 for
     none. ``weights_version`` is the version that produced it, None if any will
--- a/src/arbutusbay/node/_relay_messages.py
+++ b/src/arbutusbay/node/_relay_messages.py
@@ -36,7 +36,7 @@
     was sent. ``held_s`` is how long the relay held the request before it
     responded, in seconds. ``store_returned_ago_s`` is how long before the
     response the store returned after an outage, in seconds; None if the
-    relay knows of no outage or is of a build that does not tell.
+    relay has seen no outage or is of a build without the field.
     ``store_failing_s`` is for how long its reads have failed, in seconds.
     """
 
--- a/src/arbutusbay/node/_server_feedback.py
+++ b/src/arbutusbay/node/_server_feedback.py
@@ -28,7 +28,7 @@
             )
 
     def record_departure(self, view: EngineView, head: ResponseHead) -> None:
-        """Stop using a server whose response says that it shuts down."""
+        """Stop using a server whose response announces that it shuts down."""
         if head.is_leaving and not view.is_leaving:
             view.is_leaving = True
             _LOG.info('server leaves', fields={'server': view.id})
@@ -94,7 +94,7 @@
     def record_failure(self, view: EngineView, outcome: AttemptOutcome) -> None:
         """Avoid a backend server after a failed attempt.
 
-        An attempt that this VM withdrew says nothing about the server, and all
+        An attempt that this VM withdrew is no failure of the server, and all
         that were moved away from a silent one count as one failure. After a
         rejection it is only avoided for a moment; a load of weights that should
         have ended takes longer, then. A server error only raises the error rate
--- a/src/arbutusbay/node/quarantine/_prompt_quarantine.py
+++ b/src/arbutusbay/node/quarantine/_prompt_quarantine.py
@@ -100,7 +100,7 @@
     def _may_probe(self, key: SegmentKey) -> bool:
         """Return whether this VM tries a quarantined segment.
 
-        A VM that can't tell what is in force tries none.
+        A VM whose configuration may be outdated tries none.
         """
         return self.node_state.is_fresh() and self.is_owner(key)
 
--- a/src/arbutusbay/node/quarantine/_request_evidence.py
+++ b/src/arbutusbay/node/quarantine/_request_evidence.py
@@ -1,4 +1,4 @@
-"""Tell the quarantine what one request shows about its prompt."""
+"""Collect what one request shows about its prompt."""
 
 import asyncio
 
@@ -34,7 +34,7 @@
         """Record a failed attempt; return whether its engine has ended.
 
         An engine that leaves as planned, or broke off a response that was
-        under way, says nothing about the prompt.
+        under way, is no evidence against the prompt.
         """
         if not self.incoming.is_model_request or not failure.is_connection_lost:
             return False
--- a/src/arbutusbay/platform/_settings_file.py
+++ b/src/arbutusbay/platform/_settings_file.py
@@ -52,7 +52,7 @@
     from a VM that was suspended may still arrive. In any
     ``retry_window_s`` all VMs together may retry ``retry_ratio`` of their
     requests and ``retry_slack`` more.
-    ``fails_closed`` tells whether a VM refuses requests that need an API key
+    ``fails_closed`` is whether a VM refuses requests that need an API key
     while its keys may be outdated.
     """
 
--- a/src/arbutusbay/quarantine/_attribution.py
+++ b/src/arbutusbay/quarantine/_attribution.py
@@ -1,7 +1,7 @@
 """Attribute the ends of engines to segments of the prompts they had.
 
 A segment that crashes engines is there at each of these ends, but so are the
-sound ones that all requests share. Two things tell them apart: responses to
+sound ones that all requests share. Two things distinguish them: responses to
 sound segments go on, and an end that one segment explains speaks against no
 other one.
 """
--- a/src/arbutusbay/quarantine/_evidence.py
+++ b/src/arbutusbay/quarantine/_evidence.py
@@ -77,7 +77,7 @@
     ) -> list[EngineEnd]:
         """Return the ends without the segments that were cleared since.
 
-        ``lifted_s`` tells when the quarantine of a segment was last lifted.
+        ``lifted_s`` is when the quarantine of a segment was last lifted.
         """
         return [
             attrs.evolve(
--- a/src/arbutusbay/quarantine/_quarantine.py
+++ b/src/arbutusbay/quarantine/_quarantine.py
@@ -179,7 +179,7 @@
         """Return the segment for which a request must not be sent, if any.
 
         When one request of the fleet is due to be tried, and ``may_probe``
-        tells that this process tries the segment, it is let through.
+        is true for the process that tries the segment, it is let through.
         """
         key = self.find_withheld(request.keys, request.id)
         if key is None:
@@ -234,7 +234,7 @@
         return True
 
     def report(self, now_s: float) -> QuarantineReport:
-        """Return what to tell the other processes."""
+        """Return the report for the other processes."""
         return build_report(self.evidence, self.table, now_s)
 
     def _next_probe_s(self, key: SegmentKey, weights_version: int) -> float:
--- a/src/arbutusbay/quarantine/_reports.py
+++ b/src/arbutusbay/quarantine/_reports.py
@@ -1,4 +1,4 @@
-"""Build what a process tells the others about suspected segments.
+"""Build the reports of a process about suspected segments.
 
 A report is bounded, whatever happens, and empty while no engine ends.
 """
@@ -31,7 +31,7 @@
 
 @attrs.frozen(kw_only=True)
 class QuarantineReport:
-    """Hold what one process tells the others.
+    """Hold what one process reports to the others.
 
     ``ends`` are the ends of engines that it has seen itself, ``answers`` its
     sound responses to suspected segments, ``verdicts`` all that it knows.
--- a/src/arbutusbay/quarantine/_types.py
+++ b/src/arbutusbay/quarantine/_types.py
@@ -36,7 +36,7 @@
     """Describe a segment of a request that an engine had when it ended.
 
     ``depth`` is the position of the segment in the prompt, from 0.
-    ``is_starting`` tells that the response had just started; otherwise it had
+    ``is_starting`` means that the response had just started; otherwise it had
     not, which is weaker evidence.
     """
 
--- a/src/arbutusbay/router/_prompt_quarantine.py
+++ b/src/arbutusbay/router/_prompt_quarantine.py
@@ -1,6 +1,6 @@
 """Keep completions with prompts that crash engines from the engines.
 
-Routers tell the control daemons of all VMs what they see, and hear from that of
+Routers report what they see to the control daemons of all VMs, and poll that of
 their own VM what the others saw.
 """
 
@@ -48,7 +48,7 @@
 
 
 class PromptQuarantine(Controller):
-    """Make verdicts, and tell the control daemons of all VMs."""
+    """Make verdicts, and send them to the control daemons of all VMs."""
 
     shared_state: RouterState
     session: aiohttp.ClientSession
@@ -60,7 +60,7 @@
         self.last_told_s = now_s()
 
     async def step(self) -> None:
-        """Evaluate the evidence, and tell what is new."""
+        """Evaluate the evidence, and send what is new."""
         await asyncio.sleep(_CHECK_INTERVAL_S)
         moment_s = now_s()
         quarantine = self.shared_state.quarantine
@@ -83,7 +83,7 @@
 
 
 class QuarantineFollower(Controller):
-    """Hear from the control daemon of this VM what other routers told."""
+    """Poll the control daemon of this VM for the reports of other routers."""
 
     shared_state: RouterState
     session: aiohttp.ClientSession
@@ -108,7 +108,7 @@
     *,
     wait_s: float = 0.0,
 ) -> bool:
-    """Tell a control daemon ``report``; return whether it answered.
+    """Send ``report`` to a control daemon; return whether it answered.
 
     Its reply, which may take ``wait_s`` seconds, is added to the evidence.
     """
--- a/src/arbutusbay/scheduling/_engine_view.py
+++ b/src/arbutusbay/scheduling/_engine_view.py
@@ -71,8 +71,8 @@
     ``remotely_suspected_until_s`` how long another one does;
     ``unresponsive_until_s`` covers both.
     ``error_rate`` is a moving average, as of ``error_rate_updated_s``.
-    ``is_leaving`` is set for good once a response said that the server shuts
-    down. Until ``rejects_until_s`` it wants no request of this VM.
+    ``is_leaving`` is set for good once a response announced that the server
+    shuts down. Until ``rejects_until_s`` it wants no request of this VM.
     """
 
     id: str
--- a/src/arbutusbay/scheduling/_lease_rules.py
+++ b/src/arbutusbay/scheduling/_lease_rules.py
@@ -31,7 +31,7 @@
 class ObservedEra:
     """Hold when a VM first read the store in its present era, in seconds.
 
-    ``is_restored`` tells that the VM has known an earlier era.
+    ``is_restored`` means that the VM has seen an earlier era.
     """
 
     observed_s: float
--- a/src/arbutusbay/scheduling/_outcomes.py
+++ b/src/arbutusbay/scheduling/_outcomes.py
@@ -26,7 +26,7 @@
 
 
 class ResponseProgress(enum.StrEnum):
-    """Tell how far the response of a failed attempt had come.
+    """Classify how far the response of a failed attempt had come.
 
     ``NOT_STARTED``: no head was received. ``STARTING``: the head was, but no
     part of the body, or its first part only a moment ago. ``UNDERWAY``: parts
--- a/src/arbutusbay/wire/_messages.py
+++ b/src/arbutusbay/wire/_messages.py
@@ -175,7 +175,7 @@
 
 @attrs.frozen(kw_only=True)
 class EndEntry:
-    """Tell that an engine ended ``age_ms`` milliseconds ago."""
+    """Report that an engine ended ``age_ms`` milliseconds ago."""
 
     incarnation: str
     age_ms: int
@@ -194,7 +194,7 @@
 
 @attrs.frozen(kw_only=True)
 class VerdictEntry:
-    """Tell whether a prompt segment is quarantined, since ``age_ms``."""
+    """State whether a prompt segment is quarantined, since ``age_ms``."""
 
     model: str
     segment: str
@@ -206,10 +206,10 @@
 
 @attrs.frozen(kw_only=True)
 class QuarantineExchange:
-    """Tell a control daemon about prompt segments; it replies in kind.
+    """Report prompt segments to a control daemon; it replies in kind.
 
     The reply may be delayed by up to ``wait_ms`` milliseconds until another
-    router has told something new.
+    router has reported something new.
     """
 
     reporter: str
