--- a/src/arbutusbay/cli/_causes.py
+++ b/src/arbutusbay/cli/_causes.py
@@ -115,7 +115,8 @@
 ) -> str:
     verdicts = [
         f'{line.fields.get("ends")} ends counted, {line.fields.get("answers")} '
-        f'sound responses, reported by {line.fields.get("reported_by") or "itself"}'
+        'sound responses, reported by '
+        f'{line.fields.get("reported_by") or "itself"}'
         for line in context_lines
         if line.message == 'segment quarantined'
     ]
