--- a/src/arbutusbay/quarantine/_evidence.py
+++ b/src/arbutusbay/quarantine/_evidence.py
@@ -36,14 +36,12 @@
         self.own_ends[incarnation] = _merge_ends(known, end)
         self.add_end(incarnation, end)
 
-    def add_end(self, incarnation: str, end: EngineEnd) -> bool:
-        """Add the end of an engine; return whether anything is new."""
+    def add_end(self, incarnation: str, end: EngineEnd) -> None:
+        """Add the end of an engine."""
         known = self.ends.get(incarnation)
-        merged = _merge_ends(known, end)
-        self.ends[incarnation] = merged
+        self.ends[incarnation] = _merge_ends(known, end)
         _drop_oldest(self.ends)
         _drop_oldest(self.own_ends)
-        return known is None or known.suspects != merged.suspects
 
     def set_reported_answers(
         self, reporter: str, answers: Mapping[SegmentKey, AnswerTotals]
@@ -128,6 +126,8 @@
 
 
 def _drop_oldest(ends: dict[str, EngineEnd]) -> None:
+    if len(ends) <= _MAX_ENDS:
+        return
     by_age = sorted(ends, key=lambda name: ends[name].ended_s)
     for name in by_age[:-_MAX_ENDS]:
         ends.pop(name)
