Believe a refusal only if it is certainly that of the present attempt

What callers saw: a faulty engine wrote an earlier refusal once more on a kept connection. Cause: a refusal without an id counted as that of the present attempt on any connection, and after 421 the same id went to the same server on the same connection, so that its first refusal could pass for the answer to the second attempt. Why it works: the first request of a connection has no earlier response. On a connection in use again a refusal must bear the attempt's id, and that id must not have been refused there. After 421 the connection is closed, since the same id may be sent to the server again; after 503 or 429 it is kept. A refusal that is not proved makes the outcome unknown and closes the connection; a pause that it asks for is kept all the same. The stand-in engine now echoes the id in its refusals, as PROTOCOL.md says that engines do; hides_id_in_refusals keeps the form without one for tests.

--- a/emulator/fleet_engine.py
+++ b/emulator/fleet_engine.py
@@ -14,6 +14,7 @@
 import attrs
 from aiohttp import web
 
+from emulator._engine_connections import EngineConnections
 from emulator._server_main import read_json_object
 from emulator._silence import Silence
 
@@ -28,12 +29,12 @@
 
     CUT aborts the connection in the middle of a stream and RESET before the
     response. FAIL responds 500. SHED rejects requests with 503 as not
-    executed until another fault is set. FOREIGN responds with the ID of
-    another attempt. MUTE delays the response by a minute. ENDLESS_HEAD and
-    ENDLESS_LINE send head lines, or one line, without end, ENDLESS_BODY a body.
-    SECOND_COPY sends the response of a plain service again a moment later.
-    TRICKLE sends two events and then a byte now and then. END ends the engine
-    as it begins to respond.
+    executed until another fault is set. MISDIRECT rejects them with 421.
+    FOREIGN responds with the ID of another attempt. MUTE delays the response by
+    a minute. ENDLESS_HEAD and ENDLESS_LINE send head lines, or one line,
+    without end, ENDLESS_BODY a body. SECOND_COPY sends the response of a plain
+    service again a moment later. TRICKLE sends two events and then a byte now
+    and then. END ends the engine as it begins to respond.
     """
 
     NONE = 'none'
@@ -41,6 +42,7 @@
     RESET = 'reset'
     FAIL = 'fail'
     SHED = 'shed'
+    MISDIRECT = 'misdirect'
     FOREIGN = 'foreign'
     MUTE = 'mute'
     ENDLESS_HEAD = 'endless_head'
@@ -90,7 +92,8 @@
     before it is executed. An engine ends when it begins to respond to a prompt
     with one of ``fatal_segments``, after ``fatal_after_events`` events. Streams
     that are ``is_close_delimited`` have neither a length nor chunks and end
-    with their connection.
+    with their connection. Refusals bear the id of the attempt unless
+    ``hides_id_in_refusals`` is set.
     """
 
     id: str
@@ -108,6 +111,7 @@
     fatal_after_events: int = 0
     is_close_delimited: bool = False
     padding_bytes: int = 0
+    hides_id_in_refusals: bool = False
 
 
 class FleetEngine:
@@ -138,10 +142,13 @@
         self.has_ended = False
         self.report_end: Callable[[], None] = _ignore_end
         self.silence = Silence()
+        self.connections = EngineConnections()
 
     def application(self) -> web.Application:
         """Build the HTTP application."""
-        application = web.Application()
+        application = web.Application(
+            middlewares=[self.connections.write_copies]
+        )
         application.on_response_prepare.append(self._add_departure)
         router = application.router
         router.add_get('/arbutusbay/report', self.report)
@@ -250,6 +257,8 @@
         await self.silence.over.wait()
         rejection = self._rejection(request)
         if rejection is not None:
+            if not self.options.hides_id_in_refusals:
+                rejection.headers['Attempt-Id'] = request.headers['Attempt-Id']
             return rejection
         await self.silence.sleep(self.options.queue_s)
         self.executions.append(
@@ -275,9 +284,14 @@
 
     def _rejection(self, request: web.Request) -> web.Response | None:
         expected = request.headers.get('Expect-Version', str(self.version))
-        if request.headers.get('Expect-Instance') != self.options.id:
+        is_misdirected = (
+            self.fault is EngineFault.MISDIRECT and self.remaining_faults > 0
+        )
+        if is_misdirected:
+            self.remaining_faults -= 1
+        if is_misdirected or expected != str(self.version):
             return web.Response(status=HTTPStatus.MISDIRECTED_REQUEST)
-        if expected != str(self.version):
+        if request.headers.get('Expect-Instance') != self.options.id:
             return web.Response(status=HTTPStatus.MISDIRECTED_REQUEST)
         if self.is_loading_weights or self.fault is EngineFault.SHED:
             headers = {_NOT_EXECUTED: '1'}
--- a/src/arbutusbay/node/_attempts.py
+++ b/src/arbutusbay/node/_attempts.py
@@ -60,8 +60,9 @@
     the server rejected the attempt because its instance id or weights version
     differs from the expected one; ``reported_instance`` is then the id it
     reported, empty if none. ``response_head`` holds the headers of a response
-    that belongs to the attempt, None if there was none. ``progress`` tells how
-    far the response had come, ``is_connection_lost`` that it broke there.
+    that belongs to the attempt, or of a refusal that may belong to another one
+    of this server, None if there was none. ``progress`` tells how far the
+    response had come, ``is_connection_lost`` that it broke there.
     ``is_ended_here`` is set if this VM ended the attempt.
     """
 
@@ -210,29 +211,14 @@
 
 async def _validate_response(
     incoming: IncomingRequest,
-    response: aiohttp.ClientResponse,
+    response: ConnectionResponse,
 ) -> Result[OpenResponse, AttemptFailure]:
     head = parse_response_head(response.headers)
-    is_rejected = (
-        head.is_not_executed
-        or response.status == HTTPStatus.MISDIRECTED_REQUEST
-    )
-    is_id_different = head.attempt_id != incoming.attempt_id
-    if is_id_different and (head.attempt_id or not is_rejected):
-        _close_connection(response)
+    if head.is_not_executed or _is_mismatch(response):
+        return await _validate_refusal(incoming, response, head)
+    if head.attempt_id != incoming.attempt_id:
+        response.close_connection()
         return _unknown_outcome('response lacks the id of this attempt')
-    if is_rejected:
-        await _drain_body(response)
-        return Err(
-            AttemptFailure(
-                outcome=AttemptOutcome.REJECTED,
-                detail=f'status {response.status}, rejected without running',
-                is_expectation_mismatch=response.status
-                == HTTPStatus.MISDIRECTED_REQUEST,
-                reported_instance=head.instance,
-                response_head=head,
-            ),
-        )
     is_success = _status_class(response.status) == _SUCCESS_CLASS
     if is_success and not head.has_response_stamp:
         response.close()
@@ -243,6 +229,44 @@
     return Ok(OpenResponse(response=response, parsed_headers=head))
 
 
+async def _validate_refusal(
+    incoming: IncomingRequest,
+    response: ConnectionResponse,
+    head: ResponseHead,
+) -> Err[AttemptFailure]:
+    """Return that the attempt was rejected if that is proved."""
+    history = response.connection_history
+    if not history.proves_refusal(incoming.attempt_id, head.attempt_id):
+        response.close_connection()
+        return Err(
+            AttemptFailure(
+                outcome=AttemptOutcome.UNKNOWN,
+                detail=f'status {response.status}, maybe to another attempt',
+                response_head=head,
+            ),
+        )
+    history.record_refusal(incoming.attempt_id)
+    # After a mismatch the same server may get the same id again, which must
+    # not be on a connection where a refusal bore it.
+    if _is_mismatch(response) or history.is_full:
+        response.close_connection()
+    else:
+        await _drain_body(response)
+    return Err(
+        AttemptFailure(
+            outcome=AttemptOutcome.REJECTED,
+            detail=f'status {response.status}, rejected without running',
+            is_expectation_mismatch=_is_mismatch(response),
+            reported_instance=head.instance,
+            response_head=head,
+        ),
+    )
+
+
+def _is_mismatch(response: aiohttp.ClientResponse) -> bool:
+    return response.status == HTTPStatus.MISDIRECTED_REQUEST
+
+
 def _status_class(status: int) -> int:
     return status // _STATUS_CLASS_SIZE
 
@@ -259,15 +283,6 @@
         response.close()
 
 
-def _close_connection(response: aiohttp.ClientResponse) -> None:
-    """Close a connection on which responses and requests do not match."""
-    match response:
-        case ConnectionResponse():
-            response.close_connection()
-        case _:
-            response.close()
-
-
 def _has_unread_body(response: aiohttp.ClientResponse) -> bool:
     return not response.content.is_eof()
 
--- a/src/arbutusbay/node/_http_client.py
+++ b/src/arbutusbay/node/_http_client.py
@@ -5,6 +5,7 @@
 unreachable peers.
 """
 
+import asyncio
 import functools
 import socket
 from typing import Any
@@ -12,6 +13,8 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
+from arbutusbay.node._connection_history import ConnectionHistory
+
 _KEEPALIVE_IDLE_S = 2
 _KEEPALIVE_INTERVAL_S = 1
 _MAX_KEEPALIVE_PROBES = 2
@@ -28,6 +31,11 @@
 class StrictConnection(ResponseHandler):
     """Refuse reuse after unexpected data and fail bodies cut by a reset."""
 
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Start without a request."""
+        super().__init__(loop)
+        self.history = ConnectionHistory()
+
     def is_connected(self) -> bool:
         """Return whether the connection may carry another request."""
         return super().is_connected() and not self.should_close
@@ -58,8 +66,14 @@
     async def start(self, connection: Any) -> aiohttp.ClientResponse:
         """Read the head of the response from ``connection``."""
         self.used_connection = connection.protocol
+        self.used_connection.history.request_count += 1
         return await super().start(connection)
 
+    @property
+    def connection_history(self) -> ConnectionHistory:
+        """Return what the connection carried, this response included."""
+        return self.used_connection.history
+
     def close_connection(self) -> None:
         """Close the connection, whoever uses it now."""
         self.close()
