Send each load order on a connection of its own

What callers saw: an order that an engine had accepted counted as refused if the engine wrote an earlier refusal once more, so that the engine passed for one that does not load while it refused requests. Cause: orders shared kept connections with requests and reports, and a response to an order bears no id that could prove which order it belongs to. Why it works: the first request of a connection has no earlier response. Orders are few, one new connection for each load. Two unit tests that build a WeightsLoader pass the new argument.

--- a/emulator/_engine_connections.py
+++ b/emulator/_engine_connections.py
@@ -44,15 +44,15 @@
     """Write the last refusal of a connection before its next response.
 
     Each refusal is written again once, unless ``copied_id`` is None.
-    ``copies_written`` counts the copies, ``caller_addresses`` holds the
-    addresses from which connections came.
+    ``copies_written`` counts the copies, ``paths_by_caller`` lists what each
+    connection carried by the address from which it came.
     """
 
     def __init__(self) -> None:
         """Start without this fault."""
         self.copied_id: CopiedId | None = None
         self.copies_written = 0
-        self.caller_addresses: set[tuple[str, int]] = set()
+        self.paths_by_caller: dict[tuple[str, int], list[str]] = {}
         self._refusals: dict[asyncio.Transport, _Refusal] = {}
 
     @web.middleware
@@ -62,7 +62,8 @@
         handler: Callable[[web.Request], Awaitable[web.StreamResponse]],
     ) -> web.StreamResponse:
         """Write the copy that is due, then handle the request."""
-        self.caller_addresses.add(request.transport.get_extra_info('peername'))
+        caller = request.transport.get_extra_info('peername')
+        self.paths_by_caller.setdefault(caller, []).append(request.path)
         self._write_again(request.transport)
         response = await handler(request)
         if response.status in _REFUSAL_STATUSES and request.transport:
--- a/src/arbutusbay/node/_components.py
+++ b/src/arbutusbay/node/_components.py
@@ -36,9 +36,14 @@
         *,
         settings: VMSettings,
         session: aiohttp.ClientSession,
+        order_session: aiohttp.ClientSession,
         log_writer: NonblockingLineWriter,
     ) -> None:
-        """Create all components; ``session`` is used for outgoing calls."""
+        """Create all components; ``session`` is used for outgoing calls.
+
+        ``order_session``, which must not reuse connections, is used for orders
+        to engines.
+        """
         self.node_state = NodeState(settings=settings)
         self.own_vm = build_own_registration(settings)
         self.node_state.catalog.vms[self.own_vm.name] = self.own_vm
@@ -51,10 +56,14 @@
             node_state=self.node_state, own_vm=self.own_vm
         )
         self.stall_detector = StallDetector(node_state=self.node_state)
-        self._build_store_components(session)
+        self._build_store_components(session, order_session)
         self._build_request_components(session, log_writer)
 
-    def _build_store_components(self, session: aiohttp.ClientSession) -> None:
+    def _build_store_components(
+        self,
+        session: aiohttp.ClientSession,
+        order_session: aiohttp.ClientSession,
+    ) -> None:
         operator_topic = OperatorTopicState(node_state=self.node_state)
         self.server_registry = ServerRegistry(node_state=self.node_state)
         servers_topic = ServersTopicState(
@@ -86,6 +95,7 @@
                 lease=lease,
                 report_builder=self.peer_channel.report_builder,
                 session=session,
+                order_session=order_session,
             ),
         )
 
--- a/src/arbutusbay/node/_daemon.py
+++ b/src/arbutusbay/node/_daemon.py
@@ -31,9 +31,15 @@
 ) -> None:
     """Serve until SIGTERM or SIGINT, then finish requests in progress."""
     _LOG.info('start', fields={'vm': settings.name, 'zone': settings.zone})
-    async with create_client_session() as session:
+    async with (
+        create_client_session() as session,
+        create_client_session(reuse_connections=False) as order_session,
+    ):
         components = NodeComponents(
-            settings=settings, session=session, log_writer=log_writer
+            settings=settings,
+            session=session,
+            order_session=order_session,
+            log_writer=log_writer,
         )
         await _serve_components(components, settings, log_writer)
     _LOG.info('stop', fields={'vm': settings.name})
--- a/src/arbutusbay/node/_http_client.py
+++ b/src/arbutusbay/node/_http_client.py
@@ -113,15 +113,20 @@
     return connection
 
 
-def create_client_session() -> aiohttp.ClientSession:
+def create_client_session(
+    *, reuse_connections: bool = True
+) -> aiohttp.ClientSession:
     """Return a client session that sends each request at most once.
 
     The retry of aiohttp on a lost connection is disabled, because the server
-    may have executed the request. The caller must close the session.
+    may have executed the request. Without ``reuse_connections`` each request
+    opens its own connection, so that its response can't be that of another.
+    The caller must close the session.
     """
     connector = StrictConnector(
         limit=0,
-        keepalive_timeout=_IDLE_TIMEOUT_S,
+        keepalive_timeout=_IDLE_TIMEOUT_S if reuse_connections else None,
+        force_close=not reuse_connections,
         socket_factory=_create_keepalive_socket,
         use_dns_cache=False,
     )
--- a/src/arbutusbay/node/_weights_loader.py
+++ b/src/arbutusbay/node/_weights_loader.py
@@ -60,12 +60,18 @@
         lease: Lease,
         report_builder: PeerReportBuilder,
         session: aiohttp.ClientSession,
+        order_session: aiohttp.ClientSession,
     ) -> None:
-        """Send orders and fetch reports through ``session``."""
+        """Fetch reports through ``session``; orders need ``order_session``.
+
+        It must not reuse connections: on a reused one, an earlier response
+        could pass for the result of an order.
+        """
         self.node_state = node_state
         self.lease = lease
         self.report_builder = report_builder
         self.session = session
+        self.order_session = order_session
         self.order_counts: dict[tuple[str, int], int] = {}
         self.counts_tenure_fence: int | None = None
         self.deferred_until_s: dict[str, float] = {}
@@ -137,7 +143,7 @@
     ) -> LoadOrderResult:
         load = progress.load
         outcome = await send_load_order(
-            self.session,
+            self.order_session,
             load.engine.address,
             load.engine.id,
             LoadOrder(
--- a/tests/integration/test_repeated_refusals.py
+++ b/tests/integration/test_repeated_refusals.py
@@ -201,7 +201,7 @@
     for number in range(_LATER_REQUESTS):
         await refuse_once(_ORDER, fleet, http, node, f'refused{number}')
         assert await _ORDER.send(http, node, f'n{number}') == 200
-    assert len(server.connections.caller_addresses) == 1
+    assert len(server.connections.paths_by_caller) == 1
 
 
 # Guards against a server that is not left alone although it asked for that,
--- a/tests/unit/test_pause_samples.py
+++ b/tests/unit/test_pause_samples.py
@@ -42,7 +42,11 @@
 @pytest.fixture
 def loader(node_state):
     return WeightsLoader(
-        node_state=node_state, lease=None, report_builder=None, session=None
+        node_state=node_state,
+        lease=None,
+        report_builder=None,
+        session=None,
+        order_session=None,
     )
 
 
--- a/tests/unit/test_weights_loader.py
+++ b/tests/unit/test_weights_loader.py
@@ -23,6 +23,7 @@
         lease=lease,
         report_builder=None,
         session=None,
+        order_session=None,
     )
     loader.record_order_count(build_view('engine-1', incarnation=7), 1)
     return loader
