Open a connection for each attempt at an engine of our own interface

What callers saw: a completion that may run once ran at two engines if an engine wrote an earlier refusal once more on a kept connection. Cause: a refusal of the engine protocol names no attempt, and the router took the first response on a kept connection for that of the present attempt. Evidence: test_repeated_engine_refusals.py on, a route that is not idempotent, 503 written again without an id: "assert 2 <= 1" runs. Why it works: the first request of a connection has no earlier response.

--- a/emulator/engine.py
+++ b/emulator/engine.py
@@ -12,7 +12,10 @@
 - ``reorder`` swaps that many pieces with their successors;
 - ``duplicate`` sends that many pieces twice;
 - ``leaving`` reports in the load report that the engine is shutting down;
-- ``fatal_text`` ends the process when it begins to respond to a prompt with it.
+- ``fatal_text`` ends the process when it begins to respond to a prompt with it;
+- ``refusals`` refuses that many generations with status 503;
+- ``copies_refusals`` writes each refusal once more before the next response on
+  its connection.
 """
 
 import argparse
@@ -31,6 +34,7 @@
 
 from arbutusbay.backend import CacheNamespace, compute_block_hashes
 from emulator._batch import Batch, BatchOptions, EngineSequence
+from emulator._engine_connections import CopiedId, EngineConnections
 from emulator._prefix_cache import PrefixCache, cache_event_to_json
 from emulator._server_main import MAX_BODY_BYTES, read_json_object, run_server
 
@@ -56,6 +60,8 @@
     duplicate: int = 0
     leaving: bool = False
     fatal_text: str = ''
+    refusals: int = 0
+    copies_refusals: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -102,6 +108,7 @@
         self.highest_fencing_token = -1
         self.orders: list[dict[str, Any]] = []
         self.faults = Faults()
+        self.connections = EngineConnections()
         self.cache = PrefixCache(
             capacity_blocks=options.capacity_blocks,
             event_lag_s=options.event_lag_s,
@@ -122,6 +129,7 @@
         """Build the HTTP application."""
         application = web.Application(
             client_max_size=MAX_BODY_BYTES,
+            middlewares=[self.connections.write_copies],
         )
         router = application.router
         router.add_post('/v1/generate', self.generate)
@@ -215,6 +223,9 @@
         self.batch.slow_factor = self.faults.slow_factor
         self.batch.stalled = self.faults.stalled
         self.batch.holds_ends = self.faults.holds_ends
+        self.connections.copied_id = (
+            CopiedId.NONE if self.faults.copies_refusals else None
+        )
         self.batch.work_available.set()
         return web.json_response(attrs.asdict(self.faults))
 
@@ -231,6 +242,7 @@
                 'running': len(self.batch.running),
                 'stored_blocks': len(self.cache.blocks),
                 'orders': self.orders,
+                'connections': list(self.connections.paths_by_caller.values()),
             }
         )
 
@@ -270,6 +282,9 @@
                 },
                 status=_CONFLICT_STATUS,
             )
+        if self.faults.refusals:
+            self.faults.refusals -= 1
+            return web.Response(status=_UNAVAILABLE_STATUS)
         if not self.ready:
             return web.Response(status=_UNAVAILABLE_STATUS)
         return None
--- a/emulator/service.py
+++ b/emulator/service.py
@@ -15,6 +15,7 @@
 import attrs
 from aiohttp import web
 
+from emulator._engine_connections import EngineConnections
 from emulator._server_main import read_json_object, run_server
 
 
@@ -35,11 +36,14 @@
         self.faults = Faults(delay_ms=delay_ms)
         self.executions: collections.Counter[str] = collections.Counter()
         self.lookup_count = 0
+        self.connections = EngineConnections()
         self.first_run_s: dict[str, float] = {}
 
     def application(self) -> web.Application:
         """Build the HTTP application."""
-        application = web.Application()
+        application = web.Application(
+            middlewares=[self.connections.write_copies]
+        )
         router = application.router
         router.add_post('/orders', self.execute_order)
         router.add_get('/stock/{item}', self.get_stock)
@@ -78,6 +82,7 @@
                 'runs': self.executions,
                 'first_run_s': self.first_run_s,
                 'lookups': self.lookup_count,
+                'connections': list(self.connections.paths_by_caller.values()),
             }
         )
 
--- a/src/arbutusbay/backend/_engine_client.py
+++ b/src/arbutusbay/backend/_engine_client.py
@@ -53,6 +53,9 @@
     ) -> AsyncIterator[Result[GenerationEvent, Failure]]:
         """Run one attempt and yield the checked events of its stream.
 
+        ``session`` must not reuse connections, because a rejection does not
+        name the attempt that it belongs to.
+
         A failure, if any, comes last. Its run state is ``NOT_RUN`` if the
         engine rejected the request or connecting failed other than by a
         timeout, ``RAN`` if the stream is malformed or lacks its last event,
--- a/src/arbutusbay/router/_completions_api.py
+++ b/src/arbutusbay/router/_completions_api.py
@@ -85,7 +85,11 @@
         metrics: RouterMetrics,
         session: aiohttp.ClientSession,
     ) -> None:
-        """Create the handlers; ``session`` connects to engines."""
+        """Create the handlers; ``session`` connects to engines.
+
+        It must not reuse connections: on a reused one, an earlier refusal
+        could pass for that of the present attempt.
+        """
         self.shared_state = shared_state
         self.dispatcher = dispatcher
         self.lookup = lookup
--- a/src/arbutusbay/router/_main.py
+++ b/src/arbutusbay/router/_main.py
@@ -77,7 +77,7 @@
                 shared_state=self.shared_state, session=self.session
             ),
             metrics=metrics,
-            session=self.session,
+            session=self.single_use_session,
         ).add_routes(application)
         ServicesApi(
             shared_state=self.shared_state,
