Check that a refusal written again is no report of an engine (refuted)

Suspicion: a refusal of a request that a faulty engine writes once more where a report is expected could be taken for the report. Refuted: it is missing, and the next ones are right.

--- a/tests/integration/test_load_order_connections.py
+++ b/tests/integration/test_load_order_connections.py
@@ -17,7 +17,7 @@
 )
 from emulator._engine_connections import CopiedId
 from emulator.fleet import wait_for_condition
-from emulator.fleet_engine import FleetEngine
+from emulator.fleet_engine import EngineFault, FleetEngine
 from tests.fleet_builders import (
     MODEL,
     build_engine,
@@ -78,6 +78,32 @@
     ]
 
 
+# Guards against a refusal of a request that passes for the report of an engine:
+# its report must be missing, not wrong, and the next one right.
+async def test_refusal_written_again_is_no_report(fleet):
+    engine = await fleet.add_engine(build_engine(0))
+    engine.connections.copied_id = CopiedId.NONE
+    engine.inject_fault(EngineFault.SHED, 1)
+    async with create_client_session() as session:
+        async with session.get(
+            f'http://{engine.address}/ask/1',
+            headers={
+                'Attempt-Id': 'refused',
+                'Expect-Instance': engine.options.id,
+            },
+        ) as refused:
+            assert refused.status == 503
+        reports = [
+            await fetch_engine_report(
+                session, engine.address, timeout_s=_TIMEOUT_S
+            )
+            for _ in range(3)
+        ]
+    assert engine.connections.copies_written == 1
+    assert [report.is_ok() for report in reports] == [False, True, True]
+    assert {report.unwrap().weights[MODEL] for report in reports[1:]} == {1}
+
+
 # Guards against orders on the connections of requests and reports, where the
 # response to one of these may come first.
 async def test_each_order_has_a_connection_of_its_own(fleet, http):
