--- a/src/arbutusbay/node/_http_client.py
+++ b/src/arbutusbay/node/_http_client.py
@@ -5,6 +5,7 @@
 unreachable peers.
 """
 
+import asyncio
 import functools
 import socket
 from typing import Any
@@ -12,6 +13,8 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
+from arbutusbay.node._connection_history import ConnectionHistory
+
 _KEEPALIVE_IDLE_S = 2
 _KEEPALIVE_INTERVAL_S = 1
 _MAX_KEEPALIVE_PROBES = 2
@@ -28,6 +31,11 @@
 class StrictConnection(ResponseHandler):
     """Refuse reuse after unexpected data and fail bodies cut by a reset."""
 
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Start without a request."""
+        super().__init__(loop)
+        self.history = ConnectionHistory()
+
     def is_connected(self) -> bool:
         """Return whether the connection may carry another request."""
         return super().is_connected() and not self.should_close
@@ -58,8 +66,14 @@
     async def start(self, connection: Any) -> aiohttp.ClientResponse:
         """Read the head of the response from ``connection``."""
         self.used_connection = connection.protocol
+        self.used_connection.history.request_count += 1
         return await super().start(connection)
 
+    @property
+    def connection_history(self) -> ConnectionHistory:
+        """Return what the connection carried, this response included."""
+        return self.used_connection.history
+
     def close_connection(self) -> None:
         """Close the connection, whoever uses it now."""
         self.close()
@@ -99,15 +113,20 @@
     return connection
 
 
-def create_client_session() -> aiohttp.ClientSession:
+def create_client_session(
+    *, reuse_connections: bool = True
+) -> aiohttp.ClientSession:
     """Return a client session that sends each request at most once.
 
     The retry of aiohttp on a lost connection is disabled, because the server
-    may have executed the request. The caller must close the session.
+    may have executed the request. Without ``reuse_connections`` each request
+    opens its own connection, so that its response can't be that of another.
+    The caller must close the session.
     """
     connector = StrictConnector(
         limit=0,
-        keepalive_timeout=_IDLE_TIMEOUT_S,
+        keepalive_timeout=_IDLE_TIMEOUT_S if reuse_connections else None,
+        force_close=not reuse_connections,
         socket_factory=_create_keepalive_socket,
         use_dns_cache=False,
     )
