Let nothing but its own events follow the head of a stream

Callers saw the head and the text of an engine's answer in the middle of their stream, or a stream that ended as if it were complete: its engine had broken off, and the next one answered the resumption with 302, 400, 404, 409, 429 or 204, with 206, or with a body of another type.

Cause: an answer that is no success was a result of any attempt, also of one that resumes. The frontend prepared it on a connection whose head was out. Any 2xx counted as the rest of the stream.

What a client has received is now a type: `ClientExchange` begins without a stream, and from the head on there is a `ClientStream`, which takes events and an end. The relay ends in a `StreamEnd` then. An unfinished stream carries both an answer and a reason to cut; which of them counts is decided in one place, by whether there is a `ClientStream`. A response with another status or media type than the head is a failure of that attempt, and the stream may go on elsewhere within `max_attempts` and the retry budget.

Refuted by tests that passed before: 500 in the middle; events that begin anew at 1, leave a gap or end in the middle (the stream goes on elsewhere, whole); an engine that ends at once in chunks after the last event (complete; one that ends early in chunks can't be told from it); a client's own resumption that is answered 404 gets that answer.

--- a/emulator/fleet_engine.py
+++ b/emulator/fleet_engine.py
@@ -7,7 +7,7 @@
 import asyncio
 import enum
 import time
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable
 from http import HTTPStatus
 
@@ -16,6 +16,7 @@
 
 from emulator._server_main import read_json_object
 from emulator._silence import Silence
+from emulator.scripted_response import ScriptedResponse, send_scripted
 
 _NOT_EXECUTED = 'Not-Executed'
 _MUTE_S = 60
@@ -138,6 +139,7 @@
         self.has_ended = False
         self.report_end: Callable[[], None] = _ignore_end
         self.silence = Silence()
+        self.scripted_responses: deque[ScriptedResponse] = deque()
 
     def application(self) -> web.Application:
         """Build the HTTP application."""
@@ -269,6 +271,12 @@
                 fault = self.fault
             if _shared_segments(request) & self.options.fatal_segments:
                 fault = EngineFault.END
+            if self.scripted_responses:
+                return await send_scripted(
+                    request,
+                    self.scripted_responses.popleft(),
+                    self._response_headers(request, fault),
+                )
             return await self._respond(request, fault)
         finally:
             self.running -= 1
--- /dev/null
+++ b/emulator/scripted_response.py
@@ -0,0 +1,49 @@
+"""Send responses that a test scripts instead of an engine's own."""
+
+import asyncio
+from collections.abc import Mapping
+from http import HTTPStatus
+
+import attrs
+from aiohttp import web
+
+_TRANSIT_S = 0.05
+
+
+@attrs.frozen(kw_only=True)
+class ScriptedResponse:
+    """Describe a response that an engine sends instead of its own.
+
+    The connection is reset after the body if the response ``is_cut``. One that
+    is ``is_close_delimited`` has neither a length nor chunks.
+    """
+
+    status: int = HTTPStatus.OK
+    content_type: str = 'text/event-stream'
+    body: bytes = b''
+    is_cut: bool = False
+    is_close_delimited: bool = False
+
+
+async def send_scripted(
+    request: web.Request,
+    scripted: ScriptedResponse,
+    headers: Mapping[str, str],
+) -> web.StreamResponse:
+    """Send ``scripted`` with ``headers`` and its content type."""
+    fields = {**headers, 'Content-Type': scripted.content_type}
+    if scripted.is_close_delimited:
+        lines = [f'{name}: {text}' for name, text in fields.items()]
+        head = '\r\n'.join((f'HTTP/1.1 {scripted.status} -', *lines))
+        request.transport.write(f'{head}\r\n\r\n'.encode())
+        request.transport.write(scripted.body)
+        request.transport.close()
+        return web.Response()
+    response = web.StreamResponse(status=scripted.status, headers=fields)
+    await response.prepare(request)
+    await response.write(scripted.body)
+    if scripted.is_cut:
+        # What was written reaches the caller before the reset.
+        await asyncio.sleep(_TRANSIT_S)
+        request.transport.abort()
+    return response
--- a/src/arbutusbay/node/_attempts.py
+++ b/src/arbutusbay/node/_attempts.py
@@ -96,6 +96,11 @@
         """Return the HTTP status code."""
         return self.response.status
 
+    @property
+    def content_type(self) -> str:
+        """Return the media type of the body."""
+        return self.response.content_type
+
     @property
     def is_success(self) -> bool:
         """Return whether the status is 2xx."""
--- /dev/null
+++ b/src/arbutusbay/node/_client_stream.py
@@ -0,0 +1,165 @@
+"""Answer one client request in one of two ways.
+
+It gets a whole response, or a stream of events. Once the head of a stream is
+out, the client holds a ``ClientStream``, which takes events and an end and
+nothing else.
+"""
+
+import enum
+
+import attrs
+from aiohttp import web
+
+from arbutusbay.clock import now_s
+from arbutusbay.node._attempts import OpenResponse
+from arbutusbay.node._incoming_request import IncomingRequest
+
+
+class CutReason(enum.StrEnum):
+    """Name why a stream ended after its response had started.
+
+    ``DEADLINE``: the time of the route ran out. ``BROKEN``: the engine broke
+    off, and the stream may not be resumed. ``SILENT``: this VM ended the
+    attempt, and did not send another one. ``NO_REPLACEMENT``: no engine was
+    found to resume it. ``INTERNAL``: an error in this program.
+    """
+
+    DEADLINE = 'deadline'
+    BROKEN = 'broken'
+    SILENT = 'silent'
+    NO_REPLACEMENT = 'no_replacement'
+    INTERNAL = 'internal'
+
+
+@attrs.frozen(kw_only=True)
+class StreamCompleted:
+    """Report that a stream was relayed to its end."""
+
+
+@attrs.frozen(kw_only=True)
+class StreamCut:
+    """Report that a stream was cut: its connection is aborted."""
+
+    reason: CutReason
+    detail: str
+
+
+StreamEnd = StreamCompleted | StreamCut
+
+
+@attrs.define(kw_only=True)
+class StreamTiming:
+    """Measure the timing of the events relayed to the client.
+
+    Times ending in ``_s`` are in seconds on the clock of ``now_s``, except
+    ``longest_gap_s``, which is a duration. ``first_event_s`` is None until the
+    first event.
+    """
+
+    event_count: int = 0
+    first_event_s: float | None = None
+    latest_event_s: float = 0.0
+    longest_gap_s: float = 0.0
+    longest_gap_end_s: float = 0.0
+
+    def record_event(self) -> None:
+        """Record that an event was relayed now."""
+        moment_s = now_s()
+        if self.first_event_s is None:
+            self.first_event_s = moment_s
+        else:
+            gap_s = moment_s - self.latest_event_s
+            if gap_s > self.longest_gap_s:
+                self.longest_gap_s = gap_s
+                self.longest_gap_end_s = moment_s
+        self.latest_event_s = moment_s
+        self.event_count += 1
+
+
+@attrs.define(kw_only=True)
+class ClientStream:
+    """Represent a streamed response whose head is out."""
+
+    request: web.BaseRequest
+    response: web.StreamResponse
+    timing: StreamTiming = attrs.field(factory=StreamTiming)
+
+    def can_continue_with(self, answer: OpenResponse) -> bool:
+        """Return whether the body of ``answer`` may follow the head sent."""
+        return (
+            answer.status == self.response.status
+            and answer.content_type == self.response.content_type
+        )
+
+    async def write_event(self, raw_bytes: bytes) -> None:
+        """Send one whole event."""
+        await self.response.write(raw_bytes)
+        self.timing.record_event()
+
+    async def complete(self) -> StreamCompleted:
+        """End the stream so that the client sees that it is complete."""
+        await self.response.write_eof()
+        return StreamCompleted()
+
+    def cut(self, reason: CutReason, detail: str) -> StreamCut:
+        """Abort the connection: the client sees that the stream broke."""
+        abort_connection(self.request)
+        return StreamCut(reason=reason, detail=detail)
+
+
+@attrs.define(kw_only=True)
+class ClientExchange:
+    """Hold one client request and how far its response has come.
+
+    ``incoming`` is None until the request was accepted, and ``stream`` until
+    the head of a stream is out.
+    """
+
+    request: web.BaseRequest
+    incoming: IncomingRequest | None = None
+    stream: ClientStream | None = None
+
+    async def start_stream(
+        self, answer: OpenResponse, *, closes: bool
+    ) -> ClientStream:
+        """Send the head of ``answer``.
+
+        The connection is closed after the stream if it ``closes``.
+        """
+        response = web.StreamResponse(
+            status=answer.status,
+            headers=answer.headers(),
+        )
+        if closes:
+            response.force_close()
+        response.enable_chunked_encoding()
+        await response.prepare(self.request)
+        self.stream = ClientStream(request=self.request, response=response)
+        return self.stream
+
+    async def finish(
+        self, outcome: web.Response | StreamEnd
+    ) -> web.StreamResponse:
+        """Send a whole response unless a stream ended; return what was sent."""
+        match outcome:
+            case web.Response() as response:
+                if _is_open(self.request):
+                    await response.prepare(self.request)
+                    await response.write_eof()
+                return response
+        return self.stream.response
+
+
+def abort_connection(request: web.BaseRequest) -> None:
+    """Abort the connection without ending the body.
+
+    The client can then tell that the response is incomplete.
+    """
+    transport = request.transport
+    if transport is not None:
+        transport.abort()
+
+
+def _is_open(request: web.BaseRequest) -> bool:
+    transport = request.transport
+    return transport is not None and not transport.is_closing()
--- a/src/arbutusbay/node/_frontend.py
+++ b/src/arbutusbay/node/_frontend.py
@@ -16,6 +16,15 @@
 from arbutusbay.logs import get_logger
 from arbutusbay.node._attempts import BufferedResponse
 from arbutusbay.node._client_connection import look_at_connection
+from arbutusbay.node._client_stream import (
+    ClientExchange,
+    ClientStream,
+    StreamCompleted,
+    StreamCut,
+    StreamEnd,
+    StreamTiming,
+    abort_connection,
+)
 from arbutusbay.node._incoming_request import IncomingRequest, validate_request
 from arbutusbay.node._metrics import NodeMetrics
 from arbutusbay.node._node_state import NodeState
@@ -24,11 +33,7 @@
     RequestExecutor,
     execute_before_deadline,
 )
-from arbutusbay.node._stream_relay import (
-    StreamAborted,
-    StreamCompleted,
-    StreamRelay,
-)
+from arbutusbay.node._stream_relay import StreamRelay
 from arbutusbay.platform import build_refusal_headers, get_attempt_id
 
 _LOG = get_logger('frontend')
@@ -59,27 +64,25 @@
         """
         connection = request.protocol
         self.node_state.busy_connections.add(connection)
+        exchange = ClientExchange(request=request)
         try:
-            response = await self._proxy_request(request)
-            if _is_open(request):
-                await response.prepare(request)
-                await response.write_eof()
-            return response
+            return await exchange.finish(await self._proxy_request(exchange))
         except ClientConnectionResetError:
             # aiohttp drops a response whose connection is aborted.
-            _abort_connection(request)
+            abort_connection(request)
             return web.Response()
         finally:
             self.node_state.busy_connections.discard(connection)
 
     async def _proxy_request(
-        self, request: web.BaseRequest
-    ) -> web.StreamResponse:
+        self, exchange: ClientExchange
+    ) -> web.Response | StreamEnd:
+        request = exchange.request
         match validate_request(self.node_state, request):
             case Err(failure):
                 return self._reject_request(request, failure)
             case Ok(incoming):
-                pass
+                exchange.incoming = incoming
         match await self._read_body_in_time(request, incoming):
             case Err(failure):
                 return self._reject_request(request, failure, incoming)
@@ -95,7 +98,7 @@
         )
         try:
             if incoming.is_stream:
-                return await self._proxy_stream(request, executor)
+                return await self._proxy_stream(exchange, executor)
             return await self._proxy_buffered(request, executor)
         except (asyncio.CancelledError, ClientConnectionResetError):
             self._log_outcome(
@@ -110,7 +113,7 @@
         self,
         request: web.BaseRequest,
         executor: RequestExecutor,
-    ) -> web.StreamResponse:
+    ) -> web.Response:
         match await execute_before_deadline(executor):
             case Ok(answer):
                 self._log_outcome(executor.incoming, f'status {answer.status}')
@@ -120,34 +123,40 @@
 
     async def _proxy_stream(
         self,
-        request: web.BaseRequest,
+        exchange: ClientExchange,
         executor: RequestExecutor,
-    ) -> web.StreamResponse:
-        stream = StreamRelay(executor=executor, request=request)
-        match await stream.relay():
+    ) -> web.Response | StreamEnd:
+        incoming = executor.incoming
+        relay = StreamRelay(executor=executor, exchange=exchange)
+        match await relay.relay():
+            case StreamCompleted() | StreamCut() as stream_end:
+                self._record_stream_end(incoming, exchange.stream, stream_end)
+                return stream_end
+            case BufferedResponse() as answer:
+                self._log_outcome(incoming, f'status {answer.status}')
+                return self._build_response(answer)
+            case Failure() as failure:
+                return self._reject_request(exchange.request, failure, incoming)
+
+    def _record_stream_end(
+        self,
+        incoming: IncomingRequest,
+        stream: ClientStream,
+        stream_end: StreamEnd,
+    ) -> None:
+        timing_fields = _timing_fields(incoming, stream.timing)
+        match stream_end:
             case StreamCompleted():
-                self._log_outcome(
-                    executor.incoming,
-                    'stream complete',
-                    **_timing_fields(executor.incoming, stream),
-                )
-                return stream.response
-            case StreamAborted(reason=reason, detail=detail):
+                self._log_outcome(incoming, 'stream complete', **timing_fields)
+            case StreamCut(reason=reason, detail=detail):
                 self.metrics.streams_cut.inc({'reason': reason.value})
                 self._log_outcome(
-                    executor.incoming,
+                    incoming,
                     'stream cut',
                     detail,
                     reason=reason.value,
-                    **_timing_fields(executor.incoming, stream),
+                    **timing_fields,
                 )
-                _abort_connection(request)
-                return stream.response
-            case BufferedResponse() as answer:
-                self._log_outcome(executor.incoming, f'status {answer.status}')
-                return self._build_response(answer)
-            case Failure() as failure:
-                return self._reject_request(request, failure, executor.incoming)
 
     async def _read_body_in_time(
         self, request: web.BaseRequest, incoming: IncomingRequest
@@ -210,7 +219,7 @@
         request: web.BaseRequest,
         failure: Failure,
         incoming: IncomingRequest | None = None,
-    ) -> web.StreamResponse:
+    ) -> web.Response:
         attempt_id = get_attempt_id(request.headers)
         self.metrics.refusals.inc({'kind': failure.kind.value})
         elapsed_s = now_s() - incoming.received_s if incoming else 0
@@ -265,9 +274,8 @@
 
 def _timing_fields(
     incoming: IncomingRequest,
-    stream: StreamRelay,
+    event_timing: StreamTiming,
 ) -> dict[str, float | None]:
-    event_timing = stream.event_timing
     first_ms = None
     if event_timing.first_event_s is not None:
         first_ms = int(
@@ -283,18 +291,3 @@
 
 def _is_client_connected(request: web.BaseRequest) -> bool:
     return look_at_connection(request.transport).is_open
-
-
-def _is_open(request: web.BaseRequest) -> bool:
-    transport = request.transport
-    return transport is not None and not transport.is_closing()
-
-
-def _abort_connection(request: web.BaseRequest) -> None:
-    """Abort the connection without ending the body.
-
-    The client can then tell that the response is incomplete.
-    """
-    transport = request.transport
-    if transport is not None:
-        transport.abort()
--- a/src/arbutusbay/node/_stream_relay.py
+++ b/src/arbutusbay/node/_stream_relay.py
@@ -5,21 +5,25 @@
 """
 
 import asyncio
-import enum
 
 import attrs
-from aiohttp import web
 from result import Err, Ok, Result
 
 from arbutusbay.clock import now_s
 from arbutusbay.errors import Failure
-from arbutusbay.logs import get_logger
 from arbutusbay.node._attempts import (
     AttemptFailure,
     BrokenStream,
     BufferedResponse,
     OpenResponse,
 )
+from arbutusbay.node._client_stream import (
+    ClientExchange,
+    ClientStream,
+    CutReason,
+    StreamCompleted,
+    StreamEnd,
+)
 from arbutusbay.node._placement import Placement, ResumePoint
 from arbutusbay.node._request_executor import RequestExecutor
 from arbutusbay.node._stall_detector import (
@@ -33,76 +37,27 @@
     RetryAction,
 )
 
-_LOG = get_logger('stream')
 _RESPONSE_START_S = 0.3
 
-
 _EMPTY_STREAM = BrokenStream(
     detail='connection closed before the first event', is_connection_lost=True
 )
 
 
 @attrs.frozen(kw_only=True)
-class StreamCompleted:
-    """Report that the stream was relayed to its end."""
-
-
-class CutReason(enum.StrEnum):
-    """Name why a stream ended after its response had started.
-
-    ``DEADLINE``: the time of the route ran out. ``BROKEN``: the engine broke
-    off, and the stream may not be resumed. ``SILENT``: this VM ended the
-    attempt, and did not send another one. ``NO_REPLACEMENT``: no engine was
-    found to resume it.
-    """
-
-    DEADLINE = 'deadline'
-    BROKEN = 'broken'
-    SILENT = 'silent'
-    NO_REPLACEMENT = 'no_replacement'
-
-
-@attrs.frozen(kw_only=True)
-class StreamAborted:
-    """Report that a stream failed after its response had started.
+class UnfinishedStream:
+    """Tell why a stream did not come to its end.
 
-    The status is already sent, so the caller must abort the connection.
+    ``answer`` is sent if no head of a stream is out; otherwise the stream is
+    cut for ``reason``.
     """
 
     reason: CutReason
     detail: str
+    answer: BufferedResponse | Failure
 
 
-StreamResult = StreamCompleted | StreamAborted | BufferedResponse | Failure
-
-
-@attrs.define(kw_only=True)
-class StreamTiming:
-    """Measure the timing of the events relayed to the client.
-
-    Times ending in ``_s`` are in seconds on the clock of ``now_s``, except
-    ``longest_gap_s``, which is a duration. ``first_event_s`` is None until the
-    first event.
-    """
-
-    event_count: int = 0
-    first_event_s: float | None = None
-    latest_event_s: float = 0.0
-    longest_gap_s: float = 0.0
-    longest_gap_end_s: float = 0.0
-
-    def record_event(self) -> None:
-        """Record that an event was relayed now."""
-        moment_s = now_s()
-        if self.first_event_s is None:
-            self.first_event_s = moment_s
-        else:
-            gap_s = moment_s - self.latest_event_s
-            if gap_s > self.longest_gap_s:
-                self.longest_gap_s = gap_s
-                self.longest_gap_end_s = moment_s
-        self.latest_event_s = moment_s
-        self.event_count += 1
+StreamResult = StreamEnd | BufferedResponse | Failure
 
 
 @attrs.define(kw_only=True)
@@ -142,42 +97,41 @@
     """
 
     def __init__(
-        self, *, executor: RequestExecutor, request: web.BaseRequest
+        self, *, executor: RequestExecutor, exchange: ClientExchange
     ) -> None:
-        """Relay the stream that ``executor`` obtains for ``request``."""
+        """Relay the stream that ``executor`` obtains to ``exchange``."""
         self.executor = executor
-        self.request = request
-        self.response: web.StreamResponse | None = None
+        self.exchange = exchange
         executor.resume_point = ResumePoint(
             event_id=executor.incoming.parsed_headers.last_event_id
         )
-        self.event_timing = StreamTiming()
 
     async def relay(self) -> StreamResult:
         """Relay until the stream ends, fails or exceeds its deadline.
 
-        Returns ``StreamAborted`` if it failed once the response had started.
-        Before that, a failure is returned as a ``BufferedResponse`` or a
-        ``Failure``, which the caller sends.
+        Once the head of a stream is out, the result is a ``StreamEnd``. Before
+        that, a failure is returned as a ``BufferedResponse`` or a ``Failure``,
+        which the caller sends.
         """
         try:
             async with asyncio.timeout(
                 max(0, self.executor.incoming.remaining_s()),
             ):
-                return await self._relay_attempts()
+                relayed = await self._relay_attempts()
         except TimeoutError:
-            if self.response is not None:
-                return StreamAborted(
-                    reason=CutReason.DEADLINE,
-                    detail='the time of the route ran out',
-                )
-            return self.executor.deadline_failure()
-
-    async def _relay_attempts(self) -> StreamResult:
+            relayed = self._deadline_result()
+        match relayed, self.exchange.stream:
+            case UnfinishedStream(), ClientStream() as stream:
+                return stream.cut(relayed.reason, relayed.detail)
+            case UnfinishedStream(), _:
+                return relayed.answer
+        return relayed
+
+    async def _relay_attempts(self) -> StreamCompleted | UnfinishedStream:
         while True:
             match await self.executor.place():
                 case Err(refused):
-                    return self._placement_failure_result(refused)
+                    return _placement_failure_result(refused)
                 case Ok(placement):
                     pass
             match await self._relay_attempt(placement):
@@ -194,7 +148,7 @@
     async def _relay_attempt(
         self,
         placement: Placement,
-    ) -> Result[StreamResult, AttemptFailure]:
+    ) -> Result[StreamCompleted | UnfinishedStream, AttemptFailure]:
         monitored = None
         try:
             async with (
@@ -209,21 +163,24 @@
         self,
         monitored: MonitoredAttempt,
         opened: Result[OpenResponse, AttemptFailure],
-    ) -> Result[StreamResult, AttemptFailure]:
+    ) -> Result[StreamCompleted | UnfinishedStream, AttemptFailure]:
         match opened:
             case Err() as failed:
                 return failed
             case Ok(answer):
                 pass
+        stream = self.exchange.stream
+        if stream is not None and not stream.can_continue_with(answer):
+            return _cannot_continue(answer)
         if not answer.is_success:
-            return await answer.read_response()
+            return (await answer.read_response()).map(_answer_instead)
         return await self._relay_events(monitored, answer)
 
     async def _relay_events(
         self,
         monitored: MonitoredAttempt,
         answer: OpenResponse,
-    ) -> Result[StreamResult, AttemptFailure]:
+    ) -> Result[StreamCompleted, AttemptFailure]:
         progress = StreamProgress(
             has_earlier_events=bool(self.executor.resume_point.event_id)
         )
@@ -247,13 +204,13 @@
                 version = event.weights_version
             self._advance(event, version)
             monitored.is_relaying = True
-            await self._write_event(answer, event)
+            await (await self._stream(answer)).write_event(event.raw_bytes)
             monitored.record_event(now_s())
         if progress.is_empty and answer.is_close_delimited:
             return _stream_failure(_EMPTY_STREAM, progress)
         monitored.view.record_success(now_s())
         self._record_sound_response(monitored, answer, progress)
-        return await self._finish_response(answer)
+        return Ok(await (await self._stream(answer)).complete())
 
     def _event_gap(self, event: ServerSentEvent) -> BrokenStream:
         return BrokenStream(
@@ -288,33 +245,12 @@
             monitored.attempt, monitored.view
         )
 
-    async def _finish_response(
-        self,
-        answer: OpenResponse,
-    ) -> Result[StreamResult, AttemptFailure]:
-        if self.response is None:
-            self.response = await self._start_response(answer)
-        await self.response.write_eof()
-        return Ok(StreamCompleted())
-
-    async def _write_event(
-        self, answer: OpenResponse, event: ServerSentEvent
-    ) -> None:
-        if self.response is None:
-            self.response = await self._start_response(answer)
-        await self.response.write(event.raw_bytes)
-        self.event_timing.record_event()
-
-    async def _start_response(self, answer: OpenResponse) -> web.StreamResponse:
-        response = web.StreamResponse(
-            status=answer.status,
-            headers=answer.headers(),
+    async def _stream(self, answer: OpenResponse) -> ClientStream:
+        """Return the stream to the client, which ``answer`` may start."""
+        return self.exchange.stream or await self.exchange.start_stream(
+            answer,
+            closes=self.executor.dependencies.node_state.is_stopping,
         )
-        if self.executor.dependencies.node_state.is_stopping:
-            response.force_close()
-        response.enable_chunked_encoding()
-        await response.prepare(self.request)
-        return response
 
     def _advance(self, event: ServerSentEvent, version: int | None) -> None:
         """Move the point to resume at behind an event that goes out now."""
@@ -331,26 +267,50 @@
             return True
         return event.event_id == last_event_id + 1
 
-    def _placement_failure_result(self, failure: Failure) -> StreamResult:
-        if self.response is not None:
-            return StreamAborted(
-                reason=CutReason.NO_REPLACEMENT, detail=failure.detail
-            )
-        return failure
-
-    def _attempt_failure_result(self, failure: AttemptFailure) -> StreamResult:
-        if self.response is not None:
-            return StreamAborted(
-                reason=CutReason.SILENT
-                if failure.is_ended_here
-                else CutReason.BROKEN,
-                detail=failure.detail,
-            )
-        match self.executor.final_result(failure):
-            case Ok(answer):
-                return answer
-            case Err(refusal):
-                return refusal
+    def _deadline_result(self) -> UnfinishedStream:
+        return UnfinishedStream(
+            reason=CutReason.DEADLINE,
+            detail='the time of the route ran out',
+            answer=self.executor.deadline_failure(),
+        )
+
+    def _attempt_failure_result(
+        self, failure: AttemptFailure
+    ) -> UnfinishedStream:
+        return UnfinishedStream(
+            reason=CutReason.SILENT
+            if failure.is_ended_here
+            else CutReason.BROKEN,
+            detail=failure.detail,
+            answer=self.executor.final_result(failure).value,
+        )
+
+
+def _placement_failure_result(failure: Failure) -> UnfinishedStream:
+    return UnfinishedStream(
+        reason=CutReason.NO_REPLACEMENT,
+        detail=failure.detail,
+        answer=failure,
+    )
+
+
+def _answer_instead(answer: BufferedResponse) -> UnfinishedStream:
+    """Return that the engine answered with something else than a stream."""
+    return UnfinishedStream(
+        reason=CutReason.BROKEN,
+        detail=f'status {answer.status}',
+        answer=answer,
+    )
+
+
+def _cannot_continue(answer: OpenResponse) -> Err[AttemptFailure]:
+    return Err(
+        AttemptFailure(
+            outcome=AttemptOutcome.RAN_AND_FAILED,
+            detail=f'status {answer.status} and {answer.content_type} '
+            'do not continue the stream',
+        )
+    )
 
 
 def _stream_failure(
--- /dev/null
+++ b/tests/raw_clients.py
@@ -0,0 +1,110 @@
+"""Read the bytes of a client's connection as they are.
+
+A client library hides what stands in the wrong place: it reads one response
+and drops the rest.
+"""
+
+import asyncio
+import socket
+
+import attrs
+
+from emulator.fleet import FleetNode
+
+_READ_LIMIT_S = 10.0
+_READ_BYTES = 65_536
+_HEAD_END = b'\r\n\r\n'
+_LINE_END = b'\r\n'
+_LAST_CHUNK = b'0\r\n\r\n'
+
+
+@attrs.frozen(kw_only=True)
+class RawResponse:
+    """Hold the first response on a connection, and what follows it.
+
+    ``is_complete`` tells that the body has its length or its last chunk.
+    ``rest`` holds the bytes that belong to no chunk and no body.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    is_complete: bool
+    rest: bytes
+
+
+async def exchange_bytes(node: FleetNode, request: bytes) -> bytes:
+    """Send ``request`` and return all that arrives until the connection ends.
+
+    The request has to ask for the connection to be closed.
+    """
+    loop = asyncio.get_running_loop()
+    received = b''
+    with socket.socket() as connection:
+        connection.setblocking(False)
+        async with asyncio.timeout(_READ_LIMIT_S):
+            await loop.sock_connect(connection, (node.ip, node.port))
+            await loop.sock_sendall(connection, request)
+            try:
+                while chunk := await loop.sock_recv(connection, _READ_BYTES):
+                    received += chunk
+            except ConnectionResetError:
+                return received
+    return received
+
+
+def build_bytes(
+    path: str,
+    headers: dict[str, str],
+    body: bytes = b'',
+    *,
+    version: str = '1.1',
+) -> bytes:
+    """Return a whole request that asks for the connection to be closed."""
+    fields = {
+        'Connection': 'close',
+        'Content-Length': str(len(body)),
+        **headers,
+    }
+    lines = ''.join(f'{name}: {text}\r\n' for name, text in fields.items())
+    return f'POST {path} HTTP/{version}\r\n{lines}\r\n'.encode() + body
+
+
+def parse_bytes(received: bytes) -> RawResponse:
+    """Parse the first response strictly."""
+    head, _, rest = received.partition(_HEAD_END)
+    lines = head.decode().split('\r\n')
+    headers = dict(line.split(': ', 1) for line in lines[1:])
+    status = int(lines[0].split()[1])
+    if 'Transfer-Encoding' in headers:
+        body, is_complete, rest = _parse_chunks(rest)
+    else:
+        length = int(headers['Content-Length'])
+        body, rest = rest[:length], rest[length:]
+        is_complete = len(body) == length
+    return RawResponse(
+        status=status,
+        headers=headers,
+        body=body,
+        is_complete=is_complete,
+        rest=rest,
+    )
+
+
+def _parse_chunks(received: bytes) -> tuple[bytes, bool, bytes]:
+    """Return the content, whether the last chunk came, and what follows."""
+    body = b''
+    while received:
+        if received.startswith(_LAST_CHUNK):
+            return body, True, received.removeprefix(_LAST_CHUNK)
+        size, _, rest = received.partition(_LINE_END)
+        try:
+            length = int(size, 16)
+        except ValueError:
+            return body, False, received
+        chunk, end = rest[:length], rest[length : length + 2]
+        if end != _LINE_END:
+            return body, False, received
+        body += chunk
+        received = rest[length + 2 :]
+    return body, False, received
