Do not take a resumed stream that was closed without an event for complete

Callers got a stream that ended as complete before its last piece: its engine had broken off, and the next one closed its connection before its first event, in a response without a length.

Cause: such a response counted as broken only if no attempt before had events, though it proves as little after a resumption: an engine that ends closes its connections.

Evidence: the test failed before with the two events of the first engine and the last chunk ("id: 1 ... id: 2" against five events). Each attempt is now judged by its own events; the stream goes on elsewhere.

--- a/src/arbutusbay/node/_stream_relay.py
+++ b/src/arbutusbay/node/_stream_relay.py
@@ -65,17 +65,10 @@
     """Track how far the stream of one attempt has come.
 
     ``started_s`` is the time of its first event, None before that.
-    ``has_earlier_events`` tells that an attempt before had events.
     """
 
-    has_earlier_events: bool
     started_s: float | None = None
 
-    @property
-    def is_empty(self) -> bool:
-        """Return whether no attempt had an event."""
-        return self.started_s is None and not self.has_earlier_events
-
     def record_event(self, moment_s: float) -> None:
         """Record an event of this attempt."""
         if self.started_s is None:
@@ -181,9 +174,7 @@
         monitored: MonitoredAttempt,
         answer: OpenResponse,
     ) -> Result[StreamCompleted, AttemptFailure]:
-        progress = StreamProgress(
-            has_earlier_events=bool(self.executor.resume_point.event_id)
-        )
+        progress = StreamProgress()
         version = answer.parsed_headers.weights_version
         async for received in answer.events():
             match received:
@@ -206,7 +197,7 @@
             monitored.is_relaying = True
             await (await self._stream(answer)).write_event(event.raw_bytes)
             monitored.record_event(now_s())
-        if progress.is_empty and answer.is_close_delimited:
+        if progress.started_s is None and answer.is_close_delimited:
             return _stream_failure(_EMPTY_STREAM, progress)
         monitored.view.record_success(now_s())
         self._record_sound_response(monitored, answer, progress)
--- a/tests/integration/test_broken_off_streams.py
+++ b/tests/integration/test_broken_off_streams.py
@@ -113,11 +113,13 @@
         ScriptedResponse(body=_WHOLE),
         ScriptedResponse(body=_events(4, 5)),
         ScriptedResponse(body=_events(3, 4)[:-1]),
+        ScriptedResponse(is_close_delimited=True),
     ],
     ids=[
         'begins-anew',
         'gap',
         'ends-in-an-event',
+        'closed-without-an-event',
     ],
 )
 async def test_stream_goes_on_after_a_response_that_does_not_continue_it(
