Resume a stream only where the last event had a number

Callers got events twice: an engine broke off after events without numbers, and the stream was resumed from its beginning or from the last event with a number. And they got an event without a number from the engine that resumed, of which nothing says that they did not have it already.

Cause: an event without a number left the point to resume at where it was, and counted as expected at any place.

A point to resume at is now certain or not. Behind an event without a number it is not, and the request is no longer retryable or moved. A resumed attempt has to show by a number where it goes on before its events are passed on. Comments count for neither.

--- a/src/arbutusbay/node/_placement.py
+++ b/src/arbutusbay/node/_placement.py
@@ -47,11 +47,13 @@
 
     ``event_id`` is the number of the last event that the client received, 0 for
     none. ``weights_version`` is the version that produced it, None if any will
-    do.
+    do. A point that is not ``is_certain`` has events without a number behind
+    it, so no engine can be asked to go on there.
     """
 
     event_id: int = 0
     weights_version: int | None = None
+    is_certain: bool = True
 
 
 @attrs.frozen(kw_only=True)
--- a/src/arbutusbay/node/_request_executor.py
+++ b/src/arbutusbay/node/_request_executor.py
@@ -211,7 +211,7 @@
         action = choose_retry_action(
             failure.outcome,
             self.attempt_history.attempt_count(),
-            is_retryable=self.incoming.is_retryable,
+            is_retryable=self._is_retryable(),
             max_attempts=self.incoming.route.max_attempts,
         )
         has_ended = await self.evidence.has_engine_ended(view, failure)
@@ -279,6 +279,9 @@
             run_state=None if is_not_executed else RunState.UNKNOWN,
         )
 
+    def _is_retryable(self) -> bool:
+        return self.incoming.is_retryable and self.resume_point.is_certain
+
     def _move_after_s(self) -> float:
         """Return after how long an attempt had better go on elsewhere.
 
@@ -298,7 +301,7 @@
         Returns whether there is one. A server that has no capacity now will do
         once the silence is longer than that of a sound server.
         """
-        if not self.incoming.is_retryable or not self.evidence.may_move():
+        if not self._is_retryable() or not self.evidence.may_move():
             return False
         if recheck_access(self.dependencies.node_state, self.incoming):
             return False
--- a/src/arbutusbay/node/_stream_relay.py
+++ b/src/arbutusbay/node/_stream_relay.py
@@ -64,9 +64,12 @@
 class StreamProgress:
     """Track how far the stream of one attempt has come.
 
-    ``started_s`` is the time of its first event, None before that.
+    ``started_s`` is the time of its first event, None before that. It
+    ``is_in_place`` unless it resumes a stream and no number of an event has
+    shown yet where it goes on.
     """
 
+    is_in_place: bool
     started_s: float | None = None
 
     def record_event(self, moment_s: float) -> None:
@@ -174,7 +177,7 @@
         monitored: MonitoredAttempt,
         answer: OpenResponse,
     ) -> Result[StreamCompleted, AttemptFailure]:
-        progress = StreamProgress()
+        progress = StreamProgress(is_in_place=self.exchange.stream is None)
         version = answer.parsed_headers.weights_version
         async for received in answer.events():
             match received:
@@ -185,7 +188,7 @@
             if monitored.is_ending:
                 # Its next attempt resumes after the last event that went out.
                 return aborted_attempt_failure(monitored)
-            if not self._is_expected(event):
+            if not self._is_expected(event, progress):
                 return _stream_failure(self._event_gap(event), progress)
             if progress.started_s is None:
                 self._record_start(monitored)
@@ -245,18 +248,28 @@
 
     def _advance(self, event: ServerSentEvent, version: int | None) -> None:
         """Move the point to resume at behind an event that goes out now."""
-        event_id = event.event_id
-        if event_id is None:
-            event_id = self.executor.resume_point.event_id
+        point = self.executor.resume_point
+        if event.is_comment:
+            self.executor.resume_point = attrs.evolve(
+                point, weights_version=version
+            )
+            return
         self.executor.resume_point = ResumePoint(
-            event_id=event_id, weights_version=version
+            event_id=point.event_id
+            if event.event_id is None
+            else event.event_id,
+            weights_version=version,
+            is_certain=bool(event.event_id),
         )
 
-    def _is_expected(self, event: ServerSentEvent) -> bool:
+    def _is_expected(
+        self, event: ServerSentEvent, progress: StreamProgress
+    ) -> bool:
+        if event.event_id is None:
+            return event.is_comment or progress.is_in_place
+        progress.is_in_place = True
         last_event_id = self.executor.resume_point.event_id
-        if event.event_id is None or not last_event_id:
-            return True
-        return event.event_id == last_event_id + 1
+        return not last_event_id or event.event_id == last_event_id + 1
 
     def _deadline_result(self) -> UnfinishedStream:
         return UnfinishedStream(
--- a/src/arbutusbay/platform/_sse_parser.py
+++ b/src/arbutusbay/platform/_sse_parser.py
@@ -8,6 +8,7 @@
 _EVENT_END = re.compile(rb'\r\n\r\n|\n\n|\r\r')
 _LONGEST_EVENT_END_BYTES = 4
 _MAX_EVENT_BYTES = 1_048_576
+_COMMENT_START = b':'
 _ID_FIELD = b'id'
 _WEIGHTS_VERSION_FIELD = b'weight-versions'
 
@@ -19,11 +20,13 @@
     ``raw_bytes`` includes the blank line that ends it. ``event_id`` is the
     event's id, its position in the response, or None without a numeric id.
     ``weights_version`` is None unless the event reports a change of weights.
+    An event that ``is_comment`` has nothing but comments.
     """
 
     raw_bytes: bytes
     event_id: int | None
     weights_version: int | None
+    is_comment: bool = False
 
 
 class ServerSentEventParser:
@@ -60,7 +63,8 @@
 def _parse_event(raw: bytes) -> ServerSentEvent:
     event_id = None
     weights_version = None
-    for line in raw.splitlines():
+    lines = raw.splitlines()
+    for line in lines:
         name, _, text = line.partition(b':')
         digits = text.strip()
         if not digits.isdigit():
@@ -73,4 +77,7 @@
         raw_bytes=raw,
         event_id=event_id,
         weights_version=weights_version,
+        is_comment=all(
+            line.startswith(_COMMENT_START) for line in lines if line
+        ),
     )
--- a/tests/integration/test_broken_off_streams.py
+++ b/tests/integration/test_broken_off_streams.py
@@ -34,6 +34,7 @@
 _WHOLE = complete_stream_text().encode()
 _COMMENT = b': still here\n\n'
 _FOREIGN_TEXT = b'the text of an error\n\n'
+_UNNUMBERED = b'data: w3\n\n'
 _CUT = ScriptedResponse(body=_TWO_EVENTS, is_cut=True)
 
 
@@ -110,12 +111,16 @@
 @pytest.mark.parametrize(
     'second',
     [
+        ScriptedResponse(body=_UNNUMBERED),
+        ScriptedResponse(body=b': still here\n\ndata: w3\n\n'),
         ScriptedResponse(body=_WHOLE),
         ScriptedResponse(body=_events(4, 5)),
         ScriptedResponse(body=_events(3, 4)[:-1]),
         ScriptedResponse(is_close_delimited=True),
     ],
     ids=[
+        'unnumbered',
+        'unnumbered-after-a-comment',
         'begins-anew',
         'gap',
         'ends-in-an-event',
@@ -150,6 +155,24 @@
     assert count_runs(fleet, 'on') == 3
 
 
+# Guards against an event that arrives twice: what has no number was relayed,
+# and the next engine can't be told where to go on.
+@pytest.mark.parametrize(
+    'body',
+    [
+        b'data: w1\n\ndata: w2\n\n',
+        b'id: 1\ndata: w1\n\ndata: w2\n\n',
+        b'id: 0\ndata: w0\n\n',
+    ],
+)
+async def test_stream_without_a_known_position_is_not_resumed(
+    fleet, http, body
+):
+    node = await _start(fleet, http, [ScriptedResponse(body=body, is_cut=True)])
+    _assert_cut_after(await _receive(node, 'once'), body)
+    assert count_runs(fleet, 'once') == 1
+
+
 # Guards against a comment that is taken for an event without a number.
 async def test_comment_does_not_prevent_the_resumption(fleet, http):
     node = await _start(
