Take a number with thousands of digits for no number

Callers got a stream that broke off without a line in the log but a trace ("Exceeds the limit (4300 digits) for integer string conversion"), where an engine numbered an event so; and an answer 500 without their request's id, where a segment of their prompt had so many tokens.

Cause: Python converts no more than 4,300 digits, and the parsers of events and prompts checked only that all were digits.

Evidence: both tests failed before, the one of raw bytes with the two events before that number and no end, the one of the parsers with the ValueError. Numbers of more than 18 digits are malformed now, and such an event is passed on as one without a number.

--- a/src/arbutusbay/platform/_http_headers.py
+++ b/src/arbutusbay/platform/_http_headers.py
@@ -58,6 +58,7 @@
 )
 _CONTENT_ENCODING = 'Content-Encoding'
 _IS_SET = '1'
+_MAX_NUMBER_DIGITS = 18
 _REQUIRED_LOAD_FIELDS = 3
 _NO_SLOWDOWN_PERCENT = 100
 
@@ -280,7 +281,8 @@
     segments: list[PromptSegment] = []
     for entry in text.split(','):
         name, _, tokens = entry.strip().partition(':')
-        if name and tokens.isdecimal():
+        is_number = tokens.isdecimal() and len(tokens) <= _MAX_NUMBER_DIGITS
+        if name and is_number:
             segments.append(PromptSegment(id=name, tokens=int(tokens)))
     return tuple(segments)
 
--- a/src/arbutusbay/platform/_sse_parser.py
+++ b/src/arbutusbay/platform/_sse_parser.py
@@ -8,6 +8,7 @@
 _EVENT_END = re.compile(rb'\r\n\r\n|\n\n|\r\r')
 _LONGEST_EVENT_END_BYTES = 4
 _MAX_EVENT_BYTES = 1_048_576
+_MAX_NUMBER_DIGITS = 18
 _COMMENT_START = b':'
 _ID_FIELD = b'id'
 _WEIGHTS_VERSION_FIELD = b'weight-versions'
@@ -67,7 +68,7 @@
     for line in lines:
         name, _, text = line.partition(b':')
         digits = text.strip()
-        if not digits.isdigit():
+        if not digits.isdigit() or len(digits) > _MAX_NUMBER_DIGITS:
             continue
         if name == _ID_FIELD:
             event_id = int(digits)
--- a/tests/integration/test_broken_off_streams.py
+++ b/tests/integration/test_broken_off_streams.py
@@ -212,3 +212,14 @@
     assert (response.status, response.is_complete) == (404, True)
     response = await _receive(node, 'again', last_event_id=2)
     assert (response.body, response.is_complete) == (_events(3, 5), True)
+
+
+# Guards against a number that no conversion takes: it was an exception in the
+# middle of the stream.
+async def test_number_beyond_all_limits_is_passed_on(fleet, http):
+    digits = '9' * 5000
+    body = b''.join((_TWO_EVENTS, f'id: {digits}\ndata: w3\n\n'.encode()))
+    node = await _start(fleet, http, [ScriptedResponse(body=body)], engines=1)
+    response = await _receive(node, 'digits')
+    assert (response.status, response.body) == (200, body)
+    assert (response.is_complete, response.rest) == (True, b'')
--- a/tests/unit/test_platform_decoders.py
+++ b/tests/unit/test_platform_decoders.py
@@ -122,6 +122,17 @@
     assert (event.event_id, event.weights_version) == (7, 3)
 
 
+# Guards against a number that no conversion takes: it was an exception in the
+# middle of a stream, or in place of a response.
+def test_numbers_with_too_many_digits_are_no_numbers():
+    digits = '9' * 5000
+    raw = f'weight-versions: {digits}\nid: {digits}\ndata: x\n\n'.encode()
+    event = next(ServerSentEventParser().parse_chunk(raw))
+    assert (event.event_id, event.weights_version) == (None, None)
+    head = parse_request_head({'Prompt-Prefix': f'aa01:{digits},bb02:300'})
+    assert [segment.id for segment in head.prompt_segments] == ['bb02']
+
+
 def test_reserved_headers_of_clients_are_dropped():
     orders = AttemptHeaders(
         instance='engine-1',
