Answer a request that ends in an exception, or cut its stream and say so

Callers got a plain 500 without their request's id, and where a stream had begun a connection that closed; the log had a trace without the id, and no line on how the request ended, so that `arbutusbay explain` took the line for lost.

Cause: the frontend let exceptions pass to the HTTP library, whose handler knows neither the request nor the stream.

Evidence, errors injected before acceptance, before the head, in the middle and after the end, on the client's raw bytes: before the head "KeyError: 'Attempt-Id'", in the middle no line "request ended" (list index out of range). A stream for an HTTP/1.0 client, which can't be sent in chunks, is one that needs no injection: "KeyError: 'Attempt-Id'" too.

The frontend now ends such a request itself, by whether the exchange has a stream: with an answer `internal` (500, outcome unknown), or by a cut with the reason `internal`. Refuted: a second head after an exception in the middle, and bytes behind a stream that has ended, at this edge.

--- a/src/arbutusbay/cli/_causes.py
+++ b/src/arbutusbay/cli/_causes.py
@@ -17,6 +17,7 @@
         'not_configured': 'the VM had just started without a configuration',
         'deadline_exceeded': 'the deadline of the request passed',
         'upload_timeout': 'the body did not arrive before the deadline',
+        'internal': 'an error in the program; see the line with its trace',
         'body_too_large': 'the body exceeds the configured size limit',
     },
 )
@@ -149,6 +150,8 @@
             f'this VM gave up {_describe_last_server(request_lines)} and did '
             f'not send the rest to another: {detail}'
         )
+    if last.fields.get('reason') == 'internal':
+        return f'an error in the program broke off the stream: {detail}'
     if 'time of the route' not in detail:
         return (
             f'{_describe_last_server(request_lines)} broke off the stream: '
--- a/src/arbutusbay/node/_frontend.py
+++ b/src/arbutusbay/node/_frontend.py
@@ -19,6 +19,7 @@
 from arbutusbay.node._client_stream import (
     ClientExchange,
     ClientStream,
+    CutReason,
     StreamCompleted,
     StreamCut,
     StreamEnd,
@@ -66,7 +67,7 @@
         self.node_state.busy_connections.add(connection)
         exchange = ClientExchange(request=request)
         try:
-            return await exchange.finish(await self._proxy_request(exchange))
+            return await exchange.finish(await self._respond(exchange))
         except ClientConnectionResetError:
             # aiohttp drops a response whose connection is aborted.
             abort_connection(request)
@@ -74,6 +75,16 @@
         finally:
             self.node_state.busy_connections.discard(connection)
 
+    async def _respond(
+        self, exchange: ClientExchange
+    ) -> web.Response | StreamEnd:
+        try:
+            return await self._proxy_request(exchange)
+        except ClientConnectionResetError:
+            raise
+        except Exception as error:
+            return self._handle_unexpected(exchange, error)
+
     async def _proxy_request(
         self, exchange: ClientExchange
     ) -> web.Response | StreamEnd:
@@ -138,6 +149,23 @@
             case Failure() as failure:
                 return self._reject_request(exchange.request, failure, incoming)
 
+    def _handle_unexpected(
+        self, exchange: ClientExchange, error: Exception
+    ) -> web.Response | StreamEnd:
+        """Answer a request that ended in an exception, or cut its stream."""
+        request = exchange.request
+        _LOG.exception(
+            'request failed for an error in the program',
+            fields={'request_id': get_attempt_id(request.headers)},
+        )
+        stream = exchange.stream
+        if stream is None:
+            failure = Failure(kind=ErrorKind.INTERNAL, detail=repr(error))
+            return self._reject_request(request, failure, exchange.incoming)
+        stream_end = stream.cut(CutReason.INTERNAL, repr(error))
+        self._record_stream_end(exchange.incoming, stream, stream_end)
+        return stream_end
+
     def _record_stream_end(
         self,
         incoming: IncomingRequest,
--- a/tests/integration/test_broken_off_streams.py
+++ b/tests/integration/test_broken_off_streams.py
@@ -65,7 +65,7 @@
     if last_event_id:
         fields['Last-Event-Id'] = str(last_event_id)
     request = build_bytes('/note/1', fields, REQUEST_BODY)
-    return parse_bytes(await exchange_bytes(node, request))
+    return parse_bytes(await exchange_bytes(node.ip, node.port, request))
 
 
 def _assert_cut_after(response: RawResponse, body: bytes) -> None:
@@ -223,3 +223,36 @@
     response = await _receive(node, 'digits')
     assert (response.status, response.body) == (200, body)
     assert (response.is_complete, response.rest) == (True, b'')
+
+
+# Guards against requests that end in an exception before their head is out:
+# they get an answer that bears their id, and a line in the log.
+async def test_stream_for_an_old_client_gets_an_answer_with_its_id(fleet, http):
+    node = await _start(fleet, http, [])
+    fields = build_request_headers('old')
+    request = build_bytes('/note/1', fields, REQUEST_BODY, version='1.0')
+    response = parse_bytes(await exchange_bytes(node.ip, node.port, request))
+    assert response.status >= 400
+    assert response.headers['Attempt-Id'] == 'old'
+    assert (response.is_complete, response.rest) == (True, b'')
+    await wait_for_condition(
+        lambda: '"request refused"' in node.log_path.read_text(),
+        'the answer is logged',
+    )
+
+
+# Guards against a client's invalid upload that is taken for our own error.
+async def test_invalid_chunk_of_an_upload_is_the_clients_error(fleet, http):
+    node = await _start(fleet, http, [])
+    fields = {
+        **build_request_headers('chunk'),
+        'Connection': 'close',
+        'Transfer-Encoding': 'chunked',
+    }
+    lines = ''.join(f'{name}: {text}\r\n' for name, text in fields.items())
+    head = f'POST /note/1 HTTP/1.1\r\n{lines}\r\n'.encode()
+    request = b''.join((head, b'5\r\nabcde\r\nzz\r\n'))
+    received = await exchange_bytes(node.ip, node.port, request)
+    response = parse_bytes(received)
+    assert (response.status, response.is_complete) == (400, True)
+    assert count_runs(fleet, 'chunk') == 0
--- a/tests/raw_clients.py
+++ b/tests/raw_clients.py
@@ -9,8 +9,6 @@
 
 import attrs
 
-from emulator.fleet import FleetNode
-
 _READ_LIMIT_S = 10.0
 _READ_BYTES = 65_536
 _HEAD_END = b'\r\n\r\n'
@@ -33,7 +31,7 @@
     rest: bytes
 
 
-async def exchange_bytes(node: FleetNode, request: bytes) -> bytes:
+async def exchange_bytes(host: str, port: int, request: bytes) -> bytes:
     """Send ``request`` and return all that arrives until the connection ends.
 
     The request has to ask for the connection to be closed.
@@ -43,7 +41,7 @@
     with socket.socket() as connection:
         connection.setblocking(False)
         async with asyncio.timeout(_READ_LIMIT_S):
-            await loop.sock_connect(connection, (node.ip, node.port))
+            await loop.sock_connect(connection, (host, port))
             await loop.sock_sendall(connection, request)
             try:
                 while chunk := await loop.sock_recv(connection, _READ_BYTES):
--- a/tests/unit/test_causes.py
+++ b/tests/unit/test_causes.py
@@ -62,6 +62,19 @@
             'under segment dd04 of the prompt (quarantined earlier)',
         ),
         (build_line('request ended', outcome='status 500'), 'executed it'),
+        (
+            build_line('request refused', kind='internal', detail='KeyError()'),
+            'an error in the program',
+        ),
+        (
+            build_line(
+                'request ended',
+                outcome='stream cut',
+                reason='internal',
+                detail='KeyError()',
+            ),
+            'an error in the program broke off the stream: KeyError()',
+        ),
         (build_line('placed', server='e-1'), 'its end was not logged'),
     ],
 )
