Send nothing after the start of a response whose handler raises

Callers of our own interface got the head and JSON of an error in the middle of a stream, where its handler raised an exception after the start.

Evidence: the test, which reads the client's raw bytes, failed before with "HTTP/1.1 500 Internal Server Error" (and 404 for an HTTPException) behind the events. The application now remembers when a response starts; after that an exception aborts the connection, which the client sees as an incomplete stream, and one line names the path. Both lines of the middleware have method and path.

--- a/src/arbutusbay/_http.py
+++ b/src/arbutusbay/_http.py
@@ -25,6 +25,7 @@
 _KEEP_ALIVE_TIMEOUT_S = 75.0
 _LISTEN_BACKLOG_CONNECTIONS = 1024
 _FORCED_CLOSE_S = 5.0
+_HAS_STARTED = web.RequestKey('has_started', bool)
 _CAPNP_CONTENT_TYPE = 'application/capnp'
 
 
@@ -124,29 +125,51 @@
     return decode_message(reply_type, body)
 
 
+async def _record_start(
+    request: web.Request, response: web.StreamResponse
+) -> None:
+    """Remember that the head of a response is out, or about to be."""
+    request[_HAS_STARTED] = True
+
+
 @web.middleware
 async def _handle_errors(request: web.Request, handler: Any) -> Any:
     """Turn exceptions of the handler into error responses.
 
-    ``ConnectionError`` is raised again without a response.
+    Once the response has started nothing may follow, so the connection is
+    aborted. ``ConnectionError`` is raised again without a response.
     """
     try:
         return await handler(request)
-    except web.HTTPException as error:
-        return failure_response(_failure_from_exception(request, error))
     except ConnectionError:
         raise
-    except Exception:
-        _LOG.exception('unhandled exception in a request handler')
-        return failure_response(
-            Failure(kind=ErrorKind.INTERNAL, detail='internal error'),
-        )
+    except Exception as error:
+        if _HAS_STARTED in request:
+            _break_off(request)
+            raise ConnectionResetError('response broken off') from error
+        return failure_response(_failure_from_exception(request, error))
+
+
+def _break_off(request: web.Request) -> None:
+    _LOG.exception(
+        'response broken off by an exception',
+        fields={'method': request.method, 'path': request.path},
+    )
+    transport = request.transport
+    if transport is not None:
+        transport.abort()
 
 
 def _failure_from_exception(
     request: web.Request,
-    error: web.HTTPException,
+    error: Exception,
 ) -> Failure:
+    if not isinstance(error, web.HTTPException):
+        _LOG.exception(
+            'unhandled exception in a request handler',
+            fields={'method': request.method, 'path': request.path},
+        )
+        return Failure(kind=ErrorKind.INTERNAL, detail='internal error')
     if isinstance(error, web.HTTPRequestEntityTooLarge):
         return Failure(
             kind=ErrorKind.BODY_TOO_LARGE,
@@ -160,10 +183,12 @@
 
 def new_application() -> web.Application:
     """Return an application that handles errors and limits body sizes."""
-    return web.Application(
+    application = web.Application(
         middlewares=[_handle_errors],
         client_max_size=_MAX_BODY_BYTES,
     )
+    application.on_response_prepare.append(_record_start)
+    return application
 
 
 class HttpService(Service):
--- /dev/null
+++ b/tests/unit/test_http_errors.py
@@ -0,0 +1,67 @@
+"""Test what the HTTP server sends when a handler raises an exception.
+
+All bytes of the client's connection are read.
+"""
+
+import attrs
+import logbook
+import pytest
+from aiohttp import web
+from aiohttp.test_utils import TestServer
+
+from arbutusbay.http import new_application
+from tests.raw_clients import build_bytes, exchange_bytes, parse_bytes
+
+_EVENT = b'data: x\n\n'
+
+
+@attrs.frozen(kw_only=True)
+class RaisingApi:
+    """Raise ``error``, after two events if a response ``is_begun``."""
+
+    error: Exception
+    is_begun: bool
+
+    async def respond(self, request: web.Request) -> web.StreamResponse:
+        """Begin a response or not, and raise."""
+        if self.is_begun:
+            response = web.StreamResponse()
+            await response.prepare(request)
+            await response.write(_EVENT)
+            await response.write(_EVENT)
+        raise self.error
+
+
+async def _receive(error: Exception, *, is_begun: bool):
+    """Return the whole response of a server whose handler raises ``error``."""
+    api = RaisingApi(error=error, is_begun=is_begun)
+    application = new_application()
+    application.router.add_post('/x', api.respond)
+    async with TestServer(application) as server:
+        request = build_bytes('/x', {'Host': 'test'})
+        return parse_bytes(
+            await exchange_bytes(server.host, server.port, request)
+        )
+
+
+# Guards against the head and text of an error in the middle of a stream.
+@pytest.mark.parametrize('error', [KeyError('x'), web.HTTPNotFound()])
+async def test_error_in_a_begun_response_cuts_it(error):
+    handler = logbook.TestHandler()
+    with handler.applicationbound():
+        response = await _receive(error, is_begun=True)
+    assert (response.status, response.body) == (200, _EVENT * 2)
+    assert (response.is_complete, response.rest) == (False, b'')
+    fields = [
+        record.kwargs['fields']
+        for record in handler.records
+        if record.message == 'response broken off by an exception'
+    ]
+    assert fields == [{'method': 'POST', 'path': '/x'}]
+
+
+async def test_error_before_the_response_is_answered():
+    response = await _receive(KeyError('x'), is_begun=False)
+    assert (response.status, response.is_complete) == (500, True)
+    assert b'internal' in response.body
+    assert response.rest == b''
