Log each way in which a response of our own interface ends

An error in the program and a broken engine were logged and counted alike with a client who left (`stream_broken`, without a detail), and a client who left a call to a service, a page of the API or an upload left no line.

Evidence: the tests failed before with "KeyError: 'detail'" and "timed out after 15.0 s waiting for: the line". The line `completion` has the detail of its failure and the decision `internal`; the middleware writes one line where it passes on that the client left or the process ends.

--- a/src/arbutusbay/_http.py
+++ b/src/arbutusbay/_http.py
@@ -137,11 +137,16 @@
     """Turn exceptions of the handler into error responses.
 
     Once the response has started nothing may follow, so the connection is
-    aborted. ``ConnectionError`` is raised again without a response.
+    aborted. ``ConnectionError`` is raised again without a response, as is
+    ``CancelledError``: the client left, or the process ends.
     """
     try:
         return await handler(request)
-    except ConnectionError:
+    except (asyncio.CancelledError, ConnectionError):
+        _LOG.info(
+            'request ended without a whole response',
+            fields={'method': request.method, 'path': request.path},
+        )
         raise
     except Exception as error:
         if _HAS_STARTED in request:
--- a/src/arbutusbay/router/_completions_api.py
+++ b/src/arbutusbay/router/_completions_api.py
@@ -144,6 +144,11 @@
             if completion.completion_formatter.body.stream:
                 return await _stream_response(request, completion, events)
             return await _full_response(completion, events)
+        except Exception as error:
+            completion.failure = Failure(
+                kind=ErrorKind.INTERNAL, detail=repr(error)
+            )
+            raise
         finally:
             await events.aclose()
             self._log_completion(completion)
@@ -254,6 +259,7 @@
                 'team': job.team,
                 'route': job.route,
                 'decision': failure.kind.value if failure else 'complete',
+                'detail': failure.detail if failure else '',
                 'attempts': progress.attempts,
                 'pieces': progress.relayed_pieces,
                 'cached_tokens': progress.cached_tokens,
--- a/tests/unit/test_http_errors.py
+++ b/tests/unit/test_http_errors.py
@@ -3,6 +3,8 @@
 All bytes of the client's connection are read.
 """
 
+import asyncio
+
 import attrs
 import logbook
 import pytest
@@ -10,8 +12,10 @@
 from aiohttp.test_utils import TestServer
 
 from arbutusbay.http import new_application
+from emulator.fleet import wait_for_condition
 from tests.raw_clients import build_bytes, exchange_bytes, parse_bytes
 
+_FOREVER_S = 60
 _EVENT = b'data: x\n\n'
 
 
@@ -19,8 +23,14 @@
 class RaisingApi:
     """Raise ``error``, after two events if a response ``is_begun``."""
 
-    error: Exception
-    is_begun: bool
+    error: Exception = KeyError('x')
+    is_begun: bool = False
+    is_waiting: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    async def wait(self, request: web.Request) -> web.Response:
+        """Wait for a client that leaves."""
+        self.is_waiting.set()
+        await asyncio.sleep(_FOREVER_S)
 
     async def respond(self, request: web.Request) -> web.StreamResponse:
         """Begin a response or not, and raise."""
@@ -65,3 +75,23 @@
     assert (response.status, response.is_complete) == (500, True)
     assert b'internal' in response.body
     assert response.rest == b''
+
+
+# Guards against a request whose client left and of which no line tells.
+async def test_client_that_leaves_is_logged():
+    api = RaisingApi()
+    application = new_application()
+    application.router.add_post('/x', api.wait)
+    server = TestServer(application)
+    handler = logbook.TestHandler()
+    with handler.applicationbound():
+        await server.start_server()
+        _, writer = await asyncio.open_connection(server.host, server.port)
+        writer.write(build_bytes('/x', {'Host': 'test'}))
+        await api.is_waiting.wait()
+        writer.close()
+        await wait_for_condition(lambda: handler.records, 'the line')
+        await server.close()
+    record = handler.records[0]
+    assert record.message == 'request ended without a whole response'
+    assert record.kwargs['fields'] == {'method': 'POST', 'path': '/x'}
