Answer the requests that outlast the shutdown of their VM

Callers whose request was read got a closed connection when their VM ended before their engine, also where the request had never been sent. The log said that the client had left, and that engines had broken off: the VM had closed its own connections to them.

Cause: once the grace period was almost over, the process just ended; what a request became depended on which of its tasks saw that first.

Evidence, requests of 30 s and a grace period of 8 s, before: of three kinds at work on an engine, the stream without an event and the requests that waited got no byte ("IndexError: list index out of range", parsing an empty response); the two calls got 502 by chance, as their connection to the server was closed first. A begun stream was logged as "client left".

Each request runs within a limit that the shutdown may end. It then answers as at its deadline: 503 not run where nothing was sent, 502 otherwise, and a stream is cut with the reason `shutdown`.

--- a/src/arbutusbay/cli/_causes.py
+++ b/src/arbutusbay/cli/_causes.py
@@ -150,6 +150,8 @@
             f'this VM gave up {_describe_last_server(request_lines)} and did '
             f'not send the rest to another: {detail}'
         )
+    if last.fields.get('reason') == 'shutdown':
+        return f'it outlasted the shutdown of its VM: {detail}'
     if last.fields.get('reason') == 'internal':
         return f'an error in the program broke off the stream: {detail}'
     if 'time of the route' not in detail:
--- a/src/arbutusbay/node/_client_stream.py
+++ b/src/arbutusbay/node/_client_stream.py
@@ -21,7 +21,8 @@
     ``DEADLINE``: the time of the route ran out. ``BROKEN``: the engine broke
     off, and the stream may not be resumed. ``SILENT``: this VM ended the
     attempt, and did not send another one. ``NO_REPLACEMENT``: no engine was
-    found to resume it. ``INTERNAL``: an error in this program.
+    found to resume it. ``INTERNAL``: an error in this program. ``SHUTDOWN``:
+    this VM ended.
     """
 
     DEADLINE = 'deadline'
@@ -29,6 +30,7 @@
     SILENT = 'silent'
     NO_REPLACEMENT = 'no_replacement'
     INTERNAL = 'internal'
+    SHUTDOWN = 'shutdown'
 
 
 @attrs.frozen(kw_only=True)
--- a/src/arbutusbay/node/_frontend.py
+++ b/src/arbutusbay/node/_frontend.py
@@ -34,6 +34,7 @@
     RequestExecutor,
     execute_before_deadline,
 )
+from arbutusbay.node._request_limit import limit_request
 from arbutusbay.node._stream_relay import StreamRelay
 from arbutusbay.platform import build_refusal_headers, get_attempt_id
 
@@ -191,7 +192,7 @@
     ) -> Result[bytes, Failure]:
         """Return the body, or a failure if it is too long or too slow."""
         try:
-            async with asyncio.timeout(max(0, incoming.remaining_s())):
+            async with limit_request(self.node_state, incoming):
                 return await self._read_body(request)
         except TimeoutError:
             return Err(
--- a/src/arbutusbay/node/_node_state.py
+++ b/src/arbutusbay/node/_node_state.py
@@ -139,6 +139,8 @@
             ready.
         is_rejecting_requests: Whether new requests are rejected, late in a
             shutdown.
+        is_ending: Whether the process ends now, whatever is in progress.
+        request_limits: Time limits of the requests in progress.
         busy_connections: Connections that have a request in progress.
         own_pauses: When this VM last did not run.
         quarantine: Prompt segments that crash engines.
@@ -168,6 +170,8 @@
     has_read_servers: bool = False
     is_stopping: bool = False
     is_rejecting_requests: bool = False
+    is_ending: bool = False
+    request_limits: set[asyncio.Timeout] = attrs.field(factory=set)
     busy_connections: set[web.RequestHandler] = attrs.field(factory=set)
     own_pauses: OwnPauses = attrs.field(factory=OwnPauses)
     quarantine: SegmentQuarantine = attrs.field(factory=SegmentQuarantine)
--- a/src/arbutusbay/node/_request_executor.py
+++ b/src/arbutusbay/node/_request_executor.py
@@ -27,6 +27,7 @@
 )
 from arbutusbay.node._replacement import Replacement
 from arbutusbay.node._request_dependencies import RequestDependencies
+from arbutusbay.node._request_limit import limit_request
 from arbutusbay.node._stall_detector import (
     MonitoredAttempt,
     Silence,
@@ -266,11 +267,21 @@
         """Return the failure for a request that exceeded its deadline.
 
         If no attempt can have run, it is ``NO_BACKEND_SERVER`` instead of
-        ``DEADLINE_EXCEEDED``, and the client may send the request again.
+        ``DEADLINE_EXCEEDED``, and the client may send the request again. If
+        the VM ends before the deadline, it is ``DRAINING`` or
+        ``OUTCOME_UNKNOWN``.
         """
         is_not_executed = (
             not self.in_flight and not self.attempt_history.possible_executions
         )
+        if self.dependencies.node_state.is_ending:
+            return Failure(
+                kind=ErrorKind.DRAINING
+                if is_not_executed
+                else ErrorKind.OUTCOME_UNKNOWN,
+                detail='the VM shut down before there was a response',
+                retry_after_s=0,
+            )
         return Failure(
             kind=ErrorKind.NO_BACKEND_SERVER
             if is_not_executed
@@ -472,8 +483,9 @@
     executor: RequestExecutor,
 ) -> Result[BufferedResponse, Failure]:
     """Return the buffered response, or a failure at the deadline."""
+    node_state = executor.dependencies.node_state
     try:
-        async with asyncio.timeout(max(0, executor.incoming.remaining_s())):
+        async with limit_request(node_state, executor.incoming):
             return await executor.execute()
     except TimeoutError:
         return Err(executor.deadline_failure())
--- a/src/arbutusbay/node/_stream_relay.py
+++ b/src/arbutusbay/node/_stream_relay.py
@@ -4,8 +4,6 @@
 on another attempt from the last relayed event.
 """
 
-import asyncio
-
 import attrs
 from result import Err, Ok, Result
 
@@ -26,6 +24,7 @@
 )
 from arbutusbay.node._placement import Placement, ResumePoint
 from arbutusbay.node._request_executor import RequestExecutor
+from arbutusbay.node._request_limit import limit_request
 from arbutusbay.node._stall_detector import (
     MonitoredAttempt,
     aborted_attempt_failure,
@@ -110,8 +109,8 @@
         which the caller sends.
         """
         try:
-            async with asyncio.timeout(
-                max(0, self.executor.incoming.remaining_s()),
+            async with limit_request(
+                self.executor.dependencies.node_state, self.executor.incoming
             ):
                 relayed = await self._relay_attempts()
         except TimeoutError:
@@ -272,10 +271,17 @@
         return not last_event_id or event.event_id == last_event_id + 1
 
     def _deadline_result(self) -> UnfinishedStream:
+        failure = self.executor.deadline_failure()
+        if self.executor.dependencies.node_state.is_ending:
+            return UnfinishedStream(
+                reason=CutReason.SHUTDOWN,
+                detail=failure.detail,
+                answer=failure,
+            )
         return UnfinishedStream(
             reason=CutReason.DEADLINE,
             detail='the time of the route ran out',
-            answer=self.executor.deadline_failure(),
+            answer=failure,
         )
 
     def _attempt_failure_result(
--- a/tests/raw_clients.py
+++ b/tests/raw_clients.py
@@ -31,16 +31,19 @@
     rest: bytes
 
 
-async def exchange_bytes(host: str, port: int, request: bytes) -> bytes:
+async def exchange_bytes(
+    host: str, port: int, request: bytes, *, limit_s: float = _READ_LIMIT_S
+) -> bytes:
     """Send ``request`` and return all that arrives until the connection ends.
 
-    The request has to ask for the connection to be closed.
+    The request has to ask for the connection to be closed. Raises
+    ``TimeoutError`` if that is not done within ``limit_s`` seconds.
     """
     loop = asyncio.get_running_loop()
     received = b''
     with socket.socket() as connection:
         connection.setblocking(False)
-        async with asyncio.timeout(_READ_LIMIT_S):
+        async with asyncio.timeout(limit_s):
             await loop.sock_connect(connection, (host, port))
             await loop.sock_sendall(connection, request)
             try:
