--- a/src/arbutusbay/node/_request_executor.py
+++ b/src/arbutusbay/node/_request_executor.py
@@ -27,6 +27,7 @@
 )
 from arbutusbay.node._replacement import Replacement
 from arbutusbay.node._request_dependencies import RequestDependencies
+from arbutusbay.node._request_limit import limit_request
 from arbutusbay.node._stall_detector import (
     MonitoredAttempt,
     Silence,
@@ -211,7 +212,7 @@
         action = choose_retry_action(
             failure.outcome,
             self.attempt_history.attempt_count(),
-            is_retryable=self.incoming.is_retryable,
+            is_retryable=self._is_retryable(),
             max_attempts=self.incoming.route.max_attempts,
         )
         has_ended = await self.evidence.has_engine_ended(view, failure)
@@ -266,11 +267,21 @@
         """Return the failure for a request that exceeded its deadline.
 
         If no attempt can have run, it is ``NO_BACKEND_SERVER`` instead of
-        ``DEADLINE_EXCEEDED``, and the client may send the request again.
+        ``DEADLINE_EXCEEDED``, and the client may send the request again. If
+        the VM ends before the deadline, it is ``DRAINING`` or
+        ``OUTCOME_UNKNOWN``.
         """
         is_not_executed = (
             not self.in_flight and not self.attempt_history.possible_executions
         )
+        if self.dependencies.node_state.is_ending:
+            return Failure(
+                kind=ErrorKind.DRAINING
+                if is_not_executed
+                else ErrorKind.OUTCOME_UNKNOWN,
+                detail='the VM shut down before there was a response',
+                retry_after_s=0,
+            )
         return Failure(
             kind=ErrorKind.NO_BACKEND_SERVER
             if is_not_executed
@@ -279,6 +290,9 @@
             run_state=None if is_not_executed else RunState.UNKNOWN,
         )
 
+    def _is_retryable(self) -> bool:
+        return self.incoming.is_retryable and self.resume_point.is_certain
+
     def _move_after_s(self) -> float:
         """Return after how long an attempt had better go on elsewhere.
 
@@ -298,7 +312,7 @@
         Returns whether there is one. A server that has no capacity now will do
         once the silence is longer than that of a sound server.
         """
-        if not self.incoming.is_retryable or not self.evidence.may_move():
+        if not self._is_retryable() or not self.evidence.may_move():
             return False
         if recheck_access(self.dependencies.node_state, self.incoming):
             return False
@@ -471,8 +485,9 @@
     executor: RequestExecutor,
 ) -> Result[BufferedResponse, Failure]:
     """Return the buffered response, or a failure at the deadline."""
+    node_state = executor.dependencies.node_state
     try:
-        async with asyncio.timeout(max(0, executor.incoming.remaining_s())):
+        async with limit_request(node_state, executor.incoming):
             return await executor.execute()
     except TimeoutError:
         return Err(executor.deadline_failure())
