--- a/emulator/_engine_connections.py
+++ b/emulator/_engine_connections.py
@@ -45,13 +45,15 @@
 
     Each refusal is written again once, unless ``copied_id`` is None.
     ``copies_written`` counts the copies, ``paths_by_caller`` lists what each
-    connection carried by the address from which it came.
+    connection carried by the address from which it came. ``transports`` are
+    those with a request in progress.
     """
 
     def __init__(self) -> None:
         """Start without this fault."""
         self.copied_id: CopiedId | None = None
         self.copies_written = 0
+        self.transports: set[asyncio.Transport] = set()
         self.paths_by_caller: dict[tuple[str, int], list[str]] = {}
         self._refusals: dict[asyncio.Transport, _Refusal] = {}
 
--- a/emulator/fleet_engine.py
+++ b/emulator/fleet_engine.py
@@ -139,7 +139,6 @@
         self.rejected_at_s: list[float] = []
         self.endless_bytes_sent = 0
         self.arrived_prompts: list[ArrivedPrompt] = []
-        self.transports: set[asyncio.Transport] = set()
         self.has_ended = False
         self.report_end: Callable[[], None] = _ignore_end
         self.silence = Silence()
@@ -238,13 +237,13 @@
     def end(self) -> None:
         """End like a process that crashes: reset all connections at once."""
         self.has_ended = True
-        for transport in self.transports:
+        for transport in self.connections.transports:
             transport.abort()
         self.report_end()
 
     async def execute(self, request: web.Request) -> web.StreamResponse:
         """Execute a request, or reject it before its execution."""
-        self.transports.add(request.transport)
+        self.connections.transports.add(request.transport)
         self.arrived_prompts.append(
             ArrivedPrompt(
                 moment_s=time.monotonic(), segments=_shared_segments(request)
@@ -253,7 +252,7 @@
         try:
             return await self._execute(request)
         finally:
-            self.transports.discard(request.transport)
+            self.connections.transports.discard(request.transport)
 
     async def _execute(self, request: web.Request) -> web.StreamResponse:
         await self.silence.over.wait()
--- a/tests/unit/test_unexpected_errors.py
+++ b/tests/unit/test_unexpected_errors.py
@@ -107,7 +107,10 @@
     settings = build_settings()
     async with create_client_session() as session:
         components = NodeComponents(
-            settings=settings, session=session, log_writer=None
+            settings=settings,
+            session=session,
+            order_session=session,
+            log_writer=None,
         )
         follower = components.follower
         apply(follower.operator_topic, {'config': build_configuration()})
