Show odd values in errors without their repr, which fails on nested ones

What callers saw: one entry among those of the engines with lists in lists as a field, and the VM followed the list no longer. Engines that joined later were not used, those that left were used on; a VM record or lease claim of that kind kept the tasks registration and rollout restarting for ever. The process itself went on.

Cause: the checks put `{value!r}` into their error. The repr of a value that is nested about as deeply as the interpreter's limit raises RecursionError, which is no ValueError, so the decoder raised instead of returning a failure. The JSON decoder takes 1,024 levels. str() of names in datagrams and relayed records did the same.

Evidence: before, 94 cases of test_odd_values.py failed with "RecursionError: maximum recursion depth exceeded while getting the repr of an object"; with real daemons test_odd_entries_do_not_stop_following_the_list ("timed out after 5.0 s waiting for: vm-0 uses engine-7"), test_odd_entries_cost_no_request (nested) ("vm-0 uses desk-7") and the test of coordination records ("background task failed; restarting", RecursionError, again and again) failed.

Why this works: errors show scalars only, strings in part. The checks are one shared module; datagrams, quarantine reports and relayed records use them instead of converting whatever comes. Settings that nest too deeply are rejected on a reload, too. Registrations that are no JSON object were skipped before: refuted, test_odd_entries_cost_no_request (unreadable) passed.

--- a/src/arbutusbay/node/_peer_messages.py
+++ b/src/arbutusbay/node/_peer_messages.py
@@ -10,6 +10,12 @@
 import orjson
 from result import Err, Ok, Result
 
+from arbutusbay.checked_values import (
+    require_count,
+    require_integer,
+    require_number,
+    require_text,
+)
 from arbutusbay.errors import ErrorKind, Failure
 from arbutusbay.node._quarantine_messages import (
     quarantine_from_fields,
@@ -139,26 +145,28 @@
 def _state_from_fields(fields: Mapping[str, Any], now_s: float) -> PeerState:
     fence = fields.get('f')
     return PeerState(
-        name=str(fields['n']),
-        zone=str(fields['z']),
+        name=require_text(fields['n'], 'n'),
+        zone=require_text(fields['z'], 'z'),
         occupancy=_occupancies_from_fields(fields['o']),
         work_totals=_work_from_fields(*fields['m']),
-        suspected_engines=tuple(str(server) for server in fields.get('s', ())),
+        suspected_engines=tuple(
+            require_text(server, 's') for server in fields.get('s', ())
+        ),
         leaving_engines={
-            str(server): int(incarnation)
+            server: require_count(incarnation, 'g')
             for server, incarnation in fields.get('g', {}).items()
         },
         loads={
-            str(server): _load_from_fields(now_s, *encoded)
+            server: _load_from_fields(now_s, *encoded)
             for server, encoded in fields.get('l', {}).items()
         },
         weights={
-            str(server): _weights_from_fields(*encoded)
+            server: _weights_from_fields(*encoded)
             for server, encoded in fields.get('w', {}).items()
         },
-        fence=None if fence is None else int(fence),
+        fence=None if fence is None else require_count(fence, 'f'),
         zones={
-            str(zone): ZoneLoad(
+            zone: ZoneLoad(
                 occupancy=_occupancies_from_fields(occupancy),
                 work_totals=_work_from_fields(*totals),
             )
@@ -189,8 +197,8 @@
 
 def _work_from_fields(short: int, long: int) -> WorkTotals:
     return WorkTotals(
-        short_prompt_work=float(short) * _WORK_UNIT_TOKENS,
-        long_prompt_work=float(long) * _WORK_UNIT_TOKENS,
+        short_prompt_work=require_number(short, 'm') * _WORK_UNIT_TOKENS,
+        long_prompt_work=require_number(long, 'm') * _WORK_UNIT_TOKENS,
     )
 
 
@@ -198,7 +206,7 @@
     encoded: Mapping[str, Sequence[int]],
 ) -> dict[str, Occupancy]:
     return {
-        str(server): _occupancy_from_fields(*numbers)
+        server: _occupancy_from_fields(*numbers)
         for server, numbers in encoded.items()
     }
 
@@ -209,9 +217,9 @@
     kv_tokens: int,
 ) -> Occupancy:
     return Occupancy(
-        attempts=int(attempts),
-        uncached_tokens=int(uncached_tokens),
-        kv_tokens=int(kv_tokens),
+        attempts=require_count(attempts, 'attempts'),
+        uncached_tokens=require_count(uncached_tokens, 'uncached tokens'),
+        kv_tokens=require_count(kv_tokens, 'kv tokens'),
     )
 
 
@@ -227,10 +235,10 @@
     finish_ms: int,
 ) -> PlannedWeightsLoad:
     return PlannedWeightsLoad(
-        model=str(model),
-        version=int(version),
-        start_s=now_s + int(start_ms) / _MS_PER_S,
-        finish_s=now_s + int(finish_ms) / _MS_PER_S,
+        model=require_text(model, 'model'),
+        version=require_count(version, 'version'),
+        start_s=now_s + require_integer(start_ms, 'start') / _MS_PER_S,
+        finish_s=now_s + require_integer(finish_ms, 'finish') / _MS_PER_S,
     )
 
 
@@ -239,8 +247,9 @@
     versions: Mapping[str, int],
 ) -> LoadedWeights:
     return LoadedWeights(
-        incarnation=int(incarnation),
+        incarnation=require_count(incarnation, 'incarnation'),
         versions={
-            str(model): int(version) for model, version in versions.items()
+            model: require_count(version, 'version')
+            for model, version in versions.items()
         },
     )
--- a/src/arbutusbay/node/_quarantine_messages.py
+++ b/src/arbutusbay/node/_quarantine_messages.py
@@ -7,6 +7,12 @@
 from collections.abc import Mapping, Sequence
 from typing import Any
 
+from arbutusbay.checked_values import (
+    require_boolean,
+    require_count,
+    require_integer,
+    require_text,
+)
 from arbutusbay.quarantine import (
     AnswerTotals,
     EngineEnd,
@@ -70,7 +76,7 @@
     """
     return QuarantineReport(
         ends={
-            str(incarnation): EngineEnd(
+            incarnation: EngineEnd(
                 ended_s=_moment_s(ended_ms, now_s),
                 suspects=dict(_suspect_from_fields(*row) for row in suspects),
             )
@@ -91,23 +97,26 @@
 
 def _moment_s(relative_ms: int, now_s: float) -> float:
     """Return a moment of the past on the clock of this VM."""
-    return min(now_s, now_s + int(relative_ms) / _MS_PER_S)
+    offset_ms = require_integer(relative_ms, 'time')
+    return min(now_s, now_s + offset_ms / _MS_PER_S)
 
 
 def _suspect_from_fields(
     model: str, segment: str, depth: int, is_starting: bool
 ) -> tuple[SegmentKey, Suspect]:
-    key = SegmentKey(model=str(model), segment=str(segment))
-    return key, Suspect(depth=int(depth), is_starting=bool(is_starting))
+    return _key_from_fields(model, segment), Suspect(
+        depth=require_count(depth, 'depth'),
+        is_starting=require_boolean(is_starting, 'is starting'),
+    )
 
 
 def _answers_from_fields(
     row: Sequence[Any], now_s: float
 ) -> tuple[SegmentKey, AnswerTotals]:
     model, segment, count, latest_start_ms = row
-    key = SegmentKey(model=str(model), segment=str(segment))
-    return key, AnswerTotals(
-        count=int(count), latest_start_s=_moment_s(latest_start_ms, now_s)
+    return _key_from_fields(model, segment), AnswerTotals(
+        count=require_count(count, 'count'),
+        latest_start_s=_moment_s(latest_start_ms, now_s),
     )
 
 
@@ -115,12 +124,18 @@
     row: Sequence[Any], now_s: float
 ) -> tuple[SegmentKey, Verdict]:
     model, segment, *fields = row
-    key = SegmentKey(model=str(model), segment=str(segment))
     revision, is_quarantined, changed_ms, probes, weights_version = fields
-    return key, Verdict(
-        revision=int(revision),
-        is_quarantined=bool(is_quarantined),
+    return _key_from_fields(model, segment), Verdict(
+        revision=require_count(revision, 'revision'),
+        is_quarantined=require_boolean(is_quarantined, 'is quarantined'),
         changed_s=_moment_s(changed_ms, now_s),
-        probes=int(probes),
-        weights_version=int(weights_version),
+        probes=require_count(probes, 'probes'),
+        weights_version=require_count(weights_version, 'weights version'),
+    )
+
+
+def _key_from_fields(model: str, segment: str) -> SegmentKey:
+    return SegmentKey(
+        model=require_text(model, 'model'),
+        segment=require_text(segment, 'segment'),
     )
--- a/src/arbutusbay/node/_relay_messages.py
+++ b/src/arbutusbay/node/_relay_messages.py
@@ -9,6 +9,13 @@
 import orjson
 from result import Err, Ok, Result
 
+from arbutusbay.checked_values import (
+    require_boolean,
+    require_count,
+    require_integer,
+    require_number,
+    require_text,
+)
 from arbutusbay.errors import ErrorKind, Failure
 from arbutusbay.platform import KeyedRecord, StorePosition
 
@@ -100,12 +107,12 @@
         fields = orjson.loads(body)
         return Ok(
             RelayResponse(
-                age_s=float(fields['age_ms']) / 1000,
-                held_s=float(fields['held_ms']) / 1000,
+                age_s=_seconds(fields['age_ms']),
+                held_s=_seconds(fields['held_ms']),
                 store_returned_ago_s=_optional_seconds(
                     fields.get('store_returned_ago_ms')
                 ),
-                store_failing_s=float(fields.get('store_failing_ms', 0)) / 1000,
+                store_failing_s=_seconds(fields.get('store_failing_ms', 0)),
                 operator=_update_from_json(fields['operator']),
                 servers=_update_from_json(fields['servers']),
             ),
@@ -124,7 +131,11 @@
 
 
 def _optional_seconds(duration_ms: float | None) -> float | None:
-    return None if duration_ms is None else float(duration_ms) / 1000
+    return None if duration_ms is None else _seconds(duration_ms)
+
+
+def _seconds(duration_ms: Any) -> float:
+    return require_number(duration_ms, 'duration') / 1000
 
 
 def _update_to_json(update: TopicUpdate) -> dict[str, Any]:
@@ -147,14 +158,15 @@
     return TopicUpdate(
         records=tuple(
             KeyedRecord(
-                key=str(key),
+                key=require_text(key, 'key'),
                 payload=base64.b64decode(payload),
-                offset=int(offset),
+                offset=require_integer(offset, 'offset'),
             )
             for key, payload, offset in fields['records']
         ),
         end=StorePosition(
-            era=int(fields.get('era', 0)), offset=int(fields['end'])
+            era=require_count(fields.get('era', 0), 'era'),
+            offset=require_count(fields['end'], 'end'),
         ),
-        is_complete=bool(fields['whole']),
+        is_complete=require_boolean(fields['whole'], 'whole'),
     )
--- a/src/arbutusbay/platform/_engine_calls.py
+++ b/src/arbutusbay/platform/_engine_calls.py
@@ -12,11 +12,11 @@
 import orjson
 from result import Err, Ok, Result
 
+from arbutusbay.checked_values import require_mapping
 from arbutusbay.errors import ErrorKind, Failure
 from arbutusbay.platform._field_validation import (
     get_boolean,
     get_integer,
-    require_mapping,
 )
 from arbutusbay.platform._operator_records import parse_weights_versions
 from arbutusbay.platform._protocol_names import EngineEndpoint, HeaderName
--- a/src/arbutusbay/platform/_operator_records.py
+++ b/src/arbutusbay/platform/_operator_records.py
@@ -10,6 +10,11 @@
 import orjson
 from result import Err, Ok, Result
 
+from arbutusbay.checked_values import (
+    MalformedValueError,
+    describe_value,
+    require_mapping,
+)
 from arbutusbay.errors import ErrorKind, Failure
 from arbutusbay.fleet import (
     BackendServer,
@@ -24,7 +29,6 @@
     WeightsTarget,
 )
 from arbutusbay.platform._field_validation import (
-    MalformedDocumentError,
     get_boolean,
     get_duration_s,
     get_integer,
@@ -32,7 +36,6 @@
     get_number,
     get_string,
     get_strings,
-    require_mapping,
 )
 from arbutusbay.platform._settings_file import parse_endpoint
 
@@ -150,8 +153,8 @@
     fields = require_mapping(entry, 'routes')
     kind = get_string(fields, 'kind')
     if kind not in _REQUEST_KINDS:
-        raise MalformedDocumentError(
-            f'kind: {kind!r} is not a known request kind'
+        raise MalformedValueError(
+            f'kind: {describe_value(kind)} is not a known request kind'
         )
     return RouteSpec(
         name=get_string(fields, 'name'),
@@ -245,8 +248,8 @@
 def _parse_backend_server(key: str, fields: Mapping[str, Any]) -> BackendServer:
     state = get_string(fields, 'state')
     if state not in _IS_DRAINING_BY_STATE:
-        raise MalformedDocumentError(
-            f'state: {state!r} is not a known server state'
+        raise MalformedValueError(
+            f'state: {describe_value(state)} is not a known server state'
         )
     address = get_string(fields, 'address')
     parse_endpoint(address)
@@ -266,7 +269,7 @@
 def parse_weights_versions(fields: Mapping[str, Any]) -> dict[str, int]:
     """Return the loaded weights version of each model in ``models``.
 
-    Raise ``MalformedDocumentError`` if an entry lacks a name or a version.
+    Raise ``MalformedValueError`` if an entry lacks a name or a version.
     """
     models = [
         require_mapping(entry, 'models') for entry in get_list(fields, 'models')
--- a/src/arbutusbay/platform/_settings_file.py
+++ b/src/arbutusbay/platform/_settings_file.py
@@ -12,15 +12,18 @@
 import attrs
 from result import Err, Ok, Result
 
+from arbutusbay.checked_values import (
+    MalformedValueError,
+    describe_value,
+    require_mapping,
+)
 from arbutusbay.errors import ErrorKind, Failure
 from arbutusbay.platform._field_validation import (
-    MalformedDocumentError,
     get_boolean,
     get_duration_s,
     get_list,
     get_number,
     get_string,
-    require_mapping,
 )
 from arbutusbay.platform._protocol_names import SETTINGS_ENV_VARIABLE
 
@@ -97,7 +100,7 @@
     """Return the settings, or a ``BAD_REQUEST`` that names the error."""
     try:
         return Ok(_parse_settings(tomllib.loads(path.read_text('utf-8'))))
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         return Err(
             Failure(
                 kind=ErrorKind.BAD_REQUEST,
@@ -109,13 +112,15 @@
 def parse_endpoint(text: str) -> Endpoint:
     """Parse an endpoint written as ``IP:PORT``.
 
-    Raise ``MalformedDocumentError`` if it has another form. The host is
+    Raise ``MalformedValueError`` if it has another form. The host is
     not checked.
     """
     host, separator, port = text.rpartition(':')
     if separator and port.isdecimal() and int(port) < _PORT_COUNT:
         return Endpoint(host=host, port=int(port))
-    raise MalformedDocumentError(f'address: must be IP:PORT, not {text!r}')
+    raise MalformedValueError(
+        f'address: must be IP:PORT, not {describe_value(text)}'
+    )
 
 
 def _parse_settings(fields: Mapping[str, Any]) -> VMSettings:
@@ -138,12 +143,12 @@
     text = get_string(fields, name)
     try:
         endpoint = parse_endpoint(text)
-    except MalformedDocumentError as error:
-        raise MalformedDocumentError(f'{name}: {error}') from error
+    except MalformedValueError as error:
+        raise MalformedValueError(f'{name}: {error}') from error
     if endpoint.host:
         return endpoint
-    raise MalformedDocumentError(
-        f'{name}: must be IP:PORT, not {text!r}, which has no host'
+    raise MalformedValueError(
+        f'{name}: must be IP:PORT with an IP, not {describe_value(text)}'
     )
 
 
@@ -161,9 +166,9 @@
         first, last = ports
         if first <= last:
             return first, last
-    raise MalformedDocumentError(
+    raise MalformedValueError(
         'internal_ports: must be a list of the first and the last port, '
-        f'not {ports!r}'
+        f'not {list(map(describe_value, ports))}'
     )
 
 
--- a/tests/fleet_builders.py
+++ b/tests/fleet_builders.py
@@ -4,6 +4,7 @@
 """
 
 import functools
+import json
 from typing import Any
 
 import attrs
@@ -19,6 +20,7 @@
 ISOLATED_TEAM_API_KEY = 'key-of-pharmacy'
 ENGINE_HOST = 'language.example'
 PLAIN_HOST = 'desk.example'
+_NESTINGS = (300, 900, 960, 990, 1010)
 
 
 def build_route(name: str, **changes: Any) -> dict[str, Any]:
@@ -149,6 +151,39 @@
     return {**registration, **changes}
 
 
+def build_unreadable_registrations() -> list[bytes]:
+    """Return records that hold no JSON object, or one without fields."""
+    return [b'[]', b'{', b'\x00\xff', b'{}', b'"', b'null']
+
+
+def build_nested_registrations() -> list[bytes]:
+    """Return registrations with lists in lists as one of their fields."""
+    return [
+        build_nested_registration(field, depth)
+        for field in ('service', 'address', 'zone', 'state', 'slots', 'born')
+        for depth in _NESTINGS
+    ]
+
+
+def build_odd_registrations() -> list[bytes]:
+    """Return registrations that are malformed in one way each."""
+    return [
+        *build_unreadable_registrations(),
+        *build_nested_registrations(),
+    ]
+
+
+def build_nested_registration(field: str, depth: int) -> bytes:
+    """Return a registration with lists in lists as one of its fields."""
+    text = json.dumps(build_registration(**{field: 'NESTED'}))
+    return text.replace('"NESTED"', build_nested_json(depth)).encode()
+
+
+def build_nested_json(depth: int) -> str:
+    """Return ``depth`` lists in each other as JSON."""
+    return f'{"[" * depth}{"]" * depth}'
+
+
 def build_request_headers(
     attempt_id: str,
     *,
