Let the end of a reading task be noticed, and lose no record beside a bad one

The tasks that read the two topics were only looked at when the source changed. One that ended with an error left no line in the log, and its topic was read no more. A record that raised while it was applied cost the records after it in the same read: the topic counted as read up to its end.

Cause: the follower awaited its readers only to cancel them, and the records of a read were applied without separation.

Why this works: the follower waits for the first reader that ends and raises its error, so the supervisor logs it and starts the follower again. Each record is applied by itself; an unexpected error is logged with key and offset.

--- a/src/arbutusbay/node/_follower.py
+++ b/src/arbutusbay/node/_follower.py
@@ -162,14 +162,23 @@
         self.source = name
 
     async def _read_store(self) -> None:
-        """Read the store until it keeps failing or a better source exists."""
+        """Read the store until it keeps failing or a better source exists.
+
+        Raise an unexpected error of a reader, which reads no further.
+        """
         readers = (self.operator_reader, self.servers_reader)
         for reader in readers:
             reader.failures = 0
         tasks = [asyncio.create_task(reader.run()) for reader in readers]
         try:
             while self.operator_reader.failures < _MAX_STORE_FAILURES:
-                await asyncio.sleep(_SOURCE_CHECK_INTERVAL_S)
+                ended, _ = await asyncio.wait(
+                    tasks,
+                    timeout=_SOURCE_CHECK_INTERVAL_S,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                for task in ended:
+                    task.result()
                 if not isinstance(self._choose_source(), DirectRead):
                     return
         finally:
--- a/src/arbutusbay/node/_topics.py
+++ b/src/arbutusbay/node/_topics.py
@@ -93,7 +93,21 @@
         """Record that all records written before ``as_of_s`` are known."""
 
     def apply_changes(self, records: list[KeyedRecord]) -> None:
-        """Apply records that differ from the ones known before."""
+        """Apply records that differ from the ones known before.
+
+        They are not read again, so an error at one must not cost the others.
+        """
+        for record in records:
+            try:
+                self.apply_change(record)
+            except Exception:
+                _LOG.exception(
+                    'record not applied',
+                    fields={'key': record.key, 'offset': record.offset},
+                )
+
+    def apply_change(self, record: KeyedRecord) -> None:
+        """Apply one record that differs from the one known before."""
         raise NotImplementedError
 
     def is_equivalent(self, known: KeyedRecord, received: KeyedRecord) -> bool:
@@ -143,22 +157,21 @@
 
     topic = Topic.OPERATOR
 
-    def apply_changes(self, records: list[KeyedRecord]) -> None:
-        """Apply newer configurations and targets; skip malformed records."""
-        for record in records:
-            if not record.payload:
-                continue
-            match decode_operator_record(record.key, record.payload):
-                case Err(failure):
-                    _LOG.warning(
-                        'malformed record skipped: {}',
-                        failure.detail,
-                        fields={'offset': record.offset},
-                    )
-                case Ok(Configuration() as configuration):
-                    self._apply_configuration(configuration, record.offset)
-                case Ok(WeightsTarget() as target):
-                    self._apply_target(target, record.offset)
+    def apply_change(self, record: KeyedRecord) -> None:
+        """Apply a newer configuration or target; skip a malformed record."""
+        if not record.payload:
+            return
+        match decode_operator_record(record.key, record.payload):
+            case Err(failure):
+                _LOG.warning(
+                    'malformed record skipped: {}',
+                    failure.detail,
+                    fields={'offset': record.offset},
+                )
+            case Ok(Configuration() as configuration):
+                self._apply_configuration(configuration, record.offset)
+            case Ok(WeightsTarget() as target):
+                self._apply_target(target, record.offset)
 
     def record_read(self, as_of_s: float) -> None:
         """Update how recent the operator's documents are."""
@@ -253,14 +266,17 @@
         self.last_heartbeats: dict[str, Heartbeat] = {}
 
     def apply_changes(self, records: list[KeyedRecord]) -> None:
-        """Apply registrations and removals; skip malformed records."""
-        for record in records:
-            if record.payload:
-                self._apply_registration(record)
-            else:
-                self.server_registry.deregister(record.key)
+        """Apply registrations and removals."""
+        super().apply_changes(records)
         self.node_state.has_read_servers = True
 
+    def apply_change(self, record: KeyedRecord) -> None:
+        """Apply a registration or removal; skip a malformed record."""
+        if record.payload:
+            self._apply_registration(record)
+        else:
+            self.server_registry.deregister(record.key)
+
     def is_equivalent(self, known: KeyedRecord, received: KeyedRecord) -> bool:
         """Return whether two registrations differ in the heartbeat at most."""
         if not known.payload or not received.payload:
