Take only an IPv4 address and a port from 1 on as the address of a machine

What callers saw: one entry among those of the engines with an address that is none, and requests that were placed there were answered 500 or 502 while sound servers had places. One such record of a VM, and this VM's reports to others and, when it was chosen as a source, its following of the store failed again and again.

Cause: only the port was checked, and that in any script; the host, which is written into a URL, was not. An id that no header can hold raised as well.

Why this works: the platform has IPv4 only, met by number. An address is four numbers and a port in ASCII digits, and that of another machine is no multicast or unspecified one. Ids are printable ASCII without spaces. Settings are held to the same form.

--- a/src/arbutusbay/platform/__init__.py
+++ b/src/arbutusbay/platform/__init__.py
@@ -12,6 +12,7 @@
     encode_vm_record,
     verdict_record_key,
 )
+from arbutusbay.platform._endpoints import Endpoint, parse_endpoint
 from arbutusbay.platform._engine_calls import (
     EngineReport,
     LoadOrder,
@@ -40,9 +41,7 @@
 from arbutusbay.platform._protocol_names import READINESS_PATH, Topic
 from arbutusbay.platform._settings_file import (
     DeploymentLimits,
-    Endpoint,
     VMSettings,
-    parse_endpoint,
     read_settings,
     settings_path_from_environment,
 )
--- a/src/arbutusbay/platform/_coordination_records.py
+++ b/src/arbutusbay/platform/_coordination_records.py
@@ -12,13 +12,13 @@
 
 from arbutusbay.errors import Failure
 from arbutusbay.fleet import LeaseClaim, VMRegistration
+from arbutusbay.platform._endpoints import parse_remote_endpoint
 from arbutusbay.platform._field_validation import (
     get_boolean,
     get_integer,
     get_string,
 )
 from arbutusbay.platform._operator_records import decode_json_object
-from arbutusbay.platform._settings_file import parse_endpoint
 from arbutusbay.quarantine import SegmentKey, Verdict
 
 _VM_KEY_PREFIX = 'vm/'
@@ -101,7 +101,7 @@
 ) -> CoordinationRecord | None:
     if key.startswith(_VM_KEY_PREFIX):
         address = get_string(fields, 'address')
-        parse_endpoint(address)
+        parse_remote_endpoint(address)
         return VMRegistration(
             name=key.removeprefix(_VM_KEY_PREFIX),
             address=address,
--- a/src/arbutusbay/platform/_operator_records.py
+++ b/src/arbutusbay/platform/_operator_records.py
@@ -3,6 +3,7 @@
 The records are JSON objects in keyed topics of the platform's store.
 """
 
+import re
 from collections.abc import Mapping
 from types import MappingProxyType
 from typing import Any
@@ -28,6 +29,7 @@
     TeamSpec,
     WeightsTarget,
 )
+from arbutusbay.platform._endpoints import parse_remote_endpoint
 from arbutusbay.platform._field_validation import (
     get_boolean,
     get_duration_s,
@@ -37,7 +39,6 @@
     get_string,
     get_strings,
 )
-from arbutusbay.platform._settings_file import parse_endpoint
 
 _CONFIGURATION_KEY = 'config'
 _WEIGHTS_KEY_PREFIX = 'version/'
@@ -48,6 +49,7 @@
         'streaming': RequestKind.STREAM,
     }
 )
+_SERVER_ID_PATTERN = re.compile('[!-~]+')
 _IS_DRAINING_BY_STATE = MappingProxyType({'ready': False, 'draining': True})
 
 OperatorRecord = Configuration | WeightsTarget
@@ -199,7 +201,7 @@
 
 def _parse_cache_store(fields: Mapping[str, Any]) -> KVCacheStoreSpec:
     address = get_string(fields, 'kv_store_address')
-    parse_endpoint(address)
+    parse_remote_endpoint(address)
     return KVCacheStoreSpec(address=address)
 
 
@@ -252,9 +254,9 @@
             f'state: {describe_value(state)} is not a known server state'
         )
     address = get_string(fields, 'address')
-    parse_endpoint(address)
+    parse_remote_endpoint(address)
     return BackendServer(
-        id=key,
+        id=_require_server_id(key),
         service=get_string(fields, 'service'),
         address=address,
         zone=get_string(fields, 'zone'),
@@ -266,6 +268,15 @@
     )
 
 
+def _require_server_id(key: str) -> str:
+    """Return ``key`` if it can be sent as the text of a header."""
+    if _SERVER_ID_PATTERN.fullmatch(key):
+        return key
+    raise MalformedValueError(
+        f'id: must be printable ASCII, not {describe_value(key)}'
+    )
+
+
 def parse_weights_versions(fields: Mapping[str, Any]) -> dict[str, int]:
     """Return the loaded weights version of each model in ``models``.
 
--- a/src/arbutusbay/platform/_settings_file.py
+++ b/src/arbutusbay/platform/_settings_file.py
@@ -18,6 +18,11 @@
     require_mapping,
 )
 from arbutusbay.errors import ErrorKind, Failure
+from arbutusbay.platform._endpoints import (
+    MAX_PORT,
+    Endpoint,
+    parse_endpoint,
+)
 from arbutusbay.platform._field_validation import (
     get_boolean,
     get_duration_s,
@@ -27,20 +32,6 @@
 )
 from arbutusbay.platform._protocol_names import SETTINGS_ENV_VARIABLE
 
-_PORT_COUNT = 65_536
-
-
-@attrs.frozen(kw_only=True)
-class Endpoint:
-    """Locate a listener by IP address and port."""
-
-    host: str
-    port: int
-
-    def __str__(self) -> str:
-        """Return ``host:port``."""
-        return f'{self.host}:{self.port}'
-
 
 @attrs.frozen(kw_only=True)
 class DeploymentLimits:
@@ -109,20 +100,6 @@
         )
 
 
-def parse_endpoint(text: str) -> Endpoint:
-    """Parse an endpoint written as ``IP:PORT``.
-
-    Raise ``MalformedValueError`` if it has another form. The host is
-    not checked.
-    """
-    host, separator, port = text.rpartition(':')
-    if separator and port.isdecimal() and int(port) < _PORT_COUNT:
-        return Endpoint(host=host, port=int(port))
-    raise MalformedValueError(
-        f'address: must be IP:PORT, not {describe_value(text)}'
-    )
-
-
 def _parse_settings(fields: Mapping[str, Any]) -> VMSettings:
     listen = require_mapping(fields.get('listen'), 'listen')
     store = require_mapping(fields.get('platform'), 'platform')
@@ -140,16 +117,10 @@
 
 
 def _get_endpoint(fields: Mapping[str, Any], name: str) -> Endpoint:
-    text = get_string(fields, name)
     try:
-        endpoint = parse_endpoint(text)
+        return parse_endpoint(get_string(fields, name))
     except MalformedValueError as error:
         raise MalformedValueError(f'{name}: {error}') from error
-    if endpoint.host:
-        return endpoint
-    raise MalformedValueError(
-        f'{name}: must be IP:PORT with an IP, not {describe_value(text)}'
-    )
 
 
 def _get_optional_endpoint(
@@ -174,7 +145,7 @@
 
 def _is_port(port: Any) -> bool:
     is_integer = isinstance(port, int) and not isinstance(port, bool)
-    return is_integer and 0 < port < _PORT_COUNT
+    return is_integer and 0 < port <= MAX_PORT
 
 
 def _parse_bounds(fields: Mapping[str, Any]) -> DeploymentLimits:
--- a/tests/fleet_builders.py
+++ b/tests/fleet_builders.py
@@ -20,6 +20,29 @@
 ISOLATED_TEAM_API_KEY = 'key-of-pharmacy'
 ENGINE_HOST = 'language.example'
 PLAIN_HOST = 'desk.example'
+ODD_ADDRESSES = (
+    '[::1:80',
+    '..:80',
+    'a\u00adb:80',
+    '/:80',
+    '10.0.0.999:80',
+    '127.0.0.01:80',
+    '\x00:80',
+    '::1:80',
+    'localhost:80',
+    ':80',
+    '127.0.0.1:0',
+    '127.0.0.1:65536',
+    '127.0.0.1:\uff18\uff10',
+    '127.0.0.1:080',
+    '127.0.0.1: 80',
+    f'127.0.0.1:{8:05000d}',
+    '127.0.0.1',
+    '0.0.0.0:80',
+    '224.0.0.1:80',
+    '255.255.255.255:80',
+)
+ODD_SERVER_IDS = ('odd\r\nid: x', 'odd\x00', 'odd id', 'odd-\u00fc')
 _NESTINGS = (300, 900, 960, 990, 1010)
 
 
@@ -165,11 +188,23 @@
     ]
 
 
+def build_misaddressed_registrations() -> list[bytes]:
+    """Return registrations with addresses that no server can have."""
+    return [
+        json.dumps(
+            build_registration(service=service, address=address, models=[])
+        ).encode()
+        for service in (ENGINE_SERVICE, PLAIN_SERVICE)
+        for address in ODD_ADDRESSES
+    ]
+
+
 def build_odd_registrations() -> list[bytes]:
     """Return registrations that are malformed in one way each."""
     return [
         *build_unreadable_registrations(),
         *build_nested_registrations(),
+        *build_misaddressed_registrations(),
     ]
 
 
--- a/tests/integration/test_odd_records.py
+++ b/tests/integration/test_odd_records.py
@@ -16,7 +16,10 @@
 
 from emulator.fleet import SERVERS_TOPIC, Fleet, FleetNode, wait_for_condition
 from tests.fleet_builders import (
+    ODD_SERVER_IDS,
+    PLAIN_SERVICE,
     build_engine,
+    build_misaddressed_registrations,
     build_nested_json,
     build_nested_registrations,
     build_odd_registrations,
@@ -119,6 +122,7 @@
     [
         build_unreadable_registrations,
         build_nested_registrations,
+        build_misaddressed_registrations,
     ],
 )
 async def test_odd_entries_cost_no_request(fleet, http, build_payloads):
@@ -132,6 +136,22 @@
     assert not error_lines(nodes[0])
 
 
+# Guards against 500 for requests that name an odd id in a header.
+async def test_odd_server_ids_cost_no_request(fleet, http):
+    nodes = await start_fleet(fleet)
+    await wait_until_ready(nodes, http)
+    topic = fleet.store.topic(SERVERS_TOPIC)
+    for server_id in ODD_SERVER_IDS:
+        document = build_registration(
+            service=PLAIN_SERVICE, address=fleet.engines[-1].address, models=[]
+        )
+        topic.append(server_id, json.dumps(document).encode())
+    await fleet.add_engine(build_plain_server(7))
+    await wait_until_followed(nodes, 'desk-7')
+    await assert_all_served(http, nodes[0], 'ids')
+    assert not error_lines(nodes[0])
+
+
 # Guards against a VM that hears no other VM any more after one datagram.
 @pytest.mark.parametrize(
     'fields',
@@ -174,6 +194,13 @@
     nested = build_nested_json(_DATAGRAM_NESTING)
     for key, field in (('vm/odd', 'address'), ('lease/weights', 'holder')):
         topic.append(key, f'{{"{field}":{nested}}}'.encode())
+    for number, address in enumerate(('..:80', '127.0.0.1:0', '[::1:80')):
+        topic.append(
+            f'vm/odd-{number}',
+            json.dumps(
+                {'address': address, 'zone': 'plateau', 'started_ms': 1}
+            ).encode(),
+        )
     nodes = await start_fleet(fleet, nodes=2)
     await wait_until_ready(nodes, http)
     await assert_all_served(http, nodes[1], 'coord')
--- a/tests/unit/test_odd_values.py
+++ b/tests/unit/test_odd_values.py
@@ -22,6 +22,8 @@
     read_settings,
 )
 from tests.fleet_builders import (
+    ODD_ADDRESSES,
+    ODD_SERVER_IDS,
     build_configuration,
     build_nested_json,
     build_registration,
@@ -162,6 +164,32 @@
         assert isinstance(decoder.decode(raw), Ok | Err)
 
 
+# Guards against requests, reports and reads that are sent to an address that
+# is none: they fail with errors that no code there expects.
+@pytest.mark.parametrize('address', ODD_ADDRESSES)
+def test_odd_addresses_are_rejected(address):
+    for name in ('server', 'vm'):
+        decoder = DECODERS[name]
+        document = {**decoder.document, 'address': address}
+        failure = decoder.decode(json.dumps(document).encode()).unwrap_err()
+        assert 'address: ' in failure.detail
+
+
+@pytest.mark.parametrize('address', ['10.2.0.1:1', '127.0.0.1:65535'])
+def test_sound_addresses_are_accepted(address):
+    document = build_registration(address=address)
+    server = decode_backend_server('e', json.dumps(document).encode())
+    assert server.unwrap().address == address
+
+
+# Guards against ids that cannot be sent in the header of a request.
+@pytest.mark.parametrize('server_id', ODD_SERVER_IDS)
+def test_odd_server_ids_are_rejected(server_id):
+    raw = json.dumps(build_registration()).encode()
+    failure = decode_backend_server(server_id, raw).unwrap_err()
+    assert 'id: must be' in failure.detail
+
+
 # Guards against an error text that is as long as the value it shows.
 def test_long_values_are_shown_in_part():
     document = build_registration(state='x' * 100_000)
