Hold numbers of other writers to the range that their use bears

Entries with slots, born or versions of 2^64 - 1 were taken as engines. A datagram with "nan", 1e308 or a number of 4,000 digits was taken over: this VM then repeats it in the totals of its zone or among the weights, and the encoder fails, so that it sends no report any more. One with a time of 4,000 digits raised in the receiver.

Cause: integers had no upper bound, and datagrams were converted with int() and float(), which take texts, infinity and NaN.

Evidence: before, 46 positions of a number took 2^64 - 1 in test_odd_numbers_are_rejected; test_what_is_decoded_can_be_reported failed with "TypeError: Integer exceeds 64-bit range"; test_odd_entries_cost_no_request (ranges) registered 8 odd entries; the header with the store's era took 4,000 digits and raised at 5,000 (int() of the interpreter), where no code expects it. test_odd_datagrams_do_not_stop_reports[l] found "Unhandled exception in event loop: OverflowError". Refuted there: with uvloop a VM hears the others on after such an error, and s, m, f, w and o of that test passed before with two VMs.

Why this works: an integer ends at 2^53 - 1, which sums and JSON bear; fencing tokens at 63 bits; totals of one VM lower, so that those of a zone stay in range; times of loads at an hour. The era is a number of up to 9 digits or unknown.

--- a/src/arbutusbay/checked_values.py
+++ b/src/arbutusbay/checked_values.py
@@ -1,6 +1,7 @@
 """Expose the checks of values that other programs have written."""
 
 from arbutusbay._checked_values import (
+    MAX_INTEGER,
     MalformedValueError,
     describe_value,
     require_boolean,
@@ -13,6 +14,7 @@
 )
 
 __all__ = (
+    'MAX_INTEGER',
     'MalformedValueError',
     'describe_value',
     'require_boolean',
--- a/src/arbutusbay/node/_peer_messages.py
+++ b/src/arbutusbay/node/_peer_messages.py
@@ -11,6 +11,7 @@
 from result import Err, Ok, Result
 
 from arbutusbay.checked_values import (
+    MAX_INTEGER,
     require_count,
     require_integer,
     require_number,
@@ -26,6 +27,10 @@
 
 _WORK_UNIT_TOKENS = 1000
 _MS_PER_S = 1000
+_MAX_FENCE = 9_223_372_036_854_775_807
+_MAX_LOAD_TIME_MS = 3_600_000
+# Sums over the VMs of a zone stay below ``MAX_INTEGER``.
+_MAX_VM_TOTAL = 2_000_000_000_000
 
 
 @attrs.frozen(kw_only=True)
@@ -147,8 +152,8 @@
     return PeerState(
         name=require_text(fields['n'], 'n'),
         zone=require_text(fields['z'], 'z'),
-        occupancy=_occupancies_from_fields(fields['o']),
-        work_totals=_work_from_fields(*fields['m']),
+        occupancy=_occupancies_from_fields(fields['o'], _MAX_VM_TOTAL),
+        work_totals=_work_from_fields(fields['m'], _MAX_VM_TOTAL),
         suspected_engines=tuple(
             require_text(server, 's') for server in fields.get('s', ())
         ),
@@ -164,11 +169,13 @@
             server: _weights_from_fields(*encoded)
             for server, encoded in fields.get('w', {}).items()
         },
-        fence=None if fence is None else require_count(fence, 'f'),
+        fence=None
+        if fence is None
+        else require_count(fence, 'f', highest=_MAX_FENCE),
         zones={
             zone: ZoneLoad(
-                occupancy=_occupancies_from_fields(occupancy),
-                work_totals=_work_from_fields(*totals),
+                occupancy=_occupancies_from_fields(occupancy, MAX_INTEGER),
+                work_totals=_work_from_fields(totals, MAX_INTEGER),
             )
             for zone, (occupancy, totals) in fields.get('zs', {}).items()
         },
@@ -195,31 +202,31 @@
     )
 
 
-def _work_from_fields(short: int, long: int) -> WorkTotals:
-    return WorkTotals(
-        short_prompt_work=require_number(short, 'm') * _WORK_UNIT_TOKENS,
-        long_prompt_work=require_number(long, 'm') * _WORK_UNIT_TOKENS,
+def _work_from_fields(encoded: Sequence[int], highest: int) -> WorkTotals:
+    short, long = (
+        require_number(total, 'm', highest=highest) * _WORK_UNIT_TOKENS
+        for total in encoded
     )
+    return WorkTotals(short_prompt_work=short, long_prompt_work=long)
 
 
 def _occupancies_from_fields(
-    encoded: Mapping[str, Sequence[int]],
+    encoded: Mapping[str, Sequence[int]], highest: int
 ) -> dict[str, Occupancy]:
     return {
-        server: _occupancy_from_fields(*numbers)
+        server: _occupancy_from_fields(numbers, highest)
         for server, numbers in encoded.items()
     }
 
 
-def _occupancy_from_fields(
-    attempts: int,
-    uncached_tokens: int,
-    kv_tokens: int,
-) -> Occupancy:
+def _occupancy_from_fields(encoded: Sequence[int], highest: int) -> Occupancy:
+    attempts, uncached_tokens, kv_tokens = (
+        require_count(number, 'o', highest=highest) for number in encoded
+    )
     return Occupancy(
-        attempts=require_count(attempts, 'attempts'),
-        uncached_tokens=require_count(uncached_tokens, 'uncached tokens'),
-        kv_tokens=require_count(kv_tokens, 'kv tokens'),
+        attempts=attempts,
+        uncached_tokens=uncached_tokens,
+        kv_tokens=kv_tokens,
     )
 
 
@@ -237,9 +244,19 @@
     return PlannedWeightsLoad(
         model=require_text(model, 'model'),
         version=require_count(version, 'version'),
-        start_s=now_s + require_integer(start_ms, 'start') / _MS_PER_S,
-        finish_s=now_s + require_integer(finish_ms, 'finish') / _MS_PER_S,
+        start_s=_load_moment_s(start_ms, now_s),
+        finish_s=_load_moment_s(finish_ms, now_s),
+    )
+
+
+def _load_moment_s(relative_ms: int, now_s: float) -> float:
+    offset_ms = require_integer(
+        relative_ms,
+        'l',
+        lowest=-_MAX_LOAD_TIME_MS,
+        highest=_MAX_LOAD_TIME_MS,
     )
+    return now_s + offset_ms / _MS_PER_S
 
 
 def _weights_from_fields(
--- a/src/arbutusbay/node/_quarantine_messages.py
+++ b/src/arbutusbay/node/_quarantine_messages.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from arbutusbay.checked_values import (
+    MAX_INTEGER,
     require_boolean,
     require_count,
     require_integer,
@@ -97,7 +98,7 @@
 
 def _moment_s(relative_ms: int, now_s: float) -> float:
     """Return a moment of the past on the clock of this VM."""
-    offset_ms = require_integer(relative_ms, 'time')
+    offset_ms = require_integer(relative_ms, 'time', lowest=-MAX_INTEGER)
     return min(now_s, now_s + offset_ms / _MS_PER_S)
 
 
--- a/src/arbutusbay/node/_relay_api.py
+++ b/src/arbutusbay/node/_relay_api.py
@@ -17,7 +17,7 @@
 from arbutusbay.platform import StorePosition
 
 RELAY_PATH = '/relay'
-_MAX_HOLD_S = 2.0
+_MAX_HOLD_MS = 2000
 
 
 class RelayApi:
@@ -48,7 +48,7 @@
         try:
             operator_start = position_from_parameters('operator', request.query)
             servers_start = position_from_parameters('servers', request.query)
-            hold_s = min(_MAX_HOLD_S, int(request.query['hold_ms']) / 1000)
+            hold_s = min(_MAX_HOLD_MS, int(request.query['hold_ms'])) / 1000
         except (KeyError, ValueError):
             return web.Response(status=HTTPStatus.BAD_REQUEST)
         received_s = now_s()
--- a/src/arbutusbay/node/_relay_messages.py
+++ b/src/arbutusbay/node/_relay_messages.py
@@ -20,6 +20,8 @@
 from arbutusbay.platform import KeyedRecord, StorePosition
 
 _ALL_RECORDS_OFFSET = -1
+# Records of an earlier era of the store have no offset.
+_LOWEST_OFFSET = -1
 
 
 @attrs.frozen(kw_only=True)
@@ -160,7 +162,7 @@
             KeyedRecord(
                 key=require_text(key, 'key'),
                 payload=base64.b64decode(payload),
-                offset=require_integer(offset, 'offset'),
+                offset=require_integer(offset, 'offset', lowest=_LOWEST_OFFSET),
             )
             for key, payload, offset in fields['records']
         ),
--- a/src/arbutusbay/platform/_field_validation.py
+++ b/src/arbutusbay/platform/_field_validation.py
@@ -1,7 +1,7 @@
 """Read typed fields of decoded JSON and TOML documents.
 
 Each function raises ``MalformedValueError``, which names the field, if the
-field is missing without a default or has another type.
+field is missing without a default, has another type or is out of range.
 """
 
 from collections.abc import Mapping, Sequence
@@ -32,7 +32,7 @@
     name: str,
     default: float | None = None,
 ) -> float:
-    """Return a non-negative number as a float."""
+    """Return a number from 0 on as a float."""
     return require_number(fields.get(name, default), name)
 
 
@@ -41,7 +41,7 @@
     name: str,
     default: int | None = None,
 ) -> int:
-    """Return a non-negative integer."""
+    """Return an integer from 0 on."""
     return require_count(fields.get(name, default), name)
 
 
--- a/src/arbutusbay/platform/_store_client.py
+++ b/src/arbutusbay/platform/_store_client.py
@@ -11,6 +11,7 @@
 import asyncio
 import base64
 import binascii
+import re
 from collections.abc import Mapping, Sequence
 from typing import Any
 
@@ -37,6 +38,8 @@
 _MAX_KEY_BYTES = 255
 _MAX_RESPONSE_BYTES = 33_554_432
 _UNKNOWN_ERA = 0
+# An era and an offset make up a fencing token of 63 bits.
+_ERA_PATTERN = re.compile('[0-9]{1,9}')
 
 
 @attrs.frozen(kw_only=True)
@@ -298,7 +301,7 @@
 
 def _parse_era(headers: Mapping[str, str]) -> int:
     text = headers.get(HeaderName.STORE_ERA, '')
-    return int(text) if text.isdecimal() else _UNKNOWN_ERA
+    return int(text) if _ERA_PATTERN.fullmatch(text) else _UNKNOWN_ERA
 
 
 def _unknown(detail: str) -> Err[StoreFailure]:
--- a/tests/fleet_builders.py
+++ b/tests/fleet_builders.py
@@ -43,6 +43,7 @@
     '255.255.255.255:80',
 )
 ODD_SERVER_IDS = ('odd\r\nid: x', 'odd\x00', 'odd id', 'odd-\u00fc')
+ODD_NUMBERS = (-1, 1.5, True, '8', None, 2**53, 2**64 - 1, 1e300, [])
 _NESTINGS = (300, 900, 960, 990, 1010)
 
 
@@ -199,12 +200,27 @@
     ]
 
 
+def build_out_of_range_registrations() -> list[bytes]:
+    """Return registrations with a number that is none or out of range."""
+    documents = [
+        build_registration(**{field: number})
+        for field in ('slots', 'born', 'sequence')
+        for number in ODD_NUMBERS
+    ]
+    documents += [
+        build_registration(models=[{'name': MODEL, 'version': number}])
+        for number in ODD_NUMBERS
+    ]
+    return [json.dumps(document).encode() for document in documents]
+
+
 def build_odd_registrations() -> list[bytes]:
     """Return registrations that are malformed in one way each."""
     return [
         *build_unreadable_registrations(),
         *build_nested_registrations(),
         *build_misaddressed_registrations(),
+        *build_out_of_range_registrations(),
     ]
 
 
--- a/tests/integration/test_odd_records.py
+++ b/tests/integration/test_odd_records.py
@@ -23,6 +23,7 @@
     build_nested_json,
     build_nested_registrations,
     build_odd_registrations,
+    build_out_of_range_registrations,
     build_plain_server,
     build_registration,
     build_unreadable_registrations,
@@ -123,6 +124,7 @@
         build_unreadable_registrations,
         build_nested_registrations,
         build_misaddressed_registrations,
+        build_out_of_range_registrations,
     ],
 )
 async def test_odd_entries_cost_no_request(fleet, http, build_payloads):
@@ -157,6 +159,12 @@
     'fields',
     [
         {'s': 'NESTED'},
+        {'l': {'engine-0': ['m', 1, '9' * 4000, 1]}},
+        {'m': ['nan', 'inf']},
+        {'m': [1e308, 1e308]},
+        {'f': 2**64 - 1},
+        {'w': {'engine-0': [1, {'roll-advisor': 1e300}]}},
+        {'o': {'engine-0': [1, 1e300, 1e300]}},
     ],
     ids=lambda fields: next(iter(fields)),
 )
--- a/tests/unit/test_odd_values.py
+++ b/tests/unit/test_odd_values.py
@@ -11,9 +11,14 @@
 
 import attrs
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from result import Err, Ok, Result
 
-from arbutusbay.node._peer_messages import peer_state_from_bytes
+from arbutusbay.node._peer_messages import (
+    peer_state_from_bytes,
+    peer_state_to_bytes,
+)
 from arbutusbay.node._relay_messages import relay_response_from_bytes
 from arbutusbay.platform import (
     decode_backend_server,
@@ -21,6 +26,7 @@
     decode_operator_record,
     read_settings,
 )
+from arbutusbay.platform._store_client import _parse_era
 from tests.fleet_builders import (
     ODD_ADDRESSES,
     ODD_SERVER_IDS,
@@ -31,6 +37,33 @@
 
 _DEPTHS = (50, 300, *range(800, 1024, 8))
 _NESTED = '"NESTED"'
+_NOW_S = 100.0
+_MAX_EXAMPLES = 400
+REPORTED_NUMBERS = (
+    2**31,
+    2**40,
+    2**53 - 1,
+    2**53,
+    2**63,
+    2**64 - 1,
+    1e300,
+    '9' * 4000,
+    'nan',
+    'inf',
+)
+ODD_JSON_VALUES = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers(-(2**70), 2**70)
+    | st.floats(allow_nan=False, allow_infinity=False)
+    | st.text(max_size=8)
+    | st.sampled_from(REPORTED_NUMBERS),
+    lambda children: (
+        st.lists(children, max_size=7)
+        | st.dictionaries(st.text(max_size=8), children, max_size=3)
+    ),
+    max_leaves=10,
+)
 
 
 @attrs.frozen(kw_only=True)
@@ -83,7 +116,7 @@
             },
         ),
         'peer': Decoder(
-            decode=lambda raw: peer_state_from_bytes(raw, 100),
+            decode=lambda raw: peer_state_from_bytes(raw, _NOW_S),
             document={
                 'n': 'vm-1',
                 'z': 'plateau',
@@ -150,6 +183,25 @@
     ]
 
 
+def build_number_cases() -> list[Any]:
+    """Return each decoder with each position of a number that it reads."""
+    return [
+        pytest.param(decoder, path, id=f'{name}-{"-".join(map(str, path))}')
+        for name, decoder in DECODERS.items()
+        if name != 'configuration'
+        for path in positions_in(decoder.document)
+        if is_number_at(decoder.document, path)
+        and path != ('cold_remaining_ms',)
+    ]
+
+
+def is_number_at(document: Any, path: tuple) -> bool:
+    """Return whether ``document`` has a number at ``path``."""
+    for key in path:
+        document = document[key]
+    return isinstance(document, int) and not isinstance(document, bool)
+
+
 @pytest.mark.parametrize('decoder', DECODERS.values(), ids=DECODERS)
 def test_sound_documents_are_decoded(decoder):
     assert isinstance(decoder.decode(json.dumps(decoder.document).encode()), Ok)
@@ -164,6 +216,47 @@
         assert isinstance(decoder.decode(raw), Ok | Err)
 
 
+# Guards against numbers that break what this VM sends to others, or the
+# arithmetic of its decisions.
+@pytest.mark.parametrize(('decoder', 'path'), build_number_cases())
+def test_odd_numbers_are_rejected(decoder, path):
+    for number in (2**64 - 1, 1e300, '8', [], True, -(2**60)):
+        raw = json.dumps(replace_at(decoder.document, path, number)).encode()
+        assert isinstance(decoder.decode(raw), Err), number
+
+
+# Guards against reports that fail for ever, since this VM repeats a number of
+# another one in them.
+@given(st.data())
+@settings(max_examples=_MAX_EXAMPLES, derandomize=True, deadline=None)
+def test_what_is_decoded_can_be_reported(test_data):
+    decoder = DECODERS['peer']
+    path = test_data.draw(st.sampled_from(positions_in(decoder.document)))
+    replacement = test_data.draw(st.sampled_from(REPORTED_NUMBERS))
+    document = replace_at(decoder.document, path, replacement)
+    match decoder.decode(json.dumps(document).encode()):
+        case Ok(state):
+            # The times of the quarantine are in the past of any receiver.
+            datagram = peer_state_to_bytes(state, _NOW_S)
+            assert isinstance(decoder.decode(datagram), Ok)
+
+
+@given(st.data())
+@settings(max_examples=_MAX_EXAMPLES, derandomize=True, deadline=None)
+def test_any_value_gives_a_result(test_data):
+    decoder = test_data.draw(st.sampled_from(sorted(DECODERS)))
+    document = DECODERS[decoder].document
+    path = test_data.draw(st.sampled_from(positions_in(document)))
+    replacement = test_data.draw(ODD_JSON_VALUES)
+    raw = json.dumps(replace_at(document, path, replacement)).encode()
+    assert isinstance(DECODERS[decoder].decode(raw), Ok | Err)
+
+
+@pytest.mark.parametrize('era', ['9' * 4000, '9' * 5000, '\uff11', '-1', ''])
+def test_odd_era_of_the_store_counts_as_unknown(era):
+    assert not _parse_era({'Store-Era': era})
+
+
 # Guards against requests, reports and reads that are sent to an address that
 # is none: they fail with errors that no code there expects.
 @pytest.mark.parametrize('address', ODD_ADDRESSES)
