Log a malformed record once, not at each read of it

What operators saw: a line for each odd entry at each read of the newest records, at each change of the source, and at each heartbeat of a writer that goes on writing it; for records of VMs and leases at each read of a lease.

Cause: two malformed entries never counted as the same, and the coordination topic is read whole each time.

Why this works: entries that are malformed in the same way are equivalent, as registrations that differ in the heartbeat are; the reason for which a coordination record was skipped is kept by its key.

--- a/src/arbutusbay/node/_coordination.py
+++ b/src/arbutusbay/node/_coordination.py
@@ -7,6 +7,7 @@
 from result import Err, Ok, Result
 
 from arbutusbay.clock import now_s
+from arbutusbay.errors import Failure
 from arbutusbay.fleet import LeaseClaim, VMRegistration
 from arbutusbay.logs import get_logger
 from arbutusbay.node._node_state import NodeState
@@ -45,7 +46,7 @@
 ) -> Result[CoordinationRead, StoreFailure]:
     """Apply all VM records, lease claims and verdicts to ``node_state``.
 
-    Malformed records are logged and skipped. Fails if the store does, which
+    Malformed records are skipped, logged once. Fails if the store does, which
     has ``timeout_s`` seconds to respond.
     """
     newest = await store.read_latest(Topic.COORDINATION, timeout_s=timeout_s)
@@ -71,7 +72,7 @@
             case Ok(VerdictRecord() as stored):
                 _apply_verdict(node_state, stored)
             case Err(failure):
-                _LOG.warning('malformed record skipped: {}', failure.detail)
+                _log_skipped(node_state, record.key, failure)
     node_state.has_read_verdicts = True
     return Ok(
         CoordinationRead(
@@ -81,6 +82,14 @@
     )
 
 
+def _log_skipped(node_state: NodeState, key: str, failure: Failure) -> None:
+    """Log why a record is skipped unless an earlier read found the same."""
+    if node_state.skipped_records.get(key) == failure.detail:
+        return
+    node_state.skipped_records[key] = failure.detail
+    _LOG.warning('malformed record skipped: {}', failure.detail)
+
+
 def _apply_verdict(node_state: NodeState, stored: VerdictRecord) -> None:
     """Take over a stored verdict if it is newer than the known one."""
     moment_s = now_s()
--- a/src/arbutusbay/node/_node_state.py
+++ b/src/arbutusbay/node/_node_state.py
@@ -143,6 +143,7 @@
         own_pauses: When this VM last did not run.
         quarantine: Prompt segments that crash engines.
         stored_revisions: Revisions of the verdicts that the store holds.
+        skipped_records: Why a coordination record was skipped, by its key.
         has_read_verdicts: Whether the verdicts in the store, or those of
             another VM, have been read.
         started_s: When this process started.
@@ -172,6 +173,7 @@
     own_pauses: OwnPauses = attrs.field(factory=OwnPauses)
     quarantine: SegmentQuarantine = attrs.field(factory=SegmentQuarantine)
     stored_revisions: dict[SegmentKey, set[int]] = attrs.field(factory=dict)
+    skipped_records: dict[str, str] = attrs.field(factory=dict)
     has_read_verdicts: bool = False
     started_s: float = attrs.field(factory=now_s)
 
--- a/src/arbutusbay/node/_topics.py
+++ b/src/arbutusbay/node/_topics.py
@@ -278,14 +278,18 @@
             self.server_registry.deregister(record.key)
 
     def is_equivalent(self, known: KeyedRecord, received: KeyedRecord) -> bool:
-        """Return whether two registrations differ in the heartbeat at most."""
+        """Return whether two registrations differ in the heartbeat at most.
+
+        Two that are malformed in the same way name no server alike.
+        """
         if not known.payload or not received.payload:
             return known.payload == received.payload
         before = _decode_server(known.key, known.payload)
         after = _decode_server(received.key, received.payload)
-        if not isinstance(after, Ok) or before != after:
+        if before != after:
             return False
-        self._record_heartbeat(after.ok_value)
+        if isinstance(after, Ok):
+            self._record_heartbeat(after.ok_value)
         return True
 
     def is_superseded(self, restored: KeyedRecord) -> bool:
--- a/tests/integration/test_odd_records.py
+++ b/tests/integration/test_odd_records.py
@@ -60,6 +60,15 @@
     )
 
 
+def skipped_lines(node: FleetNode, server_id: str) -> list[str]:
+    """Return the messages that name the record of a server as malformed."""
+    return [
+        str(line['message'])
+        for line in read_log(node)
+        if f'skipped: {server_id}: ' in str(line['message'])
+    ]
+
+
 def append_odd_registrations(
     fleet: Fleet,
     build_payloads: Callable[[], list[bytes]] = build_odd_registrations,
@@ -154,6 +163,22 @@
     assert not error_lines(nodes[0])
 
 
+# Guards against a log line for each read of the same odd entry.
+async def test_an_odd_entry_is_logged_once(fleet, http):
+    nodes = await start_fleet(fleet)
+    await wait_until_ready(nodes, http)
+    names = append_odd_registrations(fleet)
+    topic = fleet.store.topic(SERVERS_TOPIC)
+    for number in range(3):
+        # Expired records make the daemon read the newest of each key again.
+        await fleet.add_engine(build_engine(10 + number))
+        append_odd_registrations(fleet)
+        topic.first_offset = topic.next_offset
+        await wait_until_followed(nodes, f'engine-{10 + number}')
+    counts = {name: len(skipped_lines(nodes[0], name)) for name in names}
+    assert counts == dict.fromkeys(names, 1)
+
+
 # Guards against a VM that hears no other VM any more after one datagram.
 @pytest.mark.parametrize(
     'fields',
