Write a line of JSON also for fields that no JSON encoder takes

What operators saw: a request with an Attempt-Id that is no UTF-8 left a traceback over several lines in the log instead of its line.

Cause: the encoder of log lines raises for such texts and for integers above 64 bits, and the log library then prints the traceback itself.

Evidence: before, test_odd_headers_of_a_client_are_ignored[12] could not read the log of a daemon: "json.decoder.JSONDecodeError: Expecting value: line 1 column 1"; in it "TypeError: str is not valid UTF-8: surrogates not allowed".

--- a/src/arbutusbay/_logs.py
+++ b/src/arbutusbay/_logs.py
@@ -137,4 +137,20 @@
     fields.update(record.kwargs.get('fields', {}))
     if record.exc_info:
         fields['exception'] = record.formatted_exception
-    return orjson.dumps(fields, default=str).decode()
+    return _line_from_fields(fields)
+
+
+def _line_from_fields(fields: dict[str, Any]) -> str:
+    """Return one line of JSON, whatever the fields hold.
+
+    Texts of requests may hold bytes that are no UTF-8, and numbers may exceed
+    64 bits; all fields are then written as texts.
+    """
+    try:
+        return orjson.dumps(fields, default=str).decode()
+    except TypeError:
+        texts = {
+            str(name): str(found).encode(errors='replace').decode()
+            for name, found in fields.items()
+        }
+        return orjson.dumps(texts).decode()
