Bound the numbers and texts of headers and events where they are parsed

What callers saw: a request with a token count of 5,000 digits in its prompt prefix, or with a segment that is no UTF-8, got 500. While one with a token count of 1e300 was at work, this VM sent no report to the others. A stream in which an engine sent an event id of 5,000 digits ended with 500. Shared segments longer than the prompt made negative totals, which other VMs now refuse.

Cause: int() raises above 4,300 digits, and float() takes 1e300, which becomes an integer that neither the encoder of reports nor arithmetic with floats takes.

Why this works: tokens of a request end at 10 million, other numbers at 2^53 - 1 or count as missing; ids of events and versions have up to 15 digits, other ids count as none; segments and models that are no printable text are ignored; a shared prefix is no longer than its prompt.

--- a/emulator/fleet_engine.py
+++ b/emulator/fleet_engine.py
@@ -33,7 +33,8 @@
     ENDLESS_LINE send head lines, or one line, without end, ENDLESS_BODY a body.
     SECOND_COPY sends the response of a plain service again a moment later.
     TRICKLE sends two events and then a byte now and then. END ends the engine
-    as it begins to respond.
+    as it begins to respond. ODD_EVENT begins a stream with an event whose id is
+    no number of use.
     """
 
     NONE = 'none'
@@ -49,10 +50,12 @@
     SECOND_COPY = 'second_copy'
     TRICKLE = 'trickle'
     END = 'end'
+    ODD_EVENT = 'odd_event'
 
 
 _MAX_ENDLESS_BYTES = 200_000_000
 _CHUNK_BYTES = 65_536
+_ODD_EVENT = f'id: {9:9>5000}\ndata: odd\n\n'
 _HEAD_LINE = b'X-Noise: 0123456789\r\n'
 
 
@@ -393,9 +396,9 @@
                 await response.write(b':')
                 await asyncio.sleep(_TRICKLE_S)
                 continue
-            padding = 'x' * self.options.padding_bytes
-            event = f'id: {number}\ndata: w{number}{padding}\n\n'
-            await response.write(event.encode())
+            await response.write(
+                _event_text(number, self.options, fault).encode()
+            )
             await self.silence.sleep(self.options.event_s)
         return response
 
@@ -463,3 +466,10 @@
 def _shared_segments(request: web.Request) -> frozenset[str]:
     entries = request.headers.get('Prompt-Prefix', '').split(',')[:-1]
     return frozenset(entry.partition(':')[0] for entry in entries)
+
+
+def _event_text(number: int, options: EngineOptions, fault: EngineFault) -> str:
+    padding = 'x' * options.padding_bytes
+    event = f'id: {number}\ndata: w{number}{padding}\n\n'
+    is_odd = fault is EngineFault.ODD_EVENT and number == 1
+    return f'{_ODD_EVENT}{event}' if is_odd else event
--- a/src/arbutusbay/node/_placement.py
+++ b/src/arbutusbay/node/_placement.py
@@ -97,6 +97,8 @@
     return ModelRequestSize(
         prompt_tokens=head.prompt_tokens,
         output_tokens=head.max_output_tokens,
-        shared_prefix_tokens=sum(segment.tokens for segment in shared),
+        shared_prefix_tokens=min(
+            head.prompt_tokens, sum(segment.tokens for segment in shared)
+        ),
         affinity_key=shared[-1].id if shared else incoming.attempt_id,
     )
--- a/src/arbutusbay/platform/_http_headers.py
+++ b/src/arbutusbay/platform/_http_headers.py
@@ -4,11 +4,13 @@
 lose those that are meant for this system only.
 """
 
+import re
 from collections.abc import Iterable, Mapping
 
 import attrs
 from multidict import CIMultiDict
 
+from arbutusbay.checked_values import MAX_INTEGER
 from arbutusbay.platform._protocol_names import BEARER_PREFIX, HeaderName
 
 # Hop-by-hop headers, and content-length, which aiohttp computes anew.
@@ -60,6 +62,9 @@
 _IS_SET = '1'
 _REQUIRED_LOAD_FIELDS = 3
 _NO_SLOWDOWN_PERCENT = 100
+# The sum over all requests at work on a VM fits its reports.
+_MAX_TOKENS = 10_000_000
+_TOKENS_PATTERN = re.compile('[0-9]{1,15}')
 
 
 @attrs.frozen(kw_only=True)
@@ -165,9 +170,9 @@
         attempt_id=headers.get(HeaderName.ATTEMPT_ID, ''),
         api_key=_parse_api_key(headers.get(HeaderName.AUTHORIZATION, '')),
         time_to_deadline_s=None if deadline_ms is None else deadline_ms / 1000,
-        model=headers.get(HeaderName.MODEL, ''),
-        prompt_tokens=int(_parse_number(prompt) or 0),
-        max_output_tokens=int(_parse_number(output) or 0),
+        model=_parse_text(headers.get(HeaderName.MODEL, '')),
+        prompt_tokens=_parse_tokens(prompt),
+        max_output_tokens=_parse_tokens(output),
         prompt_segments=_parse_prompt_segments(
             headers.get(HeaderName.PROMPT_PREFIX, '')
         ),
@@ -280,11 +285,25 @@
     segments: list[PromptSegment] = []
     for entry in text.split(','):
         name, _, tokens = entry.strip().partition(':')
-        if name and tokens.isdecimal():
-            segments.append(PromptSegment(id=name, tokens=int(tokens)))
+        if _parse_text(name) and _TOKENS_PATTERN.fullmatch(tokens):
+            segments.append(
+                PromptSegment(id=name, tokens=_parse_tokens(tokens))
+            )
     return tuple(segments)
 
 
+def _parse_text(text: str) -> str:
+    """Return ``text``, empty if it has bytes that are no UTF-8.
+
+    Reports to other VMs could not hold it.
+    """
+    return text if text.isprintable() else ''
+
+
+def _parse_tokens(text: str) -> int:
+    return int(min(_parse_number(text) or 0, _MAX_TOKENS))
+
+
 def _parse_load(text: str) -> EngineLoad | None:
     fields = [_parse_number(field) for field in text.split(',')]
     if len(fields) < _REQUIRED_LOAD_FIELDS or None in fields:
@@ -307,4 +326,4 @@
         number = float(text)
     except ValueError:
         return None
-    return number if 0 <= number < float('inf') else None
+    return number if 0 <= number <= MAX_INTEGER else None
--- a/src/arbutusbay/platform/_sse_parser.py
+++ b/src/arbutusbay/platform/_sse_parser.py
@@ -6,6 +6,7 @@
 import attrs
 
 _EVENT_END = re.compile(rb'\r\n\r\n|\n\n|\r\r')
+_NUMBER = re.compile(rb'[0-9]{1,15}')
 _LONGEST_EVENT_END_BYTES = 4
 _MAX_EVENT_BYTES = 1_048_576
 _ID_FIELD = b'id'
@@ -63,7 +64,7 @@
     for line in raw.splitlines():
         name, _, text = line.partition(b':')
         digits = text.strip()
-        if not digits.isdigit():
+        if not _NUMBER.fullmatch(digits):
             continue
         if name == _ID_FIELD:
             event_id = int(digits)
