--- a/src/arbutusbay/node/_peer_messages.py
+++ b/src/arbutusbay/node/_peer_messages.py
@@ -10,6 +10,13 @@
 import orjson
 from result import Err, Ok, Result
 
+from arbutusbay.checked_values import (
+    MAX_INTEGER,
+    require_count,
+    require_integer,
+    require_number,
+    require_text,
+)
 from arbutusbay.errors import ErrorKind, Failure
 from arbutusbay.node._quarantine_messages import (
     quarantine_from_fields,
@@ -20,6 +27,10 @@
 
 _WORK_UNIT_TOKENS = 1000
 _MS_PER_S = 1000
+_MAX_FENCE = 9_223_372_036_854_775_807
+_MAX_LOAD_TIME_MS = 3_600_000
+# Sums over the VMs of a zone stay below ``MAX_INTEGER``.
+_MAX_VM_TOTAL = 2_000_000_000_000
 
 
 @attrs.frozen(kw_only=True)
@@ -139,28 +150,32 @@
 def _state_from_fields(fields: Mapping[str, Any], now_s: float) -> PeerState:
     fence = fields.get('f')
     return PeerState(
-        name=str(fields['n']),
-        zone=str(fields['z']),
-        occupancy=_occupancies_from_fields(fields['o']),
-        work_totals=_work_from_fields(*fields['m']),
-        suspected_engines=tuple(str(server) for server in fields.get('s', ())),
+        name=require_text(fields['n'], 'n'),
+        zone=require_text(fields['z'], 'z'),
+        occupancy=_occupancies_from_fields(fields['o'], _MAX_VM_TOTAL),
+        work_totals=_work_from_fields(fields['m'], _MAX_VM_TOTAL),
+        suspected_engines=tuple(
+            require_text(server, 's') for server in fields.get('s', ())
+        ),
         leaving_engines={
-            str(server): int(incarnation)
+            server: require_count(incarnation, 'g')
             for server, incarnation in fields.get('g', {}).items()
         },
         loads={
-            str(server): _load_from_fields(now_s, *encoded)
+            server: _load_from_fields(now_s, *encoded)
             for server, encoded in fields.get('l', {}).items()
         },
         weights={
-            str(server): _weights_from_fields(*encoded)
+            server: _weights_from_fields(*encoded)
             for server, encoded in fields.get('w', {}).items()
         },
-        fence=None if fence is None else int(fence),
+        fence=None
+        if fence is None
+        else require_count(fence, 'f', highest=_MAX_FENCE),
         zones={
-            str(zone): ZoneLoad(
-                occupancy=_occupancies_from_fields(occupancy),
-                work_totals=_work_from_fields(*totals),
+            zone: ZoneLoad(
+                occupancy=_occupancies_from_fields(occupancy, MAX_INTEGER),
+                work_totals=_work_from_fields(totals, MAX_INTEGER),
             )
             for zone, (occupancy, totals) in fields.get('zs', {}).items()
         },
@@ -187,31 +202,31 @@
     )
 
 
-def _work_from_fields(short: int, long: int) -> WorkTotals:
-    return WorkTotals(
-        short_prompt_work=float(short) * _WORK_UNIT_TOKENS,
-        long_prompt_work=float(long) * _WORK_UNIT_TOKENS,
+def _work_from_fields(encoded: Sequence[int], highest: int) -> WorkTotals:
+    short, long = (
+        require_number(total, 'm', highest=highest) * _WORK_UNIT_TOKENS
+        for total in encoded
     )
+    return WorkTotals(short_prompt_work=short, long_prompt_work=long)
 
 
 def _occupancies_from_fields(
-    encoded: Mapping[str, Sequence[int]],
+    encoded: Mapping[str, Sequence[int]], highest: int
 ) -> dict[str, Occupancy]:
     return {
-        str(server): _occupancy_from_fields(*numbers)
+        server: _occupancy_from_fields(numbers, highest)
         for server, numbers in encoded.items()
     }
 
 
-def _occupancy_from_fields(
-    attempts: int,
-    uncached_tokens: int,
-    kv_tokens: int,
-) -> Occupancy:
+def _occupancy_from_fields(encoded: Sequence[int], highest: int) -> Occupancy:
+    attempts, uncached_tokens, kv_tokens = (
+        require_count(number, 'o', highest=highest) for number in encoded
+    )
     return Occupancy(
-        attempts=int(attempts),
-        uncached_tokens=int(uncached_tokens),
-        kv_tokens=int(kv_tokens),
+        attempts=attempts,
+        uncached_tokens=uncached_tokens,
+        kv_tokens=kv_tokens,
     )
 
 
@@ -227,11 +242,21 @@
     finish_ms: int,
 ) -> PlannedWeightsLoad:
     return PlannedWeightsLoad(
-        model=str(model),
-        version=int(version),
-        start_s=now_s + int(start_ms) / _MS_PER_S,
-        finish_s=now_s + int(finish_ms) / _MS_PER_S,
+        model=require_text(model, 'model'),
+        version=require_count(version, 'version'),
+        start_s=_load_moment_s(start_ms, now_s),
+        finish_s=_load_moment_s(finish_ms, now_s),
+    )
+
+
+def _load_moment_s(relative_ms: int, now_s: float) -> float:
+    offset_ms = require_integer(
+        relative_ms,
+        'l',
+        lowest=-_MAX_LOAD_TIME_MS,
+        highest=_MAX_LOAD_TIME_MS,
     )
+    return now_s + offset_ms / _MS_PER_S
 
 
 def _weights_from_fields(
@@ -239,8 +264,9 @@
     versions: Mapping[str, int],
 ) -> LoadedWeights:
     return LoadedWeights(
-        incarnation=int(incarnation),
+        incarnation=require_count(incarnation, 'incarnation'),
         versions={
-            str(model): int(version) for model, version in versions.items()
+            model: require_count(version, 'version')
+            for model, version in versions.items()
         },
     )
--- a/src/arbutusbay/platform/_operator_records.py
+++ b/src/arbutusbay/platform/_operator_records.py
@@ -3,6 +3,7 @@
 The records are JSON objects in keyed topics of the platform's store.
 """
 
+import re
 from collections.abc import Mapping
 from types import MappingProxyType
 from typing import Any
@@ -10,6 +11,11 @@
 import orjson
 from result import Err, Ok, Result
 
+from arbutusbay.checked_values import (
+    MalformedValueError,
+    describe_value,
+    require_mapping,
+)
 from arbutusbay.errors import ErrorKind, Failure
 from arbutusbay.fleet import (
     BackendServer,
@@ -23,8 +29,8 @@
     TeamSpec,
     WeightsTarget,
 )
+from arbutusbay.platform._endpoints import parse_remote_endpoint
 from arbutusbay.platform._field_validation import (
-    MalformedDocumentError,
     get_boolean,
     get_duration_s,
     get_integer,
@@ -32,9 +38,7 @@
     get_number,
     get_string,
     get_strings,
-    require_mapping,
 )
-from arbutusbay.platform._settings_file import parse_endpoint
 
 _CONFIGURATION_KEY = 'config'
 _WEIGHTS_KEY_PREFIX = 'version/'
@@ -45,6 +49,7 @@
         'streaming': RequestKind.STREAM,
     }
 )
+_SERVER_ID_PATTERN = re.compile('[!-~]+')
 _IS_DRAINING_BY_STATE = MappingProxyType({'ready': False, 'draining': True})
 
 OperatorRecord = Configuration | WeightsTarget
@@ -150,8 +155,8 @@
     fields = require_mapping(entry, 'routes')
     kind = get_string(fields, 'kind')
     if kind not in _REQUEST_KINDS:
-        raise MalformedDocumentError(
-            f'kind: {kind!r} is not a known request kind'
+        raise MalformedValueError(
+            f'kind: {describe_value(kind)} is not a known request kind'
         )
     return RouteSpec(
         name=get_string(fields, 'name'),
@@ -196,7 +201,7 @@
 
 def _parse_cache_store(fields: Mapping[str, Any]) -> KVCacheStoreSpec:
     address = get_string(fields, 'kv_store_address')
-    parse_endpoint(address)
+    parse_remote_endpoint(address)
     return KVCacheStoreSpec(address=address)
 
 
@@ -245,13 +250,13 @@
 def _parse_backend_server(key: str, fields: Mapping[str, Any]) -> BackendServer:
     state = get_string(fields, 'state')
     if state not in _IS_DRAINING_BY_STATE:
-        raise MalformedDocumentError(
-            f'state: {state!r} is not a known server state'
+        raise MalformedValueError(
+            f'state: {describe_value(state)} is not a known server state'
         )
     address = get_string(fields, 'address')
-    parse_endpoint(address)
+    parse_remote_endpoint(address)
     return BackendServer(
-        id=key,
+        id=_require_server_id(key),
         service=get_string(fields, 'service'),
         address=address,
         zone=get_string(fields, 'zone'),
@@ -263,10 +268,19 @@
     )
 
 
+def _require_server_id(key: str) -> str:
+    """Return ``key`` if it can be sent as the text of a header."""
+    if _SERVER_ID_PATTERN.fullmatch(key):
+        return key
+    raise MalformedValueError(
+        f'id: must be printable ASCII, not {describe_value(key)}'
+    )
+
+
 def parse_weights_versions(fields: Mapping[str, Any]) -> dict[str, int]:
     """Return the loaded weights version of each model in ``models``.
 
-    Raise ``MalformedDocumentError`` if an entry lacks a name or a version.
+    Raise ``MalformedValueError`` if an entry lacks a name or a version.
     """
     models = [
         require_mapping(entry, 'models') for entry in get_list(fields, 'models')
--- a/tests/fleet_builders.py
+++ b/tests/fleet_builders.py
@@ -4,6 +4,7 @@
 """
 
 import functools
+import json
 from typing import Any
 
 import attrs
@@ -19,6 +20,31 @@
 ISOLATED_TEAM_API_KEY = 'key-of-pharmacy'
 ENGINE_HOST = 'language.example'
 PLAIN_HOST = 'desk.example'
+ODD_ADDRESSES = (
+    '[::1:80',
+    '..:80',
+    'a\u00adb:80',
+    '/:80',
+    '10.0.0.999:80',
+    '127.0.0.01:80',
+    '\x00:80',
+    '::1:80',
+    'localhost:80',
+    ':80',
+    '127.0.0.1:0',
+    '127.0.0.1:65536',
+    '127.0.0.1:\uff18\uff10',
+    '127.0.0.1:080',
+    '127.0.0.1: 80',
+    f'127.0.0.1:{8:05000d}',
+    '127.0.0.1',
+    '0.0.0.0:80',
+    '224.0.0.1:80',
+    '255.255.255.255:80',
+)
+ODD_SERVER_IDS = ('odd\r\nid: x', 'odd\x00', 'odd id', 'odd-\u00fc')
+ODD_NUMBERS = (-1, 1.5, True, '8', None, 2**53, 2**64 - 1, 1e300, [])
+_NESTINGS = (300, 900, 960, 990, 1010)
 
 
 def build_route(name: str, **changes: Any) -> dict[str, Any]:
@@ -149,6 +175,66 @@
     return {**registration, **changes}
 
 
+def build_unreadable_registrations() -> list[bytes]:
+    """Return records that hold no JSON object, or one without fields."""
+    return [b'[]', b'{', b'\x00\xff', b'{}', b'"', b'null']
+
+
+def build_nested_registrations() -> list[bytes]:
+    """Return registrations with lists in lists as one of their fields."""
+    return [
+        build_nested_registration(field, depth)
+        for field in ('service', 'address', 'zone', 'state', 'slots', 'born')
+        for depth in _NESTINGS
+    ]
+
+
+def build_misaddressed_registrations() -> list[bytes]:
+    """Return registrations with addresses that no server can have."""
+    return [
+        json.dumps(
+            build_registration(service=service, address=address, models=[])
+        ).encode()
+        for service in (ENGINE_SERVICE, PLAIN_SERVICE)
+        for address in ODD_ADDRESSES
+    ]
+
+
+def build_out_of_range_registrations() -> list[bytes]:
+    """Return registrations with a number that is none or out of range."""
+    documents = [
+        build_registration(**{field: number})
+        for field in ('slots', 'born', 'sequence')
+        for number in ODD_NUMBERS
+    ]
+    documents += [
+        build_registration(models=[{'name': MODEL, 'version': number}])
+        for number in ODD_NUMBERS
+    ]
+    return [json.dumps(document).encode() for document in documents]
+
+
+def build_odd_registrations() -> list[bytes]:
+    """Return registrations that are malformed in one way each."""
+    return [
+        *build_unreadable_registrations(),
+        *build_nested_registrations(),
+        *build_misaddressed_registrations(),
+        *build_out_of_range_registrations(),
+    ]
+
+
+def build_nested_registration(field: str, depth: int) -> bytes:
+    """Return a registration with lists in lists as one of its fields."""
+    text = json.dumps(build_registration(**{field: 'NESTED'}))
+    return text.replace('"NESTED"', build_nested_json(depth)).encode()
+
+
+def build_nested_json(depth: int) -> str:
+    """Return ``depth`` lists in each other as JSON."""
+    return f'{"[" * depth}{"]" * depth}'
+
+
 def build_request_headers(
     attempt_id: str,
     *,
