Close unused connections that parse shorter headers than allowed by now

Callers could get 400 for a header line that a later configuration allows, on a connection that was open before: aiohttp takes the bound of a line when the connection opens. Only limits above 16,384 bytes are concerned.

Evidence: without the condition in ClientProtocol.idle_timeout_s, which is the behaviour before, test_connection_with_an_outdated_header_limit_is_closed[40000-True] fails with "assert False == True".

Change: such a connection has an idle timeout of 0, so that clients open a new one. The protocol reads all limits of a connection in one place.

--- a/src/arbutusbay/node/_client_protocol.py
+++ b/src/arbutusbay/node/_client_protocol.py
@@ -1,15 +1,17 @@
 """Serve one connection of a client and track whether it is in use."""
 
 import asyncio
-from typing import Any
 
 from aiohttp import web
 
+from arbutusbay.fleet import ClientLimits
 from arbutusbay.node._node_state import NodeState
 
 # aiohttp closes idle connections without a look at what has arrived on them;
 # see ``IdleConnections``.
 _AIOHTTP_IDLE_TIMEOUT_S = 86_400.0
+_MIN_HEADER_LINE_BYTES = 16_384
+_MAX_HEADERS = 256
 
 
 class ClientProtocol(web.RequestHandler):
@@ -21,16 +23,18 @@
     arrived; it is in seconds on the node's clock and None before such a check.
     """
 
-    def __init__(
-        self, server: web.Server, *, node_state: NodeState, **options: Any
-    ) -> None:
-        """Serve a connection with the ``options`` of aiohttp."""
+    def __init__(self, server: web.Server, *, node_state: NodeState) -> None:
+        """Parse headers within the limits in force now."""
+        line_bytes = _max_header_line_bytes(node_state.client_limits)
         super().__init__(
             server,
             loop=asyncio.get_running_loop(),
             access_log=None,
             keepalive_timeout=_AIOHTTP_IDLE_TIMEOUT_S,
-            **options,
+            max_line_size=line_bytes,
+            max_field_size=line_bytes,
+            max_headers=_MAX_HEADERS,
+            auto_decompress=False,
         )
         self.node_state = node_state
         self.is_arriving = False
@@ -41,6 +45,17 @@
         """Return whether a request is being handled."""
         return self in self.node_state.busy_connections
 
+    @property
+    def idle_timeout_s(self) -> float:
+        """Return for how long the connection may be unused.
+
+        It is useless if the limits now allow longer headers than it parses.
+        """
+        limits = self.node_state.client_limits
+        if _max_header_line_bytes(limits) > self.max_line_size:
+            return 0
+        return limits.idle_timeout_s
+
     def data_received(self, chunk: bytes) -> None:
         """Parse bytes of a request."""
         if not self.has_request:
@@ -63,3 +78,7 @@
         self.node_state.busy_connections.add(self)
         self.is_arriving = False
         self.unused_since_s = None
+
+
+def _max_header_line_bytes(limits: ClientLimits) -> int:
+    return max(_MIN_HEADER_LINE_BYTES, limits.max_header_bytes)
--- a/src/arbutusbay/node/_daemon.py
+++ b/src/arbutusbay/node/_daemon.py
@@ -49,9 +49,7 @@
     supervisor = Supervisor(settings=settings)
     supervisor.install_signal_handlers()
     listeners = await open_listeners(settings, components)
-    idle_connections = IdleConnections(
-        node_state=components.node_state, server=listeners.client_server
-    )
+    idle_connections = IdleConnections(server=listeners.client_server)
     _start_background_tasks(supervisor, components, log_writer)
     supervisor.start('connections', idle_connections.run)
     await supervisor.stop_requested.wait()
--- a/src/arbutusbay/node/_idle_connections.py
+++ b/src/arbutusbay/node/_idle_connections.py
@@ -9,11 +9,9 @@
 from aiohttp import web
 
 from arbutusbay.clock import now_s
-from arbutusbay.fleet import ClientLimits
 from arbutusbay.logs import get_logger
 from arbutusbay.node._client_connection import has_unread_bytes
 from arbutusbay.node._client_protocol import ClientProtocol
-from arbutusbay.node._node_state import NodeState
 
 _LOG = get_logger('client')
 _CHECK_INTERVAL_S = 0.5
@@ -23,9 +21,8 @@
 class IdleConnections:
     """Close connections on which no request is under way or arriving."""
 
-    def __init__(self, *, node_state: NodeState, server: web.Server) -> None:
+    def __init__(self, *, server: web.Server) -> None:
         """Watch the connections of ``server``, all of ``ClientProtocol``."""
-        self.node_state = node_state
         self.server = server
 
     async def run(self) -> None:
@@ -35,21 +32,19 @@
             self.apply_timeout()
 
     def apply_timeout(self) -> None:
-        """Close the connections that were unused for the idle timeout."""
-        configuration = self.node_state.configuration
-        limits = configuration.limits if configuration else ClientLimits()
-        self.close_unused(limits.idle_timeout_s)
+        """Close the connections that were unused for the idle timeout.
 
-    def close_unused(self, idle_timeout_s: float) -> None:
-        """Close the connections that were unused for ``idle_timeout_s``.
-
-        That time begins with the first call that finds a connection unused, so
+        That time begins with the first check that finds a connection unused, so
         that the event loop runs in between. A request that has begun to arrive
         has longer, but not for ever.
         """
         for connection in self._open_connections():
-            if not connection.has_request:
-                self._close_if_unused(connection, idle_timeout_s)
+            _close_if_unused(connection, connection.idle_timeout_s)
+
+    def close_unused(self) -> None:
+        """Close the connections that are still unused at a second call."""
+        for connection in self._open_connections():
+            _close_if_unused(connection, idle_timeout_s=0)
 
     def are_all_unused(self) -> bool:
         """Return whether no request is under way, arriving or being answered.
@@ -59,37 +54,38 @@
         return not any(
             connection.has_request
             or connection.is_arriving
-            or is_closing(connection)
+            or _is_closing(connection)
             for connection in self._open_connections()
         )
 
     def _open_connections(self) -> list[ClientProtocol]:
         return list(self.server.connections)
 
-    def _close_if_unused(
-        self, connection: ClientProtocol, idle_timeout_s: float
-    ) -> None:
-        moment_s = now_s()
-        if connection.unused_since_s is None:
-            connection.unused_since_s = moment_s
-            return
-        unused_s = moment_s - connection.unused_since_s
-        if unused_s < idle_timeout_s or is_closing(connection):
+
+def _close_if_unused(connection: ClientProtocol, idle_timeout_s: float) -> None:
+    if connection.has_request:
+        return
+    moment_s = now_s()
+    if connection.unused_since_s is None:
+        connection.unused_since_s = moment_s
+        return
+    unused_s = moment_s - connection.unused_since_s
+    if unused_s < idle_timeout_s or _is_closing(connection):
+        return
+    if not connection.is_arriving:
+        if has_unread_bytes(connection.transport):
+            connection.record_arrival()
             return
-        if not connection.is_arriving:
-            if has_unread_bytes(connection.transport):
-                connection.record_arrival()
-                return
-            connection.force_close()
-        elif unused_s >= idle_timeout_s + _MAX_ARRIVAL_S:
-            _LOG.info(
-                'connection closed; its request did not arrive',
-                fields={'waited_ms': int(unused_s * 1000)},
-            )
-            connection.force_close()
-
-
-def is_closing(connection: ClientProtocol) -> bool:
+        connection.force_close()
+    elif unused_s >= idle_timeout_s + _MAX_ARRIVAL_S:
+        _LOG.info(
+            'connection closed; its request did not arrive',
+            fields={'waited_ms': int(unused_s * 1000)},
+        )
+        connection.force_close()
+
+
+def _is_closing(connection: ClientProtocol) -> bool:
     """Return whether a connection is closed as soon as its bytes are sent."""
     transport = connection.transport
     return transport is None or transport.is_closing()
--- a/src/arbutusbay/node/_listeners.py
+++ b/src/arbutusbay/node/_listeners.py
@@ -10,15 +10,11 @@
 from aiohttp.abc import AbstractStreamWriter
 from aiohttp.http import RawRequestMessage
 
-from arbutusbay.fleet import ClientLimits
 from arbutusbay.node._client_protocol import ClientProtocol
 from arbutusbay.node._components import NodeComponents
-from arbutusbay.node._node_state import NodeState
 from arbutusbay.platform import Endpoint, VMSettings
 
 _LISTEN_BACKLOG = 512
-_MIN_HEADER_LINE_BYTES = 16_384
-_MAX_HEADERS = 256
 
 
 @attrs.frozen(kw_only=True)
@@ -58,7 +54,7 @@
         (
             settings.frontend,
             functools.partial(
-                _new_client_protocol, client_server, components.node_state
+                ClientProtocol, client_server, node_state=components.node_state
             ),
         ),
         (settings.readiness_endpoint, control_server),
@@ -100,23 +96,6 @@
     return web.BaseRequest(message, payload, protocol, writer, task, loop)
 
 
-def _new_client_protocol(
-    server: web.Server, node_state: NodeState
-) -> ClientProtocol:
-    """Return the protocol of a connection, with the limits in force."""
-    configuration = node_state.configuration
-    limits = configuration.limits if configuration else ClientLimits()
-    max_line_bytes = max(_MIN_HEADER_LINE_BYTES, limits.max_header_bytes)
-    return ClientProtocol(
-        server,
-        node_state=node_state,
-        max_line_size=max_line_bytes,
-        max_field_size=max_line_bytes,
-        max_headers=_MAX_HEADERS,
-        auto_decompress=False,
-    )
-
-
 async def _create_listener(
     endpoint: Endpoint, new_protocol: Callable[[], asyncio.Protocol]
 ) -> asyncio.Server:
--- a/src/arbutusbay/node/_node_state.py
+++ b/src/arbutusbay/node/_node_state.py
@@ -9,7 +9,7 @@
 from aiohttp import web
 
 from arbutusbay.clock import milliseconds, now_s
-from arbutusbay.fleet import Configuration, FleetCatalog
+from arbutusbay.fleet import ClientLimits, Configuration, FleetCatalog
 from arbutusbay.logs import get_logger
 from arbutusbay.node._failed_reads import FailedReads
 from arbutusbay.node._own_pauses import OwnPauses
@@ -180,6 +180,12 @@
         """Return the active configuration, None before the first."""
         return self.catalog.configuration
 
+    @property
+    def client_limits(self) -> ClientLimits:
+        """Return the active limits, the defaults before the first."""
+        configuration = self.configuration
+        return configuration.limits if configuration else ClientLimits()
+
     def is_fresh(self) -> bool:
         """Return whether the local copy is recent enough to check API keys.
 
--- a/src/arbutusbay/node/_shutdown.py
+++ b/src/arbutusbay/node/_shutdown.py
@@ -33,10 +33,10 @@
     )
     await asyncio.sleep(_READINESS_PROPAGATION_S)
     node_state.is_rejecting_requests = True
-    idle_connections.close_unused(idle_timeout_s=0)
+    idle_connections.close_unused()
     while now_s() < end_s:
         await asyncio.sleep(_POLL_INTERVAL_S)
-        idle_connections.close_unused(idle_timeout_s=0)
+        idle_connections.close_unused()
         if idle_connections.are_all_unused():
             break
     _LOG.info(
--- a/tests/unit/test_listeners.py
+++ b/tests/unit/test_listeners.py
@@ -127,13 +127,10 @@
 async def test_idle_connections_are_kept_as_long_as_configured(clock):
     settings = _build_settings()
     components = _build_components(settings)
-    node_state = components.node_state
     with contextlib.closing(
         await open_listeners(settings, components)
     ) as listeners:
-        idle_connections = IdleConnections(
-            node_state=node_state, server=listeners.client_server
-        )
+        idle_connections = IdleConnections(server=listeners.client_server)
         reader, writer = await _connect(listeners.client_server)
         idle_connections.apply_timeout()
         clock.moment_s += 14.9
@@ -149,6 +146,28 @@
         writer.close()
 
 
+# Guards against open connections that refuse headers which the configuration
+# allows by now: they are closed while unused, all others stay.
+@pytest.mark.parametrize(
+    ('max_header_bytes', 'is_closed'), [(40_000, True), (8000, False)]
+)
+async def test_connection_with_an_outdated_header_limit_is_closed(
+    clock, max_header_bytes, is_closed
+):
+    settings = _build_settings()
+    components = _build_components(settings)
+    with contextlib.closing(
+        await open_listeners(settings, components)
+    ) as listeners:
+        idle_connections = IdleConnections(server=listeners.client_server)
+        reader, writer = await _connect(listeners.client_server)
+        idle_connections.apply_timeout()
+        _configure(components, max_header_bytes=max_header_bytes)
+        idle_connections.apply_timeout()
+        assert await _is_closed(reader) == is_closed
+        writer.close()
+
+
 # Guards against a check after a pause that closes what it has not seen before.
 async def test_connection_is_closed_only_if_two_checks_find_it_unused(clock):
     settings = _build_settings()
@@ -156,9 +175,7 @@
     with contextlib.closing(
         await open_listeners(settings, components)
     ) as listeners:
-        idle_connections = IdleConnections(
-            node_state=components.node_state, server=listeners.client_server
-        )
+        idle_connections = IdleConnections(server=listeners.client_server)
         reader, writer = await _connect(listeners.client_server)
         clock.moment_s += 100
         idle_connections.apply_timeout()
@@ -180,9 +197,7 @@
     with contextlib.closing(
         await open_listeners(settings, components)
     ) as listeners:
-        idle_connections = IdleConnections(
-            node_state=components.node_state, server=listeners.client_server
-        )
+        idle_connections = IdleConnections(server=listeners.client_server)
         reader, writer = await asyncio.open_connection(_HOST, _FRONTEND_PORT)
         await asyncio.sleep(0.1)
         idle_connections.apply_timeout()
