Let the check whether an engine ended outlast a pause of the VM

Callers would get 500 for requests whose connections to an engine broke, if the VM was suspended before the check ended: the requests are remembered for 2 s, a timer forgot them meanwhile and the check looked them up again.

Evidence: test_check_outlasts_a_pause_of_the_vm failed with "KeyError: 'engine-1'" in _check.

Change: the check gets the requests that it is about; nothing is looked up.

--- a/src/arbutusbay/_engine_ends.py
+++ b/src/arbutusbay/_engine_ends.py
@@ -76,7 +76,7 @@
         if broken is None:
             broken = BrokenRequests(first_s=now_s())
             self.broken[incarnation] = broken
-            broken.check = asyncio.create_task(self._check(engine))
+            broken.check = asyncio.create_task(_check(engine, broken))
             asyncio.get_running_loop().call_later(
                 _REMEMBERED_S, self.broken.pop, incarnation, None
             )
@@ -91,21 +91,25 @@
             )
         return has_ended
 
-    async def _check(self, engine: EngineProcess) -> bool:
-        # Other connections to the engine break at nearly the same time.
-        await asyncio.sleep(_COLLECT_S)
-        has_ended = await _refuses_connections(engine)
-        if has_ended:
-            broken = self.broken[engine.incarnation]
-            _LOG.info(
-                'server ended under requests',
-                fields={
-                    'server': engine.incarnation,
-                    'starting': _segments(broken, is_starting=True),
-                    'not_started': _segments(broken, is_starting=False),
-                },
-            )
-        return has_ended
+
+async def _check(engine: EngineProcess, broken: BrokenRequests) -> bool:
+    """Return whether the engine has ended under ``broken``.
+
+    By then, after a pause of the VM, these may be forgotten otherwise.
+    """
+    # Other connections to the engine break at nearly the same time.
+    await asyncio.sleep(_COLLECT_S)
+    has_ended = await _refuses_connections(engine)
+    if has_ended:
+        _LOG.info(
+            'server ended under requests',
+            fields={
+                'server': engine.incarnation,
+                'starting': _segments(broken, is_starting=True),
+                'not_started': _segments(broken, is_starting=False),
+            },
+        )
+    return has_ended
 
 
 async def _refuses_connections(engine: EngineProcess) -> bool:
