--- a/emulator/_silence.py
+++ b/emulator/_silence.py
@@ -1,10 +1,10 @@
-"""Let an emulated engine send nothing for a while and then go on."""
+"""Let an emulated server send nothing for a while and then go on."""
 
 import asyncio
 
 
 class Silence:
-    """Hold back what an engine sends; its connections stay open."""
+    """Hold back what a server sends; its connections stay open."""
 
     def __init__(self) -> None:
         """Start without a silence."""
--- a/emulator/fleet_engine.py
+++ b/emulator/fleet_engine.py
@@ -6,15 +6,15 @@
 
 import asyncio
 import enum
+import functools
 import time
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 
 import attrs
 from aiohttp import web
 
-from emulator._server_main import read_json_object
 from emulator._silence import Silence
 
 _NOT_EXECUTED = 'Not-Executed'
@@ -145,7 +145,10 @@
         application.on_response_prepare.append(self._add_departure)
         router = application.router
         router.add_get('/arbutusbay/report', self.report)
-        router.add_post('/arbutusbay/order', self.order)
+        router.add_post(
+            '/arbutusbay/order',
+            functools.partial(_outlast_caller, self.order),
+        )
         router.add_route('*', '/{path:.*}', self.execute)
         return application
 
@@ -196,12 +199,13 @@
 
         Responds 421 if the order is for another instance, 412 if its fencing
         token is stale, 200 if the version is loaded already and 409 while
-        loading or if the expected order count differs.
+        loading or if the expected order count differs. An order that arrives
+        in a silence is carried out after it, though its caller may have left.
         """
         await self.silence.over.wait()
         if request.headers.get('Expect-Instance') != self.options.id:
             return web.Response(status=HTTPStatus.MISDIRECTED_REQUEST)
-        fields = await read_json_object(request)
+        fields = await request.json()
         fencing_token = fields['fencing_token']
         if fencing_token < self.highest_fencing_token:
             return web.Response(status=HTTPStatus.PRECONDITION_FAILED)
@@ -456,6 +460,15 @@
         self.is_loading_weights = False
 
 
+async def _outlast_caller(
+    handler: Callable[[web.Request], Awaitable[web.Response]],
+    request: web.Request,
+) -> web.Response:
+    """Handle a request to its end, though its caller may leave."""
+    await request.read()
+    return await asyncio.shield(asyncio.ensure_future(handler(request)))
+
+
 def _ignore_end() -> None:
     """Do nothing when an engine ends that no fleet serves."""
 
--- a/emulator/store.py
+++ b/emulator/store.py
@@ -13,6 +13,8 @@
 import orjson
 from aiohttp import web
 
+from emulator._silence import Silence
+
 _LENGTH_BYTES = 4
 _OFFSET_BYTES = 8
 _PATH_PREFIX = '/arbutusbay/'
@@ -83,7 +85,7 @@
 
     ``faults`` maps the IP address of a caller to its fault; the empty
     string applies to all other callers. ``era`` counts how often the store
-    was restored, from 1 on.
+    was restored, from 1 on. During a ``silence`` it sends nothing.
     """
 
     def __init__(self) -> None:
@@ -92,6 +94,7 @@
         self.faults: dict[str, StoreFault] = {}
         self.era = 1
         self.read_count = 0
+        self.silence = Silence()
 
     def application(self) -> web.Application:
         """Build the HTTP application."""
@@ -196,10 +199,12 @@
         self, request: web.Request, response: web.StreamResponse
     ) -> None:
         response.headers[_ERA_HEADER] = str(self.era)
+        await self.silence.over.wait()
 
     async def _fault_for_caller(self, request: web.Request) -> StoreFault:
         fault = self.faults.get(request.remote or '')
         fault = fault or self.faults.get('', StoreFault.NONE)
+        await self.silence.over.wait()
         if fault is StoreFault.SILENT:
             await asyncio.sleep(_SILENCE_S)
         return fault
