--- /dev/null
+++ b/src/arbutusbay/node/_client_protocol.py
@@ -0,0 +1,84 @@
+"""Serve one connection of a client and track whether it is in use."""
+
+import asyncio
+
+from aiohttp import web
+
+from arbutusbay.fleet import ClientLimits
+from arbutusbay.node._node_state import NodeState
+
+# aiohttp closes idle connections without a look at what has arrived on them;
+# see ``IdleConnections``.
+_AIOHTTP_IDLE_TIMEOUT_S = 86_400.0
+_MIN_HEADER_LINE_BYTES = 16_384
+_MAX_HEADERS = 256
+
+
+class ClientProtocol(web.RequestHandler):
+    """Track the requests on a connection, also those that have not begun.
+
+    ``is_arriving`` tells that bytes came since the last request, which may be
+    a whole one that aiohttp has queued. ``unused_since_s`` is when a check
+    first found the connection without a request, or without one that has
+    arrived; it is in seconds on the node's clock and None before such a check.
+    """
+
+    def __init__(self, server: web.Server, *, node_state: NodeState) -> None:
+        """Parse headers within the limits in force now."""
+        line_bytes = _max_header_line_bytes(node_state.client_limits)
+        super().__init__(
+            server,
+            loop=asyncio.get_running_loop(),
+            access_log=None,
+            keepalive_timeout=_AIOHTTP_IDLE_TIMEOUT_S,
+            max_line_size=line_bytes,
+            max_field_size=line_bytes,
+            max_headers=_MAX_HEADERS,
+            auto_decompress=False,
+        )
+        self.node_state = node_state
+        self.is_arriving = False
+        self.unused_since_s: float | None = None
+
+    @property
+    def has_request(self) -> bool:
+        """Return whether a request is being handled."""
+        return self in self.node_state.busy_connections
+
+    @property
+    def idle_timeout_s(self) -> float:
+        """Return for how long the connection may be unused.
+
+        It is useless if the limits now allow longer headers than it parses.
+        """
+        limits = self.node_state.client_limits
+        if _max_header_line_bytes(limits) > self.max_line_size:
+            return 0
+        return limits.idle_timeout_s
+
+    def data_received(self, chunk: bytes) -> None:
+        """Parse bytes of a request."""
+        if not self.has_request:
+            self.record_arrival()
+        super().data_received(chunk)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Stop to count the connection as busy, whatever became of it."""
+        self.node_state.busy_connections.discard(self)
+        super().connection_lost(exc)
+
+    def record_arrival(self) -> None:
+        """Record that bytes of a request have arrived."""
+        if not self.is_arriving:
+            self.is_arriving = True
+            self.unused_since_s = None
+
+    def begin_request(self) -> None:
+        """Record that the next request leaves the queue of aiohttp."""
+        self.node_state.busy_connections.add(self)
+        self.is_arriving = False
+        self.unused_since_s = None
+
+
+def _max_header_line_bytes(limits: ClientLimits) -> int:
+    return max(_MIN_HEADER_LINE_BYTES, limits.max_header_bytes)
--- a/src/arbutusbay/node/_listeners.py
+++ b/src/arbutusbay/node/_listeners.py
@@ -6,16 +6,15 @@
 from collections.abc import Callable
 
 import attrs
-from aiohttp import web
+from aiohttp import StreamReader, web
+from aiohttp.abc import AbstractStreamWriter
+from aiohttp.http import RawRequestMessage
 
-from arbutusbay.fleet import ClientLimits
+from arbutusbay.node._client_protocol import ClientProtocol
 from arbutusbay.node._components import NodeComponents
-from arbutusbay.node._node_state import NodeState
 from arbutusbay.platform import Endpoint, VMSettings
 
 _LISTEN_BACKLOG = 512
-_MIN_HEADER_LINE_BYTES = 16_384
-_MAX_HEADERS = 256
 
 
 @attrs.frozen(kw_only=True)
@@ -55,7 +54,7 @@
         (
             settings.frontend,
             functools.partial(
-                _new_client_protocol, client_server, components.node_state
+                ClientProtocol, client_server, node_state=components.node_state
             ),
         ),
         (settings.readiness_endpoint, control_server),
@@ -79,27 +78,22 @@
 
 def _new_client_server(components: NodeComponents) -> web.Server:
     return web.Server(
-        components.frontend.handle_request, handler_cancellation=True
+        components.frontend.handle_request,
+        request_factory=_begin_request,
+        handler_cancellation=True,
     )
 
 
-def _new_client_protocol(
-    server: web.Server, node_state: NodeState
-) -> web.RequestHandler:
-    """Return the protocol of a connection, with the limits in force."""
-    configuration = node_state.configuration
-    limits = configuration.limits if configuration else ClientLimits()
-    max_line_bytes = max(_MIN_HEADER_LINE_BYTES, limits.max_header_bytes)
-    return web.RequestHandler(
-        server,
-        loop=asyncio.get_running_loop(),
-        access_log=None,
-        keepalive_timeout=limits.idle_timeout_s,
-        max_line_size=max_line_bytes,
-        max_field_size=max_line_bytes,
-        max_headers=_MAX_HEADERS,
-        auto_decompress=False,
-    )
+def _begin_request(
+    message: RawRequestMessage,
+    payload: StreamReader,
+    protocol: ClientProtocol,
+    writer: AbstractStreamWriter,
+    task: asyncio.Task[None],
+) -> web.BaseRequest:
+    protocol.begin_request()
+    loop = asyncio.get_running_loop()
+    return web.BaseRequest(message, payload, protocol, writer, task, loop)
 
 
 async def _create_listener(
