Await the client, not the engine, while a stream is ended

Callers that read slowly got bytes behind the end of their stream: a second last chunk.

Cause: the stall detector counted the wait for the client at the end of a stream as silence of its engine. The attempt was moved after 1.6 s, the next engine had no more events, and its end was sent too. While events are written the client was taken to be awaited already.

Evidence: the test, in which the end takes 2.5 s to be read and another engine is there, failed before with "(True, b'0\r\n\r\n') == (True, b'')", the rest of the client's raw bytes. The attempt now counts as relaying until its end is out.

--- a/src/arbutusbay/node/_stream_relay.py
+++ b/src/arbutusbay/node/_stream_relay.py
@@ -203,6 +203,8 @@
             return _stream_failure(_EMPTY_STREAM, progress)
         monitored.view.record_success(now_s())
         self._record_sound_response(monitored, answer, progress)
+        # The engine has nothing left to send; the client may read slowly.
+        monitored.is_relaying = True
         return Ok(await (await self._stream(answer)).complete())
 
     def _event_gap(self, event: ServerSentEvent) -> BrokenStream:
--- a/tests/unit/test_unexpected_errors.py
+++ b/tests/unit/test_unexpected_errors.py
@@ -4,6 +4,7 @@
 All bytes of the client's connection are read.
 """
 
+import asyncio
 import contextlib
 import itertools
 
@@ -11,6 +12,7 @@
 import logbook
 import orjson
 import pytest
+from aiohttp.http_writer import StreamWriter
 from aiohttp.test_utils import TestServer
 from aioprometheus import REGISTRY
 
@@ -36,6 +38,7 @@
 POSITION = StorePosition(era=1, offset=1)
 FRONTEND_PORT = 7201
 SHUTDOWN_S = 0.1
+SLOW_READ_S = 2.5
 TARGETS = (('/ask/1', ENGINE_HOST), ('/order/1', PLAIN_HOST))
 
 
@@ -76,6 +79,13 @@
     return wrapper
 
 
+async def drain_slowly(drain, writer):
+    """Call ``drain`` late if the writer is that of a client."""
+    if writer.transport.get_extra_info('sockname')[1] == FRONTEND_PORT:
+        await asyncio.sleep(SLOW_READ_S)
+    await drain(writer)
+
+
 def apply(topic, documents) -> None:
     """Apply what the store holds."""
     records = [
@@ -91,7 +101,11 @@
     """Serve an engine and a plain server; return their registrations."""
     async with contextlib.AsyncExitStack() as servers:
         found = {}
-        for options in (build_engine(0), build_plain_server(0)):
+        for options in (
+            build_engine(0),
+            build_engine(1),
+            build_plain_server(0),
+        ):
             engine = FleetEngine(options)
             server = TestServer(engine.application())
             await servers.enter_async_context(server)
@@ -195,3 +209,17 @@
     response = await receive(served)
     assert response.body == complete_stream_text().encode()
     assert (response.is_complete, response.rest) == (True, b'')
+
+
+# Guards against a client that reads the end of its stream slowly: its engine
+# was taken for silent, and another one sent the end once more.
+async def test_end_that_is_read_slowly_is_sent_once(served, monkeypatch):
+    drain = StreamWriter.drain
+    monkeypatch.setattr(
+        StreamWriter, 'drain', lambda writer: drain_slowly(drain, writer)
+    )
+    detection = asyncio.create_task(served.stall_detector.run())
+    response = await receive(served, '/note/1')
+    detection.cancel()
+    assert response.body == complete_stream_text().encode()
+    assert (response.is_complete, response.rest) == (True, b'')
