End no completion for the silence of its engine unless another has a place

What callers saw: with one engine that sent nothing for 2.5 s and went on, completions that may run once ended midway in stream_broken after 2.0 s, or in outcome_unknown after 3.0 s without a first piece; those that may be repeated ran twice. With two silent engines, 50 of 60 waiting completions ended in outcome_unknown: the first ten had used up the retry budget.

Cause: an attempt was ended after 2.0 s without a piece (3.0 s before the first one), and only then was it looked whether it may be repeated, and where.

Now the limits only begin the search for a place: an engine that nothing speaks against (known and same weights, no recent failure, no stream waiting there for over 0.5 s), with capacity now, and the token of a repetition. Such a job comes before the queued ones. The attempt goes on meanwhile, and is closed before the next one is sent. It ends without a place at the deadline of the route, midway as long after the last piece. The next event is awaited in a task of its own, since anext can't be awaited again once a timeout has cancelled it; a pause of this VM counts as silence for half a second at most.

Output to be continued moves without a token if there is none, as it is repeated after a broken connection.

--- a/emulator/engine.py
+++ b/emulator/engine.py
@@ -12,11 +12,13 @@
 - ``reorder`` swaps that many pieces with their successors;
 - ``duplicate`` sends that many pieces twice;
 - ``leaving`` reports in the load report that the engine is shutting down;
-- ``fatal_text`` ends the process when it begins to respond to a prompt with it.
+- ``fatal_text`` ends the process when it begins to respond to a prompt with it;
+- ``silent_ms`` sends nothing for that long on any connection, then goes on.
 """
 
 import argparse
 import asyncio
+import collections
 import os
 import random
 import time
@@ -33,6 +35,7 @@
 from emulator._batch import Batch, BatchOptions, EngineSequence
 from emulator._prefix_cache import PrefixCache, cache_event_to_json
 from emulator._server_main import MAX_BODY_BYTES, read_json_object, run_server
+from emulator._silence import Silence
 
 _BYTES_PER_TOKEN = 4
 _CONFLICT_STATUS = 409
@@ -40,6 +43,7 @@
 _PRECONDITION_FAILED_STATUS = 412
 _EVENT_POLL_S = 0.02
 _VOCABULARY_SIZE = 997
+_MAX_RECORDED_RUNS = 1000
 
 
 @attrs.define(kw_only=True)
@@ -56,6 +60,24 @@
     duplicate: int = 0
     leaving: bool = False
     fatal_text: str = ''
+    silent_ms: int = 0
+
+
+@attrs.define(kw_only=True)
+class EngineRun:
+    """Record which prompt an engine worked on, and from when to when.
+
+    The times are in seconds on the monotonic clock, which all processes of a
+    machine share. ``ended_s`` is None while the run goes on.
+    """
+
+    prompt: str
+    began_s: float
+    ended_s: float | None = None
+
+    def end(self) -> None:
+        """Record that the run has ended now."""
+        self.ended_s = time.monotonic()
 
 
 @attrs.frozen(kw_only=True)
@@ -117,6 +139,10 @@
         self.prompt_tokens = 0
         self.cached_tokens = 0
         self.stream_tasks: set[asyncio.Task[Any]] = set()
+        self.silence = Silence()
+        self.runs: collections.deque[EngineRun] = collections.deque(
+            maxlen=_MAX_RECORDED_RUNS
+        )
 
     def application(self) -> web.Application:
         """Build the HTTP application."""
@@ -129,6 +155,7 @@
         router.add_post('/v1/orders', self.order_load)
         router.add_post('/faults', self.update_faults)
         router.add_get('/counts', self.get_counts)
+        router.add_get('/runs', self.list_runs)
         application.on_startup.append(self._start)
         return application
 
@@ -145,16 +172,19 @@
         sequence = self._sequence_from_fields(fields)
         response = web.StreamResponse()
         response.content_type = 'application/x-ndjson'
-        await response.prepare(request)
         self.served_count += 1
         self.batch.submit(sequence)
+        run = EngineRun(prompt=fields['prompt'], began_s=time.monotonic())
+        self.runs.append(run)
         task = asyncio.current_task()
         self.stream_tasks.add(task)
         try:
+            await self.silence.over.wait()
+            await response.prepare(request)
             await self._write_stream(request, response, fields, sequence)
         finally:
             self.stream_tasks.discard(task)
-            self.batch.remove(sequence)
+            self._end_run(run, sequence)
         return response
 
     async def get_events(self, request: web.Request) -> web.Response:
@@ -175,6 +205,7 @@
             if self.last_report_at_s > report_s:
                 break
         sequence = events[-1].sequence if events else after
+        await self.silence.over.wait()
         return web.Response(
             content_type='application/json',
             body=orjson.dumps(
@@ -206,6 +237,7 @@
         asyncio.get_running_loop().create_task(
             self._load_weights(order['weights_version']),
         )
+        await self.silence.over.wait()
         return web.json_response({})
 
     async def update_faults(self, request: web.Request) -> web.Response:
@@ -216,6 +248,8 @@
         self.batch.stalled = self.faults.stalled
         self.batch.holds_ends = self.faults.holds_ends
         self.batch.work_available.set()
+        if 'silent_ms' in fields:
+            self.silence.begin(self.faults.silent_ms / 1000)
         return web.json_response(attrs.asdict(self.faults))
 
     async def get_counts(self, request: web.Request) -> web.Response:
@@ -234,6 +268,14 @@
             }
         )
 
+    async def list_runs(self, request: web.Request) -> web.Response:
+        """Return the latest runs, oldest first."""
+        return web.json_response([attrs.asdict(run) for run in self.runs])
+
+    def _end_run(self, run: EngineRun, sequence: EngineSequence) -> None:
+        run.end()
+        self.batch.remove(sequence)
+
     async def _start(self, application: web.Application) -> None:
         loop = asyncio.get_running_loop()
         self.last_report = self._build_load_report()
@@ -306,6 +348,7 @@
             response=response,
             attempt=fields['attempt'],
             faults=self.faults,
+            silence=self.silence,
         )
         version = self.weights_version
         await writer.write(
@@ -382,16 +425,18 @@
         response: web.StreamResponse,
         attempt: str,
         faults: Faults,
+        silence: Silence,
     ) -> None:
         """Mark each line with the attempt ID ``attempt``."""
         self.response = response
         self.attempt = attempt
         self.faults = faults
+        self.silence = silence
         self.held_line: bytes | None = None
 
     async def write(self, fields: dict[str, Any]) -> None:
         """Write ``fields`` as one line."""
-        await self.response.write(self._line(fields))
+        await self._send(self._line(fields))
 
     async def write_piece(self, index: int, text: str) -> None:
         """Write one piece, with the faults that are due.
@@ -410,9 +455,13 @@
         if index and self.faults.duplicate > 0:
             self.faults.duplicate -= 1
             line = line * 2
-        await self.response.write(b''.join((line, self.held_line or b'')))
+        await self._send(b''.join((line, self.held_line or b'')))
         self.held_line = None
 
+    async def _send(self, line: bytes) -> None:
+        await self.silence.over.wait()
+        await self.response.write(line)
+
     def _line(self, fields: dict[str, Any]) -> bytes:
         return orjson.dumps(
             {'attempt': self.attempt, **fields},
--- a/src/arbutusbay/policy/_engine_state.py
+++ b/src/arbutusbay/policy/_engine_state.py
@@ -15,6 +15,7 @@
 _INITIAL_BACKOFF_S = 1.0
 _MAX_BACKOFF_S = 8.0
 _SLOW_FACTOR_HALF_LIFE_S = 3.0
+_QUIET_AFTER_S = 0.5
 MAX_SLOW_FACTOR = 20.0
 
 
@@ -22,12 +23,21 @@
 class InFlightAttempt:
     """Describe an attempt that this router has in flight on an engine.
 
-    ``sent_at_s`` is in seconds on the clock of ``now_s``.
+    ``sent_at_s`` is in seconds on the clock of ``now_s``. ``awaited_since_s``
+    is when the router began to wait for the next event, in seconds on the
+    monotonic clock, None while it does not wait.
     """
 
     uncached_tokens: int
     sent_at_s: float
     first_token_seen: bool = False
+    awaited_since_s: float | None = None
+
+    def is_quiet(self, moment_s: float) -> bool:
+        """Return whether no event has followed the last one for a while."""
+        if not self.first_token_seen or self.awaited_since_s is None:
+            return False
+        return moment_s - self.awaited_since_s > _QUIET_AFTER_S
 
 
 @attrs.define(kw_only=True)
@@ -70,6 +80,21 @@
         """Return whether the engine is in its backoff after a failure."""
         return moment_s < self.backoff_until_s
 
+    def is_dependable(self, moment_s: float) -> bool:
+        """Return whether nothing speaks against the engine.
+
+        Its weights are known, it did not fail lately, and no stream of this
+        router waits for long there.
+        """
+        return (
+            bool(self.weights_version)
+            and not self.is_in_backoff(moment_s)
+            and not any(
+                attempt.is_quiet(moment_s)
+                for attempt in self.in_flight.values()
+            )
+        )
+
     def apply_load_report(self, view: EngineView) -> None:
         """Apply a report from the control daemon that indexes this engine.
 
--- a/src/arbutusbay/router/_dispatcher.py
+++ b/src/arbutusbay/router/_dispatcher.py
@@ -29,11 +29,13 @@
     RoundRobin,
     choose_engine,
     engine_window,
+    has_capacity,
     median_piece_s,
 )
 from arbutusbay.router._shared_state import PoolState, RouterState
 
 _MAX_CANDIDATES = 16
+_MAX_MOVES_WITHOUT_PLACE = 4
 _RETRY_INTERVAL_S = 0.02
 _SERVICE_TIME_SMOOTHING = 0.1
 _MIN_RETRY_AFTER_S = 1.0
@@ -106,9 +108,7 @@
         match self._admit(job, context):
             case Err() as refused:
                 return refused
-        loop = asyncio.get_running_loop()
-        pending = PendingPlacement(context=context, placed=loop.create_future())
-        waiting = QueuedJob(job=job, caller_data=pending)
+        waiting = _new_queued_job(job, context)
         pool = self.shared_state.pool_state(job.pool)
         pool.queue.push(waiting)
         self.place_waiting(job.pool)
@@ -118,6 +118,31 @@
             self._cancel(pool, waiting)
             raise
 
+    def request_move(
+        self, job: Job, context: JobContext, *, may_move: bool
+    ) -> QueuedJob:
+        """Look for a place for a job that runs at a silent engine.
+
+        The job goes on there. It comes before the queued ones. The future in
+        its data is done once a place is reserved and its token withdrawn, never
+        unless it ``may_move``. The caller must pass the result to
+        ``withdraw_move``.
+        """
+        moving = _new_queued_job(job, context)
+        if not may_move:
+            return moving
+        self.shared_state.pool_state(job.pool).moving.append(moving)
+        self.place_waiting(job.pool)
+        return moving
+
+    def withdraw_move(self, moving: QueuedJob) -> Placement | None:
+        """Stop looking; return the reserved place, if any, to be released."""
+        pool = self.shared_state.pool_state(moving.job.pool)
+        if moving in pool.moving:
+            pool.moving.remove(moving)
+        placed = moving.caller_data.placed
+        return placed.result() if placed.done() else None
+
     def release(
         self,
         placement: Placement,
@@ -148,10 +173,12 @@
         Schedules another run while jobs remain queued.
         """
         pool = self.shared_state.pool_state(pool_name)
+        self._move_jobs(pool)
         is_placed = True
         while is_placed:
             is_placed = self._assign_next(pool)
-        if len(pool.queue) and pool_name not in self.retry_timers:
+        is_waiting = len(pool.queue) or pool.moving
+        if is_waiting and pool_name not in self.retry_timers:
             loop = asyncio.get_running_loop()
             self.retry_timers[pool_name] = loop.call_later(
                 _RETRY_INTERVAL_S,
@@ -269,6 +296,35 @@
             return
         pool.queue.remove(waiting, started=False)
 
+    def _move_jobs(self, pool: PoolState) -> None:
+        """Reserve places for the jobs that are to be moved.
+
+        Tries only a few that find none, others than the next time.
+        """
+        without_place: list[QueuedJob] = []
+        while pool.moving and len(without_place) < _MAX_MOVES_WITHOUT_PLACE:
+            moving = pool.moving.popleft()
+            if not self._try_move(pool, moving):
+                without_place.append(moving)
+        pool.moving.extend(without_place)
+
+    def _try_move(self, pool: PoolState, moving: QueuedJob) -> bool:
+        context = moving.caller_data.context
+        view = self.pool_view_for(moving.job, context)
+        choice = choose_engine(
+            self._policy(pool),
+            moving.job,
+            _view_for_move(moving.job, context, view),
+            self.shared_state.rng,
+        )
+        has_output = bool(context.weights_version)
+        if choice is None or not self.shared_state.may_repeat(
+            has_output=has_output
+        ):
+            return False
+        self._assign(moving, choice)
+        return True
+
     def _assign_next(self, pool: PoolState) -> bool:
         candidates = pool.queue.candidates(time.monotonic())
         for _, waiting in zip(range(_MAX_CANDIDATES), candidates, strict=False):
@@ -324,6 +380,26 @@
         self.place_waiting(pool_name)
 
 
+def _view_for_move(job: Job, context: JobContext, view: PoolView) -> PoolView:
+    """Leave out engines that a job might wait for, or return from."""
+    engines = [
+        engine
+        for engine in view.engines
+        if engine.name not in context.excluded
+        and engine.is_dependable(view.now_s)
+        and has_capacity(job, view, engine)
+    ]
+    return attrs.evolve(view, engines=engines)
+
+
+def _new_queued_job(job: Job, context: JobContext) -> QueuedJob:
+    placed = asyncio.get_running_loop().create_future()
+    return QueuedJob(
+        job=job,
+        caller_data=PendingPlacement(context=context, placed=placed),
+    )
+
+
 def _refusal(
     kind: ErrorKind,
     detail: str,
--- a/src/arbutusbay/router/_generation_run.py
+++ b/src/arbutusbay/router/_generation_run.py
@@ -1,8 +1,7 @@
 """Run one completion: choose an engine, relay its stream, retry and resume."""
 
-import asyncio
 import time
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator
 from contextlib import aclosing
 from urllib.parse import urlsplit
 
@@ -22,74 +21,26 @@
 from arbutusbay.clock import now_s
 from arbutusbay.engine_ends import EngineProcess
 from arbutusbay.errors import ErrorKind, Failure, RunState
-from arbutusbay.logs import get_logger
 from arbutusbay.policy import EngineState, Job
-from arbutusbay.router._dispatcher import Dispatcher, JobContext, Placement
+from arbutusbay.router._dispatcher import Dispatcher, Placement
+from arbutusbay.router._event_reader import EngineEvent, EventReader
 from arbutusbay.router._metrics import RouterMetrics
 from arbutusbay.router._prompt_quarantine import refuse_job, segment_keys_of
+from arbutusbay.router._run_progress import CompletionRequest, RunProgress
 from arbutusbay.router._shared_state import RouterState
-from arbutusbay.state import Pool, Urgency
+from arbutusbay.router._silence_handler import (
+    SilenceHandler,
+    log_failed_attempt,
+)
+from arbutusbay.state import Urgency
 
-_LOG = get_logger('generation')
 _PREFILL_SMOOTHING = 0.05
 _MIN_PREFILL_SAMPLE_TOKENS = 200
-_PIECE_TIMEOUT_S = 2.0
-_MIN_FIRST_PIECE_TIMEOUT_S = 3.0
-_FIRST_PIECE_TIMEOUT_FACTOR = 5.0
-_RESPONSE_START_S = 0.3
+_MAX_PIECE_SILENCE_S = 2.0
+_MIN_FIRST_PIECE_SILENCE_S = 3.0
+_FIRST_PIECE_SILENCE_FACTOR = 5.0
 _DEFAULT_PORT = 80
 
-
-@attrs.frozen(kw_only=True)
-class CompletionRequest:
-    """Hold a validated completion request."""
-
-    job: Job
-    prompt: str
-    pool: Pool
-    idempotent: bool
-    context: JobContext
-
-
-@attrs.define(kw_only=True)
-class RunProgress:
-    """Track the progress of a run over all its attempts.
-
-    ``relayed_pieces`` counts pieces of output, and ``unproductive_attempts``
-    the consecutive attempts that relayed none. ``weights_version`` is the
-    version that produced the output. ``excluded`` holds the engines of failed
-    attempts that may have run. ``has_started`` and ``first_piece_s`` tell of
-    the last attempt whether its response began, and when its first piece came,
-    in seconds on the clock of ``now_s``.
-    """
-
-    relayed_pieces: int = 0
-    attempts: int = 0
-    unproductive_attempts: int = 0
-    weights_version: str = ''
-    excluded: frozenset[str] = frozenset()
-    prompt_tokens: int = 0
-    cached_tokens: int = 0
-    finished: bool = False
-    last_failure: Failure | None = None
-    has_started: bool = False
-    first_piece_s: float | None = None
-
-    def begin_attempt(self) -> None:
-        """Count an attempt, which has not started yet."""
-        self.attempts += 1
-        self.unproductive_attempts += 1
-        self.has_started = False
-        self.first_piece_s = None
-
-    def is_underway(self, moment_s: float) -> bool:
-        """Return whether the attempt has gone on after its first piece."""
-        return (
-            self.first_piece_s is not None
-            and moment_s - self.first_piece_s > _RESPONSE_START_S
-        )
-
-
 RelayEvent = Result[TextPiece | GenerationEnd, Failure]
 
 
@@ -112,6 +63,12 @@
         self.session = session
         self.request = request
         self.progress = RunProgress()
+        self.silence_handler = SilenceHandler(
+            shared_state=shared_state,
+            dispatcher=dispatcher,
+            request=request,
+            progress=self.progress,
+        )
 
     async def relay(self) -> AsyncIterator[RelayEvent]:
         """Yield the pieces of output, then the end or one failure.
@@ -119,6 +76,14 @@
         After the first piece, any failure is reported as ``STREAM_BROKEN``.
         Before it, a broken stream is reported as ``OUTCOME_UNKNOWN``.
         """
+        try:
+            async with aclosing(self._relay_attempts()) as events:
+                async for event in events:
+                    yield event
+        finally:
+            self.silence_handler.release_reserved()
+
+    async def _relay_attempts(self) -> AsyncIterator[RelayEvent]:
         progress = self.progress
         while True:
             match await self._place():
@@ -127,17 +92,22 @@
                     return
                 case Ok(placement):
                     pass
-            progress.begin_attempt()
+            self._count_attempt()
             async with aclosing(self._run_attempt(placement)) as events:
                 async for event in events:
                     yield event
             if progress.finished:
                 return
-            has_ended = await self._has_engine_ended(placement)
-            if not self._may_retry(has_ended=has_ended):
+            is_moved = self.silence_handler.reserved is not None
+            if not is_moved and not await self._may_retry(placement):
                 yield Err(self._reported_failure(progress.last_failure))
                 return
 
+    def _count_attempt(self) -> None:
+        self.progress.begin_attempt()
+        if self.progress.attempts > 1:
+            self.metrics.retries.inc({})
+
     async def _place(self) -> Result[Placement, Failure]:
         """Return a placement, unless the prompt must not be sent.
 
@@ -146,7 +116,8 @@
         refused = refuse_job(self.shared_state, self.request.job)
         if refused is not None:
             return Err(refused)
-        placed = await self._place_in_queue()
+        reserved = self.silence_handler.take_reserved()
+        placed = Ok(reserved) if reserved else await self._place_in_queue()
         refused = refuse_job(self.shared_state, self.request.job)
         match placed:
             case Ok(placement) if refused is not None:
@@ -185,15 +156,36 @@
             placement=placement,
             job=self.request.job,
         )
-        stream = client.generate(self._build_generation(placement))
-        async with aclosing(stream):
-            async for event in fail_when_stalled(
-                stream, monitor.event_timeout_s
-            ):
+        reader = EventReader(
+            events=client.generate(self._build_generation(placement))
+        )
+        async with aclosing(reader):
+            while True:
+                event = await self._next_event(reader, monitor)
+                if event is None:
+                    return
                 self._process_event(event, placement, monitor)
                 if isinstance(event.ok(), TextPiece | GenerationEnd):
                     yield event
 
+    async def _next_event(
+        self, reader: EventReader, monitor: 'AttemptMonitor'
+    ) -> EngineEvent | None:
+        """Return the next event; None after the last or if there is no more.
+
+        Silence alone ends nothing: the attempt goes on until another engine has
+        a place for it, or its time is over.
+        """
+        monitor.start_waiting()
+        if await reader.wait(monitor.max_silence_s()):
+            event = reader.take()
+        else:
+            event = await self.silence_handler.outlast(
+                reader, monitor.placement
+            )
+        monitor.stop_waiting()
+        return event
+
     def _process_event(
         self,
         event: Result[GenerationEvent, Failure],
@@ -227,6 +219,7 @@
         progress = self.progress
         if progress.first_piece_s is None:
             progress.first_piece_s = now_s()
+        progress.last_piece_at_s = time.monotonic()
         progress.relayed_pieces += 1
         progress.unproductive_attempts = 0
         progress.weights_version = placement.engine.weights_version
@@ -266,15 +259,7 @@
             placement.engine.record_failure()
         if failure.effective_run_state is not RunState.NOT_RUN:
             progress.excluded |= {placement.engine.name}
-        _LOG.warning(
-            'attempt failed: {}',
-            failure.detail,
-            fields={
-                'request_id': self.request.job.id,
-                'engine': placement.engine.name,
-                'relayed': progress.relayed_pieces,
-            },
-        )
+        log_failed_attempt(self.request, progress, placement, failure)
 
     async def _has_engine_ended(self, placement: Placement) -> bool:
         """Record a failed attempt; return whether its engine has ended.
@@ -294,28 +279,25 @@
             is_starting=progress.has_started,
         )
 
-    def _may_retry(self, *, has_ended: bool) -> bool:
-        progress = self.progress
+    async def _may_retry(self, placement: Placement) -> bool:
+        has_ended = await self._has_engine_ended(placement)
         if has_ended and not self.shared_state.quarantine.may_retry(
             segment_keys_of(self.request.job), now_s()
         ):
             return False
-        if (
-            progress.unproductive_attempts
-            >= self.shared_state.settings.limits.max_attempts
+        failure = self.progress.last_failure
+        if failure.kind is ErrorKind.DEADLINE_EXCEEDED:
+            return False
+        if not self.progress.has_attempts_left(
+            self.shared_state.settings.limits.max_attempts
         ):
             return False
-        failure = progress.last_failure
         may_have_run = failure.effective_run_state is not RunState.NOT_RUN
         if may_have_run and not self.request.idempotent:
             return False
-        if (
-            not self.shared_state.retry_budget.try_withdraw()
-            and not progress.relayed_pieces
-        ):
-            return False
-        self.metrics.retries.inc({})
-        return True
+        return self.shared_state.may_repeat(
+            has_output=bool(self.progress.relayed_pieces)
+        )
 
     def _reported_failure(self, failure: Failure) -> Failure:
         if self.progress.relayed_pieces:
@@ -347,33 +329,6 @@
     )
 
 
-async def fail_when_stalled(
-    events: AsyncIterator[Result[GenerationEvent, Failure]],
-    event_timeout_s: Callable[[], float],
-) -> AsyncIterator[Result[GenerationEvent, Failure]]:
-    """Yield ``events``, or a failure if the next one takes too long.
-
-    ``event_timeout_s`` returns the timeout for the next event in seconds. The
-    failure is a ``STREAM_BROKEN`` and ends the iteration.
-    """
-    while True:
-        limit_s = event_timeout_s()
-        try:
-            event = await asyncio.wait_for(anext(events), limit_s)
-        except StopAsyncIteration:
-            return
-        except asyncio.TimeoutError:
-            yield Err(
-                Failure(
-                    kind=ErrorKind.STREAM_BROKEN,
-                    detail=f'engine sent no event for {limit_s:.1f} s',
-                    run_state=RunState.UNKNOWN,
-                ),
-            )
-            return
-        yield event
-
-
 class AttemptMonitor:
     """Time one attempt and update the measurements of its engine and pool."""
 
@@ -390,19 +345,27 @@
         self.job = job
         self.last_piece_at_s: float | None = None
 
-    def event_timeout_s(self) -> float:
-        """Return the timeout for the next event in seconds.
+    def max_silence_s(self) -> float:
+        """Return after how long without an event the engine counts as silent.
 
-        Before the first piece, the timeout scales with the predicted time to
-        first token.
+        Before the first piece, it scales with the predicted time to first
+        token.
         """
         if self.last_piece_at_s is not None:
-            return _PIECE_TIMEOUT_S
+            return _MAX_PIECE_SILENCE_S
         return max(
-            _MIN_FIRST_PIECE_TIMEOUT_S,
-            _FIRST_PIECE_TIMEOUT_FACTOR * self.placement.predicted_s,
+            _MIN_FIRST_PIECE_SILENCE_S,
+            _FIRST_PIECE_SILENCE_FACTOR * self.placement.predicted_s,
         )
 
+    def start_waiting(self) -> None:
+        """Record that the router waits for the next event."""
+        self._set_awaited_since(time.monotonic())
+
+    def stop_waiting(self) -> None:
+        """Record that an event has come, which is to be relayed."""
+        self._set_awaited_since(None)
+
     def update_identity(self, identity: EngineIdentity) -> None:
         """Record the identity that the engine reported in its response."""
         self.placement.engine.update_identity(
@@ -419,6 +382,11 @@
             self.placement.engine.record_piece_gap(now_s - self.last_piece_at_s)
         self.last_piece_at_s = now_s
 
+    def _set_awaited_since(self, moment_s: float | None) -> None:
+        attempt = self.placement.engine.in_flight.get(self.placement.attempt)
+        if attempt is not None:
+            attempt.awaited_since_s = moment_s
+
     def _record_first_token(self, now_s: float) -> None:
         placement = self.placement
         engine = placement.engine
--- /dev/null
+++ b/src/arbutusbay/router/_run_progress.py
@@ -0,0 +1,79 @@
+"""Define a completion request and the progress of its run."""
+
+import time
+
+import attrs
+
+from arbutusbay.errors import Failure
+from arbutusbay.policy import Job
+from arbutusbay.router._dispatcher import JobContext
+from arbutusbay.state import Pool
+
+_RESPONSE_START_S = 0.3
+
+
+@attrs.frozen(kw_only=True)
+class CompletionRequest:
+    """Hold a validated completion request."""
+
+    job: Job
+    prompt: str
+    pool: Pool
+    idempotent: bool
+    context: JobContext
+
+
+@attrs.define(kw_only=True)
+class RunProgress:
+    """Track the progress of a run over all its attempts.
+
+    ``relayed_pieces`` counts pieces of output, and ``unproductive_attempts``
+    the consecutive attempts that relayed none. ``weights_version`` is the
+    version that produced the output. ``excluded`` holds the engines of failed
+    attempts that may have run. ``has_started`` and ``first_piece_s`` tell of
+    the last attempt whether its response began, and when its first piece came,
+    in seconds on the clock of ``now_s``. ``last_piece_at_s`` is when the last
+    piece of any attempt came, on the monotonic clock.
+    """
+
+    relayed_pieces: int = 0
+    attempts: int = 0
+    unproductive_attempts: int = 0
+    weights_version: str = ''
+    excluded: frozenset[str] = frozenset()
+    prompt_tokens: int = 0
+    cached_tokens: int = 0
+    finished: bool = False
+    last_failure: Failure | None = None
+    has_started: bool = False
+    first_piece_s: float | None = None
+    last_piece_at_s: float | None = None
+
+    def begin_attempt(self) -> None:
+        """Count an attempt, which has not started yet."""
+        self.attempts += 1
+        self.unproductive_attempts += 1
+        self.has_started = False
+        self.first_piece_s = None
+
+    def has_attempts_left(self, max_attempts: int) -> bool:
+        """Return whether another attempt may follow those without output."""
+        return self.unproductive_attempts < max_attempts
+
+    def is_underway(self, moment_s: float) -> bool:
+        """Return whether the attempt has gone on after its first piece."""
+        return (
+            self.first_piece_s is not None
+            and moment_s - self.first_piece_s > _RESPONSE_START_S
+        )
+
+
+def time_left_s(job: Job, progress: RunProgress) -> float:
+    """Return how long the next piece may take.
+
+    The route limits the time to the first piece. A later one may take as long.
+    """
+    deadline_s = job.deadline_s
+    if progress.last_piece_at_s is not None:
+        deadline_s = progress.last_piece_at_s + job.deadline_s - job.arrived_s
+    return max(0.0, deadline_s - time.monotonic())
--- a/src/arbutusbay/router/_shared_state.py
+++ b/src/arbutusbay/router/_shared_state.py
@@ -1,6 +1,7 @@
 """Hold the state shared by the components of the router."""
 
 import random
+from collections import deque
 from collections.abc import Mapping
 from types import MappingProxyType
 
@@ -11,6 +12,7 @@
     EngineState,
     FairQueue,
     HotPrefixCounter,
+    QueuedJob,
     RetryBudget,
 )
 from arbutusbay.quarantine import SegmentQuarantine
@@ -64,10 +66,13 @@
     ``prefill_s_per_token`` is the mean seconds to prefill one uncached token,
     and ``service_s`` the mean seconds that a request occupies an engine.
     ``placement_number`` counts placements for the round-robin policy.
+    ``moving`` holds the jobs at silent engines for which a place at another one
+    is looked for.
     """
 
     name: str
     queue: FairQueue = attrs.field(factory=FairQueue)
+    moving: deque[QueuedJob] = attrs.field(factory=deque)
     hot_prefixes: HotPrefixCounter = attrs.field(factory=HotPrefixCounter)
     prefill_s_per_token: float = _INITIAL_PREFILL_S
     service_s: float = _INITIAL_SERVICE_S
@@ -158,6 +163,13 @@
         ]
         return max(1, len(routers))
 
+    def may_repeat(self, *, has_output: bool) -> bool:
+        """Withdraw the token of a repetition; return whether it may be made.
+
+        One that continues output goes on without a token if there is none.
+        """
+        return self.retry_budget.try_withdraw() or has_output
+
     def backend_server(self, name: str) -> BackendServer | None:
         """Return the declaration of a backend server, if it exists."""
         resource = self.resource('backend-server', name)
--- a/src/arbutusbay/state/_resources.py
+++ b/src/arbutusbay/state/_resources.py
@@ -92,7 +92,8 @@
     """Declare a route from a model name or service path to a pool.
 
     ``deadline_ms`` limits the time to the first token, or to the response
-    of a plain service.
+    of a plain service. If an engine falls silent after the first token, it
+    also limits the wait for the next one.
     """
 
     pool: str = attrs.field(validator=_matches(_NAME_PATTERN))
--- a/tests/callers.py
+++ b/tests/callers.py
@@ -8,7 +8,12 @@
 import orjson
 
 from emulator.engine import expected_piece
-from tests.builders import build_chat_body, build_headers, build_prompt
+from tests.builders import (
+    MODEL,
+    build_chat_body,
+    build_headers,
+    build_prompt,
+)
 
 _REQUEST_TIMEOUT_S = 60
 _EVENT_PREFIX = b'data: '
@@ -66,6 +71,7 @@
     *,
     max_tokens: int = 8,
     team: str = 'till-rolls',
+    model: str = MODEL,
 ) -> StreamedResponse:
     """Stream one chat completion.
 
@@ -75,7 +81,7 @@
     try:
         async with session.post(
             f'{url}/v1/chat/completions',
-            json=build_chat_body(question, max_tokens=max_tokens),
+            json=build_chat_body(question, max_tokens=max_tokens, model=model),
             headers=build_headers(team),
             timeout=aiohttp.ClientTimeout(total=_REQUEST_TIMEOUT_S),
         ) as response:
