Let a stream go on elsewhere after the time to its first token

What callers saw: a stream whose engine ended after the deadline of its route broke off, though another engine had places.

A stream with output is queued with as long for its next piece as it had for its first one, the limit that already holds while its engine is silent.

Evidence: the test failed before for 6 of 6 streams with "pool 'language' has a queue of about 0.0 s", 'run_state': 'ran' and passes now.

--- a/src/arbutusbay/router/_generation_run.py
+++ b/src/arbutusbay/router/_generation_run.py
@@ -26,7 +26,11 @@
 from arbutusbay.router._event_reader import EngineEvent, EventReader
 from arbutusbay.router._metrics import RouterMetrics
 from arbutusbay.router._prompt_quarantine import refuse_job, segment_keys_of
-from arbutusbay.router._run_progress import CompletionRequest, RunProgress
+from arbutusbay.router._run_progress import (
+    CompletionRequest,
+    RunProgress,
+    next_piece_deadline_s,
+)
 from arbutusbay.router._shared_state import RouterState
 from arbutusbay.router._silence_handler import (
     SilenceHandler,
@@ -131,7 +135,9 @@
             excluded=self.progress.excluded,
             weights_version=self.progress.weights_version,
         )
-        return await self.dispatcher.place(self.request.job, context)
+        deadline_s = next_piece_deadline_s(self.request.job, self.progress)
+        job = attrs.evolve(self.request.job, deadline_s=deadline_s)
+        return await self.dispatcher.place(job, context)
 
     async def _run_attempt(
         self, placement: Placement
--- a/src/arbutusbay/router/_run_progress.py
+++ b/src/arbutusbay/router/_run_progress.py
@@ -68,12 +68,16 @@
         )
 
 
-def time_left_s(job: Job, progress: RunProgress) -> float:
-    """Return how long the next piece may take.
+def next_piece_deadline_s(job: Job, progress: RunProgress) -> float:
+    """Return until when the next piece may come, on the monotonic clock.
 
     The route limits the time to the first piece. A later one may take as long.
     """
-    deadline_s = job.deadline_s
-    if progress.last_piece_at_s is not None:
-        deadline_s = progress.last_piece_at_s + job.deadline_s - job.arrived_s
-    return max(0.0, deadline_s - time.monotonic())
+    if progress.last_piece_at_s is None:
+        return job.deadline_s
+    return progress.last_piece_at_s + job.deadline_s - job.arrived_s
+
+
+def time_left_s(job: Job, progress: RunProgress) -> float:
+    """Return how long the next piece may still take."""
+    return max(0.0, next_piece_deadline_s(job, progress) - time.monotonic())
--- a/tests/integration/test_silent_completions.py
+++ b/tests/integration/test_silent_completions.py
@@ -28,6 +28,8 @@
 _ONCE = 'roll-advisor-once'
 _HASTY = 'roll-advisor-hasty'
 _HASTY_DEADLINE_MS = 4000
+_HASTIEST = 'roll-advisor-hastiest'
+_HASTIEST_DEADLINE_MS = 500
 _PIECES = 100
 _COMPLETIONS = 6
 _MANY_COMPLETIONS = 60
@@ -78,9 +80,11 @@
     )
     once = {'pool': 'language', 'deadline_ms': 20000, 'idempotent': False}
     hasty = {'pool': 'language', 'deadline_ms': _HASTY_DEADLINE_MS}
+    hastiest = {'pool': 'language', 'deadline_ms': _HASTIEST_DEADLINE_MS}
     with running_cluster(options) as running:
         running.put_resource('route', _ONCE, once)
         running.put_resource('route', _HASTY, hasty)
+        running.put_resource('route', _HASTIEST, hastiest)
         yield running
 
 
@@ -329,6 +333,18 @@
     assert slowest_s < _MAX_MIDWAY_S
 
 
+# Guards against a stream that can't go on elsewhere, as the time that it had to
+# its first token is over.
+async def test_stream_goes_on_elsewhere_after_the_time_to_its_first_token(
+    fresh_cluster, session
+):
+    await use_engines(fresh_cluster, 2)
+    tasks = start_completions(session, fresh_cluster, model=_HASTIEST)
+    await asyncio.sleep(_HASTIEST_DEADLINE_MS / 1000 + _BEGUN_S)
+    busiest(fresh_cluster, 2).kill()
+    assert_all_whole(await asyncio.gather(*tasks))
+
+
 # Guards against the same for completions that wait for their first piece.
 async def test_completions_of_an_engine_that_never_begins_go_on_elsewhere(
     fresh_cluster, session, record_property
