Do not report a call as not run if an earlier server may have run it

What callers saw: an idempotent call whose first server broke off and whose next one could not be reached got 503 with run state not_run, though the first server may have run it.

Cause: the failure of the last server tried was returned, whatever the others had done. Now one that may have run the call outweighs a later one that did not.

--- a/src/arbutusbay/router/_service_calls.py
+++ b/src/arbutusbay/router/_service_calls.py
@@ -54,7 +54,7 @@
         """Send ``call`` to backend servers in turn until one responds.
 
         Fails with ``NO_BACKEND_SERVER`` or the failure of the last one
-        tried.
+        that may have run the call.
         """
         return await self._send(pool, call, is_idempotent=True)
 
@@ -76,7 +76,7 @@
             ):
                 return answer
             tried.add(service.name)
-            answer = await self._call(service, call)
+            answer = _combined(answer, await self._call(service, call))
             if not _may_retry(answer, is_idempotent=is_idempotent):
                 return answer
         return answer
@@ -115,6 +115,21 @@
         )
 
 
+def _combined(
+    earlier: Result[ServiceResponse, Failure],
+    latest: Result[ServiceResponse, Failure],
+) -> Result[ServiceResponse, Failure]:
+    """Return ``latest``, unless only ``earlier`` may have run the call."""
+    match earlier, latest:
+        case Err(before), Err(failure) if _is_not_run(failure):
+            return latest if _is_not_run(before) else earlier
+    return latest
+
+
+def _is_not_run(failure: Failure) -> bool:
+    return failure.effective_run_state is RunState.NOT_RUN
+
+
 def _may_retry(
     answer: Result[ServiceResponse, Failure],
     *,
@@ -124,8 +139,7 @@
         case Ok():
             return False
         case Err(failure):
-            not_run = failure.effective_run_state is RunState.NOT_RUN
-            return is_idempotent or not_run
+            return is_idempotent or _is_not_run(failure)
 
 
 def _no_backend_server(pool: str) -> Failure:
