Send a call to a service only once when its connection breaks

What callers saw: a PUT, DELETE or GET on a route that is not idempotent could run twice at one server (TWICE), since the HTTP client itself sends such methods again when a connection breaks without a response, also on a new connection. The time of such a call doubled as well.

The users' platform had this switched off already. The line moves to a module of its own and now also holds for the session whose connections are used once.

Evidence: test_call_whose_connection_breaks_is_sent_once failed before for PUT, DELETE and GET with 'assert 2 == 1' and passes now; POST passed before.

--- a/src/arbutusbay/_http.py
+++ b/src/arbutusbay/_http.py
@@ -17,6 +17,7 @@
 from arbutusbay.errors import ErrorKind, Failure
 from arbutusbay.logs import get_logger
 from arbutusbay.settings import DrainSettings
+from arbutusbay.single_send import disable_repetition
 from arbutusbay.wire import decode_message, encode_message
 
 _LOG = get_logger('http')
@@ -34,17 +35,21 @@
     """Return a new client session, which the caller has to close.
 
     Without ``reuse_connections`` each request opens its own connection, so
-    an error while connecting proves that nothing was sent.
+    an error while connecting proves that nothing was sent, and each request is
+    sent at most once.
     """
     connector = aiohttp.TCPConnector(
         limit=_UNLIMITED_CONNECTIONS,
         force_close=not reuse_connections,
     )
-    return aiohttp.ClientSession(
+    session = aiohttp.ClientSession(
         connector=connector,
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
     )
+    if not reuse_connections:
+        disable_repetition(session)
+    return session
 
 
 def failure_response(failure: Failure) -> web.Response:
--- a/src/arbutusbay/node/_http_client.py
+++ b/src/arbutusbay/node/_http_client.py
@@ -12,6 +12,8 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
+from arbutusbay.single_send import disable_repetition
+
 _KEEPALIVE_IDLE_S = 2
 _KEEPALIVE_INTERVAL_S = 1
 _MAX_KEEPALIVE_PROBES = 2
@@ -102,8 +104,7 @@
 def create_client_session() -> aiohttp.ClientSession:
     """Return a client session that sends each request at most once.
 
-    The retry of aiohttp on a lost connection is disabled, because the server
-    may have executed the request. The caller must close the session.
+    The caller must close the session.
     """
     connector = StrictConnector(
         limit=0,
@@ -118,5 +119,5 @@
         cookie_jar=aiohttp.DummyCookieJar(),
         skip_auto_headers=_SKIPPED_AUTO_HEADERS,
     )
-    session._retry_connection = False  # noqa: SLF001
+    disable_repetition(session)
     return session
--- a/tests/unit/test_service_calls.py
+++ b/tests/unit/test_service_calls.py
@@ -1,16 +1,34 @@
 """Check what a call to a service that is not an engine tells of its run."""
 
+import asyncio
 import contextlib
+import functools
 import socket
-from collections.abc import Iterator
+import time
+from collections.abc import AsyncIterator, Iterator
 
+import attrs
 import pytest
 
-from arbutusbay.backend import ServiceCall, call_service
+from arbutusbay.backend import (
+    EngineClient,
+    GenerationRequest,
+    Priority,
+    ServiceCall,
+    call_service,
+)
 from arbutusbay.errors import ErrorKind, RunState
 from arbutusbay.http import new_client_session
+from arbutusbay.router._service_calls import ServiceCaller
+from arbutusbay.router._settings import RouterSettings
+from arbutusbay.router._shared_state import RouterState, ServiceState
+from arbutusbay.settings import NodeSettings
 
 _EXTRA_CONNECTIONS = 8
+_POOL = 'stock'
+_CALL_S = 1.0
+_MAX_LATE_S = 0.25
+_BREAK_AFTER_S = 0.7
 
 
 @pytest.fixture
@@ -45,3 +63,82 @@
     failure = answer.unwrap_err()
     assert failure.kind is ErrorKind.NO_BACKEND_SERVER
     assert failure.effective_run_state is RunState.NOT_RUN
+
+
+def build_lookup() -> ServiceCall:
+    """Return a call that may be repeated."""
+    return ServiceCall(
+        method='GET', path='/', headers={}, body=b'', timeout_s=_CALL_S
+    )
+
+
+def build_caller(session, urls) -> ServiceCaller:
+    """Return a caller for a pool of servers that it tries in this order."""
+    node = NodeSettings(id='vm-1', host='127.0.0.1', zone='zone-a')
+    state = RouterState(settings=RouterSettings(node=node))
+    for number, url in enumerate(urls):
+        state.services[url] = ServiceState(
+            name=url, url=url, zone='zone-a', pool=_POOL, in_flight=number
+        )
+    return ServiceCaller(shared_state=state, session=session)
+
+
+async def break_off(after_s: float, received, reader, writer) -> None:
+    """Read a request and abort its connection after a while."""
+    received.append(await reader.readline())
+    await asyncio.sleep(after_s)
+    writer.transport.abort()
+
+
+@contextlib.asynccontextmanager
+async def running_server(
+    break_after_s: float, received: list[bytes]
+) -> AsyncIterator[str]:
+    """Yield the URL of a server that breaks connections off after a while.
+
+    The first line of each request is appended to ``received``.
+    """
+    server = await asyncio.start_server(
+        functools.partial(break_off, break_after_s, received), '127.0.0.1', 0
+    )
+    host, port = server.sockets[0].getsockname()
+    async with server:
+        yield f'http://{host}:{port}'
+
+
+@pytest.fixture
+def refusing_url() -> str:
+    """Return a URL at which nobody listens."""
+    with socket.socket() as unused:
+        unused.bind(('127.0.0.1', 0))
+        host, port = unused.getsockname()
+        return f'http://{host}:{port}'
+
+
+# Guards against 'not run' for a call that one server got, because the next one
+# could not be reached.
+async def test_call_that_one_server_got_is_not_reported_as_not_run(
+    refusing_url,
+):
+    async with (
+        running_server(0, []) as broken_url,
+        new_client_session(reuse_connections=False) as session,
+    ):
+        caller = build_caller(session, [broken_url, refusing_url])
+        answer = await caller.send_idempotent(_POOL, build_lookup())
+    failure = answer.unwrap_err()
+    assert failure.effective_run_state is RunState.UNKNOWN
+
+
+# Guards against a call that may run once only, and that the HTTP client sends
+# again by itself when the connection breaks.
+@pytest.mark.parametrize('method', ['POST', 'PUT', 'DELETE', 'GET'])
+async def test_call_whose_connection_breaks_is_sent_once(method):
+    received: list[bytes] = []
+    call = attrs.evolve(build_lookup(), method=method)
+    async with (
+        running_server(0, received) as broken_url,
+        new_client_session(reuse_connections=False) as session,
+    ):
+        await call_service(session, broken_url, call)
+    assert len(received) == 1
