Give a repeated call only the time that is left

What callers saw: a call whose first server broke off late ended after its deadline, and the next server was handed the time of the whole call once more.

Cause: each attempt had the timeout of the call. It now has what is left of it.

--- a/src/arbutusbay/router/_service_calls.py
+++ b/src/arbutusbay/router/_service_calls.py
@@ -6,6 +6,7 @@
 import time
 
 import aiohttp
+import attrs
 from result import Err, Ok, Result
 
 from arbutusbay.backend import ServiceCall, ServiceResponse, call_service
@@ -76,7 +77,10 @@
             ):
                 return answer
             tried.add(service.name)
-            answer = _combined(answer, await self._call(service, call))
+            attempt = attrs.evolve(
+                call, timeout_s=deadline_s - time.monotonic()
+            )
+            answer = _combined(answer, await self._call(service, attempt))
             if not _may_retry(answer, is_idempotent=is_idempotent):
                 return answer
         return answer
--- a/tests/unit/test_service_calls.py
+++ b/tests/unit/test_service_calls.py
@@ -142,3 +142,18 @@
     ):
         await call_service(session, broken_url, call)
     assert len(received) == 1
+
+
+# Guards against a second attempt that gets the time of the whole call again.
+async def test_repeated_call_ends_at_its_deadline():
+    started_s = time.monotonic()
+    async with (
+        running_server(_BREAK_AFTER_S, []) as first_url,
+        running_server(_BREAK_AFTER_S, []) as second_url,
+        new_client_session(reuse_connections=False) as session,
+    ):
+        caller = build_caller(session, [first_url, second_url])
+        answer = await caller.send_idempotent(_POOL, build_lookup())
+    duration_s = time.monotonic() - started_s
+    assert answer.unwrap_err().kind is ErrorKind.OUTCOME_UNKNOWN
+    assert _CALL_S - _MAX_LATE_S < duration_s < _CALL_S + _MAX_LATE_S
