Treat a completion whose connection was never made as not run

What callers saw: a completion that may run once only ended in outcome_unknown when an engine did not accept its connection for 1.0 s, though nothing was sent and another engine could have run it.

Cause: a timeout while connecting counted as unknown. It arises only before a new connection is made, so the request was not sent. Calls to services already had it so.

Evidence: test_connection_that_times_out_did_not_run_the_completion failed before with assert [<RunState.UN...ome_unknown'>] == [<RunState.NO...N: 'not_run'>] and passes now.

--- a/src/arbutusbay/backend/_engine_client.py
+++ b/src/arbutusbay/backend/_engine_client.py
@@ -54,16 +54,18 @@
         """Run one attempt and yield the checked events of its stream.
 
         A failure, if any, comes last. Its run state is ``NOT_RUN`` if the
-        engine rejected the request or connecting failed other than by a
-        timeout, ``RAN`` if the stream is malformed or lacks its last event,
-        and ``UNKNOWN`` after any other error, including a timeout while
-        connecting.
+        engine rejected the request or connecting failed, ``RAN`` if the stream
+        is malformed or lacks its last event, and ``UNKNOWN`` after any other
+        error.
         """
         try:
             async with self._open(generation) as response:
                 async for event in _read_stream(response, generation):
                     yield event
-        except aiohttp.ClientConnectorError as error:
+        except (
+            aiohttp.ClientConnectorError,
+            aiohttp.ConnectionTimeoutError,
+        ) as error:
             yield call_failed(repr(error), RunState.NOT_RUN)
         except (
             aiohttp.ClientError,
--- a/tests/unit/test_service_calls.py
+++ b/tests/unit/test_service_calls.py
@@ -157,3 +157,27 @@
     duration_s = time.monotonic() - started_s
     assert answer.unwrap_err().kind is ErrorKind.OUTCOME_UNKNOWN
     assert _CALL_S - _MAX_LATE_S < duration_s < _CALL_S + _MAX_LATE_S
+
+
+# Guards against a completion that is answered 'outcome unknown', and not sent
+# to another engine, though its connection was never made.
+async def test_connection_that_times_out_did_not_run_the_completion(
+    full_listener_url,
+):
+    generation = GenerationRequest(
+        attempt='a',
+        team='t',
+        model='m',
+        adapter='',
+        weights_version='v1',
+        incarnation='',
+        prompt='p',
+        max_tokens=1,
+        priority=Priority.NORMAL,
+        resume_from=0,
+    )
+    async with new_client_session() as session:
+        client = EngineClient(session=session, url=full_listener_url)
+        events = [event async for event in client.generate(generation)]
+    run_states = [event.unwrap_err().effective_run_state for event in events]
+    assert run_states == [RunState.NOT_RUN]
