--- a/emulator/engine.py
+++ b/emulator/engine.py
@@ -15,11 +15,13 @@
 - ``fatal_text`` ends the process when it begins to respond to a prompt with it;
 - ``refusals`` refuses that many generations with status 503;
 - ``copies_refusals`` writes each refusal once more before the next response on
-  its connection.
+  its connection;
+- ``silent_ms`` sends nothing for that long on any connection, then goes on.
 """
 
 import argparse
 import asyncio
+import collections
 import os
 import random
 import time
@@ -37,6 +39,7 @@
 from emulator._engine_connections import CopiedId, EngineConnections
 from emulator._prefix_cache import PrefixCache, cache_event_to_json
 from emulator._server_main import MAX_BODY_BYTES, read_json_object, run_server
+from emulator._silence import Silence
 
 _BYTES_PER_TOKEN = 4
 _CONFLICT_STATUS = 409
@@ -44,6 +47,7 @@
 _PRECONDITION_FAILED_STATUS = 412
 _EVENT_POLL_S = 0.02
 _VOCABULARY_SIZE = 997
+_MAX_RECORDED_RUNS = 1000
 
 
 @attrs.define(kw_only=True)
@@ -62,6 +66,24 @@
     fatal_text: str = ''
     refusals: int = 0
     copies_refusals: bool = False
+    silent_ms: int = 0
+
+
+@attrs.define(kw_only=True)
+class EngineRun:
+    """Record which prompt an engine worked on, and from when to when.
+
+    The times are in seconds on the monotonic clock, which all processes of a
+    machine share. ``ended_s`` is None while the run goes on.
+    """
+
+    prompt: str
+    began_s: float
+    ended_s: float | None = None
+
+    def end(self) -> None:
+        """Record that the run has ended now."""
+        self.ended_s = time.monotonic()
 
 
 @attrs.frozen(kw_only=True)
@@ -124,6 +146,10 @@
         self.prompt_tokens = 0
         self.cached_tokens = 0
         self.stream_tasks: set[asyncio.Task[Any]] = set()
+        self.silence = Silence()
+        self.runs: collections.deque[EngineRun] = collections.deque(
+            maxlen=_MAX_RECORDED_RUNS
+        )
 
     def application(self) -> web.Application:
         """Build the HTTP application."""
@@ -137,6 +163,7 @@
         router.add_post('/v1/orders', self.order_load)
         router.add_post('/faults', self.update_faults)
         router.add_get('/counts', self.get_counts)
+        router.add_get('/runs', self.list_runs)
         application.on_startup.append(self._start)
         return application
 
@@ -153,16 +180,19 @@
         sequence = self._sequence_from_fields(fields)
         response = web.StreamResponse()
         response.content_type = 'application/x-ndjson'
-        await response.prepare(request)
         self.served_count += 1
         self.batch.submit(sequence)
+        run = EngineRun(prompt=fields['prompt'], began_s=time.monotonic())
+        self.runs.append(run)
         task = asyncio.current_task()
         self.stream_tasks.add(task)
         try:
+            await self.silence.over.wait()
+            await response.prepare(request)
             await self._write_stream(request, response, fields, sequence)
         finally:
             self.stream_tasks.discard(task)
-            self.batch.remove(sequence)
+            self._end_run(run, sequence)
         return response
 
     async def get_events(self, request: web.Request) -> web.Response:
@@ -183,6 +213,7 @@
             if self.last_report_at_s > report_s:
                 break
         sequence = events[-1].sequence if events else after
+        await self.silence.over.wait()
         return web.Response(
             content_type='application/json',
             body=orjson.dumps(
@@ -214,6 +245,7 @@
         asyncio.get_running_loop().create_task(
             self._load_weights(order['weights_version']),
         )
+        await self.silence.over.wait()
         return web.json_response({})
 
     async def update_faults(self, request: web.Request) -> web.Response:
@@ -227,6 +259,8 @@
             CopiedId.NONE if self.faults.copies_refusals else None
         )
         self.batch.work_available.set()
+        if 'silent_ms' in fields:
+            self.silence.begin(self.faults.silent_ms / 1000)
         return web.json_response(attrs.asdict(self.faults))
 
     async def get_counts(self, request: web.Request) -> web.Response:
@@ -246,6 +280,14 @@
             }
         )
 
+    async def list_runs(self, request: web.Request) -> web.Response:
+        """Return the latest runs, oldest first."""
+        return web.json_response([attrs.asdict(run) for run in self.runs])
+
+    def _end_run(self, run: EngineRun, sequence: EngineSequence) -> None:
+        run.end()
+        self.batch.remove(sequence)
+
     async def _start(self, application: web.Application) -> None:
         loop = asyncio.get_running_loop()
         self.last_report = self._build_load_report()
@@ -321,6 +363,7 @@
             response=response,
             attempt=fields['attempt'],
             faults=self.faults,
+            silence=self.silence,
         )
         version = self.weights_version
         await writer.write(
@@ -397,16 +440,18 @@
         response: web.StreamResponse,
         attempt: str,
         faults: Faults,
+        silence: Silence,
     ) -> None:
         """Mark each line with the attempt ID ``attempt``."""
         self.response = response
         self.attempt = attempt
         self.faults = faults
+        self.silence = silence
         self.held_line: bytes | None = None
 
     async def write(self, fields: dict[str, Any]) -> None:
         """Write ``fields`` as one line."""
-        await self.response.write(self._line(fields))
+        await self._send(self._line(fields))
 
     async def write_piece(self, index: int, text: str) -> None:
         """Write one piece, with the faults that are due.
@@ -425,9 +470,13 @@
         if index and self.faults.duplicate > 0:
             self.faults.duplicate -= 1
             line = line * 2
-        await self.response.write(b''.join((line, self.held_line or b'')))
+        await self._send(b''.join((line, self.held_line or b'')))
         self.held_line = None
 
+    async def _send(self, line: bytes) -> None:
+        await self.silence.over.wait()
+        await self.response.write(line)
+
     def _line(self, fields: dict[str, Any]) -> bytes:
         return orjson.dumps(
             {'attempt': self.attempt, **fields},
--- a/src/arbutusbay/node/_http_client.py
+++ b/src/arbutusbay/node/_http_client.py
@@ -14,6 +14,7 @@
 from aiohttp.client_proto import ResponseHandler
 
 from arbutusbay.node._connection_history import ConnectionHistory
+from arbutusbay.single_send import disable_repetition
 
 _KEEPALIVE_IDLE_S = 2
 _KEEPALIVE_INTERVAL_S = 1
@@ -118,10 +119,8 @@
 ) -> aiohttp.ClientSession:
     """Return a client session that sends each request at most once.
 
-    The retry of aiohttp on a lost connection is disabled, because the server
-    may have executed the request. Without ``reuse_connections`` each request
-    opens its own connection, so that its response can't be that of another.
-    The caller must close the session.
+    Without ``reuse_connections`` each request opens its own connection, so that
+    its response can't be that of another. The caller must close the session.
     """
     connector = StrictConnector(
         limit=0,
@@ -137,5 +136,5 @@
         cookie_jar=aiohttp.DummyCookieJar(),
         skip_auto_headers=_SKIPPED_AUTO_HEADERS,
     )
-    session._retry_connection = False  # noqa: SLF001
+    disable_repetition(session)
     return session
