Count the first check of the stall detector from its start

A VM that was suspended within 0.1 s of its start took its own pause for the silence of all servers, and moved all its calls. The test failed before.

--- a/src/arbutusbay/node/_stall_detector.py
+++ b/src/arbutusbay/node/_stall_detector.py
@@ -137,6 +137,7 @@
 
     async def run(self) -> None:
         """Check for stalls at a fixed interval until cancelled."""
+        self.last_check_s = now_s()
         while True:
             await asyncio.sleep(_CHECK_INTERVAL_S)
             self.check(now_s())
--- a/tests/unit/test_stall_detector.py
+++ b/tests/unit/test_stall_detector.py
@@ -1,5 +1,7 @@
 """Check which silence of an engine counts as a stall."""
 
+import asyncio
+
 import attrs
 import pytest
 
@@ -148,6 +150,20 @@
     assert not other.is_withdrawn
 
 
+# Guards against a VM that is suspended before its first check: it moved all its
+# calls, although their answers lay in its sockets.
+async def test_pause_before_the_first_check_is_no_silence(
+    detector, monitored, clock
+):
+    checks = asyncio.create_task(detector.run())
+    await asyncio.sleep(0)
+    clock.moment_s += PAUSE_S
+    await asyncio.sleep(2 * CHECK_INTERVAL_S)
+    checks.cancel()
+    assert not is_suspect(monitored, clock)
+    assert not monitored.is_moved
+
+
 # Guards against a stream that is ended while it has nowhere else to go on.
 async def test_silent_attempt_goes_on_until_a_place_is_reserved(
     detector, monitored, clock
