Check the types of records of our own log and of engines' reports where they are decoded

At our own interface one odd record stopped its readers: a resource or an idempotency key whose name is no text is unhashable, so the fold raised at each read of the log; a load report out of range failed the reply of every lookup in its pool, block hashes out of range the engine's event task.

Now the decoders check types and ranges, as those of the platform do, and errors show no nested values.

--- a/src/arbutusbay/backend/_engine_decoder.py
+++ b/src/arbutusbay/backend/_engine_decoder.py
@@ -16,8 +16,18 @@
     LoadReport,
     TextPiece,
 )
+from arbutusbay.checked_values import (
+    describe_value,
+    require_boolean,
+    require_count,
+    require_list,
+    require_text,
+)
 from arbutusbay.errors import ErrorKind, Failure, RunState
 
+_MAX_COUNT = 4_294_967_295
+_MAX_BLOCK_HASH = 18_446_744_073_709_551_615
+
 
 def decode_stream_line(
     line: bytes,
@@ -72,7 +82,9 @@
                 finish_reason=str(fields['finish_reason']),
             )
         case event_type:
-            raise ValueError(f'unknown event type {event_type!r}')
+            raise ValueError(
+                f'unknown event type: {describe_value(event_type)}'
+            )
 
 
 def decode_engine_identity(fields: dict[str, Any]) -> EngineIdentity:
@@ -96,15 +108,20 @@
     try:
         return Ok(
             CacheEventPage(
-                incarnation=str(fields['incarnation']),
-                weights_version=str(fields['weights_version']),
-                next_sequence=int(fields['next']),
-                gap=bool(fields['gap']),
+                incarnation=require_text(fields['incarnation'], 'incarnation'),
+                weights_version=require_text(
+                    fields['weights_version'], 'weights_version'
+                ),
+                next_sequence=require_count(fields['next'], 'next'),
+                gap=require_boolean(fields['gap'], 'gap'),
                 events=[
-                    CacheEvent(stored=event[0], removed=event[1])
-                    for event in fields['events']
+                    CacheEvent(
+                        stored=_hashes_from_json(event[0]),
+                        removed=_hashes_from_json(event[1]),
+                    )
+                    for event in require_list(fields['events'], 'events')
                 ],
-                load=LoadReport(**fields['load']),
+                load=_load_from_json(fields['load']),
             ),
         )
     except (KeyError, TypeError, ValueError, IndexError) as error:
@@ -113,6 +130,25 @@
         )
 
 
+def _hashes_from_json(found: Any) -> list[int]:
+    return [
+        require_count(block, 'block hash', highest=_MAX_BLOCK_HASH)
+        for block in require_list(found, 'block hashes')
+    ]
+
+
+def _load_from_json(fields: dict[str, Any]) -> LoadReport:
+    counts = {
+        name: require_count(fields[name], name, highest=_MAX_COUNT)
+        for name in ('running', 'waiting', 'queued_tokens', 'slots')
+    }
+    return LoadReport(
+        **counts,
+        ready=require_boolean(fields['ready'], 'ready'),
+        leaving=require_boolean(fields['leaving'], 'leaving'),
+    )
+
+
 def refusal_error(status: int) -> Err[Failure]:
     """Return the failure of a request that the engine refused to run."""
     return Err(
--- a/src/arbutusbay/state/_config.py
+++ b/src/arbutusbay/state/_config.py
@@ -12,6 +12,11 @@
 import orjson
 from result import Err, Ok, Result
 
+from arbutusbay.checked_values import (
+    require_integer,
+    require_mapping,
+    require_text,
+)
 from arbutusbay.errors import ErrorKind, Failure
 from arbutusbay.state._resources import (
     Spec,
@@ -225,27 +230,39 @@
     """Return the resource from the output of ``resource_to_json``.
 
     Fails with ``INVALID_RESOURCE`` if the spec is invalid, and raises
-    ``KeyError`` if a field is missing.
+    ``KeyError`` if a field is missing, ``ValueError`` if it is of another type.
     """
-    return spec_from_json(fields['kind'], fields['spec']).map(
-        lambda spec: Resource(
-            id=ResourceId(kind=fields['kind'], name=fields['name']),
-            spec=spec,
-            version=fields['version'],
-        ),
+    resource_id = _resource_id_from_json(fields)
+    version = _version_from_json(fields, 'version')
+    return spec_from_json(resource_id.kind, fields['spec']).map(
+        lambda spec: Resource(id=resource_id, spec=spec, version=version),
     )
 
 
+def _resource_id_from_json(fields: dict[str, Any]) -> ResourceId:
+    return ResourceId(
+        kind=require_text(fields['kind'], 'kind'),
+        name=require_text(fields['name'], 'name'),
+    )
+
+
+def _version_from_json(fields: dict[str, Any], name: str) -> int:
+    return require_integer(fields[name], name, lowest=NO_VERSION)
+
+
 def _resource_at(offset: int, record: Put) -> Resource:
     return Resource(id=record.id, spec=record.spec, version=offset)
 
 
 def _record_from_json(fields: dict[str, Any]) -> Result[ConfigRecord, Failure]:
+    require_mapping(fields, 'record')
     if fields['type'] == 'snapshot':
         return _snapshot_from_json(fields)
-    resource_id = ResourceId(kind=fields['kind'], name=fields['name'])
+    resource_id = _resource_id_from_json(fields)
     expects = fields['expects']
-    nonce = fields['nonce']
+    if expects is not None:
+        expects = _version_from_json(fields, 'expects')
+    nonce = require_text(fields['nonce'], 'nonce')
     if fields['type'] == 'delete':
         return Ok(Delete(id=resource_id, expects=expects, nonce=nonce))
     return spec_from_json(resource_id.kind, fields['spec']).map(
@@ -268,8 +285,8 @@
                 resources.append(resource)
     return Ok(
         Snapshot(
-            base_offset=fields['base'],
-            nonce=fields['nonce'],
+            base_offset=_version_from_json(fields, 'base'),
+            nonce=require_text(fields['nonce'], 'nonce'),
             resources=tuple(resources),
         )
     )
--- a/src/arbutusbay/state/_ledger.py
+++ b/src/arbutusbay/state/_ledger.py
@@ -13,9 +13,16 @@
 import orjson
 from result import Err, Ok, Result
 
+from arbutusbay.checked_values import (
+    describe_value,
+    require_integer,
+    require_text,
+)
 from arbutusbay.errors import ErrorKind, Failure
 
 MAX_STORED_BODY_BYTES = 4096
+_LOWEST_STATUS = 100
+_HIGHEST_STATUS = 599
 
 
 @attrs.frozen(kw_only=True)
@@ -161,14 +168,14 @@
 
 
 def _record_from_json(fields: dict[str, Any]) -> LedgerRecord:
-    key = fields['key']
-    nonce = fields['nonce']
+    key = require_text(fields['key'], 'key')
+    nonce = require_text(fields['nonce'], 'nonce')
     match fields['type']:
         case 'claim':
             return Claim(
                 key=key,
                 nonce=nonce,
-                fingerprint=fields['fingerprint'],
+                fingerprint=require_text(fields['fingerprint'], 'fingerprint'),
             )
         case 'abandon':
             return Abandon(key=key, nonce=nonce)
@@ -176,9 +183,16 @@
             return Outcome(
                 key=key,
                 nonce=nonce,
-                status=fields['status'],
-                content_type=fields['content_type'],
+                status=require_integer(
+                    fields['status'],
+                    'status',
+                    lowest=_LOWEST_STATUS,
+                    highest=_HIGHEST_STATUS,
+                ),
+                content_type=require_text(
+                    fields['content_type'], 'content_type'
+                ),
                 body=base64.b64decode(fields['body']),
             )
         case other:
-            raise ValueError(f'unknown record type {other!r}')
+            raise ValueError(f'unknown record type: {describe_value(other)}')
