Show values of another type in errors of settings as before

The test of the strict converter asks for the whole value; what is read from the log is checked by its decoders, which take any error of the converter.

--- a/src/arbutusbay/_structuring.py
+++ b/src/arbutusbay/_structuring.py
@@ -7,8 +7,6 @@
 import cattrs
 from cattrs.gen import make_dict_structure_fn
 
-from arbutusbay.checked_values import describe_value
-
 _STRICT_TYPES = (bool, int, str)
 
 
@@ -66,21 +64,17 @@
         return enum_type(raw)
     except ValueError as error:
         allowed = ', '.join(enum_type)
-        raise ValueError(
-            f'{describe_value(raw)} is not one of {allowed}'
-        ) from error
+        raise ValueError(f'{raw!r} is not one of {allowed}') from error
 
 
 def _structure_strictly(raw: Any, strict_type: type) -> Any:
     is_bool = isinstance(raw, bool)
     if isinstance(raw, strict_type) and is_bool == (strict_type is bool):
         return raw
-    raise ValueError(
-        f'must be of type {strict_type.__name__}, not {describe_value(raw)}'
-    )
+    raise ValueError(f'must be of type {strict_type.__name__}, not {raw!r}')
 
 
 def _structure_float(raw: Any, _: type) -> float:
     if isinstance(raw, int | float) and not isinstance(raw, bool):
         return float(raw)
-    raise ValueError(f'must be of type float, not {describe_value(raw)}')
+    raise ValueError(f'must be of type float, not {raw!r}')
