--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,8 @@
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
+# Tests wait most of their time; those of one file share a worker.
+TEST_WORKERS ?= 4
 
 .PHONY: demo test lint format measure slopes clean
 
@@ -13,7 +15,7 @@
 	@$(BIN)/python -m emulator.demo
 
 test: $(STAMP)
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n $(TEST_WORKERS) --dist loadfile
 
 lint: $(STAMP)
 	$(BIN)/ruff format --check src emulator tests
