Bound the doublings of a backoff, which raised after a thousand failures

A service whose only server was down for long answered every request with an internal error: 0.6 * 2**1024 is no float.

--- a/src/arbutusbay/scheduling/_engine_view.py
+++ b/src/arbutusbay/scheduling/_engine_view.py
@@ -15,6 +15,7 @@
 _MIN_POSTPONEMENT_S = 0.2
 _POSTPONEMENT_RATIO = 0.5
 _MAX_BACKOFF_S = 4.0
+_MAX_DOUBLINGS = 8
 _MAX_REPORT_AGE_S = 1.0
 _ERROR_SMOOTHING = 0.15
 _ERROR_RATE_HALF_LIFE_S = 4.0
@@ -208,9 +209,8 @@
 
         Return its duration in seconds.
         """
-        pause_s = min(
-            _MAX_BACKOFF_S, _INITIAL_BACKOFF_S * 2**self.consecutive_failures
-        )
+        doublings = min(self.consecutive_failures, _MAX_DOUBLINGS)
+        pause_s = min(_MAX_BACKOFF_S, _INITIAL_BACKOFF_S * 2**doublings)
         self.consecutive_failures += 1
         self.backoff_until_s = now_s + pause_s
         return pause_s
