Take no engine of our own interface for silent while any of its streams goes on

One hung stream kept all completions at a dead engine until their deadline: an engine with one stream that awaited its next piece for 0.5 s was no place to move to, however long. Found by the review, by a unit trial; the new cases fail on the old check. An engine is quiet now if none of its streams had a piece lately, and one that waits for over 10 s counts no more. A completion that looks for a place no longer searches for all queued ones as well.

--- a/src/arbutusbay/policy/_engine_state.py
+++ b/src/arbutusbay/policy/_engine_state.py
@@ -14,8 +14,10 @@
 _QUANTILE_STEP_RATIO = 0.2
 _INITIAL_BACKOFF_S = 1.0
 _MAX_BACKOFF_S = 8.0
+_MAX_DOUBLINGS = 8
 _SLOW_FACTOR_HALF_LIFE_S = 3.0
 _QUIET_AFTER_S = 0.5
+_HUNG_AFTER_S = 10.0
 MAX_SLOW_FACTOR = 20.0
 
 
@@ -33,11 +35,19 @@
     first_token_seen: bool = False
     awaited_since_s: float | None = None
 
-    def is_quiet(self, moment_s: float) -> bool:
-        """Return whether no event has followed the last one for a while."""
-        if not self.first_token_seen or self.awaited_since_s is None:
-            return False
-        return moment_s - self.awaited_since_s > _QUIET_AFTER_S
+    def is_lively(self, moment_s: float) -> bool:
+        """Return whether an event came lately, or waits to be passed on."""
+        return (
+            self.awaited_since_s is None
+            or moment_s - self.awaited_since_s <= _QUIET_AFTER_S
+        )
+
+    def is_hung(self, moment_s: float) -> bool:
+        """Return whether nothing came for longer than engines are silent."""
+        return (
+            self.awaited_since_s is not None
+            and moment_s - self.awaited_since_s > _HUNG_AFTER_S
+        )
 
 
 @attrs.define(kw_only=True)
@@ -83,18 +93,25 @@
     def is_dependable(self, moment_s: float) -> bool:
         """Return whether nothing speaks against the engine.
 
-        Its weights are known, it did not fail lately, and no stream of this
-        router waits for long there.
+        Its weights are known, it did not fail lately, and the streams of this
+        router there go on.
         """
         return (
             bool(self.weights_version)
             and not self.is_in_backoff(moment_s)
-            and not any(
-                attempt.is_quiet(moment_s)
-                for attempt in self.in_flight.values()
-            )
+            and not self.is_quiet(moment_s)
         )
 
+    def is_quiet(self, moment_s: float) -> bool:
+        """Return whether streams are under way and none had an event lately."""
+        has_streams = False
+        for attempt in self.in_flight.values():
+            if attempt.first_token_seen and not attempt.is_hung(moment_s):
+                if attempt.is_lively(moment_s):
+                    return False
+                has_streams = True
+        return has_streams
+
     def apply_load_report(self, view: EngineView) -> None:
         """Apply a report from the control daemon that indexes this engine.
 
@@ -190,8 +207,9 @@
 
     def record_failure(self) -> None:
         """Record a failure and back off, exponentially if failures repeat."""
+        doublings = min(self.consecutive_failures, _MAX_DOUBLINGS)
         self.consecutive_failures += 1
-        pause_s = _INITIAL_BACKOFF_S * 2 ** (self.consecutive_failures - 1)
+        pause_s = _INITIAL_BACKOFF_S * 2**doublings
         self.backoff_until_s = time.monotonic() + min(
             pause_s,
             _MAX_BACKOFF_S,
--- a/src/arbutusbay/router/_dispatcher.py
+++ b/src/arbutusbay/router/_dispatcher.py
@@ -131,8 +131,11 @@
         moving = _new_queued_job(job, context)
         if not may_move:
             return moving
-        self.shared_state.pool_state(job.pool).moving.append(moving)
-        self.place_waiting(job.pool)
+        pool = self.shared_state.pool_state(job.pool)
+        pool.moving.append(moving)
+        self._move_jobs(pool)
+        if pool.moving:
+            self._retry_later(job.pool)
         return moving
 
     def withdraw_move(self, moving: QueuedJob) -> Placement | None:
@@ -177,14 +180,8 @@
         is_placed = True
         while is_placed:
             is_placed = self._assign_next(pool)
-        is_waiting = len(pool.queue) or pool.moving
-        if is_waiting and pool_name not in self.retry_timers:
-            loop = asyncio.get_running_loop()
-            self.retry_timers[pool_name] = loop.call_later(
-                _RETRY_INTERVAL_S,
-                self._on_retry_timer,
-                pool_name,
-            )
+        if len(pool.queue) or pool.moving:
+            self._retry_later(pool_name)
 
     def predicted_wait_s(self, job: Job) -> float:
         """Return the predicted queueing time of ``job`` in seconds.
@@ -312,7 +309,7 @@
         context = moving.caller_data.context
         view = self.pool_view_for(moving.job, context)
         choice = choose_engine(
-            self._policy(pool),
+            _policy_of(self.shared_state, pool),
             moving.job,
             _view_for_move(moving.job, context, view),
             self.shared_state.rng,
@@ -339,24 +336,12 @@
         self, pool: PoolState, waiting: QueuedJob
     ) -> EngineChoice | None:
         return choose_engine(
-            self._policy(pool),
+            _policy_of(self.shared_state, pool),
             waiting.job,
             self.pool_view_for(waiting.job, waiting.caller_data.context),
             self.shared_state.rng,
         )
 
-    def _policy(self, pool: PoolState) -> Policy:
-        match self.shared_state.settings.policy:
-            case PolicyName.ROUND_ROBIN:
-                pool.placement_number += 1
-                return RoundRobin(placement_number=pool.placement_number)
-            case PolicyName.FEWEST_IN_FLIGHT:
-                return FewestInFlight()
-            case PolicyName.RENDEZVOUS:
-                return PrefixRendezvous()
-            case _:
-                return CostBased()
-
     def _assign(self, waiting: QueuedJob, choice: EngineChoice) -> None:
         job = waiting.job
         attempt = uuid.uuid4().hex
@@ -375,19 +360,39 @@
             ),
         )
 
+    def _retry_later(self, pool_name: str) -> None:
+        if pool_name in self.retry_timers:
+            return
+        self.retry_timers[pool_name] = asyncio.get_running_loop().call_later(
+            _RETRY_INTERVAL_S, self._on_retry_timer, pool_name
+        )
+
     def _on_retry_timer(self, pool_name: str) -> None:
         self.retry_timers.pop(pool_name, None)
         self.place_waiting(pool_name)
 
 
+def _policy_of(shared_state: RouterState, pool: PoolState) -> Policy:
+    match shared_state.settings.policy:
+        case PolicyName.ROUND_ROBIN:
+            pool.placement_number += 1
+            return RoundRobin(placement_number=pool.placement_number)
+        case PolicyName.FEWEST_IN_FLIGHT:
+            return FewestInFlight()
+        case PolicyName.RENDEZVOUS:
+            return PrefixRendezvous()
+        case _:
+            return CostBased()
+
+
 def _view_for_move(job: Job, context: JobContext, view: PoolView) -> PoolView:
     """Leave out engines that a job might wait for, or return from."""
     engines = [
         engine
         for engine in view.engines
         if engine.name not in context.excluded
-        and engine.is_dependable(view.now_s)
         and has_capacity(job, view, engine)
+        and engine.is_dependable(view.now_s)
     ]
     return attrs.evolve(view, engines=engines)
 
--- a/tests/unit/test_completion_moves.py
+++ b/tests/unit/test_completion_moves.py
@@ -141,6 +141,28 @@
     assert not find_place(dispatcher)
 
 
+# Guards against a completion that stays at a dead engine because a hung stream
+# makes the only other engine look silent.
+@pytest.mark.parametrize('waited_s', [_PAUSE_S, _FAR_S])
+async def test_hung_stream_makes_no_engine_quiet(
+    dispatcher, shared_state, waited_s
+):
+    other = shared_state.engines[_OTHER]
+    hung, lively = (
+        InFlightAttempt(
+            uncached_tokens=1,
+            sent_at_s=time.time(),
+            first_token_seen=True,
+            awaited_since_s=time.monotonic() - awaited_s,
+        )
+        for awaited_s in (waited_s, 0)
+    )
+    other.in_flight['hung'] = hung
+    assert bool(find_place(dispatcher)) is (waited_s == _FAR_S)
+    other.in_flight['lively'] = lively
+    assert find_place(dispatcher) == _OTHER
+
+
 # Guards against an attempt that is ended though the budget is used up. Output
 # that is to be continued may do without, as after a broken connection.
 async def test_job_without_output_moves_only_with_a_token(
