Leave a dead engine also beside hung or slow streams, and a call where it can still be answered

Two regressions of the mend of silent engines, and what it left of calls, all found by the review: - one hung stream, or events more than 0.5 s apart, at the only other engine excluded it as a place for as long as they lasted: 4 of 8 streams of a dead engine were cut at their deadline, all 7 with slow events. A server is quiet now only if none of its streams had an event lately, it is suspected only then, and after a silence of 2 s, which is longer than that of a sound server, any other server will do; - an idempotent call was moved from one slow but sound server to the next until no time was left: 3 of 8 lookups got 504. It is moved only where more time is left than it has taken, by half; - after a pause of the VM, a stream whose first event lay unread was withdrawn for its late start. The check after a pause withdraws nothing. At most 32 attempts that find no place are tried in one check.

The three tests of test_dead_engines.py failed before, as did two new unit tests. A unit test that had 0.4 s between two checks, which is a pause, checks at the usual interval now.

--- a/src/arbutusbay/node/_replacement.py
+++ b/src/arbutusbay/node/_replacement.py
@@ -23,17 +23,18 @@
     reserved: Placement | None = None
 
     def try_reserve(
-        self, request: PlacementRequest, *, needs_capacity: bool
+        self, request: PlacementRequest, *, must_be_better: bool
     ) -> bool:
         """Reserve a place and return whether there is one.
 
-        Only a server that nothing speaks against is considered, with capacity
-        now if ``needs_capacity``. Withdraws a token of the retry budget.
+        If it ``must_be_better``, only a server that nothing speaks against
+        and that has capacity now is considered. Withdraws a token of the retry
+        budget.
         """
         placement = self.placer.find_placement(request)
-        if placement is None or not placement.view.is_dependable(now_s()):
+        if placement is None:
             return False
-        if needs_capacity and not placement.has_capacity:
+        if must_be_better and not _is_better(placement):
             return False
         if not self.budget.try_withdraw(now_s()):
             return False
@@ -52,3 +53,7 @@
         placement = self.take()
         if placement is not None:
             self.dispatcher.release(placement)
+
+
+def _is_better(placement: Placement) -> bool:
+    return placement.has_capacity and placement.view.is_dependable(now_s())
--- a/src/arbutusbay/node/_request_executor.py
+++ b/src/arbutusbay/node/_request_executor.py
@@ -45,7 +45,7 @@
 _LOG = get_logger('request')
 _RETRY_AFTER_S = 0.5
 _MOVE_AFTER_TARGET_FACTOR = 1.5
-_FULL_SERVER_AFTER_S = 2.0
+_MIN_TIME_LEFT_FACTOR = 1.5
 
 
 class RequestExecutor:
@@ -309,13 +309,15 @@
     def _try_move(self, placement: Placement, silence: Silence) -> bool:
         """Reserve a place for a request whose server is silent.
 
-        Returns whether there is one. A server that has no capacity now will do
-        once the silence is longer than that of a sound server.
+        Returns whether there is one. After a silence that is longer than that
+        of a sound server any other one will do.
         """
         if not self._is_retryable() or not self.evidence.may_move():
             return False
         if recheck_access(self.dependencies.node_state, self.incoming):
             return False
+        if not _has_time_to_move(self.incoming, silence):
+            return False
         history = self.attempt_history.if_moved_from(placement.view.id)
         action = choose_retry_action(
             AttemptOutcome.UNKNOWN,
@@ -325,10 +327,13 @@
         )
         if action is RetryAction.RETURN_FAILURE:
             return False
-        request = self._build_placement_request(history)
+        left_servers = frozenset((placement.view.id,))
         return self.replacement.try_reserve(
-            _without_servers(request, silence.quiet_servers),
-            needs_capacity=silence.duration_s < _FULL_SERVER_AFTER_S,
+            _without_servers(
+                self._build_placement_request(history),
+                left_servers if silence.is_long else silence.quiet_servers,
+            ),
+            must_be_better=not silence.is_long,
         )
 
     async def _find_place(self) -> Result[Placement, Failure]:
@@ -464,6 +469,17 @@
         return attrs.evolve(failure, kind=ErrorKind.OUTCOME_UNKNOWN)
 
 
+def _has_time_to_move(incoming: IncomingRequest, silence: Silence) -> bool:
+    """Return whether another server may well answer a call in time.
+
+    It may take as long as this one has, which begins anew there.
+    """
+    if incoming.is_stream:
+        return True
+    needed_s = silence.duration_s * _MIN_TIME_LEFT_FACTOR
+    return incoming.remaining_s() > needed_s
+
+
 def _without_servers(
     request: PlacementRequest, server_ids: frozenset[str]
 ) -> PlacementRequest:
--- a/src/arbutusbay/node/_stall_detector.py
+++ b/src/arbutusbay/node/_stall_detector.py
@@ -30,19 +30,23 @@
 _SUSPECT_AFTER_S = 1.1
 _MOVE_AFTER_S = 1.6
 _QUIET_AFTER_S = 0.5
+_LONG_SILENCE_S = 2.0
 _MOVE_INTERVAL_S = 0.2
+_MAX_MOVES_WITHOUT_PLACE = 32
 _SUSPICION_DURATION_S = 0.6
 
 
 @attrs.frozen(kw_only=True)
 class Silence:
-    """Describe the silence of a server, in seconds.
+    """Describe the silence of a server.
 
-    ``quiet_servers`` holds the ids of all servers, this one among them, whose
-    streams had no event for a while either, though none may be suspected yet.
+    ``duration_s`` is in seconds. It ``is_long`` if a sound server would have
+    gone on. ``quiet_servers`` holds the ids of the servers, this one among
+    them, of whose streams none had an event lately.
     """
 
     duration_s: float
+    is_long: bool
     quiet_servers: frozenset[str]
 
 
@@ -148,19 +152,21 @@
         While an engine loads weights its streams are expected to pause, so
         such a pause counts for at most half the suspicion threshold.
         """
-        self._exclude_own_pause(moment_s)
+        has_paused = self._exclude_own_pause(moment_s)
+        lively_servers = self._lively_servers(moment_s)
         for monitored in self.monitored:
             if monitored.view.is_loading_weights(moment_s):
                 monitored.last_event_s = max(
                     monitored.last_event_s,
                     moment_s - _SUSPECT_AFTER_S / 2,
                 )
-            elif _has_stalled(monitored, moment_s, _SUSPECT_AFTER_S):
+            elif monitored.view.id not in lively_servers and _has_stalled(
+                monitored, moment_s, _SUSPECT_AFTER_S
+            ):
                 self._mark_suspect(monitored, moment_s)
-        for monitored in self.monitored:
-            if _is_start_overdue(monitored, moment_s):
-                monitored.is_withdrawn = True
-                _abort(monitored, 'attempt ended before its late start')
+        if not has_paused:
+            # After a pause the first events may lie unread in the sockets.
+            self._withdraw_overdue(moment_s)
         self._move(
             [
                 monitored
@@ -170,6 +176,21 @@
             moment_s,
         )
 
+    def _lively_servers(self, moment_s: float) -> set[str]:
+        """Return the servers of which some stream had an event lately."""
+        return {
+            monitored.view.id
+            for monitored in self.monitored
+            if monitored.attempt.has_first_event
+            and not _has_stalled(monitored, moment_s, _QUIET_AFTER_S)
+        }
+
+    def _withdraw_overdue(self, moment_s: float) -> None:
+        for monitored in self.monitored:
+            if _is_start_overdue(monitored, moment_s):
+                monitored.is_withdrawn = True
+                _abort(monitored, 'attempt ended before its late start')
+
     def _move_when_due(self, monitored: MonitoredAttempt) -> None:
         """Try to move an attempt whose time has come, unless it comes late.
 
@@ -181,17 +202,21 @@
         if not is_late and _should_move(monitored, moment_s):
             self._move([monitored], moment_s)
 
-    def _exclude_own_pause(self, moment_s: float) -> None:
-        """Do not count as silence the time in which this VM did not run."""
+    def _exclude_own_pause(self, moment_s: float) -> bool:
+        """Do not count as silence the time in which this VM did not run.
+
+        Return whether there was such a pause since the last check.
+        """
         last_check_s = self.last_check_s
         self.last_check_s = moment_s
         if last_check_s is None:
-            return
+            return False
         paused_s = moment_s - last_check_s - _CHECK_INTERVAL_S
         if paused_s < _MIN_PAUSE_S:
-            return
+            return False
         for monitored in self.monitored:
             monitored.shift(paused_s, moment_s)
+        return True
 
     def _move(
         self, silent: Sequence[MonitoredAttempt], moment_s: float
@@ -199,24 +224,30 @@
         """Move the attempts for which a place elsewhere can be reserved."""
         if not silent:
             return
-        quiet_servers = frozenset(
-            monitored.view.id
-            for monitored in self.monitored
-            if _has_stalled(monitored, moment_s, _QUIET_AFTER_S)
-        )
+        quiet_servers = self._quiet_servers(moment_s)
+        without_place = 0
         for monitored in silent:
+            if without_place == _MAX_MOVES_WITHOUT_PLACE:
+                return
             monitored.next_move_s = moment_s + _MOVE_INTERVAL_S
-            silence = Silence(
-                duration_s=moment_s - monitored.last_event_s,
-                quiet_servers=quiet_servers | {monitored.view.id},
+            silence = _silence_of(monitored, quiet_servers, moment_s)
+            if not monitored.try_move(silence):
+                without_place += 1
+                continue
+            monitored.is_moved = True
+            _abort(
+                monitored,
+                'attempt moved from a silent server',
+                silent_ms=milliseconds(silence.duration_s),
             )
-            if monitored.try_move(silence):
-                monitored.is_moved = True
-                _abort(
-                    monitored,
-                    'attempt moved from a silent server',
-                    silent_ms=milliseconds(silence.duration_s),
-                )
+
+    def _quiet_servers(self, moment_s: float) -> frozenset[str]:
+        stalled_servers = {
+            monitored.view.id
+            for monitored in self.monitored
+            if _has_stalled(monitored, moment_s, _QUIET_AFTER_S)
+        }
+        return frozenset(stalled_servers - self._lively_servers(moment_s))
 
     def _mark_suspect(self, stalled: MonitoredAttempt, moment_s: float) -> None:
         view = stalled.view
@@ -236,6 +267,18 @@
         view.unresponsive_until_s = view.locally_suspected_until_s
 
 
+def _silence_of(
+    monitored: MonitoredAttempt,
+    quiet_servers: frozenset[str],
+    moment_s: float,
+) -> Silence:
+    return Silence(
+        duration_s=moment_s - monitored.last_event_s,
+        is_long=_has_stalled(monitored, moment_s, _LONG_SILENCE_S),
+        quiet_servers=quiet_servers | {monitored.view.id},
+    )
+
+
 def _has_stalled(
     monitored: MonitoredAttempt, moment_s: float, limit_s: float
 ) -> bool:
--- a/tests/unit/test_late_start.py
+++ b/tests/unit/test_late_start.py
@@ -40,7 +40,8 @@
         detector.start_monitoring(monitored)
         detector.check(now_s())
         assert not monitored.is_withdrawn
-        detector.check(now_s() + 0.4)
+        for tenths in range(1, 5):
+            detector.check(now_s() + tenths / 10)
         await asyncio.sleep(0.01)
     return monitored
 
--- a/tests/unit/test_replacement.py
+++ b/tests/unit/test_replacement.py
@@ -57,10 +57,10 @@
     )
 
 
-def reserves(replacement: Replacement, *, needs_capacity: bool = True) -> bool:
+def reserves(replacement: Replacement, *, must_be_better: bool = True) -> bool:
     """Return whether a place is reserved for some request."""
     request = PlacementRequest(incoming=None)
-    return replacement.try_reserve(request, needs_capacity=needs_capacity)
+    return replacement.try_reserve(request, must_be_better=must_be_better)
 
 
 def build_loading_view() -> EngineView:
@@ -97,11 +97,11 @@
     assert replacement.budget.tokens == 1
 
 
-def test_full_server_will_do_only_if_capacity_is_not_needed():
+def test_full_server_will_do_only_if_the_place_need_not_be_better():
     replacement = build_replacement(build_view('a'), has_capacity=False)
     assert not reserves(replacement)
     assert replacement.budget.tokens == 1
-    assert reserves(replacement, needs_capacity=False)
+    assert reserves(replacement, must_be_better=False)
 
 
 # Guards against a retry that the fleet's budget does not cover.
--- a/tests/unit/test_stall_detector.py
+++ b/tests/unit/test_stall_detector.py
@@ -245,3 +245,41 @@
     assert not call.is_moved
     check_for(detector, clock, 0.3)
     assert call.is_moved
+
+
+# Guards against a stream that has begun in time and is withdrawn after a pause
+# of the VM, before its first event is read.
+async def test_pause_of_the_vm_withdraws_nothing_before_the_sockets_are_read(
+    detector, clock
+):
+    waiting = MonitoredAttempt(
+        attempt=Attempt(sent_s=clock.moment_s),
+        view=build_view('engine-1'),
+        abort_timeout=FakeTimeout(),
+        last_event_s=clock.moment_s,
+        start_by_s=clock.moment_s + 1.0,
+    )
+    detector.start_monitoring(waiting)
+    check_for(detector, clock, 0.5)
+    clock.moment_s += PAUSE_S
+    detector.check(clock.moment_s)
+    assert not waiting.is_withdrawn
+    check_for(detector, clock, CHECK_INTERVAL_S)
+    assert waiting.is_withdrawn
+
+
+# Guards against an engine that all VMs avoid for one hung stream, while the
+# others there go on.
+async def test_hung_stream_makes_no_engine_suspect(detector, monitored, clock):
+    lively = MonitoredAttempt(
+        attempt=Attempt(sent_s=clock.moment_s, has_first_event=True),
+        view=monitored.view,
+        abort_timeout=FakeTimeout(),
+        last_event_s=clock.moment_s,
+    )
+    detector.start_monitoring(lively)
+    for _ in range(20):
+        lively.record_event(clock.moment_s)
+        check_for(detector, clock, CHECK_INTERVAL_S)
+    assert not is_suspect(monitored, clock)
+    assert monitored.is_moved
