Leave a dead engine for a full one also before the first event

A request that had no event yet waited for capacity elsewhere that the queue of its VM took first, until its deadline, since only begun streams could leave for a full server after 2 s. At an engine that is suspected the silence of such a request counts as well.

--- a/src/arbutusbay/node/_stall_detector.py
+++ b/src/arbutusbay/node/_stall_detector.py
@@ -272,9 +272,14 @@
     quiet_servers: frozenset[str],
     moment_s: float,
 ) -> Silence:
+    duration_s = moment_s - monitored.last_event_s
+    may_be_dead = (
+        monitored.attempt.has_first_event
+        or monitored.view.is_unresponsive(moment_s)
+    )
     return Silence(
-        duration_s=moment_s - monitored.last_event_s,
-        is_long=_has_stalled(monitored, moment_s, _LONG_SILENCE_S),
+        duration_s=duration_s,
+        is_long=may_be_dead and duration_s > _LONG_SILENCE_S,
         quiet_servers=quiet_servers | {monitored.view.id},
     )
 
--- a/tests/unit/test_stall_detector.py
+++ b/tests/unit/test_stall_detector.py
@@ -283,3 +283,23 @@
         check_for(detector, clock, CHECK_INTERVAL_S)
     assert not is_suspect(monitored, clock)
     assert monitored.is_moved
+
+
+# Guards against a request that waits at a dead engine until its deadline, while
+# the queue takes all capacity elsewhere.
+async def test_silence_before_the_first_event_is_long_at_a_suspect_engine(
+    detector, monitored, clock
+):
+    monitored.try_move = lambda silence: False
+    silences = []
+    waiting = MonitoredAttempt(
+        attempt=Attempt(sent_s=clock.moment_s),
+        view=monitored.view,
+        abort_timeout=FakeTimeout(),
+        last_event_s=clock.moment_s,
+        try_move=lambda silence: silences.append(silence) or False,
+    )
+    detector.start_monitoring(waiting)
+    check_for(detector, clock, 2.6)
+    assert not silences[0].is_long
+    assert silences[-1].is_long
