--- a/src/arbutusbay/node/_attempts.py
+++ b/src/arbutusbay/node/_attempts.py
@@ -61,8 +61,8 @@
     differs from the expected one; ``reported_instance`` is then the id it
     reported, empty if none. ``response_head`` holds the headers of a response
     that belongs to the attempt, or of a refusal that may belong to another one
-    of this server, None if there was none. ``progress`` tells how far the
-    response had come, ``is_connection_lost`` that it broke there.
+    of this server, None if there was none. ``progress`` is how far the
+    response had come, ``is_connection_lost`` means that it broke there.
     ``is_ended_here`` is set if this VM ended the attempt.
     """
 
@@ -79,7 +79,7 @@
 
 @attrs.frozen(kw_only=True)
 class BrokenStream:
-    """Tell why a stream ended early, and whether its connection was lost."""
+    """Hold why a stream ended early, and whether its connection was lost."""
 
     detail: str
     is_connection_lost: bool
--- a/src/arbutusbay/node/_client_protocol.py
+++ b/src/arbutusbay/node/_client_protocol.py
@@ -17,7 +17,7 @@
 class ClientProtocol(web.RequestHandler):
     """Track the requests on a connection, also those that have not begun.
 
-    ``is_arriving`` tells that bytes came since the last request, which may be
+    ``is_arriving`` means that bytes came since the last request, which may be
     a whole one that aiohttp has queued. ``unused_since_s`` is when a check
     first found the connection without a request, or without one that has
     arrived; it is in seconds on the node's clock and None before such a check.
--- a/src/arbutusbay/node/_client_stream.py
+++ b/src/arbutusbay/node/_client_stream.py
@@ -155,7 +155,7 @@
 def abort_connection(request: web.BaseRequest) -> None:
     """Abort the connection without ending the body.
 
-    The client can then tell that the response is incomplete.
+    The client can then see that the response is incomplete.
     """
     transport = request.transport
     if transport is not None:
--- a/src/arbutusbay/node/_stream_relay.py
+++ b/src/arbutusbay/node/_stream_relay.py
@@ -45,7 +45,7 @@
 
 @attrs.frozen(kw_only=True)
 class UnfinishedStream:
-    """Tell why a stream did not come to its end.
+    """Hold why a stream did not come to its end.
 
     ``answer`` is sent if no head of a stream is out; otherwise the stream is
     cut for ``reason``.
--- a/src/arbutusbay/node/_weights_loader.py
+++ b/src/arbutusbay/node/_weights_loader.py
@@ -37,7 +37,7 @@
 
     ``order_count`` is how many load orders the engine has accepted, as it
     last reported; None if that is not known. ``started_s`` is in seconds on
-    the node's clock. ``has_missed_report`` tells that the end may be noticed
+    the node's clock. ``has_missed_report`` means that the end may be noticed
     late, as the engine was silent.
     """
 
--- a/src/arbutusbay/router/_silence_handler.py
+++ b/src/arbutusbay/router/_silence_handler.py
@@ -51,7 +51,7 @@
     ) -> EngineEvent | None:
         """Wait on, and look for another engine; return the event that came.
 
-        None tells that the attempt is over: it has no more events, or a place
+        None means that the attempt is over: it has no more events, or a place
         elsewhere is reserved, or the time of the completion has passed.
         """
         placement.engine.record_failure()
