--- a/src/arbutusbay/router/_run_progress.py
+++ b/src/arbutusbay/router/_run_progress.py
@@ -30,10 +30,10 @@
     ``relayed_pieces`` counts pieces of output, and ``unproductive_attempts``
     the consecutive attempts that relayed none. ``weights_version`` is the
     version that produced the output. ``excluded`` holds the engines of failed
-    attempts that may have run. ``has_started`` is whether
-    the response of the last attempt began, ``first_piece_s`` when its first
-    piece came, in seconds on the clock of ``now_s``. ``last_piece_at_s`` is when the last
-    piece of any attempt came, on the monotonic clock.
+    attempts that may have run. ``has_started`` is whether the response of the
+    last attempt began, ``first_piece_s`` when its first piece came, in seconds
+    on the clock of ``now_s``. ``last_piece_at_s`` is when the last piece of any
+    attempt came, on the monotonic clock.
     """
 
     relayed_pieces: int = 0
