--- a/tests/unit/test_service_calls.py
+++ b/tests/unit/test_service_calls.py
@@ -1,4 +1,4 @@
-"""Check what a call to a service that is not an engine tells of its run."""
+"""Check what calls to services that are not engines report of their run."""
 
 import asyncio
 import contextlib
@@ -86,8 +86,10 @@
 async def break_off(after_s: float, received, reader, writer) -> None:
     """Read a request and abort its connection after a while."""
     received.append(await reader.readline())
-    await asyncio.sleep(after_s)
-    writer.transport.abort()
+    try:
+        await asyncio.sleep(after_s)
+    finally:
+        writer.transport.abort()
 
 
 @contextlib.asynccontextmanager
