Leave out the malformed address of a KV cache store, not its configuration

What callers would see: a configuration with such an address was refused whole, so routes and keys stayed as they were. Requests do without such a store, and only the one address is unusable; the log line of the configuration names it in problems.

The new test failed in all its 23 cases before and passes now.

--- a/src/arbutusbay/fleet/_types.py
+++ b/src/arbutusbay/fleet/_types.py
@@ -100,7 +100,8 @@
 
     The routes of each host in ``routes_by_host`` are sorted by the length of
     their path prefix, longest first. Without ``requires_api_key``, requests
-    need no API key.
+    need no API key. ``problems`` has the errors of the parts that were left
+    out.
     """
 
     version: int
@@ -110,6 +111,7 @@
     teams_by_api_key: Mapping[str, TeamSpec]
     requires_api_key: bool
     limits: ClientLimits
+    problems: tuple[str, ...] = ()
 
     def route_for(self, host: str, path: str) -> RouteSpec | None:
         """Return the route with the longest matching prefix, if any."""
--- a/src/arbutusbay/node/_topics.py
+++ b/src/arbutusbay/node/_topics.py
@@ -208,6 +208,7 @@
                 'offset': offset,
                 'services': len(configuration.services),
                 'hosts': len(configuration.routes_by_host),
+                'problems': configuration.problems,
             },
         )
         self.node_state.notify_state_changed()
--- a/src/arbutusbay/platform/_operator_records.py
+++ b/src/arbutusbay/platform/_operator_records.py
@@ -114,6 +114,11 @@
         require_mapping(entry, 'services')
         for entry in get_list(fields, 'services')
     ]
+    cache_stores = [
+        _parse_cache_store(entry)
+        for entry in services
+        if 'kv_store_address' in entry
+    ]
     routes = [_parse_route(entry) for entry in get_list(fields, 'routes')]
     teams = [_parse_team(entry) for entry in get_list(fields, 'tenants')]
     return Configuration(
@@ -125,9 +130,10 @@
             if 'kv_store_address' not in entry
         },
         kv_cache_stores=tuple(
-            _parse_cache_store(entry)
-            for entry in services
-            if 'kv_store_address' in entry
+            store.ok_value for store in cache_stores if isinstance(store, Ok)
+        ),
+        problems=tuple(
+            store.err_value for store in cache_stores if isinstance(store, Err)
         ),
         teams_by_api_key={key: team for team in teams for key in team.api_keys},
         requires_api_key='tenants' in fields,
@@ -199,10 +205,16 @@
     )
 
 
-def _parse_cache_store(fields: Mapping[str, Any]) -> KVCacheStoreSpec:
-    address = get_string(fields, 'kv_store_address')
-    parse_remote_endpoint(address)
-    return KVCacheStoreSpec(address=address)
+def _parse_cache_store(
+    fields: Mapping[str, Any],
+) -> Result[KVCacheStoreSpec, str]:
+    """Return the store, or what is wrong with it: requests do without one."""
+    try:
+        address = get_string(fields, 'kv_store_address')
+        parse_remote_endpoint(address)
+    except MalformedValueError as error:
+        return Err(f'kv_store_address: {error}')
+    return Ok(KVCacheStoreSpec(address=address))
 
 
 def _parse_team(entry: Any) -> TeamSpec:
--- a/tests/unit/test_platform_decoders.py
+++ b/tests/unit/test_platform_decoders.py
@@ -28,7 +28,7 @@
     read_settings,
 )
 from emulator.fleet import SETTINGS
-from tests.fleet_builders import build_configuration
+from tests.fleet_builders import ODD_ADDRESSES, build_configuration
 
 MAX_EXAMPLES = 150
 JSON_VALUES = st.recursive(
@@ -259,6 +259,25 @@
     assert addresses == ['127.0.0.1:9']
 
 
+# Guards against refusing a whole configuration, with its keys and routes, over
+# the address of a store that requests can do without.
+@pytest.mark.parametrize('address', [*ODD_ADDRESSES, 7, None, ['127.0.0.1:9']])
+def test_malformed_cache_store_is_left_out(address):
+    document = build_configuration()
+    document['services'] += [
+        {'name': 'odd', 'kv_store_address': address},
+        {'name': 'sound', 'kv_store_address': '127.0.0.1:9'},
+    ]
+    decoded = decode_operator_record(
+        'config', json.dumps(document).encode()
+    ).unwrap()
+    assert [store.address for store in decoded.kv_cache_stores] == [
+        '127.0.0.1:9'
+    ]
+    assert len(decoded.problems) == 1
+    assert 'kv_store_address' in decoded.problems[0]
+
+
 # Guards against taking each heartbeat of a starting server for a change: only
 # the rest of its warm-up differs, which nothing reads.
 def test_registrations_that_differ_in_the_warm_up_are_equal():
