Leave malformed entries out of the list of VMs, not the whole list

What operators would see: one odd entry, and our own interface followed the list no longer, so backend servers that leave went on to get work until their own report.

--- a/src/arbutusbay/control/_shared_state.py
+++ b/src/arbutusbay/control/_shared_state.py
@@ -53,7 +53,8 @@
     ``config_changed`` notifies of a new configuration, of a change in
     ``leaving_hosts`` and of the start of draining. ``write_results`` holds the
     outcomes of recent writes by nonce. ``live_hosts_by_vm`` maps the live entry
-    VMs in the platform's list to their hosts. ``index`` holds the cache indexes
+    VMs in the platform's list to their hosts, and ``vm_list_problems`` has the
+    errors of its malformed entries. ``index`` holds the cache indexes
     that this VM owns, by engine name. ``router_offset`` is the configuration
     offset that this VM's router reported at ``router_reported_at_s``.
     ``lease_first_seen_s`` is when this daemon first saw the current holder's
@@ -73,6 +74,7 @@
     )
     members: dict[str, TrackedMember] = attrs.field(factory=dict)
     live_hosts_by_vm: dict[str, str] = attrs.field(factory=dict)
+    vm_list_problems: tuple[str, ...] = ()
     leaving_hosts: frozenset[str] = frozenset()
     index: dict[str, EngineCacheIndex] = attrs.field(factory=dict)
     router_offset: int = NO_OFFSET
--- a/src/arbutusbay/hosting/__init__.py
+++ b/src/arbutusbay/hosting/__init__.py
@@ -7,7 +7,14 @@
     LogRecord,
     replay_log,
 )
-from arbutusbay.hosting._vm_list import VM, VMRole, VMState, fetch_vm_list
+from arbutusbay.hosting._vm_list import (
+    VM,
+    VMList,
+    VMRole,
+    VMState,
+    decode_vm_list,
+    fetch_vm_list,
+)
 
 __all__ = (
     'VM',
@@ -15,8 +22,10 @@
     'LogClient',
     'LogPage',
     'LogRecord',
+    'VMList',
     'VMRole',
     'VMState',
+    'decode_vm_list',
     'fetch_vm_list',
     'replay_log',
 )
--- a/src/arbutusbay/hosting/_vm_list.py
+++ b/src/arbutusbay/hosting/_vm_list.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import enum
+from collections.abc import Mapping
 from typing import Any
 
 import aiohttp
@@ -12,6 +13,13 @@
 import orjson
 from result import Err, Ok, Result
 
+from arbutusbay.checked_values import (
+    MalformedValueError,
+    describe_value,
+    require_list,
+    require_mapping,
+    require_text,
+)
 from arbutusbay.errors import ErrorKind, Failure
 
 _READ_TIMEOUT_S = 2.0
@@ -43,13 +51,25 @@
     state: VMState
 
 
+@attrs.frozen(kw_only=True)
+class VMList:
+    """Hold the entries of the list, and why others were left out.
+
+    ``problems`` has one text for each malformed entry.
+    """
+
+    vms: tuple[VM, ...]
+    problems: tuple[str, ...] = ()
+
+
 async def fetch_vm_list(
     session: aiohttp.ClientSession,
     url: str,
-) -> Result[list[VM], Failure]:
+) -> Result[VMList, Failure]:
     """Return the list of VMs from the platform at ``url``.
 
-    The failure is of kind ``PEER_UNREACHABLE``, also for a malformed list.
+    The failure is of kind ``PEER_UNREACHABLE``, also if there is no list in the
+    response.
     """
     timeout = aiohttp.ClientTimeout(total=_READ_TIMEOUT_S)
     try:
@@ -60,18 +80,42 @@
     if response.status != _OK_STATUS:
         return _unreachable(f'status {response.status}')
     try:
-        return Ok([_parse_vm(fields) for fields in orjson.loads(body)])
-    except (ValueError, KeyError, TypeError) as error:
+        return Ok(decode_vm_list(body))
+    except ValueError as error:
         return _unreachable(repr(error))
 
 
-def _parse_vm(fields: dict[str, Any]) -> VM:
+def decode_vm_list(body: bytes) -> VMList:
+    """Return the list in ``body`` without its malformed entries.
+
+    Raise ``ValueError`` if there is no list.
+    """
+    vms: list[VM] = []
+    problems: list[str] = []
+    for entry in require_list(orjson.loads(body), 'VMs'):
+        try:
+            vms.append(_parse_vm(require_mapping(entry, 'VM')))
+        except (MalformedValueError, KeyError) as error:
+            problems.append(str(error))
+    return VMList(vms=tuple(vms), problems=tuple(problems))
+
+
+def _parse_vm(fields: Mapping[str, Any]) -> VM:
     return VM(
-        id=str(fields['id']),
-        host=str(fields['host']),
-        zone=str(fields['zone']),
-        role=VMRole(fields['role']),
-        state=VMState(fields['state']),
+        id=require_text(fields['id'], 'id'),
+        host=require_text(fields['host'], 'host'),
+        zone=require_text(fields['zone'], 'zone'),
+        role=_parse_choice(VMRole, fields['role'], 'role'),
+        state=_parse_choice(VMState, fields['state'], 'state'),
+    )
+
+
+def _parse_choice(choices: type[enum.StrEnum], found: Any, name: str) -> Any:
+    if isinstance(found, str) and found in set(choices):
+        return choices(found)
+    raise MalformedValueError(
+        f'{name}: must be one of {", ".join(choices)}, '
+        f'not {describe_value(found)}'
     )
 
 
