--- a/src/arbutusbay/_engine_ends.py
+++ b/src/arbutusbay/_engine_ends.py
@@ -68,7 +68,7 @@
         """Record a broken connection; return whether the engine has ended.
 
         ``keys`` are the segments of the request, in the order of its prompt.
-        ``is_starting`` tells that its response had just started, otherwise it
+        ``is_starting`` means that its response had just started, otherwise it
         had not.
         """
         incarnation = engine.incarnation
--- a/src/arbutusbay/_errors.py
+++ b/src/arbutusbay/_errors.py
@@ -149,7 +149,7 @@
 
     ``detail`` is a message for people. ``retry_after_s`` is the delay in
     seconds that is suggested to the client. ``run_state`` overrides the
-    default of the kind where the code that failed knows more.
+    default of the kind where the code that failed can be more precise.
     """
 
     kind: ErrorKind
--- a/src/arbutusbay/_ownership.py
+++ b/src/arbutusbay/_ownership.py
@@ -37,7 +37,7 @@
 def group_engines(pool: str, engines: Iterable[str]) -> list[EngineGroup]:
     """Split the engines of ``pool`` into groups of ``ENGINES_PER_GROUP``.
 
-    Engines are sorted by name, so processes that know the same engines form
+    Engines are sorted by name, so processes that have the same engines form
     the same groups. The last group may be smaller.
     """
     sorted_engines = sorted(engines)
--- a/src/arbutusbay/control/_membership.py
+++ b/src/arbutusbay/control/_membership.py
@@ -116,7 +116,7 @@
 def heartbeat_hosts(shared_state: ControlState) -> list[str]:
     """Return the hosts of known members and of VMs that the platform lists.
 
-    The listed VMs let a daemon that knows no member join. This VM's host is
+    The listed VMs let a daemon without any member join. This VM's host is
     left out.
     """
     known_hosts = {
--- a/src/arbutusbay/control/_metrics.py
+++ b/src/arbutusbay/control/_metrics.py
@@ -19,7 +19,7 @@
         )
         self.members = self._gauge(
             'arbutusbay_control_members',
-            'Live VMs as this daemon knows them',
+            'Live VMs in the view of this daemon',
         )
         self.blocks = self._gauge(
             'arbutusbay_control_index_blocks',
--- a/src/arbutusbay/node/_node_state.py
+++ b/src/arbutusbay/node/_node_state.py
@@ -206,7 +206,7 @@
         return not self.is_stopping and self._has_read_all() and self.is_fresh()
 
     def knows_verdicts(self) -> bool:
-        """Return whether this VM knows which segments are quarantined.
+        """Return whether this VM has read which segments are quarantined.
 
         A VM whose store does not respond starts without them after a while.
         """
--- a/src/arbutusbay/node/_peer_messages.py
+++ b/src/arbutusbay/node/_peer_messages.py
@@ -63,7 +63,7 @@
     planned weights loads, reported by the VM that runs the rollout, and
     ``fence`` is the fencing token, reported by the last holder of the
     rollout's lease. ``weights`` holds the engines whose weights changed
-    recently, ``quarantine`` what the sender knows of prompt segments that crash
+    recently, ``quarantine`` what the sender has on prompt segments that crash
     engines.
     """
 
--- a/src/arbutusbay/node/_quarantine_messages.py
+++ b/src/arbutusbay/node/_quarantine_messages.py
@@ -1,4 +1,4 @@
-"""Encode and decode what VMs tell each other about prompt segments.
+"""Encode and decode what VMs report to each other about prompt segments.
 
 Clocks differ between VMs, so times are encoded relative to the present, in
 milliseconds.
@@ -29,7 +29,7 @@
 def quarantine_to_fields(
     report: QuarantineReport, now_s: float
 ) -> dict[str, Any]:
-    """Return ``report`` as JSON values, empty if there is nothing to tell."""
+    """Return ``report`` as JSON values, empty if there is nothing to report."""
     fields: dict[str, Any] = {}
     if report.ends:
         fields['e'] = {
--- a/src/arbutusbay/node/quarantine/_prompt_quarantine.py
+++ b/src/arbutusbay/node/quarantine/_prompt_quarantine.py
@@ -88,7 +88,7 @@
     def is_owner(self, key: SegmentKey) -> bool:
         """Return whether this VM acts on a segment for the fleet.
 
-        It stores the verdict and tries the segment. All VMs that know the same
+        It stores the verdict and tries the segment. All VMs that see the same
         ones agree on it.
         """
         own_name = self.node_state.settings.name
--- a/src/arbutusbay/node/quarantine/_verdict_recorder.py
+++ b/src/arbutusbay/node/quarantine/_verdict_recorder.py
@@ -40,7 +40,7 @@
         store: StoreClient,
         quarantine: PromptQuarantine,
     ) -> None:
-        """Write to ``store`` what ``quarantine`` knows."""
+        """Write the verdicts of ``quarantine`` to ``store``."""
         self.node_state = node_state
         self.store = store
         self.quarantine = quarantine
--- a/src/arbutusbay/platform/_http_headers.py
+++ b/src/arbutusbay/platform/_http_headers.py
@@ -141,12 +141,12 @@
 class ResponseHead:
     """Hold the parsed headers of a backend server's response.
 
-    ``has_response_stamp`` tells that the header ``Response-Stamp`` is present,
+    ``has_response_stamp`` means that the header ``Response-Stamp`` is present,
     ``is_not_executed`` that the request was not executed. ``instance`` is the
     instance id of the backend server that answered, empty if it is missing.
-    ``has_content_encoding`` tells that the header ``Content-Encoding`` is
+    ``has_content_encoding`` means that the header ``Content-Encoding`` is
     present; the body is then not as the backend server made it.
-    ``is_leaving`` tells that the server shuts down soon. ``retry_after_s`` is
+    ``is_leaving`` means that the server shuts down soon. ``retry_after_s`` is
     for how long, in seconds, the server wants no further request of this VM;
     None if it names no such time.
     """
--- a/src/arbutusbay/platform/_store_client.py
+++ b/src/arbutusbay/platform/_store_client.py
@@ -44,7 +44,7 @@
 
 @attrs.frozen(kw_only=True)
 class StoreUnavailable:
-    """Report that a call had no effect; ``detail`` says why."""
+    """Report that a call had no effect; ``detail`` has the reason."""
 
     detail: str
 
--- a/src/arbutusbay/quarantine/_reports.py
+++ b/src/arbutusbay/quarantine/_reports.py
@@ -34,7 +34,7 @@
     """Hold what one process reports to the others.
 
     ``ends`` are the ends of engines that it has seen itself, ``answers`` its
-    sound responses to suspected segments, ``verdicts`` all that it knows.
+    sound responses to suspected segments, ``verdicts`` all that it has.
     """
 
     ends: Mapping[str, EngineEnd] = attrs.field(factory=dict)
--- a/src/arbutusbay/router/_config_follower.py
+++ b/src/arbutusbay/router/_config_follower.py
@@ -141,7 +141,7 @@
 def update_draining_servers(shared_state: RouterState) -> None:
     """Update which backend servers are draining.
 
-    A backend server drains if its resource says so, or if the platform lists
+    A backend server drains if its resource is marked, or if the platform lists
     its VM as leaving.
     """
     for state in (
--- a/src/arbutusbay/router/_generation_run.py
+++ b/src/arbutusbay/router/_generation_run.py
@@ -270,8 +270,8 @@
     async def _has_engine_ended(self, placement: Placement) -> bool:
         """Record a failed attempt; return whether its engine has ended.
 
-        An engine that broke off a response that was under way says nothing
-        about the prompt.
+        A response that was under way as it broke off is no evidence against
+        the prompt.
         """
         progress = self.progress
         if (
--- a/src/arbutusbay/router/_keyed_call.py
+++ b/src/arbutusbay/router/_keyed_call.py
@@ -24,7 +24,7 @@
     """Hold a call with an idempotency key.
 
     ``key`` is scoped to the team and the route, and ``fingerprint`` is a
-    digest of the request. ``may_repeat`` tells that the call may be sent
+    digest of the request. ``may_repeat`` means that the call may be sent
     again, because every backend server of the pool deduplicates by key.
     ``deadline_s`` is in seconds on the monotonic clock.
     """
--- a/src/arbutusbay/router/_service_calls.py
+++ b/src/arbutusbay/router/_service_calls.py
@@ -28,7 +28,7 @@
     ) -> None:
         """Create a caller; ``session`` must not reuse connections.
 
-        On a reused connection, a failure to send doesn't tell whether the
+        On a reused connection, a failure to send doesn't show whether the
         backend server received the request.
         """
         self.shared_state = shared_state
--- a/tests/callers.py
+++ b/tests/callers.py
@@ -31,7 +31,7 @@
 
     @property
     def has_explicit_end(self) -> bool:
-        """Tell whether the stream ended with its end marker or with an error.
+        """Return whether the stream ended with its end marker or with an error.
 
         A stream that ends with neither, or with both, is faulty.
         """
@@ -48,7 +48,7 @@
 
     @property
     def run_state(self) -> str:
-        """Return whether the request ran, as far as the response tells."""
+        """Return whether the request ran, as far as the response shows."""
         if self.status == 0:
             return 'outcome_unknown'
         if isinstance(self.body, dict) and 'error' in self.body:
--- a/tests/fleet_clients.py
+++ b/tests/fleet_clients.py
@@ -45,7 +45,7 @@
 
 
 async def all_reject_key(http, nodes) -> bool:
-    """Tell whether all VMs reject the API key with status 401."""
+    """Return whether all VMs reject the API key with status 401."""
     responses = [
         await request_stream(http, node, f'k-{node.name}') for node in nodes
     ]
@@ -53,13 +53,13 @@
 
 
 async def rejects_stale_configuration(http, node) -> bool:
-    """Tell whether a request is rejected because configuration is stale."""
+    """Return whether a request is rejected because configuration is stale."""
     status, text, _ = await request_stream(http, node, 'f1')
     return status == 503 and 'configuration_too_old' in text
 
 
 async def request_succeeds(http, node, attempt_id) -> bool:
-    """Tell whether a streamed request succeeds."""
+    """Return whether a streamed request succeeds."""
     status, _, _ = await request_stream(http, node, attempt_id)
     return status == 200
 
--- a/tests/integration/test_broken_off_streams.py
+++ b/tests/integration/test_broken_off_streams.py
@@ -156,7 +156,7 @@
 
 
 # Guards against an event that arrives twice: what has no number was relayed,
-# and the next engine can't be told where to go on.
+# and the next engine can't learn where to go on.
 @pytest.mark.parametrize(
     'body',
     [
--- a/tests/integration/test_crashing_completions.py
+++ b/tests/integration/test_crashing_completions.py
@@ -29,7 +29,7 @@
 
 
 async def is_refused_by(session, node) -> bool:
-    """Tell whether a router refuses the completion as quarantined."""
+    """Return whether a router refuses the completion as quarantined."""
     response = await ask_fatally(session, node, 'look')
     return (
         response.status == 503
--- a/tests/integration/test_crashing_prompts.py
+++ b/tests/integration/test_crashing_prompts.py
@@ -43,7 +43,7 @@
 
 
 # Guards against engines that end one after another under one prompt segment,
-# because no VM learns or tells the others which segment that is (inc1, BUDGET).
+# because no VM learns or reports which segment that is.
 async def test_segment_that_crashes_engines_is_soon_sent_to_none(fleet, http):
     nodes = await start_fleet(
         fleet, engines=6, nodes=3, fatal_segments=frozenset((FATAL_SEGMENT,))
@@ -89,12 +89,12 @@
 
 
 async def is_refused_by(http, node) -> bool:
-    """Tell whether a VM refuses the fatal segment as quarantined."""
+    """Return whether a VM refuses the fatal segment as quarantined."""
     status, text, _ = await ask_fatally(http, node, f'look-{time.monotonic()}')
     return status == 503 and 'prompt_quarantined' in text
 
 
-# Guards against VMs that know nothing yet and try the segment themselves.
+# Guards against VMs that have read nothing yet and try the segment themselves.
 async def test_vm_that_starts_cold_knows_the_quarantine(fleet, http):
     await start_quarantine(fleet, http)
     before = arrivals_of(fleet, FATAL_SEGMENT)
@@ -182,7 +182,7 @@
     assert after >= _MIN_SOUND_RATIO
 
 
-# Guards against callers that are told to come back at once, or that a request
+# Guards against callers that are asked to come back at once, or that a request
 # has run which was not sent.
 async def test_refused_caller_is_told_the_truth(fleet, http):
     traffic = await start_quarantine(fleet, http)
--- a/tests/integration/test_silent_completions.py
+++ b/tests/integration/test_silent_completions.py
@@ -108,7 +108,7 @@
 
 
 def _are_dependable(cluster, count: int) -> bool:
-    """Send a few completions; tell whether the router is as it began.
+    """Send a few completions; return whether the router is as it began.
 
     It counts no engine as failed, and its retry budget is full.
     """
@@ -363,7 +363,7 @@
     assert slowest_s < _MAX_START_S
 
 
-# Guards against a completion that never ends, or whose failure is not told as
+# Guards against a completion that never ends, or whose failure is not shown as
 # it was, because its only engine has stopped for good.
 @pytest.mark.parametrize('begun_s', [0.0, _BEGUN_S])
 async def test_completion_of_the_only_engine_fails_at_its_deadline(
--- a/tests/model/delayed_orders_spec.py
+++ b/tests/model/delayed_orders_spec.py
@@ -1,6 +1,6 @@
 """Model orders to load weights that an engine executes late.
 
-Two VMs send orders, and one of them does not know the newest version. An
+Two VMs send orders, and one of them has not read the newest version. An
 order may be executed at any later time, and its response may be lost. The
 model calls the product to select outdated engines.
 """
@@ -42,7 +42,7 @@
 
 @attrs.frozen(kw_only=True, cache_hash=True)
 class Node:
-    """Hold what a VM knows: the target and the engine's last report.
+    """Hold the view of a VM: the target and the engine's last report.
 
     ``count`` is the reported number of executed orders, None if unknown.
     """
--- a/tests/model/lease_spec.py
+++ b/tests/model/lease_spec.py
@@ -31,7 +31,7 @@
 class Holder:
     """Hold the state of one node.
 
-    ``asked_at`` is the time of its pending request, ``is_in_log`` tells that
+    ``asked_at`` is the time of its pending request, ``is_in_log`` means that
     the request is in the log, and ``valid_until`` is the time until which
     the node believes to hold the lease.
     """
--- a/tests/model/ledger_spec.py
+++ b/tests/model/ledger_spec.py
@@ -71,7 +71,7 @@
 class Attempt:
     """Hold one attempt.
 
-    ``in_network`` tells that its request was sent but has not arrived.
+    ``in_network`` means that its request was sent but has not arrived.
     """
 
     step: Step = Step.IDLE
@@ -85,8 +85,8 @@
     """Hold the log since the last expiry of the key, and all attempts.
 
     ``late`` holds records that may still be appended. ``runs`` counts the
-    executions of the request, ``has_false_report`` tells that a client was
-    told "not run" about a request that ran, and ``expired`` that the retention
+    executions of the request, ``has_false_report`` means that a client got
+    "not run" about a request that ran, and ``expired`` that the retention
     window of the key has passed once.
     """
 
--- a/tests/model/revocation_spec.py
+++ b/tests/model/revocation_spec.py
@@ -48,7 +48,7 @@
 
 @attrs.frozen(kw_only=True, cache_hash=True)
 class Node:
-    """Hold whether a VM knows of the revocation, and its data's age."""
+    """Hold whether a VM has read the revocation, and its data's age."""
 
     knows_revoked: bool = False
     age: int = _MAX_AGE_TICKS
--- a/tests/model/verdict_spec.py
+++ b/tests/model/verdict_spec.py
@@ -30,7 +30,7 @@
 
 @attrs.frozen(kw_only=True, cache_hash=True)
 class Node:
-    """Hold what a VM knows; None if it knows no verdict."""
+    """Hold the verdict that a VM has; None if it has none."""
 
     verdict: Verdict | None = None
     takes_requests: bool = True
--- a/tests/raw_clients.py
+++ b/tests/raw_clients.py
@@ -20,7 +20,7 @@
 class RawResponse:
     """Hold the first response on a connection, and what follows it.
 
-    ``is_complete`` tells that the body has its length or its last chunk.
+    ``is_complete`` means that the body has its length or its last chunk.
     ``rest`` holds the bytes that belong to no chunk and no body.
     """
 
--- a/tests/unit/test_engine_ends.py
+++ b/tests/unit/test_engine_ends.py
@@ -1,4 +1,4 @@
-"""Test how the end of an engine is told from a broken connection."""
+"""Test how the end of an engine is distinguished from a broken connection."""
 
 import asyncio
 import time
--- a/tests/unit/test_engine_placement.py
+++ b/tests/unit/test_engine_placement.py
@@ -265,7 +265,7 @@
     )
 
 
-# Guards against a first backoff other than the constant says, and against
+# Guards against a first backoff other than the constant, and against
 # pauses that don't double.
 def test_backoff_doubles_from_the_initial_one_to_the_limit():
     view = build_view('a')
--- a/tests/unit/test_http_errors.py
+++ b/tests/unit/test_http_errors.py
@@ -77,7 +77,7 @@
     assert response.rest == b''
 
 
-# Guards against a request whose client left and of which no line tells.
+# Guards against a request whose client left and of which there is no line.
 async def test_client_that_leaves_is_logged():
     api = RaisingApi()
     application = new_application()
--- a/tests/unit/test_late_start.py
+++ b/tests/unit/test_late_start.py
@@ -1,4 +1,4 @@
-"""Check what the end of an attempt that did not begin in time tells."""
+"""Check what is recorded of an attempt that did not begin in time."""
 
 import asyncio
 
--- a/tests/unit/test_pause_monitor.py
+++ b/tests/unit/test_pause_monitor.py
@@ -1,4 +1,4 @@
-"""Check that the log tells a suspended VM from a busy event loop."""
+"""Check that the log separates a suspended VM from a busy event loop."""
 
 import logbook
 
--- a/tests/unit/test_services_api.py
+++ b/tests/unit/test_services_api.py
@@ -77,7 +77,7 @@
     assert fields[0]['route'] == route
 
 
-# Guards against a refusal of a large body that leaves no trace, or that says
+# Guards against a refusal of a large body that leaves no trace, or that claims
 # that the call did not run although an earlier attempt may have.
 async def test_body_that_is_too_large_is_counted_and_logged(monkeypatch):
     monkeypatch.setattr(_http, '_MAX_BODY_BYTES', 10)
--- a/tests/unit/test_stall_detector.py
+++ b/tests/unit/test_stall_detector.py
@@ -74,7 +74,7 @@
 
 
 def is_suspect(monitored, clock) -> bool:
-    """Return whether the engine is suspected, which other VMs are told."""
+    """Return whether the engine is suspected, as other VMs will learn."""
     return clock.moment_s < monitored.view.locally_suspected_until_s
 
 
@@ -88,7 +88,7 @@
     assert monitored.abort_timeout.due_s is not None
 
 
-# Guards against a VM that resumes, ends its sound streams and tells all other
+# Guards against a VM that resumes, ends its sound streams and alarms all other
 # VMs to avoid their engines.
 async def test_pause_of_the_vm_is_no_silence_of_engines(
     detector, monitored, clock
--- a/tests/unit/test_structuring.py
+++ b/tests/unit/test_structuring.py
@@ -35,7 +35,7 @@
     assert limits.ratio == pytest.approx(2)
 
 
-# Guards against a share of a team that its declaration does not say.
+# Guards against a share of a team that its declaration does not hold.
 @pytest.mark.parametrize('share', ['1.5', True])
 def test_share_of_another_type_is_an_invalid_resource(share):
     fields = {'api_key_digests': [_DIGEST], 'share': share}
--- a/tests/unit/test_suspended_vm.py
+++ b/tests/unit/test_suspended_vm.py
@@ -159,7 +159,7 @@
 
 
 def build_engine() -> EngineState:
-    """Return an engine as a router knows it."""
+    """Return an engine in the view of a router."""
     return EngineState(name='engine-1', url='', zone='hann', pool='pool-1')
 
 
