Let an error in the search of a place end that search only

What callers would see: streams at a silent engine that stay there, because the search for another one raised: the detector's round ended, and its task began anew after half a second. Left from the postmortem of silent engines. Now it is logged with the request's id and counts as no place. The new test failed before with LookupError and passes now.

--- a/src/arbutusbay/node/_stall_detector.py
+++ b/src/arbutusbay/node/_stall_detector.py
@@ -231,7 +231,7 @@
                 return
             monitored.next_move_s = moment_s + _MOVE_INTERVAL_S
             silence = _silence_of(monitored, quiet_servers, moment_s)
-            if not monitored.try_move(silence):
+            if not _try_move(monitored, silence):
                 without_place += 1
                 continue
             monitored.is_moved = True
@@ -267,6 +267,21 @@
         view.unresponsive_until_s = view.locally_suspected_until_s
 
 
+def _try_move(monitored: MonitoredAttempt, silence: Silence) -> bool:
+    """Reserve a place for one attempt; an error must not stop the others."""
+    try:
+        return monitored.try_move(silence)
+    except Exception:
+        _LOG.exception(
+            'no place was reserved for an error in the program',
+            fields={
+                'request_id': monitored.request_id,
+                'server': monitored.view.id,
+            },
+        )
+        return False
+
+
 def _silence_of(
     monitored: MonitoredAttempt,
     quiet_servers: frozenset[str],
--- a/tests/unit/test_stall_detector.py
+++ b/tests/unit/test_stall_detector.py
@@ -73,6 +73,11 @@
         detector.check(clock.moment_s)
 
 
+def fail_to_look(silence) -> bool:
+    """Raise like a search that meets a case that it does not expect."""
+    raise LookupError('unexpected')
+
+
 def is_suspect(monitored, clock) -> bool:
     """Return whether the engine is suspected, as other VMs will learn."""
     return clock.moment_s < monitored.view.locally_suspected_until_s
@@ -194,6 +199,21 @@
     assert len(silences) == 1
 
 
+# Guards against streams that stay at a silent engine because the search of a
+# place for another one fails with an error.
+async def test_error_in_one_search_stops_no_other(detector, monitored, clock):
+    failing = attrs.evolve(
+        monitored,
+        abort_timeout=FakeTimeout(),
+        try_move=fail_to_look,
+    )
+    detector.start_monitoring(failing)
+    check_for(detector, clock, 1.8)
+    assert monitored.is_moved
+    assert not failing.is_moved
+    assert failing.abort_timeout.due_s is None
+
+
 # Guards against a stream that moves from one silent engine to another, whose
 # silence began a moment later.
 async def test_engine_that_has_become_quiet_is_named(
