--- a/emulator/_cluster.py
+++ b/emulator/_cluster.py
@@ -5,19 +5,13 @@
 """
 
 import contextlib
-import os
-import random
 import shutil
-import signal
-import socket
 import subprocess
 import sys
 import tempfile
-import time
 from collections.abc import Iterator, Mapping, Sequence
 from pathlib import Path
 from typing import Any
-from urllib import request as urllib_request
 from urllib.parse import urlsplit
 
 import attrs
@@ -25,73 +19,23 @@
 
 from arbutusbay.cli import DeclaredResource, read_resource_file
 from arbutusbay.state import BackendKind, BackendServer
+from emulator._addresses import (
+    PLATFORM_HOST,
+    SERVER_PORT,
+    find_free_address_prefix,
+)
+from emulator._child_process import ChildProcess
+from emulator._json_calls import (
+    START_TIMEOUT_S,
+    call_json,
+    wait_for_ok,
+    wait_until,
+)
 
-SERVER_PORT = 9000
 ROUTER_PORT = 8080
 CONTROL_PORT = 8081
-START_TIMEOUT_S = 30.0
-_POLL_S = 0.05
-_STOP_TIMEOUT_S = 15.0
 _EXAMPLE_ADDRESS_PREFIX = '127.0.0.'
-_PLATFORM_HOST = 1
 _FIRST_NODE_HOST = 11
-_MAX_ADDRESS_OCTET = 250
-_PROJECT_DIRECTORY = Path(__file__).resolve().parent.parent
-
-
-@attrs.define(kw_only=True)
-class ChildProcess:
-    """Control one child process; ``url`` is where it serves HTTP."""
-
-    name: str
-    url: str
-    command: list[str]
-    log_path: Path
-    popen: subprocess.Popen[bytes] | None = None
-
-    def start(self) -> None:
-        """Start the process and append its output to the log file."""
-        with self.log_path.open('ab') as log:
-            self.popen = subprocess.Popen(
-                self.command,
-                stdout=log,
-                stderr=log,
-                cwd=_PROJECT_DIRECTORY,
-            )
-
-    def signal(self, number: int) -> None:
-        """Send a signal to the process if it is running."""
-        if self.popen is not None and self.popen.poll() is None:
-            self.popen.send_signal(number)
-
-    def kill(self) -> None:
-        """Kill the process with SIGKILL and wait until it has exited."""
-        self.signal(signal.SIGKILL)
-        if self.popen is not None:
-            self.popen.wait()
-
-    def suspend(self) -> None:
-        """Suspend the process with SIGSTOP."""
-        self.signal(signal.SIGSTOP)
-
-    def resume(self) -> None:
-        """Resume a suspended process with SIGCONT."""
-        self.signal(signal.SIGCONT)
-
-    def terminate(self) -> None:
-        """Send SIGTERM, on which daemons drain and exit."""
-        self.signal(signal.SIGTERM)
-
-    def wait(self, timeout_s: float = _STOP_TIMEOUT_S) -> int:
-        """Wait for the process to exit and return its exit code.
-
-        Raises ``subprocess.TimeoutExpired`` after ``timeout_s`` seconds.
-        """
-        return self.popen.wait(timeout_s)
-
-    def is_running(self) -> bool:
-        """Return whether the process has started and not exited."""
-        return self.popen is not None and self.popen.poll() is None
 
 
 @attrs.frozen(kw_only=True)
@@ -144,7 +88,7 @@
         self.platform = self._emulated_server(
             'platform',
             'emulator.platform',
-            self.host(_PLATFORM_HOST),
+            self.host(PLATFORM_HOST),
             options.platform_arguments,
         )
         self.backends = {
@@ -451,80 +395,5 @@
     return ''.join(scalars + tables)
 
 
-def find_free_address_prefix() -> str:
-    """Return the first three octets, with dots, of an unused loopback range."""
-    rng = random.Random(os.getpid() ^ time.time_ns())
-    while True:
-        second_octet = rng.randint(1, _MAX_ADDRESS_OCTET)
-        third_octet = rng.randint(1, _MAX_ADDRESS_OCTET)
-        prefix = f'127.{second_octet}.{third_octet}.'
-        with contextlib.closing(socket.socket()) as probe:
-            try:
-                probe.bind((f'{prefix}{_PLATFORM_HOST}', SERVER_PORT))
-            except OSError:
-                continue
-        return prefix
-
-
-def call_json(
-    url: str,
-    body: Any = None,
-    *,
-    method: str | None = None,
-    headers: Mapping[str, str] | None = None,
-    timeout_s: float = 5.0,
-) -> Any:
-    """Send an HTTP request and return the decoded JSON of the response.
-
-    Raises ``urllib.error.HTTPError`` for an error status, another ``OSError``
-    if the server can't be reached and ``ValueError`` for invalid JSON.
-    """
-    payload = None if body is None else orjson.dumps(body)
-    request = urllib_request.Request(
-        url,
-        data=payload,
-        method=method,
-        headers={'Content-Type': 'application/json', **(headers or {})},
-    )
-    with urllib_request.urlopen(request, timeout=timeout_s) as response:
-        return orjson.loads(response.read())
-
-
-def wait_for_ok(url: str) -> None:
-    """Wait until a GET of ``url`` succeeds with a JSON body.
-
-    Raises ``TimeoutError`` after ``START_TIMEOUT_S`` seconds.
-    """
-    wait_until(lambda: _is_ok(url))
-
-
-def wait_until(condition: Any, timeout_s: float = START_TIMEOUT_S) -> None:
-    """Poll ``condition`` until it is true.
-
-    An ``OSError`` in the condition, as from a process that can't be reached,
-    counts as false. Raises ``TimeoutError`` after ``timeout_s`` seconds.
-    """
-    deadline_s = time.monotonic() + timeout_s
-    while not _is_true(condition):
-        if time.monotonic() > deadline_s:
-            raise TimeoutError('condition was still false at the timeout')
-        time.sleep(_POLL_S)
-
-
-def _is_true(condition: Any) -> bool:
-    try:
-        return bool(condition())
-    except OSError:
-        return False
-
-
-def _is_ok(url: str) -> bool:
-    try:
-        call_json(url, timeout_s=1.0)
-    except (OSError, ValueError):
-        return False
-    return True
-
-
 def _toml_value(entry: Any) -> str:
     return orjson.dumps(entry).decode()
--- a/emulator/_process_costs.py
+++ b/emulator/_process_costs.py
@@ -8,7 +8,7 @@
 
 import aiohttp
 
-from emulator._cluster import (
+from emulator.cluster import (
     ChildProcess,
     Cluster,
     ClusterOptions,
--- a/emulator/fleet.py
+++ b/emulator/fleet.py
@@ -18,7 +18,7 @@
 import attrs
 from aiohttp import web
 
-from emulator._cluster import find_free_address_prefix
+from emulator._addresses import find_free_address_prefix
 from emulator.fleet_engine import EngineOptions, FleetEngine
 from emulator.store import FleetStore
 
--- a/tests/unit/test_unexpected_errors.py
+++ b/tests/unit/test_unexpected_errors.py
@@ -21,7 +21,7 @@
 from arbutusbay.node._http_client import create_client_session
 from arbutusbay.node._listeners import open_listeners
 from arbutusbay.platform import Endpoint, KeyedRecord, StorePosition
-from emulator._cluster import find_free_address_prefix
+from emulator._addresses import find_free_address_prefix
 from emulator.fleet_engine import FleetEngine
 from tests.fleet_builders import (
     ENGINE_HOST,
