End a completion without a piece at its deadline at our own interface

What callers saw: with a deadline that is shorter than the silence at which an engine counts as silent (3 s before the first piece), the refusal came up to 3 s late. The wait for the first piece now ends with the time of the completion; a begun stream is not limited by it. The new test (deadline 0.5 s, engine suspended) failed before, as the refusal came after 3 s, and passes now; the other 21 of its file pass.

--- a/src/arbutusbay/router/_generation_run.py
+++ b/src/arbutusbay/router/_generation_run.py
@@ -29,6 +29,7 @@
 from arbutusbay.router._run_progress import (
     CompletionRequest,
     RunProgress,
+    first_piece_time_left_s,
     next_piece_deadline_s,
 )
 from arbutusbay.router._shared_state import RouterState
@@ -183,8 +184,12 @@
         a place for it, or its time is over.
         """
         monitor.start_waiting()
-        if await reader.wait(monitor.max_silence_s()):
+        limit_s = first_piece_time_left_s(self.request.job, self.progress)
+        if await reader.wait(min(limit_s, monitor.max_silence_s())):
             event = reader.take()
+        elif limit_s < monitor.max_silence_s():
+            self.silence_handler.give_up(monitor.placement)
+            event = None
         else:
             event = await self.silence_handler.outlast(
                 reader, monitor.placement
--- a/src/arbutusbay/router/_run_progress.py
+++ b/src/arbutusbay/router/_run_progress.py
@@ -81,3 +81,14 @@
 def time_left_s(job: Job, progress: RunProgress) -> float:
     """Return how long the next piece may still take."""
     return max(0.0, next_piece_deadline_s(job, progress) - time.monotonic())
+
+
+def first_piece_time_left_s(job: Job, progress: RunProgress) -> float:
+    """Return how long the first piece may still take.
+
+    Infinity once there was a piece: a later one is only limited when its engine
+    is silent.
+    """
+    if progress.last_piece_at_s is not None:
+        return float('inf')
+    return time_left_s(job, progress)
--- a/src/arbutusbay/router/_silence_handler.py
+++ b/src/arbutusbay/router/_silence_handler.py
@@ -64,7 +64,7 @@
         finally:
             self.reserved = self.dispatcher.withdraw_move(moving)
         if not has_come:
-            self._give_up(placement)
+            self.give_up(placement)
             return None
         self.release_reserved()
         event = reader.take()
@@ -72,6 +72,20 @@
             self._record_sound_engine(placement)
         return event
 
+    def give_up(self, placement: Placement) -> None:
+        """Record that an attempt is over, as its time is or it is moved."""
+        detail = 'engine sent nothing until the deadline'
+        if self.reserved is not None:
+            detail = f'moved to engine {self.reserved.engine.name}'
+        failure = Failure(
+            kind=ErrorKind.DEADLINE_EXCEEDED,
+            detail=detail,
+            run_state=RunState.UNKNOWN,
+        )
+        self.progress.last_failure = failure
+        self.progress.excluded |= {placement.engine.name}
+        log_failed_attempt(self.request, self.progress, placement, failure)
+
     def take_reserved(self) -> Placement | None:
         """Return the reserved place, if any, which the caller must release."""
         placement = self.reserved
@@ -118,19 +132,6 @@
             fields=_log_fields(self.request, self.progress, placement),
         )
 
-    def _give_up(self, placement: Placement) -> None:
-        detail = 'engine sent nothing until the deadline'
-        if self.reserved is not None:
-            detail = f'moved to engine {self.reserved.engine.name}'
-        failure = Failure(
-            kind=ErrorKind.DEADLINE_EXCEEDED,
-            detail=detail,
-            run_state=RunState.UNKNOWN,
-        )
-        self.progress.last_failure = failure
-        self.progress.excluded |= {placement.engine.name}
-        log_failed_attempt(self.request, self.progress, placement, failure)
-
 
 def log_failed_attempt(
     request: CompletionRequest,
--- a/tests/integration/test_silent_completions.py
+++ b/tests/integration/test_silent_completions.py
@@ -363,6 +363,28 @@
     assert slowest_s < _MAX_START_S
 
 
+# Guards against a completion whose caller waits for a refusal long after its
+# deadline, which is shorter than the silence that counts at an engine.
+async def test_short_deadline_ends_a_completion_without_a_piece(
+    fresh_cluster, session
+):
+    await use_engines(fresh_cluster, 1)
+    engine = fresh_cluster.engines()[0]
+    engine.suspend()
+    try:
+        tasks = start_completions(session, fresh_cluster, model=_HASTIEST)
+        outcomes = await asyncio.gather(*tasks)
+    finally:
+        engine.resume()
+    errors = {
+        (outcome.error['code'], outcome.error['run_state'])
+        for outcome in outcomes
+    }
+    assert errors == {('deadline_exceeded', 'outcome_unknown')}
+    for outcome in outcomes:
+        assert outcome.duration_s < _HASTIEST_DEADLINE_MS / 1000 + _MAX_LATE_S
+
+
 # Guards against a completion that never ends, or whose failure is not shown as
 # it was, because its only engine has stopped for good.
 @pytest.mark.parametrize('begun_s', [0.0, _BEGUN_S])
