Let no late heartbeat bring back a server that drains or has left

What callers would see: requests sent to a backend server that left more than drain_timeout ago, lost when it ends. A write that gets no response may be carried out by the store seconds later, after newer ones of its writer, and heartbeats are such writes. A record counted as newer by its offset alone, so a late heartbeat without the drain replaced the one with it, until the next; one behind the removal brought the server back. Within one read only the last record of a key was looked at.

Change: heartbeats of one incarnation count by their own number, which was done only after a restoration of the store; records are folded in their order. What remains: a VM that starts in between reads the late record only, and a late heartbeat of an earlier incarnation counts until the next one.

--- a/src/arbutusbay/node/_topics.py
+++ b/src/arbutusbay/node/_topics.py
@@ -58,21 +58,19 @@
         """
         if not self._enter_era(end.era, is_complete=is_complete):
             return False
-        received = {record.key: record for record in records}
+        received = list(records)
         if is_complete:
-            for key in self.latest_records.keys() - received.keys():
-                received[key] = KeyedRecord(
-                    key=key, payload=b'', offset=end.offset
-                )
-        changed = [
-            record
-            for record in received.values()
+            received += self._deletions(received, end)
+        # A later record of a key need not replace an earlier one.
+        changed = {
+            record.key: record
+            for record in received
             if self._update_newest(record)
-        ]
+        }
         is_first = self.end is None
         if self.end is None or self.end.offset < end.offset:
             self.end = end
-        self.apply_changes(changed)
+        self.apply_changes(list(changed.values()))
         if changed or is_first:
             self.node_state.notify_topics_changed()
         return True
@@ -114,14 +112,27 @@
         """Return whether two records of a key have the same meaning."""
         return known.payload == received.payload
 
-    def is_superseded(self, restored: KeyedRecord) -> bool:
-        """Return whether a record of an earlier era replaces ``restored``.
+    def is_superseded(self, known: KeyedRecord, received: KeyedRecord) -> bool:
+        """Return whether the ``known`` record is newer than ``received``.
 
         A store that was restored from a copy holds records that are older
-        than those it held before.
+        than those it held before, and a write may be carried out after later
+        ones of its writer.
         """
         raise NotImplementedError
 
+    def _deletions(
+        self, received: Iterable[KeyedRecord], end: StorePosition
+    ) -> list[KeyedRecord]:
+        """Return a deletion of each known key that was not ``received``."""
+        deleted = self.latest_records.keys() - {
+            record.key for record in received
+        }
+        return [
+            KeyedRecord(key=key, payload=b'', offset=end.offset)
+            for key in deleted
+        ]
+
     def _enter_era(self, era: int, *, is_complete: bool) -> bool:
         """Return whether records of ``era`` can be applied.
 
@@ -145,8 +156,7 @@
             return True
         if record.offset < known.offset or self.is_equivalent(known, record):
             return False
-        is_known_from_earlier_era = known.offset == _EARLIER_ERA_OFFSET
-        if is_known_from_earlier_era and self.is_superseded(record):
+        if self.is_superseded(known, record):
             return False
         self.latest_records[record.key] = record
         return True
@@ -177,15 +187,17 @@
         """Update how recent the operator's documents are."""
         self.node_state.freshness.record_read(as_of_s)
 
-    def is_superseded(self, restored: KeyedRecord) -> bool:
-        """Return whether a newer version of the document is in force.
+    def is_superseded(self, known: KeyedRecord, received: KeyedRecord) -> bool:
+        """Return whether a store that was restored lost a newer version.
 
         The operator deletes no documents, so a missing one was lost.
         """
-        if not restored.payload:
+        if known.offset != _EARLIER_ERA_OFFSET:
+            return False
+        if not received.payload:
             return True
         catalog = self.node_state.catalog
-        match decode_operator_record(restored.key, restored.payload):
+        match decode_operator_record(received.key, received.payload):
             case Ok(Configuration() as configuration):
                 current = catalog.configuration
             case Ok(WeightsTarget() as configuration):
@@ -293,26 +305,34 @@
             self._record_heartbeat(after.ok_value)
         return True
 
-    def is_superseded(self, restored: KeyedRecord) -> bool:
-        """Return whether the server has written since ``restored``.
+    def is_superseded(self, known: KeyedRecord, received: KeyedRecord) -> bool:
+        """Return whether the server has written since ``received``.
 
         A server that drains or is gone must not return in its former state.
         If it is alive, its next heartbeat replaces the known record.
         """
-        if not restored.payload:
+        if not received.payload:
             return False
-        match _decode_server(restored.key, restored.payload):
+        match _decode_server(received.key, received.payload):
             case Ok(server):
                 pass
             case Err():
                 return False
+        if self._is_overtaken(server, is_gone=not known.payload):
+            return True
+        # The next record of the same read is compared with this one.
+        self._record_heartbeat(server)
+        return False
+
+    def _is_overtaken(self, server: BackendServer, *, is_gone: bool) -> bool:
         last = self.last_heartbeats.get(server.id)
         if last is None or last.incarnation != server.incarnation:
             return False
-        known = self.latest_records[restored.key]
-        if known.payload:
-            return server.heartbeat_count < last.count
-        return server.heartbeat_count <= last.count
+        if not server.heartbeat_count:
+            return False
+        if is_gone:
+            return server.heartbeat_count <= last.count
+        return server.heartbeat_count < last.count
 
     def _record_heartbeat(self, server: BackendServer) -> None:
         last = self.last_heartbeats.get(server.id)
