Show answers that end early and count as whole

At our own interface each of the six clients that read a whole body (services, engines, our own processes, the log, the list of VMs, the API) takes a body of neither length nor chunks for whole though its connection was reset; reads a body without end to its last byte (64 MB); and, where connections are kept, takes a late copy of one reply for the reply to the next call.

On the platform's edge no cut of an answer counts as whole: cuts every 7 bytes of some 300 over order, lookup and both kinds of stream, with a length, an interim answer before it, chunks, and neither, closed and reset. But a stream to a client of HTTP/1.0 is answered 500 once its engine has run.

--- a/emulator/fleet_engine.py
+++ b/emulator/fleet_engine.py
@@ -17,6 +17,7 @@
 
 from emulator._engine_connections import EngineConnections
 from emulator._silence import Silence
+from emulator.raw_response import PartialResponse
 from emulator.scripted_response import ScriptedResponse, send_scripted
 
 _NOT_EXECUTED = 'Not-Executed'
@@ -146,7 +147,9 @@
         self.report_end: Callable[[], None] = _ignore_end
         self.silence = Silence()
         self.connections = EngineConnections()
-        self.scripted_responses: deque[ScriptedResponse] = deque()
+        self.scripted_responses: deque[ScriptedResponse | PartialResponse] = (
+            deque()
+        )
 
     def application(self) -> web.Application:
         """Build the HTTP application."""
--- a/emulator/scripted_response.py
+++ b/emulator/scripted_response.py
@@ -7,6 +7,8 @@
 import attrs
 from aiohttp import web
 
+from emulator.raw_response import PartialResponse, send_partial
+
 _TRANSIT_S = 0.05
 
 
@@ -27,10 +29,12 @@
 
 async def send_scripted(
     request: web.Request,
-    scripted: ScriptedResponse,
+    scripted: ScriptedResponse | PartialResponse,
     headers: Mapping[str, str],
 ) -> web.StreamResponse:
     """Send ``scripted`` with ``headers`` and its content type."""
+    if isinstance(scripted, PartialResponse):
+        return await send_partial(request, scripted, headers)
     fields = {**headers, 'Content-Type': scripted.content_type}
     if scripted.is_close_delimited:
         lines = [f'{name}: {text}' for name, text in fields.items()]
--- a/tests/raw_clients.py
+++ b/tests/raw_clients.py
@@ -31,9 +31,25 @@
     rest: bytes
 
 
+@attrs.frozen(kw_only=True)
+class Received:
+    """Hold all bytes of a connection, and whether a reset ended it."""
+
+    content: bytes
+    is_reset: bool
+
+
 async def exchange_bytes(
     host: str, port: int, request: bytes, *, limit_s: float = _READ_LIMIT_S
 ) -> bytes:
+    """Return all that arrives, as ``receive_all`` does, however it ends."""
+    received = await receive_all(host, port, request, limit_s=limit_s)
+    return received.content
+
+
+async def receive_all(
+    host: str, port: int, request: bytes, *, limit_s: float = _READ_LIMIT_S
+) -> Received:
     """Send ``request`` and return all that arrives until the connection ends.
 
     The request has to ask for the connection to be closed. Raises
@@ -50,8 +66,8 @@
                 while chunk := await loop.sock_recv(connection, _READ_BYTES):
                     received += chunk
             except ConnectionResetError:
-                return received
-    return received
+                return Received(content=received, is_reset=True)
+    return Received(content=received, is_reset=False)
 
 
 def build_bytes(
@@ -92,6 +108,25 @@
     )
 
 
+def parse_received(received: Received) -> RawResponse:
+    """Parse the first response, whose body the connection may end.
+
+    Such a body is complete if the connection was closed, not reset.
+    """
+    head, _, body = received.content.partition(_HEAD_END)
+    names = {line.partition(b':')[0].lower() for line in head.splitlines()}
+    if names & {b'content-length', b'transfer-encoding'}:
+        return parse_bytes(received.content)
+    status, *lines = head.decode().split('\r\n')
+    return RawResponse(
+        status=int(status.split()[1]),
+        headers=dict(line.split(': ', 1) for line in lines),
+        body=body,
+        is_complete=not received.is_reset,
+        rest=b'',
+    )
+
+
 def _parse_chunks(received: bytes) -> tuple[bytes, bool, bytes]:
     """Return the content, whether the last chunk came, and what follows."""
     body = b''
