Leave the retry budget to completions that need it when an engine is lost

Cause: a completion that has output goes on without a token of the retry budget if there is none, but took one if there was. Its look at the lost engine also takes no time, as its response was under way, while one without a piece waits 30 ms and more until the end of the engine is certain. So the ten tokens were gone before the first completion that needs one asked. Neither the quarantine (one end scores 1.0, which allows the repetition) nor max_attempts refused it.

A completion with output no longer takes a token. The budget still limits those without: of twice as many as there are tokens, just as many go on.

test_lost_engine_budget.py: of 26 completions with two pieces and 4 without, the 4 got 502 before; all 30 are whole now.

--- a/src/arbutusbay/router/_shared_state.py
+++ b/src/arbutusbay/router/_shared_state.py
@@ -166,9 +166,10 @@
     def may_repeat(self, *, has_output: bool) -> bool:
         """Withdraw the token of a repetition; return whether it may be made.
 
-        One that continues output goes on without a token if there is none.
+        One that continues output needs no token, and leaves all to those
+        without output.
         """
-        return self.retry_budget.try_withdraw() or has_output
+        return has_output or self.retry_budget.try_withdraw()
 
     def backend_server(self, name: str) -> BackendServer | None:
         """Return the declaration of a backend server, if it exists."""
