Let both edges share the connections that show what was lost on them

Callers of our own interface got a part of a service's response as whole: one with neither a length nor chunks whose connection was reset went on as `abc` with a Content-Length. The same held for all that reads a whole body there: engines, our own processes, the log, the list of VMs, the API of the control daemon. And where connections are kept, a late second copy of a reply was taken for the reply to the next call, so that a call between our processes got the reply of another one.

Cause: the mend of both stood in node/_http_client.py, which only the platform's edge uses; new_client_session opened plain sessions of aiohttp. Their connection ends such a body for a reset as for a close, and they are used again whatever came on them while they were idle.

The 12 cases of test_body_that_ends_in_a_reset_is_not_whole and test_late_copy_of_a_response_answers_no_other_call[new_client_session] failed before and pass. The 19 others of test_early_ends.py that are listed still fail.

--- a/src/arbutusbay/_http.py
+++ b/src/arbutusbay/_http.py
@@ -14,6 +14,7 @@
 from aiomisc import Service
 from result import Err, Ok, Result
 
+from arbutusbay.client_connections import StrictConnector, open_client_session
 from arbutusbay.errors import ErrorKind, Failure
 from arbutusbay.logs import get_logger
 from arbutusbay.settings import DrainSettings
@@ -22,7 +23,6 @@
 
 _LOG = get_logger('http')
 _MAX_BODY_BYTES = 8 * 1024 * 1024
-_UNLIMITED_CONNECTIONS = 0
 _KEEP_ALIVE_TIMEOUT_S = 75.0
 _LISTEN_BACKLOG_CONNECTIONS = 1024
 _FORCED_CLOSE_S = 5.0
@@ -39,14 +39,8 @@
     an error while connecting proves that nothing was sent, and each request is
     sent at most once.
     """
-    connector = aiohttp.TCPConnector(
-        limit=_UNLIMITED_CONNECTIONS,
-        force_close=not reuse_connections,
-    )
-    session = aiohttp.ClientSession(
-        connector=connector,
-        auto_decompress=False,
-        cookie_jar=aiohttp.DummyCookieJar(),
+    session = open_client_session(
+        StrictConnector(force_close=not reuse_connections)
     )
     if not reuse_connections:
         disable_repetition(session)
--- a/src/arbutusbay/node/_http_client.py
+++ b/src/arbutusbay/node/_http_client.py
@@ -1,18 +1,20 @@
 """Create HTTP client sessions that detect broken connections.
 
-Connections with unexpected data are not reused, and a connection reset fails
-an incomplete response body. TCP keepalive and the user timeout detect
-unreachable peers.
+Their connections keep what they have carried. TCP keepalive and the user
+timeout detect unreachable peers.
 """
 
 import asyncio
-import functools
 import socket
 from typing import Any
 
 import aiohttp
-from aiohttp.client_proto import ResponseHandler
 
+from arbutusbay.client_connections import (
+    StrictConnection,
+    StrictConnector,
+    open_client_session,
+)
 from arbutusbay.node._connection_history import ConnectionHistory
 from arbutusbay.single_send import disable_repetition
 
@@ -29,33 +31,14 @@
 )
 
 
-class StrictConnection(ResponseHandler):
-    """Refuse reuse after unexpected data and fail bodies cut by a reset."""
+class RecordingConnection(StrictConnection):
+    """Keep what a connection has carried."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         """Start without a request."""
         super().__init__(loop)
         self.history = ConnectionHistory()
 
-    def is_connected(self) -> bool:
-        """Return whether the connection may carry another request."""
-        return super().is_connected() and not self.should_close
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Fail an incomplete body if the connection was lost with an error.
-
-        A body that ends when the connection closes could otherwise pass for
-        complete.
-        """
-        payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            payload.set_exception(
-                aiohttp.ClientPayloadError(
-                    'connection lost while reading the body'
-                ),
-            )
-        super().connection_lost(exc)
-
 
 class ConnectionResponse(aiohttp.ClientResponse):
     """Keep the connection of a response also once it was received whole.
@@ -82,15 +65,6 @@
         self.used_connection.close()
 
 
-class StrictConnector(aiohttp.TCPConnector):
-    """Create connections that use ``StrictConnection`` as protocol."""
-
-    def __init__(self, **options: Any) -> None:
-        """Pass ``options`` on to ``aiohttp.TCPConnector``."""
-        super().__init__(**options)
-        self._factory = functools.partial(StrictConnection, loop=self._loop)
-
-
 def _create_keepalive_socket(address_info: Any) -> socket.socket:
     """Return a TCP socket that fails soon after its peer is unreachable.
 
@@ -123,17 +97,15 @@
     its response can't be that of another. The caller must close the session.
     """
     connector = StrictConnector(
-        limit=0,
+        connection_type=RecordingConnection,
         keepalive_timeout=_IDLE_TIMEOUT_S if reuse_connections else None,
         force_close=not reuse_connections,
         socket_factory=_create_keepalive_socket,
         use_dns_cache=False,
     )
-    session = aiohttp.ClientSession(
-        connector=connector,
+    session = open_client_session(
+        connector,
         response_class=ConnectionResponse,
-        auto_decompress=False,
-        cookie_jar=aiohttp.DummyCookieJar(),
         skip_auto_headers=_SKIPPED_AUTO_HEADERS,
     )
     disable_repetition(session)
