Read responses of both edges in one place, which returns them whole or cut

Callers of our own interface could fill the memory of a router or a control daemon: each reader of a whole body took 64 MB, and would have taken more, of a service, an engine, another process of ours, the log, the list of VMs. A message of our own processes counted as whole also where only the end of its connection showed its end, though these always give a length.

Cause: whole or not was an exception that each of ten readers had to catch, and the limit of the size an argument that only the platform's edge had. read_body returns a WholeBody, with what showed its end (length, chunks, connection), or a CutBody with what is missing. fetch_whole makes a call and returns a WholeResponse or NoResponse, and whether anything was sent; fetch_message also refuses a response that only its connection ends. All that read whole responses use them: services, engines, peers, relay, store, reports of engines, log, list of VMs, API, load generator. A response with a transfer coding other than chunks counts as one that its connection ends, which it is.

Limits are 8 MiB, the largest body of a request, and 16 MiB for the API and a page of the log; one that is longer is read again with fewer records, so that large records stop no follower.

The log tells a short answer from a whole one: `request ended` has `body_end` and, for a call, `body_bytes`; `attempt failed` has `body_end`, and its detail says after how many bytes a body ended.

The test's server counts the bytes of the connection that took most, as a page of the log is asked for up to three times.

--- a/src/arbutusbay/_http.py
+++ b/src/arbutusbay/_http.py
@@ -14,9 +14,13 @@
 from aiomisc import Service
 from result import Err, Ok, Result
 
-from arbutusbay.client_connections import StrictConnector, open_client_session
+from arbutusbay.client_connections import (
+    StrictConnector,
+    open_client_session,
+)
 from arbutusbay.errors import ErrorKind, Failure
 from arbutusbay.logs import get_logger
+from arbutusbay.responses import fetch_message
 from arbutusbay.settings import DrainSettings
 from arbutusbay.single_send import disable_repetition
 from arbutusbay.wire import decode_message, encode_message
@@ -107,21 +111,22 @@
     """Send ``message`` to another process and return its decoded reply.
 
     Fails with ``PEER_UNREACHABLE`` on a network error, on a timeout after
-    ``timeout_s`` seconds and on a reply of another content type, and with
+    ``timeout_s`` seconds, on a reply that is not whole or of another content
+    type, and with
     ``BAD_MESSAGE`` if the reply can't be decoded.
     """
-    try:
-        async with session.post(
-            url,
-            data=encode_message(message),
-            timeout=aiohttp.ClientTimeout(total=timeout_s),
-        ) as response:
-            body = await response.read()
-    except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
-        return _peer_unreachable(f'{type(error).__name__}')
-    if response.content_type != _CAPNP_CONTENT_TYPE:
-        return _peer_unreachable(f'status {response.status}')
-    return decode_message(reply_type, body)
+    call = session.post(
+        url,
+        data=encode_message(message),
+        timeout=aiohttp.ClientTimeout(total=timeout_s),
+    )
+    match await fetch_message(call, _MAX_BODY_BYTES):
+        case Err(missing):
+            return _peer_unreachable(missing.detail)
+        case Ok(response) if response.content_type != _CAPNP_CONTENT_TYPE:
+            return _peer_unreachable(f'status {response.status}')
+        case Ok(response):
+            return decode_message(reply_type, response.body)
 
 
 async def _record_start(
--- a/src/arbutusbay/_response_body.py
+++ b/src/arbutusbay/_response_body.py
@@ -1,24 +1,99 @@
-"""Read the bodies of HTTP responses with a limit on their size."""
+"""Read the body of an HTTP response, and show whether it is whole."""
+
+import enum
+from http import HTTPStatus
 
 import aiohttp
+import attrs
+from result import Err, Ok, Result
+
+_CHUNKED = 'chunked'
+_EMPTY_STATUSES = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
+
+
+class BodyEnd(enum.StrEnum):
+    """List what shows where a body ends.
+
+    ``CONNECTION``: it has neither a length nor chunks and goes on until its
+    connection is closed. A close in its middle looks the same, a reset does
+    not.
+    """
+
+    LENGTH = 'length'
+    CHUNKS = 'chunks'
+    CONNECTION = 'connection'
+
+
+@attrs.frozen(kw_only=True)
+class WholeBody:
+    """Hold a body whose end was seen, and what showed it."""
+
+    content: bytes
+    end: BodyEnd
+
+
+@attrs.frozen(kw_only=True)
+class CutBody:
+    """Describe a body whose end was not seen.
+
+    ``end`` is what would have shown it, ``received_bytes`` what came before.
+    It ``is_too_long`` if no more was read because of its limit.
+    """
+
+    end: BodyEnd
+    received_bytes: int
+    detail: str
+    is_too_long: bool = False
+
+    def __str__(self) -> str:
+        """Return the description as one line."""
+        return (
+            f'response body is incomplete after {self.received_bytes} bytes '
+            f'(end by {self.end.value}): {self.detail}'
+        )
+
+
+def body_end(response: aiohttp.ClientResponse) -> BodyEnd:
+    """Return what shows where the body of ``response`` ends."""
+    codings = response.headers.get('Transfer-Encoding', '')
+    if codings.rpartition(',')[-1].strip().lower() == _CHUNKED:
+        return BodyEnd.CHUNKS
+    is_empty = response.method == 'HEAD' or response.status in _EMPTY_STATUSES
+    if is_empty or (not codings and 'Content-Length' in response.headers):
+        return BodyEnd.LENGTH
+    return BodyEnd.CONNECTION
 
 
 async def read_body(
-    response: aiohttp.ClientResponse, limit_bytes: int
-) -> bytes:
-    """Return the body of ``response``.
+    response: aiohttp.ClientResponse,
+    limit_bytes: int,
+) -> Result[WholeBody, CutBody]:
+    """Return the body of ``response``, whole or cut short.
 
-    A body of more than ``limit_bytes`` closes the connection and raises
-    ``aiohttp.ClientPayloadError``, as a body cut short does.
+    A body that is reset, broken off or longer than ``limit_bytes`` is cut
+    short; in the last case the connection is closed. ``response`` must come
+    from a session of ``open_client_session``: other connections do not show
+    that a body was reset.
     """
+    end = body_end(response)
     chunks: list[bytes] = []
     size_bytes = 0
-    async for chunk in response.content.iter_any():
-        size_bytes += len(chunk)
-        if size_bytes > limit_bytes:
-            response.close()
-            raise aiohttp.ClientPayloadError(
-                f'response body exceeds {limit_bytes} bytes'
-            )
-        chunks.append(chunk)
-    return b''.join(chunks)
+    try:
+        async for chunk in response.content.iter_any():
+            size_bytes += len(chunk)
+            if size_bytes > limit_bytes:
+                response.close()
+                return Err(
+                    CutBody(
+                        end=end,
+                        received_bytes=size_bytes,
+                        detail=f'exceeds {limit_bytes} bytes',
+                        is_too_long=True,
+                    )
+                )
+            chunks.append(chunk)
+    except (aiohttp.ClientError, OSError) as error:
+        return Err(
+            CutBody(end=end, received_bytes=size_bytes, detail=repr(error))
+        )
+    return Ok(WholeBody(content=b''.join(chunks), end=end))
--- a/src/arbutusbay/backend/_engine_client.py
+++ b/src/arbutusbay/backend/_engine_client.py
@@ -23,6 +23,7 @@
 )
 from arbutusbay.backend._engine_messages import (
     CacheEventPage,
+    EngineIdentity,
     GenerationEnd,
     GenerationEvent,
     GenerationRequest,
@@ -30,6 +31,7 @@
     WeightsOrder,
 )
 from arbutusbay.errors import Failure, RunState
+from arbutusbay.responses import WholeBody, fetch_whole, read_body
 
 _CONNECT_TIMEOUT_S = 1.0
 _READ_TIMEOUT_S = 120.0
@@ -37,6 +39,7 @@
 _OK_STATUS = 200
 _IDENTITY_MISMATCH_STATUS = 409
 _MAX_LINE_BYTES = 1024 * 1024
+_MAX_BODY_BYTES = 8_388_608
 
 
 class EngineClient:
@@ -154,25 +157,30 @@
 async def _read_refusal(
     response: aiohttp.ClientResponse,
 ) -> AsyncIterator[Result[GenerationEvent, Failure]]:
-    body = await response.read()
+    body = await read_body(response, _MAX_BODY_BYTES)
     if response.status == _IDENTITY_MISMATCH_STATUS:
-        try:
-            yield Ok(decode_engine_identity(orjson.loads(body)))
-        except (ValueError, KeyError, TypeError):
-            yield refusal_error(response.status)
-            return
+        identity = body.and_then(_decode_identity)
+        if isinstance(identity, Ok):
+            yield identity
     yield refusal_error(response.status)
 
 
-async def _read_json(call: Any) -> Result[dict[str, Any], Failure]:
+def _decode_identity(body: WholeBody) -> Result[EngineIdentity, str]:
     try:
-        async with call as response:
-            body = await response.read()
-    except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
-        return call_failed(repr(error), RunState.UNKNOWN)
-    if response.status != _OK_STATUS:
-        return refusal_error(response.status)
+        return Ok(decode_engine_identity(orjson.loads(body.content)))
+    except (ValueError, KeyError, TypeError) as error:
+        return Err(repr(error))
+
+
+async def _read_json(call: Any) -> Result[dict[str, Any], Failure]:
+    match await fetch_whole(call, _MAX_BODY_BYTES):
+        case Err(missing):
+            return call_failed(missing.detail, RunState.UNKNOWN)
+        case Ok(response) if response.status != _OK_STATUS:
+            return refusal_error(response.status)
+        case Ok(response):
+            pass
     try:
-        return Ok(orjson.loads(body))
+        return Ok(orjson.loads(response.body))
     except ValueError as error:
         return call_failed(repr(error), RunState.UNKNOWN)
--- a/src/arbutusbay/backend/_http_service.py
+++ b/src/arbutusbay/backend/_http_service.py
@@ -4,7 +4,6 @@
 may have any content type.
 """
 
-import asyncio
 from collections.abc import Mapping
 
 import aiohttp
@@ -12,8 +11,10 @@
 from result import Err, Ok, Result
 
 from arbutusbay.errors import ErrorKind, Failure, RunState
+from arbutusbay.responses import NoResponse, fetch_whole
 
 _CONNECT_TIMEOUT_S = 1.0
+_MAX_BODY_BYTES = 8_388_608
 IDEMPOTENCY_KEY_HEADER = 'Idempotency-Key'
 
 
@@ -49,47 +50,43 @@
 
     The failure is ``NO_BACKEND_SERVER`` with the run state ``NOT_RUN`` if
     no connection was made, so that no byte can have reached the service.
-    Otherwise it is ``OUTCOME_UNKNOWN``.
+    Otherwise it is ``OUTCOME_UNKNOWN``, also for a response that is not whole.
     """
     timeout = aiohttp.ClientTimeout(
         total=call.timeout_s,
         sock_connect=_CONNECT_TIMEOUT_S,
     )
-    try:
-        async with session.request(
-            call.method,
-            url.rstrip('/') + call.path,
-            headers=call.headers,
-            data=call.body,
-            timeout=timeout,
-            allow_redirects=False,
-        ) as response:
-            body = await response.read()
-    except (
-        aiohttp.ClientConnectorError,
-        aiohttp.ConnectionTimeoutError,
-    ) as error:
-        return _failure(ErrorKind.NO_BACKEND_SERVER, error, RunState.NOT_RUN)
-    except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
-        return _failure(ErrorKind.OUTCOME_UNKNOWN, error, RunState.UNKNOWN)
-    return Ok(
-        ServiceResponse(
-            status=response.status,
-            content_type=response.content_type,
-            body=body,
-        ),
+    pending = session.request(
+        call.method,
+        url.rstrip('/') + call.path,
+        headers=call.headers,
+        data=call.body,
+        timeout=timeout,
+        allow_redirects=False,
+    )
+    match await fetch_whole(pending, _MAX_BODY_BYTES):
+        case Err(missing):
+            return _failure(missing)
+        case Ok(response):
+            return Ok(
+                ServiceResponse(
+                    status=response.status,
+                    content_type=response.content_type,
+                    body=response.body,
+                ),
+            )
+
+
+def _failure(missing: NoResponse) -> Err[Failure]:
+    kind, run_state = (
+        (ErrorKind.OUTCOME_UNKNOWN, RunState.UNKNOWN)
+        if missing.is_sent
+        else (ErrorKind.NO_BACKEND_SERVER, RunState.NOT_RUN)
     )
-
-
-def _failure(
-    kind: ErrorKind,
-    error: Exception,
-    run_state: RunState,
-) -> Err[Failure]:
     return Err(
         Failure(
             kind=kind,
-            detail=f'service: {type(error).__name__}',
+            detail=f'service: {missing.detail}',
             run_state=run_state,
         ),
     )
--- a/src/arbutusbay/cli/_api_client.py
+++ b/src/arbutusbay/cli/_api_client.py
@@ -11,11 +11,13 @@
 
 from arbutusbay.cli._resource_files import DeclaredResource
 from arbutusbay.errors import ErrorKind, Failure
+from arbutusbay.responses import fetch_message
 from arbutusbay.state import spec_to_json
 
 _REQUEST_TIMEOUT_S = 10.0
 _WATCH_READ_TIMEOUT_S = 30
 _MAX_SUCCESS_STATUS = 299
+_MAX_BODY_BYTES = 16_777_216
 
 
 @attrs.frozen(kw_only=True)
@@ -124,17 +126,20 @@
         body: Any = None,
         headers: dict[str, str] | None = None,
     ) -> Result[Any, Failure]:
+        call = self.session.request(
+            method,
+            self.url + path,
+            data=None if body is None else orjson.dumps(body),
+            headers=headers,
+            timeout=aiohttp.ClientTimeout(total=_REQUEST_TIMEOUT_S),
+        )
+        match await fetch_message(call, _MAX_BODY_BYTES):
+            case Err(missing):
+                return _unreachable(f'{self.url}: {missing.detail}')
+            case Ok(response):
+                pass
         try:
-            async with self.session.request(
-                method,
-                self.url + path,
-                data=None if body is None else orjson.dumps(body),
-                headers=headers,
-                timeout=aiohttp.ClientTimeout(total=_REQUEST_TIMEOUT_S),
-            ) as response:
-                parsed = orjson.loads(await response.read())
-        except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
-            return _unreachable(f'{self.url}: {type(error).__name__}: {error}')
+            parsed = orjson.loads(response.body)
         except ValueError:
             return _unreachable(f'{self.url}: the response is not JSON')
         if response.status > _MAX_SUCCESS_STATUS:
--- a/src/arbutusbay/hosting/_log_client.py
+++ b/src/arbutusbay/hosting/_log_client.py
@@ -15,10 +15,12 @@
 from result import Err, Ok, Result
 
 from arbutusbay.errors import ErrorKind, Failure
+from arbutusbay.responses import NoResponse, WholeResponse, fetch_whole
 
 _APPEND_TIMEOUT_S = 2.0
 _READ_TIMEOUT_S = 2.0
-_MAX_PAGE_RECORDS = 500
+_PAGE_SIZES_RECORDS = (500, 25, 1)
+_MAX_PAGE_BYTES = 16_777_216
 _RATE_LIMIT_MAX_ATTEMPTS = 20
 _RATE_LIMIT_DELAY_S = 0.03
 _OK_STATUS = 200
@@ -92,34 +94,39 @@
         """Read one page of records from offset ``start``.
 
         The service waits up to ``wait_ms`` milliseconds for a record. The
-        failure is ``LOG_UNAVAILABLE`` or ``LOG_RATE_LIMITED``.
+        failure is ``LOG_UNAVAILABLE`` or ``LOG_RATE_LIMITED``. Where a page is
+        too long, one of fewer records is read.
         """
-        call = self.session.get(
-            self._records_url(stream),
-            params={
-                'from': start,
-                'wait_ms': wait_ms,
-                'limit': _MAX_PAGE_RECORDS,
-            },
-            timeout=aiohttp.ClientTimeout(
-                total=_READ_TIMEOUT_S + wait_ms / 1000,
-            ),
-        )
-        result = await _call_service(call)
-        return result.and_then(_parse_page)
+        for max_records in _PAGE_SIZES_RECORDS:
+            call = self.session.get(
+                self._records_url(stream),
+                params={
+                    'from': start,
+                    'wait_ms': wait_ms,
+                    'limit': max_records,
+                },
+                timeout=aiohttp.ClientTimeout(
+                    total=_READ_TIMEOUT_S + wait_ms / 1000,
+                ),
+            )
+            fetched = await fetch_whole(call, _MAX_PAGE_BYTES)
+            match fetched:
+                case Err(NoResponse(is_too_long=True)):
+                    continue
+            break
+        return _parse_response(fetched).and_then(_parse_page)
 
     async def _append_once(
         self,
         stream: str,
         payload: bytes,
     ) -> Result[dict[str, Any], Failure]:
-        return await _call_service(
-            self.session.post(
-                self._records_url(stream),
-                data=payload,
-                timeout=aiohttp.ClientTimeout(total=_APPEND_TIMEOUT_S),
-            ),
+        call = self.session.post(
+            self._records_url(stream),
+            data=payload,
+            timeout=aiohttp.ClientTimeout(total=_APPEND_TIMEOUT_S),
         )
+        return _parse_response(await fetch_whole(call, _MAX_PAGE_BYTES))
 
     def _records_url(self, stream: str) -> str:
         return f'{self.url}/v1/streams/{stream}/records'
@@ -151,12 +158,14 @@
             return Ok(next_offset)
 
 
-async def _call_service(call: Any) -> Result[dict[str, Any], Failure]:
-    try:
-        async with call as response:
-            body = await response.read()
-    except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
-        return _unavailable(f'log service call failed: {type(error).__name__}')
+def _parse_response(
+    fetched: Result[WholeResponse, NoResponse],
+) -> Result[dict[str, Any], Failure]:
+    match fetched:
+        case Err(missing):
+            return _unavailable(f'log service call failed: {missing.detail}')
+        case Ok(response):
+            pass
     if response.status == HTTPStatus.TOO_MANY_REQUESTS:
         return _failure(
             ErrorKind.LOG_RATE_LIMITED,
@@ -165,7 +174,7 @@
     if response.status != _OK_STATUS:
         return _unavailable(f'log service returned status {response.status}')
     try:
-        return Ok(orjson.loads(body))
+        return Ok(orjson.loads(response.body))
     except ValueError:
         return _unavailable('log service returned a body that is not JSON')
 
--- a/src/arbutusbay/hosting/_vm_list.py
+++ b/src/arbutusbay/hosting/_vm_list.py
@@ -3,7 +3,6 @@
 The platform serves the list at ``GET /v1/vms``.
 """
 
-import asyncio
 import enum
 from typing import Any
 
@@ -13,9 +12,11 @@
 from result import Err, Ok, Result
 
 from arbutusbay.errors import ErrorKind, Failure
+from arbutusbay.responses import fetch_whole
 
 _READ_TIMEOUT_S = 2.0
 _OK_STATUS = 200
+_MAX_LIST_BYTES = 8_388_608
 
 
 class VMState(enum.StrEnum):
@@ -52,15 +53,16 @@
     The failure is of kind ``PEER_UNREACHABLE``, also for a malformed list.
     """
     timeout = aiohttp.ClientTimeout(total=_READ_TIMEOUT_S)
+    call = session.get(f'{url}/v1/vms', timeout=timeout)
+    match await fetch_whole(call, _MAX_LIST_BYTES):
+        case Err(missing):
+            return _unreachable(missing.detail)
+        case Ok(response) if response.status != _OK_STATUS:
+            return _unreachable(f'status {response.status}')
+        case Ok(response):
+            pass
     try:
-        async with session.get(f'{url}/v1/vms', timeout=timeout) as response:
-            body = await response.read()
-    except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
-        return _unreachable(type(error).__name__)
-    if response.status != _OK_STATUS:
-        return _unreachable(f'status {response.status}')
-    try:
-        return Ok([_parse_vm(fields) for fields in orjson.loads(body)])
+        return Ok([_parse_vm(fields) for fields in orjson.loads(response.body)])
     except (ValueError, KeyError, TypeError) as error:
         return _unreachable(repr(error))
 
--- a/src/arbutusbay/load/_load_generator.py
+++ b/src/arbutusbay/load/_load_generator.py
@@ -13,13 +13,16 @@
 import aiohttp
 import attrs
 import orjson
+from result import Err, Ok
 
 from arbutusbay.http import new_client_session
 from arbutusbay.load._arrivals import Arrival
 from arbutusbay.load._workload import ServiceCallKind
+from arbutusbay.responses import fetch_message, read_body
 
 _REQUEST_TIMEOUT_S = 120
 _OK_STATUS = 200
+_MAX_BODY_BYTES = 8_388_608
 _PROGRESS_INTERVAL_S = 1.0
 _EVENT_PREFIX = b'data: '
 _STREAM_END = b'[DONE]'
@@ -34,7 +37,7 @@
     time to the whole response. They are ``None`` if that was not reached.
     ``complete`` is whether the stream reached its end marker without an error
     event or the service call returned status 200. ``error`` is the code of an
-    error event or the name of the exception that ended the request.
+    error event or what ended the request early.
     """
 
     arrival: Arrival
@@ -101,14 +104,17 @@
             if arrival.kind.keyed:
                 key = f'{self.started_s}-{arrival.number}'
                 headers['Idempotency-Key'] = key
-            async with session.request(
+            call = session.request(
                 arrival.kind.method,
                 f'{router}{arrival.kind.path}',
                 headers=headers,
                 timeout=timeout,
-            ) as response:
-                await response.read()
-                self._record_response(outcome, response.status)
+            )
+            match await fetch_message(call, _MAX_BODY_BYTES):
+                case Err(missing):
+                    outcome.error = missing.detail
+                case Ok(response):
+                    self._record_response(outcome, response.status)
             return
         async with session.post(
             f'{router}/v1/chat/completions',
@@ -125,7 +131,7 @@
         response: aiohttp.ClientResponse,
     ) -> None:
         if response.status != _OK_STATUS:
-            await response.read()
+            await read_body(response, _MAX_BODY_BYTES)
             return
         async for line in response.content:
             event = line.removeprefix(_EVENT_PREFIX).strip()
--- a/src/arbutusbay/node/_attempts.py
+++ b/src/arbutusbay/node/_attempts.py
@@ -26,7 +26,7 @@
     build_client_headers,
     parse_response_head,
 )
-from arbutusbay.response_body import read_body
+from arbutusbay.responses import BodyEnd, WholeBody, body_end, read_body
 from arbutusbay.scheduling import (
     AttemptOutcome,
     EngineView,
@@ -44,11 +44,11 @@
 
 @attrs.frozen(kw_only=True)
 class BufferedResponse:
-    """Represent a buffered response of a backend server."""
+    """Represent a whole response of a backend server."""
 
     status: int
     headers: CIMultiDict[str]
-    body: bytes
+    body: WholeBody
 
 
 @attrs.frozen(kw_only=True)
@@ -63,7 +63,8 @@
     that belongs to the attempt, or of a refusal that may belong to another one
     of this server, None if there was none. ``progress`` is how far the
     response had come, ``is_connection_lost`` means that it broke there.
-    ``is_ended_here`` is set if this VM ended the attempt.
+    ``body_end`` is what would have shown the end of its body, None without a
+    head. ``is_ended_here`` is set if this VM ended the attempt.
     """
 
     outcome: AttemptOutcome
@@ -74,6 +75,7 @@
     response_head: ResponseHead | None = None
     progress: ResponseProgress = ResponseProgress.NOT_STARTED
     is_connection_lost: bool = False
+    body_end: BodyEnd | None = None
     is_ended_here: bool = False
 
 
@@ -111,14 +113,15 @@
         """Return the headers to forward to the client."""
         return build_client_headers(self.response.headers.items())
 
+    @property
+    def body_end(self) -> BodyEnd:
+        """Return what shows where the body ends."""
+        return body_end(self.response)
+
     @property
     def is_close_delimited(self) -> bool:
         """Return whether the body ends when the connection closes."""
-        headers = self.response.headers
-        return (
-            'Content-Length' not in headers
-            and 'Transfer-Encoding' not in headers
-        )
+        return self.body_end is BodyEnd.CONNECTION
 
     async def events(
         self,
@@ -148,13 +151,13 @@
 
         Fails if the body is incomplete or too long, or the status is 5xx.
         """
-        try:
-            body = await read_body(self.response, _MAX_BODY_BYTES)
-        except (aiohttp.ClientError, OSError) as error:
-            return _connection_lost(
-                f'response body is incomplete: {error!r}',
-                ResponseProgress.STARTING,
-            )
+        match await read_body(self.response, _MAX_BODY_BYTES):
+            case Err(cut):
+                return _connection_lost(
+                    str(cut), ResponseProgress.STARTING, cut.end
+                )
+            case Ok(body):
+                pass
         answer = BufferedResponse(
             status=self.status,
             headers=self.headers(),
@@ -166,6 +169,7 @@
                     outcome=AttemptOutcome.RAN_AND_FAILED,
                     detail=f'status {self.status}',
                     error_response=answer,
+                    body_end=body.end,
                 ),
             )
         return Ok(answer)
@@ -283,8 +287,11 @@
     """
     try:
         async with asyncio.timeout(_DRAIN_TIMEOUT_S):
-            await read_body(response, _MAX_DRAINED_BYTES)
-    except (aiohttp.ClientError, asyncio.TimeoutError, OSError):
+            body = await read_body(response, _MAX_DRAINED_BYTES)
+    except TimeoutError:
+        response.close()
+        return
+    if body.is_err():
         response.close()
 
 
@@ -305,7 +312,9 @@
 
 
 def _connection_lost(
-    detail: str, progress: ResponseProgress
+    detail: str,
+    progress: ResponseProgress,
+    end: BodyEnd | None = None,
 ) -> Err[AttemptFailure]:
     return Err(
         AttemptFailure(
@@ -313,6 +322,7 @@
             detail=detail,
             progress=progress,
             is_connection_lost=True,
+            body_end=end,
         )
     )
 
--- a/src/arbutusbay/node/_client_stream.py
+++ b/src/arbutusbay/node/_client_stream.py
@@ -13,6 +13,7 @@
 from arbutusbay.clock import now_s
 from arbutusbay.node._attempts import OpenResponse
 from arbutusbay.node._incoming_request import IncomingRequest
+from arbutusbay.responses import BodyEnd
 
 
 class CutReason(enum.StrEnum):
@@ -35,7 +36,9 @@
 
 @attrs.frozen(kw_only=True)
 class StreamCompleted:
-    """Report that a stream was relayed to its end."""
+    """Report that a stream was relayed to its end, which ``end`` showed."""
+
+    end: BodyEnd
 
 
 @attrs.frozen(kw_only=True)
@@ -98,10 +101,10 @@
         await self.response.write(raw_bytes)
         self.timing.record_event()
 
-    async def complete(self) -> StreamCompleted:
+    async def complete(self, end: BodyEnd) -> StreamCompleted:
         """End the stream so that the client sees that it is complete."""
         await self.response.write_eof()
-        return StreamCompleted()
+        return StreamCompleted(end=end)
 
     def cut(self, reason: CutReason, detail: str) -> StreamCut:
         """Abort the connection: the client sees that the stream broke."""
--- a/src/arbutusbay/node/_follower.py
+++ b/src/arbutusbay/node/_follower.py
@@ -21,7 +21,7 @@
 from arbutusbay.node._topic_reader import TopicReader
 from arbutusbay.node._topics import OperatorTopicState, ServersTopicState
 from arbutusbay.platform import StoreClient
-from arbutusbay.response_body import read_body
+from arbutusbay.responses import fetch_message
 from arbutusbay.scheduling import (
     DirectRead,
     PeerRead,
@@ -263,25 +263,24 @@
         vm: VMRegistration,
     ) -> Result[RelayResponse, Failure]:
         hold_s = self._allowed_hold_s()
-        try:
-            async with self.session.get(
-                f'http://{vm.address}{RELAY_PATH}',
-                params={
-                    **position_parameters('operator', self.operator_topic.end),
-                    **position_parameters('servers', self.servers_topic.end),
-                    'hold_ms': str(int(hold_s * 1000)),
-                },
-                timeout=aiohttp.ClientTimeout(
-                    total=hold_s + _RESPONSE_TIMEOUT_S,
-                ),
-            ) as response:
-                body = await read_body(response, _MAX_RELAY_BYTES)
-                status = response.status
-        except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
-            return _peer_unreachable(repr(error))
-        if status != HTTPStatus.OK:
-            return _peer_unreachable(f'status {status}')
-        return relay_response_from_bytes(body)
+        call = self.session.get(
+            f'http://{vm.address}{RELAY_PATH}',
+            params={
+                **position_parameters('operator', self.operator_topic.end),
+                **position_parameters('servers', self.servers_topic.end),
+                'hold_ms': str(int(hold_s * 1000)),
+            },
+            timeout=aiohttp.ClientTimeout(
+                total=hold_s + _RESPONSE_TIMEOUT_S,
+            ),
+        )
+        match await fetch_message(call, _MAX_RELAY_BYTES):
+            case Err(missing):
+                return _peer_unreachable(missing.detail)
+            case Ok(response) if response.status != HTTPStatus.OK:
+                return _peer_unreachable(f'status {response.status}')
+            case Ok(response):
+                return relay_response_from_bytes(response.body)
 
     def _avoid_source(self, name: str) -> None:
         self.backoff_until_s[name] = now_s() + self.timings.avoid_s
--- a/src/arbutusbay/node/_frontend.py
+++ b/src/arbutusbay/node/_frontend.py
@@ -128,7 +128,7 @@
     ) -> web.Response:
         match await execute_before_deadline(executor):
             case Ok(answer):
-                self._log_outcome(executor.incoming, f'status {answer.status}')
+                self._log_answer(executor.incoming, answer)
                 return self._build_response(answer)
             case Err(failure):
                 return self._reject_request(request, failure, executor.incoming)
@@ -145,7 +145,7 @@
                 self._record_stream_end(incoming, exchange.stream, stream_end)
                 return stream_end
             case BufferedResponse() as answer:
-                self._log_outcome(incoming, f'status {answer.status}')
+                self._log_answer(incoming, answer)
                 return self._build_response(answer)
             case Failure() as failure:
                 return self._reject_request(exchange.request, failure, incoming)
@@ -175,8 +175,13 @@
     ) -> None:
         timing_fields = _timing_fields(incoming, stream.timing)
         match stream_end:
-            case StreamCompleted():
-                self._log_outcome(incoming, 'stream complete', **timing_fields)
+            case StreamCompleted(end=end):
+                self._log_outcome(
+                    incoming,
+                    'stream complete',
+                    body_end=end.value,
+                    **timing_fields,
+                )
             case StreamCut(reason=reason, detail=detail):
                 self.metrics.streams_cut.inc({'reason': reason.value})
                 self._log_outcome(
@@ -234,7 +239,7 @@
         response = web.Response(
             status=answer.status,
             headers=answer.headers,
-            body=answer.body,
+            body=answer.body.content,
         )
         return self._close_if_stopping(response)
 
@@ -273,6 +278,16 @@
         )
         return self._close_if_stopping(response)
 
+    def _log_answer(
+        self, incoming: IncomingRequest, answer: BufferedResponse
+    ) -> None:
+        self._log_outcome(
+            incoming,
+            f'status {answer.status}',
+            body_end=answer.body.end.value,
+            body_bytes=len(answer.body.content),
+        )
+
     def _log_outcome(
         self,
         incoming: IncomingRequest,
--- a/src/arbutusbay/node/_request_executor.py
+++ b/src/arbutusbay/node/_request_executor.py
@@ -226,6 +226,7 @@
                 'outcome': failure.outcome.value,
                 'detail': failure.detail,
                 'progress': failure.progress.value,
+                'body_end': failure.body_end and failure.body_end.value,
                 'ended_here': failure.is_ended_here,
                 'segments': [
                     segment.id
--- a/src/arbutusbay/node/_stream_relay.py
+++ b/src/arbutusbay/node/_stream_relay.py
@@ -181,14 +181,14 @@
         async for received in answer.events():
             match received:
                 case Err(broken):
-                    return _stream_failure(broken, progress)
+                    return _stream_failure(broken, progress, answer)
                 case Ok(event):
                     pass
             if monitored.is_ending:
                 # Its next attempt resumes after the last event that went out.
                 return aborted_attempt_failure(monitored)
             if not self._is_expected(event, progress):
-                return _stream_failure(self._event_gap(event), progress)
+                return _stream_failure(self._event_gap(event), progress, answer)
             if progress.started_s is None:
                 self._record_start(monitored)
             progress.record_event(now_s())
@@ -200,12 +200,13 @@
             await (await self._stream(answer)).write_event(event.raw_bytes)
             monitored.record_event(now_s())
         if progress.started_s is None and answer.is_close_delimited:
-            return _stream_failure(_EMPTY_STREAM, progress)
+            return _stream_failure(_EMPTY_STREAM, progress, answer)
         monitored.view.record_success(now_s())
         self._record_sound_response(monitored, answer, progress)
         # The engine has nothing left to send; the client may read slowly.
         monitored.is_relaying = True
-        return Ok(await (await self._stream(answer)).complete())
+        stream = await self._stream(answer)
+        return Ok(await stream.complete(answer.body_end))
 
     def _event_gap(self, event: ServerSentEvent) -> BrokenStream:
         return BrokenStream(
@@ -326,7 +327,7 @@
 
 
 def _stream_failure(
-    broken: BrokenStream, progress: StreamProgress
+    broken: BrokenStream, progress: StreamProgress, answer: OpenResponse
 ) -> Err[AttemptFailure]:
     return Err(
         AttemptFailure(
@@ -336,5 +337,6 @@
             progress=ResponseProgress.UNDERWAY
             if progress.is_underway(now_s())
             else ResponseProgress.STARTING,
+            body_end=answer.body_end,
         )
     )
--- a/src/arbutusbay/platform/_engine_calls.py
+++ b/src/arbutusbay/platform/_engine_calls.py
@@ -20,7 +20,7 @@
 )
 from arbutusbay.platform._operator_records import parse_weights_versions
 from arbutusbay.platform._protocol_names import EngineEndpoint, HeaderName
-from arbutusbay.response_body import read_body
+from arbutusbay.responses import fetch_whole
 
 _MAX_REPORT_BYTES = 1_048_576
 
@@ -112,21 +112,20 @@
     Return a failure of kind ``PEER_UNREACHABLE`` if the call fails, its
     status is not 200 or the report is malformed.
     """
+    call = session.get(
+        f'http://{address}{EngineEndpoint.REPORT.value}',
+        timeout=aiohttp.ClientTimeout(total=timeout_s),
+    )
+    match await fetch_whole(call, _MAX_REPORT_BYTES):
+        case Err(missing):
+            return _no_report(missing.detail)
+        case Ok(response) if response.status != HTTPStatus.OK:
+            return _no_report(f'status {response.status}')
+        case Ok(response):
+            pass
     try:
-        async with session.get(
-            f'http://{address}{EngineEndpoint.REPORT.value}',
-            timeout=aiohttp.ClientTimeout(total=timeout_s),
-        ) as response:
-            body = await read_body(response, _MAX_REPORT_BYTES)
-            if response.status != HTTPStatus.OK:
-                return _no_report(f'status {response.status}')
-            return Ok(_parse_report(body))
-    except (
-        aiohttp.ClientError,
-        asyncio.TimeoutError,
-        OSError,
-        ValueError,
-    ) as error:
+        return Ok(_parse_report(response.body))
+    except ValueError as error:
         return _no_report(repr(error))
 
 
--- a/src/arbutusbay/platform/_store_client.py
+++ b/src/arbutusbay/platform/_store_client.py
@@ -8,7 +8,6 @@
 therefore only meaningful together with its era.
 """
 
-import asyncio
 import base64
 import binascii
 import re
@@ -25,7 +24,7 @@
     StoreEndpoint,
     Topic,
 )
-from arbutusbay.response_body import read_body
+from arbutusbay.responses import NoResponse, fetch_whole
 
 _RECORD_LENGTH_BYTES = 4
 _PAGE_HEADER_BYTES = 16
@@ -255,25 +254,26 @@
         timeout_s: float,
     ) -> Result[StoreResponse, StoreFailure]:
         self.call_count += 1
-        try:
-            async with self.session.request(
-                method,
-                f'{self.base_url}{path.value}',
-                params=query,
-                data=body or None,
-                timeout=aiohttp.ClientTimeout(total=timeout_s),
-            ) as response:
+        call = self.session.request(
+            method,
+            f'{self.base_url}{path.value}',
+            params=query,
+            data=body or None,
+            timeout=aiohttp.ClientTimeout(total=timeout_s),
+        )
+        match await fetch_whole(call, _MAX_RESPONSE_BYTES):
+            case Err(NoResponse(is_sent=False, detail=detail)):
+                return Err(StoreUnavailable(detail=detail))
+            case Err(missing):
+                return Err(OutcomeUnknown(detail=missing.detail))
+            case Ok(response):
                 return _result_from_response(
                     response.status,
                     StoreResponse(
-                        body=await read_body(response, _MAX_RESPONSE_BYTES),
+                        body=response.body,
                         era=_parse_era(response.headers),
                     ),
                 )
-        except aiohttp.ClientConnectorError as error:
-            return Err(StoreUnavailable(detail=str(error)))
-        except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
-            return Err(OutcomeUnknown(detail=repr(error)))
 
 
 def _result_from_response(
--- a/tests/raw_servers.py
+++ b/tests/raw_servers.py
@@ -22,7 +22,8 @@
 class RawServer:
     """Answer each request with ``response``, then end the connection.
 
-    Before that, ``pattern`` is sent until ``limit_bytes`` of it are out.
+    Before that, ``pattern`` is sent until ``limit_bytes`` of it are out;
+    ``sent_bytes`` is the most that was sent on one connection.
     """
 
     response: bytes = b''
@@ -40,10 +41,11 @@
             await read_request_body(reader)
             writer.write(self.response)
             await writer.drain()
-            while self.sent_bytes < self.limit_bytes:
+            for number in range(self.limit_bytes // max(1, len(self.pattern))):
                 writer.write(self.pattern)
                 await writer.drain()
-                self.sent_bytes += len(self.pattern)
+                sent_bytes = (number + 1) * len(self.pattern)
+                self.sent_bytes = max(self.sent_bytes, sent_bytes)
         end_transport(writer.transport, self.ending)
 
 
