Stream to clients of HTTP/1.0, with a cut that does not look like the end

A client of HTTP/1.0 that asked for a stream got 500 "Using chunked encoding is forbidden for HTTP/1.0", once its engine had run, also where it may run only once. Cause: chunks were switched on whatever the client's version.

Such a stream ends with its connection now. A close is its end for the client, so all else must not close it: until the stream is complete, a close of the connection resets it (SO_LINGER of 0 s), also by the kernel if the process ends.

--- a/src/arbutusbay/node/_client_stream.py
+++ b/src/arbutusbay/node/_client_stream.py
@@ -6,15 +6,22 @@
 """
 
 import enum
+import os
+import socket
+import struct
 
 import attrs
 from aiohttp import web
+from aiohttp.http import HttpVersion11
 
 from arbutusbay.clock import now_s
 from arbutusbay.node._attempts import OpenResponse
 from arbutusbay.node._incoming_request import IncomingRequest
 from arbutusbay.responses import BodyEnd
 
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+_FLUSH_ON_CLOSE = struct.pack('ii', 0, 0)
+
 
 class CutReason(enum.StrEnum):
     """Name why a stream ended after its response had started.
@@ -103,6 +110,8 @@
 
     async def complete(self, end: BodyEnd) -> StreamCompleted:
         """End the stream so that the client sees that it is complete."""
+        if not self.response.chunked:
+            set_reset_on_close(self.request, is_reset=False)
         await self.response.write_eof()
         return StreamCompleted(end=end)
 
@@ -129,7 +138,9 @@
     ) -> ClientStream:
         """Send the head of ``answer``.
 
-        The connection is closed after the stream if it ``closes``.
+        The connection is closed after the stream if it ``closes``, or if the
+        client can't read chunks. Then a close would look like the end of the
+        stream, so until that the connection is reset, whatever closes it.
         """
         response = web.StreamResponse(
             status=answer.status,
@@ -137,7 +148,10 @@
         )
         if closes:
             response.force_close()
-        response.enable_chunked_encoding()
+        if self.request.version >= HttpVersion11:
+            response.enable_chunked_encoding()
+        else:
+            set_reset_on_close(self.request, is_reset=True)
         await response.prepare(self.request)
         self.stream = ClientStream(request=self.request, response=response)
         return self.stream
@@ -165,6 +179,19 @@
         transport.abort()
 
 
+def set_reset_on_close(request: web.BaseRequest, *, is_reset: bool) -> None:
+    """Set whether a close of the connection resets it, also by the kernel."""
+    if not _is_open(request):
+        return
+    descriptor = request.transport.get_extra_info('socket').fileno()
+    with socket.socket(fileno=os.dup(descriptor)) as connection:
+        connection.setsockopt(
+            socket.SOL_SOCKET,
+            socket.SO_LINGER,
+            _RESET_ON_CLOSE if is_reset else _FLUSH_ON_CLOSE,
+        )
+
+
 def _is_open(request: web.BaseRequest) -> bool:
     transport = request.transport
     return transport is not None and not transport.is_closing()
--- a/tests/integration/test_partial_answers.py
+++ b/tests/integration/test_partial_answers.py
@@ -4,6 +4,7 @@
 and close or reset the connection.
 """
 
+import asyncio
 from collections import deque
 from types import MappingProxyType
 
@@ -26,6 +27,7 @@
 _EARLY_HINTS = b'HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n'
 _STEP_BYTES = 7
 _MAX_ANSWER_BYTES = 320
+_BEGUN_S = 0.5
 _LAST_EVENT_BYTES = len(complete_stream_text(1))
 
 
@@ -206,3 +208,19 @@
     script(fleet, partial)
     answer = await ask(node, kind, 'r', version)
     assert looks_whole(answer) is is_whole
+
+
+# Guards against the same where the VM ends at once, and its kernel closes the
+# connections: that must not look like the end of a stream either.
+@pytest.mark.parametrize('version', ['1.0', '1.1'])
+async def test_stream_of_a_vm_that_is_killed_is_not_whole(fleet, node, version):
+    fleet.engines[0].options = attrs.evolve(
+        fleet.engines[0].options, events=20, event_s=0.1
+    )
+    asking = asyncio.create_task(ask(node, _KINDS['ask'], 'k', version))
+    await asyncio.sleep(_BEGUN_S)
+    node.process.kill()
+    answer = await asking
+    assert answer.status == 200
+    assert answer.body
+    assert not looks_whole(answer)
