Show that logs name what showed the end of an answer, and large log pages

test_log_names_what_showed_the_end checks `body_end` of `request ended` and `attempt failed` for a length, chunks and neither, whole and reset. A first form of it sent the second request on the connection that the engine was closing after the first: 1 to 3 of 6 cases then had no head at all, and no `body_end`; it waits until the close is seen now. test_log_page_beyond_the_limit_is_read_in_ parts reads a page of two records of 9 MB, which is longer than a response may be.

--- a/tests/integration/test_partial_answers.py
+++ b/tests/integration/test_partial_answers.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import json
 from collections import deque
 from types import MappingProxyType
 
@@ -28,6 +29,7 @@
 _STEP_BYTES = 7
 _MAX_ANSWER_BYTES = 320
 _BEGUN_S = 0.5
+_CLOSE_SEEN_S = 0.1
 _LAST_EVENT_BYTES = len(complete_stream_text(1))
 
 
@@ -224,3 +226,35 @@
     assert answer.status == 200
     assert answer.body
     assert not looks_whole(answer)
+
+
+# Guards against logs in which a whole answer and one whose end nothing but its
+# connection showed look alike.
+@pytest.mark.parametrize(
+    ('framing', 'shown'),
+    [
+        (Framing.LENGTH, 'length'),
+        (Framing.CHUNKS, 'chunks'),
+        (Framing.CONNECTION, 'connection'),
+    ],
+)
+@pytest.mark.parametrize('name', ['order', 'ask'])
+async def test_log_names_what_showed_the_end(fleet, node, name, framing, shown):
+    kind = _KINDS[name]
+    whole = kind.partial(framing, Ending.CLOSED)
+    script(fleet, whole)
+    assert looks_whole(await ask(node, kind, 'whole'))
+    # The engine closes a connection that the VM may use again until it sees it.
+    await asyncio.sleep(_CLOSE_SEEN_S)
+    script(fleet, attrs.evolve(whole, ending=Ending.RESET, missing_bytes=1))
+    assert not looks_whole(await ask(node, kind, 'cut'))
+    lines = [
+        json.loads(line) for line in node.log_path.read_text().splitlines()
+    ]
+    ended = {
+        (line['message'], line['request_id']): line['body_end']
+        for line in lines
+        if 'body_end' in line
+    }
+    assert ended['request ended', 'whole'] == shown
+    assert ended['attempt failed', 'cut'] == shown
--- a/tests/unit/test_early_ends.py
+++ b/tests/unit/test_early_ends.py
@@ -10,7 +10,10 @@
 from typing import Any
 
 import attrs
+import orjson
 import pytest
+from aiohttp import web
+from aiohttp.test_utils import TestServer
 from result import Ok, Result
 
 from arbutusbay.backend import (
@@ -36,6 +39,7 @@
 _ENDLESS_BYTES = 64_000_000
 _MAX_TAKEN_BYTES = 24_000_000
 _CALL_S = 3.0
+_LARGE_RECORD_BYTES = 9_000_000
 
 _Call = Callable[[Any, str], Awaitable[Result[Any, Any]]]
 
@@ -238,3 +242,34 @@
     answer = await reader.read(server)
     assert answer.is_err()
     assert server.sent_bytes < _MAX_TAKEN_BYTES
+
+
+def build_log_page(count: int) -> bytes:
+    """Return a page of ``count`` large records of a log of two."""
+    records = [
+        {'offset': offset, 'time_ms': 1, 'payload': 'x' * _LARGE_RECORD_BYTES}
+        for offset in range(count)
+    ]
+    return orjson.dumps({'first': 0, 'end': 2, 'records': records})
+
+
+async def send_log_page(request: web.Request) -> web.Response:
+    """Send as many records as were asked for, two at most."""
+    return web.Response(
+        body=build_log_page(min(2, int(request.query['limit'])))
+    )
+
+
+# Guards against a follower of the log that stands still for good, as a page of
+# large records exceeds the limit of a response.
+async def test_log_page_beyond_the_limit_is_read_in_parts():
+    application = web.Application()
+    application.router.add_get('/v1/streams/s/records', send_log_page)
+    async with (
+        TestServer(application) as server,
+        new_client_session() as opened,
+    ):
+        log = LogClient(session=opened, url=str(server.make_url('')))
+        page = (await log.read('s', 0)).unwrap()
+    assert [record.offset for record in page.records] == [0]
+    assert page.end == 2
