--- a/src/arbutusbay/hosting/_vm_list.py
+++ b/src/arbutusbay/hosting/_vm_list.py
@@ -3,7 +3,6 @@
 The platform serves the list at ``GET /v1/vms``.
 """
 
-import asyncio
 import enum
 from collections.abc import Mapping
 from typing import Any
@@ -21,9 +20,11 @@
     require_text,
 )
 from arbutusbay.errors import ErrorKind, Failure
+from arbutusbay.responses import fetch_whole
 
 _READ_TIMEOUT_S = 2.0
 _OK_STATUS = 200
+_MAX_LIST_BYTES = 8_388_608
 
 
 class VMState(enum.StrEnum):
@@ -72,15 +73,16 @@
     response.
     """
     timeout = aiohttp.ClientTimeout(total=_READ_TIMEOUT_S)
+    call = session.get(f'{url}/v1/vms', timeout=timeout)
+    match await fetch_whole(call, _MAX_LIST_BYTES):
+        case Err(missing):
+            return _unreachable(missing.detail)
+        case Ok(response) if response.status != _OK_STATUS:
+            return _unreachable(f'status {response.status}')
+        case Ok(response):
+            pass
     try:
-        async with session.get(f'{url}/v1/vms', timeout=timeout) as response:
-            body = await response.read()
-    except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
-        return _unreachable(type(error).__name__)
-    if response.status != _OK_STATUS:
-        return _unreachable(f'status {response.status}')
-    try:
-        return Ok(decode_vm_list(body))
+        return Ok(decode_vm_list(response.body))
     except ValueError as error:
         return _unreachable(repr(error))
 
