Log how a client left and what saw it

Callers see nothing new.

Both edges serve connections by `ClientHandler`, which records the end of the client's stream or the reset. The look at the kernel returns the same `ClientEnd` instead of a yes or no. The lines bear `client_end` (`closed`, `sending_side_shut`) and, on the platform's edge, `found_by` (`event_loop`, `look`); `arbutusbay explain` names both.

A close and a half-close are one value: the kernel shows a FIN for both until something is sent. After a FIN a reset is seen in the TCP state only, not by peeking, which still returns the end of the stream.

Tests changed: `test_kernel_fields_are_decoded` builds the look with `client_end=None` instead of `is_open=True`, with a state more; `test_client_that_leaves_is_logged` runs on the daemons' own server, for a close and a reset, and asserts the new field besides the old ones.

--- a/src/arbutusbay/_http.py
+++ b/src/arbutusbay/_http.py
@@ -14,6 +14,7 @@
 from aiomisc import Service
 from result import Err, Ok, Result
 
+from arbutusbay.client_ends import ClientSite, client_end_of
 from arbutusbay.errors import ErrorKind, Failure
 from arbutusbay.logs import get_logger
 from arbutusbay.settings import DrainSettings
@@ -150,7 +151,11 @@
     except (asyncio.CancelledError, ConnectionError):
         _LOG.info(
             'request ended without a whole response',
-            fields={'method': request.method, 'path': request.path},
+            fields={
+                'method': request.method,
+                'path': request.path,
+                'client_end': client_end_of(request),
+            },
         )
         raise
     except Exception as error:
@@ -220,18 +225,16 @@
         """Listen on ``host`` and ``port``."""
         self.runner = web.AppRunner(
             self.application,
-            access_log=None,
             shutdown_timeout=self.drain.limit_s,
-            keepalive_timeout=_KEEP_ALIVE_TIMEOUT_S,
             handler_cancellation=True,
         )
         await self.runner.setup()
-        site = web.TCPSite(
+        site = ClientSite(
             self.runner,
             self.host,
             self.port,
+            keepalive_timeout_s=_KEEP_ALIVE_TIMEOUT_S,
             backlog=_LISTEN_BACKLOG_CONNECTIONS,
-            reuse_address=True,
         )
         await site.start()
 
--- a/src/arbutusbay/cli/_causes.py
+++ b/src/arbutusbay/cli/_causes.py
@@ -64,10 +64,7 @@
         return _describe_refusal(last, request_lines, context_lines)
     outcome = str(last.fields.get('outcome', ''))
     if outcome == 'client left':
-        return (
-            'the client closed its connection; '
-            f'{_describe_progress(request_lines)}'
-        )
+        return f'{_describe_leaving(last)}; {_describe_progress(request_lines)}'
     if outcome == 'stream cut':
         return _describe_aborted_stream(last, request_lines)
     if outcome.startswith('status 5'):
@@ -78,6 +75,17 @@
     return f'it completed ({outcome}); {_describe_progress(request_lines)}'
 
 
+def _describe_leaving(last: LogLine) -> str:
+    """Describe how the client left, which older lines don't name."""
+    if last.fields.get('client_end') == 'sending_side_shut':
+        left = 'the client closed its connection or only its sending side'
+    else:
+        left = 'the client closed its connection'
+    if last.fields.get('found_by') == 'look':
+        return f'{left}, as a look at the connection showed'
+    return left
+
+
 def _describe_refusal(
     last: LogLine,
     request_lines: Sequence[LogLine],
--- a/src/arbutusbay/node/_client_connection.py
+++ b/src/arbutusbay/node/_client_connection.py
@@ -7,10 +7,12 @@
 import asyncio
 import socket
 import struct
+from types import MappingProxyType
 from typing import Any
 
 import attrs
 
+from arbutusbay.client_ends import ClientEnd
 from arbutusbay.logs import get_logger
 
 _LOG = get_logger('client')
@@ -18,6 +20,10 @@
 # after the eight leading bytes.
 _TCP_INFO_FORMAT = '=B51xI'
 _ESTABLISHED = 1
+_CLOSE_WAIT = 8
+_ENDS_BY_STATE = MappingProxyType(
+    {_ESTABLISHED: None, _CLOSE_WAIT: ClientEnd.SENDING_SIDE_SHUT}
+)
 _MILLISECONDS_PER_S = 1000
 
 
@@ -25,40 +31,41 @@
 class ConnectionLook:
     """Hold what the kernel tells about a connection.
 
-    ``is_open`` is False once the client has closed it, also if bytes that it
-    sent before are still unread. ``last_received_age_s`` is the time since its
-    latest bytes arrived.
+    ``client_end`` is how the client ended its side, also if bytes that it sent
+    before are still unread, None if it did not. ``last_received_age_s`` is the
+    time since its latest bytes arrived.
     """
 
-    is_open: bool
-    last_received_age_s: float
+    client_end: ClientEnd | None
+    last_received_age_s: float = 0.0
 
+    @property
+    def is_open(self) -> bool:
+        """Return whether the client has ended nothing."""
+        return self.client_end is None
 
-CLOSED_CONNECTION = ConnectionLook(is_open=False, last_received_age_s=0.0)
-UNKNOWN_CONNECTION = ConnectionLook(is_open=True, last_received_age_s=0.0)
+
+_CLOSED_CONNECTION = ConnectionLook(client_end=ClientEnd.CLOSED)
+_UNKNOWN_CONNECTION = ConnectionLook(client_end=None)
 
 
 def look_at_connection(
     transport: asyncio.BaseTransport | None,
 ) -> ConnectionLook:
-    """Return the present state of a client's TCP connection.
-
-    A client that only shut down its sending side counts as gone, as it does
-    when the event loop reads the end of its stream.
-    """
+    """Return the present state of a client's TCP connection."""
     if transport is None or transport.is_closing():
-        return CLOSED_CONNECTION
+        return _CLOSED_CONNECTION
     connection = transport.get_extra_info('socket')
     try:
         look = parse_tcp_info(_read_tcp_info(connection))
-        if look.is_open and _is_end_of_stream_next(connection):
-            return CLOSED_CONNECTION
+        if look.is_open:
+            return attrs.evolve(look, client_end=_peek_end(connection))
         return look
     except (OSError, struct.error) as error:
         _LOG.warning(
             'client connection is unknown', fields={'error': repr(error)}
         )
-        return UNKNOWN_CONNECTION
+        return _UNKNOWN_CONNECTION
 
 
 def has_unread_bytes(transport: asyncio.BaseTransport) -> bool:
@@ -79,7 +86,7 @@
     """
     state, age_ms = struct.unpack_from(_TCP_INFO_FORMAT, raw_bytes)
     return ConnectionLook(
-        is_open=state == _ESTABLISHED,
+        client_end=_ENDS_BY_STATE.get(state, ClientEnd.CLOSED),
         last_received_age_s=age_ms / _MILLISECONDS_PER_S,
     )
 
@@ -90,18 +97,18 @@
     )
 
 
-def _is_end_of_stream_next(connection: Any) -> bool:
-    """Return whether nothing is left to read but the end of the stream.
+def _peek_end(connection: Any) -> ClientEnd | None:
+    """Return which end is next to read, None if bytes are or nothing is.
 
     Where processes are simulated, the state in ``struct tcp_info`` may be a
     constant.
     """
     try:
-        return not _peek(connection)
+        return None if _peek(connection) else ClientEnd.SENDING_SIDE_SHUT
     except BlockingIOError:
-        return False
+        return None
     except ConnectionError:
-        return True
+        return ClientEnd.CLOSED
 
 
 def _peek(connection: Any) -> bytes:
--- a/src/arbutusbay/node/_client_protocol.py
+++ b/src/arbutusbay/node/_client_protocol.py
@@ -4,6 +4,7 @@
 
 from aiohttp import web
 
+from arbutusbay.client_ends import ClientHandler
 from arbutusbay.fleet import ClientLimits
 from arbutusbay.node._node_state import NodeState
 
@@ -14,7 +15,7 @@
 _MAX_HEADERS = 256
 
 
-class ClientProtocol(web.RequestHandler):
+class ClientProtocol(ClientHandler):
     """Track the requests on a connection, also those that have not begun.
 
     ``is_arriving`` means that bytes came since the last request, which may be
--- a/src/arbutusbay/node/_frontend.py
+++ b/src/arbutusbay/node/_frontend.py
@@ -10,6 +10,7 @@
 from aiohttp import ClientConnectionResetError, web
 from result import Err, Ok, Result
 
+from arbutusbay.client_ends import client_end_of
 from arbutusbay.clock import now_s
 from arbutusbay.errors import ErrorKind, Failure
 from arbutusbay.fleet import ClientLimits
@@ -113,8 +114,8 @@
                 return await self._proxy_stream(exchange, executor)
             return await self._proxy_buffered(request, executor)
         except (asyncio.CancelledError, ClientConnectionResetError):
-            self._log_outcome(
-                incoming, 'client left', executor.attempt_history.last_detail
+            self._log_client_left(
+                request, incoming, executor.attempt_history.last_detail
             )
             raise
         finally:
@@ -202,7 +203,7 @@
                 ),
             )
         except (asyncio.CancelledError, ClientConnectionResetError):
-            self._log_outcome(incoming, 'client left', 'during the upload')
+            self._log_client_left(request, incoming, 'during the upload')
             raise
 
     async def _read_body(
@@ -296,6 +297,20 @@
             },
         )
 
+    def _log_client_left(
+        self, request: web.BaseRequest, incoming: IncomingRequest, detail: str
+    ) -> None:
+        """Log how the client ended its side, and what saw that first."""
+        seen_by_loop = client_end_of(request)
+        look = look_at_connection(request.transport)
+        self._log_outcome(
+            incoming,
+            'client left',
+            detail,
+            client_end=seen_by_loop or look.client_end,
+            found_by='event_loop' if seen_by_loop else 'look',
+        )
+
     def _config_version(self) -> int | None:
         configuration = self.node_state.configuration
         return configuration.version if configuration else None
--- a/tests/integration/test_fleet_logs.py
+++ b/tests/integration/test_fleet_logs.py
@@ -29,6 +29,8 @@
     request_stream,
 )
 
+from tests.raw_clients import reset_at_close
+
 
 async def test_logs_give_the_cause_for_a_request_id(fleet, http):
     node = await start_single_node(fleet)
@@ -119,3 +121,35 @@
     assert not [line for line in lines if line['level'] == 'ERROR']
     ended_lines = [line for line in lines if line['message'] == 'request ended']
     assert {line['outcome'] for line in ended_lines} == {'client left'}
+
+
+# Guards against logs in which a client that reset its connection looks like
+# one that closed it, or only its sending side.
+@pytest.mark.parametrize(
+    ('is_reset', 'end', 'cause'),
+    [
+        (True, 'closed', 'the client closed its connection; '),
+        (False, 'sending_side_shut', 'or only its sending side; '),
+    ],
+)
+async def test_logs_name_how_a_client_left(
+    fleet, http, capsys, is_reset, end, cause
+):
+    node = await start_single_node(fleet, engines=1, event_s=0.5, events=20)
+    await wait_until_ready([node], http)
+    reader, writer = await asyncio.open_connection(node.ip, node.port)
+    writer.write(build_raw_request('/ask/1', 'left', REQUEST_BODY))
+    await reader.readuntil(b'id: 1')
+    if is_reset:
+        reset_at_close(writer)
+        writer.close()
+    else:
+        writer.write_eof()
+    await wait_for_condition(
+        lambda: 'client left' in node.log_path.read_text(), 'the line'
+    )
+    writer.close()
+    lines = map(json.loads, node.log_path.read_text().splitlines())
+    left = next(line for line in lines if line.get('outcome') == 'client left')
+    assert (left['client_end'], left['found_by']) == (end, 'event_loop')
+    assert cause in run_explain(capsys, 'left', [node])
--- a/tests/raw_clients.py
+++ b/tests/raw_clients.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import socket
+import struct
 
 import attrs
 
@@ -54,6 +55,14 @@
     return received
 
 
+def reset_at_close(writer: asyncio.StreamWriter) -> None:
+    """Let the close of a connection reset it."""
+    connection = writer.get_extra_info('socket')
+    connection.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+    )
+
+
 def build_bytes(
     path: str,
     headers: dict[str, str],
--- a/tests/unit/test_causes.py
+++ b/tests/unit/test_causes.py
@@ -38,6 +38,16 @@
             build_line('request ended', outcome='client left'),
             'closed its connection; last sent to backend server e-1',
         ),
+        (
+            build_line(
+                'request ended',
+                outcome='client left',
+                client_end='sending_side_shut',
+                found_by='look',
+            ),
+            'closed its connection or only its sending side, as a look at the '
+            'connection showed; last sent to backend server e-1',
+        ),
         (
             build_line(
                 'request ended',
--- a/tests/unit/test_client_connection.py
+++ b/tests/unit/test_client_connection.py
@@ -13,6 +13,7 @@
 import pytest
 import uvloop
 
+from arbutusbay.client_ends import ClientEnd
 from arbutusbay.node import _client_connection
 from arbutusbay.node._client_connection import (
     ConnectionLook,
@@ -59,6 +60,14 @@
     loop.run_until_complete(server.wait_closed())
 
 
+def reset(client):
+    """Close the client's connection with a reset."""
+    client.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+    )
+    client.close()
+
+
 def test_waiting_client_is_connected(connection):
     client, transport = connection
     client.sendall(b'request')
@@ -76,10 +85,7 @@
 def test_reset_is_seen(connection):
     client, transport = connection
     client.sendall(b'request')
-    client.setsockopt(
-        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
-    )
-    client.close()
+    reset(client)
     assert not look_at_connection(transport).is_open
 
 
@@ -125,6 +131,44 @@
 def test_kernel_fields_are_decoded():
     raw_bytes = struct.pack('=B51xI', 1, 1250)
     assert parse_tcp_info(raw_bytes) == ConnectionLook(
-        is_open=True, last_received_age_s=1.25
+        client_end=None, last_received_age_s=1.25
     )
+    assert parse_tcp_info(struct.pack('=B51xI', 1, 0)).is_open
     assert not parse_tcp_info(struct.pack('=B51xI', 8, 0)).is_open
+    assert not parse_tcp_info(struct.pack('=B51xI', 7, 0)).is_open
+
+
+# Guards against a look that takes a client which shut down only its sending
+# side for one whose connection was reset, with bytes before the end unread or
+# not, or the reverse.
+@pytest.mark.parametrize('sent', [b'', b'request'])
+def test_ends_of_a_client_are_told_apart(connection, sent):
+    client, transport = connection
+    transport.pause_reading()
+    client.sendall(sent)
+    client.shutdown(socket.SHUT_WR)
+    look = look_at_connection(transport)
+    assert look.client_end is ClientEnd.SENDING_SIDE_SHUT
+    reset(client)
+    assert look_at_connection(transport).client_end is ClientEnd.CLOSED
+
+
+# Guards against the same where the kernel's state is a constant.
+@pytest.mark.parametrize(
+    ('end', 'seen'),
+    [
+        (lambda client: client.shutdown(socket.SHUT_WR), 'sending_side_shut'),
+        (reset, 'closed'),
+    ],
+)
+def test_ends_are_told_apart_without_the_state(
+    connection, monkeypatch, end, seen
+):
+    client, transport = connection
+    transport.pause_reading()
+    established = struct.pack('=B51xI', 1, 0)
+    monkeypatch.setattr(
+        _client_connection, '_read_tcp_info', lambda _: established
+    )
+    end(client)
+    assert look_at_connection(transport).client_end == seen
--- a/tests/unit/test_http_errors.py
+++ b/tests/unit/test_http_errors.py
@@ -11,9 +11,16 @@
 from aiohttp import web
 from aiohttp.test_utils import TestServer
 
+from arbutusbay.client_ends import ClientEnd
 from arbutusbay.http import new_application
 from emulator.fleet import wait_for_condition
-from tests.raw_clients import build_bytes, exchange_bytes, parse_bytes
+from tests.http_servers import serving
+from tests.raw_clients import (
+    build_bytes,
+    exchange_bytes,
+    parse_bytes,
+    reset_at_close,
+)
 
 _FOREVER_S = 60
 _EVENT = b'data: x\n\n'
@@ -78,20 +85,28 @@
 
 
 # Guards against a request whose client left and of which no line tells.
-async def test_client_that_leaves_is_logged():
+@pytest.mark.parametrize(
+    ('is_reset', 'end'),
+    [(False, ClientEnd.SENDING_SIDE_SHUT), (True, ClientEnd.CLOSED)],
+)
+async def test_client_that_leaves_is_logged(is_reset, end):
     api = RaisingApi()
     application = new_application()
     application.router.add_post('/x', api.wait)
-    server = TestServer(application)
     handler = logbook.TestHandler()
     with handler.applicationbound():
-        await server.start_server()
-        _, writer = await asyncio.open_connection(server.host, server.port)
-        writer.write(build_bytes('/x', {'Host': 'test'}))
-        await api.is_waiting.wait()
-        writer.close()
-        await wait_for_condition(lambda: handler.records, 'the line')
-        await server.close()
+        async with serving(application) as port:
+            _, writer = await asyncio.open_connection('127.0.0.1', port)
+            writer.write(build_bytes('/x', {'Host': 'test'}))
+            await api.is_waiting.wait()
+            if is_reset:
+                reset_at_close(writer)
+            writer.close()
+            await wait_for_condition(lambda: handler.records, 'the line')
     record = handler.records[0]
     assert record.message == 'request ended without a whole response'
-    assert record.kwargs['fields'] == {'method': 'POST', 'path': '/x'}
+    assert record.kwargs['fields'] == {
+        'method': 'POST',
+        'path': '/x',
+        'client_end': end,
+    }
