--- a/tests/raw_clients.py
+++ b/tests/raw_clients.py
@@ -55,6 +55,44 @@
     return received
 
 
+async def half_close_after(
+    host: str,
+    port: int,
+    parts: list[bytes],
+    *,
+    pause_s: float = 0.0,
+    wait_s: float = 0.0,
+    limit_s: float = _READ_LIMIT_S,
+) -> bytes:
+    """Send ``parts``, shut down the sending side and return all that arrives.
+
+    ``pause_s`` passes before each part and ``wait_s`` before the end. Raises
+    ``TimeoutError`` if the connection does not end within ``limit_s`` seconds
+    after that.
+    """
+    reader, writer = await asyncio.open_connection(host, port)
+    for part in parts:
+        await asyncio.sleep(pause_s)
+        writer.write(part)
+    await asyncio.sleep(wait_s)
+    writer.write_eof()
+    try:
+        return await _read_to_end(reader, limit_s)
+    finally:
+        writer.close()
+
+
+async def _read_to_end(reader: asyncio.StreamReader, limit_s: float) -> bytes:
+    received = b''
+    async with asyncio.timeout(limit_s):
+        try:
+            while chunk := await reader.read(_READ_BYTES):
+                received += chunk
+        except ConnectionResetError:
+            return received
+    return received
+
+
 def reset_at_close(writer: asyncio.StreamWriter) -> None:
     """Let the close of a connection reset it."""
     connection = writer.get_extra_info('socket')
