Answer whole requests of half-closed clients with a truthful refusal

Callers that sent a whole request and then shut down their sending side got no byte, on both edges, in any state: aiohttp's server closes a connection at the end of the client's stream, cancels the handler and drops queued requests, and the look before an attempt raised the same end.

The end of the stream is now decided in one place, `ClientHandler`. If a request that was read whole awaits its response, the connection stays open, the work for it ends at once (the same cancellation as before, as a limit of the handler), and the client gets a whole response: 503 `client_half_closed` if nothing can have run, else 502 `outcome_unknown`; each pipelined request gets its own, the last one closes. On our own interface a handler that has not begun does not begin. A reset, an upload that ended early and a begun stream end as before: no response is due, or nothing but events may follow.

A close and a half-close are the same FIN until something is written. RFC 9112 9.6 lets a client half-close and wait; most HTTP servers answer it, while proxies such as nginx take the FIN for an abort by default.

The looks before an attempt stay; `is_client_connected` became `check_client`, which raises what it found.

--- a/src/arbutusbay/_client_ends.py
+++ b/src/arbutusbay/_client_ends.py
@@ -1,11 +1,15 @@
 """Follow how the clients of our HTTP servers end their side of a connection."""
 
 import asyncio
+import contextlib
 import enum
 import functools
+from collections.abc import AsyncIterator
 from typing import Any
 
-from aiohttp import web
+from aiohttp import StreamReader, web
+from aiohttp.abc import AbstractStreamWriter
+from aiohttp.http import RawRequestMessage
 
 
 class ClientEnd(enum.StrEnum):
@@ -21,28 +25,138 @@
     CLOSED = 'closed'
 
 
+class HalfClosedError(Exception):
+    """Report that a client has ended its stream before its response began."""
+
+
 class ClientHandler(web.RequestHandler):
-    """Serve one connection and record how its client ended it.
+    """Serve one connection and decide what the end of its stream means.
+
+    The client may have left, so all work for it ends at once. It may also wait
+    for its response, so a request that was read whole gets one.
 
     ``client_end`` is what the event loop has seen, None before that.
+    ``request_body`` and ``response_writer`` are those of the latest request,
+    None before the first. ``work_limit`` ends the work for it.
     """
 
     def __init__(self, server: web.Server, **options: Any) -> None:
         """Accept the same ``options`` as ``web.RequestHandler``."""
         super().__init__(server, **options)
         self.client_end: ClientEnd | None = None
+        self.request_body: StreamReader | None = None
+        self.response_writer: AbstractStreamWriter | None = None
+        self.work_limit: asyncio.Timeout | None = None
+        self.new_request = server.request_factory
+        self._request_factory = self._begin_request
+
+    @property
+    def is_last_request(self) -> bool:
+        """Return whether no request can follow the one being handled."""
+        return self.client_end is not None and not self.has_queued_request
+
+    @property
+    def has_queued_request(self) -> bool:
+        """Return whether a request was read that is not being handled yet."""
+        return bool(self._messages)
+
+    def begin_request(self) -> None:
+        """Note that the next request leaves the queue of aiohttp."""
+
+    def eof_received(self) -> bool:
+        """End the work for the client.
+
+        Returns whether the connection stays open for responses that are due.
+        """
+        is_awaited = self._is_response_awaited()
+        if is_awaited:
+            self.record_end()
+            self._end_work()
+        self.client_end = ClientEnd.SENDING_SIDE_SHUT
+        return is_awaited
 
-    def eof_received(self) -> None:
-        """Record the end of the client's stream."""
+    def record_end(self) -> None:
+        """Record the end of the stream of a client that awaits a response.
+
+        All that the client sent has been read.
+        """
         self.client_end = ClientEnd.SENDING_SIDE_SHUT
-        super().eof_received()
+        self._close_after_last_request()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Record a reset, unless the end of the stream came before it."""
         if self.client_end is None and exc is not None:
             self.client_end = ClientEnd.CLOSED
+        self.request_body = None
+        self.response_writer = None
         super().connection_lost(exc)
 
+    def _begin_request(
+        self,
+        message: RawRequestMessage,
+        payload: StreamReader,
+        protocol: web.RequestHandler,
+        writer: AbstractStreamWriter,
+        task: asyncio.Task[None],
+    ) -> web.BaseRequest:
+        self.request_body = payload
+        self.response_writer = writer
+        self._close_after_last_request()
+        self.begin_request()
+        return self.new_request(message, payload, protocol, writer, task)
+
+    def _end_work(self) -> None:
+        if self.work_limit is not None and not self.work_limit.expired():
+            self.work_limit.reschedule(asyncio.get_running_loop().time())
+
+    def _close_after_last_request(self) -> None:
+        if self.is_last_request:
+            self.close()
+
+    def _is_response_awaited(self) -> bool:
+        """Return whether a request was read whole and has no response yet.
+
+        What follows a response that has begun is lost with it.
+        """
+        if self.response_writer is None or self.request_body is None:
+            return self.has_queued_request
+        if self.response_writer.output_size:
+            return self.has_queued_request and not self._request_in_progress
+        return self.request_body.is_eof()
+
+
+@contextlib.asynccontextmanager
+async def work_for_client(request: web.BaseRequest) -> AsyncIterator[None]:
+    """Limit the context to the time until the client ends its stream.
+
+    Raises ``HalfClosedError`` then, if its response can still be sent.
+    """
+    match request.protocol:
+        case ClientHandler() as handler:
+            pass
+        case _:
+            yield
+            return
+    limit = asyncio.timeout(None if handler.client_end is None else 0)
+    handler.work_limit = limit
+    try:
+        async with limit:
+            yield
+    except TimeoutError as error:
+        if limit.expired():
+            raise HalfClosedError from error
+        raise
+    finally:
+        handler.work_limit = None
+
+
+def is_last_request(request: web.BaseRequest) -> bool:
+    """Return whether no request can follow on the connection."""
+    match request.protocol:
+        case ClientHandler() as handler:
+            return handler.is_last_request
+    return False
+
 
 def client_end_of(request: web.BaseRequest) -> ClientEnd | None:
     """Return how the client ended its side, None if it was not seen."""
--- a/src/arbutusbay/_errors.py
+++ b/src/arbutusbay/_errors.py
@@ -38,6 +38,7 @@
     PROMPT_QUARANTINED = 'prompt_quarantined'
     DEADLINE_EXCEEDED = 'deadline_exceeded'
     DRAINING = 'draining'
+    CLIENT_HALF_CLOSED = 'client_half_closed'
     NOT_CONFIGURED = 'not_configured'
     CONFIGURATION_TOO_OLD = 'configuration_too_old'
     STREAM_BROKEN = 'stream_broken'
@@ -107,6 +108,7 @@
         ErrorKind.DRAINING: _not_run(
             HTTPStatus.SERVICE_UNAVAILABLE, retryable=True
         ),
+        ErrorKind.CLIENT_HALF_CLOSED: _not_run(HTTPStatus.SERVICE_UNAVAILABLE),
         ErrorKind.NOT_CONFIGURED: _not_run(
             HTTPStatus.SERVICE_UNAVAILABLE, retryable=True
         ),
--- a/src/arbutusbay/_http.py
+++ b/src/arbutusbay/_http.py
@@ -14,7 +14,13 @@
 from aiomisc import Service
 from result import Err, Ok, Result
 
-from arbutusbay.client_ends import ClientSite, client_end_of
+from arbutusbay.client_ends import (
+    ClientSite,
+    HalfClosedError,
+    client_end_of,
+    is_last_request,
+    work_for_client,
+)
 from arbutusbay.errors import ErrorKind, Failure
 from arbutusbay.logs import get_logger
 from arbutusbay.settings import DrainSettings
@@ -142,12 +148,14 @@
 async def _handle_errors(request: web.Request, handler: Any) -> Any:
     """Turn exceptions of the handler into error responses.
 
-    Once the response has started nothing may follow, so the connection is
-    aborted. ``ConnectionError`` is raised again without a response, as is
-    ``CancelledError``: the client left, or the process ends.
+    The handler does not begin, or is cancelled, for a client that has ended its
+    stream, which may still wait for its response. Once the response has started
+    nothing may follow, so the connection is aborted. ``ConnectionError`` is
+    raised again without a response, as is ``CancelledError``: the client left,
+    or the process ends.
     """
     try:
-        return await handler(request)
+        return await _respond_to_client(request, handler)
     except (asyncio.CancelledError, ConnectionError):
         _LOG.info(
             'request ended without a whole response',
@@ -165,6 +173,41 @@
         return failure_response(_failure_from_exception(request, error))
 
 
+async def _respond_to_client(request: web.Request, handler: Any) -> Any:
+    if client_end_of(request) is not None:
+        return _half_closed_response(request, ErrorKind.CLIENT_HALF_CLOSED)
+    try:
+        async with work_for_client(request):
+            return await handler(request)
+    except HalfClosedError as error:
+        if _HAS_STARTED in request:
+            raise ConnectionResetError('client left') from error
+        return _half_closed_response(request, ErrorKind.OUTCOME_UNKNOWN)
+
+
+def _half_closed_response(
+    request: web.Request, kind: ErrorKind
+) -> web.Response:
+    _LOG.info(
+        'client ended its stream before its response',
+        fields={
+            'method': request.method,
+            'path': request.path,
+            'kind': kind.value,
+            'client_end': client_end_of(request),
+        },
+    )
+    response = failure_response(
+        Failure(
+            kind=kind,
+            detail='the client ended its sending side before the response',
+        )
+    )
+    if is_last_request(request):
+        response.force_close()
+    return response
+
+
 def _break_off(request: web.Request) -> None:
     _LOG.exception(
         'response broken off by an exception',
--- a/src/arbutusbay/cli/_causes.py
+++ b/src/arbutusbay/cli/_causes.py
@@ -14,6 +14,8 @@
         'bad_api_key': 'the API key is not in the configuration (any more)',
         'unknown_route': 'no configured route matches the host and path',
         'draining': 'the VM was shutting down; nothing was sent',
+        'client_half_closed': 'the client closed its connection or only its '
+        'sending side before anything was sent; it was not run',
         'not_configured': 'the VM had just started without a configuration',
         'deadline_exceeded': 'the deadline of the request passed',
         'upload_timeout': 'the body did not arrive before the deadline',
@@ -92,6 +94,8 @@
     context_lines: Sequence[LogLine],
 ) -> str:
     kind = str(last.fields.get('kind', ''))
+    if last.fields.get('client_end') and kind == 'outcome_unknown':
+        return f'{_describe_leaving(last)}; {_describe_progress(request_lines)}'
     match kind:
         case 'configuration_too_old':
             return _describe_stale_configuration(last, context_lines)
--- a/src/arbutusbay/client_ends.py
+++ b/src/arbutusbay/client_ends.py
@@ -4,7 +4,18 @@
     ClientEnd,
     ClientHandler,
     ClientSite,
+    HalfClosedError,
     client_end_of,
+    is_last_request,
+    work_for_client,
 )
 
-__all__ = ('ClientEnd', 'ClientHandler', 'ClientSite', 'client_end_of')
+__all__ = (
+    'ClientEnd',
+    'ClientHandler',
+    'ClientSite',
+    'HalfClosedError',
+    'client_end_of',
+    'is_last_request',
+    'work_for_client',
+)
--- a/src/arbutusbay/node/_client_connection.py
+++ b/src/arbutusbay/node/_client_connection.py
@@ -11,8 +11,9 @@
 from typing import Any
 
 import attrs
+from aiohttp import ClientConnectionResetError, web
 
-from arbutusbay.client_ends import ClientEnd
+from arbutusbay.client_ends import ClientEnd, HalfClosedError
 from arbutusbay.logs import get_logger
 
 _LOG = get_logger('client')
@@ -68,6 +69,22 @@
         return _UNKNOWN_CONNECTION
 
 
+def check_client(request: web.BaseRequest) -> None:
+    """Raise an exception if the client has ended its side.
+
+    Raises ``HalfClosedError`` if it may still wait for its response, and
+    ``ClientConnectionResetError`` if it can't.
+    """
+    look = look_at_connection(request.transport)
+    match look.client_end:
+        case ClientEnd.CLOSED:
+            raise ClientConnectionResetError('client left before the attempt')
+        case ClientEnd.SENDING_SIDE_SHUT:
+            if not has_unread_bytes(request.transport):
+                request.protocol.record_end()
+            raise HalfClosedError('client ended its stream before the attempt')
+
+
 def has_unread_bytes(transport: asyncio.BaseTransport) -> bool:
     """Return whether bytes have arrived that the event loop has not read."""
     try:
--- a/src/arbutusbay/node/_frontend.py
+++ b/src/arbutusbay/node/_frontend.py
@@ -10,13 +10,21 @@
 from aiohttp import ClientConnectionResetError, web
 from result import Err, Ok, Result
 
-from arbutusbay.client_ends import client_end_of
+from arbutusbay.client_ends import (
+    HalfClosedError,
+    client_end_of,
+    is_last_request,
+    work_for_client,
+)
 from arbutusbay.clock import now_s
 from arbutusbay.errors import ErrorKind, Failure
 from arbutusbay.fleet import ClientLimits
 from arbutusbay.logs import get_logger
 from arbutusbay.node._attempts import BufferedResponse
-from arbutusbay.node._client_connection import look_at_connection
+from arbutusbay.node._client_connection import (
+    check_client,
+    look_at_connection,
+)
 from arbutusbay.node._client_stream import (
     ClientExchange,
     ClientStream,
@@ -34,6 +42,7 @@
 from arbutusbay.node._request_executor import (
     RequestExecutor,
     execute_before_deadline,
+    half_closed_failure,
 )
 from arbutusbay.node._request_limit import limit_request
 from arbutusbay.node._stream_relay import StreamRelay
@@ -105,14 +114,10 @@
             dependencies=self.dependencies,
             incoming=incoming,
             body=body,
-            is_client_connected=functools.partial(
-                _is_client_connected, request
-            ),
+            check_client=functools.partial(check_client, request),
         )
         try:
-            if incoming.is_stream:
-                return await self._proxy_stream(exchange, executor)
-            return await self._proxy_buffered(request, executor)
+            return await self._execute(exchange, executor)
         except (asyncio.CancelledError, ClientConnectionResetError):
             self._log_client_left(
                 request, incoming, executor.attempt_history.last_detail
@@ -122,6 +127,24 @@
             executor.replacement.release()
             self.dependencies.quarantine.end_request(incoming)
 
+    async def _execute(
+        self, exchange: ClientExchange, executor: RequestExecutor
+    ) -> web.Response | StreamEnd:
+        """Execute a request; end that once its client ends its stream."""
+        try:
+            async with work_for_client(exchange.request):
+                if executor.incoming.is_stream:
+                    return await self._proxy_stream(exchange, executor)
+                return await self._proxy_buffered(exchange.request, executor)
+        except HalfClosedError as error:
+            if exchange.stream is not None:
+                raise ClientConnectionResetError('client left') from error
+            return self._reject_request(
+                exchange.request,
+                half_closed_failure(executor),
+                executor.incoming,
+            )
+
     async def _proxy_buffered(
         self,
         request: web.BaseRequest,
@@ -130,7 +153,7 @@
         match await execute_before_deadline(executor):
             case Ok(answer):
                 self._log_outcome(executor.incoming, f'status {answer.status}')
-                return self._build_response(answer)
+                return self._build_response(request, answer)
             case Err(failure):
                 return self._reject_request(request, failure, executor.incoming)
 
@@ -147,7 +170,7 @@
                 return stream_end
             case BufferedResponse() as answer:
                 self._log_outcome(incoming, f'status {answer.status}')
-                return self._build_response(answer)
+                return self._build_response(exchange.request, answer)
             case Failure() as failure:
                 return self._reject_request(exchange.request, failure, incoming)
 
@@ -231,16 +254,20 @@
         configuration = self.node_state.configuration
         return configuration.limits if configuration else ClientLimits()
 
-    def _build_response(self, answer: BufferedResponse) -> web.Response:
+    def _build_response(
+        self, request: web.BaseRequest, answer: BufferedResponse
+    ) -> web.Response:
         response = web.Response(
             status=answer.status,
             headers=answer.headers,
             body=answer.body,
         )
-        return self._close_if_stopping(response)
+        return self._close_if_last(request, response)
 
-    def _close_if_stopping(self, response: web.Response) -> web.Response:
-        if self.node_state.is_stopping:
+    def _close_if_last(
+        self, request: web.BaseRequest, response: web.Response
+    ) -> web.Response:
+        if self.node_state.is_stopping or is_last_request(request):
             response.force_close()
         return response
 
@@ -263,6 +290,7 @@
                 'detail': failure.detail,
                 'retry_after_s': failure.retry_after_s,
                 'elapsed_ms': int(elapsed_s * 1000),
+                'client_end': client_end_of(request),
                 'config_version': self._config_version(),
                 'config_age_ms': self.node_state.configuration_age_ms(),
             },
@@ -272,7 +300,7 @@
             text=f'{failure.kind.value}: {failure.detail}\n',
             headers=build_refusal_headers(attempt_id, failure.retry_after_s),
         )
-        return self._close_if_stopping(response)
+        return self._close_if_last(request, response)
 
     def _log_outcome(
         self,
@@ -331,7 +359,3 @@
         'longest_gap_ms': int(event_timing.longest_gap_s * 1000),
         'longest_gap_end_s': round(event_timing.longest_gap_end_s, 3),
     }
-
-
-def _is_client_connected(request: web.BaseRequest) -> bool:
-    return look_at_connection(request.transport).is_open
--- a/src/arbutusbay/node/_listeners.py
+++ b/src/arbutusbay/node/_listeners.py
@@ -6,9 +6,7 @@
 from collections.abc import Callable
 
 import attrs
-from aiohttp import StreamReader, web
-from aiohttp.abc import AbstractStreamWriter
-from aiohttp.http import RawRequestMessage
+from aiohttp import web
 
 from arbutusbay.node._client_protocol import ClientProtocol
 from arbutusbay.node._components import NodeComponents
@@ -79,23 +77,10 @@
 def _new_client_server(components: NodeComponents) -> web.Server:
     return web.Server(
         components.frontend.handle_request,
-        request_factory=_begin_request,
         handler_cancellation=True,
     )
 
 
-def _begin_request(
-    message: RawRequestMessage,
-    payload: StreamReader,
-    protocol: ClientProtocol,
-    writer: AbstractStreamWriter,
-    task: asyncio.Task[None],
-) -> web.BaseRequest:
-    protocol.begin_request()
-    loop = asyncio.get_running_loop()
-    return web.BaseRequest(message, payload, protocol, writer, task, loop)
-
-
 async def _create_listener(
     endpoint: Endpoint, new_protocol: Callable[[], asyncio.Protocol]
 ) -> asyncio.Server:
--- a/src/arbutusbay/node/_request_executor.py
+++ b/src/arbutusbay/node/_request_executor.py
@@ -9,6 +9,7 @@
 from aiohttp import ClientConnectionResetError
 from result import Err, Ok, Result
 
+from arbutusbay.client_ends import HalfClosedError
 from arbutusbay.clock import now_s
 from arbutusbay.errors import ErrorKind, Failure, RunState
 from arbutusbay.logs import get_logger
@@ -61,16 +62,17 @@
         dependencies: RequestDependencies,
         incoming: IncomingRequest,
         body: bytes,
-        is_client_connected: Callable[[], bool],
+        check_client: Callable[[], None],
     ) -> None:
         """Prepare to execute ``incoming``, which credits the retry budget.
 
-        ``is_client_connected`` is asked right before each attempt.
+        ``check_client`` is called right before each attempt and raises an
+        exception if the client has ended its side.
         """
         self.dependencies = dependencies
         self.incoming = incoming
         self.body = body
-        self.is_client_connected = is_client_connected
+        self.check_client = check_client
         self.attempt_history = AttemptHistory()
         self.in_flight = False
         self.evidence = RequestEvidence(
@@ -111,12 +113,11 @@
         """Place the next attempt on a backend server, waiting for capacity.
 
         Fails if no server is available or has capacity in time, the deadline
-        has passed or access was revoked. Raises ``ClientConnectionResetError``
-        if the client has left.
+        has passed or access was revoked. Raises what ``check_client`` does.
 
         ``send_attempt`` releases the placement.
         """
-        self._check_client_connected()
+        self.check_client()
         refused = self._check_may_send()
         if refused is not None:
             return Err(refused)
@@ -126,8 +127,8 @@
             case Ok(placement):
                 pass
         try:
-            self._check_client_connected()
-        except ClientConnectionResetError:
+            self.check_client()
+        except (ClientConnectionResetError, HalfClosedError):
             self.dependencies.dispatcher.release(placement)
             raise
         refused = self._check_may_send()
@@ -271,9 +272,7 @@
         the VM ends before the deadline, it is ``DRAINING`` or
         ``OUTCOME_UNKNOWN``.
         """
-        is_not_executed = (
-            not self.in_flight and not self.attempt_history.possible_executions
-        )
+        is_not_executed = _is_certainly_not_executed(self)
         if self.dependencies.node_state.is_ending:
             return Failure(
                 kind=ErrorKind.DRAINING
@@ -398,14 +397,6 @@
                 case Ok(answer):
                     return await answer.read_response()
 
-    def _check_client_connected(self) -> None:
-        """Raise ``ClientConnectionResetError`` if the client has left.
-
-        The close may be unread while the event loop is behind.
-        """
-        if not self.is_client_connected():
-            raise ClientConnectionResetError('client left before the attempt')
-
     def _check_may_send(self) -> Failure | None:
         """Return a failure if the request may no longer be sent."""
         refused = recheck_access(
@@ -507,3 +498,20 @@
             return await executor.execute()
     except TimeoutError:
         return Err(executor.deadline_failure())
+
+
+def half_closed_failure(executor: RequestExecutor) -> Failure:
+    """Return the failure of a request whose client ended its stream."""
+    return Failure(
+        kind=ErrorKind.CLIENT_HALF_CLOSED
+        if _is_certainly_not_executed(executor)
+        else ErrorKind.OUTCOME_UNKNOWN,
+        detail='the client ended its sending side before the response',
+    )
+
+
+def _is_certainly_not_executed(executor: RequestExecutor) -> bool:
+    return (
+        not executor.in_flight
+        and not executor.attempt_history.possible_executions
+    )
--- a/tests/unit/test_causes.py
+++ b/tests/unit/test_causes.py
@@ -72,6 +72,18 @@
             'under segment dd04 of the prompt (quarantined earlier)',
         ),
         (build_line('request ended', outcome='status 500'), 'executed it'),
+        (
+            build_line('request refused', kind='client_half_closed'),
+            'only its sending side before anything was sent; it was not run',
+        ),
+        (
+            build_line(
+                'request refused',
+                kind='outcome_unknown',
+                client_end='sending_side_shut',
+            ),
+            'or only its sending side; last sent to backend server e-1',
+        ),
         (
             build_line('request refused', kind='internal', detail='KeyError()'),
             'an error in the program',
