--- a/src/arbutusbay/node/_client_stream.py
+++ b/src/arbutusbay/node/_client_stream.py
@@ -14,6 +14,7 @@
 from aiohttp import web
 from aiohttp.http import HttpVersion11
 
+from arbutusbay.client_ends import has_queued_request
 from arbutusbay.clock import now_s
 from arbutusbay.node._attempts import OpenResponse
 from arbutusbay.node._incoming_request import IncomingRequest
@@ -138,15 +139,16 @@
     ) -> ClientStream:
         """Send the head of ``answer``.
 
-        The connection is closed after the stream if it ``closes``, or if the
-        client can't read chunks. Then a close would look like the end of the
-        stream, so until that the connection is reset, whatever closes it.
+        The connection is closed after the stream if it ``closes`` and no other
+        request was read, or if the client can't read chunks. Then a close would
+        look like the end of the stream, so until that the connection is reset,
+        whatever closes it.
         """
         response = web.StreamResponse(
             status=answer.status,
             headers=answer.headers(),
         )
-        if closes:
+        if closes and not has_queued_request(self.request):
             response.force_close()
         if self.request.version >= HttpVersion11:
             response.enable_chunked_encoding()
