--- a/emulator/fleet.py
+++ b/emulator/fleet.py
@@ -56,7 +56,7 @@
 control_plane = "{ip}:{control}"
 [bounds]
 drain_timeout_ms = 2000
-grace_period_s = 8
+grace_period_s = {grace_s}
 fail_closed = true
 revocation_ms = {revocation_ms}
 config_apply_ms = 2000
@@ -148,6 +148,7 @@
         self.runners_by_address: dict[str, web.AppRunner] = {}
         self.revocation_ms = 5000
         self.version_ms = 8000
+        self.grace_s = 8
         self.restart_s = 1.0
         self.end_moments_s: list[float] = []
         self.tasks: set[asyncio.Task[None]] = set()
@@ -231,6 +232,7 @@
                 control=_CONTROL_PORT,
                 revocation_ms=self.revocation_ms,
                 version_ms=self.version_ms,
+                grace_s=self.grace_s,
                 store=self.store_address,
             ),
         )
