Give the settings of the decoders' tests a grace period

The template of the emulated platform's settings has one more field since, and 21 tests of the decoders filled it in without it (KeyError). The text that they check is the same as before.

--- a/tests/unit/test_platform_decoders.py
+++ b/tests/unit/test_platform_decoders.py
@@ -170,6 +170,7 @@
         control=3,
         revocation_ms=5000,
         version_ms=8000,
+        grace_s=8,
         store='127.0.0.1:4',
     )
     path.write_text(text or settings_text)
