Pass a request on in a planned stop only if its answer can be in time

What callers saw: in a planned stop of a VM, requests that came late were passed on and cut at the end of the grace period, also such that may not be repeated; their calls got 502, their streams ended midway.

Cause: the stop was looked at only as a head was parsed, from a constant 2.6 s on. The body, the wait in the queue, a retry, a replacement and a resumed stream came later and did not look again; with a grace period of 2 or 3 s no head was refused either.

Change: one pure decision (planned_stop) with the time that is left, what the request may take and whether it may have run. The executor asks it right before each send and before it moves an attempt; the drain asks it every 50 ms for what waits in the queue and for bodies under way. A request goes on if its deadline is before the end, or if it came whole in the notice and an answer is expected in time (1.5 times the larger of the target and the route's mean). Otherwise it is refused at once: 503 draining, Retry-After 0, or 502 if it may have run. Notice (a third of the grace period, 2.6 s at most) and margin (0.15 of it, 0.6 s at most) follow from the settings. Streams under way go on up to the end, which lies in the last sixth. The log lines of a request have draining_ms during a stop, and the detail names the point.

--- a/src/arbutusbay/node/_daemon.py
+++ b/src/arbutusbay/node/_daemon.py
@@ -61,6 +61,7 @@
     await supervisor.stop_requested.wait()
     await drain_connections(
         components.node_state,
+        components.dispatcher,
         idle_connections,
         settings.bounds.shutdown_grace_s,
     )
--- a/src/arbutusbay/node/_frontend.py
+++ b/src/arbutusbay/node/_frontend.py
@@ -7,6 +7,7 @@
 import asyncio
 import functools
 
+import attrs
 from aiohttp import ClientConnectionResetError, web
 from result import Err, Ok, Result
 
@@ -26,7 +27,11 @@
     StreamTiming,
     abort_connection,
 )
-from arbutusbay.node._incoming_request import IncomingRequest, validate_request
+from arbutusbay.node._incoming_request import (
+    IncomingRequest,
+    last_received_s,
+    validate_request,
+)
 from arbutusbay.node._metrics import NodeMetrics
 from arbutusbay.node._node_state import NodeState
 from arbutusbay.node._request_dependencies import RequestDependencies
@@ -34,7 +39,8 @@
     RequestExecutor,
     execute_before_deadline,
 )
-from arbutusbay.node._request_limit import limit_request
+from arbutusbay.node._request_limit import limit_upload
+from arbutusbay.node._stop_decision import refuse_for_stop, stop_fields
 from arbutusbay.node._stream_relay import StreamRelay
 from arbutusbay.platform import build_refusal_headers, get_attempt_id
 
@@ -99,7 +105,10 @@
             case Err(failure):
                 return self._reject_request(request, failure, incoming)
             case Ok(body):
-                pass
+                incoming = attrs.evolve(
+                    incoming, whole_s=last_received_s(request)
+                )
+                exchange.incoming = incoming
         executor = RequestExecutor(
             dependencies=self.dependencies,
             incoming=incoming,
@@ -192,11 +201,12 @@
     ) -> Result[bytes, Failure]:
         """Return the body, or a failure if it is too long or too slow."""
         try:
-            async with limit_request(self.node_state, incoming):
+            async with limit_upload(self.node_state, incoming):
                 return await self._read_body(request)
         except TimeoutError:
             return Err(
-                Failure(
+                refuse_for_stop(self.node_state, incoming, point='upload')
+                or Failure(
                     kind=ErrorKind.UPLOAD_TIMEOUT,
                     detail='request body did not arrive before the deadline',
                 ),
@@ -264,6 +274,7 @@
                 'elapsed_ms': int(elapsed_s * 1000),
                 'config_version': self._config_version(),
                 'config_age_ms': self.node_state.configuration_age_ms(),
+                **stop_fields(self.node_state),
             },
         )
         response = web.Response(
@@ -292,6 +303,7 @@
                 'elapsed_ms': int(elapsed_s * 1000),
                 'config_version': self._config_version(),
                 'config_age_ms': self.node_state.configuration_age_ms(),
+                **stop_fields(self.node_state),
                 **fields,
             },
         )
--- a/src/arbutusbay/node/_incoming_request.py
+++ b/src/arbutusbay/node/_incoming_request.py
@@ -35,6 +35,7 @@
     ``deadline_s`` are in seconds on the clock of ``now_s``. A request is
     received when its bytes arrive, which may be long before they are read.
     ``team`` is None for public routes and for configurations without teams.
+    ``whole_s`` is when its last byte arrived, None before that.
     ``segment_keys`` identifies the shared segments of the prompt in order.
     """
 
@@ -47,6 +48,7 @@
     team: TeamSpec | None
     received_s: float
     deadline_s: float
+    whole_s: float | None = None
     segment_keys: tuple[SegmentKey, ...] = ()
 
     @property
@@ -91,7 +93,8 @@
     the whole ``Host`` header first, then without its port. If the route
     splits its traffic, a service is drawn at random by weight.
     """
-    if node_state.is_rejecting_requests:
+    stop = node_state.stop
+    if stop is not None and not stop.takes_new_requests(now_s()):
         return _rejection(ErrorKind.DRAINING, 'the VM is shutting down')
     configuration = node_state.configuration
     if configuration is None:
@@ -114,6 +117,11 @@
     return _build_request(node_state, configuration, request, route, team, head)
 
 
+def last_received_s(request: web.BaseRequest) -> float:
+    """Return when the latest bytes of the client arrived."""
+    return now_s() - look_at_connection(request.transport).last_received_age_s
+
+
 def recheck_access(
     node_state: NodeState,
     incoming: IncomingRequest,
@@ -163,8 +171,7 @@
     service = configuration.services.get(name)
     if service is None:
         return _rejection(ErrorKind.NO_BACKEND_SERVER, f'no service {name}')
-    look = look_at_connection(request.transport)
-    received_s = now_s() - look.last_received_age_s
+    received_s = last_received_s(request)
     limit_s = route.timeout_s
     if head.time_to_deadline_s is not None:
         limit_s = min(limit_s, head.time_to_deadline_s)
--- a/src/arbutusbay/node/_node_state.py
+++ b/src/arbutusbay/node/_node_state.py
@@ -3,7 +3,7 @@
 import asyncio
 import math
 import random
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 
 import attrs
 from aiohttp import web
@@ -14,6 +14,8 @@
 from arbutusbay.node._failed_reads import FailedReads
 from arbutusbay.node._own_pauses import OwnPauses
 from arbutusbay.node._peer_messages import ZoneLoad
+from arbutusbay.node._response_durations import ResponseDurations
+from arbutusbay.planned_stop import PlannedStop
 from arbutusbay.platform import VMSettings
 from arbutusbay.quarantine import SegmentKey, SegmentQuarantine
 from arbutusbay.scheduling import (
@@ -135,12 +137,12 @@
             weights.
         topics_changed: Set when the records of a topic change.
         report_changed: Set when the state reported to other VMs changes.
-        is_stopping: Whether the process is shutting down, and thus not
-            ready.
-        is_rejecting_requests: Whether new requests are rejected, late in a
-            shutdown.
+        stop: The moments of the shutdown, None before it.
         is_ending: Whether the process ends now, whatever is in progress.
         request_limits: Time limits of the requests in progress.
+        uploads: Whether requests whose bodies are being read have become too
+            late, by their time limits.
+        response_durations: How long the responses of each route took.
         busy_connections: Connections that have a request in progress.
         own_pauses: When this VM last did not run.
         quarantine: Prompt segments that crash engines.
@@ -169,10 +171,15 @@
     topics_changed: asyncio.Event = attrs.field(factory=asyncio.Event)
     report_changed: asyncio.Event = attrs.field(factory=asyncio.Event)
     has_read_servers: bool = False
-    is_stopping: bool = False
-    is_rejecting_requests: bool = False
+    stop: PlannedStop | None = None
     is_ending: bool = False
     request_limits: set[asyncio.Timeout] = attrs.field(factory=set)
+    uploads: dict[asyncio.Timeout, Callable[[], bool]] = attrs.field(
+        factory=dict
+    )
+    response_durations: ResponseDurations = attrs.field(
+        factory=ResponseDurations
+    )
     busy_connections: set[web.RequestHandler] = attrs.field(factory=set)
     own_pauses: OwnPauses = attrs.field(factory=OwnPauses)
     quarantine: SegmentQuarantine = attrs.field(factory=SegmentQuarantine)
@@ -181,6 +188,11 @@
     has_read_verdicts: bool = False
     started_s: float = attrs.field(factory=now_s)
 
+    @property
+    def is_stopping(self) -> bool:
+        """Return whether the process is shutting down, and thus not ready."""
+        return self.stop is not None
+
     @property
     def configuration(self) -> Configuration | None:
         """Return the active configuration, None before the first."""
--- a/src/arbutusbay/node/_placer.py
+++ b/src/arbutusbay/node/_placer.py
@@ -13,6 +13,7 @@
     PlacementRequest,
     request_size_of,
 )
+from arbutusbay.node._stop_decision import stop_fields
 from arbutusbay.platform import AttemptHeaders
 from arbutusbay.scheduling import (
     Attempt,
@@ -261,6 +262,7 @@
                 'outdated_ms': self._outdated_ms(placement),
                 'slowdown': view.slowdown,
                 'load_age_ms': int((moment_s - view.load_reported_s) * 1000),
+                **stop_fields(self.node_state),
             },
         )
 
--- a/src/arbutusbay/node/_request_executor.py
+++ b/src/arbutusbay/node/_request_executor.py
@@ -33,6 +33,10 @@
     Silence,
     aborted_attempt_failure,
 )
+from arbutusbay.node._stop_decision import (
+    is_too_late_to_send,
+    refuse_for_stop,
+)
 from arbutusbay.node.quarantine import RequestEvidence
 from arbutusbay.platform import ResponseHead
 from arbutusbay.scheduling import (
@@ -316,6 +320,8 @@
             return False
         if recheck_access(self.dependencies.node_state, self.incoming):
             return False
+        if is_too_late_to_send(self.dependencies.node_state, self.incoming):
+            return False
         if not _has_time_to_move(self.incoming, silence):
             return False
         history = self.attempt_history.if_moved_from(placement.view.id)
@@ -381,7 +387,11 @@
         except TimeoutError:
             return aborted_attempt_failure(monitored)
         if isinstance(fetched, Ok):
-            placement.view.record_success(now_s())
+            self.dependencies.feedback.record_success(
+                placement.view,
+                self.incoming.route,
+                placement.attempt.sent_s,
+            )
             self.evidence.record_sound_response(
                 placement.view, now_s(), is_end_certain=False
             )
@@ -415,7 +425,12 @@
             return self._downgrade_if_run(refused)
         if self.incoming.remaining_s() <= 0:
             return self.deadline_failure()
-        return None
+        return refuse_for_stop(
+            self.dependencies.node_state,
+            self.incoming,
+            point='before it is sent',
+            may_have_run=bool(self.attempt_history.possible_executions),
+        )
 
     def _build_placement_request(
         self, history: AttemptHistory
--- a/src/arbutusbay/node/_server_feedback.py
+++ b/src/arbutusbay/node/_server_feedback.py
@@ -1,6 +1,7 @@
 """Learn about backend servers from the responses and failures of attempts."""
 
 from arbutusbay.clock import now_s
+from arbutusbay.fleet import RouteSpec
 from arbutusbay.logs import get_logger
 from arbutusbay.node._node_state import NodeState
 from arbutusbay.node._placement import Placement
@@ -18,6 +19,14 @@
         """Notify the tasks of ``node_state`` of changes."""
         self.node_state = node_state
 
+    def record_success(
+        self, view: EngineView, route: RouteSpec, sent_s: float
+    ) -> None:
+        """Record a whole response to a request that was sent at ``sent_s``."""
+        moment_s = now_s()
+        view.record_success(moment_s)
+        self.node_state.response_durations.record(route, moment_s - sent_s)
+
     def record_load(self, view: EngineView, load: EngineLoad | None) -> None:
         """Record the load that a response reports, if any."""
         if load is not None:
--- a/src/arbutusbay/node/_stream_relay.py
+++ b/src/arbutusbay/node/_stream_relay.py
@@ -29,6 +29,7 @@
     MonitoredAttempt,
     aborted_attempt_failure,
 )
+from arbutusbay.node._stop_decision import is_too_late_to_send
 from arbutusbay.platform import ServerSentEvent
 from arbutusbay.scheduling import (
     AttemptOutcome,
@@ -126,7 +127,7 @@
         while True:
             match await self.executor.place():
                 case Err(refused):
-                    return _placement_failure_result(refused)
+                    return self._placement_failure_result(refused)
                 case Ok(placement):
                     pass
             match await self._relay_attempt(placement):
@@ -201,7 +202,11 @@
             monitored.record_event(now_s())
         if progress.started_s is None and answer.is_close_delimited:
             return _stream_failure(_EMPTY_STREAM, progress)
-        monitored.view.record_success(now_s())
+        self.executor.dependencies.feedback.record_success(
+            monitored.view,
+            self.executor.incoming.route,
+            monitored.attempt.sent_s,
+        )
         self._record_sound_response(monitored, answer, progress)
         # The engine has nothing left to send; the client may read slowly.
         monitored.is_relaying = True
@@ -286,6 +291,18 @@
             answer=failure,
         )
 
+    def _placement_failure_result(self, failure: Failure) -> UnfinishedStream:
+        is_too_late = is_too_late_to_send(
+            self.executor.dependencies.node_state, self.executor.incoming
+        )
+        return UnfinishedStream(
+            reason=CutReason.SHUTDOWN
+            if is_too_late
+            else CutReason.NO_REPLACEMENT,
+            detail=failure.detail,
+            answer=failure,
+        )
+
     def _attempt_failure_result(
         self, failure: AttemptFailure
     ) -> UnfinishedStream:
@@ -298,14 +315,6 @@
         )
 
 
-def _placement_failure_result(failure: Failure) -> UnfinishedStream:
-    return UnfinishedStream(
-        reason=CutReason.NO_REPLACEMENT,
-        detail=failure.detail,
-        answer=failure,
-    )
-
-
 def _answer_instead(answer: BufferedResponse) -> UnfinishedStream:
     """Return that the engine answered with something else than a stream."""
     return UnfinishedStream(
