Answer all calls of our own interface before the process ends

What callers saw: calls and completions that were still running at the limit of the drain of a router got a closed connection and no response, also calls that may not be repeated; a call whose body came after the notice was taken whatever it needed.

Cause: aiohttp cancels the handlers at the end of its shutdown, and a cancelled handler answers nothing. No send looked at the drain.

Change: the decision of the other edge (planned_stop) is asked before each send to a service, before and after a completion is placed, and for those that wait in the queue. A margin before the limit of the drain all requests in progress are ended: 502 outcome_unknown, or 503 draining if the body has not come whole; a begun completion ends with an event that names the error. Connections that are still open at the limit do not delay the end of the process. The control daemon has the same server. How completions are sent moves to its own module, as it outgrew the other.

--- a/src/arbutusbay/_http.py
+++ b/src/arbutusbay/_http.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import time
 from collections.abc import Callable
 from typing import Any
 
@@ -14,8 +15,10 @@
 from aiomisc import Service
 from result import Err, Ok, Result
 
+from arbutusbay._request_drain import HAS_STARTED, RequestDrain
 from arbutusbay.errors import ErrorKind, Failure
 from arbutusbay.logs import get_logger
+from arbutusbay.planned_stop import PlannedStop, plan_drain
 from arbutusbay.settings import DrainSettings
 from arbutusbay.single_send import disable_repetition
 from arbutusbay.wire import decode_message, encode_message
@@ -26,7 +29,7 @@
 _KEEP_ALIVE_TIMEOUT_S = 75.0
 _LISTEN_BACKLOG_CONNECTIONS = 1024
 _FORCED_CLOSE_S = 5.0
-_HAS_STARTED = web.RequestKey('has_started', bool)
+_REQUEST_DRAIN = web.AppKey('request_drain', RequestDrain)
 _CAPNP_CONTENT_TYPE = 'application/capnp'
 
 
@@ -134,7 +137,7 @@
     request: web.Request, response: web.StreamResponse
 ) -> None:
     """Remember that the head of a response is out, or about to be."""
-    request[_HAS_STARTED] = True
+    request[HAS_STARTED] = True
 
 
 @web.middleware
@@ -154,12 +157,21 @@
         )
         raise
     except Exception as error:
-        if _HAS_STARTED in request:
+        if HAS_STARTED in request:
             _break_off(request)
             raise ConnectionResetError('response broken off') from error
         return failure_response(_failure_from_exception(request, error))
 
 
+@web.middleware
+async def _end_with_drain(request: web.Request, handler: Any) -> Any:
+    """Turn the end of a request by the drain into an error response."""
+    answer = await request.app[_REQUEST_DRAIN].run_handler(request, handler)
+    if isinstance(answer, Failure):
+        return failure_response(answer)
+    return answer
+
+
 def _break_off(request: web.Request) -> None:
     _LOG.exception(
         'response broken off by an exception',
@@ -194,9 +206,10 @@
 def new_application() -> web.Application:
     """Return an application that handles errors and limits body sizes."""
     application = web.Application(
-        middlewares=[_handle_errors],
+        middlewares=[_handle_errors, _end_with_drain],
         client_max_size=_MAX_BODY_BYTES,
     )
+    application[_REQUEST_DRAIN] = RequestDrain()
     application.on_response_prepare.append(_record_start)
     return application
 
@@ -207,14 +220,14 @@
     ``on_drain_start`` is called when draining starts, so that the readiness
     endpoint can report it to the load balancer. After the notice period the
     service accepts no new connections and waits for requests in flight, as
-    long as ``drain`` allows.
+    long as ``drain`` allows. Those that last longer are ended with a response.
     """
 
     application: web.Application
     host: str
     port: int
     drain: DrainSettings
-    on_drain_start: Callable[[], None]
+    on_drain_start: Callable[[PlannedStop], None]
 
     async def start(self) -> None:
         """Listen on ``host`` and ``port``."""
@@ -237,9 +250,24 @@
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Announce the drain, wait the notice period and stop the server."""
-        self.on_drain_start()
-        await asyncio.sleep(self.drain.notice_ms / 1000)
-        await self.runner.cleanup()
+        stop = plan_drain(
+            time.monotonic(),
+            notice_s=self.drain.notice_ms / 1000,
+            limit_s=self.drain.limit_s,
+        )
+        self.on_drain_start(stop)
+        await asyncio.sleep(stop.notice_end_s - time.monotonic())
+        ending = asyncio.get_running_loop().call_later(
+            stop.time_left_s(time.monotonic()),
+            self.application[_REQUEST_DRAIN].end_requests,
+        )
+        try:
+            async with asyncio.timeout(stop.exit_s - time.monotonic()):
+                await self.runner.cleanup()
+        except TimeoutError:
+            _LOG.warning('connections were open at the end of the drain')
+        finally:
+            ending.cancel()
 
 
 def _peer_unreachable(detail: str) -> Err[Failure]:
--- a/src/arbutusbay/_planned_stop.py
+++ b/src/arbutusbay/_planned_stop.py
@@ -66,6 +66,20 @@
     )
 
 
+def plan_drain(
+    began_s: float, *, notice_s: float, limit_s: float
+) -> PlannedStop:
+    """Return the moments of a stop with a given notice and limit after it."""
+    margin_s = min(_FULL_EXIT_MARGIN_S, limit_s * _EXIT_MARGIN_SHARE)
+    notice_end_s = began_s + notice_s
+    return PlannedStop(
+        began_s=began_s,
+        notice_end_s=notice_end_s,
+        requests_end_s=notice_end_s + limit_s - margin_s,
+        exit_s=notice_end_s + limit_s,
+    )
+
+
 def can_answer_in_time(stop: PlannedStop, need: TimeNeed, now_s: float) -> bool:
     """Return whether a request that is sent now is answered before the end.
 
@@ -95,6 +109,11 @@
     """
     if stop is None or can_answer_in_time(stop, need, now_s):
         return None
+    return draining_failure(point, may_have_run=may_have_run)
+
+
+def draining_failure(point: str, *, may_have_run: bool) -> Failure:
+    """Return the failure of a request that the stop leaves no time for."""
     return Failure(
         kind=ErrorKind.OUTCOME_UNKNOWN if may_have_run else ErrorKind.DRAINING,
         detail=f'the VM is shutting down ({point})',
--- a/src/arbutusbay/control/_main.py
+++ b/src/arbutusbay/control/_main.py
@@ -93,7 +93,7 @@
             host=self.settings.node.host,
             port=self.settings.node.control_port,
             drain=self.settings.drain,
-            on_drain_start=self._start_draining,
+            on_drain_start=lambda _: self._start_draining(),
         )
 
     def _is_ready(self) -> bool:
--- a/src/arbutusbay/http.py
+++ b/src/arbutusbay/http.py
@@ -11,11 +11,13 @@
     parse_json,
     read_request_message,
 )
+from arbutusbay._request_drain import ending_failure
 
 __all__ = (
     'HttpService',
     'call_peer',
     'capnp_response',
+    'ending_failure',
     'failure_response',
     'json_response',
     'new_application',
--- a/src/arbutusbay/node/_node_state.py
+++ b/src/arbutusbay/node/_node_state.py
@@ -14,8 +14,7 @@
 from arbutusbay.node._failed_reads import FailedReads
 from arbutusbay.node._own_pauses import OwnPauses
 from arbutusbay.node._peer_messages import ZoneLoad
-from arbutusbay.node._response_durations import ResponseDurations
-from arbutusbay.planned_stop import PlannedStop
+from arbutusbay.planned_stop import PlannedStop, ResponseDurations
 from arbutusbay.platform import VMSettings
 from arbutusbay.quarantine import SegmentKey, SegmentQuarantine
 from arbutusbay.scheduling import (
--- a/src/arbutusbay/node/_server_feedback.py
+++ b/src/arbutusbay/node/_server_feedback.py
@@ -25,7 +25,7 @@
         """Record a whole response to a request that was sent at ``sent_s``."""
         moment_s = now_s()
         view.record_success(moment_s)
-        self.node_state.response_durations.record(route, moment_s - sent_s)
+        self.node_state.response_durations.record(route.name, moment_s - sent_s)
 
     def record_load(self, view: EngineView, load: EngineLoad | None) -> None:
         """Record the load that a response reports, if any."""
--- a/src/arbutusbay/node/_stop_decision.py
+++ b/src/arbutusbay/node/_stop_decision.py
@@ -25,7 +25,9 @@
         TimeNeed(
             received_s=moment_s if received_s is None else received_s,
             deadline_s=incoming.deadline_s,
-            expected_s=node_state.response_durations.expected_s(incoming.route),
+            expected_s=node_state.response_durations.expected_s(
+                incoming.route.name, target_s=incoming.route.target_latency_s
+            ),
         ),
         moment_s,
         point=point,
--- a/src/arbutusbay/policy/_job.py
+++ b/src/arbutusbay/policy/_job.py
@@ -1,5 +1,7 @@
 """Describe one request to queueing and placement."""
 
+import math
+
 import attrs
 
 from arbutusbay.state import Urgency
@@ -15,8 +17,9 @@
 
     ``hashes`` are the chained hashes of the prompt's blocks, shortest prefix
     first, and ``block_tokens`` is the size of one block. ``deadline_s`` and
-    ``arrived_s`` are seconds on the monotonic clock. ``team_share`` is the
-    team's weight in fair queueing.
+    ``arrived_s`` are seconds on the monotonic clock, as is ``received_s``, when
+    the request had arrived whole. ``team_share`` is the team's weight in fair
+    queueing.
     """
 
     id: str
@@ -31,6 +34,7 @@
     arrived_s: float
     deadline_s: float
     team_share: float = 1.0
+    received_s: float = math.inf
 
     @property
     def cost_tokens(self) -> int:
--- a/src/arbutusbay/router/_completions_api.py
+++ b/src/arbutusbay/router/_completions_api.py
@@ -3,10 +3,8 @@
 import time
 import uuid
 from collections.abc import AsyncIterator
-from types import MappingProxyType
 
 import aiohttp
-import attrs
 from aiohttp import web
 from result import Err, Ok, Result
 
@@ -21,16 +19,16 @@
 from arbutusbay.logs import get_logger
 from arbutusbay.policy import BYTES_PER_TOKEN, Job
 from arbutusbay.router._authentication import authenticate_request
-from arbutusbay.router._completion_format import (
-    STREAM_DONE,
-    CompletionFormatter,
-    Usage,
-    failure_event,
-)
+from arbutusbay.router._completion_format import CompletionFormatter
 from arbutusbay.router._completion_parser import (
     CompletionBody,
     parse_completion,
 )
+from arbutusbay.router._completion_response import (
+    ActiveCompletion,
+    full_response,
+    stream_response,
+)
 from arbutusbay.router._dispatcher import Dispatcher, JobContext
 from arbutusbay.router._generation_run import (
     CompletionRequest,
@@ -42,35 +40,6 @@
 from arbutusbay.state import Pool, Route
 
 _LOG = get_logger('completions')
-_STREAM_HEADERS = MappingProxyType(
-    {
-        'Content-Type': 'text/event-stream',
-        'Cache-Control': 'no-cache',
-    }
-)
-
-
-@attrs.define(kw_only=True)
-class ActiveCompletion:
-    """Track one response for the log and the metrics.
-
-    ``first_piece_s`` is the seconds from arrival to the first piece of
-    output.
-    """
-
-    run: GenerationRun
-    completion_formatter: CompletionFormatter
-    first_piece_s: float | None = None
-    failure: Failure | None = None
-
-    def usage(self) -> Usage:
-        """Return the token counts so far."""
-        progress = self.run.progress
-        return Usage(
-            prompt_tokens=progress.prompt_tokens,
-            cached_tokens=progress.cached_tokens,
-            completion_tokens=progress.relayed_pieces,
-        )
 
 
 class CompletionsApi:
@@ -146,8 +115,8 @@
         events = self._observed_events(completion)
         try:
             if completion.completion_formatter.body.stream:
-                return await _stream_response(request, completion, events)
-            return await _full_response(completion, events)
+                return await stream_response(request, completion, events)
+            return await full_response(completion, events)
         except Exception as error:
             completion.failure = Failure(
                 kind=ErrorKind.INTERNAL, detail=repr(error)
@@ -305,61 +274,5 @@
         arrived_s=arrived_s,
         deadline_s=arrived_s + route.deadline_ms / 1000,
         team_share=team.spec.share,
-    )
-
-
-async def _stream_response(
-    request: web.Request,
-    completion: ActiveCompletion,
-    events: AsyncIterator[Result[TextPiece | GenerationEnd, Failure]],
-) -> web.StreamResponse:
-    response: web.StreamResponse | None = None
-    async for event in events:
-        if response is None:
-            match event:
-                case Err(failure):
-                    return failure_response(failure)
-            response = web.StreamResponse(headers=_STREAM_HEADERS)
-            await response.prepare(request)
-        await response.write(_encode_event(completion, event))
-    await response.write_eof()
-    return response
-
-
-def _encode_event(
-    completion: ActiveCompletion,
-    event: Result[TextPiece | GenerationEnd, Failure],
-) -> bytes:
-    match event:
-        case Ok(TextPiece(text=text)):
-            return completion.completion_formatter.chunk(text)
-        case Ok(GenerationEnd(finish_reason=reason)):
-            last = completion.completion_formatter.chunk(
-                '',
-                finish_reason=reason,
-                usage=completion.usage(),
-            )
-            return last + STREAM_DONE
-        case Err(failure):
-            return failure_event(failure)
-
-
-async def _full_response(
-    completion: ActiveCompletion,
-    events: AsyncIterator[Result[TextPiece | GenerationEnd, Failure]],
-) -> web.Response:
-    texts = []
-    finish_reason = ''
-    async for event in events:
-        match event:
-            case Ok(TextPiece(text=text)):
-                texts.append(text)
-            case Ok(GenerationEnd(finish_reason=reason)):
-                finish_reason = reason
-            case Err(failure):
-                return failure_response(failure)
-    return json_response(
-        completion.completion_formatter.full_body(
-            ''.join(texts), finish_reason, completion.usage()
-        ),
+        received_s=time.monotonic(),
     )
--- a/src/arbutusbay/router/_dispatcher.py
+++ b/src/arbutusbay/router/_dispatcher.py
@@ -14,6 +14,7 @@
 
 from arbutusbay.clock import now_s
 from arbutusbay.errors import ErrorKind, Failure, RunState
+from arbutusbay.planned_stop import draining_failure
 from arbutusbay.policy import (
     CostBased,
     EngineChoice,
@@ -33,6 +34,7 @@
     median_piece_s,
 )
 from arbutusbay.router._shared_state import PoolState, RouterState
+from arbutusbay.router._stop_decision import refuse_job_for_stop
 
 _MAX_CANDIDATES = 16
 _MAX_MOVES_WITHOUT_PLACE = 4
@@ -176,6 +178,7 @@
         Schedules another run while jobs remain queued.
         """
         pool = self.shared_state.pool_state(pool_name)
+        _refuse_late_jobs(self.shared_state, pool)
         self._move_jobs(pool)
         is_placed = True
         while is_placed:
@@ -276,6 +279,8 @@
         timeout_s = max(0.0, job.deadline_s - time.monotonic())
         placed = waiting.caller_data.placed
         await asyncio.wait((placed,), timeout=timeout_s)
+        if placed.cancelled():
+            return Err(draining_failure('in the queue', may_have_run=False))
         if placed.done():
             return Ok(placed.result())
         pool = self.shared_state.pool_state(job.pool)
@@ -385,6 +390,14 @@
             return CostBased()
 
 
+def _refuse_late_jobs(shared_state: RouterState, pool: PoolState) -> None:
+    """Refuse the waiting jobs for which a stop leaves no time."""
+    for waiting in tuple(pool.queue.jobs()):
+        if refuse_job_for_stop(shared_state, waiting.job, may_have_run=False):
+            pool.queue.remove(waiting, started=False)
+            waiting.caller_data.placed.cancel()
+
+
 def _view_for_move(job: Job, context: JobContext, view: PoolView) -> PoolView:
     """Leave out engines that a job might wait for, or return from."""
     engines = [
--- a/src/arbutusbay/router/_generation_run.py
+++ b/src/arbutusbay/router/_generation_run.py
@@ -36,6 +36,7 @@
     SilenceHandler,
     log_failed_attempt,
 )
+from arbutusbay.router._stop_decision import refuse_job_for_stop
 from arbutusbay.state import Urgency
 
 _PREFILL_SMOOTHING = 0.05
@@ -115,20 +116,28 @@
     async def _place(self) -> Result[Placement, Failure]:
         """Return a placement, unless the prompt must not be sent.
 
-        A prompt may be quarantined while it waits for an engine.
+        A prompt may be quarantined while it waits for an engine, or the router
+        be stopped.
         """
-        refused = refuse_job(self.shared_state, self.request.job)
+        refused = self._refuse()
         if refused is not None:
             return Err(refused)
         reserved = self.silence_handler.take_reserved()
         placed = Ok(reserved) if reserved else await self._place_in_queue()
-        refused = refuse_job(self.shared_state, self.request.job)
+        refused = self._refuse()
         match placed:
             case Ok(placement) if refused is not None:
                 self.dispatcher.release(placement)
                 return Err(refused)
         return placed
 
+    def _refuse(self) -> Failure | None:
+        """Return a failure if the request must not be sent now."""
+        job = self.request.job
+        return refuse_job(self.shared_state, job) or refuse_job_for_stop(
+            self.shared_state, job, may_have_run=self._may_have_run()
+        )
+
     async def _place_in_queue(self) -> Result[Placement, Failure]:
         context = attrs.evolve(
             self.request.context,
--- a/src/arbutusbay/router/_main.py
+++ b/src/arbutusbay/router/_main.py
@@ -8,6 +8,7 @@
 from arbutusbay.daemon import run_daemon
 from arbutusbay.debug_api import DebugApi
 from arbutusbay.http import HttpService, new_application, new_client_session
+from arbutusbay.planned_stop import PlannedStop
 from arbutusbay.router._completions_api import CompletionsApi
 from arbutusbay.router._config_follower import ConfigFollower
 from arbutusbay.router._dispatcher import Dispatcher
@@ -103,8 +104,8 @@
     def _is_ready(self) -> bool:
         return self.shared_state.config_known and not self.shared_state.draining
 
-    def _start_draining(self) -> None:
-        self.shared_state.draining = True
+    def _start_draining(self, stop: PlannedStop) -> None:
+        self.shared_state.stop = stop
 
 
 def main(arguments: Sequence[str] | None = None) -> None:
--- a/src/arbutusbay/router/_service_calls.py
+++ b/src/arbutusbay/router/_service_calls.py
@@ -12,6 +12,7 @@
 from arbutusbay.backend import ServiceCall, ServiceResponse, call_service
 from arbutusbay.errors import ErrorKind, Failure, RunState
 from arbutusbay.router._shared_state import RouterState, ServiceState
+from arbutusbay.router._stop_decision import refuse_call_for_stop
 
 _FAILURE_BACKOFF_S = 1.0
 _MIN_TIME_LEFT_S = 0.05
@@ -67,7 +68,8 @@
         is_idempotent: bool,
     ) -> Result[ServiceResponse, Failure]:
         tried: set[str] = set()
-        deadline_s = time.monotonic() + call.timeout_s
+        began_s = time.monotonic()
+        deadline_s = began_s + call.timeout_s
         answer: Result[ServiceResponse, Failure] = Err(_no_backend_server(pool))
         for _ in range(self.shared_state.settings.limits.max_attempts):
             service = self._choose(pool, tried)
@@ -76,6 +78,14 @@
                 or time.monotonic() + _MIN_TIME_LEFT_S > deadline_s
             ):
                 return answer
+            refused = refuse_call_for_stop(
+                self.shared_state,
+                pool,
+                received_s=began_s,
+                deadline_s=deadline_s,
+            )
+            if refused is not None:
+                return _combined(answer, Err(refused))
             tried.add(service.name)
             attempt = attrs.evolve(
                 call, timeout_s=deadline_s - time.monotonic()
@@ -90,6 +100,7 @@
         service: ServiceState,
         call: ServiceCall,
     ) -> Result[ServiceResponse, Failure]:
+        sent_s = time.monotonic()
         service.in_flight += 1
         try:
             answer = await call_service(self.session, service.url, call)
@@ -97,6 +108,10 @@
             service.in_flight -= 1
         if answer.is_err():
             service.backoff_until_s = time.monotonic() + _FAILURE_BACKOFF_S
+        else:
+            self.shared_state.durations.record(
+                service.pool, time.monotonic() - sent_s
+            )
         return answer
 
     def _choose(self, pool: str, tried: set[str]) -> ServiceState | None:
--- a/src/arbutusbay/router/_shared_state.py
+++ b/src/arbutusbay/router/_shared_state.py
@@ -8,6 +8,7 @@
 import attrs
 
 from arbutusbay.engine_ends import EngineEndDetector
+from arbutusbay.planned_stop import PlannedStop, ResponseDurations
 from arbutusbay.policy import (
     EngineState,
     FairQueue,
@@ -84,7 +85,9 @@
     """Hold the configuration, engines, queues and retry budget of a router.
 
     ``config_known`` is false until the first configuration has arrived.
-    ``teams_by_key_digest`` maps digests of API keys to teams.
+    ``teams_by_key_digest`` maps digests of API keys to teams. ``stop`` holds
+    the moments of the shutdown, on the monotonic clock, and ``durations`` how
+    long the responses of the services of each pool took.
     """
 
     settings: RouterSettings
@@ -100,7 +103,8 @@
     retry_budget: RetryBudget = attrs.field(init=False)
     rng: random.Random = attrs.field(factory=random.Random)
     in_flight: int = 0
-    draining: bool = False
+    stop: PlannedStop | None = None
+    durations: ResponseDurations = attrs.field(factory=ResponseDurations)
     quarantine: SegmentQuarantine = attrs.field(factory=SegmentQuarantine)
     engine_ends: EngineEndDetector = attrs.field(init=False)
 
@@ -114,6 +118,11 @@
             ratio=limits.retry_ratio, burst=_RETRY_BURST
         )
 
+    @property
+    def draining(self) -> bool:
+        """Return whether the process is shutting down, and thus not ready."""
+        return self.stop is not None
+
     def resource(self, kind: str, name: str) -> Resource | None:
         """Return a resource of the current configuration, if present."""
         return self.config.resources.get(ResourceId(kind=kind, name=name))
