Do not move a completion late in the stop of its router

What callers would see: a completion at a silent engine is given up for a place elsewhere, and then refused there as the stop leaves too little time, though its engine might have gone on.

--- a/src/arbutusbay/router/_dispatcher.py
+++ b/src/arbutusbay/router/_dispatcher.py
@@ -312,6 +312,11 @@
 
     def _try_move(self, pool: PoolState, moving: QueuedJob) -> bool:
         context = moving.caller_data.context
+        has_output = bool(context.weights_version)
+        if refuse_job_for_stop(
+            self.shared_state, moving.job, may_have_run=has_output
+        ):
+            return False
         view = self.pool_view_for(moving.job, context)
         choice = choose_engine(
             _policy_of(self.shared_state, pool),
@@ -319,7 +324,6 @@
             _view_for_move(moving.job, context, view),
             self.shared_state.rng,
         )
-        has_output = bool(context.weights_version)
         if choice is None or not self.shared_state.may_repeat(
             has_output=has_output
         ):
