--- a/tests/integration/test_late_requests.py
+++ b/tests/integration/test_late_requests.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import signal
 import time
 
 import pytest
@@ -230,6 +231,28 @@
     )
 
 
+# Guards against a VM that takes the time for which it was suspended in its stop
+# for time that is left.
+async def test_vm_that_was_suspended_in_its_stop_ends_in_time(fleet, http):
+    stop = await start_patient_stop(fleet, http, engines=1, plain=1)
+    _mute_engines(fleet)
+    running = asyncio.create_task(stop.request('running', '/ask/1'))
+    await asyncio.sleep(_SETTLE_S)
+    stop.begin()
+    await stop.wait_until(1.0)
+    stop.node.process.send_signal(signal.SIGSTOP)
+    late = {
+        path: asyncio.create_task(stop.request(f'late-{path}', path))
+        for path in _PATHS
+    }
+    await stop.wait_until(4.5)
+    stop.node.process.send_signal(signal.SIGCONT)
+    for path, task in late.items():
+        _assert_refused_as_not_run(fleet, f'late-{path}', await task)
+    assert (await running).end == (502, True)
+    assert await stop.wait_for_exit() < _GRACE_S
+
+
 # Guards against a retry that is lost or made twice, as its first attempt is
 # rejected around the signal.
 async def test_retry_around_the_signal_is_made(fleet, http):
