--- a/src/arbutusbay/node/_request_executor.py
+++ b/src/arbutusbay/node/_request_executor.py
@@ -34,8 +34,11 @@
     Silence,
     aborted_attempt_failure,
 )
+from arbutusbay.node._stop_decision import (
+    is_too_late_to_send,
+    refuse_for_stop,
+)
 from arbutusbay.node.quarantine import RequestEvidence
-from arbutusbay.platform import ResponseHead
 from arbutusbay.scheduling import (
     AttemptOutcome,
     RetryAction,
@@ -156,7 +159,9 @@
                 self.body,
                 placement.attempt_headers,
             ) as opened:
-                self._record_head(placement, opened)
+                self.dependencies.feedback.record_head(
+                    placement.view, self.incoming.parsed_headers.model, opened
+                )
                 yield opened
         finally:
             self.dependencies.dispatcher.release(placement)
@@ -316,6 +321,8 @@
             return False
         if recheck_access(self.dependencies.node_state, self.incoming):
             return False
+        if is_too_late_to_send(self.dependencies.node_state, self.incoming):
+            return False
         if not _has_time_to_move(self.incoming, silence):
             return False
         history = self.attempt_history.if_moved_from(placement.view.id)
@@ -381,7 +388,11 @@
         except TimeoutError:
             return aborted_attempt_failure(monitored)
         if isinstance(fetched, Ok):
-            placement.view.record_success(now_s())
+            self.dependencies.feedback.record_success(
+                placement.view,
+                self.incoming.route,
+                placement.attempt.sent_s,
+            )
             self.evidence.record_sound_response(
                 placement.view, now_s(), is_end_certain=False
             )
@@ -407,7 +418,12 @@
             return self._downgrade_if_run(refused)
         if self.incoming.remaining_s() <= 0:
             return self.deadline_failure()
-        return None
+        return refuse_for_stop(
+            self.dependencies.node_state,
+            self.incoming,
+            point='before it is sent',
+            may_have_run=bool(self.attempt_history.possible_executions),
+        )
 
     def _build_placement_request(
         self, history: AttemptHistory
@@ -430,27 +446,6 @@
             resume_point=self.resume_point,
         )
 
-    def _record_head(
-        self,
-        placement: Placement,
-        opened: Result[OpenResponse, AttemptFailure],
-    ) -> None:
-        """Record what the headers of a response tell about its server."""
-        feedback = self.dependencies.feedback
-        view = placement.view
-        match opened:
-            case Ok(OpenResponse(parsed_headers=head)):
-                feedback.record_departure(view, head)
-                feedback.record_load(view, head.load)
-                feedback.record_weights(
-                    view,
-                    self.incoming.parsed_headers.model,
-                    head.weights_version,
-                )
-            case Err(AttemptFailure(response_head=ResponseHead() as head)):
-                feedback.record_departure(view, head)
-                feedback.record_rejection(view, head)
-
     def _downgrade_if_run(self, failure: Failure) -> Failure:
         """Make ``failure`` ``OUTCOME_UNKNOWN`` if the request may have run.
 
