--- a/tests/http_servers.py
+++ b/tests/http_servers.py
@@ -19,7 +19,7 @@
         host='127.0.0.1',
         port=port,
         drain=DrainSettings(notice_ms=0, limit_s=1),
-        on_drain_start=lambda: None,
+        on_drain_start=lambda stop: None,
     )
     await service.start()
     try:
