Fail a completion whose engine sends a line without end

A line of over 512 KiB in the stream of an engine of our own interface raised LineTooLong of aiohttp, which is neither one of its client errors nor a ValueError, so it left the client of engines as an exception: the completion was answered as an internal error, or its stream broken off without an event that says so, and it did not go on elsewhere. It is a failed attempt with an unknown outcome now. The same holds for a watch of the command line.

test_stream_of_a_completion_without_end_is_cut_off[connection-x] and [chunks-x] failed before. Refuted: a head without end (14 cases, seven clients), lines that are no events, and a completion that counts as whole without its last event, cut at every byte of its stream with a length, chunks and neither, closed and reset.

--- a/src/arbutusbay/backend/_engine_client.py
+++ b/src/arbutusbay/backend/_engine_client.py
@@ -5,13 +5,13 @@
 weights.
 """
 
-import asyncio
 from collections.abc import AsyncIterator
 from typing import Any
 
 import aiohttp
 import attrs
 import orjson
+from aiohttp.http_exceptions import LineTooLong
 from result import Err, Ok, Result
 
 from arbutusbay.backend._engine_decoder import (
@@ -40,6 +40,12 @@
 _IDENTITY_MISMATCH_STATUS = 409
 _MAX_LINE_BYTES = 1024 * 1024
 _MAX_BODY_BYTES = 8_388_608
+_BROKEN_STREAM_ERRORS = (
+    aiohttp.ClientError,
+    OSError,
+    ValueError,
+    LineTooLong,
+)
 
 
 class EngineClient:
@@ -73,12 +79,7 @@
             aiohttp.ConnectionTimeoutError,
         ) as error:
             yield call_failed(repr(error), RunState.NOT_RUN)
-        except (
-            aiohttp.ClientError,
-            asyncio.TimeoutError,
-            OSError,
-            ValueError,
-        ) as error:
+        except _BROKEN_STREAM_ERRORS as error:
             yield call_failed(repr(error), RunState.UNKNOWN)
 
     async def read_events(
--- a/src/arbutusbay/cli/_api_client.py
+++ b/src/arbutusbay/cli/_api_client.py
@@ -7,6 +7,7 @@
 import aiohttp
 import attrs
 import orjson
+from aiohttp.http_exceptions import LineTooLong
 from result import Err, Ok, Result
 
 from arbutusbay.cli._resource_files import DeclaredResource
@@ -101,7 +102,12 @@
         try:
             async for line in self._watch_lines():
                 yield Ok(orjson.loads(line))
-        except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
+        except (
+            aiohttp.ClientError,
+            asyncio.TimeoutError,
+            OSError,
+            LineTooLong,
+        ) as error:
             yield _unreachable(f'{self.url}: {type(error).__name__}: {error}')
         except ValueError:
             yield _unreachable(f'{self.url}: the response is not JSON')
--- a/tests/unit/test_early_ends.py
+++ b/tests/unit/test_early_ends.py
@@ -14,10 +14,13 @@
 import pytest
 from aiohttp import web
 from aiohttp.test_utils import TestServer
-from result import Ok, Result
+from result import Err, Ok, Result
 
 from arbutusbay.backend import (
     EngineClient,
+    GenerationEnd,
+    GenerationRequest,
+    Priority,
     ServiceCall,
     WeightsOrder,
     call_service,
@@ -41,6 +44,15 @@
 _CALL_S = 3.0
 _LARGE_RECORD_BYTES = 9_000_000
 
+_LINES = 6000
+_STREAM_END = (
+    b'{"attempt":"a","type":"end","pieces":1,"finish_reason":"stop"}\n'
+)
+_STREAM = (
+    b'{"attempt":"a","type":"start","cached_tokens":0,"prompt_tokens":1}\n'
+    b'{"attempt":"a","type":"piece","index":0,"text":"w"}\n' + _STREAM_END
+)
+
 _Call = Callable[[Any, str], Awaitable[Result[Any, Any]]]
 
 
@@ -106,6 +118,32 @@
     return head
 
 
+async def complete(session, url):
+    """Run a completion; return its last event."""
+    generation = GenerationRequest(
+        attempt='a',
+        team='t',
+        model='m',
+        adapter='',
+        weights_version='v1',
+        incarnation='',
+        prompt='p',
+        max_tokens=1,
+        priority=Priority.NORMAL,
+        resume_from=0,
+    )
+    events = EngineClient(session=session, url=url).generate(generation)
+    received = [event async for event in events]
+    ends = [
+        event for event in received if isinstance(event.ok(), GenerationEnd)
+    ]
+    return ends[-1] if ends else received[-1].and_then(_refuse_end)
+
+
+def _refuse_end(event):
+    return Err(f'no end after {event}')
+
+
 @attrs.frozen(kw_only=True)
 class Reader:
     """Pair a client with the body that it takes."""
@@ -244,6 +282,57 @@
     assert server.sent_bytes < _MAX_TAKEN_BYTES
 
 
+# Guards against a head without end that fills the memory of the reader.
+@each_reader
+@pytest.mark.parametrize('line', [b'X-Noise: 0\r\n', b'x'])
+async def test_head_without_end_is_cut_off(name, line):
+    server = RawServer(
+        response=b'HTTP/1.1 200 OK\r\n',
+        pattern=line * _LINES,
+        limit_bytes=_ENDLESS_BYTES,
+    )
+    answer = await _READERS[name].read(server)
+    assert answer.is_err()
+    assert server.sent_bytes < _MAX_TAKEN_BYTES
+
+
+# Guards against the same in the stream of a completion: a line without end, and
+# lines that are no events.
+@pytest.mark.parametrize('line', [b'{}\n', b'x'])
+@pytest.mark.parametrize('framing', [Framing.CONNECTION, Framing.CHUNKS])
+async def test_stream_of_a_completion_without_end_is_cut_off(framing, line):
+    server = RawServer(
+        response=build_endless_head(framing, 'application/json'),
+        pattern=line * _LINES,
+        limit_bytes=_ENDLESS_BYTES,
+    )
+    reader = Reader(call=complete, body=b'')
+    answer = await reader.read(server)
+    assert answer.is_err()
+    assert server.sent_bytes < _MAX_TAKEN_BYTES
+
+
+# Guards against a completion that counts as whole though its engine was lost
+# before the last event, at whatever byte of its stream.
+@pytest.mark.parametrize('ending', Ending)
+@pytest.mark.parametrize(
+    'framing', [Framing.LENGTH, Framing.CHUNKS, Framing.CONNECTION]
+)
+async def test_completion_without_its_last_event_is_not_whole(framing, ending):
+    whole = build_response(framing, _STREAM)
+    sent = range(len(whole) - len(_STREAM_END))
+    reader = Reader(call=complete, body=b'')
+    taken = [
+        size
+        for size in sent
+        if (
+            await reader.read(RawServer(response=whole[:size], ending=ending))
+        ).is_ok()
+    ]
+    assert not taken
+    assert (await reader.read(RawServer(response=whole))).is_ok()
+
+
 def build_log_page(count: int) -> bytes:
     """Return a page of ``count`` large records of a log of two."""
     records = [
