--- a/tests/builders.py
+++ b/tests/builders.py
@@ -4,6 +4,7 @@
 from types import MappingProxyType
 from typing import Any
 
+from arbutusbay.backend import GenerationRequest, Priority
 from emulator.cluster import ClusterOptions
 
 EXAMPLES = Path(__file__).resolve().parent.parent / 'examples'
@@ -71,3 +72,19 @@
     if key:
         headers['Idempotency-Key'] = key
     return headers
+
+
+def build_generation() -> GenerationRequest:
+    """Return a request to an engine for one piece of output."""
+    return GenerationRequest(
+        attempt='a',
+        team='t',
+        model='m',
+        adapter='',
+        weights_version='v1',
+        incarnation='',
+        prompt='p',
+        max_tokens=1,
+        priority=Priority.NORMAL,
+        resume_from=0,
+    )
--- a/tests/unit/test_early_ends.py
+++ b/tests/unit/test_early_ends.py
@@ -19,8 +19,6 @@
 from arbutusbay.backend import (
     EngineClient,
     GenerationEnd,
-    GenerationRequest,
-    Priority,
     ServiceCall,
     WeightsOrder,
     call_service,
@@ -32,6 +30,7 @@
 from arbutusbay.platform import fetch_engine_report
 from arbutusbay.wire import LookupReply, LookupRequest, encode_message
 from emulator.raw_response import Ending, Framing, build_response
+from tests.builders import build_generation
 from tests.raw_servers import RawServer, endless_server, running_raw_server
 
 _CAPNP = 'application/capnp'
@@ -120,19 +119,7 @@
 
 async def complete(session, url):
     """Run a completion; return its last event."""
-    generation = GenerationRequest(
-        attempt='a',
-        team='t',
-        model='m',
-        adapter='',
-        weights_version='v1',
-        incarnation='',
-        prompt='p',
-        max_tokens=1,
-        priority=Priority.NORMAL,
-        resume_from=0,
-    )
-    events = EngineClient(session=session, url=url).generate(generation)
+    events = EngineClient(session=session, url=url).generate(build_generation())
     received = [event async for event in events]
     ends = [
         event for event in received if isinstance(event.ok(), GenerationEnd)
--- a/tests/unit/test_service_calls.py
+++ b/tests/unit/test_service_calls.py
@@ -12,8 +12,6 @@
 
 from arbutusbay.backend import (
     EngineClient,
-    GenerationRequest,
-    Priority,
     ServiceCall,
     call_service,
 )
@@ -23,6 +21,7 @@
 from arbutusbay.router._settings import RouterSettings
 from arbutusbay.router._shared_state import RouterState, ServiceState
 from arbutusbay.settings import NodeSettings
+from tests.builders import build_generation
 
 _EXTRA_CONNECTIONS = 8
 _POOL = 'stock'
@@ -164,20 +163,8 @@
 async def test_connection_that_times_out_did_not_run_the_completion(
     full_listener_url,
 ):
-    generation = GenerationRequest(
-        attempt='a',
-        team='t',
-        model='m',
-        adapter='',
-        weights_version='v1',
-        incarnation='',
-        prompt='p',
-        max_tokens=1,
-        priority=Priority.NORMAL,
-        resume_from=0,
-    )
     async with new_client_session() as session:
         client = EngineClient(session=session, url=full_listener_url)
-        events = [event async for event in client.generate(generation)]
+        events = [event async for event in client.generate(build_generation())]
     run_states = [event.unwrap_err().effective_run_state for event in events]
     assert run_states == [RunState.NOT_RUN]
