Log why a completion of a lost engine is not repeated

The 502s of test_completions_of_a_lost_engine_go_on_elsewhere could not be told from the log: `attempt failed` was the last line, and the retry budget, the quarantine, max_attempts and the deadline look alike after it. `completion not repeated` names the reason and whether the response had started.

--- a/src/arbutusbay/router/_generation_run.py
+++ b/src/arbutusbay/router/_generation_run.py
@@ -29,12 +29,14 @@
 from arbutusbay.router._run_progress import (
     CompletionRequest,
     RunProgress,
+    StopReason,
     next_piece_deadline_s,
 )
 from arbutusbay.router._shared_state import RouterState
 from arbutusbay.router._silence_handler import (
     SilenceHandler,
     log_failed_attempt,
+    log_stop,
 )
 from arbutusbay.state import Urgency
 
@@ -286,24 +288,37 @@
         )
 
     async def _may_retry(self, placement: Placement) -> bool:
+        reason = await self._find_reason_to_stop(placement)
+        if reason is not None:
+            log_stop(self.request, self.progress, placement, reason)
+        return reason is None
+
+    async def _find_reason_to_stop(
+        self, placement: Placement
+    ) -> StopReason | None:
+        """Return why no attempt may follow, None if one may.
+
+        That one has its token of the retry budget.
+        """
         has_ended = await self._has_engine_ended(placement)
         if has_ended and not self.shared_state.quarantine.may_retry(
             segment_keys_of(self.request.job), now_s()
         ):
-            return False
+            return StopReason.PROMPT
         failure = self.progress.last_failure
         if failure.kind is ErrorKind.DEADLINE_EXCEEDED:
-            return False
+            return StopReason.DEADLINE
         if not self.progress.has_attempts_left(
             self.shared_state.settings.limits.max_attempts
         ):
-            return False
+            return StopReason.ATTEMPTS
         may_have_run = failure.effective_run_state is not RunState.NOT_RUN
         if may_have_run and not self.request.idempotent:
-            return False
-        return self.shared_state.may_repeat(
+            return StopReason.RUNS_ONCE
+        has_token = self.shared_state.may_repeat(
             has_output=bool(self.progress.relayed_pieces)
         )
+        return None if has_token else StopReason.RETRY_BUDGET
 
     def _reported_failure(self, failure: Failure) -> Failure:
         if self.progress.relayed_pieces:
--- a/src/arbutusbay/router/_run_progress.py
+++ b/src/arbutusbay/router/_run_progress.py
@@ -1,5 +1,6 @@
 """Define a completion request and the progress of its run."""
 
+import enum
 import time
 
 import attrs
@@ -12,6 +13,20 @@
 _RESPONSE_START_S = 0.3
 
 
+class StopReason(enum.StrEnum):
+    """Name why no further attempt follows a failed one.
+
+    ``PROMPT``: engines ended under its prompt before. ``RUNS_ONCE``: it may
+    have run, and must not run again.
+    """
+
+    PROMPT = 'prompt'
+    DEADLINE = 'deadline'
+    ATTEMPTS = 'attempts'
+    RUNS_ONCE = 'runs_once'
+    RETRY_BUDGET = 'retry_budget'
+
+
 @attrs.frozen(kw_only=True)
 class CompletionRequest:
     """Hold a validated completion request."""
--- a/src/arbutusbay/router/_silence_handler.py
+++ b/src/arbutusbay/router/_silence_handler.py
@@ -17,6 +17,7 @@
 from arbutusbay.router._run_progress import (
     CompletionRequest,
     RunProgress,
+    StopReason,
     time_left_s,
 )
 from arbutusbay.router._shared_state import RouterState
@@ -146,6 +147,24 @@
     )
 
 
+def log_stop(
+    request: CompletionRequest,
+    progress: RunProgress,
+    placement: Placement,
+    reason: StopReason,
+) -> None:
+    """Log why no further attempt follows a failed one."""
+    _LOG.warning(
+        'completion not repeated',
+        fields={
+            **_log_fields(request, progress, placement),
+            'reason': reason.value,
+            'has_started': progress.has_started,
+            'attempts': progress.attempts,
+        },
+    )
+
+
 def _log_fields(
     request: CompletionRequest, progress: RunProgress, placement: Placement
 ) -> dict[str, Any]:
--- a/tests/unit/test_lost_engine_budget.py
+++ b/tests/unit/test_lost_engine_budget.py
@@ -5,6 +5,7 @@
 import time
 
 import attrs
+import logbook
 import orjson
 import pytest
 
@@ -207,5 +208,13 @@
     state = build_state(lost, other)
     tokens = int(state.retry_budget.tokens)
     names = [f'waiting {number}' for number in range(2 * tokens)]
-    ends = await lose_engine(lost, state, names)
+    with logbook.TestHandler() as log:
+        ends = await lose_engine(lost, state, names)
     assert sum(end.is_ok() for end in ends) == tokens
+    reasons = [
+        record.kwargs['fields']['reason']
+        for record in log.records
+        if record.message == 'completion not repeated'
+    ]
+    assert set(reasons) == {'retry_budget'}
+    assert len(reasons) == tokens
