Answer all pipelined requests before a planned stop closes their connection

Callers that sent several requests at once on one connection in a planned stop got the first answer, with `Connection: close`, and nothing for the others, which had been read whole: aiohttp drops what it has parsed when it closes.

A response closes the connection only if no other request of it was read; the last one does. The same holds for streams.

Before: `test_pipelined_requests_in_a_planned_stop_are_answered` fails with 0 bytes for the second of three orders. After: 200 for all three, then the end.

Refuted by tests that stay: a whole request before bytes that are no HTTP (200 if it was read before them; in one piece the HTTP library refuses both with one 400 and nothing runs), behind an upload refused with 413 before it was read, and on 30 kept connections while the limit of headers rises, which makes the idle timeout 0. All but the one in one piece were also run before the change, and passed.

--- a/src/arbutusbay/_client_ends.py
+++ b/src/arbutusbay/_client_ends.py
@@ -150,6 +150,14 @@
         handler.work_limit = None
 
 
+def has_queued_request(request: web.BaseRequest) -> bool:
+    """Return whether a request behind ``request`` was read already."""
+    match request.protocol:
+        case ClientHandler() as handler:
+            return handler.has_queued_request
+    return False
+
+
 def is_last_request(request: web.BaseRequest) -> bool:
     """Return whether no request can follow on the connection."""
     match request.protocol:
--- a/src/arbutusbay/client_ends.py
+++ b/src/arbutusbay/client_ends.py
@@ -6,6 +6,7 @@
     ClientSite,
     HalfClosedError,
     client_end_of,
+    has_queued_request,
     is_last_request,
     work_for_client,
 )
@@ -16,6 +17,7 @@
     'ClientSite',
     'HalfClosedError',
     'client_end_of',
+    'has_queued_request',
     'is_last_request',
     'work_for_client',
 )
--- a/src/arbutusbay/node/_client_stream.py
+++ b/src/arbutusbay/node/_client_stream.py
@@ -10,6 +10,7 @@
 import attrs
 from aiohttp import web
 
+from arbutusbay.client_ends import has_queued_request
 from arbutusbay.clock import now_s
 from arbutusbay.node._attempts import OpenResponse
 from arbutusbay.node._incoming_request import IncomingRequest
@@ -126,13 +127,14 @@
     ) -> ClientStream:
         """Send the head of ``answer``.
 
-        The connection is closed after the stream if it ``closes``.
+        The connection is closed after the stream if it ``closes`` and no other
+        request was read.
         """
         response = web.StreamResponse(
             status=answer.status,
             headers=answer.headers(),
         )
-        if closes:
+        if closes and not has_queued_request(self.request):
             response.force_close()
         response.enable_chunked_encoding()
         await response.prepare(self.request)
--- a/src/arbutusbay/node/_frontend.py
+++ b/src/arbutusbay/node/_frontend.py
@@ -13,6 +13,7 @@
 from arbutusbay.client_ends import (
     HalfClosedError,
     client_end_of,
+    has_queued_request,
     is_last_request,
     work_for_client,
 )
@@ -267,7 +268,10 @@
     def _close_if_last(
         self, request: web.BaseRequest, response: web.Response
     ) -> web.Response:
-        if self.node_state.is_stopping or is_last_request(request):
+        is_stopping = self.node_state.is_stopping and not has_queued_request(
+            request
+        )
+        if is_stopping or is_last_request(request):
             response.force_close()
         return response
 
