Send 100 Continue to clients that wait for it before their body

Callers that send `Expect: 100-continue` and wait got nothing until their time had run out, then 408: aiohttp's low-level server leaves the interim response to the handler, and nobody sent it. RFC 9110 10.1.1 wants it, or a final status, at once.

It goes out when the head is accepted, over HTTP/1.1 only, and not if a part of the body has arrived. Our own interface runs on aiohttp's application, which sends it. Engines never see `Expect`.

Before: `test_client_that_waits_for_continue_is_served` times out after 1 s with no byte. After: 100, then 200, twice on one connection; `test_interim_response_is_sent_only_where_it_is_due` shows a refused head without it, and HTTP/1.0.

--- a/src/arbutusbay/node/_client_stream.py
+++ b/src/arbutusbay/node/_client_stream.py
@@ -8,13 +8,15 @@
 import enum
 
 import attrs
-from aiohttp import web
+from aiohttp import HttpVersion11, web
 
 from arbutusbay.client_ends import has_queued_request
 from arbutusbay.clock import now_s
 from arbutusbay.node._attempts import OpenResponse
 from arbutusbay.node._incoming_request import IncomingRequest
 
+_CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+
 
 class CutReason(enum.StrEnum):
     """Name why a stream ended after its response had started.
@@ -154,6 +156,14 @@
         return self.stream.response
 
 
+def invite_body(request: web.BaseRequest) -> None:
+    """Send the interim response that a client may await before its body."""
+    awaits = request.headers.get('Expect', '').lower() == '100-continue'
+    is_possible = request.version >= HttpVersion11 and _is_open(request)
+    if awaits and is_possible and not request.content.total_bytes:
+        request.transport.write(_CONTINUE)
+
+
 def abort_connection(request: web.BaseRequest) -> None:
     """Abort the connection without ending the body.
 
--- a/src/arbutusbay/node/_frontend.py
+++ b/src/arbutusbay/node/_frontend.py
@@ -35,6 +35,7 @@
     StreamEnd,
     StreamTiming,
     abort_connection,
+    invite_body,
 )
 from arbutusbay.node._incoming_request import IncomingRequest, validate_request
 from arbutusbay.node._metrics import NodeMetrics
@@ -236,6 +237,7 @@
     ) -> Result[bytes, Failure]:
         if not request.can_read_body:
             return Ok(b'')
+        invite_body(request)
         limit = self._limits().max_body_bytes
         chunks: list[bytes] = []
         size = 0
--- a/tests/integration/test_answered_requests.py
+++ b/tests/integration/test_answered_requests.py
@@ -18,10 +18,11 @@
     start_single_node,
     wait_until_ready,
 )
-from tests.fleet_clients import count_runs
+from tests.fleet_clients import all_runs, count_runs
 from tests.raw_clients import build_bytes, parse_bytes
 
 _BODY = b'{"prompt": "x"}'
+_ANSWER_S = 1.0
 _LIMIT_S = 8.0
 _CLIENTS = 30
 _MAX_BODY_BYTES = 100_000
@@ -66,6 +67,44 @@
     writer.close()
 
 
+# Guards against a client that waits for 100 Continue and gets nothing until
+# its time has run out.
+async def test_client_that_waits_for_continue_is_served(fleet, http):
+    node = await start_node(fleet, http)
+    order = build_order('e1', Expect='100-continue')
+    head = order.removesuffix(_BODY)
+    reader, writer = await asyncio.open_connection(node.ip, node.port)
+    for _ in range(2):
+        writer.write(head)
+        async with asyncio.timeout(_ANSWER_S):
+            interim = await reader.readuntil(b'\r\n\r\n')
+        assert interim == b'HTTP/1.1 100 Continue\r\n\r\n'
+        writer.write(_BODY)
+        assert await read_answer(reader) == (200, 'e1')
+    writer.close()
+    assert [run.body for run in all_runs(fleet)] == [_BODY, _BODY]
+
+
+# Guards against 100 Continue for clients that must not get it: they did not ask
+# for it, or are refused, or have sent the body.
+@pytest.mark.parametrize(
+    ('version', 'path', 'status'),
+    [('1.1', '/nowhere/1', 404), ('1.0', '/order/1', 200)],
+)
+async def test_interim_response_is_sent_only_where_it_is_due(
+    fleet, http, version, path, status
+):
+    node = await start_node(fleet, http)
+    fields = build_request_headers('e1', host=PLAIN_HOST, Expect='100-continue')
+    reader, writer = await asyncio.open_connection(node.ip, node.port)
+    request = build_bytes(path, fields, _BODY, version=version)
+    writer.write(request.removesuffix(_BODY))
+    await asyncio.sleep(0.2)
+    writer.write(_BODY)
+    assert (await read_answer(reader))[0] == status
+    writer.close()
+
+
 # Guards against a whole request that gets nothing, or runs unanswered, because
 # what follows it is no HTTP. In one piece the HTTP library refuses both.
 @pytest.mark.parametrize(('pause_s', 'status'), [(0.2, 200), (0, 400)])
