--- a/src/arbutusbay/node/_client_stream.py
+++ b/src/arbutusbay/node/_client_stream.py
@@ -11,8 +11,7 @@
 import struct
 
 import attrs
-from aiohttp import web
-from aiohttp.http import HttpVersion11
+from aiohttp import HttpVersion11, web
 
 from arbutusbay.client_ends import has_queued_request
 from arbutusbay.clock import now_s
@@ -23,6 +22,8 @@
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 _FLUSH_ON_CLOSE = struct.pack('ii', 0, 0)
 
+_CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+
 
 class CutReason(enum.StrEnum):
     """Name why a stream ended after its response had started.
@@ -171,6 +172,14 @@
         return self.stream.response
 
 
+def invite_body(request: web.BaseRequest) -> None:
+    """Send the interim response that a client may await before its body."""
+    awaits = request.headers.get('Expect', '').lower() == '100-continue'
+    is_possible = request.version >= HttpVersion11 and _is_open(request)
+    if awaits and is_possible and not request.content.total_bytes:
+        request.transport.write(_CONTINUE)
+
+
 def abort_connection(request: web.BaseRequest) -> None:
     """Abort the connection without ending the body.
 
--- a/src/arbutusbay/router/_generation_run.py
+++ b/src/arbutusbay/router/_generation_run.py
@@ -21,7 +21,8 @@
 from arbutusbay.clock import now_s
 from arbutusbay.engine_ends import EngineProcess
 from arbutusbay.errors import ErrorKind, Failure, RunState
-from arbutusbay.policy import EngineState, Job
+from arbutusbay.policy import EngineState
+from arbutusbay.router._attempt_monitor import AttemptMonitor
 from arbutusbay.router._dispatcher import Dispatcher, Placement
 from arbutusbay.router._event_reader import EngineEvent, EventReader
 from arbutusbay.router._metrics import RouterMetrics
@@ -42,11 +43,6 @@
 from arbutusbay.router._stop_decision import refuse_job_for_stop
 from arbutusbay.state import Urgency
 
-_PREFILL_SMOOTHING = 0.05
-_MIN_PREFILL_SAMPLE_TOKENS = 200
-_MAX_PIECE_SILENCE_S = 2.0
-_MIN_FIRST_PIECE_SILENCE_S = 3.0
-_FIRST_PIECE_SILENCE_FACTOR = 5.0
 _DEFAULT_PORT = 80
 
 RelayEvent = Result[TextPiece | GenerationEnd, Failure]
@@ -175,7 +171,9 @@
             job=self.request.job,
         )
         reader = EventReader(
-            events=client.generate(self._build_generation(placement))
+            events=client.generate(
+                _build_generation(self.request, self.progress, placement)
+            )
         )
         async with aclosing(reader):
             while True:
@@ -187,7 +185,7 @@
                     yield event
 
     async def _next_event(
-        self, reader: EventReader, monitor: 'AttemptMonitor'
+        self, reader: EventReader, monitor: AttemptMonitor
     ) -> EngineEvent | None:
         """Return the next event; None after the last or if there is no more.
 
@@ -212,7 +210,7 @@
         self,
         event: Result[GenerationEvent, Failure],
         placement: Placement,
-        monitor: 'AttemptMonitor',
+        monitor: AttemptMonitor,
     ) -> None:
         match event:
             case Ok(EngineIdentity() as identity):
@@ -246,26 +244,6 @@
         progress.unproductive_attempts = 0
         progress.weights_version = placement.engine.weights_version
 
-    def _build_generation(self, placement: Placement) -> GenerationRequest:
-        job = self.request.job
-        pool = self.request.pool
-        engine = placement.engine
-        is_urgent = job.urgency is Urgency.URGENT
-        return GenerationRequest(
-            attempt=placement.attempt,
-            team=job.team,
-            model=pool.model,
-            adapter=pool.adapter,
-            weights_version=engine.weights_version
-            or self.progress.weights_version
-            or pool.weights_version,
-            incarnation=engine.incarnation if placement.depth else '',
-            prompt=self.request.prompt,
-            max_tokens=job.max_tokens,
-            priority=Priority.URGENT if is_urgent else Priority.NORMAL,
-            resume_from=self.progress.relayed_pieces,
-        )
-
     def _record_start(self, start: GenerationStart) -> None:
         progress = self.progress
         progress.has_started = True
@@ -364,82 +342,24 @@
     )
 
 
-class AttemptMonitor:
-    """Time one attempt and update the measurements of its engine and pool."""
-
-    def __init__(
-        self,
-        *,
-        shared_state: RouterState,
-        placement: Placement,
-        job: Job,
-    ) -> None:
-        """Create a monitor for the attempt of ``placement``."""
-        self.shared_state = shared_state
-        self.placement = placement
-        self.job = job
-        self.last_piece_at_s: float | None = None
-
-    def max_silence_s(self) -> float:
-        """Return after how long without an event the engine counts as silent.
-
-        Before the first piece, it scales with the predicted time to first
-        token.
-        """
-        if self.last_piece_at_s is not None:
-            return _MAX_PIECE_SILENCE_S
-        return max(
-            _MIN_FIRST_PIECE_SILENCE_S,
-            _FIRST_PIECE_SILENCE_FACTOR * self.placement.predicted_s,
-        )
-
-    def start_waiting(self) -> None:
-        """Record that the router waits for the next event."""
-        self._set_awaited_since(time.monotonic())
-
-    def stop_waiting(self) -> None:
-        """Record that an event has come, which is to be relayed."""
-        self._set_awaited_since(None)
-
-    def update_identity(self, identity: EngineIdentity) -> None:
-        """Record the identity that the engine reported in its response."""
-        self.placement.engine.update_identity(
-            identity.incarnation,
-            identity.weights_version,
-        )
-
-    def record_piece(self) -> None:
-        """Record the arrival of a piece of output."""
-        now_s = time.monotonic()
-        if self.last_piece_at_s is None:
-            self._record_first_token(now_s)
-        else:
-            self.placement.engine.record_piece_gap(now_s - self.last_piece_at_s)
-        self.last_piece_at_s = now_s
-
-    def _set_awaited_since(self, moment_s: float | None) -> None:
-        attempt = self.placement.engine.in_flight.get(self.placement.attempt)
-        if attempt is not None:
-            attempt.awaited_since_s = moment_s
-
-    def _record_first_token(self, now_s: float) -> None:
-        placement = self.placement
-        engine = placement.engine
-        attempt = engine.in_flight.get(placement.attempt)
-        if attempt is not None:
-            attempt.first_token_seen = True
-        first_token_s = now_s - placement.placed_at_s
-        self._record_prefill_speed(first_token_s)
-
-    def _record_prefill_speed(self, first_token_s: float) -> None:
-        uncached = self.job.uncached_tokens(self.placement.depth)
-        if (
-            uncached < _MIN_PREFILL_SAMPLE_TOKENS
-            or self.placement.engine.waiting
-        ):
-            return
-        pool = self.shared_state.pool_state(self.job.pool)
-        sample_s = first_token_s / uncached
-        pool.prefill_s_per_token += _PREFILL_SMOOTHING * (
-            sample_s - pool.prefill_s_per_token
-        )
+def _build_generation(
+    request: CompletionRequest, progress: RunProgress, placement: Placement
+) -> GenerationRequest:
+    job = request.job
+    pool = request.pool
+    engine = placement.engine
+    is_urgent = job.urgency is Urgency.URGENT
+    return GenerationRequest(
+        attempt=placement.attempt,
+        team=job.team,
+        model=pool.model,
+        adapter=pool.adapter,
+        weights_version=engine.weights_version
+        or progress.weights_version
+        or pool.weights_version,
+        incarnation=engine.incarnation if placement.depth else '',
+        prompt=request.prompt,
+        max_tokens=job.max_tokens,
+        priority=Priority.URGENT if is_urgent else Priority.NORMAL,
+        resume_from=progress.relayed_pieces,
+    )
