--- a/tests/integration/test_late_calls.py
+++ b/tests/integration/test_late_calls.py
@@ -58,7 +58,7 @@
 
 @attrs.define(kw_only=True)
 class Drain:
-    """Drain the router of a cluster of one VM whose routes have long time."""
+    """Drain one of two routers, whose routes have long time."""
 
     cluster: Cluster
     session: object
@@ -92,6 +92,13 @@
                 body={'delay_ms': int(delay_s * 1000)},
             )
 
+    def slow_engines(self) -> None:
+        """Let all engines take far longer than the drain."""
+        for engine in self.cluster.engines():
+            call_json(
+                f'{engine.url}/faults', method='POST', body={'slow_factor': 30}
+            )
+
     async def order_without_key(self) -> Response:
         """Place an order that may run once."""
         return await send_request(
@@ -136,7 +143,7 @@
 @pytest.fixture
 async def drain(session):
     """Yield a drain that has not begun, of a router with patient routes."""
-    options = build_cluster_options(vms=1, router_settings={'drain': _DRAIN})
+    options = build_cluster_options(vms=2, router_settings={'drain': _DRAIN})
     with running_cluster(options) as cluster:
         for name, changes in _PATIENT_ROUTES.items():
             await asyncio.to_thread(
@@ -184,13 +191,44 @@
         await busy
 
 
+# Guards against a call whose body never comes whole and that ends without a
+# response, or that keeps the process from its end.
+async def test_calls_whose_body_stays_away_are_answered_at_the_end(drain):
+    async with _open_calls(drain, 3) as calls:
+        await asyncio.sleep(_SETTLE_S)
+        drain.begin()
+        statuses = await asyncio.gather(*(call.read() for call in calls))
+        assert statuses == [503, 503, 503]
+        assert await drain.wait_for_exit() < _END_S + 1
+
+
+# Guards against a refusal that is not true, or leaves the key claimed, so that
+# the order can't be placed elsewhere.
+async def test_refused_order_with_a_key_runs_elsewhere_once(drain):
+    drain.delay_services(0)
+    busy_engines = asyncio.create_task(drain.complete_chat())
+    async with _open_calls(drain, 1, key='again') as calls:
+        drain.slow_engines()
+        await asyncio.sleep(_SETTLE_S)
+        drain.begin()
+        await drain.wait_until(_NOTICE_S + 0.5)
+        assert await calls[0].finish() == 503
+    response = await send_request(
+        drain.session,
+        'POST',
+        f'{drain.cluster.nodes[1].router.url}{_ORDERS_PATH}',
+        body=b'{}',
+        headers=build_headers(key='again'),
+    )
+    assert response.status == 200
+    assert await asyncio.to_thread(drain.count_runs) == 1
+    await busy_engines
+
+
 # Guards against completions that outlast the drain of their router and end
 # without a response, or without an event that names the error.
 async def test_completions_that_outlast_the_drain_are_answered(drain):
-    for engine in drain.cluster.engines():
-        call_json(
-            f'{engine.url}/faults', method='POST', body={'slow_factor': 30}
-        )
+    drain.slow_engines()
     whole = asyncio.create_task(drain.complete_chat())
     streamed = asyncio.create_task(
         stream_chat(
@@ -217,20 +255,24 @@
     writer: asyncio.StreamWriter
 
     async def finish(self) -> int:
-        """Send the last byte; return the status of the response, 0 if none."""
+        """Send the last byte; return the status of the response."""
         self.writer.write(b'}')
+        return await self.read()
+
+    async def read(self) -> int:
+        """Return the status of the response, 0 if there is none."""
         status_line = await self.reader.readline()
         return int(status_line.split()[1]) if status_line else 0
 
 
 @asynccontextmanager
 async def _open_calls(
-    drain: Drain, count: int
+    drain: Drain, count: int, key: str = ''
 ) -> AsyncIterator[list[OpenCall]]:
     """Open connections, each with a call but for its last byte."""
     address = drain.router.url.removeprefix('http://')
     host, _, port = address.partition(':')
-    fields = {**build_headers(), 'Host': address, 'Content-Length': '2'}
+    fields = {**build_headers(key=key), 'Host': address, 'Content-Length': '2'}
     head = ''.join(f'{name}: {text}\r\n' for name, text in fields.items())
     request = f'POST {_ORDERS_PATH} HTTP/1.1\r\n{head}\r\n{{'.encode()
     calls = []
