Use no server after its removal because own reads of the store failed

Cause: a removal that follows failed reads of more than a second was deferred by 2.2 s, as the registrations of live servers may expire while the store is away. But the reads of one VM fail for its own link, too: here they timed out while the VM sent a new configuration to its 41 followers.

Change: a removal is deferred only where most servers of its service are missing at once, which is what an outage does; a few have left. 3 of the 5 new cases failed before. That an outage near the time after which registrations expire drops up to half of a service until their next heartbeat is the price.

--- a/src/arbutusbay/node/_server_registry.py
+++ b/src/arbutusbay/node/_server_registry.py
@@ -17,13 +17,15 @@
     """Apply registrations to the views of servers that placement reads.
 
     ``removal_due_s`` maps the ids of servers whose removal is deferred to
-    the time of removal, in seconds on the clock of ``now_s``.
+    the time of removal, in seconds on the clock of ``now_s``. ``newly_missing``
+    holds those of them that the present read did not find.
     """
 
     def __init__(self, *, node_state: NodeState) -> None:
         """Update the catalog and views on ``node_state``."""
         self.node_state = node_state
         self.removal_due_s: dict[str, float] = {}
+        self.newly_missing: set[str] = set()
 
     async def run(self) -> None:
         """Apply the removals whose delay has passed until cancelled.
@@ -41,6 +43,7 @@
         the known weights. A deferred removal of the server is cancelled.
         """
         self.removal_due_s.pop(server.id, None)
+        self.newly_missing.discard(server.id)
         previous = self.node_state.catalog.servers.get(server.id)
         self.node_state.catalog.servers[server.id] = server
         view = self.node_state.engine_views.get(server.id)
@@ -62,17 +65,37 @@
 
         A registration may expire during an outage of the store although the
         server is alive, and is then renewed shortly after the outage. So the
-        removal is deferred for a grace period after an outage.
+        removal is deferred for a grace period after an outage, unless
+        ``remove_departed`` finds that the server has left.
         """
         grace_end_s = (
             self.node_state.freshness.outage_end_s + _REREGISTRATION_GRACE_S
         )
         if server_id in self.node_state.engine_views and now_s() < grace_end_s:
             self.removal_due_s[server_id] = grace_end_s
-            _LOG.info('server removal deferred', fields={'server': server_id})
+            self.newly_missing.add(server_id)
             return
         self._remove_now(server_id)
 
+    def remove_departed(self) -> None:
+        """Decide on the servers that a read did not find after an outage.
+
+        An outage makes most registrations of a service expire together. Where
+        most are still there, those that are missing belong to servers that have
+        left, and what seemed an outage may be a fault of this VM's own link.
+        """
+        departed = [
+            server_id
+            for server_id in self.newly_missing
+            if not self._are_most_missing(server_id)
+        ]
+        for server_id in self.newly_missing.difference(departed):
+            _LOG.info('server removal deferred', fields={'server': server_id})
+        for server_id in departed:
+            self.removal_due_s.pop(server_id)
+            self._remove_now(server_id)
+        self.newly_missing.clear()
+
     def remove_expired(self) -> None:
         """Remove servers that were not registered again in the grace period."""
         moment_s = now_s()
@@ -85,6 +108,14 @@
             self.removal_due_s.pop(server_id)
             self._remove_now(server_id)
 
+    def _are_most_missing(self, server_id: str) -> bool:
+        """Return whether most servers of the same service are missing."""
+        views = self.node_state.engine_views
+        service = views[server_id].service
+        of_service = [name for name in views if views[name].service == service]
+        missing = self.removal_due_s.keys() & of_service
+        return len(missing) * 2 > len(of_service)
+
     def _remove_now(self, server_id: str) -> None:
         self.node_state.catalog.servers.pop(server_id, None)
         if self.node_state.engine_views.pop(server_id, None) is not None:
--- a/src/arbutusbay/node/_topics.py
+++ b/src/arbutusbay/node/_topics.py
@@ -281,6 +281,7 @@
     def apply_changes(self, records: list[KeyedRecord]) -> None:
         """Apply registrations and removals."""
         super().apply_changes(records)
+        self.server_registry.remove_departed()
         self.node_state.has_read_servers = True
 
     def apply_change(self, record: KeyedRecord) -> None:
--- a/tests/unit/test_store_outage.py
+++ b/tests/unit/test_store_outage.py
@@ -45,16 +45,19 @@
 class FailingStore:
     """Fail the reads until ``is_available``; each takes a third of a second.
 
-    The first read that succeeds returns the removal of the server.
+    The first read that succeeds returns the removals.
     """
 
     clock: FakeClock
     is_available: bool = False
+    removals: tuple[KeyedRecord, ...] = (REMOVAL,)
 
     async def read(self, topic, offset, *, wait_s, timeout_s):
         """Return the removal, or that the store is unavailable."""
         if self.is_available:
-            return Ok(ReadPage(records=(REMOVAL,), next_offset=3, end=3, era=1))
+            return Ok(
+                ReadPage(records=self.removals, next_offset=3, end=3, era=1)
+            )
         self.clock.moment_s += 0.34
         return Err(StoreUnavailable(detail='status 503'))
 
@@ -176,6 +179,30 @@
     assert list(node_state.engine_views) == [SERVER_ID]
 
 
+# Guards against requests to a server that has left, by a VM whose reads failed
+# for a while on its own link: the other servers are still registered.
+@pytest.mark.parametrize(
+    ('registered', 'removed', 'kept'),
+    [(4, 1, 3), (4, 2, 2), (4, 3, 4), (4, 4, 4), (2, 1, 1)],
+)
+async def test_few_removals_after_failed_reads_are_of_servers_that_left(
+    node_state, servers_topic, store, reader, registered, removed, kept
+):
+    names = [f'engine-{number}' for number in range(1, registered + 1)]
+    payload = orjson.dumps(build_registration())
+    records = [
+        KeyedRecord(key=name, payload=payload, offset=1) for name in names
+    ]
+    apply(servers_topic, records, end=2)
+    store.removals = tuple(
+        KeyedRecord(key=name, payload=b'', offset=2) for name in names[:removed]
+    )
+    await read_times(reader, 4)
+    store.is_available = True
+    await reader.step()
+    assert len(node_state.engine_views) == kept
+
+
 async def test_short_failure_is_no_outage(node_state, store, reader):
     await read_times(reader, 2)
     store.is_available = True
