--- a/src/arbutusbay/_errors.py
+++ b/src/arbutusbay/_errors.py
@@ -38,6 +38,7 @@
     PROMPT_QUARANTINED = 'prompt_quarantined'
     DEADLINE_EXCEEDED = 'deadline_exceeded'
     DRAINING = 'draining'
+    CLIENT_HALF_CLOSED = 'client_half_closed'
     NOT_CONFIGURED = 'not_configured'
     CONFIGURATION_TOO_OLD = 'configuration_too_old'
     STREAM_BROKEN = 'stream_broken'
@@ -107,6 +108,7 @@
         ErrorKind.DRAINING: _not_run(
             HTTPStatus.SERVICE_UNAVAILABLE, retryable=True
         ),
+        ErrorKind.CLIENT_HALF_CLOSED: _not_run(HTTPStatus.SERVICE_UNAVAILABLE),
         ErrorKind.NOT_CONFIGURED: _not_run(
             HTTPStatus.SERVICE_UNAVAILABLE, retryable=True
         ),
@@ -149,7 +151,7 @@
 
     ``detail`` is a message for people. ``retry_after_s`` is the delay in
     seconds that is suggested to the client. ``run_state`` overrides the
-    default of the kind where the code that failed knows more.
+    default of the kind where the code that failed can be more precise.
     """
 
     kind: ErrorKind
--- a/src/arbutusbay/_http.py
+++ b/src/arbutusbay/_http.py
@@ -16,16 +16,27 @@
 from result import Err, Ok, Result
 
 from arbutusbay._request_drain import HAS_STARTED, RequestDrain
+from arbutusbay.client_connections import (
+    StrictConnector,
+    open_client_session,
+)
+from arbutusbay.client_ends import (
+    ClientSite,
+    HalfClosedError,
+    client_end_of,
+    is_last_request,
+    work_for_client,
+)
 from arbutusbay.errors import ErrorKind, Failure
 from arbutusbay.logs import get_logger
 from arbutusbay.planned_stop import PlannedStop, plan_drain
+from arbutusbay.responses import fetch_message
 from arbutusbay.settings import DrainSettings
 from arbutusbay.single_send import disable_repetition
 from arbutusbay.wire import decode_message, encode_message
 
 _LOG = get_logger('http')
 _MAX_BODY_BYTES = 8 * 1024 * 1024
-_UNLIMITED_CONNECTIONS = 0
 _KEEP_ALIVE_TIMEOUT_S = 75.0
 _LISTEN_BACKLOG_CONNECTIONS = 1024
 _FORCED_CLOSE_S = 5.0
@@ -42,14 +53,8 @@
     an error while connecting proves that nothing was sent, and each request is
     sent at most once.
     """
-    connector = aiohttp.TCPConnector(
-        limit=_UNLIMITED_CONNECTIONS,
-        force_close=not reuse_connections,
-    )
-    session = aiohttp.ClientSession(
-        connector=connector,
-        auto_decompress=False,
-        cookie_jar=aiohttp.DummyCookieJar(),
+    session = open_client_session(
+        StrictConnector(force_close=not reuse_connections)
     )
     if not reuse_connections:
         disable_repetition(session)
@@ -116,21 +121,22 @@
     """Send ``message`` to another process and return its decoded reply.
 
     Fails with ``PEER_UNREACHABLE`` on a network error, on a timeout after
-    ``timeout_s`` seconds and on a reply of another content type, and with
+    ``timeout_s`` seconds, on a reply that is not whole or of another content
+    type, and with
     ``BAD_MESSAGE`` if the reply can't be decoded.
     """
-    try:
-        async with session.post(
-            url,
-            data=encode_message(message),
-            timeout=aiohttp.ClientTimeout(total=timeout_s),
-        ) as response:
-            body = await response.read()
-    except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
-        return _peer_unreachable(f'{type(error).__name__}')
-    if response.content_type != _CAPNP_CONTENT_TYPE:
-        return _peer_unreachable(f'status {response.status}')
-    return decode_message(reply_type, body)
+    call = session.post(
+        url,
+        data=encode_message(message),
+        timeout=aiohttp.ClientTimeout(total=timeout_s),
+    )
+    match await fetch_message(call, _MAX_BODY_BYTES):
+        case Err(missing):
+            return _peer_unreachable(missing.detail)
+        case Ok(response) if response.content_type != _CAPNP_CONTENT_TYPE:
+            return _peer_unreachable(f'status {response.status}')
+        case Ok(response):
+            return decode_message(reply_type, response.body)
 
 
 async def _record_start(
@@ -144,16 +150,22 @@
 async def _handle_errors(request: web.Request, handler: Any) -> Any:
     """Turn exceptions of the handler into error responses.
 
-    Once the response has started nothing may follow, so the connection is
-    aborted. ``ConnectionError`` is raised again without a response, as is
-    ``CancelledError``: the client left, or the process ends.
+    The handler does not begin, or is cancelled, for a client that has ended its
+    stream, which may still wait for its response. Once the response has started
+    nothing may follow, so the connection is aborted. ``ConnectionError`` is
+    raised again without a response, as is ``CancelledError``: the client left,
+    or the process ends.
     """
     try:
-        return await handler(request)
+        return await _respond_to_client(request, handler)
     except (asyncio.CancelledError, ConnectionError):
         _LOG.info(
             'request ended without a whole response',
-            fields={'method': request.method, 'path': request.path},
+            fields={
+                'method': request.method,
+                'path': request.path,
+                'client_end': client_end_of(request),
+            },
         )
         raise
     except Exception as error:
@@ -163,6 +175,41 @@
         return failure_response(_failure_from_exception(request, error))
 
 
+async def _respond_to_client(request: web.Request, handler: Any) -> Any:
+    if client_end_of(request) is not None:
+        return _half_closed_response(request, ErrorKind.CLIENT_HALF_CLOSED)
+    try:
+        async with work_for_client(request):
+            return await handler(request)
+    except HalfClosedError as error:
+        if HAS_STARTED in request:
+            raise ConnectionResetError('client left') from error
+        return _half_closed_response(request, ErrorKind.OUTCOME_UNKNOWN)
+
+
+def _half_closed_response(
+    request: web.Request, kind: ErrorKind
+) -> web.Response:
+    _LOG.info(
+        'client ended its stream before its response',
+        fields={
+            'method': request.method,
+            'path': request.path,
+            'kind': kind.value,
+            'client_end': client_end_of(request),
+        },
+    )
+    response = failure_response(
+        Failure(
+            kind=kind,
+            detail='the client ended its sending side before the response',
+        )
+    )
+    if is_last_request(request):
+        response.force_close()
+    return response
+
+
 @web.middleware
 async def _end_with_drain(request: web.Request, handler: Any) -> Any:
     """Turn the end of a request by the drain into an error response."""
@@ -233,18 +280,16 @@
         """Listen on ``host`` and ``port``."""
         self.runner = web.AppRunner(
             self.application,
-            access_log=None,
             shutdown_timeout=self.drain.limit_s,
-            keepalive_timeout=_KEEP_ALIVE_TIMEOUT_S,
             handler_cancellation=True,
         )
         await self.runner.setup()
-        site = web.TCPSite(
+        site = ClientSite(
             self.runner,
             self.host,
             self.port,
+            keepalive_timeout_s=_KEEP_ALIVE_TIMEOUT_S,
             backlog=_LISTEN_BACKLOG_CONNECTIONS,
-            reuse_address=True,
         )
         await site.start()
 
--- a/src/arbutusbay/backend/_engine_client.py
+++ b/src/arbutusbay/backend/_engine_client.py
@@ -5,13 +5,13 @@
 weights.
 """
 
-import asyncio
 from collections.abc import AsyncIterator
 from typing import Any
 
 import aiohttp
 import attrs
 import orjson
+from aiohttp.http_exceptions import LineTooLong
 from result import Err, Ok, Result
 
 from arbutusbay.backend._engine_decoder import (
@@ -23,6 +23,7 @@
 )
 from arbutusbay.backend._engine_messages import (
     CacheEventPage,
+    EngineIdentity,
     GenerationEnd,
     GenerationEvent,
     GenerationRequest,
@@ -30,6 +31,7 @@
     WeightsOrder,
 )
 from arbutusbay.errors import Failure, RunState
+from arbutusbay.responses import WholeBody, fetch_whole, read_body
 
 _CONNECT_TIMEOUT_S = 1.0
 _READ_TIMEOUT_S = 120.0
@@ -37,6 +39,13 @@
 _OK_STATUS = 200
 _IDENTITY_MISMATCH_STATUS = 409
 _MAX_LINE_BYTES = 1024 * 1024
+_MAX_BODY_BYTES = 8_388_608
+_BROKEN_STREAM_ERRORS = (
+    aiohttp.ClientError,
+    OSError,
+    ValueError,
+    LineTooLong,
+)
 
 
 class EngineClient:
@@ -70,12 +79,7 @@
             aiohttp.ConnectionTimeoutError,
         ) as error:
             yield call_failed(repr(error), RunState.NOT_RUN)
-        except (
-            aiohttp.ClientError,
-            asyncio.TimeoutError,
-            OSError,
-            ValueError,
-        ) as error:
+        except _BROKEN_STREAM_ERRORS as error:
             yield call_failed(repr(error), RunState.UNKNOWN)
 
     async def read_events(
@@ -154,25 +158,30 @@
 async def _read_refusal(
     response: aiohttp.ClientResponse,
 ) -> AsyncIterator[Result[GenerationEvent, Failure]]:
-    body = await response.read()
+    body = await read_body(response, _MAX_BODY_BYTES)
     if response.status == _IDENTITY_MISMATCH_STATUS:
-        try:
-            yield Ok(decode_engine_identity(orjson.loads(body)))
-        except (ValueError, KeyError, TypeError):
-            yield refusal_error(response.status)
-            return
+        identity = body.and_then(_decode_identity)
+        if isinstance(identity, Ok):
+            yield identity
     yield refusal_error(response.status)
 
 
-async def _read_json(call: Any) -> Result[dict[str, Any], Failure]:
+def _decode_identity(body: WholeBody) -> Result[EngineIdentity, str]:
     try:
-        async with call as response:
-            body = await response.read()
-    except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
-        return call_failed(repr(error), RunState.UNKNOWN)
-    if response.status != _OK_STATUS:
-        return refusal_error(response.status)
+        return Ok(decode_engine_identity(orjson.loads(body.content)))
+    except (ValueError, KeyError, TypeError) as error:
+        return Err(repr(error))
+
+
+async def _read_json(call: Any) -> Result[dict[str, Any], Failure]:
+    match await fetch_whole(call, _MAX_BODY_BYTES):
+        case Err(missing):
+            return call_failed(missing.detail, RunState.UNKNOWN)
+        case Ok(response) if response.status != _OK_STATUS:
+            return refusal_error(response.status)
+        case Ok(response):
+            pass
     try:
-        return Ok(orjson.loads(body))
+        return Ok(orjson.loads(response.body))
     except ValueError as error:
         return call_failed(repr(error), RunState.UNKNOWN)
--- a/src/arbutusbay/cli/_causes.py
+++ b/src/arbutusbay/cli/_causes.py
@@ -14,6 +14,8 @@
         'bad_api_key': 'the API key is not in the configuration (any more)',
         'unknown_route': 'no configured route matches the host and path',
         'draining': 'the VM was shutting down; nothing was sent',
+        'client_half_closed': 'the client closed its connection or only its '
+        'sending side before anything was sent; it was not run',
         'not_configured': 'the VM had just started without a configuration',
         'deadline_exceeded': 'the deadline of the request passed',
         'upload_timeout': 'the body did not arrive before the deadline',
@@ -64,10 +66,7 @@
         return _describe_refusal(last, request_lines, context_lines)
     outcome = str(last.fields.get('outcome', ''))
     if outcome == 'client left':
-        return (
-            'the client closed its connection; '
-            f'{_describe_progress(request_lines)}'
-        )
+        return f'{_describe_leaving(last)}; {_describe_progress(request_lines)}'
     if outcome == 'stream cut':
         return _describe_aborted_stream(last, request_lines)
     if outcome.startswith('status 5'):
@@ -78,12 +77,25 @@
     return f'it completed ({outcome}); {_describe_progress(request_lines)}'
 
 
+def _describe_leaving(last: LogLine) -> str:
+    """Describe how the client left, which older lines don't name."""
+    if last.fields.get('client_end') == 'sending_side_shut':
+        left = 'the client closed its connection or only its sending side'
+    else:
+        left = 'the client closed its connection'
+    if last.fields.get('found_by') == 'look':
+        return f'{left}, as a look at the connection showed'
+    return left
+
+
 def _describe_refusal(
     last: LogLine,
     request_lines: Sequence[LogLine],
     context_lines: Sequence[LogLine],
 ) -> str:
     kind = str(last.fields.get('kind', ''))
+    if last.fields.get('client_end') and kind == 'outcome_unknown':
+        return f'{_describe_leaving(last)}; {_describe_progress(request_lines)}'
     match kind:
         case 'configuration_too_old':
             return _describe_stale_configuration(last, context_lines)
--- a/src/arbutusbay/node/_client_stream.py
+++ b/src/arbutusbay/node/_client_stream.py
@@ -6,13 +6,22 @@
 """
 
 import enum
+import os
+import socket
+import struct
 
 import attrs
 from aiohttp import web
+from aiohttp.http import HttpVersion11
 
+from arbutusbay.client_ends import has_queued_request
 from arbutusbay.clock import now_s
 from arbutusbay.node._attempts import OpenResponse
 from arbutusbay.node._incoming_request import IncomingRequest
+from arbutusbay.responses import BodyEnd
+
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+_FLUSH_ON_CLOSE = struct.pack('ii', 0, 0)
 
 
 class CutReason(enum.StrEnum):
@@ -35,7 +44,9 @@
 
 @attrs.frozen(kw_only=True)
 class StreamCompleted:
-    """Report that a stream was relayed to its end."""
+    """Report that a stream was relayed to its end, which ``end`` showed."""
+
+    end: BodyEnd
 
 
 @attrs.frozen(kw_only=True)
@@ -98,10 +109,12 @@
         await self.response.write(raw_bytes)
         self.timing.record_event()
 
-    async def complete(self) -> StreamCompleted:
+    async def complete(self, end: BodyEnd) -> StreamCompleted:
         """End the stream so that the client sees that it is complete."""
+        if not self.response.chunked:
+            set_reset_on_close(self.request, is_reset=False)
         await self.response.write_eof()
-        return StreamCompleted()
+        return StreamCompleted(end=end)
 
     def cut(self, reason: CutReason, detail: str) -> StreamCut:
         """Abort the connection: the client sees that the stream broke."""
@@ -126,15 +139,21 @@
     ) -> ClientStream:
         """Send the head of ``answer``.
 
-        The connection is closed after the stream if it ``closes``.
+        The connection is closed after the stream if it ``closes`` and no other
+        request was read, or if the client can't read chunks. Then a close would
+        look like the end of the stream, so until that the connection is reset,
+        whatever closes it.
         """
         response = web.StreamResponse(
             status=answer.status,
             headers=answer.headers(),
         )
-        if closes:
+        if closes and not has_queued_request(self.request):
             response.force_close()
-        response.enable_chunked_encoding()
+        if self.request.version >= HttpVersion11:
+            response.enable_chunked_encoding()
+        else:
+            set_reset_on_close(self.request, is_reset=True)
         await response.prepare(self.request)
         self.stream = ClientStream(request=self.request, response=response)
         return self.stream
@@ -162,6 +181,19 @@
         transport.abort()
 
 
+def set_reset_on_close(request: web.BaseRequest, *, is_reset: bool) -> None:
+    """Set whether a close of the connection resets it, also by the kernel."""
+    if not _is_open(request):
+        return
+    descriptor = request.transport.get_extra_info('socket').fileno()
+    with socket.socket(fileno=os.dup(descriptor)) as connection:
+        connection.setsockopt(
+            socket.SOL_SOCKET,
+            socket.SO_LINGER,
+            _RESET_ON_CLOSE if is_reset else _FLUSH_ON_CLOSE,
+        )
+
+
 def _is_open(request: web.BaseRequest) -> bool:
     transport = request.transport
     return transport is not None and not transport.is_closing()
--- a/src/arbutusbay/node/_frontend.py
+++ b/src/arbutusbay/node/_frontend.py
@@ -11,12 +11,22 @@
 from aiohttp import ClientConnectionResetError, web
 from result import Err, Ok, Result
 
+from arbutusbay.client_ends import (
+    HalfClosedError,
+    client_end_of,
+    has_queued_request,
+    is_last_request,
+    work_for_client,
+)
 from arbutusbay.clock import now_s
 from arbutusbay.errors import ErrorKind, Failure
 from arbutusbay.fleet import ClientLimits
 from arbutusbay.logs import get_logger
 from arbutusbay.node._attempts import BufferedResponse
-from arbutusbay.node._client_connection import look_at_connection
+from arbutusbay.node._client_connection import (
+    check_client,
+    look_at_connection,
+)
 from arbutusbay.node._client_stream import (
     ClientExchange,
     ClientStream,
@@ -38,6 +48,7 @@
 from arbutusbay.node._request_executor import (
     RequestExecutor,
     execute_before_deadline,
+    half_closed_failure,
 )
 from arbutusbay.node._request_limit import limit_upload
 from arbutusbay.node._stop_decision import refuse_for_stop, stop_fields
@@ -113,23 +124,37 @@
             dependencies=self.dependencies,
             incoming=incoming,
             body=body,
-            is_client_connected=functools.partial(
-                _is_client_connected, request
-            ),
+            check_client=functools.partial(check_client, request),
         )
         try:
-            if incoming.is_stream:
-                return await self._proxy_stream(exchange, executor)
-            return await self._proxy_buffered(request, executor)
+            return await self._execute(exchange, executor)
         except (asyncio.CancelledError, ClientConnectionResetError):
-            self._log_outcome(
-                incoming, 'client left', executor.attempt_history.last_detail
+            self._log_client_left(
+                request, incoming, executor.attempt_history.last_detail
             )
             raise
         finally:
             executor.replacement.release()
             self.dependencies.quarantine.end_request(incoming)
 
+    async def _execute(
+        self, exchange: ClientExchange, executor: RequestExecutor
+    ) -> web.Response | StreamEnd:
+        """Execute a request; end that once its client ends its stream."""
+        try:
+            async with work_for_client(exchange.request):
+                if executor.incoming.is_stream:
+                    return await self._proxy_stream(exchange, executor)
+                return await self._proxy_buffered(exchange.request, executor)
+        except HalfClosedError as error:
+            if exchange.stream is not None:
+                raise ClientConnectionResetError('client left') from error
+            return self._reject_request(
+                exchange.request,
+                half_closed_failure(executor),
+                executor.incoming,
+            )
+
     async def _proxy_buffered(
         self,
         request: web.BaseRequest,
@@ -137,8 +162,8 @@
     ) -> web.Response:
         match await execute_before_deadline(executor):
             case Ok(answer):
-                self._log_outcome(executor.incoming, f'status {answer.status}')
-                return self._build_response(answer)
+                self._log_answer(executor.incoming, answer)
+                return self._build_response(request, answer)
             case Err(failure):
                 return self._reject_request(request, failure, executor.incoming)
 
@@ -154,8 +179,8 @@
                 self._record_stream_end(incoming, exchange.stream, stream_end)
                 return stream_end
             case BufferedResponse() as answer:
-                self._log_outcome(incoming, f'status {answer.status}')
-                return self._build_response(answer)
+                self._log_answer(incoming, answer)
+                return self._build_response(exchange.request, answer)
             case Failure() as failure:
                 return self._reject_request(exchange.request, failure, incoming)
 
@@ -184,8 +209,13 @@
     ) -> None:
         timing_fields = _timing_fields(incoming, stream.timing)
         match stream_end:
-            case StreamCompleted():
-                self._log_outcome(incoming, 'stream complete', **timing_fields)
+            case StreamCompleted(end=end):
+                self._log_outcome(
+                    incoming,
+                    'stream complete',
+                    body_end=end.value,
+                    **timing_fields,
+                )
             case StreamCut(reason=reason, detail=detail):
                 self.metrics.streams_cut.inc({'reason': reason.value})
                 self._log_outcome(
@@ -212,7 +242,7 @@
                 ),
             )
         except (asyncio.CancelledError, ClientConnectionResetError):
-            self._log_outcome(incoming, 'client left', 'during the upload')
+            self._log_client_left(request, incoming, 'during the upload')
             raise
 
     async def _read_body(
@@ -240,16 +270,23 @@
         configuration = self.node_state.configuration
         return configuration.limits if configuration else ClientLimits()
 
-    def _build_response(self, answer: BufferedResponse) -> web.Response:
+    def _build_response(
+        self, request: web.BaseRequest, answer: BufferedResponse
+    ) -> web.Response:
         response = web.Response(
             status=answer.status,
             headers=answer.headers,
-            body=answer.body,
+            body=answer.body.content,
         )
-        return self._close_if_stopping(response)
+        return self._close_if_last(request, response)
 
-    def _close_if_stopping(self, response: web.Response) -> web.Response:
-        if self.node_state.is_stopping:
+    def _close_if_last(
+        self, request: web.BaseRequest, response: web.Response
+    ) -> web.Response:
+        is_stopping = self.node_state.is_stopping and not has_queued_request(
+            request
+        )
+        if is_stopping or is_last_request(request):
             response.force_close()
         return response
 
@@ -272,6 +309,7 @@
                 'detail': failure.detail,
                 'retry_after_s': failure.retry_after_s,
                 'elapsed_ms': int(elapsed_s * 1000),
+                'client_end': client_end_of(request),
                 'config_version': self._config_version(),
                 'config_age_ms': self.node_state.configuration_age_ms(),
                 **stop_fields(self.node_state),
@@ -282,7 +320,17 @@
             text=f'{failure.kind.value}: {failure.detail}\n',
             headers=build_refusal_headers(attempt_id, failure.retry_after_s),
         )
-        return self._close_if_stopping(response)
+        return self._close_if_last(request, response)
+
+    def _log_answer(
+        self, incoming: IncomingRequest, answer: BufferedResponse
+    ) -> None:
+        self._log_outcome(
+            incoming,
+            f'status {answer.status}',
+            body_end=answer.body.end.value,
+            body_bytes=len(answer.body.content),
+        )
 
     def _log_outcome(
         self,
@@ -308,6 +356,20 @@
             },
         )
 
+    def _log_client_left(
+        self, request: web.BaseRequest, incoming: IncomingRequest, detail: str
+    ) -> None:
+        """Log how the client ended its side, and what saw that first."""
+        seen_by_loop = client_end_of(request)
+        look = look_at_connection(request.transport)
+        self._log_outcome(
+            incoming,
+            'client left',
+            detail,
+            client_end=seen_by_loop or look.client_end,
+            found_by='event_loop' if seen_by_loop else 'look',
+        )
+
     def _config_version(self) -> int | None:
         configuration = self.node_state.configuration
         return configuration.version if configuration else None
@@ -328,7 +390,3 @@
         'longest_gap_ms': int(event_timing.longest_gap_s * 1000),
         'longest_gap_end_s': round(event_timing.longest_gap_end_s, 3),
     }
-
-
-def _is_client_connected(request: web.BaseRequest) -> bool:
-    return look_at_connection(request.transport).is_open
--- a/src/arbutusbay/node/_server_feedback.py
+++ b/src/arbutusbay/node/_server_feedback.py
@@ -1,8 +1,11 @@
 """Learn about backend servers from the responses and failures of attempts."""
 
+from result import Err, Ok, Result
+
 from arbutusbay.clock import now_s
 from arbutusbay.fleet import RouteSpec
 from arbutusbay.logs import get_logger
+from arbutusbay.node._attempts import AttemptFailure, OpenResponse
 from arbutusbay.node._node_state import NodeState
 from arbutusbay.node._placement import Placement
 from arbutusbay.platform import EngineLoad, ResponseHead
@@ -27,6 +30,22 @@
         view.record_success(moment_s)
         self.node_state.response_durations.record(route.name, moment_s - sent_s)
 
+    def record_head(
+        self,
+        view: EngineView,
+        model: str,
+        opened: Result[OpenResponse, AttemptFailure],
+    ) -> None:
+        """Record what the headers of a response show about its server."""
+        match opened:
+            case Ok(OpenResponse(parsed_headers=head)):
+                self.record_departure(view, head)
+                self.record_load(view, head.load)
+                self.record_weights(view, model, head.weights_version)
+            case Err(AttemptFailure(response_head=ResponseHead() as head)):
+                self.record_departure(view, head)
+                self.record_rejection(view, head)
+
     def record_load(self, view: EngineView, load: EngineLoad | None) -> None:
         """Record the load that a response reports, if any."""
         if load is not None:
--- a/src/arbutusbay/router/_generation_run.py
+++ b/src/arbutusbay/router/_generation_run.py
@@ -29,12 +29,15 @@
 from arbutusbay.router._run_progress import (
     CompletionRequest,
     RunProgress,
+    StopReason,
+    first_piece_time_left_s,
     next_piece_deadline_s,
 )
 from arbutusbay.router._shared_state import RouterState
 from arbutusbay.router._silence_handler import (
     SilenceHandler,
     log_failed_attempt,
+    log_stop,
 )
 from arbutusbay.router._stop_decision import refuse_job_for_stop
 from arbutusbay.state import Urgency
@@ -192,8 +195,12 @@
         a place for it, or its time is over.
         """
         monitor.start_waiting()
-        if await reader.wait(monitor.max_silence_s()):
+        limit_s = first_piece_time_left_s(self.request.job, self.progress)
+        if await reader.wait(min(limit_s, monitor.max_silence_s())):
             event = reader.take()
+        elif limit_s < monitor.max_silence_s():
+            self.silence_handler.give_up(monitor.placement)
+            event = None
         else:
             event = await self.silence_handler.outlast(
                 reader, monitor.placement
@@ -279,8 +286,8 @@
     async def _has_engine_ended(self, placement: Placement) -> bool:
         """Record a failed attempt; return whether its engine has ended.
 
-        An engine that broke off a response that was under way says nothing
-        about the prompt.
+        A response that was under way as it broke off is no evidence against
+        the prompt.
         """
         progress = self.progress
         if (
@@ -295,24 +302,37 @@
         )
 
     async def _may_retry(self, placement: Placement) -> bool:
+        reason = await self._find_reason_to_stop(placement)
+        if reason is not None:
+            log_stop(self.request, self.progress, placement, reason)
+        return reason is None
+
+    async def _find_reason_to_stop(
+        self, placement: Placement
+    ) -> StopReason | None:
+        """Return why no attempt may follow, None if one may.
+
+        That one has its token of the retry budget.
+        """
         has_ended = await self._has_engine_ended(placement)
         if has_ended and not self.shared_state.quarantine.may_retry(
             segment_keys_of(self.request.job), now_s()
         ):
-            return False
+            return StopReason.PROMPT
         failure = self.progress.last_failure
         if failure.kind is ErrorKind.DEADLINE_EXCEEDED:
-            return False
+            return StopReason.DEADLINE
         if not self.progress.has_attempts_left(
             self.shared_state.settings.limits.max_attempts
         ):
-            return False
+            return StopReason.ATTEMPTS
         may_have_run = failure.effective_run_state is not RunState.NOT_RUN
         if may_have_run and not self.request.idempotent:
-            return False
-        return self.shared_state.may_repeat(
+            return StopReason.RUNS_ONCE
+        has_token = self.shared_state.may_repeat(
             has_output=bool(self.progress.relayed_pieces)
         )
+        return None if has_token else StopReason.RETRY_BUDGET
 
     def _reported_failure(self, failure: Failure) -> Failure:
         if self.progress.relayed_pieces:
--- a/src/arbutusbay/router/_run_progress.py
+++ b/src/arbutusbay/router/_run_progress.py
@@ -1,5 +1,6 @@
 """Define a completion request and the progress of its run."""
 
+import enum
 import time
 
 import attrs
@@ -12,6 +13,20 @@
 _RESPONSE_START_S = 0.3
 
 
+class StopReason(enum.StrEnum):
+    """Name why no further attempt follows a failed one.
+
+    ``PROMPT``: engines ended under its prompt before. ``RUNS_ONCE``: it may
+    have run, and must not run again.
+    """
+
+    PROMPT = 'prompt'
+    DEADLINE = 'deadline'
+    ATTEMPTS = 'attempts'
+    RUNS_ONCE = 'runs_once'
+    RETRY_BUDGET = 'retry_budget'
+
+
 @attrs.frozen(kw_only=True)
 class CompletionRequest:
     """Hold a validated completion request."""
@@ -81,3 +96,14 @@
 def time_left_s(job: Job, progress: RunProgress) -> float:
     """Return how long the next piece may still take."""
     return max(0.0, next_piece_deadline_s(job, progress) - time.monotonic())
+
+
+def first_piece_time_left_s(job: Job, progress: RunProgress) -> float:
+    """Return how long the first piece may still take.
+
+    Infinity once there was a piece: a later one is only limited when its engine
+    is silent.
+    """
+    if progress.last_piece_at_s is not None:
+        return float('inf')
+    return time_left_s(job, progress)
--- a/src/arbutusbay/router/_silence_handler.py
+++ b/src/arbutusbay/router/_silence_handler.py
@@ -17,6 +17,7 @@
 from arbutusbay.router._run_progress import (
     CompletionRequest,
     RunProgress,
+    StopReason,
     time_left_s,
 )
 from arbutusbay.router._shared_state import RouterState
@@ -64,7 +65,7 @@
         finally:
             self.reserved = self.dispatcher.withdraw_move(moving)
         if not has_come:
-            self._give_up(placement)
+            self.give_up(placement)
             return None
         self.release_reserved()
         event = reader.take()
@@ -72,6 +73,20 @@
             self._record_sound_engine(placement)
         return event
 
+    def give_up(self, placement: Placement) -> None:
+        """Record that an attempt is over, as its time is or it is moved."""
+        detail = 'engine sent nothing until the deadline'
+        if self.reserved is not None:
+            detail = f'moved to engine {self.reserved.engine.name}'
+        failure = Failure(
+            kind=ErrorKind.DEADLINE_EXCEEDED,
+            detail=detail,
+            run_state=RunState.UNKNOWN,
+        )
+        self.progress.last_failure = failure
+        self.progress.excluded |= {placement.engine.name}
+        log_failed_attempt(self.request, self.progress, placement, failure)
+
     def take_reserved(self) -> Placement | None:
         """Return the reserved place, if any, which the caller must release."""
         placement = self.reserved
@@ -118,19 +133,6 @@
             fields=_log_fields(self.request, self.progress, placement),
         )
 
-    def _give_up(self, placement: Placement) -> None:
-        detail = 'engine sent nothing until the deadline'
-        if self.reserved is not None:
-            detail = f'moved to engine {self.reserved.engine.name}'
-        failure = Failure(
-            kind=ErrorKind.DEADLINE_EXCEEDED,
-            detail=detail,
-            run_state=RunState.UNKNOWN,
-        )
-        self.progress.last_failure = failure
-        self.progress.excluded |= {placement.engine.name}
-        log_failed_attempt(self.request, self.progress, placement, failure)
-
 
 def log_failed_attempt(
     request: CompletionRequest,
@@ -146,6 +148,24 @@
     )
 
 
+def log_stop(
+    request: CompletionRequest,
+    progress: RunProgress,
+    placement: Placement,
+    reason: StopReason,
+) -> None:
+    """Log why no further attempt follows a failed one."""
+    _LOG.warning(
+        'completion not repeated',
+        fields={
+            **_log_fields(request, progress, placement),
+            'reason': reason.value,
+            'has_started': progress.has_started,
+            'attempts': progress.attempts,
+        },
+    )
+
+
 def _log_fields(
     request: CompletionRequest, progress: RunProgress, placement: Placement
 ) -> dict[str, Any]:
--- a/tests/raw_clients.py
+++ b/tests/raw_clients.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import socket
+import struct
 
 import attrs
 
@@ -20,7 +21,7 @@
 class RawResponse:
     """Hold the first response on a connection, and what follows it.
 
-    ``is_complete`` tells that the body has its length or its last chunk.
+    ``is_complete`` means that the body has its length or its last chunk.
     ``rest`` holds the bytes that belong to no chunk and no body.
     """
 
@@ -31,9 +32,25 @@
     rest: bytes
 
 
+@attrs.frozen(kw_only=True)
+class Received:
+    """Hold all bytes of a connection, and whether a reset ended it."""
+
+    content: bytes
+    is_reset: bool
+
+
 async def exchange_bytes(
     host: str, port: int, request: bytes, *, limit_s: float = _READ_LIMIT_S
 ) -> bytes:
+    """Return all that arrives, as ``receive_all`` does, however it ends."""
+    received = await receive_all(host, port, request, limit_s=limit_s)
+    return received.content
+
+
+async def receive_all(
+    host: str, port: int, request: bytes, *, limit_s: float = _READ_LIMIT_S
+) -> Received:
     """Send ``request`` and return all that arrives until the connection ends.
 
     The request has to ask for the connection to be closed. Raises
@@ -50,10 +67,56 @@
                 while chunk := await loop.sock_recv(connection, _READ_BYTES):
                     received += chunk
             except ConnectionResetError:
-                return received
+                return Received(content=received, is_reset=True)
+    return Received(content=received, is_reset=False)
+
+
+async def half_close_after(
+    host: str,
+    port: int,
+    parts: list[bytes],
+    *,
+    pause_s: float = 0.0,
+    wait_s: float = 0.0,
+    limit_s: float = _READ_LIMIT_S,
+) -> bytes:
+    """Send ``parts``, shut down the sending side and return all that arrives.
+
+    ``pause_s`` passes before each part and ``wait_s`` before the end. Raises
+    ``TimeoutError`` if the connection does not end within ``limit_s`` seconds
+    after that.
+    """
+    reader, writer = await asyncio.open_connection(host, port)
+    for part in parts:
+        await asyncio.sleep(pause_s)
+        writer.write(part)
+    await asyncio.sleep(wait_s)
+    writer.write_eof()
+    try:
+        return await _read_to_end(reader, limit_s)
+    finally:
+        writer.close()
+
+
+async def _read_to_end(reader: asyncio.StreamReader, limit_s: float) -> bytes:
+    received = b''
+    async with asyncio.timeout(limit_s):
+        try:
+            while chunk := await reader.read(_READ_BYTES):
+                received += chunk
+        except ConnectionResetError:
+            return received
     return received
 
 
+def reset_at_close(writer: asyncio.StreamWriter) -> None:
+    """Let the close of a connection reset it."""
+    connection = writer.get_extra_info('socket')
+    connection.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+    )
+
+
 def build_bytes(
     path: str,
     headers: dict[str, str],
@@ -92,6 +155,25 @@
     )
 
 
+def parse_received(received: Received) -> RawResponse:
+    """Parse the first response, whose body the connection may end.
+
+    Such a body is complete if the connection was closed, not reset.
+    """
+    head, _, body = received.content.partition(_HEAD_END)
+    names = {line.partition(b':')[0].lower() for line in head.splitlines()}
+    if names & {b'content-length', b'transfer-encoding'}:
+        return parse_bytes(received.content)
+    status, *lines = head.decode().split('\r\n')
+    return RawResponse(
+        status=int(status.split()[1]),
+        headers=dict(line.split(': ', 1) for line in lines),
+        body=body,
+        is_complete=not received.is_reset,
+        rest=b'',
+    )
+
+
 def _parse_chunks(received: bytes) -> tuple[bytes, bool, bytes]:
     """Return the content, whether the last chunk came, and what follows."""
     body = b''
