--- a/src/arbutusbay/router/_generation_run.py
+++ b/src/arbutusbay/router/_generation_run.py
@@ -138,7 +138,7 @@
         """Return a failure if the request must not be sent now."""
         job = self.request.job
         return refuse_job(self.shared_state, job) or refuse_job_for_stop(
-            self.shared_state, job, may_have_run=self._may_have_run()
+            self.shared_state, job, may_have_run=bool(self.progress.excluded)
         )
 
     async def _place_in_queue(self) -> Result[Placement, Failure]:
@@ -347,13 +347,10 @@
                 kind=ErrorKind.OUTCOME_UNKNOWN,
                 run_state=RunState.UNKNOWN,
             )
-        if self._may_have_run():
+        if bool(self.progress.excluded):
             return attrs.evolve(failure, run_state=RunState.UNKNOWN)
         return failure
 
-    def _may_have_run(self) -> bool:
-        return bool(self.progress.excluded)
-
 
 def _process_of(engine: EngineState) -> EngineProcess:
     address = urlsplit(engine.url)
