Answer pipelined requests as a daemon of our own interface drains

Callers that sent several requests at once on one connection got 200 for the first and nothing for the others, which had been read whole: a drain closes each connection behind the request being handled, and aiohttp drops what it has parsed.

`ClientHandler` closes behind the last request that was read, within the limit of draining; that holds for the one being handled and the queued ones together.

Before: `test_pipelined_requests_in_a_drain_are_answered` gets 1 of 3 answers. `test_drain_ends_at_its_limit` guards the limit: for aiohttp a limit of 0 means none.

--- a/src/arbutusbay/_client_ends.py
+++ b/src/arbutusbay/_client_ends.py
@@ -11,6 +11,8 @@
 from aiohttp.abc import AbstractStreamWriter
 from aiohttp.http import RawRequestMessage
 
+_POLL_INTERVAL_S = 0.02
+
 
 class ClientEnd(enum.StrEnum):
     """Name how a client ended its side of a connection.
@@ -37,7 +39,8 @@
 
     ``client_end`` is what the event loop has seen, None before that.
     ``request_body`` and ``response_writer`` are those of the latest request,
-    None before the first. ``work_limit`` ends the work for it.
+    None before the first. ``work_limit`` ends the work for it. With
+    ``closes_after_queue`` the connection ends behind the requests read so far.
     """
 
     def __init__(self, server: web.Server, **options: Any) -> None:
@@ -47,13 +50,15 @@
         self.request_body: StreamReader | None = None
         self.response_writer: AbstractStreamWriter | None = None
         self.work_limit: asyncio.Timeout | None = None
+        self.closes_after_queue = False
         self.new_request = server.request_factory
         self._request_factory = self._begin_request
 
     @property
     def is_last_request(self) -> bool:
         """Return whether no request can follow the one being handled."""
-        return self.client_end is not None and not self.has_queued_request
+        is_ending = self.client_end is not None or self.closes_after_queue
+        return is_ending and not self.has_queued_request
 
     @property
     def has_queued_request(self) -> bool:
@@ -91,6 +96,36 @@
         self.response_writer = None
         super().connection_lost(exc)
 
+    def close(self) -> None:
+        """Close the connection once all requests that were read are handled."""
+        self.closes_after_queue = True
+        if not self.has_queued_request:
+            super().close()
+
+    async def shutdown(self, timeout: float | None = 15.0) -> None:
+        """Give queued requests up to ``timeout`` seconds, then close.
+
+        ``timeout`` is for them and the one being handled together; None sets
+        no limit.
+        """
+        left_s = timeout
+        try:
+            async with asyncio.timeout(timeout) as limit:
+                await self._handle_queued()
+                if timeout is not None:
+                    loop = asyncio.get_running_loop()
+                    left_s = limit.when() - loop.time()
+        except TimeoutError:
+            left_s = 0
+        if left_s is not None:
+            # For aiohttp no time means no limit.
+            left_s = max(_POLL_INTERVAL_S, left_s)
+        await super().shutdown(left_s)
+
+    async def _handle_queued(self) -> None:
+        while self.has_queued_request:
+            await asyncio.sleep(_POLL_INTERVAL_S)
+
     def _begin_request(
         self,
         message: RawRequestMessage,
--- a/tests/unit/test_pipelined_requests.py
+++ b/tests/unit/test_pipelined_requests.py
@@ -10,21 +10,22 @@
 from tests.http_servers import serving
 from tests.raw_clients import build_bytes, parse_bytes
 
-_RUN_S = 0.1
+_DRAIN_S = 1.0
 _LIMIT_S = 2.0
 _REQUEST = build_bytes('/x', {'Host': 'test', 'Connection': 'keep-alive'})
 
 
 @attrs.define(kw_only=True)
 class SlowApi:
-    """Answer each request after a moment."""
+    """Answer each request after ``run_s`` seconds."""
 
+    run_s: float = 0.1
     called: int = 0
 
     async def respond(self, request: web.Request) -> web.Response:
         """Wait and answer."""
         self.called += 1
-        await asyncio.sleep(_RUN_S)
+        await asyncio.sleep(self.run_s)
         return web.Response()
 
 
@@ -48,3 +49,17 @@
         received = response.rest
     assert len(statuses) == 3
     assert set(statuses) <= {200, 503}
+
+
+# Guards against a drain without end for requests that outlast its limit.
+async def test_drain_ends_at_its_limit():
+    api = SlowApi(run_s=60)
+    application = new_application()
+    application.router.add_post('/x', api.respond)
+    async with asyncio.timeout(_DRAIN_S + _LIMIT_S):
+        async with serving(application) as port:
+            _, writer = await asyncio.open_connection('127.0.0.1', port)
+            writer.write(b''.join((_REQUEST, _REQUEST, _REQUEST)))
+            await wait_for_condition(lambda: api.called, 'the first one runs')
+    writer.close()
+    assert api.called == 1
