--- a/tests/unit/test_failing_records.py
+++ b/tests/unit/test_failing_records.py
@@ -37,6 +37,9 @@
             raise UnexpectedError(server.id)
         self.registered.append(server.id)
 
+    def remove_departed(self) -> None:
+        """Remove nothing."""
+
 
 class FailingStore:
     """Return one record whenever the newest ones are read."""
