--- a/src/arbutusbay/_http.py
+++ b/src/arbutusbay/_http.py
@@ -302,9 +302,10 @@
         )
         self.on_drain_start(stop)
         await asyncio.sleep(stop.notice_end_s - time.monotonic())
+        request_drain = self.application[_REQUEST_DRAIN]
+        request_drain.end_uploads()
         ending = asyncio.get_running_loop().call_later(
-            stop.time_left_s(time.monotonic()),
-            self.application[_REQUEST_DRAIN].end_requests,
+            stop.time_left_s(time.monotonic()), request_drain.end_requests
         )
         try:
             async with asyncio.timeout(stop.exit_s - time.monotonic()):
--- a/tests/http_servers.py
+++ b/tests/http_servers.py
@@ -11,14 +11,19 @@
 
 
 @contextlib.asynccontextmanager
-async def serving(application: web.Application) -> AsyncIterator[int]:
-    """Serve ``application`` as the daemons do; yield the port."""
+async def serving(
+    application: web.Application, *, limit_s: float = 1
+) -> AsyncIterator[int]:
+    """Serve ``application`` as the daemons do; yield the port.
+
+    A drain without notice, of ``limit_s`` seconds at most, ends the block.
+    """
     port = unused_port()
     service = HttpService(
         application=application,
         host='127.0.0.1',
         port=port,
-        drain=DrainSettings(notice_ms=0, limit_s=1),
+        drain=DrainSettings(notice_ms=0, limit_s=limit_s),
         on_drain_start=lambda stop: None,
     )
     await service.start()
