Count the removals of several reads after an outage together

Those removed within the grace period count now, so that the third of five defers the rest. What the first reads remove comes back with its next heartbeat.

--- a/src/arbutusbay/node/_server_registry.py
+++ b/src/arbutusbay/node/_server_registry.py
@@ -18,7 +18,9 @@
 
     ``removal_due_s`` maps the ids of servers whose removal is deferred to
     the time of removal, in seconds on the clock of ``now_s``. ``newly_missing``
-    holds those of them that the present read did not find.
+    holds those of them that the present read did not find. ``departed`` maps
+    the ids of those that were removed as few were missing to their services,
+    as more may be missing at the next read.
     """
 
     def __init__(self, *, node_state: NodeState) -> None:
@@ -26,6 +28,7 @@
         self.node_state = node_state
         self.removal_due_s: dict[str, float] = {}
         self.newly_missing: set[str] = set()
+        self.departed: dict[str, str] = {}
 
     async def run(self) -> None:
         """Apply the removals whose delay has passed until cancelled.
@@ -44,6 +47,7 @@
         """
         self.removal_due_s.pop(server.id, None)
         self.newly_missing.discard(server.id)
+        self.departed.pop(server.id, None)
         previous = self.node_state.catalog.servers.get(server.id)
         self.node_state.catalog.servers[server.id] = server
         view = self.node_state.engine_views.get(server.id)
@@ -75,6 +79,7 @@
             self.removal_due_s[server_id] = grace_end_s
             self.newly_missing.add(server_id)
             return
+        self.departed.clear()
         self._remove_now(server_id)
 
     def remove_departed(self) -> None:
@@ -92,6 +97,9 @@
         for server_id in self.newly_missing.difference(departed):
             _LOG.info('server removal deferred', fields={'server': server_id})
         for server_id in departed:
+            self.departed[server_id] = self.node_state.engine_views[
+                server_id
+            ].service
             self.removal_due_s.pop(server_id)
             self._remove_now(server_id)
         self.newly_missing.clear()
@@ -112,9 +120,14 @@
         """Return whether most servers of the same service are missing."""
         views = self.node_state.engine_views
         service = views[server_id].service
-        of_service = [name for name in views if views[name].service == service]
-        missing = self.removal_due_s.keys() & of_service
-        return len(missing) * 2 > len(of_service)
+        registered = {
+            name for name, view in views.items() if view.service == service
+        }
+        departed = {
+            name for name, former in self.departed.items() if former == service
+        }
+        missing = departed | (registered & self.removal_due_s.keys())
+        return len(missing) * 2 > len(registered | departed)
 
     def _remove_now(self, server_id: str) -> None:
         self.node_state.catalog.servers.pop(server_id, None)
--- a/tests/unit/test_store_outage.py
+++ b/tests/unit/test_store_outage.py
@@ -203,6 +203,32 @@
     assert len(node_state.engine_views) == kept
 
 
+# Guards against the loss of all servers where an outage makes their
+# registrations expire one after the other, over several reads.
+@pytest.mark.parametrize(
+    ('removed_per_read', 'kept'), [((3, 2), 5), ((2, 3), 3), ((1,) * 5, 3)]
+)
+async def test_removals_of_several_reads_count_together(
+    node_state, servers_topic, clock, removed_per_read, kept
+):
+    names = [f'engine-{number}' for number in range(1, 6)]
+    payload = orjson.dumps(build_registration())
+    apply(
+        servers_topic,
+        [KeyedRecord(key=name, payload=payload, offset=1) for name in names],
+        end=2,
+    )
+    node_state.freshness.record_outage(clock.moment_s)
+    for count in removed_per_read:
+        removed, names = names[:count], names[count:]
+        apply(
+            servers_topic,
+            [KeyedRecord(key=name, payload=b'', offset=2) for name in removed],
+            end=3,
+        )
+    assert len(node_state.engine_views) == kept
+
+
 async def test_short_failure_is_no_outage(node_state, store, reader):
     await read_times(reader, 2)
     store.is_available = True
