Give ended and queued requests a turn before the VM ends

From the review, not shown by a trial: if the event loop is late at the end of the grace period, the requests that are ended had no turn of their own before the process went on; and between two pipelined requests a connection looked unused for one turn, in which the drain could end.

--- a/src/arbutusbay/node/_idle_connections.py
+++ b/src/arbutusbay/node/_idle_connections.py
@@ -53,6 +53,7 @@
         """
         return not any(
             connection.has_request
+            or connection.has_queued_request
             or connection.is_arriving
             or _is_closing(connection)
             for connection in self._open_connections()
@@ -63,7 +64,7 @@
 
 
 def _close_if_unused(connection: ClientProtocol, idle_timeout_s: float) -> None:
-    if connection.has_request:
+    if connection.has_request or connection.has_queued_request:
         return
     moment_s = now_s()
     if connection.unused_since_s is None:
--- a/src/arbutusbay/node/_shutdown.py
+++ b/src/arbutusbay/node/_shutdown.py
@@ -67,5 +67,8 @@
         fields={'in_progress': len(node_state.busy_connections)},
     )
     end_requests(node_state)
-    while node_state.busy_connections and now_s() < stop.exit_s:
+    while node_state.busy_connections:
+        # Also if it is late, they need a turn of the event loop.
         await asyncio.sleep(_POLL_INTERVAL_S)
+        if now_s() >= stop.exit_s:
+            return
