--- a/src/arbutusbay/_planned_stop.py
+++ b/src/arbutusbay/_planned_stop.py
@@ -1,7 +1,8 @@
 """Decide what a process that was asked to stop still passes on.
 
 A request is sent to a backend server only if its answer can be complete
-before the process ends. All times are in seconds on one clock of the caller.
+before the process ends. All times are in seconds on the clock that the caller
+uses for the whole stop.
 """
 
 import attrs
--- a/src/arbutusbay/node/_client_connection.py
+++ b/src/arbutusbay/node/_client_connection.py
@@ -30,7 +30,7 @@
 
 @attrs.frozen(kw_only=True)
 class ConnectionLook:
-    """Hold what the kernel tells about a connection.
+    """Hold the state of a connection in the kernel.
 
     ``client_end`` is how the client ended its side, also if bytes that it sent
     before are still unread, None if it did not. ``last_received_age_s`` is the
--- a/src/arbutusbay/node/_request_executor.py
+++ b/src/arbutusbay/node/_request_executor.py
@@ -255,7 +255,7 @@
         """Return the response or failure to send after the last attempt.
 
         A response that the backend server sent with a 5xx status is passed
-        on. Otherwise the failure tells whether the request may have run.
+        on. Otherwise the failure shows whether the request may have run.
         """
         if failure.error_response is not None:
             return Ok(failure.error_response)
@@ -449,7 +449,7 @@
     def _downgrade_if_run(self, failure: Failure) -> Failure:
         """Make ``failure`` ``OUTCOME_UNKNOWN`` if the request may have run.
 
-        The original kind would tell the client that the request did not run.
+        The original kind would promise that the request did not run.
         """
         if was_certainly_not_executed(self.attempt_history.attempt_count()):
             return failure
--- a/tests/integration/test_ends_at_shutdown.py
+++ b/tests/integration/test_ends_at_shutdown.py
@@ -106,7 +106,7 @@
 
 
 # Guards against the same for a request that has not been sent to any engine:
-# it is told so, and its client may repeat it.
+# it is refused as not run, and its client may repeat it.
 async def test_request_that_waits_until_the_end_is_refused_as_not_run(
     fleet, http
 ):
--- a/tests/integration/test_half_closed_clients.py
+++ b/tests/integration/test_half_closed_clients.py
@@ -2,7 +2,7 @@
 
 It may have closed the whole connection: engines do no more for it. But it may
 also wait for its response, and a request that was read whole gets one, which
-tells truly whether it may have run.
+shows truly whether it may have run.
 """
 
 import asyncio
@@ -70,7 +70,7 @@
 def assert_true_refusal(
     fleet: Fleet, attempt_id: str, received: bytes
 ) -> RawResponse:
-    """Check that ``received`` is one whole refusal which tells the truth."""
+    """Check that ``received`` is one whole refusal which is true."""
     response = parse_bytes(received)
     assert response.is_complete
     assert not response.rest
--- a/tests/unit/test_client_connection.py
+++ b/tests/unit/test_client_connection.py
@@ -142,7 +142,7 @@
 # side for one whose connection was reset, with bytes before the end unread or
 # not, or the reverse.
 @pytest.mark.parametrize('sent', [b'', b'request'])
-def test_ends_of_a_client_are_told_apart(connection, sent):
+def test_ends_of_a_client_are_distinguished(connection, sent):
     client, transport = connection
     transport.pause_reading()
     client.sendall(sent)
@@ -161,7 +161,7 @@
         (reset, 'closed'),
     ],
 )
-def test_ends_are_told_apart_without_the_state(
+def test_ends_are_distinguished_without_the_state(
     connection, monkeypatch, end, seen
 ):
     client, transport = connection
