Log which configuration accepted a request beside the one at its end

What callers saw: nothing. Now both stand in 'request ended' and 'request refused'. Its test fails without the change (run so), passes with it; the file passes (17 tests).

--- a/src/arbutusbay/node/_frontend.py
+++ b/src/arbutusbay/node/_frontend.py
@@ -312,6 +312,8 @@
                 'retry_after_s': failure.retry_after_s,
                 'elapsed_ms': int(elapsed_s * 1000),
                 'client_end': client_end_of(request),
+                'accepted_by_version': incoming
+                and incoming.configuration_version,
                 'config_version': self._config_version(),
                 'config_age_ms': self.node_state.configuration_age_ms(),
                 **stop_fields(self.node_state),
@@ -351,6 +353,7 @@
                 'outcome': outcome,
                 'detail': detail,
                 'elapsed_ms': int(elapsed_s * 1000),
+                'accepted_by_version': incoming.configuration_version,
                 'config_version': self._config_version(),
                 'config_age_ms': self.node_state.configuration_age_ms(),
                 **stop_fields(self.node_state),
--- a/src/arbutusbay/node/_incoming_request.py
+++ b/src/arbutusbay/node/_incoming_request.py
@@ -37,6 +37,8 @@
     ``team`` is None for public routes and for configurations without teams.
     ``whole_s`` is when its last byte arrived, None before that.
     ``segment_keys`` identifies the shared segments of the prompt in order.
+    ``configuration_version`` is the version that accepted the request; a later
+    one may be in force when it ends.
     """
 
     method: str
@@ -50,6 +52,7 @@
     deadline_s: float
     whole_s: float | None = None
     segment_keys: tuple[SegmentKey, ...] = ()
+    configuration_version: int | None = None
 
     @property
     def attempt_id(self) -> str:
@@ -192,6 +195,7 @@
             )
             if service.models
             else (),
+            configuration_version=configuration.version,
         ),
     )
 
--- a/tests/integration/test_configuration_under_way.py
+++ b/tests/integration/test_configuration_under_way.py
@@ -145,6 +145,19 @@
         assert count_runs(fleet, attempt_id) == 1
 
 
+# Guards against a log from which nobody sees that a change came in between.
+async def test_log_shows_both_versions_of_a_request_under_way(fleet, http):
+    node = await start_node(fleet, http)
+    tasks = await start_requests(fleet, http, node)
+    await apply(fleet, http, node, **_CHANGES['routes gone'])
+    await assert_whole(tasks)
+    versions = '"accepted_by_version":1,"config_version":2'
+    await wait_for_condition(
+        lambda: node.log_path.read_text().count(versions) == len(tasks),
+        'lines with both versions',
+    )
+
+
 # Guards against a request that loses its answer when its API key is removed;
 # only those that have not run are refused.
 async def test_removed_key_leaves_requests_under_way_alone(fleet, http):
