Leave it to deadlines when a server does not read its request

Callers saw a stream cut midway, or 502, 3 s after a sound engine had stopped to read the body of a request. Cause: TCP_USER_TIMEOUT on the sessions of the platform's edge. The kernel counts with it also the time in which the peer's receive window is closed, however often the peer's kernel answers, and the time in which the own link is full. Class: a silence that ends an attempt before a replacement is reserved. The kernel can't reserve one: what it ends is an order or a stream that may not run again. The stall detector moves the others, and the deadline of the route ends what is left; the calls to the store, to other VMs and for reports have a timeout each.

Conclusion: a way in which a whole request lost its answer, not tied to a change of the configuration.

--- a/src/arbutusbay/node/_http_client.py
+++ b/src/arbutusbay/node/_http_client.py
@@ -1,7 +1,8 @@
 """Create HTTP client sessions that detect broken connections.
 
-Their connections keep what they have carried. TCP keepalive and the user
-timeout detect unreachable peers.
+Their connections keep what they have carried. TCP keepalive detects
+unreachable peers. It has no part where bytes wait for a peer that does not read
+them: a sound one may do so for long.
 """
 
 import asyncio
@@ -21,7 +22,6 @@
 _KEEPALIVE_IDLE_S = 2
 _KEEPALIVE_INTERVAL_S = 1
 _MAX_KEEPALIVE_PROBES = 2
-_TCP_USER_TIMEOUT_MS = 3000
 _IDLE_TIMEOUT_S = 4.0
 _SKIPPED_AUTO_HEADERS = (
     'User-Agent',
@@ -77,11 +77,6 @@
         (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S),
         (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S),
         (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _MAX_KEEPALIVE_PROBES),
-        (
-            socket.IPPROTO_TCP,
-            socket.TCP_USER_TIMEOUT,
-            _TCP_USER_TIMEOUT_MS,
-        ),
     )
     for level, option, setting in options:
         connection.setsockopt(level, option, setting)
