Log what clients have not taken yet as streams and the drain end

`request ended` reads `stream complete` once the event loop or the kernel has the answer; nothing showed whether the client had it. `unsent_bytes` stands in that line and in `drained`: what the client's kernel has not acknowledged. Where the kernel has no such count, only the bytes of the event loop are counted.

--- a/src/arbutusbay/node/_frontend.py
+++ b/src/arbutusbay/node/_frontend.py
@@ -25,6 +25,7 @@
 from arbutusbay.node._attempts import BufferedResponse
 from arbutusbay.node._client_connection import (
     check_client,
+    count_unsent_bytes,
     look_at_connection,
 )
 from arbutusbay.node._client_stream import (
@@ -215,6 +216,7 @@
                     incoming,
                     'stream complete',
                     body_end=end.value,
+                    unsent_bytes=count_unsent_bytes(stream.request.transport),
                     **timing_fields,
                 )
             case StreamCut(reason=reason, detail=detail):
--- a/src/arbutusbay/node/_idle_connections.py
+++ b/src/arbutusbay/node/_idle_connections.py
@@ -10,7 +10,10 @@
 
 from arbutusbay.clock import now_s
 from arbutusbay.logs import get_logger
-from arbutusbay.node._client_connection import has_unread_bytes
+from arbutusbay.node._client_connection import (
+    count_unsent_bytes,
+    has_unread_bytes,
+)
 from arbutusbay.node._client_protocol import ClientProtocol
 
 _LOG = get_logger('client')
@@ -59,6 +62,13 @@
             for connection in self._open_connections()
         )
 
+    def count_unsent_bytes(self) -> int:
+        """Return how many bytes the clients have not acknowledged yet."""
+        return sum(
+            count_unsent_bytes(connection.transport)
+            for connection in self._open_connections()
+        )
+
     def _open_connections(self) -> list[ClientProtocol]:
         return list(self.server.connections)
 
--- a/src/arbutusbay/node/_shutdown.py
+++ b/src/arbutusbay/node/_shutdown.py
@@ -47,7 +47,11 @@
     if node_state.busy_connections:
         await _end_requests(node_state, stop)
     _LOG.info(
-        'drained', fields={'in_progress': len(node_state.busy_connections)}
+        'drained',
+        fields={
+            'in_progress': len(node_state.busy_connections),
+            'unsent_bytes': idle_connections.count_unsent_bytes(),
+        },
     )
 
 
--- a/tests/unit/test_client_connection.py
+++ b/tests/unit/test_client_connection.py
@@ -17,6 +17,7 @@
 from arbutusbay.node import _client_connection
 from arbutusbay.node._client_connection import (
     ConnectionLook,
+    count_unsent_bytes,
     look_at_connection,
     parse_tcp_info,
 )
@@ -68,6 +69,11 @@
     client.close()
 
 
+def refuse_query(*arguments):
+    """Fail as a kernel does that has no such query."""
+    raise OSError
+
+
 def test_waiting_client_is_connected(connection):
     client, transport = connection
     client.sendall(b'request')
@@ -120,6 +126,44 @@
     assert socket.socket(fileno=os.dup(descriptor)).recv(100) == b'request'
 
 
+# Guards against an answer that counts as delivered once the kernel has it.
+@pytest.mark.parametrize('size', [100_000, 20_000_000])
+def test_bytes_that_the_client_did_not_take_are_unsent(connection, loop, size):
+    client, transport = connection
+    client.settimeout(ERROR_S)
+    # What the client's own kernel takes counts as received.
+    received_by_kernel = client.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF)
+    assert count_unsent_bytes(transport) == 0
+    transport.write(bytes(received_by_kernel * 2 + size))
+    loop.run_until_complete(asyncio.sleep(ERROR_S))
+    assert count_unsent_bytes(transport) >= size / 2
+    taken = 1
+    while taken:
+        loop.run_until_complete(asyncio.sleep(0))
+        try:
+            taken = len(client.recv(1_000_000))
+        except TimeoutError:
+            taken = 0
+    assert count_unsent_bytes(transport) == 0
+
+
+# Guards against an error of a kernel that does not count what is unsent.
+def test_unsent_bytes_of_the_event_loop_are_counted_in_any_case(
+    connection, loop, monkeypatch
+):
+    transport = connection[1]
+    monkeypatch.setattr(_client_connection.fcntl, 'ioctl', refuse_query)
+    transport.write(bytes(20_000_000))
+    loop.run_until_complete(asyncio.sleep(ERROR_S))
+    unsent = count_unsent_bytes(transport)
+    assert unsent > 0
+    assert unsent == transport.get_write_buffer_size()
+    transport.abort()
+    loop.run_until_complete(asyncio.sleep(ERROR_S))
+    assert count_unsent_bytes(transport) == 0
+    assert count_unsent_bytes(None) == 0
+
+
 # Guards against a look at a descriptor that another connection has by now.
 def test_closed_transport_is_not_looked_at(connection):
     transport = connection[1]
