--- a/tests/raw_clients.py
+++ b/tests/raw_clients.py
@@ -7,6 +7,7 @@
 import asyncio
 import socket
 import struct
+import time
 
 import attrs
 
@@ -34,10 +35,14 @@
 
 @attrs.frozen(kw_only=True)
 class Received:
-    """Hold all bytes of a connection, and whether a reset ended it."""
+    """Hold all bytes of a connection, and whether a reset ended it.
+
+    ``end_delay_s`` is the time between the last bytes and the end.
+    """
 
     content: bytes
     is_reset: bool
+    end_delay_s: float = 0.0
 
 
 async def exchange_bytes(
@@ -49,26 +54,39 @@
 
 
 async def receive_all(
-    host: str, port: int, request: bytes, *, limit_s: float = _READ_LIMIT_S
+    host: str,
+    port: int,
+    request: bytes,
+    *,
+    limit_s: float = _READ_LIMIT_S,
+    wait_s: float = 0.0,
 ) -> Received:
     """Send ``request`` and return all that arrives until the connection ends.
 
-    The request has to ask for the connection to be closed. Raises
-    ``TimeoutError`` if that is not done within ``limit_s`` seconds.
+    The request has to ask for the connection to be closed. Nothing is read for
+    ``wait_s`` seconds behind it. Raises ``TimeoutError`` if the connection is
+    not closed within ``limit_s`` seconds.
     """
     loop = asyncio.get_running_loop()
     received = b''
+    arrived_s = time.monotonic()
     with socket.socket() as connection:
         connection.setblocking(False)
         async with asyncio.timeout(limit_s):
             await loop.sock_connect(connection, (host, port))
-            await loop.sock_sendall(connection, request)
             try:
+                await loop.sock_sendall(connection, request)
+                await asyncio.sleep(wait_s)
                 while chunk := await loop.sock_recv(connection, _READ_BYTES):
                     received += chunk
-            except ConnectionResetError:
+                    arrived_s = time.monotonic()
+            except ConnectionError:
                 return Received(content=received, is_reset=True)
-    return Received(content=received, is_reset=False)
+    return Received(
+        content=received,
+        is_reset=False,
+        end_delay_s=time.monotonic() - arrived_s,
+    )
 
 
 async def half_close_after(
