Show the end of each streamed response, and end connections without a reset

Cause: each edge decided for itself. aiohttp announces nothing and keeps the connection where it has neither a length nor chunks to send.

One place decides what shows the end of a stream, as a BodyEnd, for both edges (response_streams.py). Where it is the connection, the head announces the close, the connection is closed behind the last event, and until then any close resets it. Behind the last response of a connection its sending side is shut, and what the client still sends is dropped until it closes, for 10 s at most (in a stop, for what crosses): a close with unread bytes resets the connection, which lost 400 and the ends of streams.

--- a/src/arbutusbay/_client_ends.py
+++ b/src/arbutusbay/_client_ends.py
@@ -12,6 +12,7 @@
 from aiohttp.http import RawRequestMessage
 
 _POLL_INTERVAL_S = 0.02
+_TRANSIT_S = 0.12
 
 
 class ClientEnd(enum.StrEnum):
@@ -41,6 +42,8 @@
     ``request_body`` and ``response_writer`` are those of the latest request,
     None before the first. ``work_limit`` ends the work for it. With
     ``closes_after_queue`` the connection ends behind the requests read so far.
+    Behind its last response, at most ``linger_s`` seconds pass until the client
+    ends its side as well.
     """
 
     def __init__(self, server: web.Server, **options: Any) -> None:
@@ -51,6 +54,7 @@
         self.response_writer: AbstractStreamWriter | None = None
         self.work_limit: asyncio.Timeout | None = None
         self.closes_after_queue = False
+        self.linger_s = self._lingering_time
         self.new_request = server.request_factory
         self._request_factory = self._begin_request
 
@@ -65,6 +69,11 @@
         """Return whether a request was read that is not being handled yet."""
         return bool(self._messages)
 
+    @property
+    def takes_requests(self) -> bool:
+        """Return whether what arrives is parsed, not dropped."""
+        return not (self._close or self._force_close)
+
     def begin_request(self) -> None:
         """Note that the next request leaves the queue of aiohttp."""
 
@@ -106,8 +115,10 @@
         """Give queued requests up to ``timeout`` seconds, then close.
 
         ``timeout`` is for them and the one being handled together; None sets
-        no limit.
+        no limit. Behind its last response a connection lingers only for what
+        crosses it.
         """
+        self.linger_s = 2 * _TRANSIT_S
         left_s = timeout
         try:
             async with asyncio.timeout(timeout) as limit:
@@ -122,6 +133,41 @@
             left_s = max(_POLL_INTERVAL_S, left_s)
         await super().shutdown(left_s)
 
+    async def finish_response(
+        self,
+        request: web.BaseRequest,
+        resp: web.StreamResponse,
+        start_time: float | None,
+    ) -> tuple[web.StreamResponse, bool]:
+        """Send a response; end the connection if it was the last one."""
+        finished, is_reset = await super().finish_response(
+            request, resp, start_time
+        )
+        is_last = not (finished.keep_alive and self.takes_requests)
+        if is_last and not is_reset:
+            await self._end_connection()
+        return finished, is_reset
+
+    async def _end_connection(self) -> None:
+        """Show the end of what is sent, and drop what the client still sends.
+
+        A close with bytes that were not read resets the connection, and the
+        client may lose the response.
+        """
+        if self.client_end is not None or self.transport is None:
+            return
+        if self.transport.is_closing():
+            return
+        self._messages.clear()
+        self._close = True
+        self.transport.write_eof()
+        self._resume_transport_reading()
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        while loop.time() - began_s < self.linger_s:
+            await asyncio.sleep(_POLL_INTERVAL_S)
+        self.force_close()
+
     async def _handle_queued(self) -> None:
         while self.has_queued_request:
             await asyncio.sleep(_POLL_INTERVAL_S)
--- a/src/arbutusbay/_http.py
+++ b/src/arbutusbay/_http.py
@@ -16,6 +16,7 @@
 from result import Err, Ok, Result
 
 from arbutusbay._request_drain import HAS_STARTED, RequestDrain
+from arbutusbay._response_streams import abort_connection
 from arbutusbay.client_connections import (
     StrictConnector,
     open_client_session,
@@ -224,9 +225,7 @@
         'response broken off by an exception',
         fields={'method': request.method, 'path': request.path},
     )
-    transport = request.transport
-    if transport is not None:
-        transport.abort()
+    abort_connection(request)
 
 
 def _failure_from_exception(
--- a/src/arbutusbay/_response_body.py
+++ b/src/arbutusbay/_response_body.py
@@ -8,7 +8,7 @@
 from result import Err, Ok, Result
 
 _CHUNKED = 'chunked'
-_EMPTY_STATUSES = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
+EMPTY_STATUSES = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 
 
 class BodyEnd(enum.StrEnum):
@@ -58,7 +58,7 @@
     codings = response.headers.get('Transfer-Encoding', '')
     if codings.rpartition(',')[-1].strip().lower() == _CHUNKED:
         return BodyEnd.CHUNKS
-    is_empty = response.method == 'HEAD' or response.status in _EMPTY_STATUSES
+    is_empty = response.method == 'HEAD' or response.status in EMPTY_STATUSES
     if is_empty or (not codings and 'Content-Length' in response.headers):
         return BodyEnd.LENGTH
     return BodyEnd.CONNECTION
--- a/src/arbutusbay/control/_resource_api.py
+++ b/src/arbutusbay/control/_resource_api.py
@@ -21,6 +21,7 @@
 from arbutusbay.errors import ErrorKind, Failure
 from arbutusbay.hosting import LogClient
 from arbutusbay.http import failure_response, json_response, parse_json
+from arbutusbay.response_streams import begin_stream
 from arbutusbay.state import (
     NO_VERSION,
     SPEC_TYPES,
@@ -156,17 +157,18 @@
         """
         response = web.StreamResponse()
         response.content_type = 'application/x-ndjson'
-        await response.prepare(request)
+        stream = await begin_stream(request, response)
         sent_versions: dict[ResourceId, int] = {}
         while not self.shared_state.draining:
             for line in self._changes_since(sent_versions):
-                await response.write(
+                await stream.write(
                     orjson.dumps(line, option=orjson.OPT_APPEND_NEWLINE)
                 )
             if not await self.shared_state.config_changed.wait(
                 _WATCH_KEEPALIVE_INTERVAL_S
             ):
-                await response.write(b'\n')
+                await stream.write(b'\n')
+        await stream.complete()
         return response
 
     def _changes_since(self, sent_versions: dict[ResourceId, int]) -> list[Any]:
--- a/src/arbutusbay/node/_client_protocol.py
+++ b/src/arbutusbay/node/_client_protocol.py
@@ -59,7 +59,7 @@
 
     def data_received(self, chunk: bytes) -> None:
         """Parse bytes of a request."""
-        if not self.has_request:
+        if self.takes_requests and not self.has_request:
             self.record_arrival()
         super().data_received(chunk)
 
--- a/src/arbutusbay/node/_client_stream.py
+++ b/src/arbutusbay/node/_client_stream.py
@@ -6,9 +6,6 @@
 """
 
 import enum
-import os
-import socket
-import struct
 
 import attrs
 from aiohttp import HttpVersion11, web
@@ -17,11 +14,14 @@
 from arbutusbay.clock import now_s
 from arbutusbay.node._attempts import OpenResponse
 from arbutusbay.node._incoming_request import IncomingRequest
+from arbutusbay.response_streams import (
+    ResponseStream,
+    abort_connection,
+    begin_stream,
+    is_connection_open,
+)
 from arbutusbay.responses import BodyEnd
 
-_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
-_FLUSH_ON_CLOSE = struct.pack('ii', 0, 0)
-
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
@@ -92,34 +92,31 @@
 
 @attrs.define(kw_only=True)
 class ClientStream:
-    """Represent a streamed response whose head is out."""
+    """Represent a streamed response of events whose head is out."""
 
-    request: web.BaseRequest
-    response: web.StreamResponse
+    stream: ResponseStream
     timing: StreamTiming = attrs.field(factory=StreamTiming)
 
     def can_continue_with(self, answer: OpenResponse) -> bool:
         """Return whether the body of ``answer`` may follow the head sent."""
         return (
-            answer.status == self.response.status
-            and answer.content_type == self.response.content_type
+            answer.status == self.stream.response.status
+            and answer.content_type == self.stream.response.content_type
         )
 
     async def write_event(self, raw_bytes: bytes) -> None:
         """Send one whole event."""
-        await self.response.write(raw_bytes)
+        await self.stream.write(raw_bytes)
         self.timing.record_event()
 
     async def complete(self, end: BodyEnd) -> StreamCompleted:
         """End the stream so that the client sees that it is complete."""
-        if not self.response.chunked:
-            set_reset_on_close(self.request, is_reset=False)
-        await self.response.write_eof()
+        await self.stream.complete()
         return StreamCompleted(end=end)
 
     def cut(self, reason: CutReason, detail: str) -> StreamCut:
         """Abort the connection: the client sees that the stream broke."""
-        abort_connection(self.request)
+        self.stream.cut()
         return StreamCut(reason=reason, detail=detail)
 
 
@@ -141,9 +138,7 @@
         """Send the head of ``answer``.
 
         The connection is closed after the stream if it ``closes`` and no other
-        request was read, or if the client can't read chunks. Then a close would
-        look like the end of the stream, so until that the connection is reset,
-        whatever closes it.
+        request was read, or if nothing else shows the end.
         """
         response = web.StreamResponse(
             status=answer.status,
@@ -151,12 +146,9 @@
         )
         if closes and not has_queued_request(self.request):
             response.force_close()
-        if self.request.version >= HttpVersion11:
-            response.enable_chunked_encoding()
-        else:
-            set_reset_on_close(self.request, is_reset=True)
-        await response.prepare(self.request)
-        self.stream = ClientStream(request=self.request, response=response)
+        self.stream = ClientStream(
+            stream=await begin_stream(self.request, response)
+        )
         return self.stream
 
     async def finish(
@@ -165,44 +157,22 @@
         """Send a whole response unless a stream ended; return what was sent."""
         match outcome:
             case web.Response() as response:
-                if _is_open(self.request):
+                if is_connection_open(self.request):
                     await response.prepare(self.request)
                     await response.write_eof()
                 return response
-        return self.stream.response
+        return self.stream.stream.response
+
+    def abort(self) -> None:
+        """Abort the connection, also if a stream has begun."""
+        abort_connection(self.request)
 
 
 def invite_body(request: web.BaseRequest) -> None:
     """Send the interim response that a client may await before its body."""
     awaits = request.headers.get('Expect', '').lower() == '100-continue'
-    is_possible = request.version >= HttpVersion11 and _is_open(request)
+    is_possible = request.version >= HttpVersion11 and is_connection_open(
+        request
+    )
     if awaits and is_possible and not request.content.total_bytes:
         request.transport.write(_CONTINUE)
-
-
-def abort_connection(request: web.BaseRequest) -> None:
-    """Abort the connection without ending the body.
-
-    The client can then see that the response is incomplete.
-    """
-    transport = request.transport
-    if transport is not None:
-        transport.abort()
-
-
-def set_reset_on_close(request: web.BaseRequest, *, is_reset: bool) -> None:
-    """Set whether a close of the connection resets it, also by the kernel."""
-    if not _is_open(request):
-        return
-    descriptor = request.transport.get_extra_info('socket').fileno()
-    with socket.socket(fileno=os.dup(descriptor)) as connection:
-        connection.setsockopt(
-            socket.SOL_SOCKET,
-            socket.SO_LINGER,
-            _RESET_ON_CLOSE if is_reset else _FLUSH_ON_CLOSE,
-        )
-
-
-def _is_open(request: web.BaseRequest) -> bool:
-    transport = request.transport
-    return transport is not None and not transport.is_closing()
--- a/src/arbutusbay/node/_frontend.py
+++ b/src/arbutusbay/node/_frontend.py
@@ -35,7 +35,6 @@
     StreamCut,
     StreamEnd,
     StreamTiming,
-    abort_connection,
     invite_body,
 )
 from arbutusbay.node._incoming_request import (
@@ -89,7 +88,7 @@
             return await exchange.finish(await self._respond(exchange))
         except ClientConnectionResetError:
             # aiohttp drops a response whose connection is aborted.
-            abort_connection(request)
+            exchange.abort()
             return web.Response()
         finally:
             self.node_state.busy_connections.discard(connection)
--- a/src/arbutusbay/node/_idle_connections.py
+++ b/src/arbutusbay/node/_idle_connections.py
@@ -89,4 +89,7 @@
 def _is_closing(connection: ClientProtocol) -> bool:
     """Return whether a connection is closed as soon as its bytes are sent."""
     transport = connection.transport
-    return transport is None or transport.is_closing()
+    if transport is None or transport.is_closing():
+        return True
+    is_sending = bool(transport.get_write_buffer_size())
+    return is_sending and not connection.takes_requests
--- a/src/arbutusbay/router/_completion_response.py
+++ b/src/arbutusbay/router/_completion_response.py
@@ -11,6 +11,7 @@
 from arbutusbay.backend import GenerationEnd, TextPiece
 from arbutusbay.errors import Failure
 from arbutusbay.http import ending_failure, failure_response, json_response
+from arbutusbay.response_streams import ResponseStream, begin_stream
 from arbutusbay.router._completion_format import (
     STREAM_DONE,
     CompletionFormatter,
@@ -59,20 +60,20 @@
 
     A completion that ends with its process ends with an event that names it.
     """
-    stream = CompletionStream(request=request)
+    completion_stream = CompletionStream(request=request)
     try:
         async for event in events:
             match event:
-                case Err(failure) if stream.response is None:
+                case Err(failure) if completion_stream.stream is None:
                     return failure_response(failure)
-            await stream.write(_encode_event(completion, event))
+            await completion_stream.write(_encode_event(completion, event))
     except asyncio.CancelledError:
         completion.failure = ending_failure(request)
-        if stream.response is None or completion.failure is None:
+        if completion_stream.stream is None or completion.failure is None:
             raise
-        await stream.write(failure_event(completion.failure))
-    await stream.response.write_eof()
-    return stream.response
+        await completion_stream.write(failure_event(completion.failure))
+    await completion_stream.stream.complete()
+    return completion_stream.stream.response
 
 
 @attrs.define(kw_only=True)
@@ -80,14 +81,15 @@
     """Send events to a client; the head goes out with the first one."""
 
     request: web.Request
-    response: web.StreamResponse | None = None
+    stream: ResponseStream | None = None
 
     async def write(self, event: bytes) -> None:
         """Send one encoded event."""
-        if self.response is None:
-            self.response = web.StreamResponse(headers=_STREAM_HEADERS)
-            await self.response.prepare(self.request)
-        await self.response.write(event)
+        if self.stream is None:
+            self.stream = await begin_stream(
+                self.request, web.StreamResponse(headers=_STREAM_HEADERS)
+            )
+        await self.stream.write(event)
 
 
 def _encode_event(
