--- a/src/arbutusbay/node/_client_stream.py
+++ b/src/arbutusbay/node/_client_stream.py
@@ -13,6 +13,7 @@
 from arbutusbay.client_ends import has_queued_request
 from arbutusbay.clock import now_s
 from arbutusbay.node._attempts import OpenResponse
+from arbutusbay.node._client_connection import count_unsent_bytes
 from arbutusbay.node._incoming_request import IncomingRequest
 from arbutusbay.response_streams import (
     ResponseStream,
@@ -114,6 +115,10 @@
         await self.stream.complete()
         return StreamCompleted(end=end)
 
+    def unsent_bytes(self) -> int:
+        """Return how many bytes the client has not acknowledged yet."""
+        return count_unsent_bytes(self.stream.request.transport)
+
     def cut(self, reason: CutReason, detail: str) -> StreamCut:
         """Abort the connection: the client sees that the stream broke."""
         self.stream.cut()
