Show that a stop outlasts its grace period after a pause, and ends slowly

A VM that did not run when SIGTERM came took its stop for new: its clients got their answers 3.56 s after the signal with a grace period of 3 s, and 9.43 s with 8 s; its process is killed before. It logged the pause just before the stop. The end of the interpreter takes 0.1 s after the last log line, which is most of what a grace period of 2 s leaves.

--- a/tests/integration/test_late_requests.py
+++ b/tests/integration/test_late_requests.py
@@ -1,6 +1,7 @@
 """Check which requests are passed on in the planned stop of a VM."""
 
 import asyncio
+import datetime
 import json
 import signal
 import time
@@ -23,6 +24,8 @@
 _LATE_BODY_ENDS_S = (3.6, 5.0, 6.5)
 _GRACE_S = 8
 _SETTLE_S = 0.3
+_IDLE_STOPS = 3
+_MAX_END_S = 0.05
 
 
 def _mute_engines(fleet: Fleet) -> None:
@@ -254,6 +257,52 @@
     assert await stop.wait_for_exit() < _GRACE_S, stop.log_tail()
 
 
+# Guards against a VM that takes the time for which its process did not run when
+# the signal came for time that is left.
+@pytest.mark.parametrize(('grace_s', 'pause_s'), [(3, 1.0), (8, 2.0)])
+async def test_vm_that_did_not_run_at_the_signal_ends_in_time(
+    fleet, http, grace_s, pause_s
+):
+    fleet.grace_s = grace_s
+    stop = await start_patient_stop(fleet, http, engines=1, plain=1)
+    _mute_engines(fleet)
+    running = asyncio.create_task(stop.request('running', '/ask/1'))
+    await asyncio.sleep(_SETTLE_S)
+    stop.node.process.send_signal(signal.SIGSTOP)
+    stop.begin()
+    await stop.wait_until(pause_s)
+    stop.node.process.send_signal(signal.SIGCONT)
+    timed = await running
+    assert timed.end == (502, True)
+    assert timed.ended_s < grace_s, stop.log_tail()
+    assert await stop.wait_for_exit() < grace_s, stop.log_tail()
+
+
+# Guards against a VM that is killed as its process needs a tenth of a second to
+# end after all is done, which a short grace period does not leave under load.
+async def test_process_ends_as_soon_as_all_is_done(fleet, http):
+    ends_s = [await _end_idle_vm(fleet, http) for _ in range(_IDLE_STOPS)]
+    assert min(ends_s) < _MAX_END_S
+
+
+async def _end_idle_vm(fleet: Fleet, http) -> float:
+    """Stop a VM; return how long after its last log line it ended."""
+    fleet.grace_s = 1
+    stop = await start_patient_stop(fleet, http, engines=1, plain=0)
+    offset_s = time.time() - time.monotonic()
+    stop.begin()
+    exit_s = stop.signal_s + await stop.wait_for_exit() + offset_s
+    last = json.loads(stop.node.log_path.read_text().splitlines()[-1])
+    assert last['message'] == 'stop'
+    return exit_s - _moment_of(last).timestamp()
+
+
+def _moment_of(line: dict[str, str]) -> datetime.datetime:
+    return datetime.datetime.fromisoformat(line['time']).replace(
+        tzinfo=datetime.UTC
+    )
+
+
 # Guards against a retry that is lost or made twice, as its first attempt is
 # rejected around the signal.
 async def test_retry_around_the_signal_is_made(fleet, http):
