Begin a stop when its signal may have come, not when it was handled

What callers saw: answers after the process should have been killed, where the VM did not run as SIGTERM came. The moments of a stop counted from the handling of the signal. They now begin at the last check before the pause, if none has followed the one that revealed it, as every bound begins at the earliest moment at which it can have begun.

A stop within 0.2 s after a pause is taken for one that came in it, and is shorter by it: the check can't tell these apart.

--- a/src/arbutusbay/node/_own_pauses.py
+++ b/src/arbutusbay/node/_own_pauses.py
@@ -10,16 +10,19 @@
 class OwnPauses:
     """Track the checks that reveal pauses of this VM.
 
-    Times are in seconds on the node's clock. ``resumed_s`` is when the check
-    after the last pause was, ``last_check_s`` is None before the first check.
+    Times are in seconds on the node's clock. ``paused_s`` is when the check
+    before the last pause was, ``resumed_s`` when the one after it was.
+    ``last_check_s`` is None before the first check.
     """
 
+    paused_s: float = float('-inf')
     resumed_s: float = float('-inf')
     last_check_s: float | None = None
 
     def record_check(self, moment_s: float) -> None:
         """Record a check, which follows the last one after an interval."""
         if self._is_pausing(moment_s):
+            self.paused_s = self.last_check_s
             self.resumed_s = moment_s
         self.last_check_s = moment_s
 
@@ -30,6 +33,18 @@
         """
         return start_s < self.resumed_s or self._is_pausing(moment_s)
 
+    def earliest_start_s(self, moment_s: float) -> float:
+        """Return when what is noticed at ``moment_s`` can have come.
+
+        What came in a pause is noticed after it, maybe only after the check
+        that reveals the pause, but before the next one.
+        """
+        if self._is_pausing(moment_s):
+            return self.last_check_s
+        if self.last_check_s == self.resumed_s:
+            return self.paused_s
+        return moment_s
+
     def _is_pausing(self, moment_s: float) -> bool:
         return self.last_check_s is not None and is_pause(
             moment_s - self.last_check_s
--- a/src/arbutusbay/node/_shutdown.py
+++ b/src/arbutusbay/node/_shutdown.py
@@ -9,7 +9,7 @@
 from arbutusbay.node._idle_connections import IdleConnections
 from arbutusbay.node._node_state import NodeState
 from arbutusbay.node._request_limit import end_late_uploads, end_requests
-from arbutusbay.node._stop_decision import refuse_for_stop
+from arbutusbay.node._stop_decision import refuse_for_stop, stop_fields
 from arbutusbay.planned_stop import PlannedStop, plan_stop
 
 _LOG = get_logger('shutdown')
@@ -24,18 +24,23 @@
 ) -> None:
     """Drain connections until none is in use or the grace period almost over.
 
-    The process is killed ``shutdown_grace_s`` seconds after the shutdown
-    starts, and must exit a margin earlier. New requests are still served
-    until the load balancer has noticed that the VM is not ready. Then unused
-    connections are closed and new requests rejected, and requests in progress
-    have the rest of the grace period to finish. Those that wait are rejected
-    once that is too short for them. Those that have not finished by then
-    are ended, and have a moment to answer their clients.
+    The process is killed ``shutdown_grace_s`` seconds after the signal, which
+    may have come in a pause of this VM, and must exit a margin earlier. New
+    requests are still served until the load balancer has noticed that the VM
+    is not ready. Then unused connections are closed and new requests rejected,
+    and requests in progress have the rest of the grace period to finish. Those
+    that wait are rejected once that is too short for them. Those that have not
+    finished by then are ended, and have a moment to answer their clients.
     """
-    stop = plan_stop(now_s(), shutdown_grace_s)
+    began_s = node_state.own_pauses.earliest_start_s(now_s())
+    stop = plan_stop(began_s, shutdown_grace_s)
     node_state.stop = stop
     _LOG.info(
-        'draining', fields={'in_progress': len(node_state.busy_connections)}
+        'draining',
+        fields={
+            'in_progress': len(node_state.busy_connections),
+            **stop_fields(node_state),
+        },
     )
     while now_s() < stop.requests_end_s:
         _refuse_late_requests(node_state, dispatcher)
