Keep a connection until its client has the answer

Callers that send a request while they still read the answer before it, lost that answer: the connection was closed and reset by the request. Cause: it counted as unused once the kernel had the answer, and the idle timeout (or a lower one that a configuration brought) and the planned stop closed it. With a full link or a slow client much is on its way then, and the idle time that the client counts begins later. Class: an answer counts as given once it is handed on. The idle time now begins anew as long as the client takes bytes; a planned stop keeps connections with unsent bytes until its requests end. A client that stops to read is still closed after the idle timeout; in a stop it holds the process until then at most.

Conclusion: a way in which a whole request lost its answer; it takes a client that sends before it has read, so it is not shown to be the reported one.

--- a/src/arbutusbay/node/_client_protocol.py
+++ b/src/arbutusbay/node/_client_protocol.py
@@ -22,6 +22,8 @@
     a whole one that aiohttp has queued. ``unused_since_s`` is when a check
     first found the connection without a request, or without one that has
     arrived; it is in seconds on the node's clock and None before such a check.
+    ``unsent_bytes`` is how much of its answers the client lacked at the latest
+    check.
     """
 
     def __init__(self, server: web.Server, *, node_state: NodeState) -> None:
@@ -40,6 +42,7 @@
         self.node_state = node_state
         self.is_arriving = False
         self.unused_since_s: float | None = None
+        self.unsent_bytes = 0
 
     @property
     def has_request(self) -> bool:
@@ -74,6 +77,12 @@
             self.is_arriving = True
             self.unused_since_s = None
 
+    def record_unsent(self, unsent_bytes: int) -> None:
+        """Record what the client lacks; it uses the connection as it reads."""
+        if unsent_bytes != self.unsent_bytes:
+            self.unsent_bytes = unsent_bytes
+            self.unused_since_s = None
+
     def begin_request(self) -> None:
         """Record that the next request leaves the queue of aiohttp."""
         self.node_state.busy_connections.add(self)
--- a/src/arbutusbay/node/_idle_connections.py
+++ b/src/arbutusbay/node/_idle_connections.py
@@ -1,7 +1,8 @@
 """Decide which connections of clients may be closed now, and close them.
 
 Whole requests may lie in the kernel or in the queue of aiohttp when a timer
-fires: the event loop is behind, or the VM was suspended.
+fires: the event loop is behind, or the VM was suspended. Answers may lie in the
+kernel, too; they are lost if their connection is closed and a request comes.
 """
 
 import asyncio
@@ -38,27 +39,32 @@
         """Close the connections that were unused for the idle timeout.
 
         That time begins with the first check that finds a connection unused, so
-        that the event loop runs in between. A request that has begun to arrive
-        has longer, but not for ever.
+        that the event loop runs in between, and anew as long as the client
+        takes bytes of its answers. A request that has begun to arrive has
+        longer, but not for ever.
         """
         for connection in self._open_connections():
             _close_if_unused(connection, connection.idle_timeout_s)
 
     def close_unused(self) -> None:
-        """Close the connections that are still unused at a second call."""
+        """Close the connections that are still unused at a second call.
+
+        Those stay open whose clients have not got their answers yet.
+        """
         for connection in self._open_connections():
-            _close_if_unused(connection, idle_timeout_s=0)
+            if not count_unsent_bytes(connection.transport):
+                _close_if_unused(connection, idle_timeout_s=0)
 
     def are_all_unused(self) -> bool:
         """Return whether no request is under way, arriving or being answered.
 
-        A connection that is closing may have bytes to send.
+        A connection that is closing may have bytes to send, too.
         """
         return not any(
             connection.has_request
             or connection.has_queued_request
             or connection.is_arriving
-            or _is_closing(connection)
+            or _is_sending(connection)
             for connection in self._open_connections()
         )
 
@@ -76,6 +82,7 @@
 def _close_if_unused(connection: ClientProtocol, idle_timeout_s: float) -> None:
     if connection.has_request or connection.has_queued_request:
         return
+    connection.record_unsent(count_unsent_bytes(connection.transport))
     moment_s = now_s()
     if connection.unused_since_s is None:
         connection.unused_since_s = moment_s
@@ -100,3 +107,10 @@
     """Return whether a connection is closed as soon as its bytes are sent."""
     transport = connection.transport
     return transport is None or transport.is_closing()
+
+
+def _is_sending(connection: ClientProtocol) -> bool:
+    """Return whether the client may lack bytes of an answer."""
+    return _is_closing(connection) or bool(
+        count_unsent_bytes(connection.transport)
+    )
