Try further ends of answers of our own interface; HEAD of a watch gets none

Found by the new tests: HEAD of /api/v1/watch got nothing, its stream has no end (listed). Watches of old clients, whole and cut, HEAD of other paths, HTTP/0.9 and 2.0, trailers, and a drain beside clients that don't close hold.

--- a/tests/unit/test_shown_ends.py
+++ b/tests/unit/test_shown_ends.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import time
 
 import pytest
 from aiohttp import web
@@ -15,6 +16,11 @@
 from arbutusbay.errors import ErrorKind, Failure
 from arbutusbay.http import new_application
 from arbutusbay.router import _completions_api
+from tests.control_builders import (
+    WATCH_PATH,
+    build_control_state,
+    build_resource_api,
+)
 from tests.http_servers import serving
 from tests.raw_clients import (
     Received,
@@ -33,6 +39,7 @@
 _TRANSIT_S = 0.12
 _LIMIT_S = 3.0
 _FOREVER_S = 60
+_DRAIN_S = 2.0
 _WHOLE = Ok(GenerationEnd(pieces=1, finish_reason='stop'))
 _FAILED = Err(Failure(kind=ErrorKind.STREAM_BROKEN, detail='engine: cut'))
 _DONE = b'data: [DONE]\n\n'
@@ -71,13 +78,14 @@
 
 
 @contextlib.asynccontextmanager
-async def serving_completions():
-    """Serve completions and a few fixed answers; yield the port."""
+async def serving_completions(state=None, *, drain_s: float = 1):
+    """Serve completions, resources and fixed answers; yield the port."""
     application = new_application()
     build_completions_api().add_routes(application)
+    build_resource_api(state or build_control_state()).add_routes(application)
     application.router.add_post('/fail', fail)
     application.router.add_post('/empty/{status}', respond_empty)
-    async with serving(application) as port:
+    async with serving(application, limit_s=drain_s) as port:
         yield port
 
 
@@ -236,3 +244,93 @@
     received = await receive(_EXTRA, wait_s=0.5)
     assert parse_received(received).status == 400
     assert not received.is_reset
+
+
+# Guards against a stream whose end is not shown to a client of a version that
+# only looks like a later one.
+@pytest.mark.parametrize('version', ['0.9', '2.0'])
+async def test_completion_for_an_odd_version_has_an_end(monkeypatch, version):
+    use_run(monkeypatch, _WHOLE)
+    received = await receive(
+        build_request('keep-alive', version=version),
+        build_request('close', path='/nowhere'),
+    )
+    assert parse_received(received).is_complete
+    assert _DONE in received.content
+    assert not received.is_reset
+
+
+# Guards against a body behind the head of an answer to HEAD, and against an
+# answer that never comes as its stream has no end.
+@pytest.mark.parametrize('path', ['/v1/models', '/nowhere', WATCH_PATH])
+@pytest.mark.parametrize('version', ['1.0', '1.1'])
+async def test_answer_to_head_is_a_head(path, version):
+    request = build_request('keep-alive', path=path, version=version, body=b'')
+    last = build_request('close', path='/nowhere', version=version, body=b'')
+    received = await receive(
+        request.replace(b'POST', b'HEAD'), last.replace(b'POST', b'HEAD')
+    )
+    assert received.content.endswith(b'\r\n\r\n')
+    assert received.content.count(b'\r\n\r\n') == 2
+    assert received.content.count(b'HTTP/') == 2
+    assert not received.is_reset
+
+
+# Guards against a request whose trailers are taken for the next one.
+async def test_request_behind_trailers_is_answered(monkeypatch):
+    use_run(monkeypatch, _WHOLE)
+    headers = {**COMPLETION_HEADERS, 'Connection': 'keep-alive'}
+    chunked = {**headers, 'Transfer-Encoding': 'chunked', 'Trailer': 'X-Sum'}
+    first = build_bytes(COMPLETION_PATH, chunked)
+    first = first.replace(b'Content-Length: 0\r\n', b'')
+    chunks = b'%x\r\n%b\r\n0\r\nX-Sum: 1\r\n\r\n' % (
+        len(STREAM_BODY),
+        STREAM_BODY,
+    )
+    received = await receive(first, chunks, build_request('close'))
+    response = parse_received(received)
+    assert response.is_complete
+    assert response.rest.endswith(_DONE)
+
+
+# Guards against a watch for an old client whose end is not shown, or is shown
+# where it broke off.
+@pytest.mark.parametrize('is_drained', [True, False])
+async def test_watch_of_an_old_client_has_an_end(is_drained):
+    state = build_control_state()
+    request = build_request('keep-alive', path=WATCH_PATH, body=b'')
+    async with serving_completions(state) as port:
+        reader, writer = await asyncio.open_connection('127.0.0.1', port)
+        writer.write(request.replace(b'POST', b'GET'))
+        head = await reader.readuntil(b'\r\n\r\n')
+        await reader.readline()
+        if is_drained:
+            state.draining = True
+            state.config_changed.notify()
+        else:
+            writer.write_eof()
+        with _expecting_reset(not is_drained):
+            async with asyncio.timeout(_LIMIT_S):
+                assert not await reader.read()
+        writer.close()
+    assert b'Connection: close' in head
+
+
+def _expecting_reset(is_reset: bool):
+    if is_reset:
+        return pytest.raises(ConnectionResetError)
+    return contextlib.nullcontext()
+
+
+# Guards against a drain that waits for a client which got the whole answer and
+# leaves its connection open, and against the loss of what crosses the close.
+async def test_drain_does_not_wait_for_clients_that_do_not_close(monkeypatch):
+    use_run(monkeypatch, _WHOLE)
+    async with serving_completions(drain_s=_FOREVER_S) as port:
+        reader, writer = await asyncio.open_connection('127.0.0.1', port)
+        writer.write(build_request('keep-alive'))
+        async with asyncio.timeout(_LIMIT_S):
+            assert _DONE in await reader.read()
+        began_s = time.monotonic()
+    assert time.monotonic() - began_s < _DRAIN_S
+    writer.close()
