End the process of a VM as soon as its stop is done

Cause, by the log of a run at a load of 21: the last line came 1.79 s after the signal, the end of the process 2.21 s after it. The end of the interpreter, which only frees memory, took 0.42 s (0.1 s on an idle machine). Nothing else happens after the last line.

The process now ends with the last line. test_process_ends_as_soon_as_all_is_ done: 0.105 s idle and 0.137 s at a load of 21 before, below 0.05 s now. The seven tests of short grace periods passed in two runs at a load of 18.

--- a/src/arbutusbay/node/_main.py
+++ b/src/arbutusbay/node/_main.py
@@ -1,9 +1,11 @@
 """Parse arguments, read the settings and start the node daemon."""
 
 import argparse
+import os
 import sys
 from collections.abc import Sequence
 from pathlib import Path
+from typing import NoReturn
 
 import uvloop
 from result import Err, Ok
@@ -16,7 +18,10 @@
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
-    """Run the daemon until a signal stops it and return the exit status."""
+    """Run the daemon until a signal stops it, then end the process.
+
+    Returns the exit status if there is nothing to run.
+    """
     options = _parse_arguments(arguments)
     path = options.settings or settings_path_from_environment()
     match read_settings(path):
@@ -30,7 +35,17 @@
         return 0
     log_writer = setup_nonblocking_logs(level='INFO', process=settings.name)
     uvloop.run(serve(settings, log_writer))
-    return 0
+    _end_process()
+
+
+def _end_process() -> NoReturn:
+    """End the process at once, as a planned stop leaves it little time.
+
+    The end of the interpreter would only free memory and threads.
+    """
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(0)
 
 
 def _parse_arguments(arguments: Sequence[str] | None) -> argparse.Namespace:
