Let a response from another VM go on while parts of it arrive

A response now fails when nothing arrives for a time, or after the bound of the configuration in all; both follow from the settings' bounds.

--- a/src/arbutusbay/node/_follower.py
+++ b/src/arbutusbay/node/_follower.py
@@ -33,12 +33,13 @@
 
 _LOG = get_logger('follower')
 _SERVERS_POLL_INTERVAL_S = 0.9
-_RESPONSE_TIMEOUT_S = 0.4
 _REVOCATION_WAIT_RATIO = 0.2
 _REVOCATION_HOLD_RATIO = 0.12
+_REVOCATION_SILENCE_RATIO = 0.16
 _REVOCATION_AGE_RATIO = 0.52
 _CONFIG_WAIT_RATIO = 0.2
 _CONFIG_HOLD_RATIO = 0.15
+_CONFIG_SILENCE_RATIO = 0.2
 _CONFIG_AGE_RATIO = 0.6
 _REVOCATION_AVOID_RATIO = 0.6
 _SILENT_AFTER_S = 3.0
@@ -52,12 +53,16 @@
     """Hold the timeouts of the follower, in seconds.
 
     ``wait_s`` is the long-poll timeout of a read of the store, ``hold_s``
-    that of a request to another VM. A source whose data is older than
-    ``max_age_s`` is not used again for ``avoid_s``.
+    that of a request to another VM. That VM may be silent for ``silence_s``
+    longer, and as long between two parts of its response; the whole response
+    may take ``transfer_s``. A source whose data is older than ``max_age_s``
+    is not used again for ``avoid_s``.
     """
 
     wait_s: float
     hold_s: float
+    silence_s: float
+    transfer_s: float
     max_age_s: float
     avoid_s: float
 
@@ -80,6 +85,11 @@
             key_revocation_s * _REVOCATION_HOLD_RATIO,
             config_apply_s * _CONFIG_HOLD_RATIO,
         ),
+        silence_s=min(
+            key_revocation_s * _REVOCATION_SILENCE_RATIO,
+            config_apply_s * _CONFIG_SILENCE_RATIO,
+        ),
+        transfer_s=min(key_revocation_s, config_apply_s),
         max_age_s=min(
             key_revocation_s * _REVOCATION_AGE_RATIO,
             config_apply_s * _CONFIG_AGE_RATIO,
@@ -270,9 +280,7 @@
                 **position_parameters('servers', self.servers_topic.end),
                 'hold_ms': str(int(hold_s * 1000)),
             },
-            timeout=aiohttp.ClientTimeout(
-                total=hold_s + _RESPONSE_TIMEOUT_S,
-            ),
+            timeout=self._timeout(hold_s),
         )
         match await fetch_message(call, _MAX_RELAY_BYTES):
             case Err(missing):
@@ -282,6 +290,17 @@
             case Ok(response):
                 return relay_response_from_bytes(response.body)
 
+    def _timeout(self, hold_s: float) -> aiohttp.ClientTimeout:
+        """Return limits that end no response while parts of it arrive.
+
+        A response that is broken off has to be sent again, by another VM.
+        """
+        return aiohttp.ClientTimeout(
+            total=hold_s + self.timings.transfer_s,
+            connect=self.timings.silence_s,
+            sock_read=hold_s + self.timings.silence_s,
+        )
+
     def _avoid_source(self, name: str) -> None:
         self.backoff_until_s[name] = now_s() + self.timings.avoid_s
 
