Send a configuration as a change of the version that a follower has

Each follower got the whole configuration as base64 in JSON, encoded anew for each; 50 of them behind 10 Mbit/s got it late or never. A follower now names the payloads that it has by digests; the relay compresses the new one with such a base as dictionary, or whole where it holds none, once for all followers, and sends responses piece by piece in turns. Digests and a checksum are verified; what can't be decoded is asked for as JSON, of the same source. Builds without the encoding get and send JSON as before.

The former test of a first configuration let the relay start without records, so that followers avoided it for 3 s after a 503: replaced by one in which the relay holds no version that a follower has, with the same bounds.

--- a/src/arbutusbay/node/_control_api.py
+++ b/src/arbutusbay/node/_control_api.py
@@ -124,6 +124,8 @@
 
     def _metrics_response(self) -> web.Response:
         self.metrics.store_calls.set({}, self.store.call_count)
+        for form, size_bytes in self.node_state.relayed_bytes.items():
+            self.metrics.relayed_bytes.set({'form': form.value}, size_bytes)
         quarantine = self.node_state.quarantine
         self.metrics.quarantined_segments.set(
             {}, len(quarantine.table.quarantined)
--- a/src/arbutusbay/node/_follower.py
+++ b/src/arbutusbay/node/_follower.py
@@ -14,14 +14,17 @@
 from arbutusbay.node._node_state import NodeState
 from arbutusbay.node._relay_api import RELAY_PATH
 from arbutusbay.node._relay_messages import (
+    ENCODED_CONTENT_TYPE,
     RelayResponse,
+    encoded_response_from_bytes,
+    encoding_parameters,
     position_parameters,
     relay_response_from_bytes,
 )
 from arbutusbay.node._topic_reader import TopicReader
 from arbutusbay.node._topics import OperatorTopicState, ServersTopicState
 from arbutusbay.platform import StoreClient
-from arbutusbay.responses import fetch_message
+from arbutusbay.responses import WholeResponse, fetch_message
 from arbutusbay.scheduling import (
     DirectRead,
     PeerRead,
@@ -272,6 +275,34 @@
         self,
         vm: VMRegistration,
     ) -> Result[RelayResponse, Failure]:
+        """Ask for encoded records, and as JSON if they can't be decoded."""
+        history = self.operator_topic.payloads
+        fetched = await self._fetch(
+            vm, encoding_parameters(history.newest_digests())
+        )
+        match fetched:
+            case Ok(response) if response.content_type == ENCODED_CONTENT_TYPE:
+                decoded = encoded_response_from_bytes(response.body, history)
+            case Ok(response):
+                return relay_response_from_bytes(response.body)
+            case Err(failure):
+                return Err(failure)
+        if isinstance(decoded, Ok):
+            return decoded
+        _LOG.warning(
+            'encoded records refused: {}',
+            decoded.err_value.detail,
+            fields={'source': vm.name, 'bytes': len(response.body)},
+        )
+        match await self._fetch(vm, {}):
+            case Ok(response):
+                return relay_response_from_bytes(response.body)
+            case Err(failure):
+                return Err(failure)
+
+    async def _fetch(
+        self, vm: VMRegistration, encoding: dict[str, str]
+    ) -> Result[WholeResponse, Failure]:
         hold_s = self._allowed_hold_s()
         call = self.session.get(
             f'http://{vm.address}{RELAY_PATH}',
@@ -279,6 +310,7 @@
                 **position_parameters('operator', self.operator_topic.end),
                 **position_parameters('servers', self.servers_topic.end),
                 'hold_ms': str(int(hold_s * 1000)),
+                **encoding,
             },
             timeout=self._timeout(hold_s),
         )
@@ -288,7 +320,7 @@
             case Ok(response) if response.status != HTTPStatus.OK:
                 return _peer_unreachable(f'status {response.status}')
             case Ok(response):
-                return relay_response_from_bytes(response.body)
+                return Ok(response)
 
     def _timeout(self, hold_s: float) -> aiohttp.ClientTimeout:
         """Return limits that end no response while parts of it arrive.
--- a/src/arbutusbay/node/_metrics.py
+++ b/src/arbutusbay/node/_metrics.py
@@ -34,6 +34,10 @@
             'arbutusbay_store_calls_total',
             'Calls to the store.',
         )
+        self.relayed_bytes = Gauge(
+            'arbutusbay_relayed_bytes_total',
+            'Bytes of responses to VMs that follow this one, by form.',
+        )
         self.quarantined_segments = Gauge(
             'arbutusbay_quarantined_segments',
             'Prompt segments that are kept from the engines.',
--- a/src/arbutusbay/node/_node_state.py
+++ b/src/arbutusbay/node/_node_state.py
@@ -1,8 +1,10 @@
 """Hold the in-memory state that the tasks of the node daemon share."""
 
 import asyncio
+import enum
 import math
 import random
+from collections import Counter
 from collections.abc import Callable, Collection
 
 import attrs
@@ -82,6 +84,19 @@
         return now_s() - self.as_of_s
 
 
+class RelayForm(enum.StrEnum):
+    """List how a response to a following VM holds records.
+
+    ``EMPTY``: it holds none. ``CHANGE``: the configuration as a change of a
+    version that the VM has. ``WHOLE``: compressed. ``PLAIN``: as JSON.
+    """
+
+    EMPTY = 'empty'
+    CHANGE = 'change'
+    WHOLE = 'whole'
+    PLAIN = 'plain'
+
+
 @attrs.define(kw_only=True)
 class StoreEra:
     """Track the highest era of the store that any response named.
@@ -135,6 +150,7 @@
         remote_weights_loads: Engines into which a VM of another zone loads
             weights.
         topics_changed: Set when the records of a topic change.
+        relayed_bytes: Bytes of the responses to following VMs.
         report_changed: Set when the state reported to other VMs changes.
         stop: The moments of the shutdown, None before it.
         is_ending: Whether the process ends now, whatever is in progress.
@@ -168,6 +184,7 @@
     reported_zone_loads: dict[str, ReceivedZoneLoad] = attrs.field(factory=dict)
     remote_weights_loads: dict[str, EngineView] = attrs.field(factory=dict)
     topics_changed: asyncio.Event = attrs.field(factory=asyncio.Event)
+    relayed_bytes: Counter[RelayForm] = attrs.field(factory=Counter)
     report_changed: asyncio.Event = attrs.field(factory=asyncio.Event)
     has_read_servers: bool = False
     stop: PlannedStop | None = None
--- a/src/arbutusbay/node/_relay_api.py
+++ b/src/arbutusbay/node/_relay_api.py
@@ -6,18 +6,30 @@
 from aiohttp import web
 
 from arbutusbay.clock import now_s
-from arbutusbay.node._node_state import NodeState
+from arbutusbay.logs import get_logger
+from arbutusbay.node._node_state import NodeState, RelayForm
+from arbutusbay.node._record_encoder import RecordEncoder
 from arbutusbay.node._relay_messages import (
+    ENCODED_CONTENT_TYPE,
     RelayResponse,
     TopicUpdate,
+    accepts_encoding,
+    bases_from_parameters,
+    encoded_response_to_bytes,
     position_from_parameters,
     relay_response_to_bytes,
 )
-from arbutusbay.node._topics import TopicState
+from arbutusbay.node._topics import (
+    OperatorTopicState,
+    ServersTopicState,
+    TopicState,
+)
 from arbutusbay.platform import StorePosition
 
+_LOG = get_logger('relay')
 RELAY_PATH = '/relay'
 _MAX_HOLD_MS = 2000
+_PIECE_BYTES = 4096
 
 
 class RelayApi:
@@ -27,13 +39,14 @@
         self,
         *,
         node_state: NodeState,
-        operator_topic: TopicState,
-        servers_topic: TopicState,
+        operator_topic: OperatorTopicState,
+        servers_topic: ServersTopicState,
     ) -> None:
         """Relay the records of two topics."""
         self.node_state = node_state
         self.operator_topic = operator_topic
         self.servers_topic = servers_topic
+        self.encoder = RecordEncoder(history=operator_topic.payloads)
 
     async def handle_request(
         self, request: web.BaseRequest
@@ -67,7 +80,33 @@
             operator=operator,
             servers=servers,
         )
-        return web.Response(body=relay_response_to_bytes(answer))
+        if accepts_encoding(request.query):
+            body = self._encode(answer, bases_from_parameters(request.query))
+            return await _send_in_pieces(request, body)
+        body = relay_response_to_bytes(answer)
+        self._count(answer, RelayForm.PLAIN, len(body))
+        return web.Response(body=body)
+
+    def _encode(self, answer: RelayResponse, digests: list[str]) -> bytes:
+        operator = self.encoder.choose(answer.operator.records, digests)
+        servers = self.encoder.choose(answer.servers.records, ())
+        body = encoded_response_to_bytes(
+            answer,
+            operator_body=self.encoder.encode(
+                operator, answer.operator.records
+            ),
+            servers_body=self.encoder.encode(servers, answer.servers.records),
+        )
+        form = RelayForm.CHANGE if operator.has_bases else RelayForm.WHOLE
+        self._count(answer, form, len(body))
+        return body
+
+    def _count(
+        self, answer: RelayResponse, form: RelayForm, size_bytes: int
+    ) -> None:
+        has_records = answer.operator.records or answer.servers.records
+        counted = form if has_records else RelayForm.EMPTY
+        self.node_state.relayed_bytes[counted] += size_bytes
 
     async def _wait_for_changes(
         self,
@@ -86,6 +125,38 @@
             return
 
 
+async def _send_in_pieces(
+    request: web.BaseRequest, body: bytes
+) -> web.StreamResponse:
+    """Respond with ``body`` in turns with the responses to other VMs.
+
+    Each of them gets its pieces at the same pace, so none takes this VM for
+    silent while the others are served.
+    """
+    response = web.StreamResponse()
+    response.content_type = ENCODED_CONTENT_TYPE
+    response.content_length = len(body)
+    try:
+        await _write_pieces(request, response, body)
+    except ConnectionError as error:
+        _LOG.info(
+            'follower left during its response: {!r}',
+            error,
+            fields={'follower': request.remote, 'bytes': len(body)},
+        )
+    return response
+
+
+async def _write_pieces(
+    request: web.BaseRequest, response: web.StreamResponse, body: bytes
+) -> None:
+    await response.prepare(request)
+    for start in range(0, len(body), _PIECE_BYTES):
+        await response.write(body[start : start + _PIECE_BYTES])
+        await asyncio.sleep(0)
+    await response.write_eof()
+
+
 def _has_changes(state: TopicState, start: StorePosition | None) -> bool:
     """Return whether an update since ``start`` would hold records.
 
--- a/src/arbutusbay/node/_relay_messages.py
+++ b/src/arbutusbay/node/_relay_messages.py
@@ -2,12 +2,12 @@
 
 import base64
 import binascii
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from typing import Any
 
 import attrs
 import orjson
-from result import Err, Ok, Result
+from result import Err, Ok, Result, UnwrapError
 
 from arbutusbay.checked_values import (
     require_boolean,
@@ -18,7 +18,12 @@
 )
 from arbutusbay.errors import ErrorKind, Failure
 from arbutusbay.platform import KeyedRecord, StorePosition
+from arbutusbay.spread import PayloadHistory, decode_records
 
+ENCODED_CONTENT_TYPE = 'application/x-arbutusbay-records'
+_ENCODING = 'zstd-1'
+_DIGEST_SEPARATOR = ','
+_LINE_END = b'\n'
 _ALL_RECORDS_OFFSET = -1
 # Records of an earlier era of the store have no offset.
 _LOWEST_OFFSET = -1
@@ -83,20 +88,33 @@
     return StorePosition(era=int(query.get(f'{topic}_era', 0)), offset=offset)
 
 
-def relay_response_to_bytes(answer: RelayResponse) -> bytes:
-    """Return ``answer`` as JSON.
+def encoding_parameters(digests: Collection[str]) -> dict[str, str]:
+    """Return the query parameters that ask for encoded records.
 
-    The age is rounded up and the hold time down, in milliseconds, so that
-    the receiver never takes the data for more recent than it is.
+    ``digests`` name the payloads that may be bases of changes. Builds without
+    this encoding ignore them and respond in JSON.
     """
+    return {
+        'encoding': _ENCODING,
+        'bases': _DIGEST_SEPARATOR.join(digests),
+    }
+
+
+def accepts_encoding(query: Mapping[str, str]) -> bool:
+    """Return whether the sender of a request decodes encoded records."""
+    return query.get('encoding') == _ENCODING
+
+
+def bases_from_parameters(query: Mapping[str, str]) -> list[str]:
+    """Return the digests that ``encoding_parameters`` encoded."""
+    return query.get('bases', '').split(_DIGEST_SEPARATOR)
+
+
+def relay_response_to_bytes(answer: RelayResponse) -> bytes:
+    """Return ``answer`` as JSON."""
     return orjson.dumps(
         {
-            'age_ms': int(answer.age_s * 1000) + 1,
-            'held_ms': int(answer.held_s * 1000),
-            'store_returned_ago_ms': _optional_milliseconds(
-                answer.store_returned_ago_s
-            ),
-            'store_failing_ms': int(answer.store_failing_s * 1000),
+            **_times_to_json(answer),
             'operator': _update_to_json(answer.operator),
             'servers': _update_to_json(answer.servers),
         },
@@ -108,24 +126,106 @@
     try:
         fields = orjson.loads(body)
         return Ok(
-            RelayResponse(
-                age_s=_seconds(fields['age_ms']),
-                held_s=_seconds(fields['held_ms']),
-                store_returned_ago_s=_optional_seconds(
-                    fields.get('store_returned_ago_ms')
-                ),
-                store_failing_s=_seconds(fields.get('store_failing_ms', 0)),
+            _response_from_json(
+                fields,
                 operator=_update_from_json(fields['operator']),
                 servers=_update_from_json(fields['servers']),
             ),
         )
     except (ValueError, KeyError, TypeError, binascii.Error) as error:
-        return Err(
-            Failure(
-                kind=ErrorKind.BAD_MESSAGE,
-                detail=f'relay: {error!r}',
-            ),
-        )
+        return _malformed(error)
+
+
+def encoded_response_to_bytes(
+    answer: RelayResponse, *, operator_body: bytes, servers_body: bytes
+) -> bytes:
+    """Return ``answer`` with the records that the bodies hold.
+
+    A line of JSON comes first, then both bodies.
+    """
+    head = orjson.dumps(
+        {
+            **_times_to_json(answer),
+            'operator': _update_head_to_json(answer.operator),
+            'operator_bytes': len(operator_body),
+            'servers': _update_head_to_json(answer.servers),
+            'servers_bytes': len(servers_body),
+        }
+    )
+    return b''.join((head, _LINE_END, operator_body, servers_body))
+
+
+def encoded_response_from_bytes(
+    body: bytes, history: PayloadHistory
+) -> Result[RelayResponse, Failure]:
+    """Return the response in ``body``, or a ``BAD_MESSAGE`` failure.
+
+    Payloads of ``history`` are the bases of changes.
+    """
+    try:
+        return Ok(_encoded_response(body, history))
+    except UnwrapError as error:
+        return error.result
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        return _malformed(error)
+
+
+def _encoded_response(body: bytes, history: PayloadHistory) -> RelayResponse:
+    line, _, bodies = body.partition(_LINE_END)
+    fields = orjson.loads(line)
+    operator_bytes = require_count(fields['operator_bytes'], 'size')
+    servers_bytes = require_count(fields['servers_bytes'], 'size')
+    if operator_bytes + servers_bytes != len(bodies):
+        raise ValueError(f'bodies of {len(bodies)} bytes')
+    operator_body = bodies[:operator_bytes]
+    servers_body = bodies[operator_bytes:]
+    return _response_from_json(
+        fields,
+        operator=_encoded_update(fields['operator'], operator_body, history),
+        servers=_encoded_update(fields['servers'], servers_body, history),
+    )
+
+
+def _encoded_update(
+    fields: dict[str, Any], body: bytes, history: PayloadHistory
+) -> TopicUpdate:
+    records = decode_records(body, history).unwrap() if body else ()
+    return _update_head_from_json(fields, records)
+
+
+def _malformed(error: Exception) -> Err[Failure]:
+    return Err(Failure(kind=ErrorKind.BAD_MESSAGE, detail=f'relay: {error!r}'))
+
+
+def _times_to_json(answer: RelayResponse) -> dict[str, int | None]:
+    """Return the times of ``answer`` in milliseconds.
+
+    The age is rounded up and the hold time down, so that the receiver never
+    takes the data for more recent than it is.
+    """
+    return {
+        'age_ms': int(answer.age_s * 1000) + 1,
+        'held_ms': int(answer.held_s * 1000),
+        'store_returned_ago_ms': _optional_milliseconds(
+            answer.store_returned_ago_s
+        ),
+        'store_failing_ms': int(answer.store_failing_s * 1000),
+    }
+
+
+def _response_from_json(
+    fields: dict[str, Any], *, operator: TopicUpdate, servers: TopicUpdate
+) -> RelayResponse:
+    return RelayResponse(
+        age_s=_seconds(fields['age_ms']),
+        held_s=_seconds(fields['held_ms']),
+        store_returned_ago_s=_optional_seconds(
+            fields.get('store_returned_ago_ms')
+        ),
+        store_failing_s=_seconds(fields.get('store_failing_ms', 0)),
+        operator=operator,
+        servers=servers,
+    )
 
 
 def _optional_milliseconds(duration_s: float | None) -> int | None:
@@ -142,9 +242,7 @@
 
 def _update_to_json(update: TopicUpdate) -> dict[str, Any]:
     return {
-        'end': update.end.offset,
-        'era': update.end.era,
-        'whole': update.is_complete,
+        **_update_head_to_json(update),
         'records': [
             (
                 record.key,
@@ -156,9 +254,18 @@
     }
 
 
+def _update_head_to_json(update: TopicUpdate) -> dict[str, Any]:
+    return {
+        'end': update.end.offset,
+        'era': update.end.era,
+        'whole': update.is_complete,
+    }
+
+
 def _update_from_json(fields: dict[str, Any]) -> TopicUpdate:
-    return TopicUpdate(
-        records=tuple(
+    return _update_head_from_json(
+        fields,
+        tuple(
             KeyedRecord(
                 key=require_text(key, 'key'),
                 payload=base64.b64decode(payload),
@@ -166,6 +273,14 @@
             )
             for key, payload, offset in fields['records']
         ),
+    )
+
+
+def _update_head_from_json(
+    fields: dict[str, Any], records: tuple[KeyedRecord, ...]
+) -> TopicUpdate:
+    return TopicUpdate(
+        records=records,
         end=StorePosition(
             era=require_count(fields.get('era', 0), 'era'),
             offset=require_count(fields['end'], 'end'),
--- a/src/arbutusbay/node/_topics.py
+++ b/src/arbutusbay/node/_topics.py
@@ -18,6 +18,7 @@
     decode_backend_server,
     decode_operator_record,
 )
+from arbutusbay.spread import PayloadHistory
 
 _LOG = get_logger('topics')
 _EARLIER_ERA_OFFSET = -1
@@ -90,6 +91,9 @@
     def record_read(self, as_of_s: float) -> None:
         """Record that all records written before ``as_of_s`` are known."""
 
+    def record_newest(self, record: KeyedRecord) -> None:
+        """Record that ``record`` is the newest of its key from now on."""
+
     def apply_changes(self, records: list[KeyedRecord]) -> None:
         """Apply records that differ from the ones known before.
 
@@ -151,22 +155,37 @@
 
     def _update_newest(self, record: KeyedRecord) -> bool:
         known = self.latest_records.get(record.key)
-        if known is None:
-            self.latest_records[record.key] = record
-            return True
-        if record.offset < known.offset or self.is_equivalent(known, record):
-            return False
-        if self.is_superseded(known, record):
+        if known is not None and not self._replaces(known, record):
             return False
         self.latest_records[record.key] = record
+        self.record_newest(record)
         return True
 
+    def _replaces(self, known: KeyedRecord, received: KeyedRecord) -> bool:
+        if received.offset < known.offset:
+            return False
+        if self.is_equivalent(known, received):
+            return False
+        return not self.is_superseded(known, received)
+
 
 class OperatorTopicState(TopicState):
-    """Apply the operator's configurations and weights targets."""
+    """Apply the operator's configurations and weights targets.
+
+    ``payloads`` holds the last versions, from which others are made.
+    """
 
     topic = Topic.OPERATOR
 
+    def __init__(self, *, node_state: NodeState) -> None:
+        """Apply the records to ``node_state``."""
+        super().__init__(node_state=node_state)
+        self.payloads = PayloadHistory()
+
+    def record_newest(self, record: KeyedRecord) -> None:
+        """Keep the payload, as the base of later versions."""
+        self.payloads.record(record.key, record.payload)
+
     def apply_change(self, record: KeyedRecord) -> None:
         """Apply a newer configuration or target; skip a malformed record."""
         if not record.payload:
--- a/tests/spread_world.py
+++ b/tests/spread_world.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 from collections.abc import AsyncIterator
 from types import SimpleNamespace
 from typing import Any
@@ -14,6 +15,7 @@
 from arbutusbay.clock import now_s
 from arbutusbay.fleet import VMRegistration
 from arbutusbay.hashing import rank_by_rendezvous_hash
+from arbutusbay.node import _topics
 from arbutusbay.node._follower import TopicFollower
 from arbutusbay.node._node_state import NodeState
 from arbutusbay.node._relay_api import RelayApi
@@ -29,6 +31,7 @@
 _READ_INTERVAL_S = 0.1
 _LOOK_INTERVAL_S = 0.005
 _FAILED_READ_S = 0.05
+_DOCUMENTS = 64
 _OLD_PARAMETERS = (
     'operator',
     'operator_era',
@@ -186,8 +189,20 @@
     """Hold a running relay, its link and its followers."""
 
     relay: SpreadRelay
+    second_relay: SpreadRelay
     link: ThrottledLink
     followers: list[SpreadFollower]
+    tasks: dict[str, asyncio.Task[None]] = attrs.field(factory=dict)
+
+    def follow(self, relays: dict[str, tuple[str, int]]) -> None:
+        """Let all followers follow the first of ``relays``."""
+        for follower in self.followers:
+            name = follower.node_state.settings.name
+            self.tasks[name] = follower.follow(relays)
+
+    def leave(self, follower: SpreadFollower) -> None:
+        """End the task of a follower, which breaks off its request."""
+        self.tasks[follower.node_state.settings.name].cancel()
 
     async def arrivals_s(self, version: int, limit_s: float) -> list[float]:
         """Wait until ``version`` is in force at all followers.
@@ -224,6 +239,15 @@
         ]
 
 
+def decode_once(monkeypatch: Any) -> None:
+    """Decode each document once for all VMs of this process.
+
+    Each real VM has a processor of its own for it.
+    """
+    decode = functools.lru_cache(_DOCUMENTS)(_topics.decode_operator_record)
+    monkeypatch.setattr(_topics, 'decode_operator_record', decode)
+
+
 def vm_names(count: int) -> list[str]:
     """Return names in the order in which VMs are ranked as sources."""
     names = [f'vm-{number}' for number in range(count)]
@@ -235,40 +259,54 @@
     *,
     followers: int,
     rate_bits_s: float,
-    first: KeyedRecord | None = None,
+    first: KeyedRecord,
+    relay_first: KeyedRecord | None = None,
+    has_second_relay: bool = False,
     is_of_old_build: bool = False,
 ) -> AsyncIterator[SpreadZone]:
-    """Run a zone for the block, in which all VMs have the record ``first``."""
-    names = vm_names(followers + 1)
-    relay = SpreadRelay(name=names[0], is_of_old_build=is_of_old_build)
-    await relay.start()
+    """Run a zone for the block, in which all VMs have the record ``first``.
+
+    The relay has ``relay_first`` instead, if it is given.
+    """
+    names = vm_names(followers + 2)
+    relays = [
+        SpreadRelay(name=name, is_of_old_build=is_of_old_build)
+        for name in names[:2]
+    ]
     async with (
         open_client_session(StrictConnector()) as session,
         running_link(rate_bits_s=rate_bits_s) as link,
     ):
         zone = SpreadZone(
-            relay=relay,
+            relay=relays[0],
+            second_relay=relays[1],
             link=link,
             followers=[
-                SpreadFollower(name=name, session=session) for name in names[1:]
+                SpreadFollower(name=name, session=session) for name in names[2:]
             ],
         )
-        if first is not None:
-            for vm in (relay, *zone.followers):
-                vm.write(first)
-        address = await link.forward(relay.address, LinkSide.TARGET)
-        tasks = [
-            asyncio.create_task(_keep_fresh(relay)),
-            *(
-                follower.follow({names[0]: address})
-                for follower in zone.followers
-            ),
-        ]
+        for relay in relays:
+            relay.write(relay_first or first)
+            await relay.start()
+        for follower in zone.followers:
+            follower.write(first)
+        addresses = {
+            names[0]: await link.forward(relays[0].address, LinkSide.TARGET)
+        }
+        if has_second_relay:
+            addresses[names[1]] = relays[1].address
+        zone.follow(addresses)
+        tasks = [asyncio.create_task(_keep_fresh(relay)) for relay in relays]
         try:
             yield zone
         finally:
-            await _cancel(tasks)
-            await relay.stop()
+            await _cancel([*tasks, *zone.tasks.values()])
+            await _stop(relays)
+
+
+async def _stop(relays: list[SpreadRelay]) -> None:
+    for relay in relays:
+        await relay.stop()
 
 
 async def _cancel(tasks: list[asyncio.Task[None]]) -> None:
@@ -279,6 +317,5 @@
 
 async def _keep_fresh(relay: SpreadRelay) -> None:
     while True:
-        if relay.operator_topic.end is not None:
-            relay.record_read()
+        relay.record_read()
         await asyncio.sleep(_READ_INTERVAL_S)
