--- a/tests/unit/test_configuration_spread.py
+++ b/tests/unit/test_configuration_spread.py
@@ -243,3 +243,20 @@
     body = bytearray(encode_records(*encoded))
     body[-1] ^= 1
     return bytes(body)
+
+
+# Guards against whole configurations that fill the reader's link for longer than
+# followers wait for a sign of it: they gave up one after the other.
+async def test_wholes_that_fill_the_link_reach_all_followers_in_turn():
+    async with running_zone(
+        followers=2 * _FOLLOWERS,
+        rate_bits_s=_LINK_BITS_S,
+        first=build_sized_record(_LARGE_BYTES),
+        relay_first=build_sized_record(_TINY_BYTES),
+    ) as zone:
+        await zone.watch(_SETTLE_S)
+        zone.relay.write(build_sized_record(_LARGE_BYTES, version=2, changed=2))
+        await zone.arrivals_s(2, 4)
+        assert not any(
+            follower.has_avoided_a_source() for follower in zone.followers
+        )
