--- a/tests/unit/test_configuration_spread.py
+++ b/tests/unit/test_configuration_spread.py
@@ -245,8 +245,8 @@
     return bytes(body)
 
 
-# Guards against whole configurations that fill the reader's link for longer than
-# followers wait for a sign of it: they gave up one after the other.
+# Guards against whole configurations that fill the reader's link for longer
+# than followers wait for a sign of it: they gave up one after the other.
 async def test_wholes_that_fill_the_link_reach_all_followers_in_turn():
     async with running_zone(
         followers=2 * _FOLLOWERS,
