Show that an answer is lost with a connection that ends behind it

Same class as before, at both edges: what closes the connection is the announced end (Connection: close) or the stop of a process of our own edge.

--- a/tests/unit/test_unsent_answers.py
+++ b/tests/unit/test_unsent_answers.py
@@ -12,20 +12,26 @@
 import pytest
 from aiohttp import web
 
+from arbutusbay.clock import now_s
+from arbutusbay.http import new_application
 from arbutusbay.node import _idle_connections
 from arbutusbay.node._idle_connections import IdleConnections
 from arbutusbay.node._listeners import open_listeners
 from arbutusbay.node._node_state import NodeState
 from arbutusbay.node._peer_channel import PeerChannel
 from arbutusbay.platform import Endpoint, decode_operator_record
+from arbutusbay.planned_stop import plan_stop
 from tests.fleet_builders import build_configuration, build_vm_settings
 from tests.fleet_fakes import FakeClock
+from tests.http_servers import serving
 
 _HOST = f'127.92.{os.getpid() // 250 % 250 + 1}.{os.getpid() % 250 + 1}'
 _FRONTEND_PORT = 7101
 _OTHER_PORTS = (7102, 7103)
 _IDLE_S = 15.0
 _CHECK_S = 0.5
+_GRACE_S = 8.0
+_HANDED_ON_S = 0.3
 _RECEIVE_BUFFER_BYTES = 65_536
 _ANSWER = bytes(2_000_000)
 _STEPS = 4
@@ -63,22 +69,24 @@
 async def _answer(request: web.BaseRequest) -> web.Response:
     """Answer as the frontend does, which counts a connection as busy."""
     response = web.Response(body=_ANSWER)
+    if request.protocol.node_state.is_stopping:
+        response.force_close()
     await response.prepare(request)
     await response.write_eof()
     request.protocol.node_state.busy_connections.discard(request.protocol)
     return response
 
 
-async def _connect_with_small_window() -> tuple[
-    asyncio.StreamReader, asyncio.StreamWriter
-]:
+async def _connect_with_small_window(
+    host: str, port: int
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
     connection = socket.socket()
     connection.setsockopt(
         socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES
     )
     connection.setblocking(False)
     loop = asyncio.get_running_loop()
-    await loop.sock_connect(connection, (_HOST, _FRONTEND_PORT))
+    await loop.sock_connect(connection, (host, port))
     return await asyncio.open_connection(sock=connection, limit=_READ_BYTES)
 
 
@@ -122,18 +130,23 @@
 
 
 @pytest.fixture
-async def client(monkeypatch):
-    """Yield a client whose answer has been handed to the transport."""
+async def client(request, monkeypatch):
+    """Yield a client whose answer has been handed to the transport.
+
+    With a true parameter the VM was stopping before.
+    """
     clock = FakeClock()
     monkeypatch.setattr(_idle_connections, 'now_s', clock)
     components = _build_components()
     settings = components.node_state.settings
+    if getattr(request, 'param', False):
+        components.node_state.stop = plan_stop(now_s(), _GRACE_S)
     with contextlib.closing(
         await open_listeners(settings, components)
     ) as listeners:
-        reader, writer = await _connect_with_small_window()
+        reader, writer = await _connect_with_small_window(_HOST, _FRONTEND_PORT)
         writer.write(_REQUEST)
-        await asyncio.sleep(0.3)
+        await asyncio.sleep(_HANDED_ON_S)
         yield SlowClient(
             idle_connections=IdleConnections(server=listeners.client_server),
             clock=clock,
@@ -174,3 +187,30 @@
     client.check_after(_IDLE_S)
     assert await client.read_answer() == _ANSWER
     assert not await client.read(1)
+
+
+# Guards against an answer that is lost by a reset: the VM announced that it
+# would close the connection, and did before the client had read that.
+@pytest.mark.parametrize('client', [True], indirect=True)
+async def test_announced_close_waits_until_the_client_has_its_answer(client):
+    client.request_again()
+    assert await client.read_answer() == _ANSWER
+
+
+async def _answer_at_own_edge(request: web.Request) -> web.Response:
+    return web.Response(body=_ANSWER)
+
+
+# Guards against the same reset as a process of our own edge stops.
+async def test_stop_of_our_edge_waits_until_the_client_has_its_answer():
+    application = new_application()
+    application.router.add_get('/', _answer_at_own_edge)
+    async with serving(application, limit_s=_LIMIT_S) as port:
+        reader, writer = await _connect_with_small_window('127.0.0.1', port)
+        writer.write(_REQUEST)
+        await asyncio.sleep(_HANDED_ON_S)
+    writer.write(_REQUEST)
+    head = await reader.readuntil(_HEAD_END)
+    assert b'200 OK' in head
+    assert await reader.readexactly(len(_ANSWER)) == _ANSWER
+    writer.close()
