Answer HEAD of a watch with a head, and try further ends at both edges

Monitoring got nothing for HEAD of /api/v1/watch: the stream behind it has no end. A stream whose end is shown by its length has no body, which a handler can ask (ResponseStream.has_body); the watch then ends at once.

--- a/src/arbutusbay/_response_streams.py
+++ b/src/arbutusbay/_response_streams.py
@@ -33,9 +33,14 @@
     response: web.StreamResponse
     end: BodyEnd
 
+    @property
+    def has_body(self) -> bool:
+        """Return whether a body follows the head."""
+        return self.end is not BodyEnd.LENGTH
+
     async def write(self, raw_bytes: bytes) -> None:
-        """Send a part of the body, which is empty if ``end`` is a length."""
-        if self.end is not BodyEnd.LENGTH:
+        """Send a part of the body, if there is one."""
+        if self.has_body:
             await self.response.write(raw_bytes)
 
     async def complete(self) -> None:
--- a/src/arbutusbay/control/_resource_api.py
+++ b/src/arbutusbay/control/_resource_api.py
@@ -159,7 +159,7 @@
         response.content_type = 'application/x-ndjson'
         stream = await begin_stream(request, response)
         sent_versions: dict[ResourceId, int] = {}
-        while not self.shared_state.draining:
+        while stream.has_body and not self.shared_state.draining:
             for line in self._changes_since(sent_versions):
                 await stream.write(
                     orjson.dumps(line, option=orjson.OPT_APPEND_NEWLINE)
--- a/tests/integration/test_shown_ends.py
+++ b/tests/integration/test_shown_ends.py
@@ -4,9 +4,12 @@
 of its connection shows its end. All bytes of the connection are read.
 """
 
+import asyncio
+import signal
 from collections import deque
 
 import pytest
+from yarl import URL
 
 from emulator.fleet import FleetNode
 from emulator.raw_response import Ending, Framing, PartialResponse
@@ -29,6 +32,7 @@
 _WHOLE = complete_stream_text().encode()
 _TRANSIT_S = 0.12
 _LIMIT_S = 4.0
+_STOP_S = 8.0
 _EXTRA_BYTES = 3_000_000
 _LARGE_BODY = b'x' * 12_000_000
 _STREAMS = ('/ask/1', '/note/1')
@@ -226,3 +230,82 @@
     received = await receive(node, b'x' * _EXTRA_BYTES, wait_s=0.5)
     assert parse_received(received).status == 400
     assert not received.is_reset
+
+
+# Guards against a break of an engine's body that only its connection ends, and
+# that looks to an old client like the end of the stream.
+@each_stream
+async def test_reset_of_an_engine_is_a_reset_for_an_old_client(
+    fleet, node, path
+):
+    broken = PartialResponse(
+        framing=Framing.CONNECTION,
+        content_type='text/event-stream',
+        body=_WHOLE,
+        ending=Ending.RESET,
+    )
+    fleet.engines[0].scripted_responses = deque((broken, broken))
+    received = await receive(node, build_request(path, 's1', 'keep-alive'))
+    assert received.is_reset or b' 200 ' not in received.content
+
+
+# Guards against a stream without events whose end is not shown.
+@each_stream
+async def test_empty_stream_has_an_end(fleet, node, path):
+    empty = ScriptedResponse()
+    fleet.engines[0].scripted_responses = deque((empty, empty))
+    received = await receive(node, build_request(path, 's1', 'keep-alive'))
+    response = parse_received(received)
+    assert (response.status, response.body) == (200, b'')
+    assert_shown_end(received)
+
+
+# Guards against a body behind the head of an answer to HEAD.
+@pytest.mark.parametrize('path', ['/order/1', *_STREAMS])
+@pytest.mark.parametrize('version', ['1.0', '1.1'])
+async def test_answer_to_head_is_a_head(node, path, version):
+    requests = [
+        build_request(path, f'h-{connection}', connection, version=version)
+        for connection in ('keep-alive', 'close')
+    ]
+    received = await receive(
+        node, *(sent.replace(b'POST', b'HEAD', 1) for sent in requests)
+    )
+    assert received.content.count(b'HTTP/') == 2
+    assert received.content.endswith(b'\r\n\r\n')
+    assert not received.is_reset
+
+
+# Guards against answers of the endpoints for operators and other VMs whose end
+# is not shown to an old client that keeps its connection.
+@pytest.mark.parametrize(
+    'path', ['/metrics', '/debug/state', '/readyz', '/nowhere', '/relay?x=1']
+)
+@pytest.mark.parametrize('method', [b'GET', b'HEAD'])
+async def test_answers_for_operators_and_peers_have_an_end(node, path, method):
+    is_peers = path.startswith('/relay')
+    port = node.peer_address[1] if is_peers else URL(node.control_url).port
+    requests = [
+        build_bytes(
+            path, {'Host': 'x', 'Connection': connection}, version='1.0'
+        ).replace(b'POST', method, 1)
+        for connection in ('keep-alive', 'close')
+    ]
+    received = await receive_all(
+        node.ip, port, b''.join(requests), limit_s=_LIMIT_S
+    )
+    assert received.content.count(b'HTTP/1.0 ') == 2
+    assert not received.is_reset
+
+
+# Guards against a stop that waits for a client which got the whole answer and
+# leaves its connection open.
+async def test_stop_does_not_wait_for_clients_that_do_not_close(node):
+    reader, writer = await asyncio.open_connection(node.ip, node.port)
+    writer.write(build_request('/ask/1', 's1', 'keep-alive'))
+    async with asyncio.timeout(_LIMIT_S):
+        assert _WHOLE in await reader.read()
+    node.process.send_signal(signal.SIGTERM)
+    async with asyncio.timeout(_STOP_S):
+        await node.process.wait()
+    writer.close()
