--- a/src/arbutusbay/_client_ends.py
+++ b/src/arbutusbay/_client_ends.py
@@ -11,6 +11,9 @@
 from aiohttp.abc import AbstractStreamWriter
 from aiohttp.http import RawRequestMessage
 
+from arbutusbay.logs import get_logger
+
+_LOG = get_logger('client')
 _POLL_INTERVAL_S = 0.02
 _TRANSIT_S = 0.12
 
@@ -158,7 +161,7 @@
             return
         if self.transport.is_closing():
             return
-        self._messages.clear()
+        self._drop_queued()
         self._close = True
         self.transport.write_eof()
         self._resume_transport_reading()
@@ -168,6 +171,14 @@
             await asyncio.sleep(_POLL_INTERVAL_S)
         self.force_close()
 
+    def _drop_queued(self) -> None:
+        if self.has_queued_request:
+            _LOG.info(
+                'requests dropped behind the last response of a connection',
+                fields={'dropped': len(self._messages)},
+            )
+            self._messages.clear()
+
     async def _handle_queued(self) -> None:
         while self.has_queued_request:
             await asyncio.sleep(_POLL_INTERVAL_S)
