Show that a request is refused as the VM did not run while it connected

The process is stopped while its connection waits to be accepted, and the server accepts it meanwhile: the request got 503, not run, as its 0.4 s to connect were over when the process went on.

--- a/emulator/fleet.py
+++ b/emulator/fleet.py
@@ -182,6 +182,10 @@
         """Stop to serve the engine but leave its registration in the store."""
         await self.runners_by_address.pop(engine.address).cleanup()
 
+    async def resume_engine(self, engine: FleetEngine) -> None:
+        """Start to serve an engine again that is still registered."""
+        await self._serve(engine.application(), engine.address)
+
     async def restart_engine(self, engine: FleetEngine) -> FleetEngine:
         """Start an engine that has ended again, with a new id and address kept.
 
