Send long responses to followers in turns

What fills the link for longer than followers wait for a sign of it made them give up one after the other: of 100 behind 10 Mbit/s 42 had a whole of 23 KB after 8 s. Eight responses of more than 4 KB cross at once now; the others get a blank as a sign of life until their turn begins. The next request on a connection shows that its response has arrived and ends the turn, or a limit that follows from the bound of the configuration. Shorter ones, among them changes, do not wait.

--- a/src/arbutusbay/node/_relay_api.py
+++ b/src/arbutusbay/node/_relay_api.py
@@ -24,12 +24,17 @@
     ServersTopicState,
     TopicState,
 )
+from arbutusbay.node._transfer_turns import TransferTurns
 from arbutusbay.platform import StorePosition
 
 _LOG = get_logger('relay')
 RELAY_PATH = '/relay'
 _MAX_HOLD_MS = 2000
 _PIECE_BYTES = 4096
+# Blanks before a document of JSON mean nothing.
+_PADDING = b' '
+_PADDING_RATIO = 0.1
+_TURN_RATIO = 0.2
 
 
 class RelayApi:
@@ -47,6 +52,9 @@
         self.operator_topic = operator_topic
         self.servers_topic = servers_topic
         self.encoder = RecordEncoder(history=operator_topic.payloads)
+        config_apply_s = node_state.settings.bounds.config_apply_s
+        self.padding_s = config_apply_s * _PADDING_RATIO
+        self.turns = TransferTurns(max_turn_s=config_apply_s * _TURN_RATIO)
 
     async def handle_request(
         self, request: web.BaseRequest
@@ -56,6 +64,7 @@
         The wait is capped. The status is 404 for an unknown path, 400 for
         malformed parameters and 503 until both topics have been read.
         """
+        self.turns.end(request.transport)
         if request.path != RELAY_PATH:
             return web.Response(status=HTTPStatus.NOT_FOUND)
         try:
@@ -82,11 +91,43 @@
         )
         if accepts_encoding(request.query):
             body = self._encode(answer, bases_from_parameters(request.query))
-            return await _send_in_pieces(request, body)
+            return await self._send(request, body)
         body = relay_response_to_bytes(answer)
         self._count(answer, RelayForm.PLAIN, len(body))
         return web.Response(body=body)
 
+    async def _send(
+        self, request: web.BaseRequest, body: bytes
+    ) -> web.StreamResponse:
+        """Respond with ``body``; a long one waits for its turn."""
+        if len(body) <= _PIECE_BYTES:
+            return web.Response(body=body, content_type=ENCODED_CONTENT_TYPE)
+        response = web.StreamResponse()
+        response.content_type = ENCODED_CONTENT_TYPE
+        response.enable_chunked_encoding()
+        try:
+            await self._send_in_turn(request, response, body)
+        except ConnectionError as error:
+            _LOG.info(
+                'follower left during its response: {!r}',
+                error,
+                fields={'follower': request.remote, 'bytes': len(body)},
+            )
+        return response
+
+    async def _send_in_turn(
+        self,
+        request: web.BaseRequest,
+        response: web.StreamResponse,
+        body: bytes,
+    ) -> None:
+        """Send padding, which is no silence, until the turn begins."""
+        await response.prepare(request)
+        await response.write(_PADDING)
+        while not await self.turns.begin(request.transport, self.padding_s):
+            await response.write(_PADDING)
+        await _write_pieces(response, body)
+
     def _encode(self, answer: RelayResponse, digests: list[str]) -> bytes:
         operator = self.encoder.choose(answer.operator.records, digests)
         servers = self.encoder.choose(answer.servers.records, ())
@@ -125,32 +166,8 @@
             return
 
 
-async def _send_in_pieces(
-    request: web.BaseRequest, body: bytes
-) -> web.StreamResponse:
-    """Respond with ``body`` in turns with the responses to other VMs.
-
-    Each of them gets its pieces at the same pace, so none takes this VM for
-    silent while the others are served.
-    """
-    response = web.StreamResponse()
-    response.content_type = ENCODED_CONTENT_TYPE
-    response.content_length = len(body)
-    try:
-        await _write_pieces(request, response, body)
-    except ConnectionError as error:
-        _LOG.info(
-            'follower left during its response: {!r}',
-            error,
-            fields={'follower': request.remote, 'bytes': len(body)},
-        )
-    return response
-
-
-async def _write_pieces(
-    request: web.BaseRequest, response: web.StreamResponse, body: bytes
-) -> None:
-    await response.prepare(request)
+async def _write_pieces(response: web.StreamResponse, body: bytes) -> None:
+    """Write ``body`` in turns with the responses to other VMs."""
     for start in range(0, len(body), _PIECE_BYTES):
         await response.write(body[start : start + _PIECE_BYTES])
         await asyncio.sleep(0)
