--- a/tests/unit/test_configuration_spread.py
+++ b/tests/unit/test_configuration_spread.py
@@ -246,8 +246,6 @@
     return bytes(body)
 
 
-<<<<<<< HEAD
-=======
 # Guards against data that is too old to check keys that were revoked, and other
 # records that wait, because a whole configuration is under way elsewhere.
 async def test_small_changes_overtake_wholes_of_other_followers():
@@ -268,7 +266,6 @@
         assert any(follower.version() < 2 for follower in others)
 
 
->>>>>>> spread/spread
 # Guards against whole configurations that fill the reader's link for longer
 # than followers wait for a sign of it: they gave up one after the other.
 async def test_wholes_that_fill_the_link_reach_all_followers_in_turn():
