--- a/tests/integration/test_silence_elsewhere.py
+++ b/tests/integration/test_silence_elsewhere.py
@@ -88,7 +88,8 @@
     await wait_for_condition(
         lambda: has_version(fleet, 2), 'rollout', _ROLLOUT_LIMIT_S
     )
-    assert time.monotonic() - started_s < _SILENCE_S + _ROLLOUT_S
+    duration_s = time.monotonic() - started_s
+    assert duration_s < _SILENCE_S + _ROLLOUT_S, node.log_path.read_text()
     await asyncio.sleep(1.0)
     assert {engine.accepted_order_count for engine in fleet.engines} == {1}
     status, text, _ = await request_stream(http, node, 'after')
--- a/tests/integration/test_silent_completions.py
+++ b/tests/integration/test_silent_completions.py
@@ -247,7 +247,15 @@
         runs.sort(key=lambda run: run['began_s'])
         for earlier, later in itertools.pairwise(runs):
             assert earlier['ended_s'] is not None
-            assert earlier['ended_s'] - later['began_s'] < _MAX_OVERLAP_S
+            overlap_s = earlier['ended_s'] - later['began_s']
+            assert overlap_s < _MAX_OVERLAP_S, _log_of(cluster, later)
+
+
+def _log_of(cluster, run) -> str:
+    """Return what the router logged of its attempts, and one run."""
+    log = cluster.nodes[0].router.log_path.read_text()
+    lines = [line for line in log.splitlines() if '"generation"' in line]
+    return '\n'.join((str(run), *lines))
 
 
 def assert_run_once(cluster, outcomes) -> None:
