Close a connection only once its client has the last answer

Callers that sent another request while they read an answer lost the rest of that answer, where its connection was to end with it (Connection: close, a stop of our own edge). The handler that both edges share now waits before the close as long as the client takes bytes, and 10 s, the lingering time of aiohttp, without any; the time of a drain bounds that. What comes meanwhile is read, so it resets nothing.

--- a/src/arbutusbay/_client_ends.py
+++ b/src/arbutusbay/_client_ends.py
@@ -11,6 +11,8 @@
 from aiohttp.abc import AbstractStreamWriter
 from aiohttp.http import RawRequestMessage
 
+from arbutusbay.unsent_bytes import count_unsent_bytes
+
 _POLL_INTERVAL_S = 0.02
 
 
@@ -51,6 +53,7 @@
         self.response_writer: AbstractStreamWriter | None = None
         self.work_limit: asyncio.Timeout | None = None
         self.closes_after_queue = False
+        self.lingering_s = self._lingering_time
         self.new_request = server.request_factory
         self._request_factory = self._begin_request
 
@@ -102,16 +105,32 @@
         if not self.has_queued_request:
             super().close()
 
+    async def finish_response(
+        self, request: web.BaseRequest, resp: Any, start_time: float | None
+    ) -> tuple[web.StreamResponse, bool]:
+        """Send a response, and wait for the client if a close follows it.
+
+        A request that comes after the close resets the connection, and what
+        the client lacks of the response is lost.
+        """
+        response, is_reset = await super().finish_response(
+            request, resp, start_time
+        )
+        if not (is_reset or response.keep_alive):
+            await self._wait_for_client()
+        return response, is_reset
+
     async def shutdown(self, timeout: float | None = 15.0) -> None:
         """Give queued requests up to ``timeout`` seconds, then close.
 
-        ``timeout`` is for them and the one being handled together; None sets
-        no limit.
+        ``timeout`` is for them, the one being handled, and the client that
+        reads its response, together; None sets no limit.
         """
         left_s = timeout
         try:
             async with asyncio.timeout(timeout) as limit:
                 await self._handle_queued()
+                await self._wait_for_client()
                 if timeout is not None:
                     loop = asyncio.get_running_loop()
                     left_s = limit.when() - loop.time()
@@ -126,6 +145,18 @@
         while self.has_queued_request:
             await asyncio.sleep(_POLL_INTERVAL_S)
 
+    async def _wait_for_client(self) -> None:
+        """Wait until the client has taken what was sent, or stops to read."""
+        loop = asyncio.get_running_loop()
+        unsent_bytes = count_unsent_bytes(self.transport)
+        give_up_s = loop.time() + self.lingering_s
+        while unsent_bytes and loop.time() < give_up_s:
+            await asyncio.sleep(_POLL_INTERVAL_S)
+            left_bytes = count_unsent_bytes(self.transport)
+            if left_bytes < unsent_bytes:
+                give_up_s = loop.time() + self.lingering_s
+            unsent_bytes = left_bytes
+
     def _begin_request(
         self,
         message: RawRequestMessage,
--- a/src/arbutusbay/node/_client_connection.py
+++ b/src/arbutusbay/node/_client_connection.py
@@ -5,10 +5,8 @@
 """
 
 import asyncio
-import fcntl
 import socket
 import struct
-import termios
 from types import MappingProxyType
 from typing import Any
 
@@ -28,8 +26,6 @@
     {_ESTABLISHED: None, _CLOSE_WAIT: ClientEnd.SENDING_SIDE_SHUT}
 )
 _MILLISECONDS_PER_S = 1000
-_QUEUE_FORMAT = '=i'
-_EMPTY_QUEUE = struct.pack(_QUEUE_FORMAT, 0)
 
 
 @attrs.frozen(kw_only=True)
@@ -100,31 +96,6 @@
         return False
 
 
-def count_unsent_bytes(transport: asyncio.WriteTransport | None) -> int:
-    """Return how many bytes the client has not acknowledged yet.
-
-    They are in the event loop or in the kernel. Of a connection being closed,
-    and where the kernel does not count them, only the former are returned.
-    """
-    if transport is None:
-        return 0
-    unsent = transport.get_write_buffer_size()
-    if transport.is_closing():
-        return unsent
-    try:
-        queued = fcntl.ioctl(
-            transport.get_extra_info('socket').fileno(),
-            termios.TIOCOUTQ,
-            _EMPTY_QUEUE,
-        )
-    except OSError as error:
-        _LOG.debug(
-            'unsent bytes are not counted', fields={'error': repr(error)}
-        )
-        return unsent
-    return unsent + struct.unpack(_QUEUE_FORMAT, queued)[0]
-
-
 def parse_tcp_info(raw_bytes: bytes) -> ConnectionLook:
     """Decode the fields that are used of the kernel's ``struct tcp_info``.
 
--- a/src/arbutusbay/node/_client_stream.py
+++ b/src/arbutusbay/node/_client_stream.py
@@ -18,6 +18,7 @@
 from arbutusbay.node._attempts import OpenResponse
 from arbutusbay.node._incoming_request import IncomingRequest
 from arbutusbay.responses import BodyEnd
+from arbutusbay.unsent_bytes import count_unsent_bytes
 
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 _FLUSH_ON_CLOSE = struct.pack('ii', 0, 0)
@@ -98,6 +99,11 @@
     response: web.StreamResponse
     timing: StreamTiming = attrs.field(factory=StreamTiming)
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Return how many bytes the client has not acknowledged yet."""
+        return count_unsent_bytes(self.request.transport)
+
     def can_continue_with(self, answer: OpenResponse) -> bool:
         """Return whether the body of ``answer`` may follow the head sent."""
         return (
--- a/src/arbutusbay/node/_frontend.py
+++ b/src/arbutusbay/node/_frontend.py
@@ -25,7 +25,6 @@
 from arbutusbay.node._attempts import BufferedResponse
 from arbutusbay.node._client_connection import (
     check_client,
-    count_unsent_bytes,
     look_at_connection,
 )
 from arbutusbay.node._client_stream import (
@@ -216,7 +215,7 @@
                     incoming,
                     'stream complete',
                     body_end=end.value,
-                    unsent_bytes=count_unsent_bytes(stream.request.transport),
+                    unsent_bytes=stream.unsent_bytes,
                     **timing_fields,
                 )
             case StreamCut(reason=reason, detail=detail):
--- a/src/arbutusbay/node/_idle_connections.py
+++ b/src/arbutusbay/node/_idle_connections.py
@@ -11,11 +11,9 @@
 
 from arbutusbay.clock import now_s
 from arbutusbay.logs import get_logger
-from arbutusbay.node._client_connection import (
-    count_unsent_bytes,
-    has_unread_bytes,
-)
+from arbutusbay.node._client_connection import has_unread_bytes
 from arbutusbay.node._client_protocol import ClientProtocol
+from arbutusbay.unsent_bytes import count_unsent_bytes
 
 _LOG = get_logger('client')
 _CHECK_INTERVAL_S = 0.5
--- a/tests/unit/test_client_connection.py
+++ b/tests/unit/test_client_connection.py
@@ -13,14 +13,15 @@
 import pytest
 import uvloop
 
+from arbutusbay import _unsent_bytes
 from arbutusbay.client_ends import ClientEnd
 from arbutusbay.node import _client_connection
 from arbutusbay.node._client_connection import (
     ConnectionLook,
-    count_unsent_bytes,
     look_at_connection,
     parse_tcp_info,
 )
+from arbutusbay.unsent_bytes import count_unsent_bytes
 
 UNREAD_S = 0.3
 ERROR_S = 0.1
@@ -152,7 +153,7 @@
     connection, loop, monkeypatch
 ):
     transport = connection[1]
-    monkeypatch.setattr(_client_connection.fcntl, 'ioctl', refuse_query)
+    monkeypatch.setattr(_unsent_bytes.fcntl, 'ioctl', refuse_query)
     transport.write(bytes(20_000_000))
     loop.run_until_complete(asyncio.sleep(ERROR_S))
     unsent = count_unsent_bytes(transport)
