--- a/src/arbutusbay/node/_frontend.py
+++ b/src/arbutusbay/node/_frontend.py
@@ -214,7 +214,7 @@
                     incoming,
                     'stream complete',
                     body_end=end.value,
-                    unsent_bytes=stream.unsent_bytes(),
+                    unsent_bytes=stream.unsent_bytes,
                     **timing_fields,
                 )
             case StreamCut(reason=reason, detail=detail):
