--- a/src/arbutusbay/_client_ends.py
+++ b/src/arbutusbay/_client_ends.py
@@ -12,6 +12,7 @@
 from aiohttp.http import RawRequestMessage
 
 from arbutusbay.logs import get_logger
+from arbutusbay.unsent_bytes import count_unsent_bytes
 
 _LOG = get_logger('client')
 _POLL_INTERVAL_S = 0.02
@@ -117,15 +118,16 @@
     async def shutdown(self, timeout: float | None = 15.0) -> None:
         """Give queued requests up to ``timeout`` seconds, then close.
 
-        ``timeout`` is for them and the one being handled together; None sets
-        no limit. Behind its last response a connection lingers only for what
-        crosses it.
+        ``timeout`` is for them, the one being handled, and the client that
+        reads its response, together; None sets no limit. Behind its last
+        response a connection lingers only for what crosses it.
         """
         self.linger_s = 2 * _TRANSIT_S
         left_s = timeout
         try:
             async with asyncio.timeout(timeout) as limit:
                 await self._handle_queued()
+                await self._wait_for_client()
                 if timeout is not None:
                     loop = asyncio.get_running_loop()
                     left_s = limit.when() - loop.time()
@@ -154,8 +156,8 @@
     async def _end_connection(self) -> None:
         """Show the end of what is sent, and drop what the client still sends.
 
-        A close with bytes that were not read resets the connection, and the
-        client may lose the response.
+        A close with bytes that were not read resets the connection, and what
+        the client lacks of the response is lost.
         """
         if self.client_end is not None or self.transport is None:
             return
@@ -165,6 +167,7 @@
         self._close = True
         self.transport.write_eof()
         self._resume_transport_reading()
+        await self._wait_for_client()
         loop = asyncio.get_running_loop()
         began_s = loop.time()
         while loop.time() - began_s < self.linger_s:
@@ -183,6 +186,18 @@
         while self.has_queued_request:
             await asyncio.sleep(_POLL_INTERVAL_S)
 
+    async def _wait_for_client(self) -> None:
+        """Wait until the client has taken what was sent, or stops to read."""
+        loop = asyncio.get_running_loop()
+        unsent_bytes = count_unsent_bytes(self.transport)
+        give_up_s = loop.time() + self._lingering_time
+        while unsent_bytes and loop.time() < give_up_s:
+            await asyncio.sleep(_POLL_INTERVAL_S)
+            left_bytes = count_unsent_bytes(self.transport)
+            if left_bytes < unsent_bytes:
+                give_up_s = loop.time() + self._lingering_time
+            unsent_bytes = left_bytes
+
     def _begin_request(
         self,
         message: RawRequestMessage,
--- a/src/arbutusbay/node/_client_stream.py
+++ b/src/arbutusbay/node/_client_stream.py
@@ -13,7 +13,6 @@
 from arbutusbay.client_ends import has_queued_request
 from arbutusbay.clock import now_s
 from arbutusbay.node._attempts import OpenResponse
-from arbutusbay.node._client_connection import count_unsent_bytes
 from arbutusbay.node._incoming_request import IncomingRequest
 from arbutusbay.response_streams import (
     ResponseStream,
@@ -22,6 +21,7 @@
     is_connection_open,
 )
 from arbutusbay.responses import BodyEnd
+from arbutusbay.unsent_bytes import count_unsent_bytes
 
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
@@ -98,6 +98,11 @@
     stream: ResponseStream
     timing: StreamTiming = attrs.field(factory=StreamTiming)
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Return how many bytes the client has not acknowledged yet."""
+        return count_unsent_bytes(self.stream.request.transport)
+
     def can_continue_with(self, answer: OpenResponse) -> bool:
         """Return whether the body of ``answer`` may follow the head sent."""
         return (
@@ -115,10 +120,6 @@
         await self.stream.complete()
         return StreamCompleted(end=end)
 
-    def unsent_bytes(self) -> int:
-        """Return how many bytes the client has not acknowledged yet."""
-        return count_unsent_bytes(self.stream.request.transport)
-
     def cut(self, reason: CutReason, detail: str) -> StreamCut:
         """Abort the connection: the client sees that the stream broke."""
         self.stream.cut()
