--- a/src/arbutusbay/_client_connections.py
+++ b/src/arbutusbay/_client_connections.py
@@ -20,6 +20,16 @@
         """Return whether the connection may carry another request."""
         return super().is_connected() and not self.should_close
 
+    def close(self) -> None:
+        """Close the connection at once, also if the server reads nothing.
+
+        What it has not been sent is the rest of a request that has ended.
+        """
+        transport = self.transport
+        if transport is not None and transport.get_write_buffer_size():
+            transport.abort()
+        super().close()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail an incomplete body if the connection was lost with an error.
 
