Take a signal for one of a pause only in the first turn after it

Found by the review: a SIGTERM up to 0.2 s after a pause of 10 s counted from the start of the pause, so the stop ended all requests at once with 8 s of grace left. A signal that came in the pause is handled in the first turn of the event loop; the limit is 0.1 s now. Left: a signal that comes by itself within 0.1 s after a pause.

--- a/src/arbutusbay/node/_own_pauses.py
+++ b/src/arbutusbay/node/_own_pauses.py
@@ -4,6 +4,7 @@
 
 CHECK_INTERVAL_S = 0.2
 _MIN_PAUSE_S = 0.3
+_FIRST_TURN_S = 0.1
 
 
 @attrs.define(kw_only=True)
@@ -36,12 +37,12 @@
     def earliest_start_s(self, moment_s: float) -> float:
         """Return when what is noticed at ``moment_s`` can have come.
 
-        What came in a pause is noticed after it, maybe only after the check
-        that reveals the pause, but before the next one.
+        What came in a pause is noticed in the first turn of the event loop
+        after it, maybe behind the check that reveals the pause.
         """
         if self._is_pausing(moment_s):
             return self.last_check_s
-        if self.last_check_s == self.resumed_s:
+        if moment_s - self.resumed_s < _FIRST_TURN_S:
             return self.paused_s
         return moment_s
 
