Connect once more after a pause, not as often as the VM pauses

Found by the review: where the event loop is late again and again, an engine out of reach was tried every 0.4 s until the deadline, and no other one. test_late_loop_does_not_repeat_a_connect_for_ever failed before and passes, as do those of test_connect_pauses.py.

--- a/src/arbutusbay/node/_attempts.py
+++ b/src/arbutusbay/node/_attempts.py
@@ -223,25 +223,25 @@
     attempt_headers: AttemptHeaders,
     own_pauses: OwnPauses,
 ) -> ConnectionResponse:
-    """Send the request; connect again if this VM paused as it connected.
+    """Send the request; connect once more if this VM paused as it connected.
 
     Nothing was sent then. Raises the errors of aiohttp.
     """
-    while True:
-        started_s = now_s()
-        try:
-            return await _send(session, server, incoming, body, attempt_headers)
-        except aiohttp.ConnectionTimeoutError:
-            if not own_pauses.has_paused_since(started_s, now_s()):
-                raise
-        _LOG.info(
-            'connects again after a pause of this VM',
-            fields={
-                'request_id': incoming.attempt_id,
-                'server': server.id,
-                'waited_ms': milliseconds(now_s() - started_s),
-            },
-        )
+    started_s = now_s()
+    try:
+        return await _send(session, server, incoming, body, attempt_headers)
+    except aiohttp.ConnectionTimeoutError:
+        if not own_pauses.has_paused_since(started_s, now_s()):
+            raise
+    _LOG.info(
+        'connects again after a pause of this VM',
+        fields={
+            'request_id': incoming.attempt_id,
+            'server': server.id,
+            'waited_ms': milliseconds(now_s() - started_s),
+        },
+    )
+    return await _send(session, server, incoming, body, attempt_headers)
 
 
 async def _send(
