Bound the digests that a follower names

Found by the review: a follower with 260 keys of 1 KB and more named all their payloads in a request line of 8.6 KB, which each relay refused with 400, for good.

--- a/src/arbutusbay/spread/_payload_history.py
+++ b/src/arbutusbay/spread/_payload_history.py
@@ -52,6 +52,7 @@
             self.newest.pop(key, None)
         else:
             digest = payload_digest(payload)
+            self.newest.pop(key, None)
             self.newest[key] = digest
             self._discard(digest)
             self.payloads[digest] = KnownPayload(key=key, payload=payload)
@@ -59,8 +60,11 @@
         self._discard_oldest()
 
     def newest_digests(self) -> list[str]:
-        """Return the digests of the newest payloads, one for each key."""
-        return list(self.newest.values())
+        """Return the digests of the newest payloads, one for each key.
+
+        At most ``max_payloads`` are named, those that changed last.
+        """
+        return list(self.newest.values())[-self.max_payloads :]
 
     def find(self, digest: str) -> bytes | None:
         """Return the payload that ``digest`` names, None if it is not held."""
