--- a/src/arbutusbay/node/_follower.py
+++ b/src/arbutusbay/node/_follower.py
@@ -39,12 +39,10 @@
 _REVOCATION_WAIT_RATIO = 0.2
 _REVOCATION_HOLD_RATIO = 0.12
 _REVOCATION_SILENCE_RATIO = 0.16
-_REVOCATION_TRANSFER_RATIO = 0.8
 _REVOCATION_AGE_RATIO = 0.52
 _CONFIG_WAIT_RATIO = 0.2
 _CONFIG_HOLD_RATIO = 0.15
 _CONFIG_SILENCE_RATIO = 0.2
-_CONFIG_TRANSFER_RATIO = 0.8
 _CONFIG_AGE_RATIO = 0.6
 _REVOCATION_AVOID_RATIO = 0.6
 _SILENT_AFTER_S = 3.0
@@ -94,10 +92,7 @@
             key_revocation_s * _REVOCATION_SILENCE_RATIO,
             config_apply_s * _CONFIG_SILENCE_RATIO,
         ),
-        transfer_s=min(
-            key_revocation_s * _REVOCATION_TRANSFER_RATIO,
-            config_apply_s * _CONFIG_TRANSFER_RATIO,
-        ),
+        transfer_s=min(key_revocation_s, config_apply_s),
         max_age_s=min(
             key_revocation_s * _REVOCATION_AGE_RATIO,
             config_apply_s * _CONFIG_AGE_RATIO,
