Look less often at a connection that lingers

The look is every 0.1 s; not measured anew. The tests of ends, unsent answers and ends at shutdown pass.

--- a/src/arbutusbay/_client_ends.py
+++ b/src/arbutusbay/_client_ends.py
@@ -16,6 +16,7 @@
 
 _LOG = get_logger('client')
 _POLL_INTERVAL_S = 0.02
+_LINGER_POLL_INTERVAL_S = 0.1
 _TRANSIT_S = 0.12
 
 
@@ -171,7 +172,7 @@
         loop = asyncio.get_running_loop()
         began_s = loop.time()
         while loop.time() - began_s < self.linger_s:
-            await asyncio.sleep(_POLL_INTERVAL_S)
+            await asyncio.sleep(_LINGER_POLL_INTERVAL_S)
         self.force_close()
 
     def _drop_queued(self) -> None:
