--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -9,6 +9,7 @@
 import contextlib
 import os
 import random
+import re
 import shlex
 import socket
 import tempfile
@@ -151,11 +152,12 @@
         self.process: asyncio.subprocess.Process | None = None
         self.settings = deployment.folder / f'{name}.toml'
         self.log = deployment.folder / f'{name}.log'
-        self.settings.write_text(
-            SETTINGS.format(
-                name=name, ip=self.ip, zone=zone, store=deployment.store_address
-            )
+        text = SETTINGS.format(
+            name=name, ip=self.ip, zone=zone, store=deployment.store_address
         )
+        for field, changed in deployment.changed_settings.items():
+            text = re.sub(f'(?m)^{field} = .*$', f'{field} = {changed}', text)
+        self.settings.write_text(text)
 
     async def start(self) -> None:
         """Start the process as the deploy file says."""
@@ -207,8 +209,12 @@
 class Deployment:
     """The store, the engines and the daemons of one small deployment."""
 
-    def __init__(self, record: Record) -> None:
+    def __init__(
+        self, record: Record, settings: dict[str, object] | None = None
+    ) -> None:
+        """``settings`` replace fields of the example by their names."""
         self.record = record
+        self.changed_settings = settings or {}
         self.prefix = free_prefix()
         self.folder_handle = tempfile.TemporaryDirectory(prefix='review-')
         self.folder = Path(self.folder_handle.name)
