--- a/review/2/case.py
+++ b/review/2/case.py
@@ -26,7 +26,8 @@
 ZONE = 'plateau'
 ENGINES = 8
 ROUNDS = 4
-ORDER_INTERVAL_S = 0.06
+ORDER_INTERVAL_S = 0.03
+WORK_S = 0.2
 # After its entry was removed an engine serves for drain_timeout_ms, and here
 # for some seconds more, as the page allows; then it exits.
 SERVES_S = DRAIN_TIMEOUT_S + 4.0
@@ -115,7 +116,7 @@
     await deployment.serve_store()
     deployment.configure(plain_configuration([SERVICE]))
     for number in range(ENGINES):
-        await deployment.add_engine(Engine(f'i-{number}', SERVICE, ZONE))
+        await deployment.add_engine(Engine(f'i-{number}', SERVICE, ZONE, WORK_S))
     waiting = list(NAMES)
     started_s = time.monotonic()
     first = [await deployment.add_node(waiting.pop(), ZONE) for _ in range(3)]
@@ -128,7 +129,7 @@
     lost: list[str] = []
     for number in range(ROUNDS):
         old = deployment.engines[number]
-        new = Engine(f'i-{ENGINES + number}', SERVICE, ZONE)
+        new = Engine(f'i-{ENGINES + number}', SERVICE, ZONE, WORK_S)
         await deployment.add_engine(new)
         await asyncio.sleep(1.5)
         removed: list[float] = []
