--- a/src/arbutusbay/_client_connections.py
+++ b/src/arbutusbay/_client_connections.py
@@ -1,20 +1,80 @@
 """Open HTTP client sessions whose connections show what was lost on them.
 
-A connection that is reset fails an incomplete body, and one on which more than
-a response has come is not used again.
+A connection that is reset fails an incomplete body. One on which more than a
+response has come is closed, and so is one that brings bytes without end which
+are no part of a body.
 """
 
+import asyncio
 import functools
+from collections.abc import Iterator
+from http import HTTPStatus
 from typing import Any
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.http import RawResponseMessage
 
+from arbutusbay.logs import get_logger
+
+_LOG = get_logger('client_connection')
 _UNLIMITED_CONNECTIONS = 0
+_MAX_BYTES_WITHOUT_BODY = 65_536
+_PIECE_BYTES = 16_384
+
+
+class EndlessResponseError(aiohttp.ClientPayloadError):
+    """Report a server that sent too many bytes that are no part of a body."""
 
 
 class StrictConnection(ResponseHandler):
-    """Refuse reuse after unexpected data and fail bodies cut by a reset."""
+    """Refuse reuse after unexpected data and fail bodies cut by a reset.
+
+    ``is_answered`` is set once the head of the response to the last request has
+    come. ``bytes_without_body`` counts what came since the last byte of a body.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Start without a request."""
+        super().__init__(loop)
+        self.is_answered = False
+        self.bytes_without_body = 0
+
+    def set_response_params(self, **options: Any) -> None:
+        """Expect the response to another request."""
+        self.is_answered = False
+        self.bytes_without_body = 0
+        super().set_response_params(**options)
+
+    def data_received(self, received: bytes) -> None:
+        """Parse what the server sent, unless it is no part of a response.
+
+        It is parsed in pieces, so that bytes behind the limit cost nothing.
+        Nothing received means that a paused parser goes on.
+        """
+        for piece in _pieces(received):
+            if piece and self.is_answered and self._is_body_complete():
+                self._end_connection('bytes behind a response')
+            if self.transport is None or self.transport.is_closing():
+                return
+            body_bytes = self._body_bytes()
+            super().data_received(piece)
+            self._limit_bytes_without_body(
+                len(piece), has_body=self._body_bytes() != body_bytes
+            )
+
+    def feed_data(
+        self, message: tuple[RawResponseMessage, Any], size: int = 0
+    ) -> None:
+        """Keep the response to the request; others belong to none.
+
+        Nothing waits for an interim response.
+        """
+        status = message[0].code
+        if self.is_answered or _is_interim(status):
+            return
+        self.is_answered = True
+        super().feed_data(message, size)
 
     def is_connected(self) -> bool:
         """Return whether the connection may carry another request."""
@@ -45,6 +105,46 @@
             )
         super().connection_lost(exc)
 
+    def _limit_bytes_without_body(
+        self, size_bytes: int, *, has_body: bool
+    ) -> None:
+        """End the connection if too little of what it brings is a body.
+
+        What a paused parser has not parsed yet isn't counted.
+        """
+        if has_body or self._reading_paused:
+            self.bytes_without_body = 0
+            return
+        self.bytes_without_body += size_bytes
+        if self.bytes_without_body > _MAX_BYTES_WITHOUT_BODY:
+            self._end_connection('bytes without an answer')
+
+    def _body_bytes(self) -> int:
+        return 0 if self._payload is None else self._payload.total_bytes
+
+    def _is_body_complete(self) -> bool:
+        return self._payload is None or self._payload.is_eof()
+
+    def _end_connection(self, cause: str) -> None:
+        """Abort the connection and fail the response that is incomplete."""
+        transport = self.transport
+        if transport is None:
+            return
+        _LOG.warning(
+            'connection ended',
+            fields={
+                'server': transport.get_extra_info('peername'),
+                'cause': cause,
+                'bytes': self.bytes_without_body,
+            },
+        )
+        error = EndlessResponseError(cause)
+        payload = self._payload
+        if payload is not None and not payload.is_eof():
+            payload.set_exception(error)
+        self.set_exception(error)
+        transport.abort()
+
 
 class StrictConnector(aiohttp.TCPConnector):
     """Create connections whose protocol is a ``StrictConnection``."""
@@ -60,6 +160,25 @@
         self._factory = functools.partial(connection_type, loop=self._loop)
 
 
+def is_endless(error: BaseException) -> bool:
+    """Return whether a connection was ended here, as its bytes had no end."""
+    return isinstance(error, EndlessResponseError)
+
+
+def _pieces(received: bytes) -> Iterator[bytes]:
+    """Yield ``received`` in pieces; a single one if it is empty."""
+    for start in range(0, max(1, len(received)), _PIECE_BYTES):
+        yield received[start : start + _PIECE_BYTES]
+
+
+def _is_interim(status: int) -> bool:
+    """Return whether the final response follows behind one with ``status``."""
+    return (
+        HTTPStatus.CONTINUE <= status < HTTPStatus.OK
+        and status != HTTPStatus.SWITCHING_PROTOCOLS
+    )
+
+
 def open_client_session(
     connector: StrictConnector, **options: Any
 ) -> aiohttp.ClientSession:
--- a/src/arbutusbay/_response_body.py
+++ b/src/arbutusbay/_response_body.py
@@ -7,6 +7,8 @@
 import attrs
 from result import Err, Ok, Result
 
+from arbutusbay.client_connections import is_endless
+
 _CHUNKED = 'chunked'
 EMPTY_STATUSES = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 
@@ -94,6 +96,11 @@
             chunks.append(chunk)
     except (aiohttp.ClientError, OSError) as error:
         return Err(
-            CutBody(end=end, received_bytes=size_bytes, detail=repr(error))
+            CutBody(
+                end=end,
+                received_bytes=size_bytes,
+                detail=repr(error),
+                is_too_long=is_endless(error),
+            )
         )
     return Ok(WholeBody(content=b''.join(chunks), end=end))
--- a/src/arbutusbay/client_connections.py
+++ b/src/arbutusbay/client_connections.py
@@ -3,7 +3,13 @@
 from arbutusbay._client_connections import (
     StrictConnection,
     StrictConnector,
+    is_endless,
     open_client_session,
 )
 
-__all__ = ('StrictConnection', 'StrictConnector', 'open_client_session')
+__all__ = (
+    'StrictConnection',
+    'StrictConnector',
+    'is_endless',
+    'open_client_session',
+)
--- a/src/arbutusbay/node/_attempts.py
+++ b/src/arbutusbay/node/_attempts.py
@@ -15,6 +15,7 @@
 from result import Err, Ok, Result
 from yarl import URL
 
+from arbutusbay.client_connections import is_endless
 from arbutusbay.clock import milliseconds, now_s
 from arbutusbay.logs import get_logger
 from arbutusbay.node._http_client import ConnectionResponse
@@ -145,7 +146,9 @@
                     )
                     return
         except (aiohttp.ClientError, OSError) as error:
-            yield _broken_stream(repr(error))
+            yield _broken_stream(
+                repr(error), is_connection_lost=not is_endless(error)
+            )
             return
         if parser.buffer:
             yield _broken_stream('stream ended in the middle of an event')
@@ -157,8 +160,11 @@
         """
         match await read_body(self.response, _MAX_BODY_BYTES):
             case Err(cut):
-                return _connection_lost(
-                    str(cut), ResponseProgress.STARTING, cut.end
+                return _without_whole_response(
+                    str(cut),
+                    ResponseProgress.STARTING,
+                    cut.end,
+                    is_connection_lost=not cut.is_too_long,
                 )
             case Ok(body):
                 pass
@@ -205,8 +211,10 @@
         yield _not_sent(repr(error))
         return
     except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
-        yield _connection_lost(
-            f'no response: {error!r}', ResponseProgress.NOT_STARTED
+        yield _without_whole_response(
+            f'no response: {error!r}',
+            ResponseProgress.NOT_STARTED,
+            is_connection_lost=not is_endless(error),
         )
         return
     try:
@@ -358,17 +366,19 @@
     )
 
 
-def _connection_lost(
+def _without_whole_response(
     detail: str,
     progress: ResponseProgress,
     end: BodyEnd | None = None,
+    *,
+    is_connection_lost: bool,
 ) -> Err[AttemptFailure]:
     return Err(
         AttemptFailure(
             outcome=AttemptOutcome.UNKNOWN,
             detail=detail,
             progress=progress,
-            is_connection_lost=True,
+            is_connection_lost=is_connection_lost,
             body_end=end,
         )
     )
--- a/tests/raw_servers.py
+++ b/tests/raw_servers.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import re
+import socket
 from collections.abc import AsyncIterator, Callable
 
 import attrs
@@ -23,7 +24,8 @@
     """Answer each request with ``response``, then end the connection.
 
     Before that, ``pattern`` is sent until ``limit_bytes`` of it are out;
-    ``sent_bytes`` is the most that was sent on one connection.
+    ``sent_bytes`` is the most that was sent on one connection. One that
+    ``takes_small_windows`` leaves few bytes to the kernel.
     """
 
     response: bytes = b''
@@ -32,6 +34,7 @@
     limit_bytes: int = 0
     url: str = ''
     sent_bytes: int = 0
+    takes_small_windows: bool = False
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -39,6 +42,8 @@
         """Answer one request."""
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             await read_request_body(reader)
+            if self.takes_small_windows:
+                _limit_send_buffer(writer)
             writer.write(self.response)
             await writer.drain()
             for number in range(self.limit_bytes // max(1, len(self.pattern))):
@@ -80,6 +85,12 @@
         writer.close()
 
 
+def _limit_send_buffer(writer: asyncio.StreamWriter) -> None:
+    writer.get_extra_info('socket').setsockopt(
+        socket.SOL_SOCKET, socket.SO_SNDBUF, _CHUNK_BYTES
+    )
+
+
 async def read_request_body(reader: asyncio.StreamReader) -> bytes:
     """Read one request and return its body."""
     head = await reader.readuntil(_HEAD_END)
