--- a/emulator/scripted_response.py
+++ b/emulator/scripted_response.py
@@ -10,6 +10,10 @@
 from emulator.raw_response import PartialResponse, send_partial
 
 _TRANSIT_S = 0.05
+_FILLING_PIECES = 1500
+_FILLING_PIECE_BYTES = 65_536
+_FILLING_INTERVAL_S = 0.005
+_TRICKLE_INTERVAL_S = 0.1
 
 
 @attrs.frozen(kw_only=True)
@@ -17,7 +21,9 @@
     """Describe a response that an engine sends instead of its own.
 
     The connection is reset after the body if the response ``is_cut``. One that
-    is ``is_close_delimited`` has neither a length nor chunks.
+    is ``is_close_delimited`` has neither a length nor chunks. Behind the body
+    ``filling`` is sent again and again until the caller closes, in large pieces
+    or, if the response ``is_trickling``, one at a time.
     """
 
     status: int = HTTPStatus.OK
@@ -25,6 +31,8 @@
     body: bytes = b''
     is_cut: bool = False
     is_close_delimited: bool = False
+    filling: bytes = b''
+    is_trickling: bool = False
 
 
 async def send_scripted(
@@ -46,8 +54,25 @@
     response = web.StreamResponse(status=scripted.status, headers=fields)
     await response.prepare(request)
     await response.write(scripted.body)
+    if scripted.filling:
+        await _fill(response, scripted)
     if scripted.is_cut:
         # What was written reaches the caller before the reset.
         await asyncio.sleep(_TRANSIT_S)
         request.transport.abort()
     return response
+
+
+async def _fill(
+    response: web.StreamResponse, scripted: ScriptedResponse
+) -> None:
+    """Send the filling until the caller closes, large pieces at 13 MB/s."""
+    filling = scripted.filling
+    piece = filling
+    interval_s = _TRICKLE_INTERVAL_S
+    if not scripted.is_trickling:
+        piece = filling * (_FILLING_PIECE_BYTES // len(filling) + 1)
+        interval_s = _FILLING_INTERVAL_S
+    for _ in range(_FILLING_PIECES):
+        await response.write(piece)
+        await asyncio.sleep(interval_s)
--- a/src/arbutusbay/backend/_engine_client.py
+++ b/src/arbutusbay/backend/_engine_client.py
@@ -32,6 +32,7 @@
 )
 from arbutusbay.errors import Failure, RunState
 from arbutusbay.responses import WholeBody, fetch_whole, read_body
+from arbutusbay.turns import Turn
 
 _CONNECT_TIMEOUT_S = 1.0
 _READ_TIMEOUT_S = 120.0
@@ -144,7 +145,9 @@
             yield refusal_event
         return
     expected_index = generation.resume_from
+    turn = Turn()
     async for line in response.content:
+        await turn.end_if_long()
         event = decode_stream_line(line, generation, expected_index)
         yield event
         match event:
--- a/src/arbutusbay/node/_attempts.py
+++ b/src/arbutusbay/node/_attempts.py
@@ -36,6 +36,7 @@
     EngineView,
     ResponseProgress,
 )
+from arbutusbay.turns import Turn
 
 _LOG = get_logger('attempt')
 _CONNECT_TIMEOUT_S = 0.4
@@ -136,13 +137,17 @@
         The stream broke if the connection failed, or ended within an event.
         """
         parser = ServerSentEventParser()
+        turn = Turn()
         try:
             async for chunk in self.response.content.iter_any():
+                turn.begin()
                 for event in parser.parse_chunk(chunk):
                     yield Ok(event)
+                    await turn.end_if_long()
                 if parser.is_overflowing():
                     yield _broken_stream(
-                        'an event has no end', is_connection_lost=False
+                        'bytes without an event, or an event without an end',
+                        is_connection_lost=False,
                     )
                     return
         except (aiohttp.ClientError, OSError) as error:
@@ -150,7 +155,10 @@
                 repr(error), is_connection_lost=not is_endless(error)
             )
             return
-        if parser.buffer:
+        rest = parser.take_blank_rest()
+        if rest is not None:
+            yield Ok(rest)
+        elif parser.buffer:
             yield _broken_stream('stream ended in the middle of an event')
 
     async def read_response(self) -> Result[BufferedResponse, AttemptFailure]:
--- a/src/arbutusbay/node/_client_stream.py
+++ b/src/arbutusbay/node/_client_stream.py
@@ -14,6 +14,7 @@
 from arbutusbay.clock import now_s
 from arbutusbay.node._attempts import OpenResponse
 from arbutusbay.node._incoming_request import IncomingRequest
+from arbutusbay.platform import ServerSentEvent
 from arbutusbay.response_streams import (
     ResponseStream,
     abort_connection,
@@ -110,10 +111,11 @@
             and answer.content_type == self.stream.response.content_type
         )
 
-    async def write_event(self, raw_bytes: bytes) -> None:
+    async def write_event(self, event: ServerSentEvent) -> None:
         """Send one whole event."""
-        await self.stream.write(raw_bytes)
-        self.timing.record_event()
+        await self.stream.write(event.raw_bytes)
+        if not event.is_comment:
+            self.timing.record_event()
 
     async def complete(self, end: BodyEnd) -> StreamCompleted:
         """End the stream so that the client sees that it is complete."""
--- a/src/arbutusbay/node/_stall_detector.py
+++ b/src/arbutusbay/node/_stall_detector.py
@@ -93,6 +93,11 @@
         self.last_event_s = moment_s
         self.is_relaying = False
 
+    def end_relaying(self, waited_s: float) -> None:
+        """Leave out the time in which the client was awaited."""
+        self.last_event_s += waited_s
+        self.is_relaying = False
+
     def shift(self, paused_s: float, moment_s: float) -> None:
         """Leave out a pause of this VM that ended at ``moment_s``."""
         self.last_event_s = min(moment_s, self.last_event_s + paused_s)
--- a/src/arbutusbay/node/_stream_relay.py
+++ b/src/arbutusbay/node/_stream_relay.py
@@ -72,11 +72,6 @@
     is_in_place: bool
     started_s: float | None = None
 
-    def record_event(self, moment_s: float) -> None:
-        """Record an event of this attempt."""
-        if self.started_s is None:
-            self.started_s = moment_s
-
     def is_underway(self, moment_s: float) -> bool:
         """Return whether the stream has gone on after its first event."""
         return (
@@ -190,16 +185,13 @@
                 return aborted_attempt_failure(monitored)
             if not self._is_expected(event, progress):
                 return _stream_failure(self._event_gap(event), progress, answer)
-            if progress.started_s is None:
-                self._record_start(monitored)
-            progress.record_event(now_s())
             # An event names its weights only where they change.
             if event.weights_version is not None:
                 version = event.weights_version
             self._advance(event, version)
-            monitored.is_relaying = True
-            await (await self._stream(answer)).write_event(event.raw_bytes)
-            monitored.record_event(now_s())
+            if not event.is_comment:
+                self._record_start(monitored, progress)
+            await self._send_event(monitored, answer, event)
         if progress.started_s is None and answer.is_close_delimited:
             return _stream_failure(_EMPTY_STREAM, progress, answer)
         self.executor.dependencies.feedback.record_success(
@@ -213,6 +205,24 @@
         stream = await self._stream(answer)
         return Ok(await stream.complete(answer.body_end))
 
+    async def _send_event(
+        self,
+        monitored: MonitoredAttempt,
+        answer: OpenResponse,
+        event: ServerSentEvent,
+    ) -> None:
+        """Pass an event on; the client is awaited meanwhile.
+
+        A comment does not show that the engine goes on with its work.
+        """
+        began_s = now_s()
+        monitored.is_relaying = True
+        await (await self._stream(answer)).write_event(event)
+        if event.is_comment:
+            monitored.end_relaying(now_s() - began_s)
+        else:
+            monitored.record_event(now_s())
+
     def _event_gap(self, event: ServerSentEvent) -> BrokenStream:
         return BrokenStream(
             detail=f'received event {event.event_id} after event '
@@ -239,8 +249,13 @@
             or progress.is_underway(now_s()),
         )
 
-    def _record_start(self, monitored: MonitoredAttempt) -> None:
+    def _record_start(
+        self, monitored: MonitoredAttempt, progress: StreamProgress
+    ) -> None:
         """Update the prefill time estimate from the first event."""
+        if progress.started_s is not None:
+            return
+        progress.started_s = now_s()
         monitored.view.occupancy.record_first_event(monitored.attempt)
         self.executor.dependencies.dispatcher.record_first_event(
             monitored.attempt, monitored.view
--- a/src/arbutusbay/platform/_sse_parser.py
+++ b/src/arbutusbay/platform/_sse_parser.py
@@ -5,11 +5,16 @@
 
 import attrs
 
+_LINE_START = re.compile(rb'[^\r\n]')
 _EVENT_END = re.compile(rb'\r\n\r\n|\n\n|\r\r')
-_NUMBER = re.compile(rb'[0-9]{1,15}')
+_NUMBER_FIELD = re.compile(
+    rb'(?:\A|[\r\n])(id|weight-versions):'
+    rb'[ \t\v\f]*([0-9]{1,15})[ \t\v\f]*(?=[\r\n])'
+)
+_FIELD_START = re.compile(rb'(?:\A|[\r\n])[^:\r\n]')
 _LONGEST_EVENT_END_BYTES = 4
 _MAX_EVENT_BYTES = 1_048_576
-_COMMENT_START = b':'
+_MAX_UNNUMBERED_BYTES = 131_072
 _ID_FIELD = b'id'
 _WEIGHTS_VERSION_FIELD = b'weight-versions'
 
@@ -18,8 +23,9 @@
 class ServerSentEvent:
     """Represent one complete event.
 
-    ``raw_bytes`` includes the blank line that ends it. ``event_id`` is the
-    event's id, its position in the response, or None without a numeric id.
+    ``raw_bytes`` includes the blank lines before it and the one at its end.
+    ``event_id`` is the event's id, its position in the response, or None
+    without a numeric id.
     ``weights_version`` is None unless the event reports a change of weights.
     An event that ``is_comment`` has nothing but comments.
     """
@@ -33,52 +39,81 @@
 class ServerSentEventParser:
     """Split a stream into events; ``buffer`` holds the incomplete one.
 
-    The first ``searched_bytes`` of the buffer hold no end of an event.
+    A blank line ends an event only if another line came before it. The first
+    ``searched_bytes`` of the buffer hold no end of an event; it ``has_line``
+    unless they are blank lines. ``unnumbered_bytes`` came in complete events
+    since the last one with a number.
     """
 
     def __init__(self) -> None:
         """Start with an empty buffer."""
         self.buffer = b''
         self.searched_bytes = 0
+        self.has_line = False
+        self.unnumbered_bytes = 0
 
     def parse_chunk(self, chunk: bytes) -> Iterator[ServerSentEvent]:
-        """Buffer ``chunk`` and yield the events that are now complete."""
+        """Buffer ``chunk`` and yield the events that are now complete.
+
+        None follows once too much came without an event.
+        """
         self.buffer += chunk
-        while True:
-            found = _EVENT_END.search(self.buffer, self.searched_bytes)
-            if found is None:
-                self.searched_bytes = max(
-                    0, len(self.buffer) - _LONGEST_EVENT_END_BYTES
-                )
-                return
-            raw = self.buffer[: found.end()]
-            self.buffer = self.buffer[found.end() :]
-            self.searched_bytes = 0
-            yield _parse_event(raw)
+        start = 0
+        while not self._has_unnumbered_excess() and self._find_end():
+            event = _parse_event(self.buffer[start : self.searched_bytes])
+            start = self.searched_bytes
+            self._count(event)
+            yield event
+        self.buffer = self.buffer[start:]
+        self.searched_bytes -= start
+
+    def take_blank_rest(self) -> ServerSentEvent | None:
+        """Return the blank lines behind the last event, if there are any."""
+        if self.has_line or not self.buffer:
+            return None
+        return _parse_event(self.buffer)
 
     def is_overflowing(self) -> bool:
-        """Return whether the incomplete event exceeds the size limit."""
-        return len(self.buffer) > _MAX_EVENT_BYTES
+        """Return whether too much came without an event, or without its end."""
+        limit_bytes = (
+            _MAX_EVENT_BYTES if self.has_line else _MAX_UNNUMBERED_BYTES
+        )
+        return self._has_unnumbered_excess() or len(self.buffer) > limit_bytes
+
+    def _has_unnumbered_excess(self) -> bool:
+        return self.unnumbered_bytes > _MAX_UNNUMBERED_BYTES
+
+    def _find_end(self) -> bool:
+        """Search for the end of the next event; return whether it is there."""
+        if not self.has_line:
+            line = _LINE_START.search(self.buffer, self.searched_bytes)
+            if line is None:
+                self.searched_bytes = len(self.buffer)
+                return False
+            self.has_line = True
+            self.searched_bytes = line.end()
+        end = _EVENT_END.search(self.buffer, self.searched_bytes)
+        if end is None:
+            self.searched_bytes = max(
+                self.searched_bytes, len(self.buffer) - _LONGEST_EVENT_END_BYTES
+            )
+            return False
+        self.has_line = False
+        self.searched_bytes = end.end()
+        return True
+
+    def _count(self, event: ServerSentEvent) -> None:
+        if event.event_id is None:
+            self.unnumbered_bytes += len(event.raw_bytes)
+        else:
+            self.unnumbered_bytes = 0
 
 
 def _parse_event(raw: bytes) -> ServerSentEvent:
-    event_id = None
-    weights_version = None
-    lines = raw.splitlines()
-    for line in lines:
-        name, _, text = line.partition(b':')
-        digits = text.strip()
-        if not _NUMBER.fullmatch(digits):
-            continue
-        if name == _ID_FIELD:
-            event_id = int(digits)
-        elif name == _WEIGHTS_VERSION_FIELD:
-            weights_version = int(digits)
+    numbers = {found[1]: int(found[2]) for found in _NUMBER_FIELD.finditer(raw)}
     return ServerSentEvent(
         raw_bytes=raw,
-        event_id=event_id,
-        weights_version=weights_version,
-        is_comment=all(
-            line.startswith(_COMMENT_START) for line in lines if line
-        ),
+        event_id=numbers.get(_ID_FIELD),
+        weights_version=numbers.get(_WEIGHTS_VERSION_FIELD),
+        is_comment=_FIELD_START.search(raw) is None,
     )
--- /dev/null
+++ b/src/arbutusbay/turns.py
@@ -0,0 +1,5 @@
+"""Expose the turns of the event loop."""
+
+from arbutusbay._turns import Turn
+
+__all__ = ('Turn',)
--- a/tests/unit/test_endless_bytes.py
+++ b/tests/unit/test_endless_bytes.py
@@ -13,6 +13,7 @@
 from arbutusbay.http import new_client_session
 from arbutusbay.node._http_client import create_client_session
 from arbutusbay.responses import fetch_whole
+from tests.pause_clock import running_pause_clock
 from tests.raw_servers import RawServer, running_raw_server
 
 # A VM of the users has 136 MB, of which 90 MB are free, and 16 requests run.
@@ -65,22 +66,6 @@
     )
 
 
-class PauseClock:
-    """Measure the longest pause of the event loop."""
-
-    def __init__(self) -> None:
-        """Start without a pause."""
-        self.longest_s = 0.0
-
-    async def run(self) -> None:
-        """Measure until cancelled."""
-        loop = asyncio.get_running_loop()
-        while True:
-            before_s = loop.time()
-            await asyncio.sleep(0)
-            self.longest_s = max(self.longest_s, loop.time() - before_s)
-
-
 async def fetch(session: aiohttp.ClientSession, url: str):
     """Return a whole response, or why there is none."""
     timeout = aiohttp.ClientTimeout(total=_LIMIT_S)
@@ -94,15 +79,16 @@
 
     The session stays open for ``wait_s`` behind the response.
     """
-    clock = PauseClock()
-    async with running_raw_server(server), open_session() as session:
-        measured = asyncio.create_task(clock.run())
+    async with (
+        running_raw_server(server),
+        open_session() as session,
+        running_pause_clock() as clock,
+    ):
         loop = asyncio.get_running_loop()
         began_s = loop.time()
         fetched = await fetch(session, server.url)
         took_s = loop.time() - began_s
         await asyncio.sleep(wait_s)
-        measured.cancel()
     return fetched, took_s, clock.longest_s
 
 
