--- a/src/arbutusbay/node/_relay_api.py
+++ b/src/arbutusbay/node/_relay_api.py
@@ -179,7 +179,7 @@
 
     It always does if it has to be complete.
     """
-    if start is None or not state.is_of_current_era(start.era):
+    if not state.has_changes_since(start):
         return True
     return bool(state.records_since(start.offset))
 
@@ -189,11 +189,12 @@
 ) -> TopicUpdate | None:
     """Return the records since ``start``, None before the topic was read.
 
-    All records are returned if ``start`` is None or of another era.
+    All records are returned if ``start`` is None, of another era, or from
+    before the changes that are known here.
     """
     if state.end is None:
         return None
-    is_complete = start is None or not state.is_of_current_era(start.era)
+    is_complete = not state.has_changes_since(start)
     return TopicUpdate(
         records=tuple(
             state.latest_records.values()
--- a/src/arbutusbay/node/_topics.py
+++ b/src/arbutusbay/node/_topics.py
@@ -18,7 +18,7 @@
     decode_backend_server,
     decode_operator_record,
 )
-from arbutusbay.spread import PayloadHistory
+from arbutusbay.spread import Coverage, PayloadHistory, cover_all_keys
 
 _LOG = get_logger('topics')
 _EARLIER_ERA_OFFSET = -1
@@ -28,10 +28,10 @@
 class TopicState:
     """Hold the newest record of each key of one topic.
 
-    ``end`` is the position of the next read, None before the first read.
-    Positions are those of the store, so records and ``end`` are valid on
-    other VMs, too. A record that is kept from an earlier era of the store has
-    the offset ``_EARLIER_ERA_OFFSET``.
+    ``coverage`` holds the position of the next read and from where on all
+    changes are known, None before the first read. Positions are those of the
+    store, so they are valid on other VMs, too. A record that is kept from an
+    earlier era of the store has the offset ``_EARLIER_ERA_OFFSET``.
     """
 
     topic: Topic
@@ -39,9 +39,14 @@
     def __init__(self, *, node_state: NodeState) -> None:
         """Apply the records to ``node_state``."""
         self.node_state = node_state
-        self.end: StorePosition | None = None
+        self.coverage: Coverage | None = None
         self.latest_records: dict[str, KeyedRecord] = {}
 
+    @property
+    def end(self) -> StorePosition | None:
+        """Return the position of the next read, None before the first one."""
+        return None if self.coverage is None else self.coverage.end
+
     def apply_records(
         self,
         records: Iterable[KeyedRecord],
@@ -61,6 +66,7 @@
             return False
         received = list(records)
         if is_complete:
+            self._refresh(received)
             received += self._deletions(received, end)
         # A later record of a key need not replace an earlier one.
         changed = {
@@ -68,17 +74,22 @@
             for record in received
             if self._update_newest(record)
         }
-        is_first = self.end is None
-        if self.end is None or self.end.offset < end.offset:
-            self.end = end
+        is_first = self.coverage is None
+        self.coverage = (
+            cover_all_keys(end)
+            if self.coverage is None
+            else self.coverage.extend(end, is_complete=is_complete)
+        )
         self.apply_changes(list(changed.values()))
         if changed or is_first:
             self.node_state.notify_topics_changed()
         return True
 
-    def is_of_current_era(self, era: int) -> bool:
-        """Return whether the known records are of ``era``."""
-        return self.end is not None and self.end.era == era
+    def has_changes_since(self, position: StorePosition | None) -> bool:
+        """Return whether all changes from ``position`` on are known."""
+        return self.coverage is not None and self.coverage.has_changes_since(
+            position
+        )
 
     def records_since(self, offset: int) -> list[KeyedRecord]:
         """Return the newest records whose offset is at least ``offset``."""
@@ -128,15 +139,31 @@
     def _deletions(
         self, received: Iterable[KeyedRecord], end: StorePosition
     ) -> list[KeyedRecord]:
-        """Return a deletion of each known key that was not ``received``."""
+        """Return a deletion of each known key that is not there any more.
+
+        A deletion that was ``received`` may be of an earlier time than ours.
+        """
         deleted = self.latest_records.keys() - {
-            record.key for record in received
+            record.key for record in received if record.payload
         }
         return [
             KeyedRecord(key=key, payload=b'', offset=end.offset)
             for key in deleted
         ]
 
+    def _refresh(self, received: Iterable[KeyedRecord]) -> None:
+        """Take over later records that have their known meaning.
+
+        The key may have been deleted and written anew between two reads, which
+        others know of.
+        """
+        for record in received:
+            known = self.latest_records.get(record.key)
+            if known is None or record.offset <= known.offset:
+                continue
+            if known.payload and self.is_equivalent(known, record):
+                self.latest_records[record.key] = record
+
     def _enter_era(self, era: int, *, is_complete: bool) -> bool:
         """Return whether records of ``era`` can be applied.
 
@@ -150,7 +177,7 @@
             key: attrs.evolve(record, offset=_EARLIER_ERA_OFFSET)
             for key, record in self.latest_records.items()
         }
-        self.end = StorePosition(era=era, offset=0)
+        self.coverage = cover_all_keys(StorePosition(era=era, offset=0))
         return True
 
     def _update_newest(self, record: KeyedRecord) -> bool:
--- a/tests/model/test_platform_models.py
+++ b/tests/model/test_platform_models.py
@@ -2,13 +2,19 @@
 
 import pytest
 
-from tests.model import delayed_orders_spec, revocation_spec, verdict_spec
+from tests.model import (
+    delayed_orders_spec,
+    revocation_spec,
+    spread_spec,
+    verdict_spec,
+)
 from tests.model.delayed_orders_spec import LateOrdersSpec
 from tests.model.revocation_spec import FreshnessSpec
 from tests.model.spec import (
     assert_all_properties_hold,
     assert_some_property_fails,
 )
+from tests.model.spread_spec import SpreadSpec
 from tests.model.verdict_spec import VerdictSpec
 
 _MUTANTS = (
@@ -22,6 +28,11 @@
         for mutant in delayed_orders_spec.DroppedRule
         if mutant is not delayed_orders_spec.DroppedRule.NONE
     ),
+    *(
+        SpreadSpec(mutant=mutant)
+        for mutant in spread_spec.DroppedRule
+        if mutant is not spread_spec.DroppedRule.NONE
+    ),
     *(
         VerdictSpec(mutant=mutant)
         for mutant in verdict_spec.DroppedRule
@@ -31,7 +42,7 @@
 
 
 @pytest.mark.parametrize(
-    'spec', [FreshnessSpec(), LateOrdersSpec(), VerdictSpec()]
+    'spec', [FreshnessSpec(), LateOrdersSpec(), SpreadSpec(), VerdictSpec()]
 )
 def test_rules_hold(spec):
     assert_all_properties_hold(spec.protocol())
--- a/tests/unit/test_configuration_spread.py
+++ b/tests/unit/test_configuration_spread.py
@@ -203,7 +203,7 @@
         await zone.arrivals_s(6, 2)
         for follower in zone.followers:
             assert follower.seen == [5, 6]
-            assert follower.operator_topic.is_of_current_era(2)
+            assert follower.operator_topic.end.era == 2
 
 
 # Guards against a configuration that does not arrive, or that nobody wrote, if
