--- a/tests/unit/test_config_messages.py
+++ b/tests/unit/test_config_messages.py
@@ -83,3 +83,16 @@
     reply = _build_reply(state, deletion_log, outdated_state.offset)
     assert reply.full
     assert apply_config_reply(outdated_state, reply) == state
+
+
+# Guards against a daemon that has skipped a resource which came and went: a
+# router that has it from another daemon kept it, a revoked key for example.
+def test_resource_that_the_sender_has_skipped_is_removed():
+    start = ConfigState()
+    with_pool = apply_config_record(start, 0, _put_pool('a', 'v1'))
+    newest = apply_config_record(with_pool, 1, _delete_pool('a'))
+    deletion_log = DeletionLog()
+    deletion_log.record_deletions(start, start)
+    deletion_log.record_deletions(start, newest)
+    reply = _build_reply(newest, deletion_log, with_pool.offset)
+    assert apply_config_reply(with_pool, reply) == newest
