--- /dev/null
+++ b/tests/kept_clients.py
@@ -0,0 +1,131 @@
+"""Send requests on connections that are kept, and note what came back.
+
+A client library repeats what was lost on a kept connection; these don't.
+"""
+
+import asyncio
+import random
+
+import attrs
+
+from tests.fleet_builders import (
+    ENGINE_HOST,
+    PLAIN_HOST,
+    build_request_headers,
+)
+from tests.raw_clients import build_bytes
+
+_HEAD_END = b'\r\n\r\n'
+_LINE_END = b'\r\n'
+_ANSWER_LIMIT_S = 8.0
+_CONNECT_PAUSE_S = 0.05
+_LONGEST_PAUSE_S = 0.15
+_BODY = b'{"prompt": "x"}'
+
+
+@attrs.frozen(kw_only=True)
+class Outcome:
+    """Hold what a client got for one request.
+
+    ``status`` is 0 if there was no head; ``is_whole`` means that the response
+    came to its end.
+    """
+
+    attempt_id: str
+    path: str
+    status: int
+    is_whole: bool
+    is_first: bool = False
+    detail: str = ''
+
+
+@attrs.define(kw_only=True)
+class KeptClient:
+    """Send one request after the other to ``path`` of a VM."""
+
+    name: str
+    node: object
+    path: str
+    seed: int
+    is_stopping: bool = False
+    outcomes: list[Outcome] = attrs.field(factory=list)
+
+    async def run(self) -> None:
+        """Send until ``is_stopping``; open a connection where one is closed."""
+        rng = random.Random(self.seed)
+        while not self.is_stopping:
+            try:
+                reader, writer = await asyncio.open_connection(
+                    self.node.ip, self.node.port
+                )
+            except OSError:
+                await asyncio.sleep(_CONNECT_PAUSE_S)
+                continue
+            try:
+                await self._use(reader, writer, rng)
+            finally:
+                writer.close()
+
+    async def _use(self, reader, writer, rng: random.Random) -> None:
+        """Send requests until the connection ends."""
+        is_first = True
+        while not self.is_stopping:
+            outcome = await self._request(reader, writer)
+            self.outcomes.append(attrs.evolve(outcome, is_first=is_first))
+            if not outcome.is_whole:
+                return
+            is_first = False
+            await asyncio.sleep(rng.uniform(0, _LONGEST_PAUSE_S))
+
+    async def _request(self, reader, writer) -> Outcome:
+        attempt_id = f'{self.name}-{len(self.outcomes)}'
+        fields = {
+            **build_request_headers(
+                attempt_id, host=PLAIN_HOST if self._is_plain() else ENGINE_HOST
+            ),
+            'Connection': 'keep-alive',
+        }
+        status = 0
+        try:
+            async with asyncio.timeout(_ANSWER_LIMIT_S):
+                writer.write(build_bytes(self.path, fields, _BODY))
+                head = await reader.readuntil(_HEAD_END)
+                status = int(head.split()[1])
+                await _read_body(reader, head.lower())
+        except (
+            OSError,
+            asyncio.IncompleteReadError,
+            TimeoutError,
+        ) as error:
+            return self._outcome(attempt_id, status, detail=repr(error))
+        return self._outcome(attempt_id, status, is_whole=True)
+
+    def _is_plain(self) -> bool:
+        return self.path.startswith(('/order/', '/look/'))
+
+    def _outcome(
+        self,
+        attempt_id: str,
+        status: int,
+        *,
+        is_whole: bool = False,
+        detail: str = '',
+    ) -> Outcome:
+        return Outcome(
+            attempt_id=attempt_id,
+            path=self.path,
+            status=status,
+            is_whole=is_whole,
+            detail=detail,
+        )
+
+
+async def _read_body(reader: asyncio.StreamReader, head: bytes) -> None:
+    if b'transfer-encoding: chunked' not in head:
+        length = head.partition(b'content-length:')[2].split(_LINE_END)[0]
+        await reader.readexactly(int(length or 0))
+        return
+    size = 1
+    while size:
+        size = int((await reader.readuntil(_LINE_END)).strip(), 16)
+        await reader.readexactly(size + len(_LINE_END))
