Bound the bodies of a process together, not only each (bytes without end)

Callers would see: a faulty engine answers 48 requests at once with bodies without end, and the VM is ended for its memory (136 MB): 450 to 461 MB with whole bodies, 162 to 179 MB with events, 171 MB with 24 uploads of 4 MB.

Each body has a bound (8 MB, 1 MB an event), and nothing bounds them together; a connection also took up to 0.4 MB that nobody had read.

Change: ByteBudget, 0.15 of memory_mb for bodies being read, events without an end and the bodies of requests in progress. A body may take what is left free, so the longest end first. Sessions of the platform's edge read in smaller pieces (SO_RCVBUF 64 KB, read buffer 16 KB).

--- a/emulator/fleet_engine.py
+++ b/emulator/fleet_engine.py
@@ -58,6 +58,7 @@
 
 
 _MAX_ENDLESS_BYTES = 200_000_000
+_MAX_BODY_BYTES = 8_388_608
 _CHUNK_BYTES = 65_536
 _ODD_EVENT = f'id: {9:9>5000}\ndata: odd\n\n'
 _HEAD_LINE = b'X-Noise: 0123456789\r\n'
@@ -154,7 +155,8 @@
     def application(self) -> web.Application:
         """Build the HTTP application."""
         application = web.Application(
-            middlewares=[self.connections.write_copies]
+            middlewares=[self.connections.write_copies],
+            client_max_size=_MAX_BODY_BYTES,
         )
         application.on_response_prepare.append(self._add_departure)
         router = application.router
--- /dev/null
+++ b/src/arbutusbay/_held_bytes.py
@@ -0,0 +1,57 @@
+"""Bound what the bodies that a process holds take together.
+
+Each body has a limit of its own; many at once would still fill the memory. A
+body may take as many bytes as are left free, so that the longest ones are ended
+first, and short ones find room beside any number of them.
+"""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import attrs
+
+_MEMORY_RATIO = 0.15
+_DEFAULT_TOTAL_BYTES = 20_000_000
+
+
+@attrs.define(kw_only=True)
+class ByteBudget:
+    """Hold how many bytes all bodies may take, and how many they do."""
+
+    total_bytes: int = _DEFAULT_TOTAL_BYTES
+    held_bytes: int = 0
+
+    @contextmanager
+    def share(self) -> Iterator['ByteShare']:
+        """Hold the bytes of one body while the context is active."""
+        share = ByteShare(budget=self)
+        try:
+            yield share
+        finally:
+            share.hold(0)
+
+
+@attrs.define(kw_only=True)
+class ByteShare:
+    """Hold how many bytes one body takes."""
+
+    budget: ByteBudget
+    held_bytes: int = 0
+
+    def hold(self, size_bytes: int) -> bool:
+        """Take ``size_bytes`` in place of those before; return if they may.
+
+        The caller ends a body that may not.
+        """
+        self.budget.held_bytes += size_bytes - self.held_bytes
+        self.held_bytes = size_bytes
+        free_bytes = self.budget.total_bytes - self.budget.held_bytes
+        return size_bytes <= free_bytes
+
+
+PROCESS_BUDGET = ByteBudget()
+
+
+def limit_held_bytes(memory_bytes: int) -> None:
+    """Bound the bodies of this process by its ``memory_bytes``."""
+    PROCESS_BUDGET.total_bytes = int(memory_bytes * _MEMORY_RATIO)
--- a/src/arbutusbay/_response_body.py
+++ b/src/arbutusbay/_response_body.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 
 from arbutusbay.client_connections import is_endless
+from arbutusbay.held_bytes import PROCESS_BUDGET
 
 _CHUNKED = 'chunked'
 EMPTY_STATUSES = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
@@ -72,8 +73,9 @@
 ) -> Result[WholeBody, CutBody]:
     """Return the body of ``response``, whole or cut short.
 
-    A body that is reset, broken off or longer than ``limit_bytes`` is cut
-    short; in the last case the connection is closed. ``response`` must come
+    A body that is reset, broken off, longer than ``limit_bytes`` or than the
+    budget of the process allows is cut short; in the last two cases the
+    connection is closed. ``response`` must come
     from a session of ``open_client_session``: other connections do not show
     that a body was reset.
     """
@@ -81,19 +83,13 @@
     chunks: list[bytes] = []
     size_bytes = 0
     try:
-        async for chunk in response.content.iter_any():
-            size_bytes += len(chunk)
-            if size_bytes > limit_bytes:
-                response.close()
-                return Err(
-                    CutBody(
-                        end=end,
-                        received_bytes=size_bytes,
-                        detail=f'exceeds {limit_bytes} bytes',
-                        is_too_long=True,
-                    )
-                )
-            chunks.append(chunk)
+        with PROCESS_BUDGET.share() as share:
+            async for chunk in response.content.iter_any():
+                size_bytes += len(chunk)
+                if size_bytes > limit_bytes or not share.hold(size_bytes):
+                    response.close()
+                    return _too_long(end, size_bytes, limit_bytes)
+                chunks.append(chunk)
     except (aiohttp.ClientError, OSError) as error:
         return Err(
             CutBody(
@@ -104,3 +100,17 @@
             )
         )
     return Ok(WholeBody(content=b''.join(chunks), end=end))
+
+
+def _too_long(end: BodyEnd, size_bytes: int, limit_bytes: int) -> Err[CutBody]:
+    detail = f'exceeds {limit_bytes} bytes'
+    if size_bytes <= limit_bytes:
+        detail = 'the bodies of this process take too much memory together'
+    return Err(
+        CutBody(
+            end=end,
+            received_bytes=size_bytes,
+            detail=detail,
+            is_too_long=True,
+        )
+    )
--- a/src/arbutusbay/node/_attempts.py
+++ b/src/arbutusbay/node/_attempts.py
@@ -17,6 +17,7 @@
 
 from arbutusbay.client_connections import is_endless
 from arbutusbay.clock import milliseconds, now_s
+from arbutusbay.held_bytes import PROCESS_BUDGET
 from arbutusbay.logs import get_logger
 from arbutusbay.node._http_client import ConnectionResponse
 from arbutusbay.node._incoming_request import IncomingRequest
@@ -137,18 +138,10 @@
         The stream broke if the connection failed, or ended within an event.
         """
         parser = ServerSentEventParser()
-        turn = Turn()
         try:
-            async for chunk in self.response.content.iter_any():
-                turn.begin()
-                for event in parser.parse_chunk(chunk):
-                    yield Ok(event)
-                    await turn.end_if_long()
-                if parser.is_overflowing():
-                    yield _broken_stream(
-                        'bytes without an event, or an event without an end',
-                        is_connection_lost=False,
-                    )
+            async for received in self._parse_events(parser):
+                yield received
+                if isinstance(received, Err):
                     return
         except (aiohttp.ClientError, OSError) as error:
             yield _broken_stream(
@@ -192,6 +185,22 @@
             )
         return Ok(answer)
 
+    async def _parse_events(
+        self, parser: ServerSentEventParser
+    ) -> AsyncIterator[Result[ServerSentEvent, BrokenStream]]:
+        """Yield events until the body ends, or an error if they don't."""
+        turn = Turn()
+        with PROCESS_BUDGET.share() as share:
+            async for chunk in self.response.content.iter_any():
+                turn.begin()
+                for event in parser.parse_chunk(chunk):
+                    yield Ok(event)
+                    await turn.end_if_long()
+                if parser.is_overflowing():
+                    yield _endless_events('without an event or its end')
+                elif not share.hold(len(parser.buffer)):
+                    yield _endless_events('beyond the memory for all bodies')
+
 
 @asynccontextmanager
 async def open_attempt(
@@ -374,6 +383,10 @@
     )
 
 
+def _endless_events(cause: str) -> Err[BrokenStream]:
+    return _broken_stream(f'bytes {cause}', is_connection_lost=False)
+
+
 def _without_whole_response(
     detail: str,
     progress: ResponseProgress,
--- a/src/arbutusbay/node/_daemon.py
+++ b/src/arbutusbay/node/_daemon.py
@@ -8,6 +8,7 @@
 
 from result import Err, Ok
 
+from arbutusbay.held_bytes import limit_held_bytes
 from arbutusbay.logs import NonblockingLineWriter, get_logger
 from arbutusbay.node._components import NodeComponents
 from arbutusbay.node._http_client import create_client_session
@@ -32,6 +33,8 @@
 ) -> None:
     """Serve until SIGTERM or SIGINT, then finish requests in progress."""
     _LOG.info('start', fields={'vm': settings.name, 'zone': settings.zone})
+    if settings.memory_bytes is not None:
+        limit_held_bytes(settings.memory_bytes)
     async with (
         create_client_session() as session,
         create_client_session(reuse_connections=False) as order_session,
--- a/src/arbutusbay/node/_frontend.py
+++ b/src/arbutusbay/node/_frontend.py
@@ -20,7 +20,7 @@
 )
 from arbutusbay.clock import now_s
 from arbutusbay.errors import ErrorKind, Failure
-from arbutusbay.fleet import ClientLimits
+from arbutusbay.held_bytes import PROCESS_BUDGET, ByteShare
 from arbutusbay.logs import get_logger
 from arbutusbay.node._attempts import BufferedResponse
 from arbutusbay.node._client_connection import (
@@ -35,7 +35,6 @@
     StreamCut,
     StreamEnd,
     StreamTiming,
-    invite_body,
 )
 from arbutusbay.node._incoming_request import (
     IncomingRequest,
@@ -50,9 +49,9 @@
     execute_before_deadline,
     half_closed_failure,
 )
-from arbutusbay.node._request_limit import limit_upload
-from arbutusbay.node._stop_decision import refuse_for_stop, stop_fields
+from arbutusbay.node._stop_decision import stop_fields
 from arbutusbay.node._stream_relay import StreamRelay
+from arbutusbay.node._uploads import read_upload
 from arbutusbay.platform import build_refusal_headers, get_attempt_id
 
 _LOG = get_logger('frontend')
@@ -97,22 +96,24 @@
         self, exchange: ClientExchange
     ) -> web.Response | StreamEnd:
         try:
-            return await self._proxy_request(exchange)
+            with PROCESS_BUDGET.share() as share:
+                return await self._proxy_request(exchange, share)
         except ClientConnectionResetError:
             raise
         except Exception as error:
             return self._handle_unexpected(exchange, error)
 
     async def _proxy_request(
-        self, exchange: ClientExchange
+        self, exchange: ClientExchange, share: ByteShare
     ) -> web.Response | StreamEnd:
+        """Answer a request, whose body is held in ``share`` until then."""
         request = exchange.request
         match validate_request(self.node_state, request):
             case Err(failure):
                 return self._reject_request(request, failure)
             case Ok(incoming):
                 exchange.incoming = incoming
-        match await self._read_body_in_time(request, incoming):
+        match await self._read_body(request, incoming, share):
             case Err(failure):
                 return self._reject_request(request, failure, incoming)
             case Ok(body):
@@ -227,51 +228,18 @@
                     **timing_fields,
                 )
 
-    async def _read_body_in_time(
-        self, request: web.BaseRequest, incoming: IncomingRequest
+    async def _read_body(
+        self,
+        request: web.BaseRequest,
+        incoming: IncomingRequest,
+        share: ByteShare,
     ) -> Result[bytes, Failure]:
-        """Return the body, or a failure if it is too long or too slow."""
         try:
-            async with limit_upload(self.node_state, incoming):
-                return await self._read_body(request)
-        except TimeoutError:
-            return Err(
-                refuse_for_stop(self.node_state, incoming, point='upload')
-                or Failure(
-                    kind=ErrorKind.UPLOAD_TIMEOUT,
-                    detail='request body did not arrive before the deadline',
-                ),
-            )
+            return await read_upload(self.node_state, request, incoming, share)
         except (asyncio.CancelledError, ClientConnectionResetError):
             self._log_client_left(request, incoming, 'during the upload')
             raise
 
-    async def _read_body(
-        self,
-        request: web.BaseRequest,
-    ) -> Result[bytes, Failure]:
-        if not request.can_read_body:
-            return Ok(b'')
-        invite_body(request)
-        limit = self._limits().max_body_bytes
-        chunks: list[bytes] = []
-        size = 0
-        async for chunk in request.content.iter_any():
-            size += len(chunk)
-            if size > limit:
-                return Err(
-                    Failure(
-                        kind=ErrorKind.BODY_TOO_LARGE,
-                        detail=f'request body exceeds {limit} bytes',
-                    ),
-                )
-            chunks.append(chunk)
-        return Ok(b''.join(chunks))
-
-    def _limits(self) -> ClientLimits:
-        configuration = self.node_state.configuration
-        return configuration.limits if configuration else ClientLimits()
-
     def _build_response(
         self, request: web.BaseRequest, answer: BufferedResponse
     ) -> web.Response:
--- a/src/arbutusbay/node/_http_client.py
+++ b/src/arbutusbay/node/_http_client.py
@@ -23,6 +23,8 @@
 _KEEPALIVE_INTERVAL_S = 1
 _MAX_KEEPALIVE_PROBES = 2
 _IDLE_TIMEOUT_S = 4.0
+_RECEIVE_BUFFER_BYTES = 65_536
+_READ_BUFFER_BYTES = 16_384
 _SKIPPED_AUTO_HEADERS = (
     'User-Agent',
     'Accept',
@@ -74,6 +76,7 @@
     connection = socket.socket(family=family, type=kind, proto=protocol)
     options = (
         (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES),
         (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S),
         (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S),
         (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _MAX_KEEPALIVE_PROBES),
@@ -101,6 +104,7 @@
     session = open_client_session(
         connector,
         response_class=ConnectionResponse,
+        read_bufsize=_READ_BUFFER_BYTES,
         skip_auto_headers=_SKIPPED_AUTO_HEADERS,
     )
     disable_repetition(session)
--- a/src/arbutusbay/platform/_settings_file.py
+++ b/src/arbutusbay/platform/_settings_file.py
@@ -32,6 +32,8 @@
 )
 from arbutusbay.platform._protocol_names import SETTINGS_ENV_VARIABLE
 
+_MB = 1_000_000
+
 
 @attrs.frozen(kw_only=True)
 class DeploymentLimits:
@@ -68,7 +70,8 @@
     """Hold the checked settings of the process on one VM.
 
     ``peer_ports`` holds the first and the last port for calls between VMs.
-    ``control`` is None if the file names no listener for the control plane.
+    ``control`` is None if the file names no listener for the control plane,
+    ``memory_bytes`` if it names no limit of the memory.
     """
 
     name: str
@@ -80,6 +83,7 @@
     peer_ports: tuple[int, int]
     store: Endpoint
     bounds: DeploymentLimits
+    memory_bytes: int | None = None
 
 
 def settings_path_from_environment() -> Path:
@@ -113,9 +117,16 @@
         peer_ports=_parse_port_range(fields),
         store=_get_endpoint(store, 'address'),
         bounds=_parse_bounds(require_mapping(fields.get('bounds'), 'bounds')),
+        memory_bytes=_parse_memory(
+            require_mapping(fields.get('limits', {}), 'limits')
+        ),
     )
 
 
+def _parse_memory(fields: Mapping[str, Any]) -> int | None:
+    return int(get_number(fields, 'memory_mb', 0) * _MB) or None
+
+
 def _get_endpoint(fields: Mapping[str, Any], name: str) -> Endpoint:
     try:
         return parse_endpoint(get_string(fields, name))
