--- a/src/arbutusbay/_client_connections.py
+++ b/src/arbutusbay/_client_connections.py
@@ -23,8 +23,8 @@
 _PIECE_BYTES = 16_384
 
 
-class EndlessResponseError(aiohttp.ClientPayloadError):
-    """Report a server that sent too many bytes that are no part of a body."""
+class UnusableBytesError(aiohttp.ClientPayloadError):
+    """Report a server that sent what is no response; the connection is ended."""
 
 
 class StrictConnection(ResponseHandler):
@@ -68,11 +68,14 @@
     ) -> None:
         """Keep the response to the request; others belong to none.
 
-        Nothing waits for an interim response.
+        Nothing waits for an interim response, or for another protocol.
         """
         status = message[0].code
         if self.is_answered or _is_interim(status):
             return
+        if status < HTTPStatus.OK:
+            self._end_connection(f'status {status}')
+            return
         self.is_answered = True
         super().feed_data(message, size)
 
@@ -138,7 +141,7 @@
                 'bytes': self.bytes_without_body,
             },
         )
-        error = EndlessResponseError(cause)
+        error = UnusableBytesError(cause)
         payload = self._payload
         if payload is not None and not payload.is_eof():
             payload.set_exception(error)
@@ -160,9 +163,9 @@
         self._factory = functools.partial(connection_type, loop=self._loop)
 
 
-def is_endless(error: BaseException) -> bool:
-    """Return whether a connection was ended here, as its bytes had no end."""
-    return isinstance(error, EndlessResponseError)
+def is_ended_here(error: BaseException) -> bool:
+    """Return whether a connection was ended here, as it brought no response."""
+    return isinstance(error, UnusableBytesError)
 
 
 def _pieces(received: bytes) -> Iterator[bytes]:
--- a/src/arbutusbay/_response_body.py
+++ b/src/arbutusbay/_response_body.py
@@ -7,7 +7,7 @@
 import attrs
 from result import Err, Ok, Result
 
-from arbutusbay.client_connections import is_endless
+from arbutusbay.client_connections import is_ended_here
 from arbutusbay.held_bytes import PROCESS_BUDGET
 
 _CHUNKED = 'chunked'
@@ -96,7 +96,7 @@
                 end=end,
                 received_bytes=size_bytes,
                 detail=repr(error),
-                is_too_long=is_endless(error),
+                is_too_long=is_ended_here(error),
             )
         )
     return Ok(WholeBody(content=b''.join(chunks), end=end))
--- a/src/arbutusbay/client_connections.py
+++ b/src/arbutusbay/client_connections.py
@@ -3,13 +3,13 @@
 from arbutusbay._client_connections import (
     StrictConnection,
     StrictConnector,
-    is_endless,
+    is_ended_here,
     open_client_session,
 )
 
 __all__ = (
     'StrictConnection',
     'StrictConnector',
-    'is_endless',
+    'is_ended_here',
     'open_client_session',
 )
--- a/src/arbutusbay/node/_attempts.py
+++ b/src/arbutusbay/node/_attempts.py
@@ -15,7 +15,7 @@
 from result import Err, Ok, Result
 from yarl import URL
 
-from arbutusbay.client_connections import is_endless
+from arbutusbay.client_connections import is_ended_here
 from arbutusbay.clock import milliseconds, now_s
 from arbutusbay.held_bytes import PROCESS_BUDGET
 from arbutusbay.logs import get_logger
@@ -145,7 +145,7 @@
                     return
         except (aiohttp.ClientError, OSError) as error:
             yield _broken_stream(
-                repr(error), is_connection_lost=not is_endless(error)
+                repr(error), is_connection_lost=not is_ended_here(error)
             )
             return
         rest = parser.take_blank_rest()
@@ -231,7 +231,7 @@
         yield _without_whole_response(
             f'no response: {error!r}',
             ResponseProgress.NOT_STARTED,
-            is_connection_lost=not is_endless(error),
+            is_connection_lost=not is_ended_here(error),
         )
         return
     try:
--- a/tests/unit/test_endless_bytes.py
+++ b/tests/unit/test_endless_bytes.py
@@ -137,3 +137,16 @@
     server = RawServer(response=hints + head + body)
     fetched, _, _ = await fetch_beside_clock(open_session, server, 0)
     assert fetched.unwrap().body == body
+
+
+# Guards against a status that is none, or of another protocol, taken for that
+# of a response: the client got "HTTP/1.1 0 ".
+@sessions
+@pytest.mark.parametrize('status', [b'000', b'020', b'099', b'101'])
+async def test_response_without_a_final_status_is_none(open_session, status):
+    server = RawServer(
+        response=b'HTTP/1.1 %b OK\r\nContent-Length: 2\r\n\r\nok' % status
+    )
+    fetched, took_s, _ = await fetch_beside_clock(open_session, server, 0)
+    assert fetched.is_err()
+    assert took_s < _LIMIT_S / 2
