--- a/src/arbutusbay/_client_connections.py
+++ b/src/arbutusbay/_client_connections.py
@@ -24,7 +24,7 @@
 
 
 class UnusableBytesError(aiohttp.ClientPayloadError):
-    """Report a server that sent what is no response; the connection is ended."""
+    """Report a server that sent what is no response."""
 
 
 class StrictConnection(ResponseHandler):
--- a/src/arbutusbay/node/_follower.py
+++ b/src/arbutusbay/node/_follower.py
@@ -1,6 +1,7 @@
 """Follow the store's topics, directly or through a relaying VM."""
 
 import asyncio
+from collections.abc import Sequence
 from http import HTTPStatus
 
 import aiohttp
@@ -49,6 +50,7 @@
 _MAX_STORE_FAILURES = 3
 _MAX_RELAY_BYTES = 33_554_432
 _SOURCE_CHECK_INTERVAL_S = 0.3
+_MAX_ASKED_VMS = 3
 
 
 @attrs.frozen(kw_only=True)
@@ -145,20 +147,37 @@
             match source:
                 case DirectRead():
                     await self._read_store()
+                case PeerRead(vm=vm) if self.node_state.lacks_past():
+                    await self._ask_for_past(vm)
                 case PeerRead(vm=vm):
                     await self._poll_vm(vm)
 
     def _choose_source(self) -> StoreSource:
-        moment_s = now_s()
         sources = rank_sources(
             self.node_state.settings.name,
             self.node_state.catalog.vms,
             self.node_state.silent_vms(_SILENT_AFTER_S),
         )
+        if self.node_state.lacks_past() and self.node_state.knows_verdicts():
+            others = [
+                source for source in sources if isinstance(source, PeerRead)
+            ]
+            asked = self._first_available(others[:_MAX_ASKED_VMS])
+            if asked is not None:
+                return asked
+            # Nobody is there who might know more than the store.
+            self.node_state.has_asked_others = True
+        return self._first_available(sources) or DirectRead()
+
+    def _first_available(
+        self, sources: Sequence[StoreSource]
+    ) -> StoreSource | None:
+        """Return the first source that has not failed lately."""
+        moment_s = now_s()
         for source in sources:
             if self.backoff_until_s.get(source_name(source), 0) <= moment_s:
                 return source
-        return DirectRead()
+        return None
 
     def _log_source_change(self, source: StoreSource) -> None:
         name = source_name(source)
@@ -200,6 +219,13 @@
             await asyncio.gather(*tasks, return_exceptions=True)
         self._avoid_source('store')
 
+    async def _ask_for_past(self, vm: VMRegistration) -> None:
+        """Take all records of a VM in place of those of a restored store."""
+        _LOG.info('asks for what the store lost', fields={'source': vm.name})
+        for state in (self.operator_topic, self.servers_topic):
+            state.forget()
+        await self._poll_vm(vm)
+
     async def _poll_vm(self, vm: VMRegistration) -> None:
         sent_s = now_s()
         match await self._request_relay(vm):
@@ -238,6 +264,7 @@
             )
             self._avoid_source(vm.name)
             return
+        self.node_state.has_asked_others = True
         as_of_s = relayed_data_time_s(sent_s, answer.held_s, answer.age_s)
         self.operator_topic.record_read(as_of_s)
         self.servers_topic.record_read(as_of_s)
--- a/src/arbutusbay/node/_node_state.py
+++ b/src/arbutusbay/node/_node_state.py
@@ -32,6 +32,7 @@
     short_prompt_share,
 )
 
+_FIRST_ERA = 1
 _REVOCATION_MARGIN_S = 0.4
 _MAX_WAIT_FOR_VERDICTS_S = 2.0
 _LOG = get_logger('store')
@@ -165,6 +166,8 @@
         skipped_records: Why a coordination record was skipped, by its key.
         has_read_verdicts: Whether the verdicts in the store, or those of
             another VM, have been read.
+        has_asked_others: Whether another VM was asked for what a store that
+            was restored may have lost, or none answered.
         started_s: When this process started.
     """
 
@@ -202,6 +205,7 @@
     stored_revisions: dict[SegmentKey, set[int]] = attrs.field(factory=dict)
     skipped_records: dict[str, str] = attrs.field(factory=dict)
     has_read_verdicts: bool = False
+    has_asked_others: bool = False
     started_s: float = attrs.field(factory=now_s)
 
     @property
@@ -252,6 +256,16 @@
             self.stored_revisions.clear()
             _LOG.warning('store was restored', fields={'era': number})
 
+    def lacks_past(self) -> bool:
+        """Return whether others may know more than the store does.
+
+        It was restored from a copy before this process first read it.
+        """
+        era = self.store_era.first_read
+        if era is None or era.is_restored or self.has_asked_others:
+            return False
+        return self.store_era.number > _FIRST_ERA
+
     def configuration_age_ms(self) -> int | None:
         """Return the age of the configuration in milliseconds.
 
--- a/src/arbutusbay/node/_relay_api.py
+++ b/src/arbutusbay/node/_relay_api.py
@@ -62,7 +62,8 @@
         """Respond once a topic has changed, or after the requested wait.
 
         The wait is capped. The status is 404 for an unknown path, 400 for
-        malformed parameters and 503 until both topics have been read.
+        malformed parameters and 503 until both topics have been read, and while
+        others may know more than the store does.
         """
         self.turns.end(request.transport)
         if request.path != RELAY_PATH:
@@ -77,7 +78,8 @@
         await self._wait_for_changes(operator_start, servers_start, hold_s)
         operator = _topic_update(self.operator_topic, operator_start)
         servers = _topic_update(self.servers_topic, servers_start)
-        if operator is None or servers is None:
+        is_unsure = self.node_state.lacks_past()
+        if operator is None or servers is None or is_unsure:
             return web.Response(status=HTTPStatus.SERVICE_UNAVAILABLE)
         answer = RelayResponse(
             age_s=self.node_state.freshness.age_s(),
--- a/src/arbutusbay/node/_topic_reader.py
+++ b/src/arbutusbay/node/_topic_reader.py
@@ -66,7 +66,7 @@
             self._record_failure(failure, sent_s)
             return False
         self._record_success()
-        if self._is_complete():
+        if self._is_complete() and not self.node_state.lacks_past():
             self.topic_state.record_read(sent_s)
         return True
 
--- a/src/arbutusbay/node/_topics.py
+++ b/src/arbutusbay/node/_topics.py
@@ -85,6 +85,14 @@
             self.node_state.notify_topics_changed()
         return True
 
+    def forget(self) -> None:
+        """Let the next records replace the known ones, whatever their offset.
+
+        What they changed remains in force until then.
+        """
+        self.coverage = None
+        self.latest_records = {}
+
     def has_changes_since(self, position: StorePosition | None) -> bool:
         """Return whether all changes from ``position`` on are known."""
         return self.coverage is not None and self.coverage.has_changes_since(
--- a/tests/integration/test_fleet_store.py
+++ b/tests/integration/test_fleet_store.py
@@ -30,6 +30,8 @@
     request_succeeds,
 )
 
+# Traffic starts 12 s after the VMs do.
+_READY_S = 12.0
 _RESTORED_FOR_S = 1.5
 _MANY_REQUESTS = 12
 
@@ -220,6 +222,38 @@
     assert (await request_stream(http, nodes[1], 'other'))[0] == 200
 
 
+# Guards against a VM that starts behind a restoration, before the operator has
+# written again, and takes a revoked key although other VMs know better.
+async def test_vm_that_starts_after_a_restoration_reverts_nothing(fleet, http):
+    nodes = await start_fleet(fleet, nodes=2)
+    await wait_until_ready(nodes, http)
+    copy = fleet.store.copy_ends()
+    fleet.configure(
+        build_configuration(2, tenants=build_teams(keys=('another',))),
+    )
+    await wait_for_condition(
+        functools.partial(all_reject_key, http, nodes), 'revoked key rejected'
+    )
+    fleet.store.restore(copy)
+    started = [await fleet.add_node('plateau') for _ in range(4)]
+    end_s = time.monotonic() + _RESTORED_FOR_S
+    await wait_until_ready(started, http)
+    while time.monotonic() < end_s:
+        assert await all_reject_key(http, started)
+        await asyncio.sleep(0.1)
+
+
+# Guards against VMs that wait for one another behind a restoration that none of
+# them has seen.
+async def test_fleet_that_starts_after_a_restoration_is_soon_ready(fleet, http):
+    fleet.store.restore(fleet.store.copy_ends())
+    began_s = time.monotonic()
+    nodes = await start_fleet(fleet, nodes=4)
+    await wait_until_ready(nodes, http)
+    assert time.monotonic() - began_s < _READY_S
+    assert (await request_stream(http, nodes[0], 'first'))[0] == 200
+
+
 async def test_restored_store_keeps_fences_of_orders_rising(fleet, http):
     copy = fleet.store.copy_ends()
     nodes = await start_fleet(fleet, engines=2, nodes=2)
--- a/tests/unit/test_store_restoration.py
+++ b/tests/unit/test_store_restoration.py
@@ -167,6 +167,7 @@
     node_state, operator_topic
 ):
     # The old offset is valid again, but belongs to another record.
+    node_state.observe_store_era(1)
     store = ScriptedStore(
         pages=[([config_record(9, 91)], 92, 2)],
         latest=LatestRecords(
