Count what a response brings beside its body, not bytes in a row

Cause: each byte of a body set the count of other bytes back, so the framing had no bound. Change: at most 64 KiB more than the body may come beside it; while the parser is paused nothing is judged, as it has not parsed all that came.

--- a/src/arbutusbay/_client_connections.py
+++ b/src/arbutusbay/_client_connections.py
@@ -19,7 +19,7 @@
 
 _LOG = get_logger('client_connection')
 _UNLIMITED_CONNECTIONS = 0
-_MAX_BYTES_WITHOUT_BODY = 65_536
+_MAX_OVERHEAD_BYTES = 65_536
 _PIECE_BYTES = 16_384
 
 
@@ -31,19 +31,19 @@
     """Refuse reuse after unexpected data and fail bodies cut by a reset.
 
     ``is_answered`` is set once the head of the response to the last request has
-    come. ``bytes_without_body`` counts what came since the last byte of a body.
+    come. ``received_bytes`` counts all that came since that request.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         """Start without a request."""
         super().__init__(loop)
         self.is_answered = False
-        self.bytes_without_body = 0
+        self.received_bytes = 0
 
     def set_response_params(self, **options: Any) -> None:
         """Expect the response to another request."""
         self.is_answered = False
-        self.bytes_without_body = 0
+        self.received_bytes = 0
         super().set_response_params(**options)
 
     def data_received(self, received: bytes) -> None:
@@ -57,11 +57,9 @@
                 self._end_connection('bytes behind a response')
             if self.transport is None or self.transport.is_closing():
                 return
-            body_bytes = self._body_bytes()
+            self.received_bytes += len(piece)
             super().data_received(piece)
-            self._limit_bytes_without_body(
-                len(piece), has_body=self._body_bytes() != body_bytes
-            )
+            self._limit_overhead()
 
     def feed_data(
         self, message: tuple[RawResponseMessage, Any], size: int = 0
@@ -108,22 +106,19 @@
             )
         super().connection_lost(exc)
 
-    def _limit_bytes_without_body(
-        self, size_bytes: int, *, has_body: bool
-    ) -> None:
+    def _limit_overhead(self) -> None:
         """End the connection if too little of what it brings is a body.
 
-        What a paused parser has not parsed yet isn't counted.
+        Heads, interim responses and the framing of a body are none. While the
+        parser is paused, it has not parsed all that came.
         """
-        if has_body or self._reading_paused:
-            self.bytes_without_body = 0
+        if self._reading_paused:
             return
-        self.bytes_without_body += size_bytes
-        if self.bytes_without_body > _MAX_BYTES_WITHOUT_BODY:
-            self._end_connection('bytes without an answer')
-
-    def _body_bytes(self) -> int:
-        return 0 if self._payload is None else self._payload.total_bytes
+        has_body = self.is_answered and self._payload is not None
+        body_bytes = self._payload.total_bytes if has_body else 0
+        overhead_bytes = self.received_bytes - body_bytes
+        if overhead_bytes > _MAX_OVERHEAD_BYTES + body_bytes:
+            self._end_connection('bytes without a body')
 
     def _is_body_complete(self) -> bool:
         return self._payload is None or self._payload.is_eof()
@@ -138,7 +133,7 @@
             fields={
                 'server': transport.get_extra_info('peername'),
                 'cause': cause,
-                'bytes': self.bytes_without_body,
+                'bytes': self.received_bytes,
             },
         )
         error = UnusableBytesError(cause)
--- a/tests/unit/test_endless_bytes.py
+++ b/tests/unit/test_endless_bytes.py
@@ -39,6 +39,8 @@
 _BODIES = MappingProxyType(
     {
         'extension': (b'%b1' % _CHUNKED, b';name=a'),
+        'tiny chunks': (_CHUNKED, b'1\r\nx\r\n'),
+        'tiny extended chunks': (_CHUNKED, b'2;a=b\r\nok\r\n'),
         'trailers': (b'%b2\r\nok\r\n0\r\n' % _CHUNKED, b'Name: a\r\n'),
         'trailer': (b'%b2\r\nok\r\n0\r\nName: ' % _CHUNKED, b'a'),
     }
@@ -139,6 +141,18 @@
     assert fetched.unwrap().body == body
 
 
+# Guards against the same for a large response whose reader is paused now and
+# then, and for one of many small chunks.
+@sessions
+@pytest.mark.parametrize('size', [100, 100_000])
+async def test_sound_response_of_many_chunks_is_whole(open_session, size):
+    chunk = b'%x\r\n%b\r\n' % (size, b'b' * size)
+    count = (_BODY_LIMIT_BYTES - 1) // size
+    server = RawServer(response=b'%b%b0\r\n\r\n' % (_CHUNKED, chunk * count))
+    fetched, _, _ = await fetch_beside_clock(open_session, server, 0)
+    assert fetched.unwrap().body == b'b' * (size * count)
+
+
 # Guards against a status that is none, or of another protocol, taken for that
 # of a response: the client got "HTTP/1.1 0 ".
 @sessions
