--- a/src/arbutusbay/node/_follower.py
+++ b/src/arbutusbay/node/_follower.py
@@ -165,7 +165,7 @@
             asked = self._first_available(others[:_MAX_ASKED_VMS])
             if asked is not None:
                 return asked
-            # Nobody is there who might know more than the store.
+            # No other VM is there that could hold what the store lost.
             self.node_state.has_asked_others = True
         return self._first_available(sources) or DirectRead()
 
--- a/src/arbutusbay/node/_node_state.py
+++ b/src/arbutusbay/node/_node_state.py
@@ -257,7 +257,7 @@
             _LOG.warning('store was restored', fields={'era': number})
 
     def lacks_past(self) -> bool:
-        """Return whether others may know more than the store does.
+        """Return whether others may hold records that the store lost.
 
         It was restored from a copy before this process first read it.
         """
--- a/src/arbutusbay/node/_relay_api.py
+++ b/src/arbutusbay/node/_relay_api.py
@@ -63,7 +63,7 @@
 
         The wait is capped. The status is 404 for an unknown path, 400 for
         malformed parameters and 503 until both topics have been read, and while
-        others may know more than the store does.
+        others may hold records that the store lost.
         """
         self.turns.end(request.transport)
         if request.path != RELAY_PATH:
--- a/src/arbutusbay/node/_topics.py
+++ b/src/arbutusbay/node/_topics.py
@@ -162,8 +162,8 @@
     def _refresh(self, received: Iterable[KeyedRecord]) -> None:
         """Take over later records that have their known meaning.
 
-        The key may have been deleted and written anew between two reads, which
-        others know of.
+        The key may have been deleted and written anew between two reads; other
+        VMs may hold that deletion.
         """
         for record in received:
             known = self.latest_records.get(record.key)
--- a/src/arbutusbay/spread/_coverage.py
+++ b/src/arbutusbay/spread/_coverage.py
@@ -9,9 +9,9 @@
 class Coverage:
     """Hold between which positions all changes of a topic are known.
 
-    A removal leaves no trace in the newest records of all keys. So whoever has
-    read these, to ``end``, has no change from before ``first_offset``, which is
-    of the era of ``end``.
+    A removal leaves no trace in the newest records of all keys. So a VM that
+    has read these, to ``end``, has no change from before ``first_offset``, which
+    is of the era of ``end``.
     """
 
     first_offset: int
@@ -20,7 +20,7 @@
     def has_changes_since(self, position: StorePosition | None) -> bool:
         """Return whether all changes from ``position`` on are known.
 
-        Whoever knows the topic up to another position needs all records.
+        A VM whose records end at another position needs all records.
         """
         return (
             position is not None
--- a/tests/integration/test_fleet_store.py
+++ b/tests/integration/test_fleet_store.py
@@ -11,7 +11,7 @@
 import signal
 import time
 
-from emulator.fleet import wait_for_condition
+from emulator.fleet import FleetNode, wait_for_condition
 from emulator.store import StoreFault
 from tests.fleet_builders import (
     MODEL,
@@ -198,7 +198,8 @@
     assert node.process.returncode is None
 
 
-async def test_restored_store_reverts_nothing(fleet, http):
+async def _lose_revocation(fleet, http) -> list[FleetNode]:
+    """Return VMs that have seen a revocation which the store has lost."""
     nodes = await start_fleet(fleet, nodes=2)
     await wait_until_ready(nodes, http)
     copy = fleet.store.copy_ends()
@@ -209,6 +210,11 @@
         functools.partial(all_reject_key, http, nodes), 'revoked key rejected'
     )
     fleet.store.restore(copy)
+    return nodes
+
+
+async def test_restored_store_reverts_nothing(fleet, http):
+    nodes = await _lose_revocation(fleet, http)
     end_s = time.monotonic() + _RESTORED_FOR_S
     while time.monotonic() < end_s:
         assert await all_reject_key(http, nodes)
@@ -225,16 +231,7 @@
 # Guards against a VM that starts behind a restoration, before the operator has
 # written again, and takes a revoked key although other VMs know better.
 async def test_vm_that_starts_after_a_restoration_reverts_nothing(fleet, http):
-    nodes = await start_fleet(fleet, nodes=2)
-    await wait_until_ready(nodes, http)
-    copy = fleet.store.copy_ends()
-    fleet.configure(
-        build_configuration(2, tenants=build_teams(keys=('another',))),
-    )
-    await wait_for_condition(
-        functools.partial(all_reject_key, http, nodes), 'revoked key rejected'
-    )
-    fleet.store.restore(copy)
+    await _lose_revocation(fleet, http)
     started = [await fleet.add_node('plateau') for _ in range(4)]
     end_s = time.monotonic() + _RESTORED_FOR_S
     await wait_until_ready(started, http)
