--- a/src/arbutusbay/spread/_coverage.py
+++ b/src/arbutusbay/spread/_coverage.py
@@ -10,8 +10,8 @@
     """Hold between which positions all changes of a topic are known.
 
     A removal leaves no trace in the newest records of all keys. So a VM that
-    has read these, to ``end``, has no change from before ``first_offset``, which
-    is of the era of ``end``.
+    has read these, to ``end``, has no change from before ``first_offset``. Both
+    are of one era.
     """
 
     first_offset: int
