--- a/tests/kept_clients.py
+++ b/tests/kept_clients.py
@@ -28,7 +28,7 @@
     """Hold what a client got for one request.
 
     ``status`` is 0 if there was no head; ``is_whole`` means that the response
-    came to its end.
+    came to its end, ``is_first`` that the connection was new.
     """
 
     attempt_id: str
