--- a/src/arbutusbay/node/_uploads.py
+++ b/src/arbutusbay/node/_uploads.py
@@ -4,7 +4,6 @@
 from result import Err, Ok, Result
 
 from arbutusbay.errors import ErrorKind, Failure
-from arbutusbay.fleet import ClientLimits
 from arbutusbay.held_bytes import ByteShare
 from arbutusbay.node._client_stream import invite_body
 from arbutusbay.node._incoming_request import IncomingRequest
@@ -28,7 +27,7 @@
     try:
         async with limit_upload(node_state, incoming):
             return await _read_body(
-                request, share, _limits(node_state).max_body_bytes
+                request, share, node_state.client_limits.max_body_bytes
             )
     except TimeoutError:
         return Err(
@@ -67,8 +66,3 @@
             )
         chunks.append(chunk)
     return Ok(b''.join(chunks))
-
-
-def _limits(node_state: NodeState) -> ClientLimits:
-    configuration = node_state.configuration
-    return configuration.limits if configuration else ClientLimits()
