--- a/src/arbutusbay/node/_follower.py
+++ b/src/arbutusbay/node/_follower.py
@@ -45,6 +45,7 @@
 _CONFIG_HOLD_RATIO = 0.15
 _CONFIG_SILENCE_RATIO = 0.2
 _CONFIG_AGE_RATIO = 0.6
+_TRANSFER_RATIO = 0.8
 _REVOCATION_AVOID_RATIO = 0.6
 _SILENT_AFTER_S = 3.0
 _MAX_STORE_FAILURES = 3
@@ -94,7 +95,7 @@
             key_revocation_s * _REVOCATION_SILENCE_RATIO,
             config_apply_s * _CONFIG_SILENCE_RATIO,
         ),
-        transfer_s=min(key_revocation_s, config_apply_s),
+        transfer_s=_TRANSFER_RATIO * min(key_revocation_s, config_apply_s),
         max_age_s=min(
             key_revocation_s * _REVOCATION_AGE_RATIO,
             config_apply_s * _CONFIG_AGE_RATIO,
