--- a/emulator/fleet.py
+++ b/emulator/fleet.py
@@ -60,8 +60,8 @@
 fail_closed = true
 revocation_ms = {revocation_ms}
 config_apply_ms = 2000
-retry_budget_ratio = 0.2
-retry_budget_slack = 60
+retry_budget_ratio = {retry_ratio}
+retry_budget_slack = {retry_slack}
 budget_window_s = 10
 lease_ms = 1000
 thaw_slack_ms = 100
@@ -149,6 +149,8 @@
         self.revocation_ms = 5000
         self.version_ms = 8000
         self.grace_s = 8
+        self.retry_ratio = 0.2
+        self.retry_slack = 60
         self.restart_s = 1.0
         self.end_moments_s: list[float] = []
         self.tasks: set[asyncio.Task[None]] = set()
@@ -237,6 +239,8 @@
                 revocation_ms=self.revocation_ms,
                 version_ms=self.version_ms,
                 grace_s=self.grace_s,
+                retry_ratio=self.retry_ratio,
+                retry_slack=self.retry_slack,
                 store=self.store_address,
             ),
         )
--- a/emulator/fleet_engine.py
+++ b/emulator/fleet_engine.py
@@ -64,15 +64,21 @@
 _HEAD_LINE = b'X-Noise: 0123456789\r\n'
 
 
-@attrs.frozen(kw_only=True)
+@attrs.define(kw_only=True)
 class ExecutedRequest:
-    """Record one request that the engine executed."""
+    """Record one request that the engine executed.
+
+    ``began_s`` and ``ended_s``, infinity until then, are in seconds of
+    ``time.monotonic``.
+    """
 
     attempt_id: str
     path: str
     headers: dict[str, str]
     body: bytes
     version: int
+    began_s: float = attrs.field(factory=time.monotonic)
+    ended_s: float = float('inf')
 
 
 @attrs.frozen(kw_only=True)
@@ -274,15 +280,14 @@
                 rejection.headers['Attempt-Id'] = request.headers['Attempt-Id']
             return rejection
         await self.silence.sleep(self.options.queue_s)
-        self.executions.append(
-            ExecutedRequest(
-                attempt_id=request.headers['Attempt-Id'],
-                path=request.raw_path,
-                headers=dict(request.headers),
-                body=await request.read(),
-                version=self.version,
-            ),
+        executed = ExecutedRequest(
+            attempt_id=request.headers['Attempt-Id'],
+            path=request.raw_path,
+            headers=dict(request.headers),
+            body=await request.read(),
+            version=self.version,
         )
+        self.executions.append(executed)
         self.running += 1
         try:
             fault = EngineFault.NONE
@@ -300,6 +305,7 @@
             return await self._respond(request, fault)
         finally:
             self.running -= 1
+            executed.ended_s = time.monotonic()
 
     def _rejection(self, request: web.Request) -> web.Response | None:
         expected = request.headers.get('Expect-Version', str(self.version))
