Count requests without an answer beside changes as the rule does

The cells of troubles beside changes left out each request on a kept connection that no engine ran. The count is a module now and stricter; the emulated engines record what arrived.

--- a/emulator/_engine_connections.py
+++ b/emulator/_engine_connections.py
@@ -11,6 +11,8 @@
 import attrs
 from aiohttp import web
 
+from emulator._attempt_presence import AttemptPresence
+
 _ATTEMPT_ID = 'Attempt-Id'
 _NOT_EXECUTED = 'Not-Executed'
 _REFUSAL_STATUSES = frozenset(
@@ -53,6 +55,7 @@
         """Start without this fault."""
         self.copied_id: CopiedId | None = None
         self.copies_written = 0
+        self.attempts = AttemptPresence()
         self.transports: set[asyncio.Transport] = set()
         self.paths_by_caller: dict[tuple[str, int], list[str]] = {}
         self._refusals: dict[asyncio.Transport, _Refusal] = {}
--- a/emulator/fleet_engine.py
+++ b/emulator/fleet_engine.py
@@ -249,6 +249,7 @@
     def end(self) -> None:
         """End like a process that crashes: reset all connections at once."""
         self.has_ended = True
+        self.connections.attempts.break_off()
         for transport in self.connections.transports:
             transport.abort()
         self.report_end()
@@ -261,8 +262,10 @@
                 moment_s=time.monotonic(), segments=_shared_segments(request)
             )
         )
+        attempt_id = request.headers.get('Attempt-Id', '')
         try:
-            return await self._execute(request)
+            with self.connections.attempts.hold(attempt_id):
+                return await self._execute(request)
         finally:
             self.connections.transports.discard(request.transport)
 
--- a/tests/integration/test_changes_beside_troubles.py
+++ b/tests/integration/test_changes_beside_troubles.py
@@ -20,9 +20,10 @@
     start_fleet,
     wait_until_ready,
 )
-from tests.fleet_clients import complete_stream_text, count_runs
+from tests.fleet_clients import complete_stream_text
 from tests.integration.test_configuration_under_way import _CHANGES
 from tests.kept_clients import KeptClient
+from tests.rule_counting import is_lost, passed_on_attempts
 
 _CHANGE_INTERVAL_S = 0.12
 _TROUBLE_INTERVAL_S = 0.4
@@ -154,11 +155,13 @@
 def _is_lost(fleet, outcome, trouble) -> bool:
     """Return whether a request that was taken has no answer.
 
-    One that crosses the close of a connection isn't taken. A stream that has
-    begun is cut where its engine breaks off.
+    A stream that has begun is cut where its engine breaks off. One on a new
+    connection counts however soon that ends.
     """
-    if outcome.is_whole:
-        return False
     if outcome.status and trouble in _BREAKING_OFF:
         return False
-    return outcome.is_first or bool(count_runs(fleet, outcome.attempt_id))
+    if outcome.is_first and not outcome.is_whole:
+        return True
+    return is_lost(
+        outcome, was_passed_on=outcome.attempt_id in passed_on_attempts(fleet)
+    )
--- a/tests/kept_clients.py
+++ b/tests/kept_clients.py
@@ -5,6 +5,8 @@
 
 import asyncio
 import random
+import time
+from collections.abc import Callable
 
 import attrs
 
@@ -28,7 +30,11 @@
     """Hold what a client got for one request.
 
     ``status`` is 0 if there was no head; ``is_whole`` means that the response
-    came to its end, ``is_first`` that the connection was new.
+    came to its end, ``is_first`` that the connection was new. ``waited_s`` is
+    the time from its last byte to the end of its response or connection, and
+    ``was_given_up`` means that the client ended the connection, and
+    ``was_sent_whole`` that it sent the last byte. ``sent_s`` is
+    in seconds of ``time.time``.
     """
 
     attempt_id: str
@@ -37,11 +43,18 @@
     is_whole: bool
     is_first: bool = False
     detail: str = ''
+    waited_s: float = 0.0
+    was_given_up: bool = False
+    was_sent_whole: bool = True
+    sent_s: float = 0.0
 
 
 @attrs.define(kw_only=True)
 class KeptClient:
-    """Send one request after the other to ``path`` of a VM."""
+    """Send one request after the other to ``path`` of a VM.
+
+    ``build_extra_headers`` is called for each of them.
+    """
 
     name: str
     node: object
@@ -49,6 +62,11 @@
     seed: int
     is_stopping: bool = False
     outcomes: list[Outcome] = attrs.field(factory=list)
+    build_extra_headers: Callable[[], dict[str, str]] = dict
+    body: bytes = _BODY
+    longest_pause_s: float = _LONGEST_PAUSE_S
+    sent_s: float = 0.0
+    is_sending: bool = False
 
     async def run(self) -> None:
         """Send until ``is_stopping``; open a connection where one is closed."""
@@ -75,7 +93,7 @@
             if not outcome.is_whole:
                 return
             is_first = False
-            await asyncio.sleep(rng.uniform(0, _LONGEST_PAUSE_S))
+            await asyncio.sleep(rng.uniform(0, self.longest_pause_s))
 
     async def _request(self, reader, writer) -> Outcome:
         attempt_id = f'{self.name}-{len(self.outcomes)}'
@@ -84,11 +102,17 @@
                 attempt_id, host=PLAIN_HOST if self._is_plain() else ENGINE_HOST
             ),
             'Connection': 'keep-alive',
+            **self.build_extra_headers(),
         }
         status = 0
+        self.sent_s = time.time()
+        self.is_sending = True
         try:
             async with asyncio.timeout(_ANSWER_LIMIT_S):
-                writer.write(build_bytes(self.path, fields, _BODY))
+                writer.write(build_bytes(self.path, fields, self.body))
+                await writer.drain()
+                self.sent_s = time.time()
+                self.is_sending = False
                 head = await reader.readuntil(_HEAD_END)
                 status = int(head.split()[1])
                 await _read_body(reader, head.lower())
@@ -97,7 +121,12 @@
             asyncio.IncompleteReadError,
             TimeoutError,
         ) as error:
-            return self._outcome(attempt_id, status, detail=repr(error))
+            return self._outcome(
+                attempt_id,
+                status,
+                detail=repr(error),
+                was_given_up=isinstance(error, TimeoutError),
+            )
         return self._outcome(attempt_id, status, is_whole=True)
 
     def _is_plain(self) -> bool:
@@ -110,6 +139,7 @@
         *,
         is_whole: bool = False,
         detail: str = '',
+        was_given_up: bool = False,
     ) -> Outcome:
         return Outcome(
             attempt_id=attempt_id,
@@ -117,6 +147,10 @@
             status=status,
             is_whole=is_whole,
             detail=detail,
+            was_given_up=was_given_up,
+            was_sent_whole=not self.is_sending,
+            sent_s=self.sent_s,
+            waited_s=time.time() - self.sent_s,
         )
 
 
