End no answer with a length for bodies without an end (bytes without end)

What callers saw: an order that a sound server had run and answered got 502, as the VM ended that answer for want of memory: bodies without end of a faulty server had taken what all bodies may take together.

Cause: one budget, first come first served.

--- a/emulator/scripted_response.py
+++ b/emulator/scripted_response.py
@@ -23,7 +23,8 @@
     The connection is reset after the body if the response ``is_cut``. One that
     is ``is_close_delimited`` has neither a length nor chunks. Behind the body
     ``filling`` is sent again and again until the caller closes, in large pieces
-    or, if the response ``is_trickling``, one at a time.
+    or, if the response ``is_trickling``, one at a time. One that ``has_length``
+    gives that of its body.
     """
 
     status: int = HTTPStatus.OK
@@ -33,6 +34,7 @@
     is_close_delimited: bool = False
     filling: bytes = b''
     is_trickling: bool = False
+    has_length: bool = False
 
 
 async def send_scripted(
@@ -52,6 +54,8 @@
         request.transport.close()
         return web.Response()
     response = web.StreamResponse(status=scripted.status, headers=fields)
+    if scripted.has_length:
+        response.content_length = len(scripted.body)
     await response.prepare(request)
     await response.write(scripted.body)
     if scripted.filling:
--- a/src/arbutusbay/_response_body.py
+++ b/src/arbutusbay/_response_body.py
@@ -1,6 +1,7 @@
 """Read the body of an HTTP response, and show whether it is whole."""
 
 import enum
+from contextlib import AbstractContextManager
 from http import HTTPStatus
 
 import aiohttp
@@ -8,7 +9,11 @@
 from result import Err, Ok, Result
 
 from arbutusbay.client_connections import is_ended_here
-from arbutusbay.held_bytes import PROCESS_BUDGET
+from arbutusbay.held_bytes import (
+    BOUNDED_BODIES,
+    UNBOUNDED_BODIES,
+    ByteShare,
+)
 
 _CHUNKED = 'chunked'
 EMPTY_STATUSES = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
@@ -83,7 +88,7 @@
     chunks: list[bytes] = []
     size_bytes = 0
     try:
-        with PROCESS_BUDGET.share() as share:
+        with _share_of(end) as share:
             async for chunk in response.content.iter_any():
                 size_bytes += len(chunk)
                 if size_bytes > limit_bytes or not share.hold(size_bytes):
@@ -102,6 +107,13 @@
     return Ok(WholeBody(content=b''.join(chunks), end=end))
 
 
+def _share_of(end: BodyEnd) -> AbstractContextManager[ByteShare]:
+    """Hold a body; one with a length is an answer that others don't end."""
+    if end is BodyEnd.LENGTH:
+        return BOUNDED_BODIES.share(leaves_room=False)
+    return UNBOUNDED_BODIES.share()
+
+
 def _too_long(end: BodyEnd, size_bytes: int, limit_bytes: int) -> Err[CutBody]:
     detail = f'exceeds {limit_bytes} bytes'
     if size_bytes <= limit_bytes:
--- a/src/arbutusbay/node/_attempts.py
+++ b/src/arbutusbay/node/_attempts.py
@@ -17,7 +17,7 @@
 
 from arbutusbay.client_connections import is_ended_here
 from arbutusbay.clock import milliseconds, now_s
-from arbutusbay.held_bytes import PROCESS_BUDGET
+from arbutusbay.held_bytes import UNBOUNDED_BODIES
 from arbutusbay.logs import get_logger
 from arbutusbay.node._http_client import ConnectionResponse
 from arbutusbay.node._incoming_request import IncomingRequest
@@ -190,7 +190,7 @@
     ) -> AsyncIterator[Result[ServerSentEvent, BrokenStream]]:
         """Yield events until the body ends, or an error if they don't."""
         turn = Turn()
-        with PROCESS_BUDGET.share() as share:
+        with UNBOUNDED_BODIES.share() as share:
             async for chunk in self.response.content.iter_any():
                 turn.begin()
                 for event in parser.parse_chunk(chunk):
--- a/src/arbutusbay/node/_frontend.py
+++ b/src/arbutusbay/node/_frontend.py
@@ -20,7 +20,7 @@
 )
 from arbutusbay.clock import now_s
 from arbutusbay.errors import ErrorKind, Failure
-from arbutusbay.held_bytes import PROCESS_BUDGET, ByteShare
+from arbutusbay.held_bytes import BOUNDED_BODIES, ByteShare
 from arbutusbay.logs import get_logger
 from arbutusbay.node._attempts import BufferedResponse
 from arbutusbay.node._client_connection import (
@@ -96,7 +96,7 @@
         self, exchange: ClientExchange
     ) -> web.Response | StreamEnd:
         try:
-            with PROCESS_BUDGET.share() as share:
+            with BOUNDED_BODIES.share() as share:
                 return await self._proxy_request(exchange, share)
         except ClientConnectionResetError:
             raise
--- a/tests/integration/test_endless_bodies.py
+++ b/tests/integration/test_endless_bodies.py
@@ -1,10 +1,12 @@
 """Check that bodies without end, many at once, leave a VM its memory."""
 
 import asyncio
+import contextlib
 import itertools
 from collections import deque
 from http import HTTPStatus
 
+import aiohttp
 import pytest
 
 from emulator.scripted_response import ScriptedResponse
@@ -25,6 +27,12 @@
 _LOOK_S = 0.01
 _UPLOADS = 24
 _BODY_BYTES = 4_000_000
+_FAULTY_CLIENTS = 12
+_LONG_ANSWER_BYTES = 4_000_000
+_ORDERS = 60
+_MANY_TIMES = 1000
+_ORDERS_AT_ONCE = 3
+_ORDER_INTERVAL_S = 0.05
 _APPLY_S = 2.0
 
 
@@ -92,3 +100,65 @@
         f'{node.url}/order/1', data=bytes(_BODY_BYTES), headers=headers
     ) as response:
         return response.status
+
+
+async def _request_again_and_again(http, node, name: str) -> None:
+    for number in itertools.count():
+        with contextlib.suppress(aiohttp.ClientError):
+            await request_stream(http, node, f'{name}-{number}')
+
+
+@contextlib.asynccontextmanager
+async def _running(coroutines):
+    tasks = [asyncio.create_task(coroutine) for coroutine in coroutines]
+    try:
+        yield
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def _order_beside(fleet, http, node, others) -> set[int]:
+    """Return the statuses of orders with long answers beside ``others``."""
+    answer = ScriptedResponse(
+        body=bytes(_LONG_ANSWER_BYTES),
+        content_type='text/plain',
+        has_length=True,
+    )
+    fleet.engines[-1].scripted_responses = deque(
+        itertools.repeat(answer, _ORDERS)
+    )
+    statuses = set()
+    async with _running(others):
+        for number in range(_ORDERS // _ORDERS_AT_ONCE):
+            responses = await asyncio.gather(
+                *(
+                    request_service(http, node, f'order-{number}-{place}')
+                    for place in range(_ORDERS_AT_ONCE)
+                )
+            )
+            statuses.update(status for status, _, _ in responses)
+            await asyncio.sleep(_ORDER_INTERVAL_S)
+    return statuses
+
+
+# Guards against an order whose sound server has answered it, with a length, and
+# that gets 502 as bodies without end have taken the memory.
+async def test_bodies_without_end_cost_no_answer_with_a_length(fleet, http):
+    node = await start_single_node(fleet, engines=1, plain=1, slots=_REQUESTS)
+    await wait_until_ready([node], http)
+    fleet.engines[0].scripted_responses = deque(
+        itertools.repeat(
+            ScriptedResponse(
+                status=HTTPStatus.INTERNAL_SERVER_ERROR, filling=b'x'
+            ),
+            _MANY_TIMES,
+        )
+    )
+    faulty = [
+        _request_again_and_again(http, node, f'endless-{number}')
+        for number in range(_FAULTY_CLIENTS)
+    ]
+    statuses = await _order_beside(fleet, http, node, faulty)
+    assert statuses == {HTTPStatus.OK}
