Carry no attempt on a connection where one with its id was refused

What callers saw: an order that no server had run got 502, which promises nothing, so its client could not repeat it; for streams the same spent the runs that max_attempts allows.

Cause: on a kept connection a second refusal with the same id may be a copy of the first one and counts as unknown. Only after 421 was the connection closed.

Change: the connector closes the idle connections to a server on which the id of the attempt was refused, before it picks one. A refusal is provable then.

--- a/src/arbutusbay/node/_http_client.py
+++ b/src/arbutusbay/node/_http_client.py
@@ -17,6 +17,7 @@
     open_client_session,
 )
 from arbutusbay.node._connection_history import ConnectionHistory
+from arbutusbay.platform import get_attempt_id
 from arbutusbay.single_send import disable_repetition
 
 _KEEPALIVE_IDLE_S = 2
@@ -66,6 +67,23 @@
         self.used_connection.close()
 
 
+class RecordingConnector(StrictConnector):
+    """Carry no attempt where one with its id was refused.
+
+    A second refusal there could be a copy of the first one.
+    """
+
+    async def connect(
+        self, req: aiohttp.ClientRequest, *args: Any, **options: Any
+    ) -> aiohttp.connector.Connection:
+        """Return a connection on which the id of ``req`` was not refused."""
+        attempt_id = get_attempt_id(req.headers)
+        for connection, _ in self._conns.get(req.connection_key, ()):
+            if attempt_id in connection.history.refused_ids:
+                connection.close()
+        return await super().connect(req, *args, **options)
+
+
 def _create_keepalive_socket(address_info: Any) -> socket.socket:
     """Return a TCP socket that fails soon after its peer is unreachable.
 
@@ -93,7 +111,7 @@
     Without ``reuse_connections`` each request opens its own connection, so that
     its response can't be that of another. The caller must close the session.
     """
-    connector = StrictConnector(
+    connector = RecordingConnector(
         connection_type=RecordingConnection,
         keepalive_timeout=_IDLE_TIMEOUT_S if reuse_connections else None,
         force_close=not reuse_connections,
