Leave a silent server only once another one has accepted the request

Cause: the class "an answer in hand is given up for one that isn't there yet". A move reserved a place in our own view, ended the attempt at the silent server and sent the next one only then. What followed a refusal there was counted in attempts, six within milliseconds.

Change: - A move sends the request to the second server while the first attempt is still read (Mover, PendingAttempt). The first is closed as soon as the second has accepted: a head that may continue the response has come, or the server has had the request for 0.25 s and has not refused it (rule TWICE: 400 ms; a head may come with the first event only, refusals come at once). The time counts from the sending, not from the connecting. An event of the first server before that drops the move; a refusal, an error or another content type ends it, and another place is looked for at the interval of moves. No event of the first is relayed after the acceptance, the second resumes behind the last one. - The same for idempotent calls: a slow server keeps its slot 0.25 s longer at most, and a call whose other servers refuse keeps its answer. - Refusals cost time, not attempts, where the request may have run and may run again: servers that refused are asked again every 0.1 s until the deadline, each time with a token of the retry budget, which is waited for. What has certainly not run is refused early as before. - A dropped move counts as a possible run, so max_attempts holds.

New cases: an engine that goes on beside a move keeps its streams (silences of 1.1 to 1.4 s), a client that leaves during a move leaves no engine at work after 0.5 s.

--- a/src/arbutusbay/node/_attempts.py
+++ b/src/arbutusbay/node/_attempts.py
@@ -85,6 +85,14 @@
     body_end: BodyEnd | None = None
     is_ended_here: bool = False
 
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether the backend server may have executed the request."""
+        return self.outcome not in {
+            AttemptOutcome.NOT_SENT,
+            AttemptOutcome.REJECTED,
+        }
+
 
 @attrs.frozen(kw_only=True)
 class BrokenStream:
--- a/src/arbutusbay/node/_http_client.py
+++ b/src/arbutusbay/node/_http_client.py
@@ -1,12 +1,15 @@
 """Create HTTP client sessions that detect broken connections.
 
-Their connections keep what they have carried. TCP keepalive detects
+Their connections keep what they have carried. What ``ON_REQUEST_SENT`` holds
+in the context of a request is called once that was sent. TCP keepalive detects
 unreachable peers. It has no part where bytes wait for a peer that does not read
 them: a sound one may do so for long.
 """
 
 import asyncio
 import socket
+from collections.abc import Callable
+from contextvars import ContextVar
 from typing import Any
 
 import aiohttp
@@ -33,6 +36,15 @@
 )
 
 
+def _ignore() -> None:
+    """Do nothing when a request was sent."""
+
+
+ON_REQUEST_SENT: ContextVar[Callable[[], None]] = ContextVar(
+    'ON_REQUEST_SENT', default=_ignore
+)
+
+
 class RecordingConnection(StrictConnection):
     """Keep what a connection has carried."""
 
@@ -53,6 +65,7 @@
         """Read the head of the response from ``connection``."""
         self.used_connection = connection.protocol
         self.used_connection.history.request_count += 1
+        ON_REQUEST_SENT.get()()
         return await super().start(connection)
 
     @property
--- /dev/null
+++ b/src/arbutusbay/node/_pending_attempt.py
@@ -0,0 +1,107 @@
+"""Send an attempt while the one before it may still go on."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from contextlib import AbstractAsyncContextManager, asynccontextmanager
+
+from result import Err, Ok, Result
+
+from arbutusbay.node._attempts import AttemptFailure, OpenResponse
+from arbutusbay.node._http_client import ON_REQUEST_SENT
+from arbutusbay.node._placement import Placement
+from arbutusbay.scheduling import AttemptOutcome
+
+_MAX_OVERLAP_S = 0.25
+
+Opened = Result[OpenResponse, AttemptFailure]
+
+
+class PendingAttempt:
+    """Hold an attempt that is sent, and that nothing has taken over yet.
+
+    Its connection is opened and closed in a task of its own. ``opened``
+    resolves to its response with an unread body.
+    """
+
+    def __init__(
+        self,
+        *,
+        placement: Placement,
+        sending: AbstractAsyncContextManager[Opened],
+    ) -> None:
+        """Send the attempt at ``placement`` by entering ``sending``."""
+        self.placement = placement
+        self.is_sent = False
+        self.opened: asyncio.Future[Opened] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self.is_decided = asyncio.Event()
+        self.has_ended = asyncio.Event()
+        self.task = asyncio.create_task(self._send(sending))
+        self.task.add_done_callback(self._handle_end)
+
+    async def find_refusal(
+        self, may_continue_with: Callable[[OpenResponse], bool]
+    ) -> AttemptFailure | None:
+        """Return why the server does not go on, None once it has accepted.
+
+        A server refuses at once, but its response may begin late. One that has
+        the request for nearly as long as two servers may work on it, and has
+        not refused it, counts as having accepted. Raises what the sending did.
+        """
+        await self.is_decided.wait()
+        if not self.opened.done():
+            return None
+        match self.opened.result():
+            case Ok(answer) if may_continue_with(answer):
+                return None
+            case Ok(answer):
+                return unfit_response(answer)
+            case Err(failure):
+                return failure
+
+    @asynccontextmanager
+    async def take_over(self) -> AsyncIterator[Opened]:
+        """Yield the response of the attempt, which ends with the context."""
+        try:
+            yield await asyncio.shield(self.opened)
+        finally:
+            self.close()
+
+    def close(self) -> None:
+        """End the attempt; its connection is closed unless it is complete."""
+        self.has_ended.set()
+        if not self.opened.done():
+            self.task.cancel()
+
+    async def _send(self, sending: AbstractAsyncContextManager[Opened]) -> None:
+        ON_REQUEST_SENT.set(self._record_sent)
+        async with sending as opened:
+            self.opened.set_result(opened)
+            self.is_decided.set()
+            await self.has_ended.wait()
+
+    def _record_sent(self) -> None:
+        self.is_sent = True
+        asyncio.get_running_loop().call_later(
+            _MAX_OVERLAP_S, self.is_decided.set
+        )
+
+    def _handle_end(self, task: asyncio.Task[None]) -> None:
+        """Pass on what ended the task before there was a response."""
+        if self.opened.done():
+            return
+        if task.cancelled():
+            self.opened.cancel()
+        else:
+            self.opened.set_exception(task.exception())
+        self.is_decided.set()
+
+
+def unfit_response(answer: OpenResponse) -> AttemptFailure:
+    """Return the failure of an attempt whose response can't be passed on."""
+    return AttemptFailure(
+        outcome=AttemptOutcome.RAN_AND_FAILED,
+        detail=f'status {answer.status} and {answer.content_type} '
+        'do not continue the response',
+    )
--- a/src/arbutusbay/node/_placement.py
+++ b/src/arbutusbay/node/_placement.py
@@ -75,6 +75,15 @@
             return view.id in self.allowed_servers
         return view.id not in self.excluded_servers
 
+    def without(self, server_ids: frozenset[str]) -> 'PlacementRequest':
+        """Return the request for a place at none of ``server_ids``."""
+        allowed = self.allowed_servers
+        return attrs.evolve(
+            self,
+            allowed_servers=None if allowed is None else allowed - server_ids,
+            excluded_servers=self.excluded_servers | server_ids,
+        )
+
     @property
     def can_queue(self) -> bool:
         """Return whether the request may be queued until capacity is free.
--- a/src/arbutusbay/node/_replacement.py
+++ b/src/arbutusbay/node/_replacement.py
@@ -1,9 +1,15 @@
 """Reserve a place elsewhere before an attempt is given up."""
 
+import asyncio
+from collections.abc import Coroutine
+from contextlib import AbstractAsyncContextManager
+from typing import Any
+
 import attrs
 
 from arbutusbay.clock import now_s
 from arbutusbay.node._dispatcher import Dispatcher
+from arbutusbay.node._pending_attempt import Opened, PendingAttempt
 from arbutusbay.node._placement import Placement, PlacementRequest
 from arbutusbay.node._placer import Placer
 from arbutusbay.scheduling import RetryBudget
@@ -14,13 +20,16 @@
     """Hold the place that one request has reserved, if any.
 
     A reserved place counts as an attempt in flight until ``release``, or until
-    the attempt ends that ``take`` was called for.
+    the attempt ends that ``take`` was called for. ``pending`` is the attempt
+    that was sent there already, which ``watcher`` waits for.
     """
 
     placer: Placer
     dispatcher: Dispatcher
     budget: RetryBudget
     reserved: Placement | None = None
+    pending: PendingAttempt | None = None
+    watcher: asyncio.Task[None] | None = None
 
     def try_reserve(
         self, request: PlacementRequest, *, must_be_better: bool
@@ -42,14 +51,41 @@
         self.reserved = placement
         return True
 
+    def send(
+        self, sending: AbstractAsyncContextManager[Opened]
+    ) -> PendingAttempt:
+        """Send the request to the reserved place by entering ``sending``."""
+        self.pending = PendingAttempt(placement=self.reserved, sending=sending)
+        return self.pending
+
+    def watch(self, watching: Coroutine[Any, Any, None]) -> None:
+        """Run ``watching`` until the place is taken or released."""
+        self.watcher = asyncio.create_task(watching)
+
     def take(self) -> Placement | None:
         """Return the reserved place, if any, which the caller must release."""
         placement = self.reserved
         self.reserved = None
+        watcher = self.watcher
+        self.watcher = None
+        if watcher is not None and watcher is not asyncio.current_task():
+            watcher.cancel()
         return placement
 
+    def take_pending(self, placement: Placement) -> PendingAttempt | None:
+        """Return the attempt that was sent to ``placement``, if any."""
+        pending = self.pending
+        if pending is None or pending.placement is not placement:
+            return None
+        self.pending = None
+        return pending
+
     def release(self) -> None:
-        """Release the reserved place if it was not taken."""
+        """Release the reserved place, and end the attempt there."""
+        pending = self.pending
+        self.pending = None
+        if pending is not None:
+            pending.close()
         placement = self.take()
         if placement is not None:
             self.dispatcher.release(placement)
--- a/src/arbutusbay/node/_request_executor.py
+++ b/src/arbutusbay/node/_request_executor.py
@@ -21,19 +21,24 @@
     open_attempt,
 )
 from arbutusbay.node._incoming_request import IncomingRequest, recheck_access
+from arbutusbay.node._monitored_attempt import (
+    MonitoredAttempt,
+    Silence,
+    aborted_attempt_failure,
+)
+from arbutusbay.node._mover import (
+    Mover,
+    create_replacement,
+    has_time_to_move,
+    move_after_s,
+)
 from arbutusbay.node._placement import (
     Placement,
     PlacementRequest,
     ResumePoint,
 )
-from arbutusbay.node._replacement import Replacement
 from arbutusbay.node._request_dependencies import RequestDependencies
 from arbutusbay.node._request_limit import limit_request
-from arbutusbay.node._stall_detector import (
-    MonitoredAttempt,
-    Silence,
-    aborted_attempt_failure,
-)
 from arbutusbay.node._stop_decision import (
     is_too_late_to_send,
     refuse_for_stop,
@@ -47,9 +52,7 @@
 )
 
 _LOG = get_logger('request')
-_RETRY_AFTER_S = 0.5
-_MOVE_AFTER_TARGET_FACTOR = 1.5
-_MIN_TIME_LEFT_FACTOR = 1.5
+_LOOK_INTERVAL_S = 0.1
 
 
 class RequestExecutor:
@@ -87,10 +90,14 @@
         budget.deposit()
         self.budget = budget
         self.resume_point = ResumePoint()
-        self.replacement = Replacement(
-            placer=dependencies.placer,
-            dispatcher=dependencies.dispatcher,
-            budget=budget,
+        self.replacement = create_replacement(dependencies, budget)
+        self.mover = Mover(
+            request_id=incoming.attempt_id,
+            replacement=self.replacement,
+            attempt_history=self.attempt_history,
+            evidence=self.evidence,
+            feedback=dependencies.feedback,
+            open_attempt=self._open,
         )
         if incoming.is_model_request:
             dependencies.placer.record_arrival(incoming)
@@ -110,25 +117,33 @@
                     pass
             match await self.record_failed_attempt(placement, failure):
                 case RetryAction.RETURN_FAILURE:
-                    return self.final_result(failure)
+                    return self.attempt_history.final_result(failure)
 
     async def place(self) -> Result[Placement, Failure]:
         """Place the next attempt on a backend server, waiting for capacity.
 
         Fails if no server is available or has capacity in time, the deadline
-        has passed or access was revoked. Raises what ``check_client`` does.
+        has passed or access was revoked. A request that may have run can't be
+        refused any more, so a server is looked for until the deadline. Raises
+        what ``check_client`` does.
 
         ``send_attempt`` releases the placement.
         """
         self.check_client()
-        refused = self._check_may_send()
-        if refused is not None:
-            return Err(refused)
-        match await self._find_place():
-            case Err(failure):
-                return Err(self._downgrade_if_run(failure))
-            case Ok(placement):
-                pass
+        reserved = self.replacement.take()
+        if reserved is not None:
+            return Ok(reserved)
+        while True:
+            refused = self._check_may_send()
+            if refused is not None:
+                return Err(refused)
+            match await self._find_place():
+                case Ok(placement):
+                    break
+                case Err(failure) if not self._may_look_again(failure):
+                    return Err(self._downgrade_if_run(failure))
+            await asyncio.sleep(_LOOK_INTERVAL_S)
+            self.check_client()
         try:
             self.check_client()
         except (ClientConnectionResetError, HalfClosedError):
@@ -147,22 +162,15 @@
     ) -> AsyncIterator[Result[OpenResponse, AttemptFailure]]:
         """Send one attempt and yield its response with an unread body.
 
-        Records the load and weights version that the response reports, and
-        releases ``placement`` on exit.
+        An attempt that was sent there already is taken over. Releases
+        ``placement`` on exit.
         """
         self.in_flight = True
+        pending = self.replacement.take_pending(placement)
         try:
-            async with open_attempt(
-                self.dependencies.session,
-                placement.view,
-                self.incoming,
-                self.body,
-                placement.attempt_headers,
-                self.dependencies.node_state.own_pauses,
+            async with (
+                pending.take_over() if pending else self._open(placement)
             ) as opened:
-                self.dependencies.feedback.record_head(
-                    placement.view, self.incoming.parsed_headers.model, opened
-                )
                 yield opened
         finally:
             self.dependencies.dispatcher.release(placement)
@@ -174,8 +182,8 @@
         """Monitor an attempt for stalls while the context is active.
 
         Raises ``TimeoutError`` if a retryable attempt had better go on at
-        another server and a place is reserved there, or if a stream has not
-        begun while its weights may be used.
+        another server that has accepted it, or if a stream has not begun while
+        its weights may be used.
         """
         detector = self.dependencies.stall_detector
         async with asyncio.timeout(None) as abort_timeout:
@@ -187,11 +195,11 @@
                 start_by_s=placement.start_by_s
                 if self.incoming.is_stream
                 else float('inf'),
-                move_due_s=now_s() + self._move_after_s(),
-                try_move=functools.partial(self._try_move, placement),
+                move_due_s=now_s() + move_after_s(self.incoming),
                 request_id=self.incoming.attempt_id,
                 segment_keys=self.incoming.segment_keys,
             )
+            monitored.try_move = functools.partial(self._try_move, monitored)
             detector.start_monitoring(monitored)
             try:
                 yield monitored
@@ -206,16 +214,13 @@
         """Record a failed attempt and return the next step.
 
         A retry that the retry budget does not cover, or that might end one more
-        engine, becomes ``RetryAction.RETURN_FAILURE``.
+        engine, becomes ``RetryAction.RETURN_FAILURE``. A request that may have
+        run waits for the budget instead, and for a while after a refusal.
         """
         self.in_flight = False
         view = placement.view
         self.attempt_history.record_attempt(view.id, failure)
-        if failure.is_expectation_mismatch:
-            self.dependencies.feedback.record_mismatch(
-                placement, failure.reported_instance
-            )
-        self.dependencies.feedback.record_failure(view, failure.outcome)
+        self.dependencies.feedback.record_failed_attempt(placement, failure)
         action = choose_retry_action(
             failure.outcome,
             self.attempt_history.attempt_count(),
@@ -223,8 +228,7 @@
             max_attempts=self.incoming.route.max_attempts,
         )
         has_ended = await self.evidence.has_engine_ended(view, failure)
-        if action is RetryAction.RETRY_WITHIN_BUDGET:
-            action = self._limit_retry(action, has_ended=has_ended)
+        action = self._limit_retry(action, has_ended=has_ended)
         _LOG.info(
             'attempt failed',
             fields={
@@ -248,29 +252,14 @@
                 'after_ms': _elapsed_ms(self.incoming),
             },
         )
+        if self._is_owed() and not failure.may_have_run:
+            await asyncio.sleep(_LOOK_INTERVAL_S)
+        while action is RetryAction.RETRY_ONCE_COVERED:
+            if self.budget.try_withdraw(now_s()):
+                return RetryAction.RETRY_WITHIN_BUDGET
+            await asyncio.sleep(_LOOK_INTERVAL_S)
         return action
 
-    def final_result(
-        self, failure: AttemptFailure
-    ) -> Result[BufferedResponse, Failure]:
-        """Return the response or failure to send after the last attempt.
-
-        A response that the backend server sent with a 5xx status is passed
-        on. Otherwise the failure shows whether the request may have run.
-        """
-        if failure.error_response is not None:
-            return Ok(failure.error_response)
-        kind = ErrorKind.OUTCOME_UNKNOWN
-        if was_certainly_not_executed(self.attempt_history.attempt_count()):
-            kind = ErrorKind.NO_BACKEND_SERVER
-        return Err(
-            Failure(
-                kind=kind,
-                detail=failure.detail,
-                retry_after_s=_RETRY_AFTER_S,
-            ),
-        )
-
     def deadline_failure(self) -> Failure:
         """Return the failure for a request that exceeded its deadline.
 
@@ -296,37 +285,42 @@
             run_state=None if is_not_executed else RunState.UNKNOWN,
         )
 
-    def _is_retryable(self) -> bool:
-        return self.incoming.is_retryable and self.resume_point.is_certain
+    def _is_owed(self) -> bool:
+        """Return whether the request can't be refused truthfully any more."""
+        return self._is_retryable() and not was_certainly_not_executed(
+            self.attempt_history.attempt_count()
+        )
 
-    def _move_after_s(self) -> float:
-        """Return after how long an attempt had better go on elsewhere.
+    def _may_look_again(self, failure: Failure) -> bool:
+        """Return whether a server may be found later that isn't there now."""
+        return self._is_owed() and failure.kind is ErrorKind.NO_BACKEND_SERVER
 
-        That is for idempotent requests that are no streams. Infinity means
-        never, also where the route has no target latency.
-        """
-        if self.incoming.is_stream or not self.incoming.is_retryable:
-            return float('inf')
-        return (
-            self.incoming.route.target_latency_s * _MOVE_AFTER_TARGET_FACTOR
-            or float('inf')
-        )
+    def _is_retryable(self) -> bool:
+        return self.incoming.is_retryable and self.resume_point.is_certain
 
-    def _try_move(self, placement: Placement, silence: Silence) -> bool:
-        """Reserve a place for a request whose server is silent.
+    def _try_move(self, monitored: MonitoredAttempt, silence: Silence) -> bool:
+        """Send a request whose server is silent to another one as well.
 
         Returns whether there is one. After a silence that is longer than that
-        of a sound server any other one will do.
+        of a sound server any other one will do. The attempt goes on until the
+        other server has accepted.
         """
+        if not self._try_reserve(monitored.view.id, silence):
+            return False
+        self.mover.begin(monitored)
+        return True
+
+    def _try_reserve(self, server_id: str, silence: Silence) -> bool:
+        """Reserve a place for a request whose server is silent."""
         if not self._is_retryable() or not self.evidence.may_move():
             return False
         if recheck_access(self.dependencies.node_state, self.incoming):
             return False
         if is_too_late_to_send(self.dependencies.node_state, self.incoming):
             return False
-        if not _has_time_to_move(self.incoming, silence):
+        if not has_time_to_move(self.incoming, silence):
             return False
-        history = self.attempt_history.if_moved_from(placement.view.id)
+        history = self.attempt_history.if_moved_from(server_id)
         action = choose_retry_action(
             AttemptOutcome.UNKNOWN,
             history.attempt_count(),
@@ -335,24 +329,20 @@
         )
         if action is RetryAction.RETURN_FAILURE:
             return False
-        left_servers = frozenset((placement.view.id,))
+        left_servers = frozenset((server_id,))
         return self.replacement.try_reserve(
-            _without_servers(
-                self._build_placement_request(history),
-                left_servers if silence.is_long else silence.quiet_servers,
+            self._build_placement_request(history).without(
+                left_servers if silence.is_long else silence.quiet_servers
             ),
             must_be_better=not silence.is_long,
         )
 
     async def _find_place(self) -> Result[Placement, Failure]:
-        """Return the reserved place, or a new one.
+        """Return a place for the next attempt.
 
         If no other server is available, one that was only silent is tried
         again.
         """
-        reserved = self.replacement.take()
-        if reserved is not None:
-            return Ok(reserved)
         dispatcher = self.dependencies.dispatcher
         request = self._build_placement_request(self.attempt_history)
         placed = await dispatcher.place(request)
@@ -369,15 +359,37 @@
     def _limit_retry(
         self, action: RetryAction, *, has_ended: bool
     ) -> RetryAction:
-        """Return ``action``, or that the request must not be repeated."""
+        """Return ``action``, or how it is limited."""
         if has_ended and not self.evidence.may_retry():
             return RetryAction.RETURN_FAILURE
         if self.replacement.reserved is not None:
+            return RetryAction.SEND_ELSEWHERE
+        if action is not RetryAction.RETRY_WITHIN_BUDGET:
             return action
         if self.budget.try_withdraw(now_s()):
             return action
+        if self._is_owed():
+            return RetryAction.RETRY_ONCE_COVERED
         return RetryAction.RETURN_FAILURE
 
+    @asynccontextmanager
+    async def _open(
+        self, placement: Placement
+    ) -> AsyncIterator[Result[OpenResponse, AttemptFailure]]:
+        """Send one attempt and record what the head of its response shows."""
+        async with open_attempt(
+            self.dependencies.session,
+            placement.view,
+            self.incoming,
+            self.body,
+            placement.attempt_headers,
+            self.dependencies.node_state.own_pauses,
+        ) as opened:
+            self.dependencies.feedback.record_head(
+                placement.view, self.incoming.parsed_headers.model, opened
+            )
+            yield opened
+
     async def _fetch_once(
         self,
         placement: Placement,
@@ -457,30 +469,6 @@
         return attrs.evolve(failure, kind=ErrorKind.OUTCOME_UNKNOWN)
 
 
-def _has_time_to_move(incoming: IncomingRequest, silence: Silence) -> bool:
-    """Return whether another server may well answer a call in time.
-
-    It may take as long as this one has, which begins anew there.
-    """
-    if incoming.is_stream:
-        return True
-    needed_s = silence.duration_s * _MIN_TIME_LEFT_FACTOR
-    return incoming.remaining_s() > needed_s
-
-
-def _without_servers(
-    request: PlacementRequest, server_ids: frozenset[str]
-) -> PlacementRequest:
-    allowed = request.allowed_servers
-    if allowed is not None:
-        allowed -= server_ids
-    return attrs.evolve(
-        request,
-        allowed_servers=allowed,
-        excluded_servers=request.excluded_servers | server_ids,
-    )
-
-
 def _elapsed_ms(incoming: IncomingRequest) -> int:
     return int((now_s() - incoming.received_s) * 1000)
 
@@ -510,5 +498,6 @@
 def _is_certainly_not_executed(executor: RequestExecutor) -> bool:
     return (
         not executor.in_flight
+        and executor.replacement.pending is None
         and not executor.attempt_history.possible_executions
     )
--- a/src/arbutusbay/node/_server_feedback.py
+++ b/src/arbutusbay/node/_server_feedback.py
@@ -119,6 +119,14 @@
             },
         )
 
+    def record_failed_attempt(
+        self, placement: Placement, failure: AttemptFailure
+    ) -> None:
+        """Record what a failed attempt shows about its server."""
+        if failure.is_expectation_mismatch:
+            self.record_mismatch(placement, failure.reported_instance)
+        self.record_failure(placement.view, failure.outcome)
+
     def record_failure(self, view: EngineView, outcome: AttemptOutcome) -> None:
         """Avoid a backend server after a failed attempt.
 
--- a/src/arbutusbay/node/_stall_detector.py
+++ b/src/arbutusbay/node/_stall_detector.py
@@ -7,22 +7,17 @@
 """
 
 import asyncio
-from collections.abc import Callable, Sequence
-
-import attrs
-from result import Err
+from collections.abc import Sequence
 
 from arbutusbay.clock import milliseconds, now_s
 from arbutusbay.logs import get_logger
-from arbutusbay.node._attempts import AttemptFailure
+from arbutusbay.node._monitored_attempt import (
+    MonitoredAttempt,
+    Silence,
+    abort,
+)
 from arbutusbay.node._node_state import NodeState
 from arbutusbay.quarantine import SegmentKey
-from arbutusbay.scheduling import (
-    Attempt,
-    AttemptOutcome,
-    EngineView,
-    ResponseProgress,
-)
 
 _LOG = get_logger('silence')
 _CHECK_INTERVAL_S = 0.1
@@ -36,74 +31,6 @@
 _SUSPICION_DURATION_S = 0.6
 
 
-@attrs.frozen(kw_only=True)
-class Silence:
-    """Describe the silence of a server.
-
-    ``duration_s`` is in seconds. It ``is_long`` if a sound server would have
-    gone on. ``quiet_servers`` holds the ids of the servers, this one among
-    them, of whose streams none had an event lately.
-    """
-
-    duration_s: float
-    is_long: bool
-    quiet_servers: frozenset[str]
-
-
-def _cannot_move(silence: Silence) -> bool:
-    return False
-
-
-@attrs.define(kw_only=True, eq=False)
-class MonitoredAttempt:
-    """Represent a monitored attempt.
-
-    ``abort_timeout`` is the timeout that is rescheduled to abort the attempt,
-    which raises ``TimeoutError`` in its task. ``try_move`` takes the
-    silence, reserves a place for the request at another server and returns
-    whether it did; only then is the attempt aborted for a silence. From
-    ``move_due_s`` on it is tried whatever was received. An attempt without an
-    event by ``start_by_s`` is withdrawn in any case. While ``is_relaying`` the
-    client is awaited, not the engine. Times are in seconds on the clock of
-    ``now_s``.
-    """
-
-    attempt: Attempt
-    view: EngineView
-    abort_timeout: asyncio.Timeout
-    last_event_s: float
-    start_by_s: float = float('inf')
-    move_due_s: float = float('inf')
-    try_move: Callable[[Silence], bool] = _cannot_move
-    request_id: str = ''
-    segment_keys: tuple[SegmentKey, ...] = ()
-    is_relaying: bool = False
-    is_withdrawn: bool = False
-    is_moved: bool = False
-    move_timer: asyncio.TimerHandle | None = None
-    next_move_s: float = 0.0
-
-    @property
-    def is_ending(self) -> bool:
-        """Return whether the attempt is being aborted."""
-        return self.is_withdrawn or self.is_moved
-
-    def record_event(self, moment_s: float) -> None:
-        """Record that an event was received and passed on."""
-        self.last_event_s = moment_s
-        self.is_relaying = False
-
-    def end_relaying(self, waited_s: float) -> None:
-        """Leave out the time in which the client was awaited."""
-        self.last_event_s += waited_s
-        self.is_relaying = False
-
-    def shift(self, paused_s: float, moment_s: float) -> None:
-        """Leave out a pause of this VM that ended at ``moment_s``."""
-        self.last_event_s = min(moment_s, self.last_event_s + paused_s)
-        self.move_due_s += paused_s
-
-
 class StallDetector:
     """Monitor all attempts in flight for stalls."""
 
@@ -142,7 +69,7 @@
                 and not monitored.is_ending
             ):
                 monitored.is_withdrawn = True
-                _abort(monitored, 'attempt withdrawn for its prompt')
+                abort(monitored, 'attempt withdrawn for its prompt')
 
     async def run(self) -> None:
         """Check for stalls at a fixed interval until cancelled."""
@@ -194,7 +121,7 @@
         for monitored in self.monitored:
             if _is_start_overdue(monitored, moment_s):
                 monitored.is_withdrawn = True
-                _abort(monitored, 'attempt ended before its late start')
+                abort(monitored, 'attempt ended before its late start')
 
     def _move_when_due(self, monitored: MonitoredAttempt) -> None:
         """Try to move an attempt whose time has come, unless it comes late.
@@ -226,7 +153,7 @@
     def _move(
         self, silent: Sequence[MonitoredAttempt], moment_s: float
     ) -> None:
-        """Move the attempts for which a place elsewhere can be reserved."""
+        """Begin to move the attempts for which there is a place elsewhere."""
         if not silent:
             return
         quiet_servers = self._quiet_servers(moment_s)
@@ -236,15 +163,10 @@
                 return
             monitored.next_move_s = moment_s + _MOVE_INTERVAL_S
             silence = _silence_of(monitored, quiet_servers, moment_s)
-            if not _try_move(monitored, silence):
+            if _try_move(monitored, silence):
+                monitored.is_moving = not monitored.is_moved
+            else:
                 without_place += 1
-                continue
-            monitored.is_moved = True
-            _abort(
-                monitored,
-                'attempt moved from a silent server',
-                silent_ms=milliseconds(silence.duration_s),
-            )
 
     def _quiet_servers(self, moment_s: float) -> frozenset[str]:
         stalled_servers = {
@@ -322,7 +244,7 @@
     if it has not received an event yet. Other VMs may have reported the engine
     as suspect.
     """
-    if monitored.is_ending or monitored.is_relaying:
+    if monitored.is_ending or monitored.is_relaying or monitored.is_moving:
         return False
     if moment_s < monitored.next_move_s:
         return False
@@ -338,45 +260,3 @@
     if monitored.is_ending or monitored.attempt.has_first_event:
         return False
     return moment_s >= monitored.start_by_s
-
-
-def _abort(
-    monitored: MonitoredAttempt, message: str, **fields: int | None
-) -> None:
-    _LOG.info(
-        message,
-        fields={
-            'request_id': monitored.request_id,
-            'server': monitored.view.id,
-            **fields,
-        },
-    )
-    loop = asyncio.get_running_loop()
-    monitored.abort_timeout.reschedule(loop.time())
-
-
-def aborted_attempt_failure(
-    monitored: MonitoredAttempt | None,
-) -> Err[AttemptFailure]:
-    """Return the failure of an attempt that was withdrawn or moved.
-
-    None stands for an attempt that ended before it was monitored.
-    """
-    outcome = AttemptOutcome.UNKNOWN
-    detail = 'backend server stopped responding'
-    if monitored is not None and monitored.is_withdrawn:
-        outcome = AttemptOutcome.WITHDRAWN
-        detail = 'withdrawn before it began'
-    elif monitored is not None and monitored.is_moved:
-        outcome = AttemptOutcome.MOVED
-    has_begun = monitored is not None and monitored.attempt.has_first_event
-    return Err(
-        AttemptFailure(
-            outcome=outcome,
-            detail=detail,
-            progress=ResponseProgress.UNDERWAY
-            if has_begun
-            else ResponseProgress.NOT_STARTED,
-            is_ended_here=True,
-        )
-    )
--- a/src/arbutusbay/node/_stream_relay.py
+++ b/src/arbutusbay/node/_stream_relay.py
@@ -22,13 +22,14 @@
     StreamCompleted,
     StreamEnd,
 )
-from arbutusbay.node._placement import Placement, ResumePoint
-from arbutusbay.node._request_executor import RequestExecutor
-from arbutusbay.node._request_limit import limit_request
-from arbutusbay.node._stall_detector import (
+from arbutusbay.node._monitored_attempt import (
     MonitoredAttempt,
     aborted_attempt_failure,
 )
+from arbutusbay.node._pending_attempt import unfit_response
+from arbutusbay.node._placement import Placement, ResumePoint
+from arbutusbay.node._request_executor import RequestExecutor
+from arbutusbay.node._request_limit import limit_request
 from arbutusbay.node._stop_decision import is_too_late_to_send
 from arbutusbay.platform import ServerSentEvent
 from arbutusbay.scheduling import (
@@ -96,6 +97,7 @@
         executor.resume_point = ResumePoint(
             event_id=executor.incoming.parsed_headers.last_event_id
         )
+        executor.mover.may_continue_with = self._may_continue_with
 
     async def relay(self) -> StreamResult:
         """Relay until the stream ends, fails or exceeds its deadline.
@@ -118,6 +120,13 @@
                 return relayed.answer
         return relayed
 
+    def _may_continue_with(self, answer: OpenResponse) -> bool:
+        """Return whether ``answer`` may follow what the client received."""
+        stream = self.exchange.stream
+        if stream is None:
+            return answer.is_success
+        return stream.can_continue_with(answer)
+
     async def _relay_attempts(self) -> StreamCompleted | UnfinishedStream:
         while True:
             match await self.executor.place():
@@ -162,7 +171,7 @@
                 pass
         stream = self.exchange.stream
         if stream is not None and not stream.can_continue_with(answer):
-            return _cannot_continue(answer)
+            return Err(unfit_response(answer))
         if not answer.is_success:
             return (await answer.read_response()).map(_answer_instead)
         return await self._relay_events(monitored, answer)
@@ -190,7 +199,7 @@
                 version = event.weights_version
             self._advance(event, version)
             if not event.is_comment:
-                self._record_start(monitored, progress)
+                self._record_event(monitored, progress)
             await self._send_event(monitored, answer, event)
         if progress.started_s is None and answer.is_close_delimited:
             return _stream_failure(_EMPTY_STREAM, progress, answer)
@@ -200,6 +209,7 @@
             monitored.attempt.sent_s,
         )
         self._record_sound_response(monitored, answer, progress)
+        self.executor.mover.drop(monitored)
         # The engine has nothing left to send; the client may read slowly.
         monitored.is_relaying = True
         stream = await self._stream(answer)
@@ -249,10 +259,14 @@
             or progress.is_underway(now_s()),
         )
 
-    def _record_start(
+    def _record_event(
         self, monitored: MonitoredAttempt, progress: StreamProgress
     ) -> None:
-        """Update the prefill time estimate from the first event."""
+        """Record that the engine goes on.
+
+        The first event updates the estimate of the prefill time.
+        """
+        self.executor.mover.drop(monitored)
         if progress.started_s is not None:
             return
         progress.started_s = now_s()
@@ -327,7 +341,7 @@
             if failure.is_ended_here
             else CutReason.BROKEN,
             detail=failure.detail,
-            answer=self.executor.final_result(failure).value,
+            answer=self.executor.attempt_history.final_result(failure).value,
         )
 
 
@@ -340,16 +354,6 @@
     )
 
 
-def _cannot_continue(answer: OpenResponse) -> Err[AttemptFailure]:
-    return Err(
-        AttemptFailure(
-            outcome=AttemptOutcome.RAN_AND_FAILED,
-            detail=f'status {answer.status} and {answer.content_type} '
-            'do not continue the stream',
-        )
-    )
-
-
 def _stream_failure(
     broken: BrokenStream, progress: StreamProgress, answer: OpenResponse
 ) -> Err[AttemptFailure]:
--- a/src/arbutusbay/scheduling/_outcomes.py
+++ b/src/arbutusbay/scheduling/_outcomes.py
@@ -13,7 +13,7 @@
     request may have been executed. ``WITHDRAWN``: so it may, but this VM
     aborted the attempt for a reason that is no fault of the backend server.
     ``MOVED``: so it may, but this VM aborted the attempt at a silent backend
-    server after it had reserved a place at another one. ``RAN_AND_FAILED``: the
+    server after another one had accepted it. ``RAN_AND_FAILED``: the
     backend server executed the request and reported a failure.
     """
 
@@ -43,12 +43,14 @@
 
     ``SEND_ELSEWHERE``: send the request to another backend server, without
     using a token of the retry budget. ``RETRY_WITHIN_BUDGET``: retry if the
-    retry budget has a token. ``RETURN_FAILURE``: return the failure to the
+    retry budget has a token. ``RETRY_ONCE_COVERED``: retry as soon as the retry
+    budget has one. ``RETURN_FAILURE``: return the failure to the
     client.
     """
 
     SEND_ELSEWHERE = 'send_elsewhere'
     RETRY_WITHIN_BUDGET = 'retry_within_budget'
+    RETRY_ONCE_COVERED = 'retry_once_covered'
     RETURN_FAILURE = 'answer'
 
 
@@ -82,15 +84,20 @@
     one may only have stopped responding; a request that failed on execution
     would fail again. A moved request has its next place and its token of the
     retry budget already. An attempt that was certainly not executed is followed
-    by another one until there were ``_MAX_UNEXECUTED_ATTEMPTS`` of them.
+    by another one until there were ``_MAX_UNEXECUTED_ATTEMPTS`` of them, or
+    without such a limit if an earlier one may have been and the request
+    ``is_retryable``: it can't be refused any more.
     """
+    is_owed = is_retryable and not was_certainly_not_executed(count)
     match outcome:
         case AttemptOutcome.MOVED:
             return RetryAction.SEND_ELSEWHERE
         case AttemptOutcome.NOT_SENT:
-            return _unless_exhausted(count, RetryAction.SEND_ELSEWHERE)
+            next_action = RetryAction.SEND_ELSEWHERE
+            return _unless_exhausted(count, next_action, is_owed=is_owed)
         case AttemptOutcome.REJECTED:
-            return _unless_exhausted(count, RetryAction.RETRY_WITHIN_BUDGET)
+            next_action = RetryAction.RETRY_WITHIN_BUDGET
+            return _unless_exhausted(count, next_action, is_owed=is_owed)
         case AttemptOutcome.UNKNOWN | AttemptOutcome.WITHDRAWN:
             return _retry_if(
                 is_retryable and count.possible_executions <= max_attempts
@@ -101,8 +108,10 @@
             )
 
 
-def _unless_exhausted(count: AttemptCounts, action: RetryAction) -> RetryAction:
-    if count.unexecuted_attempts >= _MAX_UNEXECUTED_ATTEMPTS:
+def _unless_exhausted(
+    count: AttemptCounts, action: RetryAction, *, is_owed: bool
+) -> RetryAction:
+    if not is_owed and count.unexecuted_attempts >= _MAX_UNEXECUTED_ATTEMPTS:
         return RetryAction.RETURN_FAILURE
     return action
 
--- a/tests/fleet_clients.py
+++ b/tests/fleet_clients.py
@@ -1,5 +1,8 @@
 """Send requests to daemons of the users' platform and count engine runs."""
 
+import itertools
+import operator
+
 from emulator.fleet import Fleet
 from emulator.fleet_engine import ExecutedRequest
 from tests.fleet_builders import PLAIN_HOST, build_request_headers
@@ -44,6 +47,19 @@
     )
 
 
+def longest_overlap_s(fleet: Fleet, attempt_id: str) -> float:
+    """Return for how long two engines worked on one request at once."""
+    runs = sorted(
+        (run for run in all_runs(fleet) if run.attempt_id == attempt_id),
+        key=operator.attrgetter('began_s'),
+    )
+    overlaps_s = (
+        min(first.ended_s, second.ended_s) - second.began_s
+        for first, second in itertools.combinations(runs, 2)
+    )
+    return max(overlaps_s, default=0.0)
+
+
 async def all_reject_key(http, nodes) -> bool:
     """Return whether all VMs reject the API key with status 401."""
     responses = [
--- a/tests/integration/test_moves_beside_refusals.py
+++ b/tests/integration/test_moves_beside_refusals.py
@@ -5,8 +5,6 @@
 """
 
 import asyncio
-import itertools
-import operator
 
 import pytest
 
@@ -18,7 +16,7 @@
     start_single_node,
     wait_until_ready,
 )
-from tests.fleet_clients import all_runs, count_runs, request_service
+from tests.fleet_clients import count_runs, longest_overlap_s, request_service
 from tests.integration.test_silent_engines import (
     StreamOutcome,
     assert_all_whole,
@@ -36,6 +34,7 @@
 _MAX_GAP_S = 2.0
 _MAX_OVERLAP_S = 0.4
 _MAX_ATTEMPTS = 2
+_MAX_WORK_FOR_NOBODY_S = 0.5
 _REFUSALS = ('full', 'loading', 'misdirected')
 
 
@@ -108,19 +107,6 @@
     return outcomes
 
 
-def longest_overlap_s(fleet: Fleet, attempt_id: str) -> float:
-    """Return for how long two engines worked on one request at once."""
-    runs = sorted(
-        (run for run in all_runs(fleet) if run.attempt_id == attempt_id),
-        key=operator.attrgetter('began_s'),
-    )
-    overlaps_s = (
-        min(first.ended_s, second.ended_s) - second.began_s
-        for first, second in itertools.combinations(runs, 2)
-    )
-    return max(overlaps_s, default=0.0)
-
-
 def assert_within_bounds(fleet: Fleet) -> None:
     """Check the bounds of rules TWICE and BUDGET for each stream."""
     for number in range(_STREAMS):
@@ -236,3 +222,36 @@
     assert_all_whole(outcomes)
     slowest_s = max(outcome.duration_s for outcome in outcomes)
     assert slowest_s < _EVENTS * _EVENT_S + _MAX_GAP_S
+
+
+# Guards against pieces that come twice or are missing as the silent engine goes
+# on while another one has the request, and against a second run too many.
+@pytest.mark.parametrize('silence_s', [1.1, 1.2, 1.3, 1.4])
+async def test_engine_that_goes_on_beside_a_move_keeps_its_streams(
+    fleet, http, silence_s
+):
+    node = await start_engines(fleet, http, queue_s=0.2)
+    outcomes = await receive_beside(
+        fleet, http, node, silence_s=silence_s, way='full', refused_s=0
+    )
+    assert_all_whole(outcomes)
+    assert_within_bounds(fleet)
+
+
+# Guards against engines that go on for a client which has left while its stream
+# was being moved (rule GONE).
+@pytest.mark.parametrize('left_after_s', [1.15, 1.25, 1.35])
+async def test_client_that_leaves_during_a_move_leaves_no_engine_at_work(
+    fleet, http, left_after_s
+):
+    node = await start_engines(fleet, http, queue_s=0.3)
+    tasks = await start_streams(fleet, http, node)
+    engines = fleet.engines[:_ENGINES]
+    silent = max(engines, key=lambda engine: engine.running)
+    silent.silence.begin(_POWER_LOSS_S)
+    await asyncio.sleep(left_after_s)
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    await asyncio.sleep(_MAX_WORK_FOR_NOBODY_S)
+    assert sum(engine.running for engine in engines) == 0
