Let a stream that has begun go on elsewhere after its key was taken away

What callers saw: a stream whose key was taken away, or whose VM could not confirm its keys, stayed at a dead engine until its deadline.

Cause: access was checked again before each attempt.

Change: recheck_access allows a stream of which the client has received a part. Queued requests and calls are checked as before.

--- a/src/arbutusbay/node/_incoming_request.py
+++ b/src/arbutusbay/node/_incoming_request.py
@@ -128,13 +128,18 @@
 def recheck_access(
     node_state: NodeState,
     incoming: IncomingRequest,
+    *,
+    has_begun: bool = False,
 ) -> Failure | None:
     """Return a failure if the access of ``incoming`` is no longer valid.
 
     A request may wait in a queue or be retried, and meanwhile its API key
     may be revoked or the local copy of the keys become too old. Returns
-    None for requests without a team and where ``fails_closed`` is unset.
+    None for requests without a team and where ``fails_closed`` is unset, and
+    for a stream that ``has_begun``: its client sent it while the key was valid.
     """
+    if has_begun:
+        return None
     if incoming.team is None or not node_state.settings.bounds.fails_closed:
         return None
     if not node_state.is_fresh():
--- a/src/arbutusbay/node/_placement.py
+++ b/src/arbutusbay/node/_placement.py
@@ -55,6 +55,11 @@
     weights_version: int | None = None
     is_certain: bool = True
 
+    @property
+    def has_begun(self) -> bool:
+        """Return whether the client received a part of the stream."""
+        return self.weights_version is not None
+
 
 @attrs.frozen(kw_only=True)
 class PlacementRequest:
@@ -91,8 +96,7 @@
         Requests without a model and resumed streams are placed immediately.
         """
         return (
-            self.incoming.is_model_request
-            and self.resume_point.weights_version is None
+            self.incoming.is_model_request and not self.resume_point.has_begun
         )
 
 
--- a/src/arbutusbay/node/_request_executor.py
+++ b/src/arbutusbay/node/_request_executor.py
@@ -314,7 +314,11 @@
         """Reserve a place for a request whose server is silent."""
         if not self._is_retryable() or not self.evidence.may_move():
             return False
-        if recheck_access(self.dependencies.node_state, self.incoming):
+        if recheck_access(
+            self.dependencies.node_state,
+            self.incoming,
+            has_begun=self.resume_point.has_begun,
+        ):
             return False
         if is_too_late_to_send(self.dependencies.node_state, self.incoming):
             return False
@@ -425,7 +429,9 @@
     def _check_may_send(self) -> Failure | None:
         """Return a failure if the request may no longer be sent."""
         refused = recheck_access(
-            self.dependencies.node_state, self.incoming
+            self.dependencies.node_state,
+            self.incoming,
+            has_begun=self.resume_point.has_begun,
         ) or self.dependencies.quarantine.refuse(self.incoming)
         if refused is not None:
             return self._downgrade_if_run(refused)
--- a/tests/integration/test_moves_beside_refusals.py
+++ b/tests/integration/test_moves_beside_refusals.py
@@ -13,10 +13,16 @@
 from tests.fleet_builders import (
     build_configuration,
     build_routes,
+    build_teams,
     start_single_node,
     wait_until_ready,
 )
-from tests.fleet_clients import count_runs, longest_overlap_s, request_service
+from tests.fleet_clients import (
+    count_runs,
+    longest_overlap_s,
+    request_service,
+    request_stream,
+)
 from tests.integration.test_silent_engines import (
     StreamOutcome,
     assert_all_whole,
@@ -255,3 +261,18 @@
     await asyncio.gather(*tasks, return_exceptions=True)
     await asyncio.sleep(_MAX_WORK_FOR_NOBODY_S)
     assert sum(engine.running for engine in engines) == 0
+
+
+# Guards against streams that can't leave a dead engine, as their key was taken
+# away: what was sent before that may go on (RULES.md, "API keys").
+async def test_stream_of_a_key_that_was_taken_away_goes_on_elsewhere(
+    fleet, http
+):
+    node = await start_engines(fleet, http)
+    tasks = await start_streams(fleet, http, node)
+    fleet.configure(build_configuration(2, tenants=build_teams(keys=())))
+    engines = fleet.engines[:_ENGINES]
+    silent = max(engines, key=lambda engine: engine.running)
+    silent.silence.begin(_POWER_LOSS_S)
+    assert_all_whole(await asyncio.gather(*tasks))
+    assert (await request_stream(http, node, 'late'))[0] == 401
