--- a/src/arbutusbay/node/_http_client.py
+++ b/src/arbutusbay/node/_http_client.py
@@ -1,12 +1,15 @@
 """Create HTTP client sessions that detect broken connections.
 
-Their connections keep what they have carried. TCP keepalive detects
+Their connections keep what they have carried. What ``ON_REQUEST_SENT`` holds
+in the context of a request is called once that was sent. TCP keepalive detects
 unreachable peers. It has no part where bytes wait for a peer that does not read
 them: a sound one may do so for long.
 """
 
 import asyncio
 import socket
+from collections.abc import Callable
+from contextvars import ContextVar
 from typing import Any
 
 import aiohttp
@@ -17,6 +20,7 @@
     open_client_session,
 )
 from arbutusbay.node._connection_history import ConnectionHistory
+from arbutusbay.platform import get_attempt_id
 from arbutusbay.single_send import disable_repetition
 
 _KEEPALIVE_IDLE_S = 2
@@ -32,6 +36,15 @@
 )
 
 
+def _ignore() -> None:
+    """Do nothing when a request was sent."""
+
+
+ON_REQUEST_SENT: ContextVar[Callable[[], None]] = ContextVar(
+    'ON_REQUEST_SENT', default=_ignore
+)
+
+
 class RecordingConnection(StrictConnection):
     """Keep what a connection has carried."""
 
@@ -52,6 +65,7 @@
         """Read the head of the response from ``connection``."""
         self.used_connection = connection.protocol
         self.used_connection.history.request_count += 1
+        ON_REQUEST_SENT.get()()
         return await super().start(connection)
 
     @property
@@ -66,6 +80,23 @@
         self.used_connection.close()
 
 
+class RecordingConnector(StrictConnector):
+    """Carry no attempt where one with its id was refused.
+
+    A second refusal there could be a copy of the first one.
+    """
+
+    async def connect(
+        self, req: aiohttp.ClientRequest, *args: Any, **options: Any
+    ) -> aiohttp.connector.Connection:
+        """Return a connection on which the id of ``req`` was not refused."""
+        attempt_id = get_attempt_id(req.headers)
+        for connection, _ in self._conns.get(req.connection_key, ()):
+            if attempt_id in connection.history.refused_ids:
+                connection.close()
+        return await super().connect(req, *args, **options)
+
+
 def _create_keepalive_socket(address_info: Any) -> socket.socket:
     """Return a TCP socket that fails soon after its peer is unreachable.
 
@@ -93,7 +124,7 @@
     Without ``reuse_connections`` each request opens its own connection, so that
     its response can't be that of another. The caller must close the session.
     """
-    connector = StrictConnector(
+    connector = RecordingConnector(
         connection_type=RecordingConnection,
         keepalive_timeout=_IDLE_TIMEOUT_S if reuse_connections else None,
         force_close=not reuse_connections,
--- a/src/arbutusbay/node/_placement.py
+++ b/src/arbutusbay/node/_placement.py
@@ -55,6 +55,11 @@
     weights_version: int | None = None
     is_certain: bool = True
 
+    @property
+    def has_begun(self) -> bool:
+        """Return whether the client received a part of the stream."""
+        return self.weights_version is not None
+
 
 @attrs.frozen(kw_only=True)
 class PlacementRequest:
@@ -75,6 +80,15 @@
             return view.id in self.allowed_servers
         return view.id not in self.excluded_servers
 
+    def without(self, server_ids: frozenset[str]) -> 'PlacementRequest':
+        """Return the request for a place at none of ``server_ids``."""
+        allowed = self.allowed_servers
+        return attrs.evolve(
+            self,
+            allowed_servers=None if allowed is None else allowed - server_ids,
+            excluded_servers=self.excluded_servers | server_ids,
+        )
+
     @property
     def can_queue(self) -> bool:
         """Return whether the request may be queued until capacity is free.
@@ -82,8 +96,7 @@
         Requests without a model and resumed streams are placed immediately.
         """
         return (
-            self.incoming.is_model_request
-            and self.resume_point.weights_version is None
+            self.incoming.is_model_request and not self.resume_point.has_begun
         )
 
 
