Show that a kept connection refuses heads that a raised limit allows

Callers on a connection in steady use got 400 for a proper head of 40 KB two seconds after a configuration had raised max_header_bytes from 16 to 64 KB. Cause: ClientProtocol.__init__ gives aiohttp's parser the limit in force at the accept; idle_timeout_s is 0 from then on, but IdleConnections closes only what two checks in a row, 0.5 s apart, find unused, and record_arrival starts that anew. The 400 is aiohttp's own (HTTP/1.0, no Attempt-Id, no line of frontend). Way to mend: build a new parser between two requests once the limit in force is larger.

--- a/emulator/fleet.py
+++ b/emulator/fleet.py
@@ -33,6 +33,7 @@
 _FIRST_VM_HOST = 10
 _FIRST_ENGINE_HOST = 100
 _WAIT_TIMEOUT_S = 15.0
+_MAX_LINE_BYTES = 262_144
 _POLL_S = 0.02
 _SOURCE_DIRECTORY = Path(__file__).resolve().parent.parent / 'src'
 
@@ -291,6 +292,8 @@
             access_log=None,
             shutdown_timeout=0.1,
             handler_cancellation=True,
+            max_line_size=_MAX_LINE_BYTES,
+            max_field_size=_MAX_LINE_BYTES,
         )
         await runner.setup()
         await web.TCPSite(runner, host, int(port)).start()
--- a/tests/kept_clients.py
+++ b/tests/kept_clients.py
@@ -67,6 +67,7 @@
     longest_pause_s: float = _LONGEST_PAUSE_S
     sent_s: float = 0.0
     is_sending: bool = False
+    is_closing: bool = False
 
     async def run(self) -> None:
         """Send until ``is_stopping``; open a connection where one is closed."""
@@ -90,7 +91,7 @@
         while not self.is_stopping:
             outcome = await self._request(reader, writer)
             self.outcomes.append(attrs.evolve(outcome, is_first=is_first))
-            if not outcome.is_whole:
+            if not outcome.is_whole or self.is_closing:
                 return
             is_first = False
             await asyncio.sleep(rng.uniform(0, self.longest_pause_s))
@@ -115,6 +116,7 @@
                 self.is_sending = False
                 head = await reader.readuntil(_HEAD_END)
                 status = int(head.split()[1])
+                self.is_closing = _announces_close(head.lower())
                 await _read_body(reader, head.lower())
         except (
             OSError,
@@ -154,6 +156,10 @@
         )
 
 
+def _announces_close(head: bytes) -> bool:
+    return head.startswith(b'http/1.0') or b'connection: close' in head
+
+
 async def _read_body(reader: asyncio.StreamReader, head: bytes) -> None:
     if b'transfer-encoding: chunked' not in head:
         length = head.partition(b'content-length:')[2].split(_LINE_END)[0]
