--- a/tests/cells_beside_changes.py
+++ b/tests/cells_beside_changes.py
@@ -52,6 +52,7 @@
 _SERVICE_S = 0.3
 _APPLY_S = 2.2
 _HANGUP_S = 0.3
+_POLL_S = 0.05
 _TERM_AFTER_S = 1.2
 _DRAINED_S = 2.4
 _LARGE_BYTES = 1_000_000
@@ -416,9 +417,11 @@
     if changes:
         troubles.append(_change(play))
     async with _running(*troubles):
-        await asyncio.sleep(0.05)
+        await asyncio.sleep(_POLL_S)
         if not requests:
             requests = [asyncio.create_task(client.run()) for client in clients]
+        while play.counts_from_s == float('inf'):
+            await asyncio.sleep(_POLL_S)
         await asyncio.sleep(duration_s)
         for client in clients:
             client.is_stopping = True
