Parse heads of a limit that rises later on connections that are kept

Cause: the parser has the limit of the moment at which the connection was accepted; such a connection is closed once it is unused, which one in steady use never is. Class: what was decided at the accept isn't looked at again.

Change: each connection parses lines of 128 KiB or the limit in force at its accept, whichever is more, so that hardly any later limit is above that; in return a head may be twice as long in all (256 lines of any length before), and a longer one gets 431.

--- a/src/arbutusbay/node/_client_protocol.py
+++ b/src/arbutusbay/node/_client_protocol.py
@@ -6,13 +6,20 @@
 
 from arbutusbay.client_ends import ClientHandler
 from arbutusbay.fleet import ClientLimits
+from arbutusbay.logs import get_logger
 from arbutusbay.node._node_state import NodeState
 
 # aiohttp closes idle connections without a look at what has arrived on them;
 # see ``IdleConnections``.
 _AIOHTTP_IDLE_TIMEOUT_S = 86_400.0
-_MIN_HEADER_LINE_BYTES = 16_384
+_MIN_HEADER_LINE_BYTES = 131_072
 _MAX_HEADERS = 256
+_MAX_HEAD_LINES_RATIO = 2
+_HEAD_TOO_LONG = (
+    b'HTTP/1.1 431 Request Header Fields Too Large\r\n'
+    b'Content-Length: 0\r\nConnection: close\r\n\r\n'
+)
+_LOG = get_logger('client')
 
 
 class ClientProtocol(ClientHandler):
@@ -23,11 +30,15 @@
     first found the connection without a request, or without one that has
     arrived; it is in seconds on the node's clock and None before such a check.
     ``unsent_bytes`` is how much of its answers the client lacked at the latest
-    check.
+    check. ``arriving_bytes`` counts what came between two requests, which is a
+    head that is not whole yet.
     """
 
     def __init__(self, server: web.Server, *, node_state: NodeState) -> None:
-        """Parse headers within the limits in force now."""
+        """Parse headers of any length that later limits are likely to allow.
+
+        The parser keeps its limit, while that of the configuration may rise.
+        """
         line_bytes = _max_header_line_bytes(node_state.client_limits)
         super().__init__(
             server,
@@ -43,6 +54,7 @@
         self.is_arriving = False
         self.unused_since_s: float | None = None
         self.unsent_bytes = 0
+        self.arriving_bytes = 0
 
     @property
     def has_request(self) -> bool:
@@ -61,10 +73,15 @@
         return limits.idle_timeout_s
 
     def data_received(self, chunk: bytes) -> None:
-        """Parse bytes of a request."""
+        """Parse bytes of a request, up to the longest head."""
         if self.takes_requests and not self.has_request:
             self.record_arrival()
+        self.arriving_bytes += len(chunk)
         super().data_received(chunk)
+        if self.has_request or self.has_queued_request:
+            self.arriving_bytes = 0
+        elif self.arriving_bytes > _MAX_HEAD_LINES_RATIO * self.max_line_size:
+            self._refuse_head()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Stop to count the connection as busy, whatever became of it."""
@@ -89,6 +106,16 @@
         self.is_arriving = False
         self.unused_since_s = None
 
+    def _refuse_head(self) -> None:
+        if not self.takes_requests or self.transport is None:
+            return
+        _LOG.info(
+            'head of a request too long',
+            fields={'received_bytes': self.arriving_bytes},
+        )
+        self.transport.write(_HEAD_TOO_LONG)
+        self.force_close()
+
 
 def _max_header_line_bytes(limits: ClientLimits) -> int:
     return max(_MIN_HEADER_LINE_BYTES, limits.max_header_bytes)
