--- a/tests/cells_beside_changes.py
+++ b/tests/cells_beside_changes.py
@@ -22,7 +22,13 @@
 import aiohttp
 import attrs
 
-from emulator.fleet import SERVERS_TOPIC, Fleet, FleetNode, running_fleet
+from emulator.fleet import (
+    SERVERS_TOPIC,
+    Fleet,
+    FleetNode,
+    running_fleet,
+    wait_for_condition,
+)
 from emulator.fleet_engine import EngineFault, FleetEngine
 from emulator.scripted_response import ScriptedResponse
 from tests.deaf_hosts import fall_deaf
@@ -56,6 +62,8 @@
 _TERM_AFTER_S = 1.2
 _DRAINED_S = 2.4
 _LARGE_BYTES = 1_000_000
+_MAX_BODY_BYTES = 4_194_304
+_IDLE_MS = 1500
 _MEMORY = '\n[limits]\nmemory_mb = 136\n'
 _LIMITS = build_configuration()['limits']
 _FATAL_PREFIX = 'aa01:400,dd04:300,ee01:200'
@@ -65,8 +73,9 @@
 class Play:
     """Hold the fleet, the clients and what a cell varies while it is played.
 
-    ``head_bytes`` is how much clients add to their heads, ``counts_from_s`` the
-    moment of ``time.time`` from which requests count.
+    ``head_bytes`` is how much clients add to their heads, ``body_bytes`` how
+    long large bodies are, ``counts_from_s`` the moment of ``time.time`` from
+    which requests count.
     """
 
     fleet: Fleet
@@ -75,6 +84,7 @@
     rng: random.Random
     fixed_limits: dict = attrs.field(factory=lambda: dict(_LIMITS))
     head_bytes: int = 0
+    body_bytes: int = _LARGE_BYTES
     counts_from_s: float = 0.0
     change_from_s: float = _CHANGE_FROM_S
     change_to_s: float = _CHANGE_TO_S
@@ -285,11 +295,18 @@
         for engine in sound:
             while len(engine.scripted_responses) < 10:
                 engine.scripted_responses.append(
-                    ScriptedResponse(body=b'x' * _LARGE_BYTES)
+                    ScriptedResponse(body=b'x' * play.body_bytes)
                 )
         await asyncio.sleep(0.1)
 
 
+async def _lower_idle_timeout(play: Play) -> None:
+    """Lower and raise the idle timeout, never below what clients use."""
+    for timeout_ms in itertools.cycle((_IDLE_MS, 15_000)):
+        play.fixed_limits['idle_timeout_ms'] = timeout_ms
+        await asyncio.sleep(play.rng.uniform(0.5, 1.5))
+
+
 async def _nothing(play: Play) -> None:
     """Let the configuration change only."""
 
@@ -310,14 +327,24 @@
         'heads': _raise_head_limits,
         'crash': _crash_on_prompts,
         'memory': _fill_memory,
+        'memory-4': _fill_memory,
+        'idle': _lower_idle_timeout,
     }
 )
+_BODY_BYTES_BY_CELL = MappingProxyType(
+    {'memory': _LARGE_BYTES, 'memory-4': _MAX_BODY_BYTES}
+)
 _COLD_CELLS = frozenset(('deaf-cold',))
 
 
 async def _hang_up(play: Play) -> None:
+    """Send SIGHUP to one VM while it is ready.
+
+    A process that starts ends at it, see ``test_hangup_at_start``.
+    """
     while True:
-        play.nodes[0].process.send_signal(signal.SIGHUP)
+        if await play.nodes[0].is_ready(play.http):
+            play.nodes[0].process.send_signal(signal.SIGHUP)
         await asyncio.sleep(_HANGUP_S)
 
 
@@ -359,7 +386,11 @@
 
 
 def _build_clients(play: Play, cell: str) -> list[KeptClient]:
-    body = {'body': b'x' * _LARGE_BYTES} if cell == 'memory' else {}
+    changes = {}
+    if cell in _BODY_BYTES_BY_CELL:
+        changes['body'] = b'x' * play.body_bytes
+    if cell == 'idle':
+        changes['longest_pause_s'] = 0.8 * _IDLE_MS / 1000
     return [
         KeptClient(
             name=f'{node.name}{path.replace("/", "-")}-{number}',
@@ -369,7 +400,7 @@
             build_extra_headers=functools.partial(
                 _build_extra_headers, play, cell, number
             ),
-            **body,
+            **changes,
         )
         for node, path, number in itertools.product(
             play.nodes, LIMITS_BY_PATH, range(_CLIENTS_A_PATH)
@@ -384,8 +415,10 @@
     for engine in fleet.engines[3:]:
         engine.options.service_s = _SERVICE_S
     play = Play(fleet=fleet, nodes=nodes, http=http, rng=rng)
-    if cell == 'memory':
-        play.fixed_limits['max_body_bytes'] = 4 * _LARGE_BYTES
+    body_bytes = _BODY_BYTES_BY_CELL.get(cell)
+    if body_bytes is not None:
+        play.body_bytes = body_bytes
+        play.fixed_limits['max_body_bytes'] = _MAX_BODY_BYTES
         play.configure()
         for node in nodes:
             await node.stop(signal.SIGKILL)
@@ -420,8 +453,9 @@
         await asyncio.sleep(_POLL_S)
         if not requests:
             requests = [asyncio.create_task(client.run()) for client in clients]
-        while play.counts_from_s == float('inf'):
-            await asyncio.sleep(_POLL_S)
+        await wait_for_condition(
+            lambda: play.counts_from_s < float('inf'), 'requests count'
+        )
         await asyncio.sleep(duration_s)
         for client in clients:
             client.is_stopping = True
