Look for a place again after all engines asked for a pause

What callers saw: a stream that its engine had broken off was cut at once where all other engines refused with Retry-After, though they take requests again less than half a second later.

Cause: "all backend servers asked for a pause" was the end also of a request that may have run and can't be refused any more.

Change: such a request looks again until its deadline; no engine is asked within its pause. A move that is dropped after its refusal, before that was read, does not count as a possible run.

--- a/src/arbutusbay/node/_mover.py
+++ b/src/arbutusbay/node/_mover.py
@@ -67,9 +67,10 @@
         pending = self.replacement.pending
         if pending is None:
             return
+        may_have_run = pending.may_have_run
         self.replacement.release()
         self._log('move dropped', monitored, pending.placement)
-        if pending.is_sent:
+        if may_have_run:
             self.attempt_history.record_attempt(
                 pending.placement.view.id,
                 AttemptFailure(
--- a/src/arbutusbay/node/_pending_attempt.py
+++ b/src/arbutusbay/node/_pending_attempt.py
@@ -40,6 +40,16 @@
         self.task = asyncio.create_task(self._send(sending))
         self.task.add_done_callback(self._handle_end)
 
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether the server may have begun to work on the request."""
+        if not self.opened.done():
+            return self.is_sent
+        match self.opened.result():
+            case Err(failure):
+                return failure.may_have_run
+        return True
+
     async def find_refusal(
         self, may_continue_with: Callable[[OpenResponse], bool]
     ) -> AttemptFailure | None:
--- a/src/arbutusbay/node/_request_executor.py
+++ b/src/arbutusbay/node/_request_executor.py
@@ -293,7 +293,10 @@
 
     def _may_look_again(self, failure: Failure) -> bool:
         """Return whether a server may be found later that isn't there now."""
-        return self._is_owed() and failure.kind is ErrorKind.NO_BACKEND_SERVER
+        return self._is_owed() and failure.kind in {
+            ErrorKind.NO_BACKEND_SERVER,
+            ErrorKind.OVERLOADED,
+        }
 
     def _is_retryable(self) -> bool:
         return self.incoming.is_retryable and self.resume_point.is_certain
--- a/tests/integration/test_moves_beside_refusals.py
+++ b/tests/integration/test_moves_beside_refusals.py
@@ -276,3 +276,25 @@
     silent.silence.begin(_POWER_LOSS_S)
     assert_all_whole(await asyncio.gather(*tasks))
     assert (await request_stream(http, node, 'late'))[0] == 401
+
+
+# Guards against streams that are cut after six refusals within milliseconds, or
+# as all engines ask for a pause, though their engine broke off a moment ago.
+@pytest.mark.parametrize('pause_s', [None, 0.4])
+@pytest.mark.parametrize('way', _REFUSALS)
+async def test_refusals_cut_no_stream_that_its_engine_broke_off(
+    fleet, http, way, pause_s
+):
+    node = await start_engines(fleet, http)
+    tasks = await start_streams(fleet, http, node)
+    engines = fleet.engines[:_ENGINES]
+    for engine in engines:
+        engine.requested_pause_s = pause_s
+    refusal = asyncio.create_task(refuse_for(engines, way, 2 * _LONGER_S))
+    await asyncio.sleep(0)
+    broken = max(engines, key=lambda engine: engine.running)
+    for transport in broken.connections.transports:
+        transport.abort()
+    assert_all_whole(await asyncio.gather(*tasks))
+    assert_within_bounds(fleet)
+    await refusal
--- a/tests/unit/test_pending_attempt.py
+++ b/tests/unit/test_pending_attempt.py
@@ -70,7 +70,9 @@
 )
 async def test_response_decides(opened, is_fit, expected):
     pending = start(FakeServer(opened))
+    assert not pending.may_have_run
     failure = await pending.find_refusal(lambda answer: is_fit)
+    assert pending.may_have_run is opened.is_ok()
     assert (failure and failure.outcome) is expected
     pending.close()
 
