Take only the head of a response for the acceptance of a move

Change: a server has accepted once the head of its response is here. A dropped move counts as a run only if its head had come. A call whose head is here is not moved before as much time again. An attempt that has ended isn't aborted by a late acceptance, and a stream that has come to its end is kept.

test_server_that_does_not_refuse_soon_has_accepted asked for the old rule (0.25 s); it is replaced by two: without a head nothing has accepted, within the gap after which clients leave; with one it has, and counts as begun.

--- a/src/arbutusbay/node/_monitored_attempt.py
+++ b/src/arbutusbay/node/_monitored_attempt.py
@@ -49,8 +49,8 @@
     server has accepted; only then is it aborted for a silence. From
     ``move_due_s`` on a move is tried whatever was received. An attempt without
     an event by ``start_by_s`` is withdrawn in any case. While ``is_relaying``
-    the client is awaited, not the engine. Times are in seconds on the clock of
-    ``now_s``.
+    the client is awaited, not the engine. ``has_ended`` is set once nothing
+    waits for it any more. Times are in seconds on the clock of ``now_s``.
     """
 
     attempt: Attempt
@@ -66,6 +66,7 @@
     is_withdrawn: bool = False
     is_moving: bool = False
     is_moved: bool = False
+    has_ended: bool = False
     move_timer: asyncio.TimerHandle | None = None
     next_move_s: float = 0.0
 
@@ -77,9 +78,12 @@
     def accept_move(self, server_id: str) -> None:
         """Abort the attempt, as the server with ``server_id`` goes on.
 
-        What is being passed on goes out whole before that.
+        What is being passed on goes out whole before that. An attempt that has
+        ended, or is being aborted, is left as it is.
         """
         self.is_moving = False
+        if self.has_ended or self.is_ending or self.abort_timeout.expired():
+            return
         self.is_moved = True
         fields = {
             'to': server_id,
@@ -90,6 +94,23 @@
         else:
             abort(self, 'move accepted', **fields)
 
+    def keep(self) -> bool:
+        """Take back that the attempt is moved; return whether that is possible.
+
+        Its response has come to its end in the meantime.
+        """
+        if not self.is_moved:
+            return True
+        if self.abort_timeout.expired():
+            return False
+        self.abort_timeout.reschedule(None)
+        self.is_moved = False
+        return True
+
+    def postpone_move(self, due_s: float) -> None:
+        """Take the response that has begun for alive until ``due_s``."""
+        self.move_due_s = due_s
+
     def record_event(self, moment_s: float) -> None:
         """Record that an event was received and passed on."""
         self.last_event_s = moment_s
--- a/src/arbutusbay/node/_mover.py
+++ b/src/arbutusbay/node/_mover.py
@@ -38,7 +38,8 @@
     """Move one request to the place that its ``replacement`` has reserved.
 
     ``may_continue_with`` returns whether a response may be passed on behind
-    what the client has received already.
+    what the client has received already. ``headless_servers`` holds the ids of
+    the servers that began no response in time.
     """
 
     request_id: str
@@ -48,6 +49,7 @@
     feedback: ServerFeedback
     open_attempt: Callable[[Placement], AbstractAsyncContextManager[Opened]]
     may_continue_with: Callable[[OpenResponse], bool] = _is_no_server_error
+    headless_servers: frozenset[str] = frozenset()
 
     def begin(self, monitored: MonitoredAttempt) -> None:
         """Send the request to the reserved place as well."""
@@ -59,18 +61,15 @@
     def drop(self, monitored: MonitoredAttempt) -> None:
         """Give up a move, as the server of ``monitored`` goes on.
 
-        The other server may have begun to work on the request.
+        It counts as a run only if the other server has begun.
         """
-        if not monitored.is_moving:
-            return
         monitored.is_moving = False
         pending = self.replacement.pending
         if pending is None:
             return
-        may_have_run = pending.may_have_run
         self.replacement.release()
         self._log('move dropped', monitored, pending.placement)
-        if may_have_run:
+        if pending.may_have_run:
             self.attempt_history.record_attempt(
                 pending.placement.view.id,
                 AttemptFailure(
@@ -111,7 +110,9 @@
         """
         self._log('move refused', monitored, placement, failure.detail)
         self.feedback.record_failed_attempt(placement, failure)
-        if failure.may_have_run:
+        if failure.outcome is AttemptOutcome.WITHDRAWN:
+            self.headless_servers |= {placement.view.id}
+        elif failure.may_have_run:
             self.attempt_history.record_attempt(placement.view.id, failure)
         await self.evidence.has_engine_ended(placement.view, failure)
 
--- a/src/arbutusbay/node/_pending_attempt.py
+++ b/src/arbutusbay/node/_pending_attempt.py
@@ -11,10 +11,16 @@
 from arbutusbay.node._placement import Placement
 from arbutusbay.scheduling import AttemptOutcome
 
-_MAX_OVERLAP_S = 0.25
+_MAX_HEADLESS_S = 1.0
 
 Opened = Result[OpenResponse, AttemptFailure]
 
+_HEADLESS = AttemptFailure(
+    outcome=AttemptOutcome.WITHDRAWN,
+    detail='no response to a move in time',
+    is_ended_here=True,
+)
+
 
 class PendingAttempt:
     """Hold an attempt that is sent, and that nothing has taken over yet.
@@ -31,7 +37,6 @@
     ) -> None:
         """Send the attempt at ``placement`` by entering ``sending``."""
         self.placement = placement
-        self.is_sent = False
         self.opened: asyncio.Future[Opened] = (
             asyncio.get_running_loop().create_future()
         )
@@ -42,9 +47,12 @@
 
     @property
     def may_have_run(self) -> bool:
-        """Return whether the server may have begun to work on the request."""
+        """Return whether the server may have begun to work on the request.
+
+        A server begins with the first part of its response.
+        """
         if not self.opened.done():
-            return self.is_sent
+            return False
         match self.opened.result():
             case Err(failure):
                 return failure.may_have_run
@@ -55,13 +63,13 @@
     ) -> AttemptFailure | None:
         """Return why the server does not go on, None once it has accepted.
 
-        A server refuses at once, but its response may begin late. One that has
-        the request for nearly as long as two servers may work on it, and has
-        not refused it, counts as having accepted. Raises what the sending did.
+        Only the head of its response shows that. A server that has the request
+        for too long without one may be silent as well. Raises what the sending
+        did.
         """
         await self.is_decided.wait()
         if not self.opened.done():
-            return None
+            return _HEADLESS
         match self.opened.result():
             case Ok(answer) if may_continue_with(answer):
                 return None
@@ -92,9 +100,8 @@
             await self.has_ended.wait()
 
     def _record_sent(self) -> None:
-        self.is_sent = True
         asyncio.get_running_loop().call_later(
-            _MAX_OVERLAP_S, self.is_decided.set
+            _MAX_HEADLESS_S, self.is_decided.set
         )
 
     def _handle_end(self, task: asyncio.Task[None]) -> None:
--- a/src/arbutusbay/node/_request_executor.py
+++ b/src/arbutusbay/node/_request_executor.py
@@ -337,11 +337,15 @@
         if action is RetryAction.RETURN_FAILURE:
             return False
         left_servers = frozenset((server_id,))
+        request = self._build_placement_request(history).without(
+            left_servers if silence.is_long else silence.quiet_servers
+        )
+        must_be_better = not silence.is_long
         return self.replacement.try_reserve(
-            self._build_placement_request(history).without(
-                left_servers if silence.is_long else silence.quiet_servers
-            ),
-            must_be_better=not silence.is_long,
+            request.without(self.mover.headless_servers),
+            must_be_better=must_be_better,
+        ) or self.replacement.try_reserve(
+            request, must_be_better=must_be_better
         )
 
     async def _find_place(self) -> Result[Placement, Failure]:
@@ -404,7 +408,7 @@
         monitored = None
         try:
             async with self.monitor_attempt(placement) as monitored:
-                fetched = await self._fetch_response(placement)
+                fetched = await self._fetch_response(placement, monitored)
         except TimeoutError:
             return aborted_attempt_failure(monitored)
         if isinstance(fetched, Ok):
@@ -421,13 +425,18 @@
     async def _fetch_response(
         self,
         placement: Placement,
+        monitored: MonitoredAttempt,
     ) -> Result[BufferedResponse, AttemptFailure]:
         async with self.send_attempt(placement) as opened:
             match opened:
                 case Err() as failed:
                     return failed
                 case Ok(answer):
-                    return await answer.read_response()
+                    pass
+            # Its body arrives; it is not left for one that has not begun.
+            self.mover.drop(monitored)
+            monitored.postpone_move(now_s() + move_after_s(self.incoming))
+            return await answer.read_response()
 
     def _check_may_send(self) -> Failure | None:
         """Return a failure if the request may no longer be sent."""
--- a/src/arbutusbay/node/_stall_detector.py
+++ b/src/arbutusbay/node/_stall_detector.py
@@ -55,6 +55,7 @@
 
     def stop_monitoring(self, monitored: MonitoredAttempt) -> None:
         """Stop monitoring an attempt."""
+        monitored.has_ended = True
         self.monitored.discard(monitored)
         if monitored.move_timer is not None:
             monitored.move_timer.cancel()
--- a/src/arbutusbay/node/_stream_relay.py
+++ b/src/arbutusbay/node/_stream_relay.py
@@ -201,8 +201,19 @@
             if not event.is_comment:
                 self._record_event(monitored, progress)
             await self._send_event(monitored, answer, event)
+        return await self._end_events(monitored, answer, progress)
+
+    async def _end_events(
+        self,
+        monitored: MonitoredAttempt,
+        answer: OpenResponse,
+        progress: StreamProgress,
+    ) -> Result[StreamCompleted, AttemptFailure]:
+        """End the stream to the client behind the last event."""
         if progress.started_s is None and answer.is_close_delimited:
             return _stream_failure(_EMPTY_STREAM, progress, answer)
+        if not monitored.keep():
+            return aborted_attempt_failure(monitored)
         self.executor.dependencies.feedback.record_success(
             monitored.view,
             self.executor.incoming.route,
