--- a/tests/unit/test_platform_decoders.py
+++ b/tests/unit/test_platform_decoders.py
@@ -171,6 +171,8 @@
         revocation_ms=5000,
         version_ms=8000,
         grace_s=8,
+        retry_ratio=0.2,
+        retry_slack=60,
         store='127.0.0.1:4',
     )
     path.write_text(text or settings_text)
