Leave a silent engine of our own interface only once another has accepted

What callers saw: completions of a silent engine failed within milliseconds of the move to another one, as that one refused, though their engine went on later.

Cause: the attempt was ended as soon as our own view had a place elsewhere. What the other engine answered came afterwards, and was counted in attempts, not in the time that the completion had.

Change: the attempt stays open and is read while another engine is asked beside it (`_pending_move.py`). Once that one has accepted, with the same weights and within 0.15 s, the first is closed and nothing more of it is relayed; the other resumes behind the last relayed piece. An event of the first drops the request to the other at once. A refusal costs time: the engine is not asked again for 0.1 s, up to 0.8 s, another one may be after 0.05 s. An engine that has not accepted lately is asked for one completion at a time, else eight, so that refusals don't use up the budget; each request without output still takes its token. A refusal after a broken attempt that may have run is no attempt either; the next follows after 0.1 s until the time of the completion is over. A refusal with another identity (409) is an event of its own, so that it passes for no acceptance.

The test of no connection now waits until the engines that it began again answer, before it asks them for their runs, and those of 503 and 409 also check that each completion ran once.

--- a/src/arbutusbay/backend/_engine_client.py
+++ b/src/arbutusbay/backend/_engine_client.py
@@ -24,6 +24,7 @@
 from arbutusbay.backend._engine_messages import (
     CacheEventPage,
     EngineIdentity,
+    EngineMismatch,
     GenerationEnd,
     GenerationEvent,
     GenerationRequest,
@@ -163,9 +164,9 @@
 ) -> AsyncIterator[Result[GenerationEvent, Failure]]:
     body = await read_body(response, _MAX_BODY_BYTES)
     if response.status == _IDENTITY_MISMATCH_STATUS:
-        identity = body.and_then(_decode_identity)
-        if isinstance(identity, Ok):
-            yield identity
+        match body.and_then(_decode_identity):
+            case Ok(identity):
+                yield Ok(EngineMismatch(identity=identity))
     yield refusal_error(response.status)
 
 
--- a/src/arbutusbay/backend/_engine_messages.py
+++ b/src/arbutusbay/backend/_engine_messages.py
@@ -57,6 +57,13 @@
     weights_version: str
 
 
+@attrs.frozen(kw_only=True)
+class EngineMismatch:
+    """Report that an engine refused because of its identity."""
+
+    identity: EngineIdentity
+
+
 @attrs.frozen(kw_only=True)
 class TextPiece:
     """Carry one piece of generated text and its index in the response."""
@@ -77,7 +84,13 @@
     finish_reason: str
 
 
-GenerationEvent = EngineIdentity | GenerationStart | TextPiece | GenerationEnd
+GenerationEvent = (
+    EngineIdentity
+    | EngineMismatch
+    | GenerationStart
+    | TextPiece
+    | GenerationEnd
+)
 
 
 @attrs.frozen(kw_only=True)
--- a/src/arbutusbay/policy/_engine_state.py
+++ b/src/arbutusbay/policy/_engine_state.py
@@ -1,5 +1,6 @@
 """Track one engine's state as seen by one router."""
 
+import math
 import time
 from collections import OrderedDict
 from collections.abc import Iterable, Sequence
@@ -15,6 +16,10 @@
 _INITIAL_BACKOFF_S = 1.0
 _MAX_BACKOFF_S = 8.0
 _MAX_DOUBLINGS = 8
+_ACCEPTS_FOR_S = 1.0
+_MAX_ASKED = 8
+_INITIAL_REFUSAL_PAUSE_S = 0.1
+_MAX_REFUSAL_PAUSE_S = 0.8
 _SLOW_FACTOR_HALF_LIFE_S = 3.0
 _QUIET_AFTER_S = 0.5
 _HUNG_AFTER_S = 10.0
@@ -57,8 +62,11 @@
     ``reported_at_s`` is when the engine reported its load, and
     ``recent_blocks`` maps prompt block hashes to the time they were last sent,
     both in seconds on the clock of ``now_s``. ``piece_s`` is a low quantile of
-    the seconds between two pieces of a stream. ``piece_seen_at_s`` and
-    ``backoff_until_s`` are in seconds on the monotonic clock.
+    the seconds between two pieces of a stream. ``asked`` holds the attempts
+    that are open elsewhere as well until the engine accepts, and
+    ``accepted_at_s`` is when it last did. ``piece_seen_at_s``,
+    ``backoff_until_s``, ``refuses_until_s`` and ``accepted_at_s`` are in
+    seconds on the monotonic clock.
     """
 
     name: str
@@ -80,6 +88,10 @@
     piece_s: float = 0.0
     piece_seen_at_s: float = 0.0
     consecutive_failures: int = 0
+    consecutive_refusals: int = 0
+    refuses_until_s: float = 0.0
+    accepted_at_s: float = -math.inf
+    asked: set[str] = attrs.field(factory=set)
     backoff_until_s: float = 0.0
 
     def is_usable(self) -> bool:
@@ -93,15 +105,25 @@
     def is_dependable(self, moment_s: float) -> bool:
         """Return whether nothing speaks against the engine.
 
-        Its weights are known, it did not fail lately, and the streams of this
-        router there go on.
+        Its weights are known, it neither failed nor refused to go on with a
+        completion lately, and the streams of this router there go on.
         """
         return (
             bool(self.weights_version)
             and not self.is_in_backoff(moment_s)
+            and moment_s >= self.refuses_until_s
             and not self.is_quiet(moment_s)
         )
 
+    def may_be_asked(self, moment_s: float) -> bool:
+        """Return whether the engine may be asked to go on with a completion.
+
+        One at a time until it has accepted: all would cost a token each.
+        """
+        if moment_s - self.accepted_at_s < _ACCEPTS_FOR_S:
+            return len(self.asked) < _MAX_ASKED
+        return not self.asked
+
     def is_quiet(self, moment_s: float) -> bool:
         """Return whether streams are under way and none had an event lately."""
         has_streams = False
@@ -215,6 +237,27 @@
             _MAX_BACKOFF_S,
         )
 
+    def record_refusal(self) -> None:
+        """Record that the engine did not go on with a completion of another.
+
+        It is not asked for a while, which is longer if refusals repeat. Those
+        that were under way together count as one.
+        """
+        if time.monotonic() < self.refuses_until_s:
+            return
+        doublings = min(self.consecutive_refusals, _MAX_DOUBLINGS)
+        self.consecutive_refusals += 1
+        self.refuses_until_s = time.monotonic() + min(
+            _INITIAL_REFUSAL_PAUSE_S * 2**doublings, _MAX_REFUSAL_PAUSE_S
+        )
+
+    def record_acceptance(self, attempt: str) -> None:
+        """Record that the engine goes on with a completion of another."""
+        self.asked.discard(attempt)
+        self.accepted_at_s = time.monotonic()
+        self.consecutive_refusals = 0
+        self.refuses_until_s = 0.0
+
     def record_success(self) -> None:
         """Reset the failure count and end the backoff."""
         self.consecutive_failures = 0
--- a/src/arbutusbay/router/_dispatcher.py
+++ b/src/arbutusbay/router/_dispatcher.py
@@ -125,10 +125,11 @@
     ) -> QueuedJob:
         """Look for a place for a job that runs at a silent engine.
 
-        The job goes on there. It comes before the queued ones. The future in
-        its data is done once a place is reserved and its token withdrawn, never
-        unless it ``may_move``. The caller must pass the result to
-        ``withdraw_move``.
+        The job goes on there. It comes before the queued ones, but an engine is
+        asked to accept few at a time. The future in its data is done once a
+        place is reserved and its token withdrawn, never unless it ``may_move``.
+        The caller must pass the result to ``withdraw_move``, unless that future
+        is done.
         """
         moving = _new_queued_job(job, context)
         if not may_move:
@@ -161,6 +162,7 @@
         engine = placement.engine
         engine.in_flight.pop(placement.attempt, None)
         pool = self.shared_state.pool_state(engine.pool)
+        engine.asked.discard(placement.attempt)
         if service_s is not None:
             pool.service_s += _SERVICE_TIME_SMOOTHING * (
                 service_s - pool.service_s
@@ -328,7 +330,7 @@
             has_output=has_output
         ):
             return False
-        self._assign(moving, choice)
+        choice.engine.asked.add(self._assign(moving, choice))
         return True
 
     def _assign_next(self, pool: PoolState) -> bool:
@@ -351,7 +353,7 @@
             self.shared_state.rng,
         )
 
-    def _assign(self, waiting: QueuedJob, choice: EngineChoice) -> None:
+    def _assign(self, waiting: QueuedJob, choice: EngineChoice) -> str:
         job = waiting.job
         attempt = uuid.uuid4().hex
         choice.engine.in_flight[attempt] = InFlightAttempt(
@@ -368,6 +370,7 @@
                 placed_at_s=time.monotonic(),
             ),
         )
+        return attempt
 
     def _retry_later(self, pool_name: str) -> None:
         if pool_name in self.retry_timers:
@@ -410,6 +413,7 @@
         if engine.name not in context.excluded
         and has_capacity(job, view, engine)
         and engine.is_dependable(view.now_s)
+        and engine.may_be_asked(view.now_s)
     ]
     return attrs.evolve(view, engines=engines)
 
--- a/src/arbutusbay/router/_event_reader.py
+++ b/src/arbutusbay/router/_event_reader.py
@@ -60,6 +60,10 @@
         )
         return awaited.done()
 
+    def peek(self) -> EngineEvent | None:
+        """Return the event that has come, which ``take`` returns as well."""
+        return self._start_reading().result()
+
     def take(self) -> EngineEvent | None:
         """Return the event that has come, None at the end of the events."""
         event = self._start_reading().result()
--- a/src/arbutusbay/router/_generation_run.py
+++ b/src/arbutusbay/router/_generation_run.py
@@ -1,30 +1,27 @@
 """Run one completion: choose an engine, relay its stream, retry and resume."""
 
+import asyncio
 import time
 from collections.abc import AsyncIterator
 from contextlib import aclosing
-from urllib.parse import urlsplit
 
 import attrs
 from result import Err, Ok, Result
 
 from arbutusbay.backend import (
-    EngineClient,
-    EngineIdentity,
     GenerationEnd,
-    GenerationEvent,
-    GenerationRequest,
-    GenerationStart,
-    Priority,
     TextPiece,
 )
 from arbutusbay.clock import now_s
-from arbutusbay.engine_ends import EngineProcess
 from arbutusbay.errors import ErrorKind, Failure, RunState
-from arbutusbay.policy import EngineState
-from arbutusbay.router._attempt_monitor import AttemptMonitor
+from arbutusbay.router._attempt import (
+    Attempt,
+    AttemptOpener,
+    engine_process_of,
+)
 from arbutusbay.router._dispatcher import Dispatcher, Placement
-from arbutusbay.router._event_reader import EngineEvent, EventReader
+from arbutusbay.router._event_reader import EngineEvent
+from arbutusbay.router._event_recorder import EventRecorder
 from arbutusbay.router._metrics import RouterMetrics
 from arbutusbay.router._prompt_quarantine import refuse_job, segment_keys_of
 from arbutusbay.router._run_progress import (
@@ -33,17 +30,16 @@
     StopReason,
     first_piece_time_left_s,
     next_piece_deadline_s,
+    time_left_s,
 )
 from arbutusbay.router._shared_state import RouterState
 from arbutusbay.router._silence_handler import (
     SilenceHandler,
-    log_failed_attempt,
     log_stop,
 )
 from arbutusbay.router._stop_decision import refuse_job_for_stop
-from arbutusbay.state import Urgency
 
-_DEFAULT_PORT = 80
+_REFUSAL_PAUSE_S = 0.1
 
 RelayEvent = Result[TextPiece | GenerationEnd, Failure]
 
@@ -64,12 +60,25 @@
         self.shared_state = shared_state
         self.dispatcher = dispatcher
         self.metrics = metrics
-        self.session = session
         self.request = request
         self.progress = RunProgress()
+        self.opener = AttemptOpener(
+            shared_state=shared_state,
+            dispatcher=dispatcher,
+            session=session,
+            request=request,
+            progress=self.progress,
+        )
+        self.event_recorder = EventRecorder(
+            shared_state=shared_state,
+            metrics=metrics,
+            request=request,
+            progress=self.progress,
+        )
         self.silence_handler = SilenceHandler(
             shared_state=shared_state,
             dispatcher=dispatcher,
+            opener=self.opener,
             request=request,
             progress=self.progress,
         )
@@ -80,14 +89,6 @@
         After the first piece, any failure is reported as ``STREAM_BROKEN``.
         Before it, a broken stream is reported as ``OUTCOME_UNKNOWN``.
         """
-        try:
-            async with aclosing(self._relay_attempts()) as events:
-                async for event in events:
-                    yield event
-        finally:
-            self.silence_handler.release_reserved()
-
-    async def _relay_attempts(self) -> AsyncIterator[RelayEvent]:
         progress = self.progress
         while True:
             match await self._place():
@@ -97,13 +98,12 @@
                 case Ok(placement):
                     pass
             self._count_attempt()
-            async with aclosing(self._run_attempt(placement)) as events:
+            async with aclosing(self._relay_attempt(placement)) as events:
                 async for event in events:
                     yield event
             if progress.finished:
                 return
-            is_moved = self.silence_handler.reserved is not None
-            if not is_moved and not await self._may_retry(placement):
+            if not await self._may_retry():
                 yield Err(self._reported_failure(progress.last_failure))
                 return
 
@@ -121,8 +121,7 @@
         refused = self._refuse()
         if refused is not None:
             return Err(refused)
-        reserved = self.silence_handler.take_reserved()
-        placed = Ok(reserved) if reserved else await self._place_in_queue()
+        placed = await self._place_in_queue()
         refused = self._refuse()
         match placed:
             case Ok(placement) if refused is not None:
@@ -134,7 +133,7 @@
         """Return a failure if the request must not be sent now."""
         job = self.request.job
         return refuse_job(self.shared_state, job) or refuse_job_for_stop(
-            self.shared_state, job, may_have_run=bool(self.progress.excluded)
+            self.shared_state, job, may_have_run=self.progress.may_have_run
         )
 
     async def _place_in_queue(self) -> Result[Placement, Failure]:
@@ -147,120 +146,63 @@
         job = attrs.evolve(self.request.job, deadline_s=deadline_s)
         return await self.dispatcher.place(job, context)
 
-    async def _run_attempt(
+    async def _relay_attempt(
         self, placement: Placement
     ) -> AsyncIterator[RelayEvent]:
-        service_s = None
+        """Relay an attempt, and those at engines that it is moved to."""
+        self.attempt = self.opener.open(placement)
         try:
-            async with aclosing(self._relay_attempt(placement)) as events:
-                async for event in events:
+            event = await self._next_event()
+            while event is not None:
+                self.event_recorder.record(event, self.attempt)
+                if isinstance(event.ok(), TextPiece | GenerationEnd):
                     yield event
-            if self.progress.finished:
-                service_s = time.monotonic() - placement.placed_at_s
+                event = await self._next_event()
         finally:
-            self.dispatcher.release(placement, service_s=service_s)
+            await self.attempt.aclose(service_s=self._service_s())
 
-    async def _relay_attempt(
-        self,
-        placement: Placement,
-    ) -> AsyncIterator[RelayEvent]:
-        client = EngineClient(session=self.session, url=placement.engine.url)
-        monitor = AttemptMonitor(
-            shared_state=self.shared_state,
-            placement=placement,
-            job=self.request.job,
-        )
-        reader = EventReader(
-            events=client.generate(
-                _build_generation(self.request, self.progress, placement)
-            )
-        )
-        async with aclosing(reader):
-            while True:
-                event = await self._next_event(reader, monitor)
-                if event is None:
-                    return
-                self._process_event(event, placement, monitor)
-                if isinstance(event.ok(), TextPiece | GenerationEnd):
-                    yield event
+    async def _go_on_with(self, accepted: Attempt) -> None:
+        left = self.attempt
+        self.attempt = accepted
+        self._count_attempt()
+        await left.aclose()
 
-    async def _next_event(
-        self, reader: EventReader, monitor: AttemptMonitor
-    ) -> EngineEvent | None:
+    def _service_s(self) -> float | None:
+        if not self.progress.finished:
+            return None
+        return time.monotonic() - self.attempt.placement.placed_at_s
+
+    async def _next_event(self) -> EngineEvent | None:
         """Return the next event; None after the last or if there is no more.
 
+        It comes from the engine that has accepted the completion last.
+        """
+        event = await self._read_event()
+        while isinstance(event, Attempt):
+            await self._go_on_with(event)
+            event = await self._read_event()
+        return event
+
+    async def _read_event(self) -> EngineEvent | Attempt | None:
+        """Return the next event of the attempt, or the one that replaces it.
+
         Silence alone ends nothing: the attempt goes on until another engine has
-        a place for it, or its time is over.
+        accepted the completion, or its time is over.
         """
+        attempt = self.attempt
+        monitor = attempt.monitor
         monitor.start_waiting()
         limit_s = first_piece_time_left_s(self.request.job, self.progress)
-        if await reader.wait(min(limit_s, monitor.max_silence_s())):
-            event = reader.take()
+        if await attempt.reader.wait(min(limit_s, monitor.max_silence_s())):
+            event = attempt.reader.take()
         elif limit_s < monitor.max_silence_s():
-            self.silence_handler.give_up(monitor.placement)
+            self.silence_handler.give_up(attempt.placement)
             event = None
         else:
-            event = await self.silence_handler.outlast(
-                reader, monitor.placement
-            )
+            event = await self.silence_handler.outlast(attempt)
         monitor.stop_waiting()
         return event
 
-    def _process_event(
-        self,
-        event: Result[GenerationEvent, Failure],
-        placement: Placement,
-        monitor: AttemptMonitor,
-    ) -> None:
-        match event:
-            case Ok(EngineIdentity() as identity):
-                monitor.update_identity(identity)
-            case Ok(GenerationStart() as start):
-                self._record_start(start)
-            case Ok(TextPiece()):
-                monitor.record_piece()
-                self._record_piece(placement)
-            case Ok(GenerationEnd()):
-                self.progress.finished = True
-                placement.engine.record_success()
-                self._record_sound_response()
-            case Err(failure):
-                self._record_failure(placement, failure)
-
-    def _record_sound_response(self) -> None:
-        self.shared_state.quarantine.record_answer(
-            segment_keys_of(self.request.job),
-            request_id=self.request.job.id,
-            started_s=self.progress.first_piece_s or now_s(),
-            now_s=now_s(),
-        )
-
-    def _record_piece(self, placement: Placement) -> None:
-        progress = self.progress
-        if progress.first_piece_s is None:
-            progress.first_piece_s = now_s()
-        progress.last_piece_at_s = time.monotonic()
-        progress.relayed_pieces += 1
-        progress.unproductive_attempts = 0
-        progress.weights_version = placement.engine.weights_version
-
-    def _record_start(self, start: GenerationStart) -> None:
-        progress = self.progress
-        progress.has_started = True
-        if progress.attempts == 1:
-            progress.prompt_tokens = start.prompt_tokens
-            progress.cached_tokens = start.cached_tokens
-        self.metrics.count_prompt_tokens(start, is_repeat=progress.attempts > 1)
-
-    def _record_failure(self, placement: Placement, failure: Failure) -> None:
-        progress = self.progress
-        progress.last_failure = failure
-        if failure.kind is not ErrorKind.NO_BACKEND_SERVER:
-            placement.engine.record_failure()
-        if failure.effective_run_state is not RunState.NOT_RUN:
-            progress.excluded |= {placement.engine.name}
-        log_failed_attempt(self.request, progress, placement, failure)
-
     async def _has_engine_ended(self, placement: Placement) -> bool:
         """Record a failed attempt; return whether its engine has ended.
 
@@ -274,16 +216,20 @@
         ):
             return False
         return await self.shared_state.engine_ends.record_break(
-            _process_of(placement.engine),
+            engine_process_of(placement.engine),
             segment_keys_of(self.request.job),
             is_starting=progress.has_started,
         )
 
-    async def _may_retry(self, placement: Placement) -> bool:
+    async def _may_retry(self) -> bool:
+        placement = self.attempt.placement
         reason = await self._find_reason_to_stop(placement)
         if reason is not None:
             log_stop(self.request, self.progress, placement, reason)
-        return reason is None
+            return False
+        if self.progress.is_refused_midway():
+            await asyncio.sleep(_REFUSAL_PAUSE_S)
+        return True
 
     async def _find_reason_to_stop(
         self, placement: Placement
@@ -300,6 +246,10 @@
         failure = self.progress.last_failure
         if failure.kind is ErrorKind.DEADLINE_EXCEEDED:
             return StopReason.DEADLINE
+        if self.progress.is_refused_midway() and not time_left_s(
+            self.request.job, self.progress
+        ):
+            return StopReason.DEADLINE
         if not self.progress.has_attempts_left(
             self.shared_state.settings.limits.max_attempts
         ):
@@ -325,38 +275,6 @@
                 kind=ErrorKind.OUTCOME_UNKNOWN,
                 run_state=RunState.UNKNOWN,
             )
-        if bool(self.progress.excluded):
+        if self.progress.may_have_run:
             return attrs.evolve(failure, run_state=RunState.UNKNOWN)
         return failure
-
-
-def _process_of(engine: EngineState) -> EngineProcess:
-    address = urlsplit(engine.url)
-    return EngineProcess(
-        incarnation=f'{engine.name}@{engine.incarnation}',
-        host=address.hostname or '',
-        port=address.port or _DEFAULT_PORT,
-    )
-
-
-def _build_generation(
-    request: CompletionRequest, progress: RunProgress, placement: Placement
-) -> GenerationRequest:
-    job = request.job
-    pool = request.pool
-    engine = placement.engine
-    is_urgent = job.urgency is Urgency.URGENT
-    return GenerationRequest(
-        attempt=placement.attempt,
-        team=job.team,
-        model=pool.model,
-        adapter=pool.adapter,
-        weights_version=engine.weights_version
-        or progress.weights_version
-        or pool.weights_version,
-        incarnation=engine.incarnation if placement.depth else '',
-        prompt=request.prompt,
-        max_tokens=job.max_tokens,
-        priority=Priority.URGENT if is_urgent else Priority.NORMAL,
-        resume_from=progress.relayed_pieces,
-    )
--- a/src/arbutusbay/router/_run_progress.py
+++ b/src/arbutusbay/router/_run_progress.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from arbutusbay.errors import Failure
+from arbutusbay.errors import Failure, RunState
 from arbutusbay.policy import Job
 from arbutusbay.router._dispatcher import JobContext
 from arbutusbay.state import Pool
@@ -45,7 +45,8 @@
     ``relayed_pieces`` counts pieces of output, and ``unproductive_attempts``
     the consecutive attempts that relayed none. ``weights_version`` is the
     version that produced the output. ``excluded`` holds the engines of failed
-    attempts that may have run. ``has_started`` is whether the response of the
+    attempts that may have run. ``may_have_run`` is whether any engine may have
+    run the request. ``has_started`` is whether the response of the
     last attempt began, ``first_piece_s`` when its first piece came, in seconds
     on the clock of ``now_s``. ``last_piece_at_s`` is when the last piece of any
     attempt came, on the monotonic clock.
@@ -56,6 +57,7 @@
     unproductive_attempts: int = 0
     weights_version: str = ''
     excluded: frozenset[str] = frozenset()
+    may_have_run: bool = False
     prompt_tokens: int = 0
     cached_tokens: int = 0
     finished: bool = False
@@ -71,6 +73,32 @@
         self.has_started = False
         self.first_piece_s = None
 
+    def exclude(self, engine: str) -> None:
+        """Record that an engine may have run the request, and failed."""
+        self.excluded |= {engine}
+        self.may_have_run = True
+
+    def count_broken_move(self, engine: str) -> None:
+        """Count an attempt that broke off at an engine beside the open one."""
+        self.attempts += 1
+        self.unproductive_attempts += 1
+        self.exclude(engine)
+
+    def is_refused_midway(self) -> bool:
+        """Return whether an engine has refused what another may have run.
+
+        Such a refusal costs time, but is no attempt.
+        """
+        return (
+            self.may_have_run
+            and self.last_failure is not None
+            and self.last_failure.effective_run_state is RunState.NOT_RUN
+        )
+
+    def uncount_attempt(self) -> None:
+        """Leave a refused attempt out of those without output."""
+        self.unproductive_attempts -= 1
+
     def has_attempts_left(self, max_attempts: int) -> bool:
         """Return whether another attempt may follow those without output."""
         return self.unproductive_attempts < max_attempts
--- a/src/arbutusbay/router/_silence_handler.py
+++ b/src/arbutusbay/router/_silence_handler.py
@@ -1,19 +1,17 @@
 """Outlast the silence of an engine, or move its completion to another one.
 
 A sound engine may send nothing for some seconds and then go on. An attempt is
-given up for that only once another engine has a place for it.
+given up for that only once another engine has accepted the completion.
 """
 
 from typing import Any
 
-import attrs
-
 from arbutusbay.errors import ErrorKind, Failure, RunState
 from arbutusbay.logs import get_logger
-from arbutusbay.policy import QueuedJob
+from arbutusbay.router._attempt import Attempt, AttemptOpener
 from arbutusbay.router._dispatcher import Dispatcher, Placement
-from arbutusbay.router._event_reader import EngineEvent, EventReader
-from arbutusbay.router._prompt_quarantine import refuse_job
+from arbutusbay.router._event_reader import EngineEvent
+from arbutusbay.router._pending_move import PendingMove
 from arbutusbay.router._run_progress import (
     CompletionRequest,
     RunProgress,
@@ -26,105 +24,83 @@
 
 
 class SilenceHandler:
-    """Decide what becomes of one completion while its engine is silent.
-
-    ``reserved`` is the place at another engine that it is to be moved to. It
-    must be taken or released.
-    """
+    """Decide what becomes of one completion while its engine is silent."""
 
     def __init__(
         self,
         *,
         shared_state: RouterState,
         dispatcher: Dispatcher,
+        opener: AttemptOpener,
         request: CompletionRequest,
         progress: RunProgress,
     ) -> None:
         """Create a handler for a run, whose ``progress`` it updates."""
         self.shared_state = shared_state
         self.dispatcher = dispatcher
+        self.opener = opener
         self.request = request
         self.progress = progress
-        self.reserved: Placement | None = None
 
-    async def outlast(
-        self, reader: EventReader, placement: Placement
-    ) -> EngineEvent | None:
-        """Wait on, and look for another engine; return the event that came.
+    async def outlast(self, attempt: Attempt) -> EngineEvent | Attempt | None:
+        """Wait on, and ask other engines; return the event that came.
 
-        None means that the attempt is over: it has no more events, or a place
-        elsewhere is reserved, or the time of the completion has passed.
+        Or return the attempt at the engine that has accepted the completion,
+        which the caller must close. None means that the attempt is over: it has
+        no more events, or the time of the completion has passed.
         """
-        placement.engine.record_failure()
-        moving = self._request_move(placement)
+        attempt.placement.engine.record_failure()
+        move = self._begin_move(attempt)
         try:
-            has_come = await reader.wait_unless(
-                moving.caller_data.placed,
-                time_left_s(self.request.job, self.progress),
+            has_come = await attempt.reader.wait_unless(
+                move.accepted, time_left_s(self.request.job, self.progress)
             )
+            accepted = None if has_come else move.take()
         finally:
-            self.reserved = self.dispatcher.withdraw_move(moving)
+            await move.stop()
+        if accepted is not None:
+            self._give_up(attempt.placement, _moved_to(accepted.placement))
+            return accepted
         if not has_come:
-            self.give_up(placement)
+            self.give_up(attempt.placement)
             return None
-        self.release_reserved()
-        event = reader.take()
+        event = attempt.reader.take()
         if event is not None and event.is_ok():
-            self._record_sound_engine(placement)
+            self._record_sound_engine(attempt.placement)
         return event
 
     def give_up(self, placement: Placement) -> None:
-        """Record that an attempt is over, as its time is or it is moved."""
-        detail = 'engine sent nothing until the deadline'
-        if self.reserved is not None:
-            detail = f'moved to engine {self.reserved.engine.name}'
+        """Record that an attempt is over, as its time is."""
+        self._give_up(placement, 'engine sent nothing until the deadline')
+
+    def _give_up(self, placement: Placement, detail: str) -> None:
         failure = Failure(
             kind=ErrorKind.DEADLINE_EXCEEDED,
             detail=detail,
             run_state=RunState.UNKNOWN,
         )
         self.progress.last_failure = failure
-        self.progress.excluded |= {placement.engine.name}
+        self.progress.exclude(placement.engine.name)
         log_failed_attempt(self.request, self.progress, placement, failure)
 
-    def take_reserved(self) -> Placement | None:
-        """Return the reserved place, if any, which the caller must release."""
-        placement = self.reserved
-        self.reserved = None
-        return placement
-
-    def release_reserved(self) -> None:
-        """Release the reserved place if it was not taken."""
-        placement = self.take_reserved()
-        if placement is not None:
-            self.dispatcher.release(placement)
-
-    def _request_move(self, placement: Placement) -> QueuedJob:
-        may_move = self._may_move()
+    def _begin_move(self, attempt: Attempt) -> PendingMove:
+        move = PendingMove(
+            shared_state=self.shared_state,
+            dispatcher=self.dispatcher,
+            opener=self.opener,
+            request=self.request,
+            progress=self.progress,
+            silent_engine=attempt.placement.engine.name,
+        )
         _LOG.info(
             'engine silent',
             fields={
-                **_log_fields(self.request, self.progress, placement),
+                **_log_fields(self.request, self.progress, attempt.placement),
                 'time_left_s': time_left_s(self.request.job, self.progress),
-                'may_move': may_move,
+                'may_move': move.may_ask(),
             },
         )
-        context = attrs.evolve(
-            self.request.context,
-            excluded=self.progress.excluded | {placement.engine.name},
-            weights_version=self.progress.weights_version,
-        )
-        return self.dispatcher.request_move(
-            self.request.job, context, may_move=may_move
-        )
-
-    def _may_move(self) -> bool:
-        limits = self.shared_state.settings.limits
-        return (
-            self.request.idempotent
-            and self.progress.has_attempts_left(limits.max_attempts)
-            and refuse_job(self.shared_state, self.request.job) is None
-        )
+        return move
 
     def _record_sound_engine(self, placement: Placement) -> None:
         placement.engine.record_success()
@@ -134,6 +110,10 @@
         )
 
 
+def _moved_to(placement: Placement) -> str:
+    return f'moved to engine {placement.engine.name}'
+
+
 def log_failed_attempt(
     request: CompletionRequest,
     progress: RunProgress,
--- a/tests/integration/test_refused_moves.py
+++ b/tests/integration/test_refused_moves.py
@@ -13,12 +13,13 @@
 
 import pytest
 
-from emulator.cluster import Cluster, call_json, running_cluster
+from emulator.cluster import Cluster, call_json, running_cluster, wait_until
 from emulator.fleet import wait_for_condition
 from tests.builders import build_cluster_options
 from tests.integration.test_silent_completions import (
     assert_all_whole,
     assert_one_engine_at_once,
+    assert_run_once,
     count_begun,
     drain_all_but,
     silence,
@@ -175,7 +176,19 @@
     over_s = began_s + _SILENCE_S + _REFUSED_AFTERWARDS_S
     await asyncio.sleep(over_s - time.monotonic())
     end_refusing(others, way)
-    return await asyncio.gather(*tasks)
+    outcomes = await asyncio.gather(*tasks)
+    await asyncio.to_thread(wait_until, lambda: _are_answering(others))
+    return outcomes
+
+
+def _are_answering(engines) -> bool:
+    """Return whether all engines answer, as they may have begun just now."""
+    try:
+        for engine in engines:
+            call_json(f'{engine.url}/counts')
+    except OSError:
+        return False
+    return True
 
 
 # Guards against completions that are given up at a sound engine for one that
@@ -193,6 +206,8 @@
     )
     assert_all_whole(outcomes)
     assert_one_engine_at_once(shared_cluster, outcomes)
+    if way is not Refusal.MUTE:
+        assert_run_once(shared_cluster, outcomes)
     assert not count_in_flight(shared_cluster)
 
 
--- a/tests/unit/test_completion_moves.py
+++ b/tests/unit/test_completion_moves.py
@@ -220,6 +220,34 @@
         dispatcher.withdraw_move(job)
 
 
+# Guards against refusals of one engine that use up the retry budget, or take
+# long, as all completions of a silent engine ask there at once.
+async def test_engine_that_has_not_accepted_is_asked_once_at_a_time(
+    dispatcher, shared_state
+):
+    other = shared_state.engines[_OTHER]
+    moving = [
+        dispatcher.request_move(
+            build_job(f'{number}'), build_context(''), may_move=True
+        )
+        for number in range(_WINDOW)
+    ]
+    placed = [job.caller_data.placed for job in moving]
+    assert [future.done() for future in placed] == [True, False, False]
+    other.record_refusal()
+    dispatcher.release(placed[0].result())
+    assert not placed[1].done()
+    other.refuses_until_s = 0.0
+    dispatcher.place_waiting(_POOL)
+    assert [future.done() for future in placed] == [True, True, False]
+    other.record_acceptance(placed[1].result().attempt)
+    dispatcher.place_waiting(_POOL)
+    assert placed[2].done()
+    dispatcher.release(placed[1].result())
+    dispatcher.release(placed[2].result())
+    assert not other.asked
+
+
 async def generate(events: asyncio.Queue):
     """Yield the events that are put in a queue, until None."""
     event = await events.get()
