--- a/src/arbutusbay/node/_stall_detector.py
+++ b/src/arbutusbay/node/_stall_detector.py
@@ -3,7 +3,7 @@
 An engine that loses power sends nothing more, and its open connections
 report no error. Streams that stop sending events reveal it within about a
 second. A sound engine may be silent for as long and then go on, so silence
-alone ends no attempt: it goes on until a place elsewhere is reserved.
+alone ends no attempt: it goes on until another engine has accepted it.
 """
 
 import asyncio
@@ -196,7 +196,7 @@
 
 
 def _try_move(monitored: MonitoredAttempt, silence: Silence) -> bool:
-    """Reserve a place for one attempt; an error must not stop the others."""
+    """Begin one move; an error must not stop the others."""
     try:
         return monitored.try_move(silence)
     except Exception:
--- a/src/arbutusbay/scheduling/_outcomes.py
+++ b/src/arbutusbay/scheduling/_outcomes.py
@@ -44,8 +44,7 @@
     ``SEND_ELSEWHERE``: send the request to another backend server, without
     using a token of the retry budget. ``RETRY_WITHIN_BUDGET``: retry if the
     retry budget has a token. ``RETRY_ONCE_COVERED``: retry as soon as the retry
-    budget has one. ``RETURN_FAILURE``: return the failure to the
-    client.
+    budget has one. ``RETURN_FAILURE``: return the failure to the client.
     """
 
     SEND_ELSEWHERE = 'send_elsewhere'
