Look again only for servers that have refused; count no body as a head

Cause: looks until the deadline also where no server has refused, so none is there; counted the rest of a refused body as the head of the next request.

--- a/src/arbutusbay/node/_client_protocol.py
+++ b/src/arbutusbay/node/_client_protocol.py
@@ -77,8 +77,9 @@
         if self.takes_requests and not self.has_request:
             self.record_arrival()
         self.arriving_bytes += len(chunk)
+        is_body = self.request_body and not self.request_body.is_eof()
         super().data_received(chunk)
-        if self.has_request or self.has_queued_request:
+        if is_body or self.has_request or self.has_queued_request:
             self.arriving_bytes = 0
         elif self.arriving_bytes > _MAX_HEAD_LINES_RATIO * self.max_line_size:
             self._refuse_head()
--- a/src/arbutusbay/node/_request_executor.py
+++ b/src/arbutusbay/node/_request_executor.py
@@ -124,8 +124,8 @@
 
         Fails if no server is available or has capacity in time, the deadline
         has passed or access was revoked. A request that may have run can't be
-        refused any more, so a server is looked for until the deadline. Raises
-        what ``check_client`` does.
+        refused any more, so servers that refused it are asked again until the
+        deadline. Raises what ``check_client`` does.
 
         ``send_attempt`` releases the placement.
         """
@@ -292,8 +292,13 @@
         )
 
     def _may_look_again(self, failure: Failure) -> bool:
-        """Return whether a server may be found later that isn't there now."""
-        return self._is_owed() and failure.kind in {
+        """Return whether a server that refused may accept a moment later.
+
+        Where none has refused, none is there, and waiting would not help.
+        """
+        if not self._is_owed() or not self.attempt_history.unexecuted_attempts:
+            return False
+        return failure.kind in {
             ErrorKind.NO_BACKEND_SERVER,
             ErrorKind.OVERLOADED,
         }
