Search once for a place of a move; share what both edges ask of a body; plainer names

No change of behaviour. While no server had been headless (nearly always), a move without a place looked for the same one twice; it does so once. The rest of a body is a property of ClientHandler, which its other use shares. One case for both events that bring an identity. 'move refused' has one name at both edges. The comment on SIGHUP and the ratio of a head to a line are named for what they are.

--- a/src/arbutusbay/_client_ends.py
+++ b/src/arbutusbay/_client_ends.py
@@ -74,6 +74,11 @@
         """Return whether a request was read that is not being handled yet."""
         return bool(self._messages)
 
+    @property
+    def is_body_due(self) -> bool:
+        """Return whether a part of the latest request's body is missing."""
+        return self.request_body is not None and not self.request_body.is_eof()
+
     @property
     def takes_requests(self) -> bool:
         """Return whether what arrives is parsed, not dropped."""
@@ -230,7 +235,7 @@
             return self.has_queued_request
         if self.response_writer.output_size:
             return self.has_queued_request and not self._request_in_progress
-        return self.request_body.is_eof()
+        return not self.is_body_due
 
 
 @contextlib.asynccontextmanager
--- a/src/arbutusbay/node/_client_protocol.py
+++ b/src/arbutusbay/node/_client_protocol.py
@@ -14,7 +14,7 @@
 _AIOHTTP_IDLE_TIMEOUT_S = 86_400.0
 _MIN_HEADER_LINE_BYTES = 131_072
 _MAX_HEADERS = 256
-_MAX_HEAD_LINES_RATIO = 2
+_HEAD_TO_LINE_RATIO = 2
 _HEAD_TOO_LONG = (
     b'HTTP/1.1 431 Request Header Fields Too Large\r\n'
     b'Content-Length: 0\r\nConnection: close\r\n\r\n'
@@ -77,11 +77,11 @@
         if self.takes_requests and not self.has_request:
             self.record_arrival()
         self.arriving_bytes += len(chunk)
-        is_body = self.request_body and not self.request_body.is_eof()
+        was_body_due = self.is_body_due
         super().data_received(chunk)
-        if is_body or self.has_request or self.has_queued_request:
+        if was_body_due or self.has_request or self.has_queued_request:
             self.arriving_bytes = 0
-        elif self.arriving_bytes > _MAX_HEAD_LINES_RATIO * self.max_line_size:
+        elif self.arriving_bytes > _HEAD_TO_LINE_RATIO * self.max_line_size:
             self._refuse_head()
 
     def connection_lost(self, exc: BaseException | None) -> None:
--- a/src/arbutusbay/node/_request_executor.py
+++ b/src/arbutusbay/node/_request_executor.py
@@ -345,12 +345,15 @@
         request = self._build_placement_request(history).without(
             left_servers if silence.is_long else silence.quiet_servers
         )
-        must_be_better = not silence.is_long
-        return self.replacement.try_reserve(
-            request.without(self.mover.headless_servers),
-            must_be_better=must_be_better,
-        ) or self.replacement.try_reserve(
-            request, must_be_better=must_be_better
+        headless_servers = self.mover.headless_servers
+        requests = [request]
+        if headless_servers:
+            requests.insert(0, request.without(headless_servers))
+        return any(
+            self.replacement.try_reserve(
+                candidate, must_be_better=not silence.is_long
+            )
+            for candidate in requests
         )
 
     async def _find_place(self) -> Result[Placement, Failure]:
--- a/src/arbutusbay/router/_event_recorder.py
+++ b/src/arbutusbay/router/_event_recorder.py
@@ -47,9 +47,9 @@
         placement = attempt.placement
         monitor = attempt.monitor
         match event:
-            case Ok(EngineMismatch(identity=identity)):
-                monitor.update_identity(identity)
-            case Ok(EngineIdentity() as identity):
+            case Ok(EngineMismatch(identity=identity)) | Ok(
+                EngineIdentity() as identity
+            ):
                 monitor.update_identity(identity)
             case Ok(GenerationStart() as start):
                 self._record_start(start)
--- a/src/arbutusbay/router/_pending_move.py
+++ b/src/arbutusbay/router/_pending_move.py
@@ -175,7 +175,7 @@
         """
         engine = placement.engine
         engine.record_refusal()
-        self._log('move refused: completion stays', attempt, refusal)
+        self._log('move refused', attempt, refusal)
         is_run = refusal.effective_run_state is not RunState.NOT_RUN
         self.progress.may_have_run |= is_run
         if refusal.kind is ErrorKind.STREAM_BROKEN:
--- a/src/arbutusbay_node.py
+++ b/src/arbutusbay_node.py
@@ -3,8 +3,8 @@
 import signal
 import sys
 
-# The imports take longer than a signal may wait for its handler, and without
-# one it ends the process. The settings are read later.
+# Its handler is installed behind all imports; a signal before that would end
+# the process. The settings are read later, so nothing is missed.
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
 from arbutusbay.node import main  # noqa: E402
