--- a/tests/cells_beside_changes.py
+++ b/tests/cells_beside_changes.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import collections
-import contextlib
 import functools
 import itertools
 import random
@@ -31,6 +30,7 @@
 )
 from emulator.fleet_engine import EngineFault, FleetEngine
 from emulator.scripted_response import ScriptedResponse
+from tests.background_tasks import running
 from tests.deaf_hosts import fall_deaf
 from tests.fleet_builders import (
     MODEL,
@@ -362,20 +362,6 @@
 )
 
 
-@contextlib.asynccontextmanager
-async def _running(*coroutines):
-    tasks = [asyncio.create_task(coroutine) for coroutine in coroutines]
-    try:
-        yield
-        for task in tasks:
-            if task.done() and not task.cancelled():
-                task.result()
-    finally:
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-
-
 def _build_extra_headers(play: Play, cell: str, number: int) -> dict[str, str]:
     fields = {}
     if play.head_bytes and number == 0:
@@ -449,7 +435,7 @@
     troubles = [CELLS[cell](play), SIGNALS[sent_signal](play)]
     if changes:
         troubles.append(_change(play))
-    async with _running(*troubles):
+    async with running(*troubles):
         await asyncio.sleep(_POLL_S)
         if not requests:
             requests = [asyncio.create_task(client.run()) for client in clients]
--- a/tests/fleet_clients.py
+++ b/tests/fleet_clients.py
@@ -2,9 +2,10 @@
 
 import itertools
 import operator
+from collections.abc import Sequence
 
 from emulator.fleet import Fleet
-from emulator.fleet_engine import ExecutedRequest
+from emulator.fleet_engine import ExecutedRequest, FleetEngine
 from tests.fleet_builders import PLAIN_HOST, build_request_headers
 
 REQUEST_BODY = b'{"prompt": "x"}'
@@ -47,6 +48,11 @@
     )
 
 
+def busiest(engines: Sequence[FleetEngine]) -> FleetEngine:
+    """Return the engine that works on the most requests."""
+    return max(engines, key=operator.attrgetter('running'))
+
+
 def longest_overlap_s(fleet: Fleet, attempt_id: str) -> float:
     """Return for how long two engines worked on one request at once."""
     runs = sorted(
--- a/tests/integration/test_changes_beside_troubles.py
+++ b/tests/integration/test_changes_beside_troubles.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import contextlib
 import itertools
 from types import MappingProxyType
 
@@ -14,6 +13,7 @@
 
 from emulator.fleet_engine import EngineFault
 from emulator.scripted_response import ScriptedResponse
+from tests.background_tasks import running
 from tests.fleet_builders import (
     build_configuration,
     build_teams,
@@ -106,16 +106,6 @@
         await asyncio.sleep(_TROUBLE_INTERVAL_S)
 
 
-@contextlib.asynccontextmanager
-async def _running(*coroutines):
-    tasks = [asyncio.create_task(coroutine) for coroutine in coroutines]
-    try:
-        yield
-    finally:
-        for task in tasks:
-            task.cancel()
-
-
 async def _play(fleet, http, trouble):
     """Return what all clients got, beside changes and ``trouble``."""
     nodes = await start_fleet(fleet, engines=2, plain=2, nodes=2)
@@ -132,7 +122,7 @@
         )
     ]
     requests = [asyncio.create_task(client.run()) for client in clients]
-    async with _running(_change(fleet), _make_trouble(fleet, trouble)):
+    async with running(_change(fleet), _make_trouble(fleet, trouble)):
         await asyncio.sleep(_DURATION_S)
         for client in clients:
             client.is_stopping = True
--- a/tests/integration/test_endless_bodies.py
+++ b/tests/integration/test_endless_bodies.py
@@ -10,6 +10,7 @@
 import pytest
 
 from emulator.scripted_response import ScriptedResponse
+from tests.background_tasks import running
 from tests.fleet_builders import (
     PLAIN_HOST,
     build_configuration,
@@ -108,17 +109,6 @@
             await request_stream(http, node, f'{name}-{number}')
 
 
-@contextlib.asynccontextmanager
-async def _running(coroutines):
-    tasks = [asyncio.create_task(coroutine) for coroutine in coroutines]
-    try:
-        yield
-    finally:
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-
-
 async def _order_beside(fleet, http, node, others) -> set[int]:
     """Return the statuses of orders with long answers beside ``others``."""
     answer = ScriptedResponse(
@@ -130,7 +120,7 @@
         itertools.repeat(answer, _ORDERS)
     )
     statuses = set()
-    async with _running(others):
+    async with running(*others):
         for number in range(_ORDERS // _ORDERS_AT_ONCE):
             responses = await asyncio.gather(
                 *(
--- a/tests/integration/test_moves_beside_pauses.py
+++ b/tests/integration/test_moves_beside_pauses.py
@@ -7,8 +7,9 @@
 import pytest
 from aiohttp import web
 
+from emulator.fleet import wait_for_condition
 from tests.fleet_builders import start_single_node, wait_until_ready
-from tests.fleet_clients import request_service
+from tests.fleet_clients import busiest, request_service
 from tests.integration.test_moves_beside_refusals import (
     _ENGINES,
     accept,
@@ -53,6 +54,16 @@
     assert status == 200
 
 
+async def _pause_beside_a_move(node, pause_s: float) -> None:
+    """Stop the process of a VM for a while as a move begins."""
+    await wait_for_condition(
+        lambda: 'move begun' in node.log_path.read_text(), 'move begun'
+    )
+    node.process.send_signal(signal.SIGSTOP)
+    await asyncio.sleep(pause_s)
+    node.process.send_signal(signal.SIGCONT)
+
+
 # Guards against a second server that counts as accepted while this VM stood.
 @pytest.mark.parametrize('pause_s', [0.3, 0.6])
 async def test_pause_of_the_vm_beside_a_move_cuts_no_stream(
@@ -61,15 +72,9 @@
     node = await start_engines(fleet, http, queue_s=0.2)
     tasks = await start_streams(fleet, http, node)
     engines = fleet.engines[:_ENGINES]
-    silent = max(engines, key=lambda engine: engine.running)
+    silent = busiest(engines)
     silent.silence.begin(1.4)
-    for _ in range(300):
-        if 'move begun' in node.log_path.read_text():
-            break
-        await asyncio.sleep(0.01)
-    node.process.send_signal(signal.SIGSTOP)
-    await asyncio.sleep(pause_s)
-    node.process.send_signal(signal.SIGCONT)
+    await _pause_beside_a_move(node, pause_s)
     outcomes = await asyncio.gather(*tasks)
     assert_all_whole(outcomes)
 
@@ -80,19 +85,13 @@
     node = await start_engines(fleet, http)
     tasks = await start_streams(fleet, http, node)
     engines = fleet.engines[:_ENGINES]
-    silent = max(engines, key=lambda engine: engine.running)
+    silent = busiest(engines)
     others = [engine for engine in engines if engine is not silent]
     silent.silence.begin(1.3)
     for engine in others:
         refuse(engine, 'full')
         engine.silence.begin(1.25)
-    for _ in range(300):
-        if 'move begun' in node.log_path.read_text():
-            break
-        await asyncio.sleep(0.01)
-    node.process.send_signal(signal.SIGSTOP)
-    await asyncio.sleep(pause_s)
-    node.process.send_signal(signal.SIGCONT)
+    await _pause_beside_a_move(node, pause_s)
     await asyncio.sleep(0.5)
     for engine in others:
         accept(engine)
--- a/tests/integration/test_moves_beside_refusals.py
+++ b/tests/integration/test_moves_beside_refusals.py
@@ -18,6 +18,7 @@
     wait_until_ready,
 )
 from tests.fleet_clients import (
+    busiest,
     count_runs,
     longest_overlap_s,
     request_service,
@@ -100,7 +101,7 @@
     """Receive streams of an engine that falls silent as others refuse."""
     tasks = await start_streams(fleet, http, node)
     engines = fleet.engines[:_ENGINES]
-    silent = max(engines, key=lambda engine: engine.running)
+    silent = busiest(engines)
     silent.silence.begin(silence_s)
     refusing = [
         engine
@@ -253,7 +254,7 @@
     node = await start_engines(fleet, http, queue_s=0.3)
     tasks = await start_streams(fleet, http, node)
     engines = fleet.engines[:_ENGINES]
-    silent = max(engines, key=lambda engine: engine.running)
+    silent = busiest(engines)
     silent.silence.begin(_POWER_LOSS_S)
     await asyncio.sleep(left_after_s)
     for task in tasks:
@@ -272,7 +273,7 @@
     tasks = await start_streams(fleet, http, node)
     fleet.configure(build_configuration(2, tenants=build_teams(keys=())))
     engines = fleet.engines[:_ENGINES]
-    silent = max(engines, key=lambda engine: engine.running)
+    silent = busiest(engines)
     silent.silence.begin(_POWER_LOSS_S)
     assert_all_whole(await asyncio.gather(*tasks))
     assert (await request_stream(http, node, 'late'))[0] == 401
@@ -292,7 +293,7 @@
         engine.requested_pause_s = pause_s
     refusal = asyncio.create_task(refuse_for(engines, way, 2 * _LONGER_S))
     await asyncio.sleep(0)
-    broken = max(engines, key=lambda engine: engine.running)
+    broken = busiest(engines)
     for transport in broken.connections.transports:
         transport.abort()
     assert_all_whole(await asyncio.gather(*tasks))
