--- a/tests/integration/test_moves_beside_silence.py
+++ b/tests/integration/test_moves_beside_silence.py
@@ -5,6 +5,8 @@
 
 import pytest
 
+from tests.fleet_builders import start_single_node, wait_until_ready
+from tests.fleet_clients import busiest
 from tests.integration.test_moves_beside_refusals import (
     _ENGINES,
     accept,
@@ -18,16 +20,10 @@
     receive_stream,
     start_streams,
 )
-from tests.fleet_builders import start_single_node, wait_until_ready
 
 _FOREVER_S = 60.0
 
 
-def busiest(engines):
-    """Return the engine with the most streams."""
-    return max(engines, key=lambda engine: engine.running)
-
-
 # Guards against streams that can go on nowhere, as a move was dropped: its
 # server counts as failed, and as one of the servers that may run the stream.
 @pytest.mark.parametrize('silence_s', [1.15, 1.2, 1.25, 1.3])
@@ -113,6 +109,24 @@
     assert_within_bounds(fleet)
 
 
+# Guards against a stream that moved, whose second engine ends, and which asks
+# that one again instead of the first, which goes on.
+async def test_stream_goes_on_after_a_dropped_and_an_accepted_move(fleet, http):
+    node = await start_engines(fleet, http, queue_s=0.2)
+    tasks = await start_streams(fleet, http, node)
+    engines = fleet.engines[:_ENGINES]
+    silent = busiest(engines)
+    silent.silence.begin(1.22)
+    await asyncio.sleep(1.5)
+    silent.silence.begin(1.65)
+    await asyncio.sleep(1.7)
+    second = next(
+        engine for engine in engines if engine is not silent and engine.running
+    )
+    second.end()
+    assert_all_whole(await asyncio.gather(*tasks))
+
+
 # Guards against a dropped move that counts as a run: after two of them the
 # stream of an engine that ends was cut.
 async def test_stream_goes_on_after_two_dropped_moves(fleet, http):
