--- /dev/null
+++ b/review/6/case.py
@@ -0,0 +1,127 @@
+"""A machine that was frozen trusts a store that came back from a copy.
+
+See ``claim.txt``. One machine a zone. A key is taken away while one of them
+stands still; the store goes away, comes back from a copy that lacks this
+change, and the operator writes it again two seconds later.
+"""
+
+import asyncio
+import signal
+import sys
+import time
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent.parent))
+
+from review.lib_2.deployment import (  # noqa: E402
+    KEY,
+    OTHER_KEY,
+    ZONES,
+    CaseError,
+    ask,
+    engine_options,
+    run_case,
+    sleep_until,
+)
+
+REVOCATION_S = 5.0
+# All times are in seconds after the acknowledgement of the change.
+FREEZE_S = -0.1
+STORE_LEAVES_S = 0.7
+STORE_BACK_S = 3.6
+THAW_S = 3.8
+WRITTEN_AGAIN_S = STORE_BACK_S + 2.0
+LAST_REQUEST_S = 8.0
+
+
+async def play(deployed, http, has_trouble):
+    record = deployed.record
+    for number in range(3):
+        await deployed.add_engine(engine_options(number))
+    deployed.configure(1, [KEY, OTHER_KEY])
+    for zone in ZONES:
+        await deployed.add_machine(zone)
+    await deployed.wait_until_ready(http)
+    await asyncio.sleep(3.5)
+    for machine in deployed.machines:
+        status = await ask(http, machine, f'first-{machine.name}', KEY)
+        record.write(f'{machine.name}: with the key before: {status}')
+        if status != 200:
+            raise CaseError('no service before the disruption')
+    frozen = deployed.machines[-1]
+    copy = deployed.store.copy_ends()
+    record.write(f'the copy ends at {copy}')
+    await asyncio.sleep(2.0)
+
+    acked_s = time.monotonic() - FREEZE_S
+    if has_trouble:
+        frozen.signal(signal.SIGSTOP)
+        record.write(f'{frozen.name} stands still')
+    await sleep_until(acked_s)
+    deployed.configure(5, [OTHER_KEY])
+    acked_s = time.monotonic()
+    record.write('acknowledged: configuration 5, without the key')
+    broken = []
+    sender = asyncio.create_task(
+        send_requests(deployed, http, acked_s, broken)
+    )
+    if has_trouble:
+        await trouble(deployed, frozen, copy, acked_s)
+    await sender
+    for line in broken:
+        record.write(line)
+    return bool(broken)
+
+
+async def trouble(deployed, frozen, copy, acked_s):
+    record = deployed.record
+    await sleep_until(acked_s + STORE_LEAVES_S)
+    deployed.store.silence.begin(STORE_BACK_S - STORE_LEAVES_S)
+    deployed.store.restore(copy)
+    record.write('the store answers nothing')
+    await sleep_until(acked_s + STORE_BACK_S)
+    record.write(f'the store is back from its copy, era {deployed.store.era}')
+    await sleep_until(acked_s + THAW_S)
+    frozen.signal(signal.SIGCONT)
+    record.write(f'{frozen.name} goes on')
+    await sleep_until(acked_s + WRITTEN_AGAIN_S)
+    deployed.configure(5, [OTHER_KEY])
+    record.write('the operator writes configuration 5 again')
+
+
+async def send_requests(deployed, http, acked_s, broken):
+    """Send a request with the key to each machine, five times a second."""
+    number = 0
+    tasks = set()
+    while time.monotonic() < acked_s + LAST_REQUEST_S:
+        number += 1
+        for machine in deployed.machines:
+            task = asyncio.create_task(
+                check(deployed, http, machine, number, acked_s, broken)
+            )
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
+        await asyncio.sleep(0.2)
+    await asyncio.gather(*tasks)
+
+
+async def check(deployed, http, machine, number, acked_s, broken):
+    attempt_id = f'{number:03}-{machine.name}'
+    sent_s = time.monotonic() - acked_s
+    status = await ask(http, machine, attempt_id, KEY)
+    runs = sum(
+        run.attempt_id == attempt_id
+        for engine in deployed.engines
+        for run in engine.executions
+    )
+    deployed.record.write(
+        f'{attempt_id} sent {sent_s:.3f} s after the ack: '
+        f'status {status}, runs {runs}'
+    )
+    if runs and sent_s > REVOCATION_S:
+        broken.append(
+            f'CONFIG: {attempt_id} ran, sent {sent_s:.3f} s after the ack'
+        )
+
+
+run_case(Path(__file__).resolve().parent, play)
--- /dev/null
+++ b/review/lib_2/__init__.py
@@ -0,0 +1,1 @@
+"""Share what the scripts of the second review need."""
