--- a/review/lib_2/deployment.py
+++ b/review/lib_2/deployment.py
@@ -34,6 +34,7 @@
 HOST = 'jepu9.example'
 KEY = 'ctnfzs989anu6wsjnban'
 OTHER_KEY = 'bq7kzc204tnu1rvdmnpe'
+PREFIX = '5c1e07a2:800,91bd3f06:410,e4402b7d:250'
 _STORE_PORT = 8784
 _ENGINE_PORT = 8108
 _FRONTEND_PORT = 8782
@@ -219,6 +220,7 @@
         self.engines: list[FleetEngine] = []
         self.silent_writers: set[str] = set()
         self.machines: list[Machine] = []
+        self.former: list[Machine] = []
         self.runners: list[web.AppRunner] = []
         self.tasks: list[asyncio.Task[None]] = []
         deploy = tomllib.loads((ROOT / 'deploy' / 'system.toml').read_text())
@@ -253,8 +255,9 @@
         return engine
 
     async def add_machine(self, zone: str) -> Machine:
-        number = len(self.machines)
-        ordinal = 1 + sum(known.zone == zone for known in self.machines)
+        known = [*self.former, *self.machines]
+        number = len(known)
+        ordinal = 1 + sum(machine.zone == zone for machine in known)
         machine = Machine(
             f'frontend-{zone}-{ordinal}',
             zone,
@@ -273,6 +276,11 @@
         await machine.start(self.command)
         return machine
 
+    def forget_machines(self) -> None:
+        """Count the machines as removed; others get new names."""
+        self.former += self.machines
+        self.machines = []
+
     def configure(self, version: int, keys: list[str]) -> None:
         """Write a configuration; the write of the stand-in is the ack."""
         self.store.append_document(
@@ -294,11 +302,12 @@
 
     async def close(self) -> None:
         """End all processes and servers that were started."""
-        for machine in self.machines:
+        known = [*self.former, *self.machines]
+        for machine in known:
             if machine.process is not None:
                 with contextlib.suppress(ProcessLookupError):
                     machine.signal(signal.SIGKILL)
-        for machine in self.machines:
+        for machine in known:
             if machine.process is not None:
                 await machine.process.wait()
         for task in self.tasks:
@@ -381,6 +390,7 @@
     machine: Machine,
     attempt_id: str,
     key: str,
+    prefix: str = PREFIX,
 ) -> int:
     """Send one request as a client does; return the status, 0 for none."""
     headers = {
@@ -388,7 +398,7 @@
         'Attempt-Id': attempt_id,
         'Model': MODEL,
         'Token-Counts': '1460,13',
-        'Prompt-Prefix': '5c1e07a2:800,91bd3f06:410,e4402b7d:250',
+        'Prompt-Prefix': prefix,
         'Deadline-Ms': '5008',
         'Authorization': f'Bearer {key}',
     }
