--- a/review/lib_2/deployment.py
+++ b/review/lib_2/deployment.py
@@ -245,8 +245,12 @@
             self.store.application(), f'{self.prefix}1:{_STORE_PORT}'
         )
 
-    async def add_engine(self, options: EngineOptions) -> FleetEngine:
-        engine = FleetEngine(options)
+    async def add_engine(
+        self,
+        options: EngineOptions,
+        kind: type[FleetEngine] = FleetEngine,
+    ) -> FleetEngine:
+        engine = kind(options)
         number = _FIRST_ENGINE_HOST + len(self.engines)
         engine.address = f'{self.prefix}{number}:{_ENGINE_PORT}'
         self.engines.append(engine)
