--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,123 +1,174 @@
-"""A tenant that becomes isolated goes on to share what was cached before.
+"""A server's own 503 to an order that it ran reaches the client as a promise.
 
-See ``claim.txt``. Tenant sese880 asks, becomes isolated by configuration 5, and
-then tenant tola114 asks with the same shared parts. What the engines keep is
-worked out from the requests that they ran, as PROTOCOL.md says: parts are kept
-under ``Cache-Salt`` and the model, and a part that is kept is used if all parts
-before it are.
+See ``claim.txt``. Three servers of a plain service; one of them fails part of
+its requests for 6.5 s, after it has run them.
 """
 
 import asyncio
+import random
 import sys
 import time
+from http import HTTPStatus
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent.parent))
 
+import aiohttp  # noqa: E402
+from aiohttp import web  # noqa: E402
+
+from emulator.fleet_engine import EngineOptions, FleetEngine  # noqa: E402
 from review.lib_2.deployment import (  # noqa: E402
+    KEY,
     ZONES,
     CaseError,
-    ask,
     build_configuration,
-    engine_options,
     run_case,
 )
 
-FIRST = 'sese880'
-SECOND = 'tola114'
-KEYS = {FIRST: 'ctnfzs989anu6wsjnban', SECOND: 'bq7kzc204tnu1rvdmnpe'}
-SHARED_PARTS = '5c1e07a2:800,91bd3f06:410'
-CONFIG_APPLY_S = 2.0
-ENGINES = 3
-REQUESTS = 12
-
-
-def configuration(version, isolated):
-    """Return a configuration in which the tenants ``isolated`` are so."""
-    document = build_configuration(version, [])
-    document['tenants'] = [
-        {'name': name, 'api_keys': [key], 'isolated': name in isolated}
-        for name, key in KEYS.items()
-    ]
+HOST = 'kumo4.example'
+SERVICE = 'comptoir'
+FAILING_SHARE = 0.45
+FAILING_S = 6.5
+CALM_S = 2.0
+LATER_S = 2.0
+REQUESTS_PER_S = 10
+PROMISES = (408, 421, 429, 503)
+
+
+class OrderServer(FleetEngine):
+    """Book orders; while it fails, report a part of them as failed.
+
+    A failed one has run: it was booked. The answer has no ``Not-Executed``.
+    """
+
+    def __init__(self, options):
+        super().__init__(options)
+        self.is_failing = False
+        self.rng = random.Random(54)
+
+    async def _respond(self, request, fault):
+        await asyncio.sleep(0.06)
+        if self.is_failing and self.rng.random() < FAILING_SHARE:
+            return web.Response(
+                status=HTTPStatus.SERVICE_UNAVAILABLE,
+                text='the stock is not reached',
+                headers=self._response_headers(request, fault),
+            )
+        return await super()._respond(request, fault)
+
+
+def configuration():
+    document = build_configuration(1, [KEY])
+    document['routes'].append(
+        {
+            'name': 'order-place',
+            'host': HOST,
+            'path_prefix': '/fiti832/',
+            'kind': 'unsafe',
+            'timeout_ms': 2000,
+            'target_latency_ms': 300,
+            'priority': 2,
+            'service': SERVICE,
+            'max_attempts': 1,
+            'public': False,
+            'sticky': False,
+            'resumable': False,
+        }
+    )
+    document['services'].append(
+        {'name': SERVICE, 'health_check_path': '/health', 'max_connections': 257}
+    )
     return document
 
 
 async def play(deployed, http, has_trouble):
     record = deployed.record
-    for number in range(ENGINES):
-        await deployed.add_engine(engine_options(number))
-    store = deployed.store
-    store.append_document('keyed.op', 'config', configuration(1, ()))
+    for number, zone in enumerate(ZONES):
+        await deployed.add_engine(
+            EngineOptions(
+                id=f'i-4f70{number}', service=SERVICE, zone=zone, slots=6
+            ),
+            OrderServer,
+        )
+    deployed.store.append_document('keyed.op', 'config', configuration())
     for zone in ZONES:
         await deployed.add_machine(zone)
     await deployed.wait_until_ready(http)
     await asyncio.sleep(3.0)
-
-    isolated = set()
-    await ask_all(deployed, http, FIRST, 'before')
+    failing = deployed.engines[0]
+    outcomes = []
+    await send_orders(deployed, http, 'calm', CALM_S, outcomes)
+    if any(status != 200 for _, status in outcomes):
+        raise CaseError('orders fail without any trouble')
     if has_trouble:
-        store.append_document('keyed.op', 'config', configuration(5, (FIRST,)))
-        isolated.add(FIRST)
-        record.write(f'acknowledged: configuration 5, {FIRST} is isolated')
-    acked_s = time.monotonic()
-    await asyncio.sleep(CONFIG_APPLY_S + 1.0)
-    await ask_all(deployed, http, SECOND, 'after')
-    await ask_all(deployed, http, FIRST, 'after')
-    broken = find_shared(deployed, isolated, acked_s + CONFIG_APPLY_S)
-    for line in broken:
-        record.write(line)
+        failing.is_failing = True
+        record.write(f'{failing.options.id} fails {FAILING_SHARE} of its orders')
+    await send_orders(deployed, http, 'grey', FAILING_S, outcomes)
+    failing.is_failing = False
+    await asyncio.sleep(LATER_S)
+    broken = [
+        (attempt_id, status)
+        for attempt_id, status in outcomes
+        if status in PROMISES and runs_of(deployed, attempt_id)
+    ]
+    for attempt_id, status in broken:
+        record.write(
+            f'REFUSED: {attempt_id} was answered {status} and ran at '
+            f'{runs_of(deployed, attempt_id)}'
+        )
     return bool(broken)
 
 
-async def ask_all(deployed, http, tenant, when):
-    """Send requests of a tenant, each with a last part of its own."""
-    for number in range(REQUESTS):
+def runs_of(deployed, attempt_id):
+    return [
+        engine.options.id
+        for engine in deployed.engines
+        for run in engine.executions
+        if run.attempt_id == attempt_id
+    ]
+
+
+async def send_orders(deployed, http, name, duration_s, outcomes):
+    end_s = time.monotonic() + duration_s
+    tasks = []
+    number = 0
+    while time.monotonic() < end_s:
         machine = deployed.machines[number % len(deployed.machines)]
-        attempt_id = f'{when}-{tenant}-{number}'
-        status = await ask(
-            http,
-            machine,
-            attempt_id,
-            KEYS[tenant],
-            prefix=f'{SHARED_PARTS},{len(when)}{number:06x}{ord(tenant[0]):x}:250',
-        )
-        deployed.record.write(f'{attempt_id} to {machine.name}: {status}')
-        if status != 200:
-            raise CaseError('a request was not served')
-
-
-def find_shared(deployed, isolated, from_s):
-    """Return the uses of parts across a wall, by requests after ``from_s``."""
-    broken = []
-    for engine in deployed.engines:
-        makers = {}
-        for run in sorted(engine.executions, key=lambda known: known.began_s):
-            tenant = run.headers['Tenant']
-            salt = run.headers.get('Cache-Salt', '')
-            entries = run.headers['Prompt-Prefix'].split(',')
-            deployed.record.write(
-                f'{engine.options.id} ran {run.attempt_id}: tenant {tenant}, '
-                f'salt {salt!r}'
+        attempt_id = f'{name}-{number:03}'
+        number += 1
+        tasks.append(
+            asyncio.create_task(
+                order(deployed, http, machine, attempt_id, outcomes)
             )
-            is_kept = True
-            for entry in entries:
-                part = (salt, run.headers['Model'], entry.partition(':')[0])
-                is_kept = is_kept and part in makers
-                if not is_kept:
-                    makers[part] = tenant
-                    continue
-                maker = makers[part]
-                if (
-                    maker != tenant
-                    and {maker, tenant} & isolated
-                    and run.began_s > from_s
-                ):
-                    broken.append(
-                        f'WALL: {run.attempt_id} of {tenant} used part '
-                        f'{part[2]} that a request of {maker} made at '
-                        f'{engine.options.id}'
-                    )
-    return broken
+        )
+        await asyncio.sleep(1 / REQUESTS_PER_S)
+    await asyncio.gather(*tasks)
+
+
+async def order(deployed, http, machine, attempt_id, outcomes):
+    headers = {
+        'Host': HOST,
+        'Attempt-Id': attempt_id,
+        'Deadline-Ms': '4004',
+        'Authorization': f'Bearer {KEY}',
+    }
+    try:
+        async with http.post(
+            f'{machine.url}/fiti832/ti23/2f',
+            data=b'x' * 600,
+            headers=headers,
+            timeout=aiohttp.ClientTimeout(total=5),
+        ) as response:
+            await response.read()
+            status = response.status
+            stamp = response.headers.get('Response-Stamp', '')
+    except (aiohttp.ClientError, OSError, asyncio.TimeoutError):
+        status, stamp = 0, ''
+    outcomes.append((attempt_id, status))
+    deployed.record.write(
+        f'{attempt_id} to {machine.name}: {status}, stamp {stamp!r}, '
+        f'ran at {runs_of(deployed, attempt_id)}'
+    )
 
 
 run_case(Path(__file__).resolve().parent, play)
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,127 +1,141 @@
-"""A machine that was frozen trusts a store that came back from a copy.
+"""New weights wait for the turns of machines that are gone.
 
-See ``claim.txt``. One machine a zone. A key is taken away while one of them
-stands still; the store goes away, comes back from a copy that lacks this
-change, and the operator writes it again two seconds later.
+See ``claim.txt``. 21 machines, of which 18 are lost at once, without SIGTERM.
+The operator names new weights four seconds later, with the store, the engines
+and the other machines sound.
 """
 
 import asyncio
 import signal
 import sys
 import time
+from collections import Counter
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent.parent))
 
 from review.lib_2.deployment import (  # noqa: E402
     KEY,
-    OTHER_KEY,
     ZONES,
     CaseError,
     ask,
     engine_options,
     run_case,
     sleep_until,
+    wait_for,
 )
 
-REVOCATION_S = 5.0
-# All times are in seconds after the acknowledgement of the change.
-FREEZE_S = -0.1
-STORE_LEAVES_S = 0.7
-STORE_BACK_S = 3.6
-THAW_S = 3.8
-WRITTEN_AGAIN_S = STORE_BACK_S + 2.0
-LAST_REQUEST_S = 8.0
+LOAD_LIMIT_S = 11.0
+# 1.5 x `version_ms`.
+OUTDATED_S = 12.0
+CALM_S = 4.0
+MACHINES_PER_ZONE = 7
+ENGINES = 6
+# One machine of each zone is left.
+SURVIVORS = ('frontend-plateau-5', 'frontend-hann-4', 'frontend-rufisque-5')
 
 
 async def play(deployed, http, has_trouble):
     record = deployed.record
-    for number in range(3):
+    for number in range(ENGINES):
         await deployed.add_engine(engine_options(number))
-    deployed.configure(1, [KEY, OTHER_KEY])
-    for zone in ZONES:
-        await deployed.add_machine(zone)
+    deployed.configure(1, [KEY])
+    for _ in range(MACHINES_PER_ZONE):
+        for zone in ZONES:
+            await deployed.add_machine(zone)
     await deployed.wait_until_ready(http)
-    await asyncio.sleep(3.5)
-    for machine in deployed.machines:
-        status = await ask(http, machine, f'first-{machine.name}', KEY)
-        record.write(f'{machine.name}: with the key before: {status}')
-        if status != 200:
-            raise CaseError('no service before the disruption')
-    frozen = deployed.machines[-1]
-    copy = deployed.store.copy_ends()
-    record.write(f'the copy ends at {copy}')
-    await asyncio.sleep(2.0)
-
-    acked_s = time.monotonic() - FREEZE_S
+    record.write(f'{len(deployed.machines)} machines are ready')
+    await asyncio.sleep(3.0)
+
+    deployed.name_version(2)
+    record.write('version 2 is named')
+    await wait_for(
+        lambda: all(engine.version == 2 for engine in deployed.engines),
+        'all engines have version 2',
+        LOAD_LIMIT_S,
+    )
+    record.write('all engines have version 2')
+    survivors = [
+        machine for machine in deployed.machines if machine.name in SURVIVORS
+    ]
+    await asyncio.sleep(1.0)
     if has_trouble:
-        frozen.signal(signal.SIGSTOP)
-        record.write(f'{frozen.name} stands still')
-    await sleep_until(acked_s)
-    deployed.configure(5, [OTHER_KEY])
+        for machine in deployed.machines:
+            if machine not in survivors:
+                machine.signal(signal.SIGKILL)
+        record.write(
+            f'{len(deployed.machines) - len(survivors)} machines are lost'
+        )
+    await asyncio.sleep(CALM_S)
+    statuses = [await ask(http, m, f'calm-{m.name}', KEY) for m in survivors]
+    record.write(f'the others answer {statuses}')
+    if statuses != [200] * len(survivors):
+        raise CaseError('the machines that are left do not serve')
+
+    deployed.name_version(3)
     acked_s = time.monotonic()
-    record.write('acknowledged: configuration 5, without the key')
-    broken = []
-    sender = asyncio.create_task(
-        send_requests(deployed, http, acked_s, broken)
+    record.write('acknowledged: version 3 is named')
+    versions = asyncio.create_task(watch_versions(deployed, acked_s))
+    await send_requests(deployed, http, survivors, acked_s)
+    outdated = [
+        engine.options.id for engine in deployed.engines if engine.version < 3
+    ]
+    record.write(
+        f'{time.monotonic() - acked_s:.3f} s after the ack the traffic ends; '
+        f'{len(outdated)} of {len(deployed.engines)} engines have an older '
+        'version'
     )
-    if has_trouble:
-        await trouble(deployed, frozen, copy, acked_s)
-    await sender
-    for line in broken:
-        record.write(line)
-    return bool(broken)
+    versions.cancel()
+    return len(outdated) > 1 and len(outdated) > len(deployed.engines) / 10
+
+
+async def watch_versions(deployed, acked_s):
+    known = None
+    while True:
+        versions = [engine.version for engine in deployed.engines]
+        if versions != known:
+            known = versions
+            deployed.record.write(
+                f'{time.monotonic() - acked_s:.3f} s: versions {versions}'
+            )
+        await asyncio.sleep(0.02)
 
 
-async def trouble(deployed, frozen, copy, acked_s):
-    record = deployed.record
-    await sleep_until(acked_s + STORE_LEAVES_S)
-    deployed.store.silence.begin(STORE_BACK_S - STORE_LEAVES_S)
-    deployed.store.restore(copy)
-    record.write('the store answers nothing')
-    await sleep_until(acked_s + STORE_BACK_S)
-    record.write(f'the store is back from its copy, era {deployed.store.era}')
-    await sleep_until(acked_s + THAW_S)
-    frozen.signal(signal.SIGCONT)
-    record.write(f'{frozen.name} goes on')
-    await sleep_until(acked_s + WRITTEN_AGAIN_S)
-    deployed.configure(5, [OTHER_KEY])
-    record.write('the operator writes configuration 5 again')
-
-
-async def send_requests(deployed, http, acked_s, broken):
-    """Send a request with the key to each machine, five times a second."""
+async def send_requests(deployed, http, survivors, acked_s):
+    """Send five requests a second to each machine that is left.
+
+    The traffic ends half a second after ``OUTDATED_S``.
+    """
+    statuses = {}
+    tasks = []
     number = 0
-    tasks = set()
-    while time.monotonic() < acked_s + LAST_REQUEST_S:
+    end_s = acked_s + OUTDATED_S + 0.5
+    while time.monotonic() < end_s:
         number += 1
-        for machine in deployed.machines:
-            task = asyncio.create_task(
-                check(deployed, http, machine, number, acked_s, broken)
+        second = int(time.monotonic() - acked_s)
+        for machine in survivors:
+            tasks.append(
+                asyncio.create_task(
+                    count(
+                        http,
+                        machine,
+                        f'{number:03}-{machine.name}',
+                        statuses.setdefault(second, Counter()),
+                    )
+                )
             )
-            tasks.add(task)
-            task.add_done_callback(tasks.discard)
         await asyncio.sleep(0.2)
-    await asyncio.gather(*tasks)
+    await sleep_until(end_s)
+    for second, counts in sorted(statuses.items()):
+        deployed.record.write(
+            f'sent in second {second} after the ack: statuses {dict(counts)}'
+        )
+    for task in tasks:
+        task.cancel()
 
 
-async def check(deployed, http, machine, number, acked_s, broken):
-    attempt_id = f'{number:03}-{machine.name}'
-    sent_s = time.monotonic() - acked_s
-    status = await ask(http, machine, attempt_id, KEY)
-    runs = sum(
-        run.attempt_id == attempt_id
-        for engine in deployed.engines
-        for run in engine.executions
-    )
-    deployed.record.write(
-        f'{attempt_id} sent {sent_s:.3f} s after the ack: '
-        f'status {status}, runs {runs}'
-    )
-    if runs and sent_s > REVOCATION_S:
-        broken.append(
-            f'CONFIG: {attempt_id} ran, sent {sent_s:.3f} s after the ack'
-        )
+async def count(http, machine, attempt_id, counts):
+    counts[await ask(http, machine, attempt_id, KEY)] += 1
 
 
 run_case(Path(__file__).resolve().parent, play)
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,141 +1,123 @@
-"""New weights wait for the turns of machines that are gone.
+"""A tenant that becomes isolated goes on to share what was cached before.
 
-See ``claim.txt``. 21 machines, of which 18 are lost at once, without SIGTERM.
-The operator names new weights four seconds later, with the store, the engines
-and the other machines sound.
+See ``claim.txt``. Tenant sese880 asks, becomes isolated by configuration 5, and
+then tenant tola114 asks with the same shared parts. What the engines keep is
+worked out from the requests that they ran, as PROTOCOL.md says: parts are kept
+under ``Cache-Salt`` and the model, and a part that is kept is used if all parts
+before it are.
 """
 
 import asyncio
-import signal
 import sys
 import time
-from collections import Counter
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent.parent))
 
 from review.lib_2.deployment import (  # noqa: E402
-    KEY,
     ZONES,
     CaseError,
     ask,
+    build_configuration,
     engine_options,
     run_case,
-    sleep_until,
-    wait_for,
 )
 
-LOAD_LIMIT_S = 11.0
-# 1.5 x `version_ms`.
-OUTDATED_S = 12.0
-CALM_S = 4.0
-MACHINES_PER_ZONE = 7
-ENGINES = 6
-# One machine of each zone is left.
-SURVIVORS = ('frontend-plateau-5', 'frontend-hann-4', 'frontend-rufisque-5')
+FIRST = 'sese880'
+SECOND = 'tola114'
+KEYS = {FIRST: 'ctnfzs989anu6wsjnban', SECOND: 'bq7kzc204tnu1rvdmnpe'}
+SHARED_PARTS = '5c1e07a2:800,91bd3f06:410'
+CONFIG_APPLY_S = 2.0
+ENGINES = 3
+REQUESTS = 12
+
+
+def configuration(version, isolated):
+    """Return a configuration in which the tenants ``isolated`` are so."""
+    document = build_configuration(version, [])
+    document['tenants'] = [
+        {'name': name, 'api_keys': [key], 'isolated': name in isolated}
+        for name, key in KEYS.items()
+    ]
+    return document
 
 
 async def play(deployed, http, has_trouble):
     record = deployed.record
     for number in range(ENGINES):
         await deployed.add_engine(engine_options(number))
-    deployed.configure(1, [KEY])
-    for _ in range(MACHINES_PER_ZONE):
-        for zone in ZONES:
-            await deployed.add_machine(zone)
+    store = deployed.store
+    store.append_document('keyed.op', 'config', configuration(1, ()))
+    for zone in ZONES:
+        await deployed.add_machine(zone)
     await deployed.wait_until_ready(http)
-    record.write(f'{len(deployed.machines)} machines are ready')
     await asyncio.sleep(3.0)
 
-    deployed.name_version(2)
-    record.write('version 2 is named')
-    await wait_for(
-        lambda: all(engine.version == 2 for engine in deployed.engines),
-        'all engines have version 2',
-        LOAD_LIMIT_S,
-    )
-    record.write('all engines have version 2')
-    survivors = [
-        machine for machine in deployed.machines if machine.name in SURVIVORS
-    ]
-    await asyncio.sleep(1.0)
+    isolated = set()
+    await ask_all(deployed, http, FIRST, 'before')
     if has_trouble:
-        for machine in deployed.machines:
-            if machine not in survivors:
-                machine.signal(signal.SIGKILL)
-        record.write(
-            f'{len(deployed.machines) - len(survivors)} machines are lost'
-        )
-    await asyncio.sleep(CALM_S)
-    statuses = [await ask(http, m, f'calm-{m.name}', KEY) for m in survivors]
-    record.write(f'the others answer {statuses}')
-    if statuses != [200] * len(survivors):
-        raise CaseError('the machines that are left do not serve')
-
-    deployed.name_version(3)
+        store.append_document('keyed.op', 'config', configuration(5, (FIRST,)))
+        isolated.add(FIRST)
+        record.write(f'acknowledged: configuration 5, {FIRST} is isolated')
     acked_s = time.monotonic()
-    record.write('acknowledged: version 3 is named')
-    versions = asyncio.create_task(watch_versions(deployed, acked_s))
-    await send_requests(deployed, http, survivors, acked_s)
-    outdated = [
-        engine.options.id for engine in deployed.engines if engine.version < 3
-    ]
-    record.write(
-        f'{time.monotonic() - acked_s:.3f} s after the ack the traffic ends; '
-        f'{len(outdated)} of {len(deployed.engines)} engines have an older '
-        'version'
-    )
-    versions.cancel()
-    return len(outdated) > 1 and len(outdated) > len(deployed.engines) / 10
-
-
-async def watch_versions(deployed, acked_s):
-    known = None
-    while True:
-        versions = [engine.version for engine in deployed.engines]
-        if versions != known:
-            known = versions
+    await asyncio.sleep(CONFIG_APPLY_S + 1.0)
+    await ask_all(deployed, http, SECOND, 'after')
+    await ask_all(deployed, http, FIRST, 'after')
+    broken = find_shared(deployed, isolated, acked_s + CONFIG_APPLY_S)
+    for line in broken:
+        record.write(line)
+    return bool(broken)
+
+
+async def ask_all(deployed, http, tenant, when):
+    """Send requests of a tenant, each with a last part of its own."""
+    for number in range(REQUESTS):
+        machine = deployed.machines[number % len(deployed.machines)]
+        attempt_id = f'{when}-{tenant}-{number}'
+        status = await ask(
+            http,
+            machine,
+            attempt_id,
+            KEYS[tenant],
+            prefix=f'{SHARED_PARTS},{len(when)}{number:06x}{ord(tenant[0]):x}:250',
+        )
+        deployed.record.write(f'{attempt_id} to {machine.name}: {status}')
+        if status != 200:
+            raise CaseError('a request was not served')
+
+
+def find_shared(deployed, isolated, from_s):
+    """Return the uses of parts across a wall, by requests after ``from_s``."""
+    broken = []
+    for engine in deployed.engines:
+        makers = {}
+        for run in sorted(engine.executions, key=lambda known: known.began_s):
+            tenant = run.headers['Tenant']
+            salt = run.headers.get('Cache-Salt', '')
+            entries = run.headers['Prompt-Prefix'].split(',')
             deployed.record.write(
-                f'{time.monotonic() - acked_s:.3f} s: versions {versions}'
+                f'{engine.options.id} ran {run.attempt_id}: tenant {tenant}, '
+                f'salt {salt!r}'
             )
-        await asyncio.sleep(0.02)
-
-
-async def send_requests(deployed, http, survivors, acked_s):
-    """Send five requests a second to each machine that is left.
-
-    The traffic ends half a second after ``OUTDATED_S``.
-    """
-    statuses = {}
-    tasks = []
-    number = 0
-    end_s = acked_s + OUTDATED_S + 0.5
-    while time.monotonic() < end_s:
-        number += 1
-        second = int(time.monotonic() - acked_s)
-        for machine in survivors:
-            tasks.append(
-                asyncio.create_task(
-                    count(
-                        http,
-                        machine,
-                        f'{number:03}-{machine.name}',
-                        statuses.setdefault(second, Counter()),
+            is_kept = True
+            for entry in entries:
+                part = (salt, run.headers['Model'], entry.partition(':')[0])
+                is_kept = is_kept and part in makers
+                if not is_kept:
+                    makers[part] = tenant
+                    continue
+                maker = makers[part]
+                if (
+                    maker != tenant
+                    and {maker, tenant} & isolated
+                    and run.began_s > from_s
+                ):
+                    broken.append(
+                        f'WALL: {run.attempt_id} of {tenant} used part '
+                        f'{part[2]} that a request of {maker} made at '
+                        f'{engine.options.id}'
                     )
-                )
-            )
-        await asyncio.sleep(0.2)
-    await sleep_until(end_s)
-    for second, counts in sorted(statuses.items()):
-        deployed.record.write(
-            f'sent in second {second} after the ack: statuses {dict(counts)}'
-        )
-    for task in tasks:
-        task.cancel()
-
-
-async def count(http, machine, attempt_id, counts):
-    counts[await ask(http, machine, attempt_id, KEY)] += 1
+    return broken
 
 
 run_case(Path(__file__).resolve().parent, play)
