Let no status say "not run" of a request that a server may have run

Cause: a refusal counted as one only with Not-Executed or 421 and a proof by the connection; any other response was passed on with its status, whatever that says.

Change: a response with one of the four statuses and without the proof is a failed execution: an idempotent request may go elsewhere within its budget, any other one gets 502 of our own, without the server's stamp. BufferedResponse refuses to hold such a status, so no path can send one. All failures of the edge leave through one place, which drops the claim "not run" for a request that may have run, and Failure.status is 502 then. A requested pause is about later requests and holds without the proof.

--- a/emulator/scripted_response.py
+++ b/emulator/scripted_response.py
@@ -24,7 +24,7 @@
     is ``is_close_delimited`` has neither a length nor chunks. Behind the body
     ``filling`` is sent again and again until the caller closes, in large pieces
     or, if the response ``is_trickling``, one at a time. One that ``has_length``
-    gives that of its body.
+    gives that of its body. A server wants no request for ``pause_s``.
     """
 
     status: int = HTTPStatus.OK
@@ -35,6 +35,7 @@
     filling: bytes = b''
     is_trickling: bool = False
     has_length: bool = False
+    pause_s: float | None = None
 
 
 async def send_scripted(
@@ -46,6 +47,8 @@
     if isinstance(scripted, PartialResponse):
         return await send_partial(request, scripted, headers)
     fields = {**headers, 'Content-Type': scripted.content_type}
+    if scripted.pause_s is not None:
+        fields['Retry-After'] = str(scripted.pause_s)
     if scripted.is_close_delimited:
         lines = [f'{name}: {text}' for name, text in fields.items()]
         head = '\r\n'.join((f'HTTP/1.1 {scripted.status} -', *lines))
--- a/src/arbutusbay/_errors.py
+++ b/src/arbutusbay/_errors.py
@@ -24,6 +24,17 @@
     RAN = 'ran'
 
 
+# A client may repeat any request after one of these, as it was never processed.
+NOT_RUN_STATUSES = frozenset(
+    (
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.MISDIRECTED_REQUEST,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    )
+)
+
+
 class ErrorKind(enum.StrEnum):
     """List the reasons for which a process of arbutusbay rejects a request."""
 
@@ -169,6 +180,31 @@
         """Return the run state of this failure, or the default of its kind."""
         return self.run_state or self.default_response.run_state
 
+    @property
+    def is_not_run(self) -> bool:
+        """Return whether the request was certainly not executed."""
+        return self.effective_run_state is RunState.NOT_RUN
+
+    @property
+    def status(self) -> int:
+        """Return the HTTP status of the response.
+
+        One of ``NOT_RUN_STATUSES`` is only sent if the request was not run.
+        """
+        status = self.default_response.status
+        if status in NOT_RUN_STATUSES and not self.is_not_run:
+            return HTTPStatus.BAD_GATEWAY
+        return status
+
+    def unless_run(self, *, may_have_run: bool) -> 'Failure':
+        """Return this failure, but no claim that a request didn't run.
+
+        That claim is dropped for a request that ``may_have_run``.
+        """
+        if not (may_have_run and self.is_not_run):
+            return self
+        return attrs.evolve(self, run_state=RunState.UNKNOWN)
+
     @property
     def retry_after_header(self) -> str | None:
         """Return the ``Retry-After`` value in whole seconds, rounded up.
--- a/src/arbutusbay/_http.py
+++ b/src/arbutusbay/_http.py
@@ -70,7 +70,7 @@
         headers['Retry-After'] = retry_after
     return json_response(
         failure.to_json(),
-        status=failure.default_response.status,
+        status=failure.status,
         headers=headers,
     )
 
--- a/src/arbutusbay/errors.py
+++ b/src/arbutusbay/errors.py
@@ -2,6 +2,7 @@
 
 from arbutusbay._errors import (
     ERROR_RESPONSES,
+    NOT_RUN_STATUSES,
     ErrorKind,
     ErrorResponse,
     Failure,
@@ -10,6 +11,7 @@
 
 __all__ = (
     'ERROR_RESPONSES',
+    'NOT_RUN_STATUSES',
     'ErrorKind',
     'ErrorResponse',
     'Failure',
--- a/src/arbutusbay/node/_attempts.py
+++ b/src/arbutusbay/node/_attempts.py
@@ -17,6 +17,7 @@
 
 from arbutusbay.client_connections import is_ended_here
 from arbutusbay.clock import milliseconds, now_s
+from arbutusbay.errors import NOT_RUN_STATUSES
 from arbutusbay.held_bytes import UNBOUNDED_BODIES
 from arbutusbay.logs import get_logger
 from arbutusbay.node._http_client import ConnectionResponse
@@ -49,11 +50,22 @@
 _SERVER_ERROR_CLASS = 5
 
 
+def _require_executed(response: object, attribute: object, status: int) -> None:
+    """Raise ``ValueError`` for a status that a client takes as 'not run'."""
+    if status in NOT_RUN_STATUSES:
+        raise ValueError(f'status {status} of a request that was executed')
+
+
 @attrs.frozen(kw_only=True)
 class BufferedResponse:
-    """Represent a whole response of a backend server."""
+    """Represent a whole response of a backend server that ran a request.
 
-    status: int
+    A refusal that is proved to belong to the request is an ``AttemptFailure``.
+    Any other response may be to a request that ran, so its ``status`` must not
+    be one of ``NOT_RUN_STATUSES``.
+    """
+
+    status: int = attrs.field(validator=_require_executed)
     headers: CIMultiDict[str]
     body: WholeBody
 
@@ -124,6 +136,17 @@
         """Return whether the status is 2xx."""
         return _status_class(self.status) == _SUCCESS_CLASS
 
+    @property
+    def is_unproved_refusal(self) -> bool:
+        """Return whether the status says 'not run' but nothing proves it."""
+        return self.status in NOT_RUN_STATUSES
+
+    @property
+    def is_failure(self) -> bool:
+        """Return whether the server failed to execute the request."""
+        is_error = _status_class(self.status) == _SERVER_ERROR_CLASS
+        return is_error or self.is_unproved_refusal
+
     def headers(self) -> CIMultiDict[str]:
         """Return the headers to forward to the client."""
         return build_client_headers(self.response.headers.items())
@@ -165,7 +188,8 @@
     async def read_response(self) -> Result[BufferedResponse, AttemptFailure]:
         """Read the body and return the response, or the failure.
 
-        Fails if the body is incomplete or too long, or the status is 5xx.
+        Fails if the body is incomplete or too long, the status is 5xx, or it
+        is one by which the client would repeat a request that may have run.
         """
         match await read_body(self.response, _MAX_BODY_BYTES):
             case Err(cut):
@@ -177,20 +201,16 @@
                 )
             case Ok(body):
                 pass
+        if self.is_unproved_refusal:
+            detail = f'status {self.status} without Not-Executed'
+            return _execution_failure(detail, body.end)
         answer = BufferedResponse(
             status=self.status,
             headers=self.headers(),
             body=body,
         )
-        if _status_class(self.status) == _SERVER_ERROR_CLASS:
-            return Err(
-                AttemptFailure(
-                    outcome=AttemptOutcome.RAN_AND_FAILED,
-                    detail=f'status {self.status}',
-                    error_response=answer,
-                    body_end=body.end,
-                ),
-            )
+        if self.is_failure:
+            return _execution_failure(f'status {self.status}', body.end, answer)
         return Ok(answer)
 
     async def _parse_events(
@@ -379,6 +399,19 @@
     return not response.content.is_eof()
 
 
+def _execution_failure(
+    detail: str, end: BodyEnd, answer: BufferedResponse | None = None
+) -> Err[AttemptFailure]:
+    return Err(
+        AttemptFailure(
+            outcome=AttemptOutcome.RAN_AND_FAILED,
+            detail=detail,
+            error_response=answer,
+            body_end=end,
+        )
+    )
+
+
 def _unknown_outcome(detail: str) -> Err[AttemptFailure]:
     return Err(AttemptFailure(outcome=AttemptOutcome.UNKNOWN, detail=detail))
 
--- a/src/arbutusbay/node/_client_stream.py
+++ b/src/arbutusbay/node/_client_stream.py
@@ -12,9 +12,9 @@
 
 from arbutusbay.client_ends import has_queued_request
 from arbutusbay.clock import now_s
-from arbutusbay.node._attempt_history import AttemptHistory
 from arbutusbay.node._attempts import BufferedResponse, OpenResponse
 from arbutusbay.node._incoming_request import IncomingRequest
+from arbutusbay.node._request_executor import RequestExecutor, may_have_run
 from arbutusbay.platform import ServerSentEvent
 from arbutusbay.response_streams import (
     ResponseStream,
@@ -133,20 +133,26 @@
 class ClientExchange:
     """Hold one client request and how far its response has come.
 
-    ``incoming`` is None until the request was accepted, ``attempt_history``
-    until it was read whole, and ``stream`` until the head of a stream is out.
+    ``incoming`` is None until the request was accepted, ``executor`` until it
+    was read whole, and ``stream`` until the head of a stream is out.
     """
 
     request: web.BaseRequest
     incoming: IncomingRequest | None = None
-    attempt_history: AttemptHistory | None = None
+    executor: RequestExecutor | None = None
     stream: ClientStream | None = None
 
     @property
     def answer_in_hand(self) -> BufferedResponse | None:
         """Return the latest response of a server that failed, if any."""
-        history = self.attempt_history
-        return None if history is None else history.answer_in_hand
+        if self.executor is None:
+            return None
+        return self.executor.attempt_history.answer_in_hand
+
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether a backend server may have executed the request."""
+        return self.executor is not None and may_have_run(self.executor)
 
     async def start_stream(
         self, answer: OpenResponse, *, closes: bool
--- a/src/arbutusbay/node/_frontend.py
+++ b/src/arbutusbay/node/_frontend.py
@@ -130,7 +130,7 @@
             body=body,
             check_client=functools.partial(check_client, request),
         )
-        exchange.attempt_history = executor.attempt_history
+        exchange.executor = executor
         try:
             return await self._execute(exchange, executor)
         except (asyncio.CancelledError, ClientConnectionResetError):
@@ -261,12 +261,15 @@
         """Refuse a request, unless a server has given an answer to it.
 
         All requests that fail here end so, whatever the cause. An answer in
-        hand is not given up for another one that could not be got.
+        hand is not given up for another one that could not be got. A request
+        that may have run is never refused as 'not run'.
         """
         answer = exchange.answer_in_hand
         if answer is None:
             return self._reject_request(
-                exchange.request, failure, exchange.incoming
+                exchange.request,
+                failure.unless_run(may_have_run=exchange.may_have_run),
+                exchange.incoming,
             )
         _LOG.info(
             'gives the answer in hand',
@@ -302,7 +305,7 @@
             fields={
                 'request_id': attempt_id,
                 'kind': failure.kind.value,
-                'status': int(failure.default_response.status),
+                'status': int(failure.status),
                 'ran': failure.effective_run_state.value,
                 'detail': failure.detail,
                 'retry_after_s': failure.retry_after_s,
@@ -317,7 +320,7 @@
             },
         )
         response = web.Response(
-            status=failure.default_response.status,
+            status=failure.status,
             text=f'{failure.kind.value}: {failure.detail}\n',
             headers=build_refusal_headers(attempt_id, failure.retry_after_s),
         )
--- a/src/arbutusbay/node/_mover.py
+++ b/src/arbutusbay/node/_mover.py
@@ -6,7 +6,6 @@
 
 from collections.abc import Callable
 from contextlib import AbstractAsyncContextManager
-from http import HTTPStatus
 
 import attrs
 
@@ -29,8 +28,8 @@
 _MOVE_AFTER_TARGET_FACTOR = 1.5
 
 
-def _is_no_server_error(answer: OpenResponse) -> bool:
-    return answer.status < HTTPStatus.INTERNAL_SERVER_ERROR
+def _is_no_failure(answer: OpenResponse) -> bool:
+    return not answer.is_failure
 
 
 @attrs.define(kw_only=True)
@@ -48,7 +47,7 @@
     evidence: RequestEvidence
     feedback: ServerFeedback
     open_attempt: Callable[[Placement], AbstractAsyncContextManager[Opened]]
-    may_continue_with: Callable[[OpenResponse], bool] = _is_no_server_error
+    may_continue_with: Callable[[OpenResponse], bool] = _is_no_failure
     headless_servers: frozenset[str] = frozenset()
 
     def begin(self, monitored: MonitoredAttempt) -> None:
--- a/src/arbutusbay/node/_request_executor.py
+++ b/src/arbutusbay/node/_request_executor.py
@@ -289,7 +289,7 @@
         the VM ends before the deadline, it is ``DRAINING`` or
         ``OUTCOME_UNKNOWN``.
         """
-        is_not_executed = _is_certainly_not_executed(self)
+        is_not_executed = not may_have_run(self)
         if self.dependencies.node_state.is_ending:
             return Failure(
                 kind=ErrorKind.DRAINING
@@ -567,19 +567,20 @@
         return Err(executor.deadline_failure())
 
 
+def may_have_run(executor: RequestExecutor) -> bool:
+    """Return whether a backend server may have executed the request."""
+    return (
+        executor.in_flight
+        or executor.replacement.pending is not None
+        or executor.attempt_history.possible_executions > 0
+    )
+
+
 def half_closed_failure(executor: RequestExecutor) -> Failure:
     """Return the failure of a request whose client ended its stream."""
     return Failure(
-        kind=ErrorKind.CLIENT_HALF_CLOSED
-        if _is_certainly_not_executed(executor)
-        else ErrorKind.OUTCOME_UNKNOWN,
+        kind=ErrorKind.OUTCOME_UNKNOWN
+        if may_have_run(executor)
+        else ErrorKind.CLIENT_HALF_CLOSED,
         detail='the client ended its sending side before the response',
     )
-
-
-def _is_certainly_not_executed(executor: RequestExecutor) -> bool:
-    return (
-        not executor.in_flight
-        and executor.replacement.pending is None
-        and not executor.attempt_history.possible_executions
-    )
--- a/src/arbutusbay/node/_server_feedback.py
+++ b/src/arbutusbay/node/_server_feedback.py
@@ -38,13 +38,15 @@
     ) -> None:
         """Record what the headers of a response show about its server."""
         match opened:
-            case Ok(OpenResponse(parsed_headers=head)):
+            case Ok(OpenResponse(parsed_headers=head) as response):
                 self.record_departure(view, head)
                 self.record_load(view, head.load)
                 self.record_weights(view, model, head.weights_version)
+                if response.is_unproved_refusal:
+                    self.record_requested_pause(view, head)
             case Err(AttemptFailure(response_head=ResponseHead() as head)):
                 self.record_departure(view, head)
-                self.record_rejection(view, head)
+                self.record_requested_pause(view, head)
 
     def record_load(self, view: EngineView, load: EngineLoad | None) -> None:
         """Record the load that a response reports, if any."""
@@ -63,8 +65,13 @@
             self.node_state.notify_report_changed()
             self.node_state.notify_state_changed()
 
-    def record_rejection(self, view: EngineView, head: ResponseHead) -> None:
-        """Record for how long a server that rejected wants no request."""
+    def record_requested_pause(
+        self, view: EngineView, head: ResponseHead
+    ) -> None:
+        """Record for how long a server wants no request, if it says so.
+
+        That is about later requests, whether or not this one has run.
+        """
         if not head.retry_after_s:
             return
         pause_s = min(_MAX_REQUESTED_PAUSE_S, head.retry_after_s)
