Let our own edge say "not run" only of calls that did not run

Callers saw: at our own edge a service's 408, 421, 429 or 503 to a call that it had run was passed on, stored in the ledger, and given again from there. An engine's 500 counted as a refusal, so a completion that may run once could run at a second engine; kinds of failure with an unknown outcome (ledger or log unavailable) were answered 503.

A service proves nothing by a status, and the table of error kinds let 503 stand beside "outcome unknown".

Only 409, 429 and 503 of an engine are refusals in our protocol: one that runs a completion begins with 200. ErrorResponse can't hold such a status beside a run state other than not_run, and Failure.status is 502 in its place.

test_outage_rejects_writes_and_keeps_the_configuration wanted 503 for a write that may still take effect: that is the fault. It wants 502 and the run state outcome_unknown now, which is stricter.

--- a/src/arbutusbay/_errors.py
+++ b/src/arbutusbay/_errors.py
@@ -35,6 +35,15 @@
 )
 
 
+def require_executed(response: object, attribute: object, status: int) -> None:
+    """Raise ``ValueError`` for a status that a client takes as 'not run'.
+
+    It validates the status of a response to a request that may have run.
+    """
+    if status in NOT_RUN_STATUSES:
+        raise ValueError(f'status {status} of a request that may have run')
+
+
 class ErrorKind(enum.StrEnum):
     """List the reasons for which a process of arbutusbay rejects a request."""
 
@@ -79,6 +88,11 @@
     run_state: RunState
     retryable: bool = False
 
+    def __attrs_post_init__(self) -> None:
+        """Raise ``ValueError`` if the status alone says 'not run'."""
+        if self.run_state is not RunState.NOT_RUN:
+            require_executed(self, None, self.status)
+
 
 def _not_run(status: int, *, retryable: bool = False) -> ErrorResponse:
     return ErrorResponse(
@@ -131,25 +145,19 @@
             run_state=RunState.RAN,
             retryable=True,
         ),
-        ErrorKind.LEDGER_UNAVAILABLE: _outcome_unknown(
-            HTTPStatus.SERVICE_UNAVAILABLE
-        ),
+        ErrorKind.LEDGER_UNAVAILABLE: _outcome_unknown(HTTPStatus.BAD_GATEWAY),
         ErrorKind.IN_PROGRESS: _outcome_unknown(HTTPStatus.CONFLICT),
         ErrorKind.OUTCOME_UNKNOWN: _outcome_unknown(HTTPStatus.BAD_GATEWAY),
         ErrorKind.KEY_REUSED: _not_run(HTTPStatus.UNPROCESSABLE_ENTITY),
         ErrorKind.VERSION_CONFLICT: _not_run(HTTPStatus.CONFLICT),
         ErrorKind.INVALID_RESOURCE: _not_run(HTTPStatus.UNPROCESSABLE_ENTITY),
         ErrorKind.UNKNOWN_RESOURCE: _not_run(HTTPStatus.NOT_FOUND),
-        ErrorKind.LOG_UNAVAILABLE: _outcome_unknown(
-            HTTPStatus.SERVICE_UNAVAILABLE
-        ),
+        ErrorKind.LOG_UNAVAILABLE: _outcome_unknown(HTTPStatus.BAD_GATEWAY),
         ErrorKind.LOG_RATE_LIMITED: _not_run(
             HTTPStatus.TOO_MANY_REQUESTS,
             retryable=True,
         ),
-        ErrorKind.PEER_UNREACHABLE: _outcome_unknown(
-            HTTPStatus.SERVICE_UNAVAILABLE
-        ),
+        ErrorKind.PEER_UNREACHABLE: _outcome_unknown(HTTPStatus.BAD_GATEWAY),
         ErrorKind.BAD_MESSAGE: _outcome_unknown(HTTPStatus.BAD_GATEWAY),
         ErrorKind.INTERNAL: _outcome_unknown(HTTPStatus.INTERNAL_SERVER_ERROR),
     }
--- a/src/arbutusbay/backend/__init__.py
+++ b/src/arbutusbay/backend/__init__.py
@@ -23,6 +23,7 @@
     IDEMPOTENCY_KEY_HEADER,
     ServiceCall,
     ServiceResponse,
+    accept_response,
     call_service,
 )
 
@@ -44,6 +45,7 @@
     'ServiceResponse',
     'TextPiece',
     'WeightsOrder',
+    'accept_response',
     'call_service',
     'compute_block_hashes',
 )
--- a/src/arbutusbay/backend/_engine_client.py
+++ b/src/arbutusbay/backend/_engine_client.py
@@ -40,6 +40,7 @@
 _CALL_TIMEOUT_S = 3.0
 _OK_STATUS = 200
 _IDENTITY_MISMATCH_STATUS = 409
+_REFUSAL_STATUSES = frozenset((_IDENTITY_MISMATCH_STATUS, 429, 503))
 _MAX_LINE_BYTES = 1024 * 1024
 _MAX_BODY_BYTES = 8_388_608
 _BROKEN_STREAM_ERRORS = (
@@ -68,9 +69,10 @@
         name the attempt that it belongs to.
 
         A failure, if any, comes last. Its run state is ``NOT_RUN`` if the
-        engine rejected the request or connecting failed, ``RAN`` if the stream
-        is malformed or lacks its last event, and ``UNKNOWN`` after any other
-        error.
+        engine rejected the request with 409, 429 or 503 or connecting failed:
+        an engine that runs a request begins with 200. It is ``RAN`` if the
+        stream is malformed or lacks its last event, and ``UNKNOWN`` after any
+        other status or error.
         """
         try:
             async with self._open(generation) as response:
@@ -167,7 +169,10 @@
         match body.and_then(_decode_identity):
             case Ok(identity):
                 yield Ok(EngineMismatch(identity=identity))
-    yield refusal_error(response.status)
+    if response.status in _REFUSAL_STATUSES:
+        yield refusal_error(response.status)
+    else:
+        yield call_failed(f'status {response.status}', RunState.UNKNOWN)
 
 
 def _decode_identity(body: WholeBody) -> Result[EngineIdentity, str]:
--- a/src/arbutusbay/backend/_http_service.py
+++ b/src/arbutusbay/backend/_http_service.py
@@ -10,7 +10,13 @@
 import attrs
 from result import Err, Ok, Result
 
-from arbutusbay.errors import ErrorKind, Failure, RunState
+from arbutusbay.errors import (
+    NOT_RUN_STATUSES,
+    ErrorKind,
+    Failure,
+    RunState,
+    require_executed,
+)
 from arbutusbay.responses import NoResponse, fetch_whole
 
 _CONNECT_TIMEOUT_S = 1.0
@@ -34,9 +40,12 @@
 
 @attrs.frozen(kw_only=True)
 class ServiceResponse:
-    """Hold the complete response of a service."""
+    """Hold the complete response of a service to a call that may have run.
 
-    status: int
+    ``status`` is none of ``NOT_RUN_STATUSES``: a service does not prove that.
+    """
+
+    status: int = attrs.field(validator=require_executed)
     content_type: str
     body: bytes
 
@@ -50,7 +59,8 @@
 
     The failure is ``NO_BACKEND_SERVER`` with the run state ``NOT_RUN`` if
     no connection was made, so that no byte can have reached the service.
-    Otherwise it is ``OUTCOME_UNKNOWN``, also for a response that is not whole.
+    Otherwise it is ``OUTCOME_UNKNOWN``, also for a response that is not whole
+    and for one that says 'not run' by its status alone.
     """
     timeout = aiohttp.ClientTimeout(
         total=call.timeout_s,
@@ -68,15 +78,27 @@
         case Err(missing):
             return _failure(missing)
         case Ok(response):
-            return Ok(
-                ServiceResponse(
-                    status=response.status,
-                    content_type=response.content_type,
-                    body=response.body,
-                ),
+            return accept_response(
+                response.status, response.content_type, response.body
             )
 
 
+def accept_response(
+    status: int, content_type: str, body: bytes
+) -> Result[ServiceResponse, Failure]:
+    """Return the response, or a failure if it must not reach a client."""
+    if status in NOT_RUN_STATUSES:
+        return Err(
+            Failure(
+                kind=ErrorKind.OUTCOME_UNKNOWN,
+                detail=f'service: status {status}, though it may have run',
+            ),
+        )
+    return Ok(
+        ServiceResponse(status=status, content_type=content_type, body=body)
+    )
+
+
 def _failure(missing: NoResponse) -> Err[Failure]:
     kind, run_state = (
         (ErrorKind.OUTCOME_UNKNOWN, RunState.UNKNOWN)
--- a/src/arbutusbay/errors.py
+++ b/src/arbutusbay/errors.py
@@ -7,6 +7,7 @@
     ErrorResponse,
     Failure,
     RunState,
+    require_executed,
 )
 
 __all__ = (
@@ -16,4 +17,5 @@
     'ErrorResponse',
     'Failure',
     'RunState',
+    'require_executed',
 )
--- a/src/arbutusbay/node/_attempts.py
+++ b/src/arbutusbay/node/_attempts.py
@@ -17,7 +17,7 @@
 
 from arbutusbay.client_connections import is_ended_here
 from arbutusbay.clock import milliseconds, now_s
-from arbutusbay.errors import NOT_RUN_STATUSES
+from arbutusbay.errors import NOT_RUN_STATUSES, require_executed
 from arbutusbay.held_bytes import UNBOUNDED_BODIES
 from arbutusbay.logs import get_logger
 from arbutusbay.node._http_client import ConnectionResponse
@@ -50,12 +50,6 @@
 _SERVER_ERROR_CLASS = 5
 
 
-def _require_executed(response: object, attribute: object, status: int) -> None:
-    """Raise ``ValueError`` for a status that a client takes as 'not run'."""
-    if status in NOT_RUN_STATUSES:
-        raise ValueError(f'status {status} of a request that was executed')
-
-
 @attrs.frozen(kw_only=True)
 class BufferedResponse:
     """Represent a whole response of a backend server that ran a request.
@@ -65,7 +59,7 @@
     be one of ``NOT_RUN_STATUSES``.
     """
 
-    status: int = attrs.field(validator=_require_executed)
+    status: int = attrs.field(validator=require_executed)
     headers: CIMultiDict[str]
     body: WholeBody
 
--- a/src/arbutusbay/router/_keyed_call.py
+++ b/src/arbutusbay/router/_keyed_call.py
@@ -9,7 +9,7 @@
 import attrs
 from result import Err, Ok, Result
 
-from arbutusbay.backend import ServiceCall, ServiceResponse
+from arbutusbay.backend import ServiceCall, ServiceResponse, accept_response
 from arbutusbay.clock import now_s
 from arbutusbay.errors import ErrorKind, Failure, RunState
 from arbutusbay.logs import get_logger
@@ -121,9 +121,7 @@
         match answer:
             case Ok(response):
                 await self._record_outcome(keyed, nonce, response)
-            case Err(failure) if (
-                failure.effective_run_state is RunState.NOT_RUN
-            ):
+            case Err(failure) if failure.is_not_run:
                 self.ledger.abandon(keyed.key, nonce)
             case Err() if keyed.may_repeat:
                 return await self._resend(keyed, nonce)
@@ -164,7 +162,7 @@
         while True:
             match LedgerVerdict(reply.verdict):
                 case LedgerVerdict.FINISHED:
-                    return Ok(_recorded_answer(reply))
+                    return _recorded_answer(reply)
                 case LedgerVerdict.KEY_REUSED:
                     return _key_reused()
                 case LedgerVerdict.IN_PROGRESS if keyed.may_repeat:
@@ -212,12 +210,8 @@
     return attrs.evolve(keyed.call, timeout_s=left_s)
 
 
-def _recorded_answer(reply: LedgerReply) -> ServiceResponse:
-    return ServiceResponse(
-        status=reply.status,
-        content_type=reply.content_type,
-        body=reply.body,
-    )
+def _recorded_answer(reply: LedgerReply) -> Result[ServiceResponse, Failure]:
+    return accept_response(reply.status, reply.content_type, reply.body)
 
 
 def _ledger_unavailable(failure: Failure) -> Err[Failure]:
--- a/src/arbutusbay/router/_service_calls.py
+++ b/src/arbutusbay/router/_service_calls.py
@@ -140,15 +140,11 @@
 ) -> Result[ServiceResponse, Failure]:
     """Return ``latest``, unless only ``earlier`` may have run the call."""
     match earlier, latest:
-        case Err(before), Err(failure) if _is_not_run(failure):
-            return latest if _is_not_run(before) else earlier
+        case Err(before), Err(failure) if failure.is_not_run:
+            return latest if before.is_not_run else earlier
     return latest
 
 
-def _is_not_run(failure: Failure) -> bool:
-    return failure.effective_run_state is RunState.NOT_RUN
-
-
 def _may_retry(
     answer: Result[ServiceResponse, Failure],
     *,
@@ -158,7 +154,7 @@
         case Ok():
             return False
         case Err(failure):
-            return is_idempotent or _is_not_run(failure)
+            return is_idempotent or failure.is_not_run
 
 
 def _no_backend_server(pool: str) -> Failure:
--- a/tests/integration/test_proof_config.py
+++ b/tests/integration/test_proof_config.py
@@ -94,7 +94,10 @@
         rejected_write = await _put_route(
             session, node, spec, current['version']
         )
-        assert rejected_write.status == 503
+        # It may still take effect, which 503 would deny.
+        assert rejected_write.status == 502
+        error = rejected_write.body['error']
+        assert error['run_state'] == 'outcome_unknown'
         resource_on_node = call_json(
             f'{node.control.url}/api/v1/route/roll-advisor'
         )
