Keep one view of the VMs of the fleet, and end the records of those that are gone

Each VM waited 0.8 s for each VM that had ever registered and ranks before it.

Cause: catalog.vms held whoever ever wrote a record; nothing was ever removed from it or from the store, so all who asked "who is there" got history: turns to claim the lease, shares of the retry budget (taken once, at the first request) and of returning places, intervals of rereads, whom a follower asks, trials of quarantined prompts. Each left out silent VMs in its own way or not at all. Found by reading and shown by a test: two VMs that were cut off from each other for longer than the silence limit stop reporting to each other, and never begin again.

Change: Membership is the one view (name, zone, heard last, leaving or silent), which all these uses read. A VM that stops says so in its reports and removes its record. One that is silent for 60 s, longer than any freeze or cut that the site files name, counts as gone: it is dropped here with what it reported, and the first VM that rereads the records and hears any other one removes its record, all in one conditional append at the end that the reread has shown. Time in which the own VM did not run shows nothing about the others. A report or a new start brings a VM back; one whose record was removed writes it again. Silent VMs and those that are gone but have a record still get a report now and then. Shares of the retry budget follow the fleet, count silent VMs, which may only be cut off, and are smallest until the fleet is known.

The turns at a free lease begin once it is free, and each is for twice as many VMs as the one before: 0.4 s x log2 of the fleet, 2 s at 53 VMs, 2.8 s at 195, whatever died a moment ago. A claim is conditional, so a wrong turn costs calls.

--- a/emulator/store.py
+++ b/emulator/store.py
@@ -7,6 +7,7 @@
 import asyncio
 import base64
 import enum
+from collections.abc import Iterator
 from http import HTTPStatus
 
 import attrs
@@ -129,7 +130,7 @@
         return self.topic(topic).append(key, payload)
 
     async def append(self, request: web.Request) -> web.Response:
-        """Append one record.
+        """Append one or more records.
 
         Responds 412 if the parameter ``at`` is given and the topic doesn't
         end at that offset.
@@ -144,9 +145,10 @@
                 {'end': topic.next_offset},
                 status=HTTPStatus.PRECONDITION_FAILED,
             )
-        content = (await request.read())[_LENGTH_BYTES:]
-        key_end = 1 + content[0]
-        offset = topic.append(content[1:key_end].decode(), content[key_end:])
+        offset = topic.next_offset
+        for content in _split_records(await request.read()):
+            key_end = 1 + content[0]
+            topic.append(content[1:key_end].decode(), content[key_end:])
         if fault is StoreFault.LOSE_ANSWERS:
             request.transport.abort()
         return web.json_response({'offset': offset, 'end': topic.next_offset})
@@ -221,3 +223,11 @@
                     await topic.record_appended.wait()
         except TimeoutError:
             return
+
+
+def _split_records(body: bytes) -> Iterator[bytes]:
+    """Yield the contents of the records in the body of an append."""
+    while body:
+        end = _LENGTH_BYTES + int.from_bytes(body[:_LENGTH_BYTES], 'big')
+        yield body[_LENGTH_BYTES:end]
+        body = body[end:]
--- a/src/arbutusbay/fleet/_catalog.py
+++ b/src/arbutusbay/fleet/_catalog.py
@@ -12,7 +12,6 @@
     BackendServer,
     Configuration,
     LeaseClaim,
-    VMRegistration,
     WeightsTarget,
 )
 
@@ -117,7 +116,7 @@
 
 
 class FleetCatalog:
-    """Hold the newest known configuration, targets, servers, VMs and leases.
+    """Hold the newest known configuration, targets, servers and leases.
 
     Configuration versions, target versions and fencing tokens only rise.
     """
@@ -127,7 +126,6 @@
         self.configuration: Configuration | None = None
         self.targets: dict[str, TrackedTarget] = {}
         self.servers: dict[str, BackendServer] = {}
-        self.vms: dict[str, VMRegistration] = {}
         self.leases: dict[str, LeaseState] = {}
 
     def update_configuration(self, configuration: Configuration) -> bool:
--- a/src/arbutusbay/node/_components.py
+++ b/src/arbutusbay/node/_components.py
@@ -46,7 +46,7 @@
         """
         self.node_state = NodeState(settings=settings)
         self.own_vm = build_own_registration(settings)
-        self.node_state.catalog.vms[self.own_vm.name] = self.own_vm
+        self.node_state.members.own_vm = self.own_vm
         self.store = StoreClient(
             address=str(settings.store),
             session=session,
--- a/src/arbutusbay/node/_control_api.py
+++ b/src/arbutusbay/node/_control_api.py
@@ -12,6 +12,7 @@
 from arbutusbay.node._node_state import NodeState
 from arbutusbay.platform import READINESS_PATH, StoreClient
 from arbutusbay.quarantine import segment_key
+from arbutusbay.scheduling import Membership
 
 _READINESS_PATHS = frozenset((READINESS_PATH, '/readyz'))
 _METRICS_PATH = '/metrics'
@@ -65,7 +66,7 @@
             'config_version': configuration.version if configuration else None,
             'config_age_ms': node_state.configuration_age_ms(),
             'requests_in_progress': len(node_state.busy_connections),
-            'vms': sorted(node_state.catalog.vms),
+            'vms': _describe_members(node_state.members, moment_s),
             'targets': {
                 model: target.version
                 for model, target in node_state.catalog.targets.items()
@@ -134,3 +135,20 @@
         self.metrics.log_lines_dropped.set({}, self.log_writer.dropped_lines)
         content, headers = self.metrics.render()
         return web.Response(body=content, headers=headers)
+
+
+def _describe_members(
+    members: Membership, moment_s: float
+) -> list[dict[str, Any]]:
+    """Return the known VMs, and which of them are silent or stop."""
+    silent = members.silent(moment_s)
+    return [
+        {
+            'name': name,
+            'zone': member.vm.zone,
+            'heard_ms_ago': milliseconds(moment_s - member.last_heard_s),
+            'silent': name in silent,
+            'leaving': member.has_left,
+        }
+        for name, member in sorted(members.members.items())
+    ]
--- a/src/arbutusbay/node/_coordination.py
+++ b/src/arbutusbay/node/_coordination.py
@@ -56,7 +56,7 @@
         case Ok(found):
             pass
     node_state.observe_store_era(found.era)
-    registered_vms: set[str] = set()
+    registered_vms: dict[str, VMRegistration] = {}
     for record in found.records:
         document = decode_coordination_record(
             record.key,
@@ -64,8 +64,7 @@
         )
         match document:
             case Ok(VMRegistration() as vm):
-                node_state.catalog.vms[vm.name] = vm
-                registered_vms.add(vm.name)
+                registered_vms[vm.name] = vm
             case Ok(LeaseClaim() as claim):
                 fence = fencing_token(store_era=found.era, offset=record.offset)
                 node_state.catalog.update_claim(claim, fence, now_s())
@@ -74,10 +73,11 @@
             case Err(failure):
                 _log_skipped(node_state, record.key, failure)
     node_state.has_read_verdicts = True
+    node_state.members.apply_records(registered_vms, now_s())
     return Ok(
         CoordinationRead(
             end=StorePosition(era=found.era, offset=found.end),
-            registered_vms=registered_vms,
+            registered_vms=registered_vms.keys(),
         )
     )
 
--- a/src/arbutusbay/node/_daemon.py
+++ b/src/arbutusbay/node/_daemon.py
@@ -15,7 +15,10 @@
 from arbutusbay.node._idle_connections import IdleConnections
 from arbutusbay.node._listeners import open_listeners
 from arbutusbay.node._pause_monitor import run_pause_monitor
-from arbutusbay.node._registration import run_registration
+from arbutusbay.node._registration import (
+    run_registration,
+    withdraw_registration,
+)
 from arbutusbay.node._shutdown import drain_connections
 from arbutusbay.platform import (
     VMSettings,
@@ -62,6 +65,15 @@
     _start_background_tasks(supervisor, components, log_writer)
     supervisor.start('connections', idle_connections.run)
     await supervisor.stop_requested.wait()
+    supervisor.replace(
+        'registration',
+        functools.partial(
+            withdraw_registration,
+            components.node_state,
+            components.store,
+            components.own_vm,
+        ),
+    )
     await drain_connections(
         components.node_state,
         components.dispatcher,
@@ -104,6 +116,15 @@
             asyncio.create_task(self._keep_running(name, run), name=name)
         )
 
+    def replace(
+        self, name: str, run: Callable[[], Coroutine[Any, Any, None]]
+    ) -> None:
+        """Cancel the background task ``name`` and run another one once."""
+        for task in self.tasks:
+            if task.get_name() == name:
+                task.cancel()
+        self.tasks.append(asyncio.create_task(run(), name=name))
+
     def cancel(self) -> None:
         """Cancel all background tasks."""
         for task in self.tasks:
--- a/src/arbutusbay/node/_follower.py
+++ b/src/arbutusbay/node/_follower.py
@@ -50,7 +50,6 @@
 _CONFIG_AGE_RATIO = 0.6
 _TRANSFER_RATIO = 0.8
 _REVOCATION_AVOID_RATIO = 0.6
-_SILENT_AFTER_S = 3.0
 _MAX_STORE_FAILURES = 3
 _MAX_RELAY_BYTES = 33_554_432
 _SOURCE_CHECK_INTERVAL_S = 0.3
@@ -178,10 +177,11 @@
                 await self._poll_vm(vm)
 
     def _choose_source(self) -> StoreSource:
+        members = self.node_state.members
         sources = rank_sources(
             self.node_state.settings.name,
-            self.node_state.catalog.vms,
-            self.node_state.silent_vms(_SILENT_AFTER_S),
+            members.vms(),
+            members.absent(now_s()),
         )
         if self.node_state.lacks_past() and self.node_state.knows_verdicts():
             # Those that start as well answer at once that they lack it too.
--- a/src/arbutusbay/node/_lease.py
+++ b/src/arbutusbay/node/_lease.py
@@ -90,8 +90,22 @@
 
     def is_last_holder(self) -> bool:
         """Return whether this VM made the newest known claim."""
+        return self.last_holder() == self.holder
+
+    def last_holder(self) -> str | None:
+        """Return the VM that made the newest known claim, None without one."""
+        known = self.node_state.catalog.leases.get(self.name)
+        return known.claim.holder if known else None
+
+    def free_since_s(self) -> float:
+        """Return when the newest known claim of another VM ends, or ended.
+
+        Minus infinity without such a claim.
+        """
         known = self.node_state.catalog.leases.get(self.name)
-        return known is not None and known.claim.holder == self.holder
+        if known is None or known.claim.holder == self.holder:
+            return float('-inf')
+        return known.observed_s + self.durations.takeover_after_s
 
     async def acquire_or_renew(self) -> int | None:
         """Return the fencing token, claiming or renewing the lease if needed.
--- a/src/arbutusbay/node/_node_state.py
+++ b/src/arbutusbay/node/_node_state.py
@@ -23,18 +23,20 @@
     PEER_REPORT_TTL_S,
     EngineView,
     LoadDuration,
+    Membership,
     ObservedEra,
     RecentWork,
     RetryBudget,
     WorkTotals,
     is_fresh_enough,
-    remote_silence_limit_s,
     short_prompt_share,
 )
 
 _FIRST_ERA = 1
 _REVOCATION_MARGIN_S = 0.4
 _MAX_WAIT_FOR_VERDICTS_S = 2.0
+# Divides the limits of the fleet while the number of its VMs is not known.
+_MAX_VMS = 400
 _LOG = get_logger('store')
 
 
@@ -139,6 +141,7 @@
     """Hold the shared state of the daemon.
 
     Attributes:
+        members: The VMs of the fleet, as this one sees them.
         engine_views: Engines by the id of their backend server.
         retry_budgets: Retry budgets by service.
         prefill_s_per_token: Prefill time of an engine per prompt token, in
@@ -147,8 +150,6 @@
         recent_work: Recent work that this VM dispatched, by prompt length.
         peer_work_totals: The same as last reported by each other VM.
         state_changed: Set when the catalog or the set of engines changes.
-        last_report_s: When each VM last sent a datagram, in seconds on the
-            node's clock.
         reported_zone_loads: Load of the other zones, as last reported by
             their aggregators.
         remote_weights_loads: Engines into which a VM of another zone loads
@@ -175,6 +176,7 @@
     """
 
     settings: VMSettings
+    members: Membership = attrs.field(factory=Membership)
     catalog: FleetCatalog = attrs.field(factory=FleetCatalog)
     freshness: Freshness = attrs.field(factory=Freshness)
     store_era: StoreEra = attrs.field(factory=StoreEra)
@@ -186,7 +188,6 @@
     recent_work: RecentWork = attrs.field(factory=RecentWork)
     peer_work_totals: dict[str, WorkTotals] = attrs.field(factory=dict)
     state_changed: asyncio.Event = attrs.field(factory=asyncio.Event)
-    last_report_s: dict[str, float] = attrs.field(factory=dict)
     reported_zone_loads: dict[str, ReceivedZoneLoad] = attrs.field(factory=dict)
     remote_weights_loads: dict[str, EngineView] = attrs.field(factory=dict)
     topics_changed: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -287,24 +288,25 @@
     def retry_budget_of(self, service: str) -> RetryBudget:
         """Return this VM's retry budget for ``service``.
 
-        The budget is created on first use: each VM gets an equal share of
-        the fleet's retry slack, half of it as burst and half as refill over
-        the retry window.
+        Each VM gets an equal share of the fleet's retry slack, half of it as
+        burst and half as refill over the retry window. The share changes with
+        the number of VMs.
         """
+        bounds = self.settings.bounds
+        half_share = bounds.retry_slack / self._share_count() / 2
+        burst = max(1.0, half_share)
+        refill_tokens_per_s = half_share / bounds.retry_window_s
         budget = self.retry_budgets.get(service)
         if budget is None:
-            bounds = self.settings.bounds
-            vms = max(1, len(self.catalog.vms))
             budget = RetryBudget(
                 ratio=bounds.retry_ratio,
-                burst=max(1.0, bounds.retry_slack / vms / 2),
-                refill_tokens_per_s=bounds.retry_slack
-                / vms
-                / 2
-                / bounds.retry_window_s,
+                burst=burst,
+                refill_tokens_per_s=refill_tokens_per_s,
                 last_refill_s=now_s(),
             )
             self.retry_budgets[service] = budget
+        elif budget.burst != burst:
+            budget.resize(burst=burst, refill_tokens_per_s=refill_tokens_per_s)
         return budget
 
     def short_prompt_share(self) -> float:
@@ -320,37 +322,15 @@
             ],
         )
 
-    def silent_vms(self, limit_s: float) -> set[str]:
-        """Return the VMs that sent nothing for over ``limit_s`` seconds.
-
-        VMs of other zones may be silent for longer in a large fleet.
-        """
-        vms = self.catalog.vms
-        own_zone = {
-            name for name, vm in vms.items() if vm.zone == self.settings.zone
-        }
-        remote_limit_s = remote_silence_limit_s(
-            limit_s,
-            zone_vms=len(own_zone),
-            remote_vms=len(vms) - len(own_zone),
-        )
-        moment_s = now_s()
-        return {
-            name
-            for name, report_s in self.last_report_s.items()
-            if moment_s - report_s > limit_s
-            and (name in own_zone or moment_s - report_s > remote_limit_s)
-        }
-
     def recent_peer_work_totals(
         self, names: Collection[str]
     ) -> list[WorkTotals]:
         """Return the work of the VMs in ``names`` that reported recently."""
-        recent_s = now_s() - PEER_REPORT_TTL_S
+        recent = self.members.heard_since(now_s() - PEER_REPORT_TTL_S)
         return [
             totals
             for name, totals in self.peer_work_totals.items()
-            if name in names and self.last_report_s.get(name, 0) > recent_s
+            if name in names and name in recent
         ]
 
     def recent_zone_loads(self) -> dict[str, ZoneLoad]:
@@ -376,6 +356,10 @@
         """Wake the task that reports the load of this VM to other VMs."""
         self.report_changed.set()
 
+    def _share_count(self) -> int:
+        """Return by how many VMs the limits of the fleet are divided."""
+        return self.members.share_count() or _MAX_VMS
+
     def _has_read_all(self) -> bool:
         return (
             self.configuration is not None
--- a/src/arbutusbay/node/_peer_channel.py
+++ b/src/arbutusbay/node/_peer_channel.py
@@ -33,7 +33,7 @@
 _RECIPIENTS_TTL_S = 0.5
 _REFRESH_INTERVAL_S = 1.0
 _MIN_HEARTBEAT_SEND_INTERVAL_S = 0.3
-_SILENT_AFTER_S = 5.0
+_PROBE_INTERVAL_S = 0.25
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -94,6 +94,8 @@
         self.recipients = ReportRecipients(zone_peers=())
         self.recipients_expire_s = 0.0
         self.recipient_inputs: tuple[object, ...] = ()
+        self.probed_names: set[str] = set()
+        self.last_probe_s = float('-inf')
         self.zone_peer_schedule = ReportSchedule(
             build_report=self.report_builder.full_report
         )
@@ -157,6 +159,7 @@
         ):
             if vms:
                 self._send_if_due(schedule, vms, own)
+        self._probe_silent_vm(own)
 
     def _max_wait_for_change_s(self) -> float:
         """Return how long to wait for a change before sending anyway."""
@@ -171,12 +174,9 @@
         if moment_s < self.recipients_expire_s:
             return
         self.recipients_expire_s = moment_s + _RECIPIENTS_TTL_S
-        for name in self.node_state.catalog.vms:
-            self.node_state.last_report_s.setdefault(name, moment_s)
-        inputs = (
-            dict(self.node_state.catalog.vms),
-            self.node_state.silent_vms(_SILENT_AFTER_S),
-        )
+        members = self.node_state.members
+        self.state_receiver.drop_vms(members.check_silence(moment_s))
+        inputs = (members.vms(), members.silent(moment_s))
         if inputs == self.recipient_inputs:
             return
         self.recipient_inputs = inputs
@@ -205,6 +205,27 @@
             is_aggregator=self.recipients.is_aggregator,
         )
 
+    def _probe_silent_vm(self, own: PeerState) -> None:
+        """Report to one of the silent VMs, each in turn, at a low rate.
+
+        Two VMs that were cut off from each other would never report again.
+        """
+        moment_s = now_s()
+        if moment_s - self.last_probe_s < _PROBE_INTERVAL_S:
+            return
+        silent = self.node_state.members.unheard_vms(moment_s)
+        if not silent:
+            return
+        self.last_probe_s = moment_s
+        due = silent.keys() - self.probed_names
+        if not due:
+            self.probed_names.clear()
+            due = silent.keys()
+        name = min(due)
+        self.probed_names.add(name)
+        state = self.report_builder.heartbeat_report(own)
+        self._send_to(silent[name], peer_state_to_bytes(state, moment_s))
+
     def _send_if_due(
         self,
         schedule: ReportSchedule,
@@ -212,8 +233,13 @@
         own: PeerState,
     ) -> None:
         datagram = schedule.next_datagram(own, now_s())
-        if self.transport is None or datagram is None:
+        if datagram is None:
             return
         for vm in vms:
-            peer = parse_endpoint(vm.address)
-            self.transport.sendto(datagram, (peer.host, peer.port))
+            self._send_to(vm, datagram)
+
+    def _send_to(self, vm: VMRegistration, datagram: bytes) -> None:
+        if self.transport is None:
+            return
+        peer = parse_endpoint(vm.address)
+        self.transport.sendto(datagram, (peer.host, peer.port))
--- a/src/arbutusbay/node/_peer_messages.py
+++ b/src/arbutusbay/node/_peer_messages.py
@@ -12,6 +12,7 @@
 
 from arbutusbay.checked_values import (
     MAX_INTEGER,
+    require_boolean,
     require_count,
     require_integer,
     require_number,
@@ -64,7 +65,7 @@
     ``fence`` is the fencing token, reported by the last holder of the
     rollout's lease. ``weights`` holds the engines whose weights changed
     recently, ``quarantine`` what the sender has on prompt segments that crash
-    engines.
+    engines. ``is_leaving`` means that the sender stops.
     """
 
     name: str
@@ -78,6 +79,7 @@
     fence: int | None = None
     zones: Mapping[str, ZoneLoad] = attrs.field(factory=dict)
     quarantine: QuarantineReport = attrs.field(factory=QuarantineReport)
+    is_leaving: bool = False
 
 
 def peer_state_to_bytes(state: PeerState, now_s: float) -> bytes:
@@ -121,6 +123,8 @@
             )
             for zone, load in state.zones.items()
         }
+    if state.is_leaving:
+        fields['x'] = True
     quarantine = quarantine_to_fields(state.quarantine, now_s)
     if quarantine:
         fields['q'] = quarantine
@@ -180,6 +184,7 @@
             for zone, (occupancy, totals) in fields.get('zs', {}).items()
         },
         quarantine=quarantine_from_fields(fields.get('q', {}), now_s),
+        is_leaving=require_boolean(fields.get('x', False), 'x'),
     )
 
 
--- a/src/arbutusbay/node/_peer_reports.py
+++ b/src/arbutusbay/node/_peer_reports.py
@@ -64,6 +64,7 @@
             },
             loads=_announced_loads(self.own_loads),
             fence=self._own_fence(),
+            is_leaving=self.node_state.is_stopping,
             quarantine=self.node_state.quarantine.report(moment_s),
             weights={
                 view.id: _loaded_weights(view)
@@ -140,7 +141,7 @@
         moment_s = now_s()
         names = {
             vm.name
-            for vm in self.node_state.catalog.vms.values()
+            for vm in self.node_state.members.vms().values()
             if vm.zone == self.own_vm.zone
         }
         occupancies = {
--- a/src/arbutusbay/node/_peer_state_receiver.py
+++ b/src/arbutusbay/node/_peer_state_receiver.py
@@ -1,6 +1,6 @@
 """Apply the load reports received from other VMs."""
 
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Collection, Iterable, Iterator, Mapping
 
 from arbutusbay.clock import now_s
 from arbutusbay.fleet import LeaseClaim, VMRegistration
@@ -49,21 +49,35 @@
         if state.quarantine.verdicts:
             self.node_state.has_read_verdicts = True
 
+    def drop_vms(self, names: Collection[str]) -> None:
+        """Drop what VMs that are gone have reported."""
+        for name in names:
+            self._store_occupancies(name, {}, now_s())
+            self.occupied_by_sender.pop(name, None)
+            self.node_state.peer_work_totals.pop(name, None)
+            _LOG.info('vm gone', fields={'vm': name})
+
     def _record_sender(
         self,
         state: PeerState,
         address: str,
         moment_s: float,
     ) -> None:
-        self.node_state.last_report_s[state.name] = moment_s
         self.node_state.peer_work_totals[state.name] = state.work_totals
-        if state.name in self.node_state.catalog.vms:
+        members = self.node_state.members
+        if members.record_report(
+            state.name, moment_s, is_leaving=state.is_leaving
+        ):
             return
-        self.node_state.catalog.vms[state.name] = VMRegistration(
-            name=state.name,
-            address=address,
-            zone=state.zone,
-            started_ms=0,
+        members.discover(
+            VMRegistration(
+                name=state.name,
+                address=address,
+                zone=state.zone,
+                started_ms=0,
+            ),
+            moment_s,
+            is_leaving=state.is_leaving,
         )
         _LOG.info(
             'vm discovered',
--- a/src/arbutusbay/node/_placer.py
+++ b/src/arbutusbay/node/_placer.py
@@ -124,7 +124,7 @@
         This VM gets an equal part of the places of each.
         """
         moment_s = now_s()
-        vms = max(1, len(self.node_state.catalog.vms))
+        vms = len(self.node_state.members.live(moment_s))
         views = self.node_state.views_of_service(service)
         returns = [
             (view, _returns_s(view, moment_s))
--- a/src/arbutusbay/node/_registration.py
+++ b/src/arbutusbay/node/_registration.py
@@ -6,15 +6,18 @@
 
 from result import Err, Ok
 
+from arbutusbay.clock import now_s
 from arbutusbay.fleet import VMRegistration
 from arbutusbay.logs import get_logger
 from arbutusbay.node._coordination import read_coordination_topic
 from arbutusbay.node._node_state import NodeState
 from arbutusbay.platform import (
     StoreClient,
+    StorePosition,
     Topic,
     VMSettings,
     encode_vm_record,
+    vm_record_key,
 )
 
 _LOG = get_logger('registration')
@@ -55,27 +58,86 @@
     The verdicts about prompts are needed before the first request, and the
     records of VMs that start at the same time after the own one is there. Run
     until cancelled. Failed calls to the store are retried after a
-    random delay. The record is written again if a restored store lost it.
+    random delay. The record is written again if a restored store lost it, or
+    another VM removed it.
     """
-    node_state.catalog.vms[own_vm.name] = own_vm
     await read_coordination_topic(node_state, store, timeout_s=_STORE_TIMEOUT_S)
     await _write_vm_record(node_state, store, own_vm)
     while True:
-        read = await read_coordination_topic(
-            node_state, store, timeout_s=_STORE_TIMEOUT_S
+        if await _check_records(node_state, store, own_vm):
+            await _wait_for_next_read(node_state)
+        else:
+            await _wait_before_retry(node_state)
+
+
+async def _check_records(
+    node_state: NodeState, store: StoreClient, own_vm: VMRegistration
+) -> bool:
+    """Read the records; return whether that of this VM was among them.
+
+    It is written again if not, and those of VMs that are gone are removed.
+    """
+    read = await read_coordination_topic(
+        node_state, store, timeout_s=_STORE_TIMEOUT_S
+    )
+    match read:
+        case Err():
+            return False
+        case Ok(found) if own_vm.name not in found.registered_vms:
+            await _write_vm_record(node_state, store, own_vm)
+            return False
+        case Ok(found):
+            await _remove_gone_records(node_state, store, found.end)
+    return True
+
+
+async def withdraw_registration(
+    node_state: NodeState, store: StoreClient, own_vm: VMRegistration
+) -> None:
+    """Remove the record of this VM, which stops; retry until cancelled."""
+    key = vm_record_key(own_vm.name)
+    while True:
+        removed = await store.delete(
+            Topic.COORDINATION, (key,), timeout_s=_STORE_TIMEOUT_S
         )
-        match read:
-            case Err():
-                await asyncio.sleep(
-                    node_state.rng.uniform(*_RETRY_DELAY_RANGE_S)
-                )
-            case Ok(found) if own_vm.name not in found.registered_vms:
-                await _write_vm_record(node_state, store, own_vm)
-                await asyncio.sleep(
-                    node_state.rng.uniform(*_RETRY_DELAY_RANGE_S)
-                )
+        match removed:
             case Ok():
-                await _wait_for_next_read(node_state)
+                _LOG.info('vm registration withdrawn')
+                return
+            case Err(failure):
+                _LOG.info(
+                    'vm registration not withdrawn; retrying',
+                    fields={'failure': repr(failure)},
+                )
+                await _wait_before_retry(node_state)
+
+
+async def _remove_gone_records(
+    node_state: NodeState, store: StoreClient, end: StorePosition
+) -> None:
+    """Remove the records of VMs that are gone, unless one was written since.
+
+    A record that is removed by mistake is written again by its VM. What fails
+    is tried again after the next read.
+    """
+    names = node_state.members.removable_records(now_s())
+    if not names:
+        return
+    removed = await store.delete(
+        Topic.COORDINATION,
+        [vm_record_key(name) for name in names],
+        timeout_s=_STORE_TIMEOUT_S,
+        expected_end=end.offset,
+    )
+    failure = removed.err()
+    _LOG.info(
+        'records of gone vms removed' if failure is None else 'not removed',
+        fields={'vms': names, 'failure': failure and repr(failure)},
+    )
+
+
+async def _wait_before_retry(node_state: NodeState) -> None:
+    await asyncio.sleep(node_state.rng.uniform(*_RETRY_DELAY_RANGE_S))
 
 
 async def _wait_for_next_read(node_state: NodeState) -> None:
@@ -83,7 +145,7 @@
 
     The VMs of a fleet then read at different times, to spread the load.
     """
-    vm_count = len(node_state.catalog.vms)
+    vm_count = len(node_state.members.live(now_s()))
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout(reread_interval_s(vm_count)):
             await node_state.store_era.changed.wait()
@@ -117,6 +179,4 @@
                     'vm registration failed; retrying',
                     fields={'failure': repr(failure)},
                 )
-                await asyncio.sleep(
-                    node_state.rng.uniform(*_RETRY_DELAY_RANGE_S)
-                )
+                await _wait_before_retry(node_state)
--- a/src/arbutusbay/node/_rollout.py
+++ b/src/arbutusbay/node/_rollout.py
@@ -3,7 +3,6 @@
 import asyncio
 
 from arbutusbay.clock import now_s
-from arbutusbay.hashing import rank_by_rendezvous_hash
 from arbutusbay.node._lease import Lease
 from arbutusbay.node._node_state import NodeState
 from arbutusbay.node._weights_loader import WeightsLoader
@@ -14,11 +13,11 @@
     WeightsLoad,
     outdated_engines,
     schedule_loads,
+    takeover_delay_s,
 )
 
 _POLL_INTERVAL_S = 0.05
 _IDLE_CHECK_INTERVAL_S = 1.0
-_STANDBY_DELAY_S = 0.8
 _LEASE_RETRY_DELAY_S = 0.3
 
 
@@ -69,9 +68,7 @@
         """
         if not self._outdated_by_model():
             return _IDLE_CHECK_INTERVAL_S
-        due_in_s = self._takeover_rank() * _STANDBY_DELAY_S
-        if self.outdated_since_s is not None:
-            due_in_s -= now_s() - self.outdated_since_s
+        due_in_s = self._due_s() - now_s()
         return min(_IDLE_CHECK_INTERVAL_S, max(_POLL_INTERVAL_S, due_in_s))
 
     def _outdated_by_model(self) -> dict[str, list[EngineView]]:
@@ -87,11 +84,7 @@
         return outdated
 
     def _is_due(self) -> bool:
-        """Return whether it is this VM's turn to act.
-
-        A VM waits ``_STANDBY_DELAY_S`` for each VM that ranks before it, so
-        that these can claim the lease first.
-        """
+        """Return whether it is this VM's turn to act."""
         if self.node_state.is_stopping:
             return False
         if not self._outdated_by_model():
@@ -99,23 +92,24 @@
             return False
         if self.outdated_since_s is None:
             self.outdated_since_s = now_s()
-        outdated_for_s = now_s() - self.outdated_since_s
-        return outdated_for_s >= self._takeover_rank() * _STANDBY_DELAY_S
+        return now_s() >= self._due_s()
 
-    def _takeover_rank(self) -> int:
-        """Return how many VMs may claim the lease before this one.
+    def _due_s(self) -> float:
+        """Return when it is this VM's turn to claim the lease.
 
-        The last holder comes first, then all VMs in rendezvous order.
+        The turns begin once there is work and the lease is free.
         """
-        if self.lease.is_last_holder():
-            return 0
-        names = set(self.node_state.catalog.vms) | {self.lease.holder}
-        known = self.node_state.catalog.leases.get(self.lease.name)
-        order = rank_by_rendezvous_hash(self.lease.name, names)
-        rank = order.index(self.lease.holder)
-        if known is None or known.claim.holder not in names:
-            return rank
-        return 1 + rank
+        moment_s = now_s()
+        delay_s = takeover_delay_s(
+            self.lease.holder,
+            self.lease.name,
+            self.node_state.members.live(moment_s),
+            self.lease.last_holder(),
+        )
+        outdated_since_s = (
+            moment_s if self.outdated_since_s is None else self.outdated_since_s
+        )
+        return delay_s + max(outdated_since_s, self.lease.free_since_s())
 
     async def _advance(self) -> None:
         if await self.lease.acquire_or_renew() is None:
--- a/src/arbutusbay/node/_shutdown.py
+++ b/src/arbutusbay/node/_shutdown.py
@@ -35,6 +35,7 @@
     began_s = node_state.own_pauses.earliest_start_s(now_s())
     stop = plan_stop(began_s, shutdown_grace_s)
     node_state.stop = stop
+    node_state.notify_report_changed()
     _LOG.info(
         'draining',
         fields={
--- a/src/arbutusbay/node/quarantine/_prompt_quarantine.py
+++ b/src/arbutusbay/node/quarantine/_prompt_quarantine.py
@@ -22,7 +22,6 @@
 _CHECK_INTERVAL_S = 0.1
 _IDLE_CHECK_INTERVAL_S = 0.5
 _MIN_RETRY_AFTER_S = 1.0
-_SILENT_VM_S = 3.0
 _PROBE_END_DELAY_S = 1.0
 
 
@@ -92,8 +91,7 @@
         ones agree on it.
         """
         own_name = self.node_state.settings.name
-        silent = self.node_state.silent_vms(_SILENT_VM_S)
-        names = set(self.node_state.catalog.vms) - silent | {own_name}
+        names = self.node_state.members.live(now_s()) | {own_name}
         ranked = rank_by_rendezvous_hash(str(key), sorted(names))
         return ranked[0] == own_name
 
--- a/src/arbutusbay/platform/__init__.py
+++ b/src/arbutusbay/platform/__init__.py
@@ -11,6 +11,7 @@
     encode_verdict,
     encode_vm_record,
     verdict_record_key,
+    vm_record_key,
 )
 from arbutusbay.platform._endpoints import Endpoint, parse_endpoint
 from arbutusbay.platform._engine_calls import (
@@ -108,4 +109,5 @@
     'send_load_order',
     'settings_path_from_environment',
     'verdict_record_key',
+    'vm_record_key',
 )
--- a/src/arbutusbay/platform/_coordination_records.py
+++ b/src/arbutusbay/platform/_coordination_records.py
@@ -62,7 +62,12 @@
         'zone': vm.zone,
         'started_ms': vm.started_ms,
     }
-    return f'{_VM_KEY_PREFIX}{vm.name}', orjson.dumps(fields)
+    return vm_record_key(vm.name), orjson.dumps(fields)
+
+
+def vm_record_key(name: str) -> str:
+    """Return the key of the record of the VM ``name``."""
+    return f'{_VM_KEY_PREFIX}{name}'
 
 
 def encode_lease_claim(claim: LeaseClaim) -> tuple[str, bytes]:
--- a/src/arbutusbay/platform/_store_client.py
+++ b/src/arbutusbay/platform/_store_client.py
@@ -11,7 +11,7 @@
 import base64
 import binascii
 import re
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from typing import Any
 
 import aiohttp
@@ -226,16 +226,44 @@
         offsets only, so the caller has to compare the era as well. The call
         takes at most ``timeout_s`` seconds.
         """
+        return await self._append_all(
+            topic, {key: payload}, timeout_s, expected_end
+        )
+
+    async def delete(
+        self,
+        topic: Topic,
+        keys: Collection[str],
+        *,
+        timeout_s: float,
+        expected_end: int | None = None,
+    ) -> Result[StorePosition, StoreFailure]:
+        """Delete ``keys``, all or none; see ``append``."""
+        return await self._append_all(
+            topic, dict.fromkeys(keys, b''), timeout_s, expected_end
+        )
+
+    async def _append_all(
+        self,
+        topic: Topic,
+        records: Mapping[str, bytes],
+        timeout_s: float,
+        expected_end: int | None,
+    ) -> Result[StorePosition, StoreFailure]:
         query = {'topic': topic.value, 'part': '0'}
         if expected_end is not None:
             query['at'] = str(expected_end)
-        name = key.encode()
-        if len(name) > _MAX_KEY_BYTES:
-            return Err(
-                StoreUnavailable(detail=f'key exceeds {_MAX_KEY_BYTES} bytes')
-            )
-        record = bytes((len(name),)) + name + payload
-        body = len(record).to_bytes(_RECORD_LENGTH_BYTES, 'big') + record
+        body = b''
+        for key, payload in records.items():
+            name = key.encode()
+            if len(name) > _MAX_KEY_BYTES:
+                return Err(
+                    StoreUnavailable(
+                        detail=f'key exceeds {_MAX_KEY_BYTES} bytes'
+                    )
+                )
+            record = bytes((len(name),)) + name + payload
+            body += len(record).to_bytes(_RECORD_LENGTH_BYTES, 'big') + record
         result = await self._call(
             'POST',
             StoreEndpoint.APPEND,
--- a/src/arbutusbay/scheduling/__init__.py
+++ b/src/arbutusbay/scheduling/__init__.py
@@ -14,6 +14,7 @@
     is_claim_valid,
 )
 from arbutusbay.scheduling._load_duration import LoadDuration
+from arbutusbay.scheduling._membership import Member, Membership
 from arbutusbay.scheduling._occupancy import (
     PEER_REPORT_TTL_S,
     Attempt,
@@ -50,7 +51,6 @@
     ReportRecipients,
     choose_report_recipients,
     remote_heartbeat_interval_s,
-    remote_silence_limit_s,
     zone_report_interval_s,
 )
 from arbutusbay.scheduling._request_queue import (
@@ -77,6 +77,7 @@
     rank_sources,
     source_name,
 )
+from arbutusbay.scheduling._takeover_turn import takeover_delay_s
 
 __all__ = (
     'MIN_REPORT_INTERVAL_S',
@@ -93,6 +94,8 @@
     'LeaseDurations',
     'LoadDuration',
     'LoadSchedule',
+    'Member',
+    'Membership',
     'ModelRequestSize',
     'ObservedClaim',
     'ObservedEra',
@@ -127,11 +130,11 @@
     'rank_sources',
     'relayed_data_time_s',
     'remote_heartbeat_interval_s',
-    'remote_silence_limit_s',
     'schedule_loads',
     'short_prompt_fractions',
     'short_prompt_share',
     'source_name',
+    'takeover_delay_s',
     'was_certainly_not_executed',
     'zone_report_interval_s',
 )
--- a/src/arbutusbay/scheduling/_retry_budget.py
+++ b/src/arbutusbay/scheduling/_retry_budget.py
@@ -43,6 +43,12 @@
         self.tokens -= 1
         return True
 
+    def resize(self, *, burst: float, refill_tokens_per_s: float) -> None:
+        """Change the capacity and the refill; this adds no tokens."""
+        self.burst = burst
+        self.refill_tokens_per_s = refill_tokens_per_s
+        self.tokens = min(self.burst, self.tokens)
+
     def put_back(self) -> None:
         """Return the token of a retry that was not sent."""
         self.tokens = min(self.burst, self.tokens + 1)
--- a/tests/spread_world.py
+++ b/tests/spread_world.py
@@ -26,6 +26,7 @@
 from tests.fleet_builders import build_vm_settings
 
 MBIT = 1_000_000
+_ALWAYS_HEARD_S = float('inf')
 _HOST = '127.0.0.1'
 _CONFIG_APPLY_S = 3
 _READ_INTERVAL_S = 0.1
@@ -171,17 +172,19 @@
     def follow(self, relays: dict[str, tuple[str, int]]) -> asyncio.Task[None]:
         """Follow the first of ``relays``, which are ranked before this VM."""
         names = {self.node_state.settings.name: (_HOST, 1), **relays}
-        self.node_state.catalog.vms.update(
-            {
-                name: VMRegistration(
-                    name=name,
-                    address=f'{host}:{port}',
-                    zone=self.node_state.settings.zone,
-                    started_ms=0,
-                )
-                for name, (host, port) in names.items()
-            }
-        )
+        records = {
+            name: VMRegistration(
+                name=name,
+                address=f'{host}:{port}',
+                zone=self.node_state.settings.zone,
+                started_ms=0,
+            )
+            for name, (host, port) in names.items()
+        }
+        members = self.node_state.members
+        members.own_vm = records[self.node_state.settings.name]
+        # The relays of this world send no reports, and are never silent.
+        members.apply_records(records, _ALWAYS_HEARD_S)
         return asyncio.create_task(self.topic_follower.run())
 
     def look(self) -> None:
--- a/tests/unit/test_failing_records.py
+++ b/tests/unit/test_failing_records.py
@@ -82,7 +82,7 @@
 # log, because the task that reads it has ended.
 async def test_follower_ends_with_the_error_of_a_reader():
     node_state = NodeState(settings=build_vm_settings())
-    node_state.catalog.vms['vm-1'] = VMRegistration(
+    node_state.members.own_vm = VMRegistration(
         name='vm-1', address='127.0.0.1:3', zone='plateau', started_ms=1
     )
     follower = TopicFollower(
--- a/tests/unit/test_report_recipients.py
+++ b/tests/unit/test_report_recipients.py
@@ -102,13 +102,15 @@
         """Open a channel for each of ``vms``, which read ``clock``."""
         self.clock = clock
         self.sent = 0
+        self.cut_off: set[str] = set()
         self.bytes_by_sender = Counter()
         self.channels = {vm.address: self.open(vm, vms) for vm in vms.values()}
 
     def open(self, vm, vms) -> PeerChannel:
         """Create the channel of ``vm``."""
         node_state = NodeState(settings=build_vm_settings())
-        node_state.catalog.vms.update(vms)
+        node_state.members.own_vm = vm
+        node_state.members.apply_records(vms, self.clock.moment_s)
         node_state.engine_views.update(build_views(1))
         channel = PeerChannel(node_state=node_state, own_vm=vm)
         channel.connection_made(Endpoint(network=self, address=vm.address))
@@ -142,7 +144,10 @@
         """Count the datagram and deliver it synchronously."""
         self.network.sent += 1
         self.network.bytes_by_sender[tuple(self.sender)] += len(datagram)
-        receiver = self.network.channels[f'{address[0]}:{address[1]}']
+        target = f'{address[0]}:{address[1]}'
+        if self.network.cut_off & {target, ':'.join(self.sender)}:
+            return
+        receiver = self.network.channels[target]
         receiver.datagram_received(datagram, self.sender)
 
 
@@ -320,19 +325,18 @@
             calls.append(inputs) or choose_report_recipients(*inputs)
         ),
     )
-    reporting = channel.node_state.last_report_s
+    members = channel.node_state.members
     for _ in range(100):
         clock.moment_s += _ROUND_S
-        reporting.update(
-            dict.fromkeys(channel.node_state.catalog.vms, clock.moment_s)
-        )
+        for name in members.vms():
+            members.record_report(name, clock.moment_s)
         channel.send()
     assert len(calls) == 1
-    reporting['vm-7'] = clock.moment_s - 100
+    members.members['vm-7'].last_heard_s = clock.moment_s - 30
     clock.moment_s += 1
     channel.send()
     assert len(calls) == 2
-    channel.node_state.catalog.vms.pop('vm-8')
+    members.members.pop('vm-8')
     clock.moment_s += 1
     channel.send()
     assert len(calls) == 3
@@ -344,4 +348,21 @@
         recipients.remote_peers,
     )
     names = {vm.name for group in groups for vm in group}
-    assert names == channel.node_state.catalog.vms.keys() - {'vm-0', 'vm-7'}
+    assert names == members.vms().keys() - {'vm-0', 'vm-7'}
+
+
+# Guards against VMs that were cut off from each other for so long that each
+# takes the other for silent, or for gone, and they never report again.
+@pytest.mark.parametrize('cut_s', [5.5, 12, 90])
+def test_vms_that_were_cut_off_hear_each_other_again(clock, cut_s):
+    vms = build_vms(8)
+    network = Network(vms, clock)
+    network.send_all_reports()
+    network.cut_off = {vms['vm-3'].address}
+    for _ in range(int(cut_s / _ROUND_S)):
+        network.send_all_reports()
+    network.cut_off = set()
+    for _ in range(int(4 / _ROUND_S)):
+        network.send_all_reports()
+    for channel in network.channels.values():
+        assert channel.node_state.members.live(clock.moment_s) == vms.keys()
--- a/tests/unit/test_returning_places.py
+++ b/tests/unit/test_returning_places.py
@@ -20,7 +20,7 @@
     monkeypatch.setattr(_placer, 'now_s', clock)
     view = build_view('engine', slots=_SLOTS, **changes)
     state = SimpleNamespace(
-        catalog=SimpleNamespace(vms=range(_VMS)),
+        members=SimpleNamespace(live=lambda moment_s: range(_VMS)),
         views_of_service=lambda service: [view],
     )
     returning = Placer(node_state=state).returning_places('language')
--- a/tests/unit/test_unsure_sources.py
+++ b/tests/unit/test_unsure_sources.py
@@ -53,13 +53,17 @@
     application.router.add_get('/{vm}/{path:.*}', asked.respond)
     async with serving(application) as port, new_client_session() as session:
         own_name = state.settings.name
-        for name in (*names, own_name):
-            state.catalog.vms[name] = VMRegistration(
+        records = {
+            name: VMRegistration(
                 name=name,
                 address=f'127.0.0.1:{port}/{name}',
                 zone=state.settings.zone,
                 started_ms=0,
             )
+            for name in (*names, own_name)
+        }
+        state.members.own_vm = records[own_name]
+        state.members.apply_records(records, now_s())
         follower = TopicFollower(
             node_state=state,
             store=None,
