Name the shared cache by the set of isolated teams, so that none reads what one wrote before

Engines and kept caches keep a part under its salt until they evict it, so a constant gives it to whoever reads later. Beside it: the salt came from the configuration that had accepted the request, so one that waited while its team was isolated read what others wrote.

Change: cache_scope is a function of the configuration in force as the attempt is placed: an isolated team has its own scope, all others one that is a digest of the set of isolated teams, also of those without a key. Who wrote under it was not isolated under the same set, in whatever order sets follow. It needs no state and is the same at all VMs, after restarts and restorations. Price: the shared cache is read anew when the set changes.

What loses less was weighed: any function of the configuration alone must differ for two sets of which one isolates a team that the other does not, if that team may have written; only history would tell a team that was isolated from its start.

Our own edge names each team in its hashes and shares nothing.

--- a/src/arbutusbay/fleet/__init__.py
+++ b/src/arbutusbay/fleet/__init__.py
@@ -1,5 +1,6 @@
 """Model the fleet: its configuration, services, backend servers and VMs."""
 
+from arbutusbay.fleet._cache_scope import cache_scope
 from arbutusbay.fleet._catalog import FleetCatalog, LeaseState, TrackedTarget
 from arbutusbay.fleet._types import (
     BackendServer,
@@ -32,4 +33,5 @@
     'TrackedTarget',
     'VMRegistration',
     'WeightsTarget',
+    'cache_scope',
 )
--- a/src/arbutusbay/fleet/_types.py
+++ b/src/arbutusbay/fleet/_types.py
@@ -103,8 +103,9 @@
 
     The routes of each host in ``routes_by_host`` are sorted by the length of
     their path prefix, longest first. Without ``requires_api_key``, requests
-    need no API key. ``problems`` has the errors of the parts that were left
-    out.
+    need no API key. ``isolated_teams`` names the teams with isolated caches,
+    also those without a key. ``problems`` has the errors of the parts that were
+    left out.
     """
 
     version: int
@@ -114,6 +115,7 @@
     teams_by_api_key: Mapping[str, TeamSpec]
     requires_api_key: bool
     limits: ClientLimits
+    isolated_teams: frozenset[str] = frozenset()
     problems: tuple[str, ...] = ()
 
     def route_for(self, host: str, path: str) -> RouteSpec | None:
--- a/src/arbutusbay/node/_placer.py
+++ b/src/arbutusbay/node/_placer.py
@@ -7,7 +7,7 @@
 
 from arbutusbay.admission import ExpectedPlaces, ReturningPlaces
 from arbutusbay.clock import milliseconds, now_s
-from arbutusbay.fleet import TrackedTarget
+from arbutusbay.fleet import Configuration, TrackedTarget, cache_scope
 from arbutusbay.logs import get_logger
 from arbutusbay.node._incoming_request import IncomingRequest
 from arbutusbay.node._node_state import NodeState
@@ -42,7 +42,6 @@
 _HIGHEST_PRIORITY = 0
 _LOWEST_PRIORITY = 9
 _PARTITION_LIFETIME_S = 0.1
-_SHARED_CACHE_SCOPE = 'shared'
 _INITIAL_HOLDING_S = 1.0
 _HOLDING_SMOOTHING = 0.1
 
@@ -391,7 +390,9 @@
         return attrs.evolve(
             attempt_headers,
             weights_version=version,
-            cache_salt=_cache_salt(incoming, version),
+            cache_salt=_cache_salt(
+                self.node_state.configuration, incoming, version
+            ),
             kv_fetch_address=store,
             kv_save_address=store,
         )
@@ -403,6 +404,17 @@
         return configuration.kv_cache_stores[0].address
 
 
+def _cache_salt(
+    configuration: Configuration, incoming: IncomingRequest, version: int | None
+) -> str:
+    """Return under which name cached parts are read and written.
+
+    The ``configuration`` in force now decides, which may be newer than the one
+    that accepted the request.
+    """
+    return f'{cache_scope(configuration, incoming.team)}-{version}'
+
+
 def _returns_s(view: EngineView, moment_s: float) -> float:
     """Return when a load of weights or a requested pause ends, if any."""
     returns_s = max(moment_s, view.rejects_until_s)
@@ -425,11 +437,3 @@
     return min(
         _LOWEST_PRIORITY, max(_HIGHEST_PRIORITY, incoming.route.priority)
     )
-
-
-def _cache_salt(incoming: IncomingRequest, version: int | None) -> str:
-    team = incoming.team
-    scope = _SHARED_CACHE_SCOPE
-    if team is not None and team.has_isolated_cache:
-        scope = f'team-{team.name}'
-    return f'{scope}-{version}'
--- a/src/arbutusbay/platform/_operator_records.py
+++ b/src/arbutusbay/platform/_operator_records.py
@@ -141,6 +141,9 @@
         ),
         teams_by_api_key={key: team for team in teams for key in team.api_keys},
         requires_api_key='tenants' in fields,
+        isolated_teams=frozenset(
+            team.name for team in teams if team.has_isolated_cache
+        ),
         limits=_parse_limits(
             require_mapping(fields.get('limits', {}), 'limits')
         ),
--- a/tests/fleet_builders.py
+++ b/tests/fleet_builders.py
@@ -18,6 +18,8 @@
 MODEL = 'roll-advisor'
 API_KEY = 'key-of-till-rolls'
 ISOLATED_TEAM_API_KEY = 'key-of-pharmacy'
+# The scope of the teams that are not isolated while the pharmacy is.
+SHARED_CACHE_SCOPE = 'shared-20b04a4f018b89f3'
 ENGINE_HOST = 'language.example'
 PLAIN_HOST = 'desk.example'
 ODD_ADDRESSES = (
