--- a/src/arbutusbay/node/_registration.py
+++ b/src/arbutusbay/node/_registration.py
@@ -129,11 +129,14 @@
         timeout_s=_STORE_TIMEOUT_S,
         expected_end=end.offset,
     )
-    failure = removed.err()
-    _LOG.info(
-        'records of gone vms removed' if failure is None else 'not removed',
-        fields={'vms': names, 'failure': failure and repr(failure)},
-    )
+    match removed:
+        case Ok():
+            _LOG.info('records of gone vms removed', fields={'vms': names})
+        case Err(failure):
+            _LOG.info(
+                'records of gone vms not removed',
+                fields={'vms': names, 'failure': repr(failure)},
+            )
 
 
 async def _wait_before_retry(node_state: NodeState) -> None:
