--- a/src/arbutusbay/node/_attempts.py
+++ b/src/arbutusbay/node/_attempts.py
@@ -196,7 +196,7 @@
             case Ok(body):
                 pass
         if self.is_unproved_refusal:
-            detail = f'status {self.status} without Not-Executed'
+            detail = f'status {self.status}, no proof of a refusal'
             return _execution_failure(detail, body.end)
         answer = BufferedResponse(
             status=self.status,
--- a/src/arbutusbay/node/_peer_channel.py
+++ b/src/arbutusbay/node/_peer_channel.py
@@ -208,7 +208,8 @@
     def _probe_silent_vm(self, own: PeerState) -> None:
         """Report to one of the silent VMs, each in turn, at a low rate.
 
-        Two VMs that were cut off from each other would never report again.
+        Two VMs that were cut off from each other would otherwise never report
+        to each other again.
         """
         moment_s = now_s()
         if moment_s - self.last_probe_s < _PROBE_INTERVAL_S:
--- a/src/arbutusbay/scheduling/_membership.py
+++ b/src/arbutusbay/scheduling/_membership.py
@@ -13,7 +13,7 @@
 from arbutusbay.scheduling._report_recipients import remote_silence_limit_s
 
 _SILENCE_LIMIT_S = 3.0
-# Longer than any VM stands still or is cut off, so that those return.
+# Longer than a VM may be suspended or cut off and still return.
 _GONE_AFTER_S = 60.0
 _MAX_CHECK_INTERVAL_S = 2.0
 
@@ -34,9 +34,9 @@
     """Track the VMs of the fleet as one of them, ``own_vm``, sees it.
 
     Times are in seconds on the clock of this VM. ``members`` holds the other
-    VMs by name. ``records`` holds the records
-    that the store had at the last read, None before the first. ``gone`` holds
-    those of them whose VMs are gone.
+    VMs by name. ``records`` holds the records that the store had at the last
+    read, None before the first; ``gone`` holds those of them whose VMs are
+    gone. ``last_check_s`` is when silence was checked last.
     """
 
     def __init__(self, *, own_vm: VMRegistration | None = None) -> None:
