--- a/src/arbutusbay/fleet/_cache_scope.py
+++ b/src/arbutusbay/fleet/_cache_scope.py
@@ -12,20 +12,22 @@
 _DIGEST_LENGTH = 16
 
 
-def cache_scope(configuration: Configuration, team: TeamSpec | None) -> str:
+def cache_scope(
+    configuration: Configuration | None, team: TeamSpec | None
+) -> str:
     """Return the scope in which a request of ``team`` reads and writes.
 
     Isolated teams have scopes of their own, all other requests a common one,
     which differs for each set of isolated teams: whoever wrote under it was
     not isolated under the same set. It depends on nothing but the
     ``configuration``, so all VMs agree on it, also after a restart. A team that
-    was isolated as its request was accepted stays so for the request.
+    was isolated as its request was accepted stays so for the request. Without a
+    configuration no team is isolated.
     """
-    if team is None:
-        return _common_scope(configuration.isolated_teams)
-    if team.has_isolated_cache or team.name in configuration.isolated_teams:
+    isolated_teams = configuration.isolated_teams if configuration else ()
+    if team and (team.has_isolated_cache or team.name in isolated_teams):
         return f'team-{team.name}'
-    return _common_scope(configuration.isolated_teams)
+    return _common_scope(frozenset(isolated_teams))
 
 
 @functools.lru_cache
--- a/src/arbutusbay/node/_placer.py
+++ b/src/arbutusbay/node/_placer.py
@@ -405,7 +405,9 @@
 
 
 def _cache_salt(
-    configuration: Configuration, incoming: IncomingRequest, version: int | None
+    configuration: Configuration | None,
+    incoming: IncomingRequest,
+    version: int | None,
 ) -> str:
     """Return under which name cached parts are read and written.
 
