--- a/tests/unit/test_cache_scopes.py
+++ b/tests/unit/test_cache_scopes.py
@@ -98,7 +98,7 @@
 # Guards against the scope of another team by a name that is chosen for it.
 def test_scopes_of_odd_names_differ():
     one = build_configuration(('a', 'b'))
-    other = build_configuration(('a\0b'.replace('\0', ','),))
+    other = build_configuration(('a,b',))
     assert cache_scope(one, None) != cache_scope(other, None)
     shared = cache_scope(one, None)
     odd = build_team(shared, is_isolated=True)
