Log again for whom a rollout waits, which the new turns left out

It waits for 'lease claimed' or 'lease held by another VM' of one VM; it was neither traced nor listed.

Cause: since the turns begin once the lease is free, so a VM that waits for a holder which renews its lease never comes to the line that says so.

Change: the line is written where the VM finds the lease held; no call to the store.

The test is unchanged.

--- a/src/arbutusbay/node/_lease.py
+++ b/src/arbutusbay/node/_lease.py
@@ -120,29 +120,13 @@
             if not self._is_end_current() and not await self._read_claims():
                 return None
             if not self._can_claim():
-                self._log_wait()
+                self.log_wait()
                 return None
             if not await self._append_claim(self.end):
                 break
         return self.valid_fence()
 
-    def _is_end_current(self) -> bool:
-        era = self.node_state.store_era.number
-        return self.end is not None and self.end.era == era
-
-    def _can_claim(self) -> bool:
-        known = self.node_state.catalog.leases.get(self.name)
-        observed = None
-        if known is not None:
-            observed = ObservedClaim(
-                holder=known.claim.holder, observed_s=known.observed_s
-            )
-        era = self.node_state.store_era.first_read or ObservedEra(
-            observed_s=now_s(), is_restored=False, is_first=False
-        )
-        return can_claim(self.holder, observed, era, now_s(), self.durations)
-
-    def _log_wait(self) -> None:
+    def log_wait(self) -> None:
         """Log, once for each claim of another VM, that this VM waits."""
         known = self.node_state.catalog.leases.get(self.name)
         if known is None or known.fence == self.awaited_fence:
@@ -161,6 +145,22 @@
             },
         )
 
+    def _is_end_current(self) -> bool:
+        era = self.node_state.store_era.number
+        return self.end is not None and self.end.era == era
+
+    def _can_claim(self) -> bool:
+        known = self.node_state.catalog.leases.get(self.name)
+        observed = None
+        if known is not None:
+            observed = ObservedClaim(
+                holder=known.claim.holder, observed_s=known.observed_s
+            )
+        era = self.node_state.store_era.first_read or ObservedEra(
+            observed_s=now_s(), is_restored=False, is_first=False
+        )
+        return can_claim(self.holder, observed, era, now_s(), self.durations)
+
     async def _append_claim(self, end: StorePosition) -> bool:
         """Append a claim at ``end``; return whether another append came first.
 
--- a/src/arbutusbay/node/_rollout.py
+++ b/src/arbutusbay/node/_rollout.py
@@ -92,6 +92,9 @@
             return False
         if self.outdated_since_s is None:
             self.outdated_since_s = now_s()
+        if now_s() < self.lease.free_since_s():
+            self.lease.log_wait()
+            return False
         return now_s() >= self._due_s()
 
     def _due_s(self) -> float:
