--- a/tests/integration/test_unproved_refusals.py
+++ b/tests/integration/test_unproved_refusals.py
@@ -5,7 +5,9 @@
 """
 
 import asyncio
+import functools
 import itertools
+from collections.abc import Collection
 
 import pytest
 
@@ -56,31 +58,36 @@
     engine.scripted_responses.extend(itertools.repeat(response, times))
 
 
+def forget_answers(engines: Collection[FleetEngine]) -> None:
+    """Let these servers answer soundly, as another one has run a request."""
+    for engine in engines:
+        engine.scripted_responses.clear()
+
+
 def has_stamp(headers) -> bool:
     """Return whether the answer is that of a server."""
     return 'Response-Stamp' in headers
 
 
-# Guards against an order that has run and is answered 408, 429 or 503: its
-# client would place it again.
+# Guards against an order that has run and is answered 408, 429 or 503, as its
+# client would place it again, and against the same for a stream that has not
+# begun and must not be resumed.
 @_each_status
-async def test_order_that_has_run_is_not_refused(fleet, http, status):
-    node = await start_servers(fleet, http, engines=0, plain=2)
-    for engine in fleet.engines:
-        answer_with(engine, status)
-    answered, _, headers = await request_service(http, node, _ATTEMPT)
-    assert (answered, has_stamp(headers)) == (502, False)
-    assert count_runs(fleet, _ATTEMPT) == 1
-
-
-# Guards against the same for a stream that must not be resumed and has not
-# begun.
-@_each_status
-async def test_stream_that_has_run_is_not_refused(fleet, http, status):
-    node = await start_servers(fleet, http, engines=2, plain=0)
+@pytest.mark.parametrize(
+    ('counts', 'send'),
+    [
+        ({'engines': 0, 'plain': 2}, request_service),
+        ({'engines': 2, 'plain': 0}, request_stream),
+    ],
+    ids=['order', 'stream'],
+)
+async def test_request_that_has_run_is_not_refused(
+    fleet, http, counts, send, status
+):
+    node = await start_servers(fleet, http, **counts)
     for engine in fleet.engines:
         answer_with(engine, status)
-    answered, _, headers = await request_stream(http, node, _ATTEMPT)
+    answered, _, headers = await send(http, node, _ATTEMPT)
     assert (answered, has_stamp(headers)) == (502, False)
     assert count_runs(fleet, _ATTEMPT) == 1
 
@@ -92,13 +99,16 @@
     node = await start_servers(fleet, http, engines=0, plain=2)
     for engine in fleet.engines:
         answer_with(engine, status)
-    fleet.engines[0].scripted_responses.clear()
-    for number in range(4):
-        answered, _, headers = await request_service(
-            http, node, f'{_ATTEMPT}-{number}', '/look/1', 'GET'
+        engine.observer.record_fault = functools.partial(
+            forget_answers, set(fleet.engines) - {engine}
         )
-        assert (answered, has_stamp(headers)) == (200, True)
-    assert not fleet.engines[1].scripted_responses
+        engine.inject_fault(EngineFault.NONE, 1)
+    answered, _, headers = await request_service(
+        http, node, _ATTEMPT, '/look/1', 'GET'
+    )
+    assert (answered, has_stamp(headers)) == (200, True)
+    assert count_runs(fleet, _ATTEMPT) == 2
+    assert not any(engine.scripted_responses for engine in fleet.engines)
 
 
 # Guards against such a status as the answer in hand of a lookup, or of a stream
