--- a/src/arbutusbay/node/_node_state.py
+++ b/src/arbutusbay/node/_node_state.py
@@ -293,7 +293,8 @@
         the number of VMs.
         """
         bounds = self.settings.bounds
-        half_share = bounds.retry_slack / self._share_count() / 2
+        vms = self.members.share_count() or _MAX_VMS
+        half_share = bounds.retry_slack / vms / 2
         burst = max(1.0, half_share)
         refill_tokens_per_s = half_share / bounds.retry_window_s
         budget = self.retry_budgets.get(service)
@@ -305,7 +306,7 @@
                 last_refill_s=now_s(),
             )
             self.retry_budgets[service] = budget
-        elif budget.burst != burst:
+        elif budget.refill_tokens_per_s != refill_tokens_per_s:
             budget.resize(burst=burst, refill_tokens_per_s=refill_tokens_per_s)
         return budget
 
@@ -356,10 +357,6 @@
         """Wake the task that reports the load of this VM to other VMs."""
         self.report_changed.set()
 
-    def _share_count(self) -> int:
-        """Return by how many VMs the limits of the fleet are divided."""
-        return self.members.share_count() or _MAX_VMS
-
     def _has_read_all(self) -> bool:
         return (
             self.configuration is not None
--- a/tests/unit/test_member_records.py
+++ b/tests/unit/test_member_records.py
@@ -137,6 +137,22 @@
     assert many.refill_tokens_per_s < before[1]
 
 
+# Guards against a share of less than one token whose refill stays what it was as
+# the fleet grows.
+def test_share_below_one_token_follows_the_fleet(clock):
+    state = NodeState(settings=build_vm_settings())
+    refills = []
+    for count in (400, 800):
+        records = {
+            f'vm-{number}': build_vm(f'vm-{number}') for number in range(count)
+        }
+        state.members.apply_records(records, clock.moment_s)
+        budget = state.retry_budget_of(_SERVICE)
+        assert budget.burst == 1
+        refills.append(budget.refill_tokens_per_s)
+    assert refills[1] < refills[0]
+
+
 # Guards against the whole retry budget of the fleet in the hands of a VM that
 # has just started and can't read the store.
 def test_share_is_small_until_the_fleet_is_known():
