Look for silent VMs only as often as one is probed

Without a silent VM the time of the last probe was never set, so each report, up to ten a second, went through all members.

--- a/src/arbutusbay/node/_peer_channel.py
+++ b/src/arbutusbay/node/_peer_channel.py
@@ -214,10 +214,10 @@
         moment_s = now_s()
         if moment_s - self.last_probe_s < _PROBE_INTERVAL_S:
             return
+        self.last_probe_s = moment_s
         silent = self.node_state.members.unheard_vms(moment_s)
         if not silent:
             return
-        self.last_probe_s = moment_s
         due = silent.keys() - self.probed_names
         if not due:
             self.probed_names.clear()
--- a/src/arbutusbay/scheduling/_membership.py
+++ b/src/arbutusbay/scheduling/_membership.py
@@ -98,7 +98,8 @@
     def check_silence(self, now_s: float) -> set[str]:
         """Drop the VMs that are gone, and return their names.
 
-        This must be called often. Time in which this VM did not run shows
+        This must be called at least every ``_MAX_CHECK_INTERVAL_S`` seconds: a
+        longer time counts as one in which this VM did not run, and that shows
         nothing about the others.
         """
         self._discount_pause(now_s)
@@ -179,7 +180,7 @@
 
         A VM that hears none may be cut off.
         """
-        return bool(self.members.keys() - self.absent(now_s))
+        return bool(self.live(now_s) - {self.own_name})
 
     def removable_records(self, now_s: float) -> list[str]:
         """Return the names of the VMs whose records should be removed.
--- a/tests/unit/test_member_records.py
+++ b/tests/unit/test_member_records.py
@@ -137,8 +137,8 @@
     assert many.refill_tokens_per_s < before[1]
 
 
-# Guards against a share of less than one token whose refill stays what it was as
-# the fleet grows.
+# Guards against a share of less than one token whose refill stays what it was
+# as the fleet grows.
 def test_share_below_one_token_follows_the_fleet(clock):
     state = NodeState(settings=build_vm_settings())
     refills = []
