Drop the claim 'not run' in one way at both edges

The services' endpoint had a function of its own for a refusal of a call whose key may have run; Failure.unless_run does that since. All refusals there claim 'not run', so what callers get is the same. The table's check of a status beside a run state stands by itself, in place of a call of a validator with no attribute.

--- a/src/arbutusbay/_errors.py
+++ b/src/arbutusbay/_errors.py
@@ -90,8 +90,9 @@
 
     def __attrs_post_init__(self) -> None:
         """Raise ``ValueError`` if the status alone says 'not run'."""
-        if self.run_state is not RunState.NOT_RUN:
-            require_executed(self, None, self.status)
+        is_not_run = self.run_state is RunState.NOT_RUN
+        if self.status in NOT_RUN_STATUSES and not is_not_run:
+            raise ValueError(f'status {self.status} beside {self.run_state}')
 
 
 def _not_run(status: int, *, retryable: bool = False) -> ErrorResponse:
--- a/src/arbutusbay/router/_services_api.py
+++ b/src/arbutusbay/router/_services_api.py
@@ -13,7 +13,7 @@
     ServiceCall,
     ServiceResponse,
 )
-from arbutusbay.errors import ErrorKind, Failure, RunState
+from arbutusbay.errors import ErrorKind, Failure
 from arbutusbay.http import failure_response
 from arbutusbay.logs import get_logger
 from arbutusbay.router._authentication import authenticate_request
@@ -76,8 +76,11 @@
         match await self._parse(request):
             case Err(failure):
                 self._log_refusal(request, failure)
+                # The ledger was not consulted yet: an earlier attempt with the
+                # same key may have run.
+                has_key = IDEMPOTENCY_KEY_HEADER in request.headers
                 return failure_response(
-                    _with_unknown_run_state(request, failure)
+                    failure.unless_run(may_have_run=has_key)
                 )
             case Ok(parsed):
                 pass
@@ -212,17 +215,6 @@
         )
 
 
-def _with_unknown_run_state(request: web.Request, failure: Failure) -> Failure:
-    """Return ``failure``, with the run state unknown if there is a key.
-
-    The ledger was not consulted yet, so an earlier attempt with the same
-    idempotency key may have run.
-    """
-    if IDEMPOTENCY_KEY_HEADER not in request.headers:
-        return failure
-    return attrs.evolve(failure, run_state=RunState.UNKNOWN)
-
-
 async def _read_body(request: web.Request) -> Result[bytes, Failure]:
     try:
         return Ok(await request.read())
