Write to the store until it is done in one loop, and log an error of a task that runs once

The withdrawal of a VM's record was a copy of the loop that writes it. As that task isn't restarted, an unexpected error in it would have left no line.

--- a/src/arbutusbay/node/_daemon.py
+++ b/src/arbutusbay/node/_daemon.py
@@ -123,7 +123,9 @@
         for task in self.tasks:
             if task.get_name() == name:
                 task.cancel()
-        self.tasks.append(asyncio.create_task(run(), name=name))
+        self.tasks.append(
+            asyncio.create_task(self._run_once(name, run), name=name)
+        )
 
     def cancel(self) -> None:
         """Cancel all background tasks."""
@@ -148,6 +150,16 @@
                 )
             await asyncio.sleep(_RESTART_DELAY_S)
 
+    async def _run_once(
+        self, name: str, run: Callable[[], Coroutine[Any, Any, None]]
+    ) -> None:
+        try:
+            await run()
+        except Exception:
+            _LOG.exception(
+                'background task failed', fields={'controller': name}
+            )
+
     def _reload_settings(self) -> None:
         match read_settings(settings_path_from_environment()):
             case Err(failure):
--- a/src/arbutusbay/node/_registration.py
+++ b/src/arbutusbay/node/_registration.py
@@ -3,8 +3,9 @@
 import asyncio
 import contextlib
 import time
+from collections.abc import Awaitable, Callable
 
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from arbutusbay.clock import now_s
 from arbutusbay.fleet import VMRegistration
@@ -13,6 +14,7 @@
 from arbutusbay.node._node_state import NodeState
 from arbutusbay.platform import (
     StoreClient,
+    StoreFailure,
     StorePosition,
     Topic,
     VMSettings,
@@ -96,20 +98,14 @@
 ) -> None:
     """Remove the record of this VM, which stops; retry until cancelled."""
     key = vm_record_key(own_vm.name)
-    while True:
-        removed = await store.delete(
+    await _write_until_done(
+        node_state,
+        lambda: store.delete(
             Topic.COORDINATION, (key,), timeout_s=_STORE_TIMEOUT_S
-        )
-        match removed:
-            case Ok():
-                _LOG.info('vm registration withdrawn')
-                return
-            case Err(failure):
-                _LOG.info(
-                    'vm registration not withdrawn; retrying',
-                    fields={'failure': repr(failure)},
-                )
-                await _wait_before_retry(node_state)
+        ),
+        done='vm registration withdrawn',
+        failed='vm registration not withdrawn; retrying',
+    )
 
 
 async def _remove_gone_records(
@@ -163,23 +159,32 @@
     own_vm: VMRegistration,
 ) -> None:
     key, payload = encode_vm_record(own_vm)
+    await _write_until_done(
+        node_state,
+        lambda: store.append(
+            Topic.COORDINATION, key, payload, timeout_s=_STORE_TIMEOUT_S
+        ),
+        done='vm registered',
+        failed='vm registration failed; retrying',
+    )
+
+
+async def _write_until_done(
+    node_state: NodeState,
+    write: Callable[[], Awaitable[Result[StorePosition, StoreFailure]]],
+    *,
+    done: str,
+    failed: str,
+) -> None:
+    """Call ``write`` until it succeeds, and log each result."""
     while True:
-        written = await store.append(
-            Topic.COORDINATION,
-            key,
-            payload,
-            timeout_s=_STORE_TIMEOUT_S,
-        )
-        match written:
+        match await write():
             case Ok(position):
                 _LOG.info(
-                    'vm registered',
+                    done,
                     fields={'offset': position.offset, 'era': position.era},
                 )
                 return
             case Err(failure):
-                _LOG.info(
-                    'vm registration failed; retrying',
-                    fields={'failure': repr(failure)},
-                )
+                _LOG.info(failed, fields={'failure': repr(failure)})
                 await _wait_before_retry(node_state)
