Order waiting requests by urgency, team and target at both edges

Cause: the platform's edge ordered by lateness first, then by priority: a request of an urgent kind that missed its short target came after less urgent ones with a longer one, and a team that sends five times as much took five times the places. Our own edge had a second, fair queue. Change: one core, fairness/, for both: urgency, then target met or not, then the team that got least lately, then who must start first; each fourth start goes to those that missed their target. Arrivals claim places before late requests of their urgency or less only.

--- a/src/arbutusbay/_admission.py
+++ b/src/arbutusbay/_admission.py
@@ -7,6 +7,8 @@
 """
 
 import math
+import sys
+from collections import Counter
 from collections.abc import Sequence
 
 import attrs
@@ -19,6 +21,7 @@
 _MIN_GAP_S = 0.001
 _MIN_RETRY_AFTER_S = 0.1
 _HONOURED_SHARE = 1 / 3
+_LEAST_URGENT = sys.maxsize
 
 
 @attrs.frozen(kw_only=True)
@@ -118,12 +121,13 @@
     number of places and the sum of the gaps before them, and fade with time;
     ``open_gap_s`` is the time since the last place. Without an observation the
     gap is assumed to be short, so that requests are admitted at first.
-    ``arrivals`` came since the first of these places, while others waited.
+    ``arrivals`` counts by urgency those that came since the first of these
+    places, while others waited.
     """
 
     has_waiting: bool = False
     places: float = 0.0
-    arrivals: float = 0.0
+    arrivals: Counter[int] = attrs.field(factory=Counter)
     gaps_s: float = 0.0
     open_gap_s: float = 0.0
     updated_s: float = float('-inf')
@@ -134,13 +138,13 @@
         self._advance(now_s)
         self.has_waiting = waiting > 0
 
-    def record_arrival(self) -> None:
-        """Record that a request came.
+    def record_arrival(self, priority_level: int = 0) -> None:
+        """Record that a request of such an urgency came.
 
         Before the first place nothing shows whether others will go on to come.
         """
         if self.has_waiting and self.places:
-            self.arrivals += 1
+            self.arrivals[priority_level] += 1
 
     def record_place(self, now_s: float) -> None:
         """Record that a request was placed.
@@ -152,7 +156,7 @@
             return
         weight = _weight_after(self.open_gap_s)
         self.places = self.places * weight + 1
-        self.arrivals *= weight
+        self._fade_arrivals(weight)
         self.gaps_s = self.gaps_s * weight + min(
             self.open_gap_s, _MAX_REMEMBERED_GAP_S
         )
@@ -193,12 +197,18 @@
             gaps_s = max(gaps_s, places * expected.within_s / expected.places)
         return PlaceRate(places=places, gaps_s=max(_MIN_GAP_S, gaps_s))
 
-    def claimed_share(self) -> float:
+    def claimed_share(self, priority_level: int = _LEAST_URGENT) -> float:
         """Return for which share of the places there are new requests.
 
-        The open gap counts as one that ends now. Unobserved, it is 0.
+        Only those count that are as urgent as ``priority_level``, or more. The
+        open gap counts as one that ends now. Unobserved, it is 0.
         """
-        return min(1.0, self.arrivals / (self.places + 1))
+        arrivals = sum(
+            count
+            for level, count in self.arrivals.items()
+            if level <= priority_level
+        )
+        return min(1.0, arrivals / (self.places + 1))
 
     def predict(
         self,
@@ -222,6 +232,10 @@
             age_s=now_s - self.last_place_s,
         )
 
+    def _fade_arrivals(self, weight: float) -> None:
+        for level in self.arrivals:
+            self.arrivals[level] *= weight
+
     def _advance(self, now_s: float) -> None:
         """Add the time since the last call, which may be none.
 
@@ -234,7 +248,7 @@
             return
         weight = _weight_after(elapsed_s)
         self.places *= weight
-        self.arrivals *= weight
+        self._fade_arrivals(weight)
         self.gaps_s *= weight
         self.open_gap_s *= weight
 
--- /dev/null
+++ b/src/arbutusbay/fairness/_fair_queue.py
@@ -0,0 +1,160 @@
+"""Order waiting requests by urgency, by team and by target.
+
+More urgent requests come first. Within an urgency those come first that can
+still meet their target, then within these the team that got the least work
+lately, and within a team the request that must start first. At every
+``_FLOOR_INTERVAL``-th start the requests that missed their target come first,
+whatever their urgency and by order of arrival, so that none starve.
+"""
+
+import itertools
+from collections.abc import Iterable, Iterator
+from typing import Generic, TypeVar
+
+from arbutusbay.fairness._lanes import Lane, Usage
+from arbutusbay.fairness._queue_entry import QueueEntry
+from arbutusbay.fairness._team_work import TeamWork
+
+_FLOOR_INTERVAL = 4
+FLOOR_SHARE = 1 / _FLOOR_INTERVAL
+
+Entry = TypeVar('Entry', bound=QueueEntry)
+
+
+class FairQueue(Generic[Entry]):
+    """Hold the requests that wait for a place.
+
+    ``started_count`` counts the requests that left the queue for a place.
+    ``allowance`` is how many times the mean work of all teams a team may get
+    before it comes after the others; with 0 any difference counts. Among
+    teams within it the target decides alone.
+    """
+
+    def __init__(
+        self, *, team_work: TeamWork | None = None, allowance: float = 0.0
+    ) -> None:
+        """Create an empty queue, which shares ``team_work`` with others."""
+        self.waiting: list[Entry] = []
+        self.started_count = 0
+        self.team_work = team_work or TeamWork()
+        self.allowance = allowance
+
+    def __len__(self) -> int:
+        """Return the number of waiting requests."""
+        return len(self.waiting)
+
+    def push(self, entry: Entry) -> None:
+        """Add a request."""
+        self.waiting.append(entry)
+
+    def remove(self, entry: Entry, *, was_placed: bool) -> None:
+        """Remove a request that was placed or that ended while it waited.
+
+        Raise ``ValueError`` if it does not wait.
+        """
+        self.waiting.remove(entry)
+        if was_placed:
+            self.started_count += 1
+            self.team_work.record(entry.team, entry.weighted_work)
+
+    def discard(self, entry: Entry) -> None:
+        """Remove a request that ended, if it still waits."""
+        if entry in self.waiting:
+            self.remove(entry, was_placed=False)
+
+    def in_service_order(self, now_s: float) -> Iterator[Entry]:
+        """Yield the requests in the order in which to place the next one."""
+        lanes = self._lanes(now_s)
+        if self._is_floor_turn(self.started_count):
+            yield from lanes.floor
+        for lane in lanes.regular:
+            yield from lane
+
+    def in_start_order(self, now_s: float) -> Iterator[Entry]:
+        """Yield the requests in the order in which they would start.
+
+        It differs from ``in_service_order``, which holds for the next start
+        only, in that each start has a turn of its own.
+        """
+        lanes = self._lanes(now_s)
+        for turn in itertools.count(self.started_count):
+            entry = lanes.next_entry(is_floor_turn=self._is_floor_turn(turn))
+            if entry is None:
+                return
+            yield entry
+
+    def heads(self, now_s: float) -> Iterator[Entry]:
+        """Yield the first request of each team, urgency and size class.
+
+        They come in service order. Where the first of them finds no place, the
+        others rarely do.
+        """
+        seen: set[tuple[str, int, int]] = set()
+        for entry in self.in_service_order(now_s):
+            kind = (entry.team, entry.priority_level, entry.size_class)
+            if kind not in seen:
+                seen.add(kind)
+                yield entry
+
+    def count_overdue(self, now_s: float) -> int:
+        """Return how many requests have missed their target."""
+        return sum(entry.is_overdue(now_s) for entry in self.waiting)
+
+    def _is_floor_turn(self, turn: int) -> bool:
+        return turn % _FLOOR_INTERVAL == 0
+
+    def _lanes(self, now_s: float) -> '_Lanes[Entry]':
+        usage = Usage(
+            work=self.team_work.totals(now_s),
+            teams=(entry.team for entry in self.waiting),
+            allowance=self.allowance,
+        )
+        return _Lanes(self.waiting, now_s, usage)
+
+
+class _Lanes(Generic[Entry]):
+    """Divide the waiting requests by urgency and whether they are overdue."""
+
+    def __init__(
+        self, waiting: Iterable[Entry], now_s: float, usage: Usage
+    ) -> None:
+        on_time: dict[int, list[Entry]] = {}
+        overdue: dict[int, list[Entry]] = {}
+        for entry in waiting:
+            groups = overdue if entry.is_overdue(now_s) else on_time
+            groups.setdefault(entry.priority_level, []).append(entry)
+        self.started: set[int] = set()
+        self.floor = Lane(
+            sorted(itertools.chain(*overdue.values()), key=_arrival_order),
+            usage=usage,
+            started=self.started,
+        )
+        self.regular: list[Lane[Entry]] = []
+        for level in sorted(on_time.keys() | overdue.keys()):
+            for members, order in (
+                (on_time.get(level, ()), _target_order),
+                (overdue.get(level, ()), _arrival_order),
+            ):
+                self.regular.append(
+                    Lane(
+                        sorted(members, key=order),
+                        usage=usage,
+                        started=self.started,
+                    )
+                )
+
+    def next_entry(self, *, is_floor_turn: bool) -> Entry | None:
+        """Return and start the next request, None if all have started."""
+        if is_floor_turn:
+            entry = next(self.floor, None)
+            if entry is not None:
+                return entry
+        return next(itertools.chain(*self.regular), None)
+
+
+def _target_order(entry: QueueEntry) -> tuple[bool, float]:
+    return not entry.has_returned, entry.start_due_s
+
+
+def _arrival_order(entry: QueueEntry) -> tuple[bool, float]:
+    return not entry.has_returned, entry.arrived_s
--- a/src/arbutusbay/node/_dispatcher.py
+++ b/src/arbutusbay/node/_dispatcher.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import itertools
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping
 
 import attrs
 from result import Err, Ok, Result
@@ -15,6 +15,7 @@
 from arbutusbay.admission import StartEstimate, retry_after_s
 from arbutusbay.clock import milliseconds, now_s
 from arbutusbay.errors import ErrorKind, Failure
+from arbutusbay.fairness import work_tokens
 from arbutusbay.logs import get_logger
 from arbutusbay.node._incoming_request import IncomingRequest
 from arbutusbay.node._node_state import NodeState
@@ -42,6 +43,8 @@
 # An engine may have as much queued prefill before a request, see the placer.
 _START_MARGIN_LATENCY_SHARE = 0.6
 _MAX_MARGIN_SHARE = 0.5
+# Within it the target decides, and not which team got a little less.
+_TEAM_ALLOWANCE = 1.25
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -86,7 +89,7 @@
         if not request.can_queue:
             return self._place_immediately(request)
         name = request.incoming.service.name
-        queue = self.queues.setdefault(name, AdmissionQueue(service=name))
+        queue = self._queue_of(name)
         pending = self._build_pending(request)
         queue.push(pending)
         self._dispatch_queue(queue)
@@ -241,12 +244,10 @@
         """Resolve the first request that can be placed or has no server.
 
         Returns False if all queued requests have to keep waiting. Only the
-        first ones are tried: where these do not fit, the others rarely do.
+        first ones are tried, and the first of each team, urgency and size:
+        where these do not fit, the others rarely do.
         """
-        first = itertools.islice(
-            queue.in_service_order(moment_s), _MAX_TRIED_PER_TURN
-        )
-        for pending in first:
+        for pending in _tried_requests(queue, moment_s):
             placement = self.placer.find_placement(pending.request)
             match placement:
                 case None if self._may_be_accepted_later(pending):
@@ -293,6 +294,13 @@
             self.placer.commit(pending.request, outcome.ok_value)
         pending.future.set_result(outcome)
 
+    def _queue_of(self, service: str) -> AdmissionQueue:
+        if service not in self.queues:
+            self.queues[service] = AdmissionQueue(
+                service=service, allowance=_TEAM_ALLOWANCE
+            )
+        return self.queues[service]
+
     def _place_immediately(
         self, request: PlacementRequest
     ) -> Result[Placement, Failure]:
@@ -335,6 +343,9 @@
             deadline_s=incoming.client_leaves_s,
             service_s=service_s,
             latest_start_s=incoming.client_leaves_s - service_s - margin_s,
+            team=incoming.team.name if incoming.team else '',
+            weighted_work=work_tokens(tokens, size.output_tokens),
+            size_class=size.prompt_tokens.bit_length(),
             request=request,
             future=loop.create_future(),
         )
@@ -353,6 +364,19 @@
     return queue.starts.predict(ahead=ahead, now_s=moment_s)
 
 
+def _tried_requests(
+    queue: AdmissionQueue, moment_s: float
+) -> Iterator[PendingPlacement]:
+    """Yield the queued requests that are tried in one turn."""
+    first = tuple(
+        itertools.islice(queue.in_service_order(moment_s), _MAX_TRIED_PER_TURN)
+    )
+    yield from first
+    if len(queue) > len(first):
+        others = (head for head in queue.heads(moment_s) if head not in first)
+        yield from itertools.islice(others, _MAX_TRIED_PER_TURN)
+
+
 def _log_wait(pending: PendingPlacement, queue: AdmissionQueue) -> None:
     incoming = pending.request.incoming
     _LOG.info(
--- a/src/arbutusbay/policy/__init__.py
+++ b/src/arbutusbay/policy/__init__.py
@@ -1,7 +1,6 @@
 """Expose the router's placement, queueing and retry budget algorithms."""
 
 from arbutusbay.policy._engine_state import EngineState, InFlightAttempt
-from arbutusbay.policy._fair_queue import FairQueue, QueuedJob
 from arbutusbay.policy._hot_prefixes import HotPrefixCounter, sample_depths
 from arbutusbay.policy._job import BYTES_PER_TOKEN, Job
 from arbutusbay.policy._placement import (
@@ -19,6 +18,7 @@
     median_piece_s,
     predicted_first_token_s,
 )
+from arbutusbay.policy._queued_job import QueuedJob
 from arbutusbay.scheduling import RetryBudget
 
 __all__ = (
@@ -26,7 +26,6 @@
     'CostBased',
     'EngineChoice',
     'EngineState',
-    'FairQueue',
     'FewestInFlight',
     'HotPrefixCounter',
     'InFlightAttempt',
--- a/src/arbutusbay/router/_dispatcher.py
+++ b/src/arbutusbay/router/_dispatcher.py
@@ -295,7 +295,7 @@
         if placed.done():
             return Ok(placed.result())
         pool = self.shared_state.pool_state(job.pool)
-        pool.queue.remove(waiting, started=False)
+        pool.queue.discard(waiting)
         return _refusal(
             ErrorKind.DEADLINE_EXCEEDED,
             'no engine had capacity before the deadline of the request',
@@ -307,7 +307,7 @@
         if placed.done() and not placed.cancelled():
             self.release(placed.result())
             return
-        pool.queue.remove(waiting, started=False)
+        pool.queue.discard(waiting)
 
     def _move_jobs(self, pool: PoolState) -> None:
         """Reserve places for the jobs that are to be moved.
@@ -343,11 +343,11 @@
         return True
 
     def _assign_next(self, pool: PoolState) -> bool:
-        candidates = pool.queue.candidates(time.monotonic())
+        candidates = pool.queue.heads(time.monotonic())
         for _, waiting in zip(range(_MAX_CANDIDATES), candidates, strict=False):
             choice = self._choose(pool, waiting)
             if choice is not None:
-                pool.queue.remove(waiting, started=True)
+                pool.queue.remove(waiting, was_placed=True)
                 pool.starts.record_place(time.monotonic())
                 self._assign(waiting, choice)
                 return True
@@ -409,9 +409,9 @@
 
 def _refuse_late_jobs(shared_state: RouterState, pool: PoolState) -> None:
     """Refuse the waiting jobs for which a stop leaves no time."""
-    for waiting in tuple(pool.queue.jobs()):
+    for waiting in tuple(pool.queue.waiting):
         if refuse_job_for_stop(shared_state, waiting.job, may_have_run=False):
-            pool.queue.remove(waiting, started=False)
+            pool.queue.discard(waiting)
             waiting.caller_data.placed.cancel()
 
 
@@ -431,7 +431,7 @@
 
 def _refuse(pool: PoolState, refusal: JobRefusal) -> None:
     waiting = refusal.waiting
-    pool.queue.remove(waiting, started=False)
+    pool.queue.discard(waiting)
     waiting.caller_data.refusal = refusal.failure
     waiting.caller_data.placed.cancel()
     log_refusal(refusal)
--- a/src/arbutusbay/router/_shared_state.py
+++ b/src/arbutusbay/router/_shared_state.py
@@ -9,10 +9,10 @@
 
 from arbutusbay.admission import StartPredictor
 from arbutusbay.engine_ends import EngineEndDetector
+from arbutusbay.fairness import FairQueue
 from arbutusbay.planned_stop import PlannedStop, ResponseDurations
 from arbutusbay.policy import (
     EngineState,
-    FairQueue,
     HotPrefixCounter,
     QueuedJob,
     RetryBudget,
@@ -73,7 +73,7 @@
     """
 
     name: str
-    queue: FairQueue = attrs.field(factory=FairQueue)
+    queue: FairQueue[QueuedJob] = attrs.field(factory=FairQueue)
     starts: StartPredictor = attrs.field(factory=StartPredictor)
     moving: deque[QueuedJob] = attrs.field(factory=deque)
     hot_prefixes: HotPrefixCounter = attrs.field(factory=HotPrefixCounter)
--- a/src/arbutusbay/router/_start_decision.py
+++ b/src/arbutusbay/router/_start_decision.py
@@ -53,7 +53,7 @@
     ]
     without_engine = [
         JobRefusal(waiting=waiting, failure=no_backend_server(pool.name))
-        for waiting in pool.queue.jobs()
+        for waiting in pool.queue.waiting
         if not _has_engine(waiting, staying)
     ]
     if without_engine:
@@ -96,7 +96,7 @@
     expected = _expected_places(shared_state, pool)
     rate = pool.starts.rate(moment_s, expected)
     ahead = 0
-    for waiting in pool.queue.in_service_order():
+    for waiting in pool.queue.in_start_order(moment_s):
         estimate = pool.starts.predict(ahead=ahead, now_s=moment_s, rate=rate)
         has_output = bool(waiting.caller_data.context.weights_version)
         starts_s = moment_s + estimate.delay_s
--- a/src/arbutusbay/scheduling/_admission_queue.py
+++ b/src/arbutusbay/scheduling/_admission_queue.py
@@ -11,8 +11,8 @@
     StartEstimate,
     StartPredictor,
 )
+from arbutusbay.fairness import FLOOR_SHARE, TeamWork
 from arbutusbay.scheduling._request_queue import (
-    LATE_SHARE,
     QueuedRequest,
     RequestQueue,
 )
@@ -30,9 +30,15 @@
     that requests get which can no longer meet their target.
     """
 
-    def __init__(self, *, service: str) -> None:
+    def __init__(
+        self,
+        *,
+        service: str,
+        team_work: TeamWork | None = None,
+        allowance: float = 0.0,
+    ) -> None:
         """Create an empty queue without an observation."""
-        super().__init__()
+        super().__init__(team_work=team_work, allowance=allowance)
         self.service = service
         self.decided_s = float('-inf')
         self.starts = StartPredictor()
@@ -41,7 +47,7 @@
     def push(self, request: QueuedRequest) -> None:
         """Add a request that has just come."""
         super().push(request)
-        self.starts.record_arrival()
+        self.starts.record_arrival(request.priority_level)
 
     def begin_turn(self, now_s: float, *, has_engines: bool = True) -> None:
         """Leave out the time since the last turn if it shows no rate.
@@ -63,7 +69,7 @@
     def record_waiting(self, now_s: float) -> None:
         """Record that what is queued now found no place."""
         self.starts.record_waiting(len(self), now_s)
-        self.late_starts.record_waiting(self.count_late(now_s), now_s)
+        self.late_starts.record_waiting(self.count_overdue(now_s), now_s)
 
     def estimates(
         self,
@@ -80,18 +86,23 @@
         ahead = 0
         late_ahead = 0
         rate = _higher_rate(self.starts, now_s, held)
-        late_rate = self.late_starts.rate(now_s, self._late_places(rate))
+        late_rates: dict[int, PlaceRate] = {}
         for request in tuple(self.in_start_order(now_s)):
             estimate = self.starts.predict(
                 ahead=ahead, now_s=now_s, returning=returning, rate=rate
             )
             is_late = not request.can_meet_target(now_s + estimate.delay_s)
             if is_late:
+                level = request.priority_level
+                if level not in late_rates:
+                    late_rates[level] = self.late_starts.rate(
+                        now_s, self._late_places(rate, level)
+                    )
                 late = self.late_starts.predict(
                     ahead=late_ahead,
                     now_s=now_s,
                     returning=returning,
-                    rate=late_rate,
+                    rate=late_rates[level],
                 )
                 estimate = _later(request, estimate, late)
             yield request, estimate
@@ -99,12 +110,16 @@
                 ahead += 1
                 late_ahead += is_late
 
-    def _late_places(self, rate: PlaceRate) -> ExpectedPlaces:
+    def _late_places(
+        self, rate: PlaceRate, priority_level: int
+    ) -> ExpectedPlaces:
         """Return the rate of places that the order leaves to late requests.
 
-        Requests that come claim all but a share of the places.
+        Requests that come, as urgent or more, claim all but a share of the
+        places.
         """
-        late_share = 1 - self.starts.claimed_share() * (1 - LATE_SHARE)
+        claimed = self.starts.claimed_share(priority_level)
+        late_share = 1 - claimed * (1 - FLOOR_SHARE)
         return ExpectedPlaces(
             places=1, within_s=1 / (rate.mean * late_share), is_limit=False
         )
--- a/tests/unit/test_dispatcher.py
+++ b/tests/unit/test_dispatcher.py
@@ -11,6 +11,7 @@
 from arbutusbay.admission import ExpectedPlaces, ReturningPlaces
 from arbutusbay.clock import now_s
 from arbutusbay.errors import ErrorKind, Failure
+from arbutusbay.fleet import TeamSpec
 from arbutusbay.node import _dispatcher
 from arbutusbay.node._dispatcher import Dispatcher
 from arbutusbay.node._own_pauses import OwnPauses
@@ -84,13 +85,18 @@
 
 
 def build_request(
-    attempt_id: str, *, received_s: float | None = None, priority: int = 1
+    attempt_id: str,
+    *,
+    received_s: float | None = None,
+    priority: int = 1,
+    team: TeamSpec | None = None,
 ) -> PlacementRequest:
     """Return a request for a model that may wait."""
     received_s = now_s() if received_s is None else received_s
     return PlacementRequest(
         incoming=SimpleNamespace(
             attempt_id=attempt_id,
+            team=team,
             is_model_request=True,
             service=SimpleNamespace(name='language'),
             route=SimpleNamespace(priority=priority, target_latency_s=1.0),
--- a/tests/unit/test_fair_queue.py
+++ b/tests/unit/test_fair_queue.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from arbutusbay.policy import FairQueue, Job, QueuedJob
+from arbutusbay.fairness import FairQueue
+from arbutusbay.policy import Job, QueuedJob
 from arbutusbay.state import Urgency
 
 _NOW_S = 100.0
@@ -36,8 +37,8 @@
 
 
 def _start_next(queue: FairQueue) -> QueuedJob:
-    first = next(queue.candidates(_NOW_S))
-    queue.remove(first, started=True)
+    first = next(queue.heads(_NOW_S))
+    queue.remove(first, was_placed=True)
     return first
 
 
@@ -87,7 +88,7 @@
         queue.push(_build_waiting('flood'))
     small = _build_waiting('small')
     queue.push(small)
-    assert list(queue.in_service_order()).index(small) <= 1
+    assert list(queue.in_start_order(_NOW_S)).index(small) <= 1
 
 
 # Guards against a prediction for an order other than that of the starts.
@@ -101,6 +102,6 @@
         queue.push(_build_waiting('small', tokens=9000))
     for _ in range(started):
         _start_next(queue)
-    predicted = list(queue.in_service_order())
+    predicted = list(queue.in_start_order(_NOW_S))
     assert len(predicted) == len(queue)
     assert predicted == [_start_next(queue) for _ in range(len(queue))]
