Leave places to requests at other VMs that go before, by their reports

Cause: on a fleet of 13 to 141 VMs each orders a few requests of its own; a more urgent one that waits elsewhere, or one of a team with less than its share, came after whatever the VM with a free place had. Change: load reports carry one optional field: what waits by rank (urgency, and whether the team got its share) and the work of the busiest teams lately; zones report totals. Nothing is sent while nothing waits.

--- a/src/arbutusbay/fairness/_fair_queue.py
+++ b/src/arbutusbay/fairness/_fair_queue.py
@@ -8,6 +8,7 @@
 """
 
 import itertools
+from collections import Counter
 from collections.abc import Iterable, Iterator
 from typing import Generic, TypeVar
 
@@ -100,16 +101,37 @@
         """Return how many requests have missed their target."""
         return sum(entry.is_overdue(now_s) for entry in self.waiting)
 
+    def counts_by_rank(self, now_s: float) -> dict[int, int]:
+        """Return how many requests wait, by their rank in the fleet."""
+        if not self.waiting:
+            return {}
+        usage = self._usage(now_s)
+        return dict(Counter(_rank(entry, usage) for entry in self.waiting))
+
+    def rank_of(self, entry: Entry, now_s: float) -> int:
+        """Return the rank in the fleet of a request that waits."""
+        return _rank(entry, self._usage(now_s))
+
+    def is_on_floor(self, entry: Entry, now_s: float) -> bool:
+        """Return whether the next start is for requests such as ``entry``.
+
+        It missed its target, and it is the turn of those that did.
+        """
+        is_turn = self._is_floor_turn(self.started_count)
+        return is_turn and entry.is_overdue(now_s)
+
     def _is_floor_turn(self, turn: int) -> bool:
         return turn % _FLOOR_INTERVAL == 0
 
     def _lanes(self, now_s: float) -> '_Lanes[Entry]':
-        usage = Usage(
+        return _Lanes(self.waiting, now_s, self._usage(now_s))
+
+    def _usage(self, now_s: float) -> Usage:
+        return Usage(
             work=self.team_work.totals(now_s),
             teams=(entry.team for entry in self.waiting),
             allowance=self.allowance,
         )
-        return _Lanes(self.waiting, now_s, usage)
 
 
 class _Lanes(Generic[Entry]):
@@ -152,6 +174,11 @@
         return next(itertools.chain(*self.regular), None)
 
 
+def _rank(entry: QueueEntry, usage: Usage) -> int:
+    """Return a number by urgency and whether the team got its share."""
+    return 2 * max(0, entry.priority_level) + usage.is_beyond_share(entry.team)
+
+
 def _target_order(entry: QueueEntry) -> tuple[bool, float]:
     return not entry.has_returned, entry.start_due_s
 
--- a/src/arbutusbay/fairness/_lanes.py
+++ b/src/arbutusbay/fairness/_lanes.py
@@ -32,6 +32,10 @@
         """Return the work of a team, or the allowance if that is more."""
         return max(self.work[team], self.total * self.allowance_per_token)
 
+    def is_beyond_share(self, team: str) -> bool:
+        """Return whether a team got more than the allowance."""
+        return self.work[team] > self.total * self.allowance_per_token
+
 
 class Lane(Generic[Entry]):
     """Iterate over requests as they would start if nothing else did.
--- a/src/arbutusbay/node/_dispatcher.py
+++ b/src/arbutusbay/node/_dispatcher.py
@@ -18,6 +18,7 @@
 from arbutusbay.fairness import work_tokens
 from arbutusbay.logs import get_logger
 from arbutusbay.node._incoming_request import IncomingRequest
+from arbutusbay.node._left_places import leaves_place
 from arbutusbay.node._node_state import NodeState
 from arbutusbay.node._placement import (
     Placement,
@@ -199,6 +200,7 @@
             pending.estimate = estimate
             if not pending.has_waited:
                 pending.has_waited = True
+                self.node_state.notify_report_changed()
                 _log_wait(pending, queue)
             if not estimate.is_in_time(pending.latest_start_s):
                 self._place_or_refuse(queue, pending, estimate)
@@ -257,6 +259,10 @@
                         queue, pending, self._rejection_of(pending.request)
                     )
                     return True
+                case Placement() if placement.has_capacity and leaves_place(
+                    self.node_state, queue, pending, moment_s
+                ):
+                    return False
                 case Placement() if placement.has_capacity:
                     self._resolve(
                         queue, pending, Ok(placement), was_placed=True
@@ -288,6 +294,8 @@
     ) -> None:
         if was_placed:
             queue.record_place(pending, now_s())
+            known = self.node_state.fleet_queues.of_service(queue.service)
+            known.left_places.record_start(now_s())
         queue.remove(pending, was_placed=was_placed)
         _log_end_of_wait(pending, queue, 'placed' if was_placed else 'refused')
         if isinstance(outcome, Ok):
@@ -296,9 +304,13 @@
 
     def _queue_of(self, service: str) -> AdmissionQueue:
         if service not in self.queues:
-            self.queues[service] = AdmissionQueue(
-                service=service, allowance=_TEAM_ALLOWANCE
+            known = self.node_state.fleet_queues.of_service(service)
+            known.queue = AdmissionQueue(
+                service=service,
+                team_work=known.team_work,
+                allowance=_TEAM_ALLOWANCE,
             )
+            self.queues[service] = known.queue
         return self.queues[service]
 
     def _place_immediately(
--- a/src/arbutusbay/node/_peer_messages.py
+++ b/src/arbutusbay/node/_peer_messages.py
@@ -19,10 +19,15 @@
     require_text,
 )
 from arbutusbay.errors import ErrorKind, Failure
+from arbutusbay.fairness import WaitingReport
 from arbutusbay.node._quarantine_messages import (
     quarantine_from_fields,
     quarantine_to_fields,
 )
+from arbutusbay.node._waiting_messages import (
+    waiting_from_fields,
+    waiting_to_fields,
+)
 from arbutusbay.quarantine import QuarantineReport
 from arbutusbay.scheduling import Occupancy, PlannedWeightsLoad, WorkTotals
 
@@ -46,11 +51,12 @@
 class ZoneLoad:
     """Hold the total load that the VMs of an availability zone cause.
 
-    ``occupancy`` is keyed by backend server.
+    ``occupancy`` is keyed by backend server, ``waiting`` by service.
     """
 
     occupancy: Mapping[str, Occupancy]
     work_totals: WorkTotals
+    waiting: Mapping[str, WaitingReport] = attrs.field(factory=dict)
 
 
 @attrs.frozen(kw_only=True)
@@ -65,7 +71,8 @@
     ``fence`` is the fencing token, reported by the last holder of the
     rollout's lease. ``weights`` holds the engines whose weights changed
     recently, ``quarantine`` what the sender has on prompt segments that crash
-    engines. ``is_leaving`` means that the sender stops.
+    engines, ``waiting`` what waits at the sender, by service. ``is_leaving``
+    means that the sender stops.
     """
 
     name: str
@@ -79,6 +86,7 @@
     fence: int | None = None
     zones: Mapping[str, ZoneLoad] = attrs.field(factory=dict)
     quarantine: QuarantineReport = attrs.field(factory=QuarantineReport)
+    waiting: Mapping[str, WaitingReport] = attrs.field(factory=dict)
     is_leaving: bool = False
 
 
@@ -125,6 +133,15 @@
         }
     if state.is_leaving:
         fields['x'] = True
+    if state.waiting:
+        fields['y'] = waiting_to_fields(state.waiting)
+    zones_waiting = {
+        zone: waiting_to_fields(load.waiting)
+        for zone, load in state.zones.items()
+        if load.waiting
+    }
+    if zones_waiting:
+        fields['yz'] = zones_waiting
     quarantine = quarantine_to_fields(state.quarantine, now_s)
     if quarantine:
         fields['q'] = quarantine
@@ -153,6 +170,7 @@
 
 def _state_from_fields(fields: Mapping[str, Any], now_s: float) -> PeerState:
     fence = fields.get('f')
+    zones_waiting = fields.get('yz', {})
     return PeerState(
         name=require_text(fields['n'], 'n'),
         zone=require_text(fields['z'], 'z'),
@@ -180,10 +198,12 @@
             zone: ZoneLoad(
                 occupancy=_occupancies_from_fields(occupancy, MAX_INTEGER),
                 work_totals=_work_from_fields(totals, MAX_INTEGER),
+                waiting=waiting_from_fields(zones_waiting.get(zone, {})),
             )
             for zone, (occupancy, totals) in fields.get('zs', {}).items()
         },
         quarantine=quarantine_from_fields(fields.get('q', {}), now_s),
+        waiting=waiting_from_fields(fields.get('y', {})),
         is_leaving=require_boolean(fields.get('x', False), 'x'),
     )
 
--- a/src/arbutusbay/node/_peer_reports.py
+++ b/src/arbutusbay/node/_peer_reports.py
@@ -66,6 +66,7 @@
             fence=self._own_fence(),
             is_leaving=self.node_state.is_stopping,
             quarantine=self.node_state.quarantine.report(moment_s),
+            waiting=self.node_state.fleet_queues.report(moment_s),
             weights={
                 view.id: _loaded_weights(view)
                 for view in views
@@ -111,6 +112,7 @@
             ),
             occupancy={},
             work_totals=WorkTotals(),
+            waiting={},
             loads={},
             weights={},
         )
@@ -130,6 +132,7 @@
             own,
             occupancy={},
             work_totals=WorkTotals(),
+            waiting={},
             zones=zones,
         )
 
@@ -166,6 +169,7 @@
                     totals.long_prompt_work for totals in totals_by_vm
                 ),
             ),
+            waiting=self.node_state.fleet_queues.zone_report(names, moment_s),
         )
 
     def _own_fence(self) -> int | None:
--- a/src/arbutusbay/node/_peer_state_receiver.py
+++ b/src/arbutusbay/node/_peer_state_receiver.py
@@ -40,6 +40,7 @@
             if zone != self.own_vm.zone
         }
         self._store_occupancies(state.name, state.occupancy, moment_s)
+        self.node_state.fleet_queues.record(state.name, state.waiting, moment_s)
         self._apply_engine_reports(state, moment_s)
         for zone, load in other_zones.items():
             self._apply_zone_load(zone, load, moment_s)
@@ -55,6 +56,7 @@
             self._store_occupancies(name, {}, now_s())
             self.occupied_by_sender.pop(name, None)
             self.node_state.peer_work_totals.pop(name, None)
+            self.node_state.fleet_queues.drop(name)
             _LOG.info('vm gone', fields={'vm': name})
 
     def _record_sender(
@@ -128,6 +130,7 @@
             load=load, received_at_s=moment_s
         )
         self._store_occupancies(zone, load.occupancy, moment_s)
+        self.node_state.fleet_queues.record(zone, load.waiting, moment_s)
 
     def _store_occupancies(
         self,
--- /dev/null
+++ b/src/arbutusbay/node/_waiting_messages.py
@@ -0,0 +1,75 @@
+"""Encode and decode what VMs report to each other about waiting requests."""
+
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+from arbutusbay.checked_values import require_count, require_text
+from arbutusbay.fairness import MAX_REPORTED_ZONE_TEAMS, WaitingReport
+
+_WORK_UNIT_TOKENS = 100
+_MAX_SERVICES = 16
+_MAX_RANKS = 32
+_MAX_RANK = 1_000_000
+# Sums over the teams and VMs of a fleet stay exact.
+_MAX_COUNT = 1_000_000
+_MAX_WORK_UNITS = 1_000_000_000
+
+
+def waiting_to_fields(reports: Mapping[str, WaitingReport]) -> dict[str, Any]:
+    """Return reports by service as JSON values."""
+    return {
+        service: (
+            sorted(report.counts_by_rank.items())[:_MAX_RANKS],
+            _work_to_fields(report.work_by_team),
+        )
+        for service, report in sorted(reports.items())[:_MAX_SERVICES]
+    }
+
+
+def waiting_from_fields(fields: Mapping[str, Any]) -> dict[str, WaitingReport]:
+    """Return the reports by service.
+
+    Raises ``TypeError`` or ``ValueError`` if they are malformed.
+    """
+    _check_length(fields, _MAX_SERVICES)
+    return {
+        require_text(service, 'service'): _report_from_fields(*encoded)
+        for service, encoded in fields.items()
+    }
+
+
+def _report_from_fields(
+    counts: Sequence[Any], work: Mapping[str, Any]
+) -> WaitingReport:
+    _check_length(counts, _MAX_RANKS)
+    _check_length(work, MAX_REPORTED_ZONE_TEAMS)
+    return WaitingReport(
+        counts_by_rank={
+            require_count(rank, 'rank', highest=_MAX_RANK): require_count(
+                count, 'count', highest=_MAX_COUNT
+            )
+            for rank, count in counts
+        },
+        work_by_team={
+            require_text(team, 'team'): require_count(
+                units, 'work', highest=_MAX_WORK_UNITS
+            )
+            * float(_WORK_UNIT_TOKENS)
+            for team, units in work.items()
+        },
+    )
+
+
+def _work_to_fields(work_by_team: Mapping[str, float]) -> dict[str, int]:
+    units = {
+        team: min(_MAX_WORK_UNITS, int(work / _WORK_UNIT_TOKENS))
+        for team, work in work_by_team.items()
+    }
+    return {team: count for team, count in units.items() if count}
+
+
+def _check_length(
+    encoded: Sequence[Any] | Mapping[str, Any], most: int
+) -> None:
+    if len(encoded) > most:
+        raise ValueError(f'{len(encoded)} entries, at most {most} are allowed')
--- a/tests/unit/test_admission_review.py
+++ b/tests/unit/test_admission_review.py
@@ -1,7 +1,6 @@
 """Check that queued requests are refused only if they can't be served."""
 
 import asyncio
-import random
 from types import SimpleNamespace
 
 import attrs
@@ -14,6 +13,7 @@
 from tests.fleet_fakes import FakeClock
 from tests.unit.test_dispatcher import (
     ManyPlacer,
+    build_node_state,
     build_request,
     is_refused,
     pass_time,
@@ -74,9 +74,7 @@
 def dispatcher() -> Dispatcher:
     """Return a dispatcher in front of an engine."""
     return Dispatcher(
-        node_state=SimpleNamespace(
-            prefill_s_per_token=0.00001, rng=random.Random(1)
-        ),
+        node_state=build_node_state(),
         placer=ManyPlacer(),
     )
 
--- a/tests/unit/test_dispatcher.py
+++ b/tests/unit/test_dispatcher.py
@@ -11,6 +11,7 @@
 from arbutusbay.admission import ExpectedPlaces, ReturningPlaces
 from arbutusbay.clock import now_s
 from arbutusbay.errors import ErrorKind, Failure
+from arbutusbay.fairness import FleetQueues
 from arbutusbay.fleet import TeamSpec
 from arbutusbay.node import _dispatcher
 from arbutusbay.node._dispatcher import Dispatcher
@@ -110,13 +111,22 @@
     )
 
 
+def build_node_state() -> SimpleNamespace:
+    """Return what the dispatcher reads of the state of a VM."""
+    return SimpleNamespace(
+        prefill_s_per_token=0.00001,
+        rng=random.Random(1),
+        fleet_queues=FleetQueues(),
+        members=SimpleNamespace(live=lambda _: {'vm-1', 'vm-2'}),
+        notify_report_changed=lambda: None,
+    )
+
+
 @pytest.fixture
 def dispatcher() -> Dispatcher:
     """Return a dispatcher in front of a single slot."""
     return Dispatcher(
-        node_state=SimpleNamespace(
-            prefill_s_per_token=0.00001, rng=random.Random(1)
-        ),
+        node_state=build_node_state(),
         placer=SinglePlacer(),
     )
 
--- a/tests/unit/test_peer_messages.py
+++ b/tests/unit/test_peer_messages.py
@@ -1,8 +1,11 @@
 """Check that the load reports between VMs survive encoding and decoding."""
 
+import orjson
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from arbutusbay.fairness import WaitingReport
 from arbutusbay.node._peer_messages import (
     LoadedWeights,
     PeerState,
@@ -38,12 +41,26 @@
     )
 
 
+def build_waiting():
+    """Return a strategy for reports on what waits, by service."""
+    units = st.integers(1, 10_000).map(lambda count: count * 100.0)
+    report = st.builds(
+        WaitingReport,
+        counts_by_rank=st.dictionaries(
+            st.integers(0, 20), st.integers(0, 500), max_size=4
+        ),
+        work_by_team=st.dictionaries(_NAMES, units, max_size=16),
+    )
+    return st.dictionaries(_NAMES, report, max_size=3)
+
+
 def build_states():
     """Return a strategy for states of VMs without weights loads."""
     zone = st.builds(
         ZoneLoad,
         occupancy=build_occupancy(),
         work_totals=build_work_sums(),
+        waiting=build_waiting(),
     )
     weights = st.builds(
         LoadedWeights,
@@ -60,6 +77,7 @@
         weights=st.dictionaries(_NAMES, weights, max_size=3),
         fence=st.none() | _COUNTS,
         zones=st.dictionaries(_NAMES, zone, max_size=3),
+        waiting=build_waiting(),
     )
 
 
@@ -99,3 +117,39 @@
     datagram = bytearray(peer_state_to_bytes(state, _SENT_S))
     datagram[position % len(datagram)] = byte
     peer_state_from_bytes(bytes(datagram), _RECEIVED_S)
+
+
+# Guards against a forged or broken report that costs memory: more ranks, teams
+# or services than a VM reports.
+@pytest.mark.parametrize(
+    'waiting',
+    [
+        {'s': [[[rank, 1] for rank in range(33)], {}]},
+        {'s': [[], {f't{number}': 1 for number in range(33)}]},
+        {f's{number}': [[], {}] for number in range(17)},
+        {'s': [[[0, -1]], {}]},
+        {'s': [[[0, 1]], {'t': 10**12}]},
+        [],
+    ],
+)
+def test_waiting_beyond_its_bounds_is_malformed(waiting):
+    state = PeerState(
+        name='vm-1', zone='z', occupancy={}, work_totals=WorkTotals()
+    )
+    fields = orjson.loads(peer_state_to_bytes(state, _SENT_S))
+    fields['y'] = waiting
+    datagram = orjson.dumps(fields)
+    assert peer_state_from_bytes(datagram, _RECEIVED_S).is_err()
+
+
+# Guards against reports that grow though nothing waits.
+def test_report_without_waiting_requests_is_as_before():
+    state = PeerState(
+        name='vm-1',
+        zone='z',
+        occupancy={},
+        work_totals=WorkTotals(),
+        zones={'y': ZoneLoad(occupancy={}, work_totals=WorkTotals())},
+    )
+    fields = orjson.loads(peer_state_to_bytes(state, _SENT_S))
+    assert set(fields) == {'n', 'z', 'o', 'm', 'zs'}
