Serve who returns after a Retry-After before newcomers of its kind and team

Cause: a client's second attempt was a new request and could be refused again. Change: a refused request is expected back in the time that it was told, by team, method, target and last shared segment; VMs tell each other in the load reports. Who comes then goes before newcomers of its team and urgency, once for each refusal and VM.

--- a/src/arbutusbay/fairness/__init__.py
+++ b/src/arbutusbay/fairness/__init__.py
@@ -1,5 +1,11 @@
 """Expose the fair order of waiting requests, shared by both edges."""
 
+from arbutusbay.fairness._expected_returns import (
+    MAX_REPORTED_RETURNS,
+    ExpectedReturns,
+    ReturnWindow,
+    return_key,
+)
 from arbutusbay.fairness._fair_queue import FLOOR_SHARE, FairQueue
 from arbutusbay.fairness._fleet_queues import (
     MAX_REPORTED_ZONE_TEAMS,
@@ -16,15 +22,19 @@
 
 __all__ = (
     'FLOOR_SHARE',
+    'MAX_REPORTED_RETURNS',
     'MAX_REPORTED_ZONE_TEAMS',
+    'ExpectedReturns',
     'FairQueue',
     'FleetQueues',
     'LeftPlaces',
     'PlaceOffer',
     'QueueEntry',
+    'ReturnWindow',
     'ServiceQueues',
     'TeamWork',
     'WaitingElsewhere',
     'WaitingReport',
+    'return_key',
     'work_tokens',
 )
--- a/src/arbutusbay/fairness/_fair_queue.py
+++ b/src/arbutusbay/fairness/_fair_queue.py
@@ -159,6 +159,17 @@
             ):
                 self.regular.append(self._lane(sorted(members, key=order)))
 
+    def floor_of(self, turn: int) -> Iterator[Lane[Entry]]:
+        """Yield the lane that comes before the others in this turn, if any."""
+        number, rest = divmod(turn, _FLOOR_INTERVAL)
+        if not rest:
+            yield self.floors[number % len(self.floors)]
+
+    def next_entry(self, turn: int) -> Entry | None:
+        """Return and start the next request, None if all have started."""
+        lanes = (*self.floor_of(turn), *self.regular)
+        return next(itertools.chain(*lanes), None)
+
     def _build_floors(
         self, overdue: Mapping[int, list[Entry]], levels: Sequence[int]
     ) -> tuple[Lane[Entry], ...]:
@@ -174,17 +185,6 @@
             entries, usage=self.usage, started=self.started, by_team=by_team
         )
 
-    def floor_of(self, turn: int) -> Iterator[Lane[Entry]]:
-        """Yield the lane that comes before the others in this turn, if any."""
-        number, rest = divmod(turn, _FLOOR_INTERVAL)
-        if not rest:
-            yield self.floors[number % len(self.floors)]
-
-    def next_entry(self, turn: int) -> Entry | None:
-        """Return and start the next request, None if all have started."""
-        lanes = (*self.floor_of(turn), *self.regular)
-        return next(itertools.chain(*lanes), None)
-
 
 def _by_level(entries: Iterable[Entry]) -> dict[int, list[Entry]]:
     groups: dict[int, list[Entry]] = {}
--- a/src/arbutusbay/node/_dispatcher.py
+++ b/src/arbutusbay/node/_dispatcher.py
@@ -15,7 +15,7 @@
 from arbutusbay.admission import StartEstimate, retry_after_s
 from arbutusbay.clock import milliseconds, now_s
 from arbutusbay.errors import ErrorKind, Failure
-from arbutusbay.fairness import work_tokens
+from arbutusbay.fairness import ExpectedReturns, work_tokens
 from arbutusbay.logs import get_logger
 from arbutusbay.node._incoming_request import IncomingRequest
 from arbutusbay.node._left_places import leaves_place
@@ -24,6 +24,7 @@
     Placement,
     PlacementRequest,
     request_size_of,
+    return_key_of,
 )
 from arbutusbay.node._placer import Placer
 from arbutusbay.scheduling import (
@@ -300,6 +301,8 @@
         _log_end_of_wait(pending, queue, 'placed' if was_placed else 'refused')
         if isinstance(outcome, Ok):
             self.placer.commit(pending.request, outcome.ok_value)
+        else:
+            _expect_return(self.node_state.returns, pending, outcome.err_value)
         pending.future.set_result(outcome)
 
     def _queue_of(self, service: str) -> AdmissionQueue:
@@ -358,6 +361,9 @@
             team=incoming.team.name if incoming.team else '',
             weighted_work=work_tokens(tokens, size.output_tokens),
             size_class=size.prompt_tokens.bit_length(),
+            has_returned=self.node_state.returns.take(
+                return_key_of(incoming), now_s()
+            ),
             request=request,
             future=loop.create_future(),
         )
@@ -389,6 +395,18 @@
         yield from itertools.islice(others, _MAX_TRIED_PER_TURN)
 
 
+def _expect_return(
+    returns: ExpectedReturns, pending: PendingPlacement, failure: Failure
+) -> None:
+    """Remember a refused request, so that it goes first if it returns."""
+    if failure.kind is ErrorKind.OVERLOADED and failure.retry_after_s:
+        returns.expect(
+            return_key_of(pending.request.incoming),
+            after_s=failure.retry_after_s,
+            now_s=now_s(),
+        )
+
+
 def _log_wait(pending: PendingPlacement, queue: AdmissionQueue) -> None:
     incoming = pending.request.incoming
     _LOG.info(
--- a/src/arbutusbay/node/_node_state.py
+++ b/src/arbutusbay/node/_node_state.py
@@ -11,7 +11,7 @@
 from aiohttp import web
 
 from arbutusbay.clock import milliseconds, now_s
-from arbutusbay.fairness import FleetQueues
+from arbutusbay.fairness import ExpectedReturns, FleetQueues
 from arbutusbay.fleet import ClientLimits, Configuration, FleetCatalog
 from arbutusbay.logs import get_logger
 from arbutusbay.node._failed_reads import FailedReads
@@ -167,6 +167,7 @@
         busy_connections: Connections that have a request in progress.
         own_pauses: When this VM last did not run.
         fleet_queues: What waits here and at other VMs, by service.
+        returns: Refused requests that are expected back.
         quarantine: Prompt segments that crash engines.
         stored_revisions: Revisions of the verdicts that the store holds.
         skipped_records: Why a coordination record was skipped, by its key.
@@ -208,6 +209,7 @@
     busy_connections: set[web.RequestHandler] = attrs.field(factory=set)
     own_pauses: OwnPauses = attrs.field(factory=OwnPauses)
     fleet_queues: FleetQueues = attrs.field(factory=FleetQueues)
+    returns: ExpectedReturns = attrs.field(factory=ExpectedReturns)
     quarantine: SegmentQuarantine = attrs.field(factory=SegmentQuarantine)
     stored_revisions: dict[SegmentKey, set[int]] = attrs.field(factory=dict)
     skipped_records: dict[str, str] = attrs.field(factory=dict)
--- a/src/arbutusbay/node/_peer_messages.py
+++ b/src/arbutusbay/node/_peer_messages.py
@@ -19,12 +19,14 @@
     require_text,
 )
 from arbutusbay.errors import ErrorKind, Failure
-from arbutusbay.fairness import WaitingReport
+from arbutusbay.fairness import ReturnWindow, WaitingReport
 from arbutusbay.node._quarantine_messages import (
     quarantine_from_fields,
     quarantine_to_fields,
 )
 from arbutusbay.node._waiting_messages import (
+    returns_from_fields,
+    returns_to_fields,
     waiting_from_fields,
     waiting_to_fields,
 )
@@ -71,8 +73,9 @@
     ``fence`` is the fencing token, reported by the last holder of the
     rollout's lease. ``weights`` holds the engines whose weights changed
     recently, ``quarantine`` what the sender has on prompt segments that crash
-    engines, ``waiting`` what waits at the sender, by service. ``is_leaving``
-    means that the sender stops.
+    engines, ``waiting`` what waits at the sender, by service, and ``returns``
+    the requests that it expects back, by their keys. ``is_leaving`` means that
+    the sender stops.
     """
 
     name: str
@@ -87,6 +90,7 @@
     zones: Mapping[str, ZoneLoad] = attrs.field(factory=dict)
     quarantine: QuarantineReport = attrs.field(factory=QuarantineReport)
     waiting: Mapping[str, WaitingReport] = attrs.field(factory=dict)
+    returns: Mapping[int, ReturnWindow] = attrs.field(factory=dict)
     is_leaving: bool = False
 
 
@@ -142,6 +146,8 @@
     }
     if zones_waiting:
         fields['yz'] = zones_waiting
+    if state.returns:
+        fields['r'] = returns_to_fields(state.returns, now_s)
     quarantine = quarantine_to_fields(state.quarantine, now_s)
     if quarantine:
         fields['q'] = quarantine
@@ -204,6 +210,7 @@
         },
         quarantine=quarantine_from_fields(fields.get('q', {}), now_s),
         waiting=waiting_from_fields(fields.get('y', {})),
+        returns=returns_from_fields(fields.get('r', ()), now_s),
         is_leaving=require_boolean(fields.get('x', False), 'x'),
     )
 
--- a/src/arbutusbay/node/_peer_reports.py
+++ b/src/arbutusbay/node/_peer_reports.py
@@ -67,6 +67,7 @@
             is_leaving=self.node_state.is_stopping,
             quarantine=self.node_state.quarantine.report(moment_s),
             waiting=self.node_state.fleet_queues.report(moment_s),
+            returns=self.node_state.returns.report(moment_s),
             weights={
                 view.id: _loaded_weights(view)
                 for view in views
@@ -113,6 +114,7 @@
             occupancy={},
             work_totals=WorkTotals(),
             waiting={},
+            returns={},
             loads={},
             weights={},
         )
@@ -133,6 +135,7 @@
             occupancy={},
             work_totals=WorkTotals(),
             waiting={},
+            returns={},
             zones=zones,
         )
 
--- a/src/arbutusbay/node/_peer_state_receiver.py
+++ b/src/arbutusbay/node/_peer_state_receiver.py
@@ -41,6 +41,7 @@
         }
         self._store_occupancies(state.name, state.occupancy, moment_s)
         self.node_state.fleet_queues.record(state.name, state.waiting, moment_s)
+        self.node_state.returns.record(state.name, state.returns)
         self._apply_engine_reports(state, moment_s)
         for zone, load in other_zones.items():
             self._apply_zone_load(zone, load, moment_s)
@@ -57,6 +58,7 @@
             self.occupied_by_sender.pop(name, None)
             self.node_state.peer_work_totals.pop(name, None)
             self.node_state.fleet_queues.drop(name)
+            self.node_state.returns.record(name, {})
             _LOG.info('vm gone', fields={'vm': name})
 
     def _record_sender(
--- a/src/arbutusbay/node/_placement.py
+++ b/src/arbutusbay/node/_placement.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from arbutusbay.fairness import return_key
 from arbutusbay.node._incoming_request import IncomingRequest
 from arbutusbay.platform import AttemptHeaders
 from arbutusbay.scheduling import (
@@ -105,6 +106,17 @@
         )
 
 
+def return_key_of(incoming: IncomingRequest) -> int:
+    """Return the key by which a request is recognised that comes back."""
+    shared = incoming.parsed_headers.shared_segments
+    return return_key(
+        incoming.team.name if incoming.team else '',
+        incoming.method,
+        incoming.target,
+        shared[-1].id if shared else '',
+    )
+
+
 def request_size_of(incoming: IncomingRequest) -> ModelRequestSize:
     """Return the properties of a model request that placement depends on.
 
--- a/src/arbutusbay/node/_waiting_messages.py
+++ b/src/arbutusbay/node/_waiting_messages.py
@@ -1,12 +1,23 @@
-"""Encode and decode what VMs report to each other about waiting requests."""
+"""Encode and decode reports on requests that wait or are expected back."""
 
 from collections.abc import Mapping, Sequence
 from typing import Any
 
-from arbutusbay.checked_values import require_count, require_text
-from arbutusbay.fairness import MAX_REPORTED_ZONE_TEAMS, WaitingReport
+from arbutusbay.checked_values import (
+    require_count,
+    require_integer,
+    require_text,
+)
+from arbutusbay.fairness import (
+    MAX_REPORTED_RETURNS,
+    MAX_REPORTED_ZONE_TEAMS,
+    ReturnWindow,
+    WaitingReport,
+)
 
 _WORK_UNIT_TOKENS = 100
+_MS_PER_S = 1000
+_MAX_RETURN_MS = 600_000
 _MAX_SERVICES = 16
 _MAX_RANKS = 32
 _MAX_RANK = 1_000_000
@@ -38,6 +49,52 @@
     }
 
 
+def returns_to_fields(
+    windows: Mapping[int, ReturnWindow], now_s: float
+) -> list[tuple[int, int, int]]:
+    """Return the returns that a VM expects as JSON values.
+
+    Clocks differ between VMs, so times are encoded relative to ``now_s``, in
+    milliseconds.
+    """
+    return [
+        (
+            key,
+            _relative_ms(window.since_s, now_s),
+            _relative_ms(window.until_s, now_s),
+        )
+        for key, window in windows.items()
+    ]
+
+
+def returns_from_fields(
+    fields: Sequence[Any], now_s: float
+) -> dict[int, ReturnWindow]:
+    """Return the expected returns, with times on the clock of this VM.
+
+    Raises ``TypeError`` or ``ValueError`` if they are malformed.
+    """
+    _check_length(fields, MAX_REPORTED_RETURNS)
+    return {
+        require_count(key, 'key'): ReturnWindow(
+            since_s=_moment_s(since_ms, now_s),
+            until_s=_moment_s(until_ms, now_s),
+        )
+        for key, since_ms, until_ms in fields
+    }
+
+
+def _relative_ms(moment_s: float, now_s: float) -> int:
+    return round((moment_s - now_s) * _MS_PER_S)
+
+
+def _moment_s(relative_ms: int, now_s: float) -> float:
+    offset_ms = require_integer(
+        relative_ms, 'time', lowest=-_MAX_RETURN_MS, highest=_MAX_RETURN_MS
+    )
+    return now_s + offset_ms / _MS_PER_S
+
+
 def _report_from_fields(
     counts: Sequence[Any], work: Mapping[str, Any]
 ) -> WaitingReport:
--- a/tests/unit/test_dispatcher.py
+++ b/tests/unit/test_dispatcher.py
@@ -11,7 +11,7 @@
 from arbutusbay.admission import ExpectedPlaces, ReturningPlaces
 from arbutusbay.clock import now_s
 from arbutusbay.errors import ErrorKind, Failure
-from arbutusbay.fairness import FleetQueues
+from arbutusbay.fairness import ExpectedReturns, FleetQueues
 from arbutusbay.fleet import TeamSpec
 from arbutusbay.node import _dispatcher
 from arbutusbay.node._dispatcher import Dispatcher
@@ -91,6 +91,7 @@
     received_s: float | None = None,
     priority: int = 1,
     team: TeamSpec | None = None,
+    target: str = '/note/1',
 ) -> PlacementRequest:
     """Return a request for a model that may wait."""
     received_s = now_s() if received_s is None else received_s
@@ -98,6 +99,8 @@
         incoming=SimpleNamespace(
             attempt_id=attempt_id,
             team=team,
+            method='POST',
+            target=target,
             is_model_request=True,
             service=SimpleNamespace(name='language'),
             route=SimpleNamespace(priority=priority, target_latency_s=1.0),
@@ -117,6 +120,7 @@
         prefill_s_per_token=0.00001,
         rng=random.Random(1),
         fleet_queues=FleetQueues(),
+        returns=ExpectedReturns(),
         members=SimpleNamespace(live=lambda _: {'vm-1', 'vm-2'}),
         notify_report_changed=lambda: None,
     )
