--- a/src/arbutusbay/fairness/_expected_returns.py
+++ b/src/arbutusbay/fairness/_expected_returns.py
@@ -38,12 +38,13 @@
 
     Keys are those of ``return_key``. ``own`` is what this VM refused,
     ``reported`` what other VMs did, by their names. ``taken_until_s`` holds the
-    keys of those that have come back here.
+    keys of those that have come back here, ``taken_count`` counts them.
     """
 
     own: dict[int, ReturnWindow] = attrs.field(factory=dict)
     reported: dict[str, Mapping[int, ReturnWindow]] = attrs.field(factory=dict)
     taken_until_s: dict[int, float] = attrs.field(factory=dict)
+    taken_count: int = 0
 
     def expect(self, key: int, *, after_s: float, now_s: float) -> None:
         """Record that a request was refused and told to wait ``after_s``."""
@@ -67,6 +68,7 @@
             window = windows.get(key)
             if window is not None and window.contains(now_s):
                 self.taken_until_s[key] = window.until_s
+                self.taken_count += 1
                 self.own.pop(key, None)
                 return True
         return False
--- a/src/arbutusbay/fairness/_fleet_queues.py
+++ b/src/arbutusbay/fairness/_fleet_queues.py
@@ -23,7 +23,8 @@
 class ServiceQueues:
     """Hold the own queue of a service and what others reported of theirs.
 
-    ``short_s`` is when requests waited last, here or elsewhere.
+    ``short_s`` is when requests waited last, here or elsewhere, and
+    ``shown_ranks`` are those that a metric has shown.
     """
 
     queue: FairQueue | None = None
@@ -31,6 +32,7 @@
     elsewhere: WaitingElsewhere = attrs.field(factory=WaitingElsewhere)
     left_places: LeftPlaces = attrs.field(init=False)
     short_s: float = float('-inf')
+    shown_ranks: set[int] = attrs.field(factory=set)
 
     def __attrs_post_init__(self) -> None:
         """Leave places by what waits elsewhere."""
--- a/src/arbutusbay/fairness/_left_places.py
+++ b/src/arbutusbay/fairness/_left_places.py
@@ -34,13 +34,14 @@
 
     It does so until ``until_s``. After that it ``owes_start`` to a request of
     its own, so that these go on to start whatever waits elsewhere. ``starts``
-    counts the requests that it placed lately.
+    counts the requests that it placed lately, ``left_count`` the places left.
     """
 
     elsewhere: WaitingElsewhere
     until_s: float = float('-inf')
     owes_start: bool = False
     starts: float = 0.0
+    left_count: int = 0
     updated_s: float = float('-inf')
 
     def leaves_place(
@@ -62,6 +63,7 @@
             return False
         self.until_s = now_s + _HOLD_S
         self.owes_start = True
+        self.left_count += 1
         return True
 
     def record_start(self, now_s: float) -> None:
--- a/src/arbutusbay/node/_control_api.py
+++ b/src/arbutusbay/node/_control_api.py
@@ -132,6 +132,10 @@
             {}, len(quarantine.table.quarantined)
         )
         self.metrics.recent_engine_ends.set({}, len(quarantine.evidence.ends))
+        self.metrics.observe_queues(self.node_state.fleet_queues, now_s())
+        self.metrics.returned_requests.set(
+            {}, self.node_state.returns.taken_count
+        )
         self.metrics.log_lines_dropped.set({}, self.log_writer.dropped_lines)
         content, headers = self.metrics.render()
         return web.Response(body=content, headers=headers)
--- a/src/arbutusbay/node/_metrics.py
+++ b/src/arbutusbay/node/_metrics.py
@@ -3,6 +3,7 @@
 from aioprometheus import REGISTRY, Counter, Gauge, Histogram
 from aioprometheus.renderer import render
 
+from arbutusbay.fairness import FleetQueues
 from arbutusbay.fleet import RequestKind
 
 _BUCKETS_S = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8)
@@ -46,6 +47,18 @@
             'arbutusbay_recent_engine_ends',
             'Engines that ended under requests in the last minute.',
         )
+        self.waiting_requests = Gauge(
+            'arbutusbay_waiting_requests',
+            'Requests that wait for a place here, by service and rank.',
+        )
+        self.left_places = Gauge(
+            'arbutusbay_left_places_total',
+            'Places left to requests at other VMs, by service.',
+        )
+        self.returned_requests = Gauge(
+            'arbutusbay_returned_requests_total',
+            'Requests that came back as their refusal asked them to.',
+        )
         self.log_lines_dropped = Gauge(
             'arbutusbay_log_lines_dropped_total',
             'Log lines dropped because standard output was full.',
@@ -57,6 +70,18 @@
         self.requests.inc(labels)
         self.duration.observe(labels, elapsed_s)
 
+    def observe_queues(self, queues: FleetQueues, now_s: float) -> None:
+        """Record what waits here, and how many places were left."""
+        for service, known in queues.by_service.items():
+            labels = {'service': service}
+            self.left_places.set(labels, known.left_places.left_count)
+            counts = known.queue.counts_by_rank(now_s) if known.queue else {}
+            known.shown_ranks |= counts.keys()
+            for rank in known.shown_ranks:
+                self.waiting_requests.set(
+                    {**labels, 'rank': str(rank)}, counts.get(rank, 0)
+                )
+
     def render(self) -> tuple[bytes, dict[str, str]]:
         """Return the metrics in the text format, and its HTTP headers."""
         return render(REGISTRY, [])
