Take a second of silence of sound engines for no lack of places

Cause: the open gap without a place lowered the rate, also where the time that requests take was measured and the gap was far longer: a second of silence refused who would start in time. Change: the optimistic rate leaves the first second of such a gap out; the mean rate falls as before.

--- a/src/arbutusbay/_admission.py
+++ b/src/arbutusbay/_admission.py
@@ -19,6 +19,8 @@
 _MAX_REMEMBERED_GAP_S = 2.0
 _PRIOR_GAP_S = 0.1
 _MIN_GAP_S = 0.001
+_SOUND_SILENCE_S = 1.0
+_GAP_WEIGHT = 1.5
 _MIN_RETRY_AFTER_S = 0.1
 _HONOURED_SHARE = 1 / 3
 _LEAST_URGENT = sys.maxsize
@@ -41,12 +43,14 @@
 
     So it is as far as the number of engines and the mean time of their requests
     show. Places may come free together. Unless it ``is_limit``, others may come
-    free as well, of which no number shows.
+    free as well, of which no number shows. Where that time was measured, a
+    longer gap may be a silence of sound engines.
     """
 
     places: float
     within_s: float
     is_limit: bool = True
+    may_be_silent: bool = True
 
     def due_together(self, open_gap_s: float) -> float:
         """Return how many places may still come free together, at least 1.
@@ -57,7 +61,9 @@
         return max(1.0, self.places / lateness)
 
 
-_UNKNOWN_PLACES = ExpectedPlaces(places=1, within_s=_PRIOR_GAP_S)
+_UNKNOWN_PLACES = ExpectedPlaces(
+    places=1, within_s=_PRIOR_GAP_S, is_limit=False, may_be_silent=False
+)
 
 
 @attrs.frozen(kw_only=True)
@@ -94,10 +100,15 @@
 
 @attrs.frozen(kw_only=True)
 class PlaceRate:
-    """Hold a number of places, at least one, and the time that they took."""
+    """Hold a number of places, at least one, and the time that they took.
+
+    ``after_silence_per_s`` is the rate if the open gap is only a silence of
+    sound engines, 0 if that can't be known.
+    """
 
     places: float
     gaps_s: float
+    after_silence_per_s: float = 0.0
 
     @property
     def mean(self) -> float:
@@ -110,7 +121,8 @@
 
         The number of places in a span varies as a Poisson process does.
         """
-        return (self.places + math.sqrt(self.places)) / self.gaps_s
+        high = (self.places + math.sqrt(self.places)) / self.gaps_s
+        return max(high, self.after_silence_per_s)
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -187,15 +199,12 @@
         mean_gap_s = (self.gaps_s + prior.within_s) / (
             self.places + prior.places
         )
-        together = prior.due_together(self.open_gap_s)
-        weight = _weight_after(self.open_gap_s)
-        places = self.places * weight + together
-        gaps_s = self.gaps_s * weight + max(
-            self.open_gap_s, together * mean_gap_s
-        )
-        if expected is not None and expected.is_limit:
-            gaps_s = max(gaps_s, places * expected.within_s / expected.places)
-        return PlaceRate(places=places, gaps_s=max(_MIN_GAP_S, gaps_s))
+        rate = self._rate_after(self.open_gap_s, mean_gap_s, prior)
+        if not prior.may_be_silent:
+            return rate
+        sound_gap_s = _sound_gap_s(self.open_gap_s, mean_gap_s)
+        sound = self._rate_after(sound_gap_s, mean_gap_s, prior)
+        return attrs.evolve(rate, after_silence_per_s=sound.high)
 
     def claimed_share(self, priority_level: int = _LEAST_URGENT) -> float:
         """Return for which share of the places there are new requests.
@@ -232,6 +241,17 @@
             age_s=now_s - self.last_place_s,
         )
 
+    def _rate_after(
+        self, open_gap_s: float, mean_gap_s: float, prior: ExpectedPlaces
+    ) -> PlaceRate:
+        together = prior.due_together(open_gap_s)
+        weight = _weight_after(open_gap_s)
+        places = self.places * weight + together
+        gaps_s = self.gaps_s * weight + max(open_gap_s, together * mean_gap_s)
+        if prior.is_limit:
+            gaps_s = max(gaps_s, places * prior.within_s / prior.places)
+        return PlaceRate(places=places, gaps_s=max(_MIN_GAP_S, gaps_s))
+
     def _fade_arrivals(self, weight: float) -> None:
         for level in self.arrivals:
             self.arrivals[level] *= weight
@@ -285,6 +305,15 @@
     return delay_s
 
 
+def _sound_gap_s(open_gap_s: float, mean_gap_s: float) -> float:
+    """Return the open gap without a silence that sound engines may have.
+
+    Beyond it the engines are likely gone.
+    """
+    beyond_s = max(0.0, open_gap_s - _SOUND_SILENCE_S)
+    return min(open_gap_s, mean_gap_s) + _GAP_WEIGHT * beyond_s
+
+
 def _return_order(places: ReturningPlaces) -> float:
     return places.at_s
 
--- a/src/arbutusbay/scheduling/_admission_queue.py
+++ b/src/arbutusbay/scheduling/_admission_queue.py
@@ -124,9 +124,13 @@
         places.
         """
         claimed = self.starts.claimed_share(priority_level)
+        places_per_s = max(rate.mean, rate.after_silence_per_s)
         late_share = 1 - claimed * (1 - FLOOR_SHARE)
         return ExpectedPlaces(
-            places=1, within_s=1 / (rate.mean * late_share), is_limit=False
+            places=1,
+            within_s=1 / (places_per_s * late_share),
+            is_limit=False,
+            may_be_silent=False,
         )
 
 
