--- a/src/arbutusbay/fairness/_fair_queue.py
+++ b/src/arbutusbay/fairness/_fair_queue.py
@@ -67,6 +67,9 @@
 
     def in_service_order(self, now_s: float) -> Iterator[Entry]:
         """Yield the requests in the order in which to place the next one."""
+        if len(self.waiting) <= 1:
+            yield from tuple(self.waiting)
+            return
         lanes = self._lanes(now_s)
         for lane in (*lanes.floor_of(self.started_count), *lanes.regular):
             yield from lane
@@ -77,6 +80,9 @@
         It differs from ``in_service_order``, which holds for the next start
         only, in that each start has a turn of its own.
         """
+        if len(self.waiting) <= 1:
+            yield from tuple(self.waiting)
+            return
         lanes = self._lanes(now_s)
         for turn in itertools.count(self.started_count):
             entry = lanes.next_entry(turn)
