--- a/src/arbutusbay/fairness/_fair_queue.py
+++ b/src/arbutusbay/fairness/_fair_queue.py
@@ -67,6 +67,7 @@
 
     def in_service_order(self, now_s: float) -> Iterator[Entry]:
         """Yield the requests in the order in which to place the next one."""
+        self.team_work.advance(now_s)
         if len(self.waiting) <= 1:
             yield from tuple(self.waiting)
             return
@@ -80,6 +81,7 @@
         It differs from ``in_service_order``, which holds for the next start
         only, in that each start has a turn of its own.
         """
+        self.team_work.advance(now_s)
         if len(self.waiting) <= 1:
             yield from tuple(self.waiting)
             return
--- a/src/arbutusbay/fairness/_team_work.py
+++ b/src/arbutusbay/fairness/_team_work.py
@@ -12,6 +12,7 @@
 _MEMORY_S = 4.0
 _MIN_WORK_TOKENS = 1.0
 _MAX_TOTALS_AGE_S = 0.1
+_MIN_FADE_S = 0.05
 
 
 @attrs.frozen(kw_only=True)
@@ -73,10 +74,13 @@
 
     def advance(self, now_s: float) -> None:
         """Let the work fade that was recorded before."""
-        if now_s <= self.updated_s:
+        elapsed_s = now_s - self.updated_s
+        if elapsed_s < _MIN_FADE_S:
             return
-        weight = _weight_after(now_s - self.updated_s)
         self.updated_s = now_s
+        if math.isinf(elapsed_s):
+            return
+        weight = _weight_after(elapsed_s)
         self.own_work = {
             team: work * weight
             for team, work in self.own_work.items()
