--- a/src/arbutusbay/_admission.py
+++ b/src/arbutusbay/_admission.py
@@ -134,7 +134,8 @@
     ``open_gap_s`` is the time since the last place. Without an observation the
     gap is assumed to be short, so that requests are admitted at first.
     ``arrivals`` counts by urgency those that came since the first of these
-    places, while others waited.
+    places, while others waited. ``sound_gaps_s`` is ``gaps_s`` without the
+    silences in it, by the ``usual_gap_s``; infinity if it isn't known.
     """
 
     has_waiting: bool = False
@@ -144,6 +145,8 @@
     open_gap_s: float = 0.0
     updated_s: float = float('-inf')
     last_place_s: float = float('-inf')
+    usual_gap_s: float = float('inf')
+    sound_gaps_s: float = 0.0
 
     def record_waiting(self, waiting: int, now_s: float) -> None:
         """Record how many requests wait from now on."""
@@ -169,8 +172,10 @@
         weight = _weight_after(self.open_gap_s)
         self.places = self.places * weight + 1
         self._fade_arrivals(weight)
-        self.gaps_s = self.gaps_s * weight + min(
-            self.open_gap_s, _MAX_REMEMBERED_GAP_S
+        gap_s = min(self.open_gap_s, _MAX_REMEMBERED_GAP_S)
+        self.gaps_s = self.gaps_s * weight + gap_s
+        self.sound_gaps_s = self.sound_gaps_s * weight + _sound_gap_s(
+            gap_s, self.usual_gap_s
         )
         self.open_gap_s = 0.0
         self.last_place_s = now_s
@@ -196,14 +201,21 @@
         """
         self._advance(now_s)
         prior = expected or _UNKNOWN_PLACES
-        mean_gap_s = (self.gaps_s + prior.within_s) / (
-            self.places + prior.places
+        rate = _rate_after(
+            self.open_gap_s,
+            PlaceRate(places=self.places, gaps_s=self.gaps_s),
+            prior,
         )
-        rate = self._rate_after(self.open_gap_s, mean_gap_s, prior)
         if not prior.may_be_silent:
             return rate
-        sound_gap_s = _sound_gap_s(self.open_gap_s, mean_gap_s)
-        sound = self._rate_after(sound_gap_s, mean_gap_s, prior)
+        self.usual_gap_s = (self.sound_gaps_s + prior.within_s) / (
+            self.places + prior.places
+        )
+        sound = _rate_after(
+            _sound_gap_s(self.open_gap_s, self.usual_gap_s),
+            PlaceRate(places=self.places, gaps_s=self.sound_gaps_s),
+            prior,
+        )
         return attrs.evolve(rate, after_silence_per_s=sound.high)
 
     def claimed_share(self, priority_level: int = _LEAST_URGENT) -> float:
@@ -241,17 +253,6 @@
             age_s=now_s - self.last_place_s,
         )
 
-    def _rate_after(
-        self, open_gap_s: float, mean_gap_s: float, prior: ExpectedPlaces
-    ) -> PlaceRate:
-        together = prior.due_together(open_gap_s)
-        weight = _weight_after(open_gap_s)
-        places = self.places * weight + together
-        gaps_s = self.gaps_s * weight + max(open_gap_s, together * mean_gap_s)
-        if prior.is_limit:
-            gaps_s = max(gaps_s, places * prior.within_s / prior.places)
-        return PlaceRate(places=places, gaps_s=max(_MIN_GAP_S, gaps_s))
-
     def _fade_arrivals(self, weight: float) -> None:
         for level in self.arrivals:
             self.arrivals[level] *= weight
@@ -270,6 +271,7 @@
         self.places *= weight
         self._fade_arrivals(weight)
         self.gaps_s *= weight
+        self.sound_gaps_s *= weight
         self.open_gap_s *= weight
 
 
@@ -305,6 +307,20 @@
     return delay_s
 
 
+def _rate_after(
+    open_gap_s: float, seen: PlaceRate, prior: ExpectedPlaces
+) -> PlaceRate:
+    """Return the rate if the open gap ends now, behind what was ``seen``."""
+    mean_gap_s = (seen.gaps_s + prior.within_s) / (seen.places + prior.places)
+    together = prior.due_together(open_gap_s)
+    weight = _weight_after(open_gap_s)
+    places = seen.places * weight + together
+    gaps_s = seen.gaps_s * weight + max(open_gap_s, together * mean_gap_s)
+    if prior.is_limit:
+        gaps_s = max(gaps_s, places * prior.within_s / prior.places)
+    return PlaceRate(places=places, gaps_s=max(_MIN_GAP_S, gaps_s))
+
+
 def _sound_gap_s(open_gap_s: float, mean_gap_s: float) -> float:
     """Return the open gap without a silence that sound engines may have.
 
