--- a/src/arbutusbay/_admission.py
+++ b/src/arbutusbay/_admission.py
@@ -102,13 +102,13 @@
 class PlaceRate:
     """Hold a number of places, at least one, and the time that they took.
 
-    ``after_silence_per_s`` is the rate if the open gap is only a silence of
-    sound engines, 0 if that can't be known.
+    ``after_silence`` is the rate if the longest gaps were only silences of
+    sound engines, None if that can't be known.
     """
 
     places: float
     gaps_s: float
-    after_silence_per_s: float = 0.0
+    after_silence: 'PlaceRate | None' = None
 
     @property
     def mean(self) -> float:
@@ -122,7 +122,14 @@
         The number of places in a span varies as a Poisson process does.
         """
         high = (self.places + math.sqrt(self.places)) / self.gaps_s
-        return max(high, self.after_silence_per_s)
+        sound = self.after_silence
+        return max(high, sound.high) if sound else high
+
+    @property
+    def sound_mean(self) -> float:
+        """Return the places per second, without silences where known."""
+        sound = self.after_silence
+        return max(self.mean, sound.mean) if sound else self.mean
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -216,7 +223,7 @@
             PlaceRate(places=self.places, gaps_s=self.sound_gaps_s),
             prior,
         )
-        return attrs.evolve(rate, after_silence_per_s=sound.high)
+        return attrs.evolve(rate, after_silence=sound)
 
     def claimed_share(self, priority_level: int = _LEAST_URGENT) -> float:
         """Return for which share of the places there are new requests.
--- a/src/arbutusbay/router/_start_decision.py
+++ b/src/arbutusbay/router/_start_decision.py
@@ -99,7 +99,7 @@
     for waiting in pool.queue.in_start_order(moment_s):
         estimate = pool.starts.predict(ahead=ahead, now_s=moment_s, rate=rate)
         has_output = bool(waiting.caller_data.context.weights_version)
-        starts_s = moment_s + estimate.delay_s
+        starts_s = moment_s + (ahead + 1) / rate.sound_mean
         if has_output or starts_s <= _latest_start_s(pool, waiting):
             ahead += 1
             continue
--- a/src/arbutusbay/scheduling/_admission_queue.py
+++ b/src/arbutusbay/scheduling/_admission_queue.py
@@ -124,7 +124,7 @@
         places.
         """
         claimed = self.starts.claimed_share(priority_level)
-        places_per_s = max(rate.mean, rate.after_silence_per_s)
+        places_per_s = rate.sound_mean
         late_share = 1 - claimed * (1 - FLOOR_SHARE)
         return ExpectedPlaces(
             places=1,
