Count no attempt where an engine took no connection, at our own edge

Cause: a connection that could not be made counted as an attempt, and its failure was told as an end of the stream. Change: such an engine is left out of the next placement and counts once, no token of the retry budget is taken, and if nothing was sent at all the end is no_backend_server, not run.

--- a/src/arbutusbay/router/_event_recorder.py
+++ b/src/arbutusbay/router/_event_recorder.py
@@ -18,7 +18,11 @@
 from arbutusbay.router._dispatcher import Placement
 from arbutusbay.router._metrics import RouterMetrics
 from arbutusbay.router._prompt_quarantine import segment_keys_of
-from arbutusbay.router._run_progress import CompletionRequest, RunProgress
+from arbutusbay.router._run_progress import (
+    CompletionRequest,
+    RunProgress,
+    is_unreached,
+)
 from arbutusbay.router._shared_state import RouterState
 from arbutusbay.router._silence_handler import log_failed_attempt
 
@@ -95,6 +99,8 @@
             placement.engine.record_failure()
         if failure.effective_run_state is not RunState.NOT_RUN:
             progress.exclude(placement.engine.name)
-        if progress.is_refused_midway():
+        if is_unreached(failure):
+            progress.record_unreached(placement.engine.name)
+        elif progress.is_refused_midway():
             progress.uncount_attempt()
         log_failed_attempt(self.request, progress, placement, failure)
--- a/src/arbutusbay/router/_generation_run.py
+++ b/src/arbutusbay/router/_generation_run.py
@@ -29,6 +29,7 @@
     RunProgress,
     StopReason,
     first_piece_time_left_s,
+    is_unreached,
     next_piece_deadline_s,
     time_left_s,
 )
@@ -139,7 +140,7 @@
     async def _place_in_queue(self) -> Result[Placement, Failure]:
         context = attrs.evolve(
             self.request.context,
-            excluded=self.progress.excluded,
+            excluded=self.progress.excluded | self.progress.unreached,
             weights_version=self.progress.weights_version,
         )
         deadline_s = next_piece_deadline_s(self.request.job, self.progress)
@@ -236,7 +237,7 @@
     ) -> StopReason | None:
         """Return why no attempt may follow, None if one may.
 
-        That one has its token of the retry budget.
+        That one has its token of the retry budget, unless nothing was sent.
         """
         has_ended = await self._has_engine_ended(placement)
         if has_ended and not self.shared_state.quarantine.may_retry(
@@ -257,6 +258,8 @@
         may_have_run = failure.effective_run_state is not RunState.NOT_RUN
         if may_have_run and not self.request.idempotent:
             return StopReason.RUNS_ONCE
+        if is_unreached(failure):
+            return None
         has_token = self.shared_state.may_repeat(
             has_output=bool(self.progress.relayed_pieces)
         )
@@ -269,6 +272,8 @@
                 kind=ErrorKind.STREAM_BROKEN,
                 run_state=RunState.RAN,
             )
+        if is_unreached(failure) and not self.progress.may_have_run:
+            return attrs.evolve(failure, kind=ErrorKind.NO_BACKEND_SERVER)
         if failure.kind is ErrorKind.STREAM_BROKEN:
             return attrs.evolve(
                 failure,
--- a/src/arbutusbay/router/_run_progress.py
+++ b/src/arbutusbay/router/_run_progress.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from arbutusbay.errors import Failure, RunState
+from arbutusbay.errors import ErrorKind, Failure, RunState
 from arbutusbay.policy import Job
 from arbutusbay.router._dispatcher import JobContext
 from arbutusbay.state import Pool
@@ -45,11 +45,12 @@
     ``relayed_pieces`` counts pieces of output, and ``unproductive_attempts``
     the consecutive attempts that relayed none. ``weights_version`` is the
     version that produced the output. ``excluded`` holds the engines of failed
-    attempts that may have run. ``may_have_run`` is whether any engine may have
-    run the request. ``has_started`` is whether the response of the
-    last attempt began, ``first_piece_s`` when its first piece came, in seconds
-    on the clock of ``now_s``. ``last_piece_at_s`` is when the last piece of any
-    attempt came, on the monotonic clock.
+    attempts that may have run, ``unreached`` those to which no connection could
+    be made. ``may_have_run`` is whether any engine may have run the request.
+    ``has_started`` is whether the response of the last attempt began,
+    ``first_piece_s`` when its first piece came, in seconds on the clock of
+    ``now_s``. ``last_piece_at_s`` is when the last piece of any attempt came,
+    on the monotonic clock.
     """
 
     relayed_pieces: int = 0
@@ -57,6 +58,7 @@
     unproductive_attempts: int = 0
     weights_version: str = ''
     excluded: frozenset[str] = frozenset()
+    unreached: frozenset[str] = frozenset()
     may_have_run: bool = False
     prompt_tokens: int = 0
     cached_tokens: int = 0
@@ -95,8 +97,17 @@
             and self.last_failure.effective_run_state is RunState.NOT_RUN
         )
 
+    def record_unreached(self, engine: str) -> None:
+        """Record that nothing was sent to an engine, which is no attempt.
+
+        It is one if no other engine was left to ask.
+        """
+        if engine not in self.unreached:
+            self.unreached |= {engine}
+            self.uncount_attempt()
+
     def uncount_attempt(self) -> None:
-        """Leave a refused attempt out of those without output."""
+        """Leave the last attempt out of those without output."""
         self.unproductive_attempts -= 1
 
     def has_attempts_left(self, max_attempts: int) -> bool:
@@ -111,6 +122,14 @@
         )
 
 
+def is_unreached(failure: Failure) -> bool:
+    """Return whether no connection could be made to an engine."""
+    return (
+        failure.kind is ErrorKind.STREAM_BROKEN
+        and failure.effective_run_state is RunState.NOT_RUN
+    )
+
+
 def next_piece_deadline_s(job: Job, progress: RunProgress) -> float:
     """Return until when the next piece may come, on the monotonic clock.
 
