Take no end within an upload, and no status beyond 599, for an answer

A part of an early answer without a length: after a reset alone it never counted as whole. Where the server ended its side first (one that is lost with nothing unread does, and the reset follows), the client got the part as a complete answer, at the platform's edge with orders, lookups and both kinds of stream, at our own with calls. The end of a connection now fails a body that only it ends, unless all of the request has arrived at the server by then.

A status that is none: 000, 099, 101, other 1xx and no number never reached a client. 600 to 999 did, at both edges, and a lookup did not go on elsewhere. Such a status now ends the connection, as one below 100 did.

Both in the connection that all clients of both edges share.

--- a/emulator/fleet_engine.py
+++ b/emulator/fleet_engine.py
@@ -19,7 +19,11 @@
 from emulator._server_queue import ServerQueue
 from emulator._silence import Silence
 from emulator.raw_response import PartialResponse
-from emulator.scripted_response import ScriptedResponse, send_scripted
+from emulator.scripted_response import (
+    ScriptedResponse,
+    read_unless_early,
+    send_scripted,
+)
 
 _NOT_EXECUTED = 'Not-Executed'
 _MUTE_S = 60
@@ -304,7 +308,7 @@
             attempt_id=request.headers['Attempt-Id'],
             path=request.raw_path,
             headers=dict(request.headers),
-            body=await request.read(),
+            body=await read_unless_early(request, self.scripted_responses),
             version=self.version,
         )
         self.executions.append(executed)
--- a/emulator/raw_response.py
+++ b/emulator/raw_response.py
@@ -37,10 +37,11 @@
     *,
     headers: Mapping[str, str] = _NO_HEADERS,
     interim: bytes = b'',
+    status: str = '200',
 ) -> bytes:
-    """Return a whole response of status 200, after ``interim`` ones."""
+    """Return a whole response with ``status``, after ``interim`` ones."""
     version = '1.0' if framing is Framing.OLD_CONNECTION else '1.1'
-    lines = [f'HTTP/{version} 200 OK']
+    lines = [f'HTTP/{version} {status} OK']
     lines += [f'{name}: {text}' for name, text in headers.items()]
     match framing:
         case Framing.LENGTH:
@@ -67,7 +68,9 @@
 class PartialResponse:
     """Describe a response whose last ``missing_bytes`` are not sent.
 
-    The connection ends there.
+    The connection ends there. One that ``is_early`` is sent before the upload
+    of its request is read; ``ends_side`` ends the sending side before the
+    connection.
     """
 
     framing: Framing
@@ -76,6 +79,9 @@
     ending: Ending
     missing_bytes: int = 0
     interim: bytes = b''
+    status: str = '200'
+    is_early: bool = False
+    ends_side: bool = False
 
     def build(self, headers: Mapping[str, str]) -> bytes:
         """Return what is sent, with ``headers`` and the content type."""
@@ -84,6 +90,7 @@
             self.body,
             headers={**headers, 'Content-Type': self.content_type},
             interim=self.interim,
+            status=self.status,
         )
         return whole[: max(0, len(whole) - self.missing_bytes)]
 
@@ -95,5 +102,8 @@
     request.transport.write(partial.build(headers))
     # What was written reaches the caller before a reset.
     await asyncio.sleep(_TRANSIT_S)
+    if partial.ends_side:
+        request.transport.write_eof()
+        await asyncio.sleep(_TRANSIT_S)
     end_transport(request.transport, partial.ending)
     return web.Response()
--- a/emulator/scripted_response.py
+++ b/emulator/scripted_response.py
@@ -1,7 +1,7 @@
 """Send responses that a test scripts instead of an engine's own."""
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from http import HTTPStatus
 
 import attrs
@@ -38,6 +38,17 @@
     pause_s: float | None = None
 
 
+async def read_unless_early(
+    request: web.Request,
+    scripted: Sequence[ScriptedResponse | PartialResponse],
+) -> bytes:
+    """Return the body, nothing if the next response does not wait for it."""
+    match scripted:
+        case [PartialResponse(is_early=True), *_]:
+            return b''
+    return await request.read()
+
+
 async def send_scripted(
     request: web.Request,
     scripted: ScriptedResponse | PartialResponse,
--- a/src/arbutusbay/_client_connections.py
+++ b/src/arbutusbay/_client_connections.py
@@ -1,8 +1,8 @@
 """Open HTTP client sessions whose connections show what was lost on them.
 
-A connection that is reset fails an incomplete body. One on which more than a
-response has come is closed, and so is one that brings bytes without end which
-are no part of a body.
+A connection that is reset, or ended within an upload, fails an incomplete body.
+One on which more than a response has come is closed, and so is one that brings
+bytes without end which are no part of a body.
 """
 
 import asyncio
@@ -16,11 +16,13 @@
 from aiohttp.http import RawResponseMessage
 
 from arbutusbay.logs import get_logger
+from arbutusbay.unsent_bytes import count_unsent_bytes
 
 _LOG = get_logger('client_connection')
 _UNLIMITED_CONNECTIONS = 0
 _MAX_OVERHEAD_BYTES = 65_536
 _PIECE_BYTES = 16_384
+_MAX_STATUS = 599
 
 
 class UnusableBytesError(aiohttp.ClientPayloadError):
@@ -66,12 +68,13 @@
     ) -> None:
         """Keep the response to the request; others belong to none.
 
-        Nothing waits for an interim response, or for another protocol.
+        Nothing waits for an interim response, or for another protocol. A status
+        beyond the five classes is none.
         """
         status = message[0].code
         if self.is_answered or _is_interim(status):
             return
-        if status < HTTPStatus.OK:
+        if not HTTPStatus.OK <= status <= _MAX_STATUS:
             self._end_connection(f'status {status}')
             return
         self.is_answered = True
@@ -91,6 +94,23 @@
             transport.abort()
         super().close()
 
+    def eof_received(self) -> None:
+        """Fail an incomplete body if the server ended within the upload.
+
+        A server that is lost while it reads ends its side as one does whose
+        body is complete; the reset follows.
+        """
+        unsent_bytes = count_unsent_bytes(self.transport)
+        payload = self._payload
+        if unsent_bytes and payload is not None and not payload.is_eof():
+            payload.set_exception(
+                aiohttp.ClientPayloadError(
+                    f'connection ended before {unsent_bytes} bytes of the '
+                    'request had arrived'
+                ),
+            )
+        super().eof_received()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail an incomplete body if the connection was lost with an error.
 
