Decide on rate limits of teams fleet-wide: the pure core

A team's limit holds over all VMs, and static shares of 141 VMs grant one prompt in 45 s.

Tokens are reserved for refused callers that are told when to return, as far as such callers do return.

--- /dev/null
+++ b/src/arbutusbay/quota/_bucket.py
@@ -0,0 +1,173 @@
+"""Keep the token bucket of a team, with tokens reserved for returning callers.
+
+A refused caller is told when to return. If newcomers could take the tokens
+that arrive until then, it would be refused again, under load forever.
+"""
+
+import math
+
+import attrs
+
+from arbutusbay.quota._terms import Decision, Granted, Refused
+
+_MAX_RESERVED_S = 2.0
+_RESERVATION_GRACE_S = 0.5
+_RETURN_MARGIN_S = 0.02
+_MAX_RESERVATIONS = 256
+_MIN_RETRY_AFTER_S = 0.05
+_WAIT_WITHOUT_RATE_S = 0.5
+_MAX_COUNTED_RETURNS = 64
+# How long the credit for a takeover may be used.
+START_CREDIT_LIFE_S = 4.0
+
+
+@attrs.frozen(kw_only=True)
+class QuotaRequest:
+    """Describe a request that asks for tokens.
+
+    ``key`` recognizes the request when its caller returns with it, and
+    ``patience_s`` is how long the caller would wait before that.
+    """
+
+    cost: float
+    key: int = 0
+    patience_s: float = 0.0
+
+
+@attrs.frozen(kw_only=True)
+class Reservation:
+    """Hold the tokens that a refused caller will find when it returns."""
+
+    cost: float
+    due_s: float
+
+
+@attrs.define(kw_only=True)
+class ReturnStatistics:
+    """Estimate which part of the refused callers return when they were told."""
+
+    returned: float = 1.0
+    missed: float = 1.0
+
+    @property
+    def probability(self) -> float:
+        """Return how likely a caller returns in time."""
+        return self.returned / (self.returned + self.missed)
+
+    def record(self, *, has_returned: bool) -> None:
+        """Count a caller; older ones count less and less."""
+        if has_returned:
+            self.returned += 1
+        else:
+            self.missed += 1
+        if self.returned + self.missed > _MAX_COUNTED_RETURNS:
+            self.returned /= 2
+            self.missed /= 2
+
+
+@attrs.define(kw_only=True)
+class Bucket:
+    """Hold the unused tokens of a team.
+
+    ``capacity`` and ``rate_per_s`` are what its owner may use at present.
+    ``start_credit`` can be used beside the level until ``credit_until_s``.
+    ``reservations`` are in the order in which they were made.
+    """
+
+    level: float = 0.0
+    capacity: float = 0.0
+    rate_per_s: float = 0.0
+    start_credit: float = 0.0
+    credit_until_s: float = float('-inf')
+    reservations: dict[int, Reservation] = attrs.field(factory=dict)
+    returns: ReturnStatistics = attrs.field(factory=ReturnStatistics)
+
+    def resize(self, *, capacity: float, rate_per_s: float) -> None:
+        """Change the capacity, which limits the level at once, and the rate."""
+        self.capacity = capacity
+        self.rate_per_s = rate_per_s
+        self.level = min(self.level, capacity)
+
+    def add(self, tokens: float) -> None:
+        """Add tokens up to the capacity."""
+        self.level = min(self.capacity, self.level + tokens)
+
+    def add_start_credit(self, tokens: float, now_s: float) -> None:
+        """Add credit for a takeover; it ends with the credit added first."""
+        if now_s >= self.credit_until_s:
+            self.start_credit = 0.0
+            self.credit_until_s = now_s + START_CREDIT_LIFE_S
+        self.start_credit += tokens
+
+    def take(self, request: QuotaRequest, now_s: float) -> Decision:
+        """Grant or refuse a request.
+
+        A caller that returns when it was told to comes before all others.
+        """
+        self._drop_expired(now_s)
+        own = self.reservations.pop(request.key, None)
+        if own is not None:
+            self.returns.record(has_returned=True)
+        is_due = own is not None and now_s >= own.due_s
+        reserved = 0.0 if is_due else self._reserved()
+        missing = reserved + request.cost - self._available(now_s)
+        if missing <= 0:
+            self._charge(request.cost, now_s)
+            return Granted()
+        wait_s = _WAIT_WITHOUT_RATE_S
+        if self.rate_per_s > 0:
+            wait_s = missing / self.rate_per_s + _RETURN_MARGIN_S
+        if own is None:
+            self._reserve(request, now_s, wait_s)
+        return Refused(retry_after_s=max(wait_s, _MIN_RETRY_AFTER_S))
+
+    def _available(self, now_s: float) -> float:
+        if now_s >= self.credit_until_s:
+            return self.level
+        return self.level + self.start_credit
+
+    def _charge(self, cost: float, now_s: float) -> None:
+        from_credit = 0.0
+        if now_s < self.credit_until_s:
+            from_credit = min(self.start_credit, cost)
+        self.start_credit -= from_credit
+        self.level -= cost - from_credit
+
+    def _reserved(self) -> float:
+        """Return the tokens that returning callers are likely to use."""
+        reserved = sum(
+            reservation.cost for reservation in self.reservations.values()
+        )
+        return reserved * self.returns.probability
+
+    def _reserve(
+        self, request: QuotaRequest, now_s: float, wait_s: float
+    ) -> None:
+        """Reserve tokens for a caller that can return when they are there."""
+        is_too_late = wait_s > min(_MAX_RESERVED_S, request.patience_s)
+        if (
+            is_too_late
+            or request.cost > self.capacity
+            or len(self.reservations) >= _MAX_RESERVATIONS
+        ):
+            return
+        self.reservations[request.key] = Reservation(
+            cost=request.cost,
+            due_s=now_s + wait_s - _RETURN_MARGIN_S,
+        )
+
+    def _drop_expired(self, now_s: float) -> None:
+        """Drop the reservations of callers that did not return in time."""
+        expired = [
+            key
+            for key, reservation in self.reservations.items()
+            if now_s > reservation.due_s + _RESERVATION_GRACE_S
+        ]
+        for key in expired:
+            self.reservations.pop(key)
+            self.returns.record(has_returned=False)
+
+
+def refuse_for_good() -> Refused:
+    """Refuse a request that costs more than its limit allows at any time."""
+    return Refused(retry_after_s=math.inf)
