Hold teams within their rate limits on the users' platform

Each VM asks the owner of a team's limit by a datagram as soon as the head of a request is valid, beside reading its body, and refuses it with 429 'rate limited', not run, before it is queued. Grants of requests that certainly did not run go back. Teams without a limit send and do nothing new.

--- a/src/arbutusbay/fleet/_types.py
+++ b/src/arbutusbay/fleet/_types.py
@@ -74,18 +74,40 @@
     address: str
 
 
+class QuotaUnit(enum.StrEnum):
+    """List in what the requests of a team count towards its rate limit."""
+
+    REQUESTS = 'requests'
+    TOKENS = 'tokens'
+
+
+@attrs.frozen(kw_only=True)
+class QuotaSpec:
+    """Limit the rate of a team's requests over all VMs.
+
+    ``rate_per_s`` and ``burst`` count in ``unit``. ``default_cost`` is the cost
+    of a request that doesn't tell its number of tokens.
+    """
+
+    unit: QuotaUnit
+    rate_per_s: float
+    burst: float
+    default_cost: float
+
+
 @attrs.frozen(kw_only=True)
 class TeamSpec:
     """Describe a team of API clients.
 
     A team with ``has_isolated_cache`` shares no KV cache entries with other
-    teams.
+    teams. ``quota`` is None for a team without a rate limit.
     """
 
     name: str
     api_keys: frozenset[str]
     priority: int | None
     has_isolated_cache: bool
+    quota: QuotaSpec | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/src/arbutusbay/node/_client_stream.py
+++ b/src/arbutusbay/node/_client_stream.py
@@ -15,6 +15,7 @@
 from arbutusbay.node._attempts import BufferedResponse, OpenResponse
 from arbutusbay.node._incoming_request import IncomingRequest
 from arbutusbay.node._request_executor import RequestExecutor, may_have_run
+from arbutusbay.node.quota import RequestGrant
 from arbutusbay.platform import ServerSentEvent
 from arbutusbay.response_streams import (
     ResponseStream,
@@ -133,12 +134,14 @@
 class ClientExchange:
     """Hold one client request and how far its response has come.
 
-    ``incoming`` is None until the request was accepted, ``executor`` until it
-    was read whole, and ``stream`` until the head of a stream is out.
+    ``incoming`` and ``grant`` are None until the request was accepted,
+    ``executor`` until it was read whole, and ``stream`` until the head of a
+    stream is out.
     """
 
     request: web.BaseRequest
     incoming: IncomingRequest | None = None
+    grant: RequestGrant | None = None
     executor: RequestExecutor | None = None
     stream: ClientStream | None = None
 
--- a/src/arbutusbay/node/_components.py
+++ b/src/arbutusbay/node/_components.py
@@ -16,12 +16,19 @@
 from arbutusbay.node._relay_api import RelayApi
 from arbutusbay.node._request_dependencies import RequestDependencies
 from arbutusbay.node._rollout import Rollout
-from arbutusbay.node._server_feedback import ServerFeedback
 from arbutusbay.node._server_registry import ServerRegistry
 from arbutusbay.node._stall_detector import StallDetector
 from arbutusbay.node._topics import OperatorTopicState, ServersTopicState
 from arbutusbay.node._weights_loader import WeightsLoader
 from arbutusbay.node.quarantine import PromptQuarantine, VerdictRecorder
+from arbutusbay.node.quota import (
+    DATAGRAM_TYPE,
+    Outbox,
+    QuotaClient,
+    QuotaMetrics,
+    RequestGrants,
+    ShareRenewals,
+)
 from arbutusbay.platform import StoreClient, VMSettings
 
 
@@ -56,9 +63,21 @@
             node_state=self.node_state, own_vm=self.own_vm
         )
         self.stall_detector = StallDetector(node_state=self.node_state)
+        self.quota_client = self._build_quota_client()
+        self.share_renewals = ShareRenewals(client=self.quota_client)
         self._build_store_components(session, order_session)
         self._build_request_components(session, log_writer)
 
+    def _build_quota_client(self) -> QuotaClient:
+        client = QuotaClient(
+            node_state=self.node_state,
+            own_vm=self.own_vm,
+            outbox=Outbox(send=self.peer_channel.send_datagram),
+            metrics=QuotaMetrics(),
+        )
+        self.peer_channel.add_receiver(DATAGRAM_TYPE, client.receive)
+        return client
+
     def _build_store_components(
         self,
         session: aiohttp.ClientSession,
@@ -121,8 +140,8 @@
             dependencies=RequestDependencies(
                 node_state=self.node_state,
                 placer=placer,
-                feedback=ServerFeedback(node_state=self.node_state),
                 quarantine=self.quarantine,
+                request_grants=RequestGrants(client=self.quota_client),
                 dispatcher=self.dispatcher,
                 stall_detector=self.stall_detector,
                 session=session,
@@ -134,4 +153,5 @@
             metrics=self.metrics,
             store=self.store,
             log_writer=log_writer,
+            quota_client=self.quota_client,
         )
--- a/src/arbutusbay/node/_control_api.py
+++ b/src/arbutusbay/node/_control_api.py
@@ -10,6 +10,7 @@
 from arbutusbay.logs import NonblockingLineWriter
 from arbutusbay.node._metrics import NodeMetrics
 from arbutusbay.node._node_state import NodeState
+from arbutusbay.node.quota import QuotaClient
 from arbutusbay.platform import READINESS_PATH, StoreClient
 from arbutusbay.quarantine import segment_key
 from arbutusbay.scheduling import Membership
@@ -30,8 +31,10 @@
         metrics: NodeMetrics,
         store: StoreClient,
         log_writer: NonblockingLineWriter,
+        quota_client: QuotaClient,
     ) -> None:
         """Report on the state, the metrics, the store and the log writer."""
+        self.quota_client = quota_client
         self.node_state = node_state
         self.metrics = metrics
         self.store = store
@@ -67,6 +70,7 @@
             'config_age_ms': node_state.configuration_age_ms(),
             'requests_in_progress': len(node_state.busy_connections),
             'vms': _describe_members(node_state.members, moment_s),
+            'quotas': self.quota_client.dump(),
             'targets': {
                 model: target.version
                 for model, target in node_state.catalog.targets.items()
@@ -133,6 +137,7 @@
         )
         self.metrics.recent_engine_ends.set({}, len(quarantine.evidence.ends))
         self.metrics.log_lines_dropped.set({}, self.log_writer.dropped_lines)
+        self.quota_client.update_metrics()
         content, headers = self.metrics.render()
         return web.Response(body=content, headers=headers)
 
--- a/src/arbutusbay/node/_daemon.py
+++ b/src/arbutusbay/node/_daemon.py
@@ -183,6 +183,7 @@
         'verdicts': components.verdict_recorder.run,
         'rollout': components.rollout.run,
         'peers': components.peer_channel.run,
+        'quotas': components.share_renewals.run,
         'registration': functools.partial(
             run_registration,
             components.node_state,
--- a/src/arbutusbay/node/_frontend.py
+++ b/src/arbutusbay/node/_frontend.py
@@ -114,6 +114,18 @@
                 return self._end_with_failure(exchange, failure)
             case Ok(incoming):
                 exchange.incoming = incoming
+        exchange.grant = self.dependencies.request_grants.begin(incoming)
+        try:
+            return await self._proxy_accepted(exchange, share)
+        finally:
+            exchange.grant.end(may_have_run=exchange.may_have_run)
+
+    async def _proxy_accepted(
+        self, exchange: ClientExchange, share: ByteShare
+    ) -> web.Response | StreamEnd:
+        """Answer a request that may be sent once its team's limit allows it."""
+        request = exchange.request
+        incoming = exchange.incoming
         match await self._read_body(request, incoming, share):
             case Err(failure):
                 return self._end_with_failure(exchange, failure)
@@ -124,6 +136,9 @@
                     previous_end_s=request.protocol.last_end_s,
                 )
                 exchange.incoming = incoming
+        match await exchange.grant.wait():
+            case Err(failure):
+                return self._end_with_failure(exchange, failure)
         executor = RequestExecutor(
             dependencies=self.dependencies,
             incoming=incoming,
--- a/src/arbutusbay/node/_peer_channel.py
+++ b/src/arbutusbay/node/_peer_channel.py
@@ -91,6 +91,7 @@
             node_state=node_state, own_vm=own_vm
         )
         self.transport: asyncio.DatagramTransport | None = None
+        self.receivers: dict[bytes, Callable[[bytes, Any], None]] = {}
         self.recipients = ReportRecipients(zone_peers=())
         self.recipients_expire_s = 0.0
         self.recipient_inputs: tuple[object, ...] = ()
@@ -116,8 +117,26 @@
         """Store the transport that reports are sent through."""
         self.transport = transport
 
+    def add_receiver(
+        self, datagram_type: bytes, receive: Callable[[bytes, Any], None]
+    ) -> None:
+        """Pass datagrams that start with the byte ``datagram_type`` on."""
+        self.receivers[datagram_type] = receive
+
+    def send_datagram(self, address: tuple[str, int], datagram: bytes) -> None:
+        """Send a datagram to the address of a VM."""
+        if self.transport is not None:
+            self.transport.sendto(datagram, address)
+
     def datagram_received(self, datagram: bytes, address: Any) -> None:
-        """Decode and apply a report; log and drop a malformed one."""
+        """Decode and apply a report; log and drop a malformed one.
+
+        Datagrams of another type are passed on.
+        """
+        receive = self.receivers.get(datagram[:1])
+        if receive is not None:
+            receive(datagram, address)
+            return
         match peer_state_from_bytes(datagram, now_s()):
             case Err(failure):
                 _LOG.warning(
@@ -240,7 +259,5 @@
             self._send_to(vm, datagram)
 
     def _send_to(self, vm: VMRegistration, datagram: bytes) -> None:
-        if self.transport is None:
-            return
         peer = parse_endpoint(vm.address)
-        self.transport.sendto(datagram, (peer.host, peer.port))
+        self.send_datagram((peer.host, peer.port), datagram)
--- /dev/null
+++ b/src/arbutusbay/node/quota/_client.py
@@ -0,0 +1,310 @@
+"""Ask for the requests of this VM, and decide for others as an owner.
+
+Any VM may be asked. One that takes another one for the owner passes the ask
+on, so that a lost link between two VMs makes no second owner.
+"""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+import attrs
+from result import Err, Ok
+
+from arbutusbay.clock import now_s
+from arbutusbay.fleet import VMRegistration
+from arbutusbay.logs import get_logger
+from arbutusbay.node._node_state import NodeState
+from arbutusbay.node.quota._messages import (
+    Ask,
+    Forwarded,
+    GiveBack,
+    QuotaMessage,
+    Release,
+    Reply,
+    messages_from_bytes,
+)
+from arbutusbay.node.quota._metrics import QuotaMetrics
+from arbutusbay.node.quota._outbox import Address, Outbox
+from arbutusbay.node.quota._partitions import Partition, QuotaPartitions
+from arbutusbay.node.quota._peer_calls import PeerCalls
+from arbutusbay.quota import Granted, QuotaRequest, QuotaTerms, Refused
+
+_LOG = get_logger('quota')
+_MAX_VMS_ASKED = 2
+_RETRY_AFTER_SILENCE_S = 0.5
+_MAX_REMEMBERED_REPLIES = 1024
+
+
+class QuotaClient:
+    """Ask the owner of a partition, which may be this VM itself.
+
+    ``replies`` holds the latest replies by the asking address and number, so
+    that a repeated ask is charged once; None while it is passed on.
+    """
+
+    def __init__(
+        self,
+        *,
+        node_state: NodeState,
+        own_vm: VMRegistration,
+        outbox: Outbox,
+        metrics: QuotaMetrics,
+    ) -> None:
+        """Send messages to other VMs through ``outbox``."""
+        self.node_state = node_state
+        self.own_vm = own_vm
+        self.outbox = outbox
+        self.metrics = metrics
+        self.partitions = QuotaPartitions(node_state=node_state, own_vm=own_vm)
+        self.calls = PeerCalls(outbox=outbox, rng=node_state.rng)
+        self.replies: dict[tuple[Address, int], Reply | None] = {}
+        self.tasks: set[asyncio.Task[Any]] = set()
+
+    async def ask(
+        self, team: str, terms: QuotaTerms, request: QuotaRequest
+    ) -> Reply:
+        """Return the decision on a request; it is refused without any reply."""
+        self.partitions.refresh()
+        partition = self.partitions.of_team(team)
+        return await self.ask_owner(
+            partition,
+            Ask(
+                number=0,
+                vm=self.own_vm.name,
+                partition=partition.number,
+                lease_s=0,
+                starts=False,
+                team=team,
+                cost=request.cost,
+                key=request.key,
+                patience_s=request.patience_s,
+                version=terms.version,
+                rate_per_s=terms.rate_per_s,
+                burst=terms.burst,
+            ),
+        )
+
+    def give_back(self, team: str, cost: float, owner: str) -> None:
+        """Return the tokens of a request that certainly was not executed."""
+        partition = self.partitions.of_team(team)
+        self.metrics.given_back.inc({'team': team})
+        if owner == self.own_vm.name:
+            partition.owner.give_back(team, cost, now_s())
+            return
+        address = self.partitions.address_of(owner)
+        if address is not None:
+            self.outbox.add(
+                address,
+                GiveBack(partition=partition.number, team=team, cost=cost),
+            )
+
+    def receive(self, datagram: bytes, address: Address) -> None:
+        """Handle the messages of another VM; log and drop malformed ones."""
+        match messages_from_bytes(datagram):
+            case Err(failure):
+                _LOG.warning(
+                    'malformed datagram dropped: {}',
+                    failure.detail,
+                    fields={'sender': str(address)},
+                )
+            case Ok(messages):
+                self.partitions.refresh()
+                for message in messages:
+                    self._receive_message(message, address)
+
+    def update_metrics(self) -> None:
+        """Update the gauges, which are computed when they are read."""
+        for partition in self.partitions.used:
+            partition.owner.advance(now_s())
+            self.metrics.lent_share.set(
+                {'partition': str(partition.number)}, partition.owner.share
+            )
+
+    def dump(self) -> list[dict[str, Any]]:
+        """Return the state of the used partitions as JSON values."""
+        return [
+            _describe_partition(partition) for partition in self.partitions.used
+        ]
+
+    async def ask_owner(self, partition: Partition, ask: Ask) -> Reply:
+        """Ask the VMs that may be the owner until one of them replies."""
+        is_own = ask.vm == self.own_vm.name
+        for _ in range(_MAX_VMS_ASKED):
+            chosen = self.partitions.choose_owner(partition)
+            offered = self._offer(partition, chosen, ask) if is_own else ask
+            if chosen == self.own_vm.name:
+                return self._decide(partition, offered)
+            sent = attrs.evolve(
+                offered,
+                number=self.calls.next_number(),
+                is_relayed=not is_own,
+            )
+            reply = await self.call(partition, chosen, sent)
+            if reply is not None:
+                return reply
+        return self._reply(
+            ask.number, 0.0, retry_after_s=_RETRY_AFTER_SILENCE_S
+        )
+
+    async def call(
+        self, partition: Partition, vm: str, call: Ask | Release
+    ) -> Reply | None:
+        """Call another VM, and record whether it replied."""
+        address = self.partitions.address_of(vm)
+        reply = address and await self.calls.call(address, call)
+        if reply:
+            partition.lender.record_answer(vm)
+            return reply
+        partition.lender.record_silence(vm, now_s())
+        self.metrics.unanswered.inc({})
+        _LOG.info(
+            'owner of limits silent',
+            fields={
+                'owner': vm,
+                'partition': partition.number,
+                'next': self.partitions.choose_owner(partition),
+            },
+        )
+        return None
+
+    def start(self, work: Coroutine[Any, Any, Any]) -> None:
+        """Run ``work`` in a task of its own."""
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def _receive_message(self, message: QuotaMessage, address: Address) -> None:
+        match message:
+            case Ask():
+                self._receive_ask(message, address)
+            case Reply():
+                self._receive_reply(message)
+            case Forwarded(number=number):
+                self.calls.receive_forwarded(number)
+            case Release(number=number, vm=vm, partition=partition):
+                owner = self.partitions.partitions[partition].owner
+                owner.release(vm, now_s())
+                self.outbox.add(address, self._reply(number, owner.share))
+            case GiveBack(partition=partition, team=team, cost=cost):
+                owner = self.partitions.partitions[partition].owner
+                owner.give_back(team, cost, now_s())
+
+    def _receive_ask(self, ask: Ask, address: Address) -> None:
+        """Reply to an ask, or pass it on to the VM taken for the owner."""
+        key = (address, ask.number)
+        if key in self.replies:
+            self._repeat_reply(key)
+            return
+        partition = self.partitions.partitions[ask.partition]
+        chosen = self.partitions.choose_owner(partition)
+        if ask.is_relayed or chosen in {self.own_vm.name, ask.vm}:
+            reply = self._decide(partition, ask)
+            self._remember(key, reply)
+            self.outbox.add(address, reply)
+            return
+        self._remember(key, None)
+        self.outbox.add(address, Forwarded(number=ask.number))
+        self.start(self._relay(partition, ask, address))
+
+    def _repeat_reply(self, key: tuple[Address, int]) -> None:
+        address, number = key
+        known = self.replies[key]
+        self.outbox.add(address, known or Forwarded(number=number))
+
+    async def _relay(
+        self, partition: Partition, ask: Ask, address: Address
+    ) -> None:
+        reply = await self.ask_owner(partition, ask)
+        reply = attrs.evolve(reply, number=ask.number)
+        self._remember((address, ask.number), reply)
+        self.outbox.add(address, reply)
+
+    def _remember(self, key: tuple[Address, int], reply: Reply | None) -> None:
+        if len(self.replies) >= _MAX_REMEMBERED_REPLIES:
+            self.replies.pop(next(iter(self.replies)))
+        self.replies[key] = reply
+
+    def _receive_reply(self, reply: Reply) -> None:
+        """Pass on a reply; return the tokens that it granted too late."""
+        late = self.calls.receive_reply(reply)
+        if isinstance(late, Ask) and late.team and reply.retry_after_s is None:
+            self.give_back(late.team, late.cost, reply.owner)
+
+    def _offer(self, partition: Partition, owner: str, ask: Ask) -> Ask:
+        times = self.partitions.times
+        loan = partition.lender.offer(owner, now_s(), times)
+        return attrs.evolve(
+            ask,
+            lease_s=times.lease_s if loan.lends else 0.0,
+            starts=loan.starts,
+        )
+
+    def _decide(self, partition: Partition, ask: Ask) -> Reply:
+        """Decide on an ask here, with the share that it lends."""
+        moment_s = now_s()
+        owner = partition.owner
+        if ask.starts:
+            owner.add_start_credit(moment_s)
+        # What arrived while this VM was suspended may be no longer lent.
+        received_s = self.node_state.own_pauses.earliest_start_s(moment_s)
+        owner.lend(ask.vm, moment_s, until_s=received_s + ask.lease_s)
+        if not ask.team or self._is_unlimited(ask):
+            return self._reply(ask.number, owner.share)
+        decision = owner.decide(
+            ask.team,
+            QuotaTerms(
+                version=ask.version,
+                rate_per_s=ask.rate_per_s,
+                burst=ask.burst,
+            ),
+            QuotaRequest(cost=ask.cost, key=ask.key, patience_s=ask.patience_s),
+            moment_s,
+        )
+        self.metrics.record_decision(ask.team, decision, ask.cost)
+        match decision:
+            case Granted():
+                return self._reply(ask.number, owner.share)
+            case Refused(retry_after_s=wait_s):
+                return self._reply(
+                    ask.number, owner.share, retry_after_s=wait_s
+                )
+
+    def _is_unlimited(self, ask: Ask) -> bool:
+        """Return whether a newer configuration has no limit for the team."""
+        partitions = self.partitions
+        return (
+            partitions.version > ask.version
+            and ask.team not in partitions.limits
+        )
+
+    def _reply(
+        self, number: int, share: float, *, retry_after_s: float | None = None
+    ) -> Reply:
+        return Reply(
+            number=number,
+            owner=self.own_vm.name,
+            retry_after_s=retry_after_s,
+            share=share,
+        )
+
+
+def _describe_partition(partition: Partition) -> dict[str, Any]:
+    owner = partition.owner
+    owner.advance(now_s())
+    return {
+        'partition': partition.number,
+        'lent_to': partition.lender.owner,
+        'lent_here': round(owner.share, 3),
+        'silent': sorted(partition.lender.next_probe_s),
+        'teams': {
+            team: {
+                'version': terms.version,
+                'rate_per_s': terms.rate_per_s,
+                'burst': terms.burst,
+                'level': round(owner.buckets[team].level, 1),
+                'reserved': len(owner.buckets[team].reservations),
+            }
+            for team, terms in owner.terms_by_team.items()
+        },
+    }
--- a/src/arbutusbay/platform/_http_headers.py
+++ b/src/arbutusbay/platform/_http_headers.py
@@ -81,7 +81,8 @@
 
     ``time_to_deadline_s`` is the time in seconds from arrival to the deadline,
     None if the client set no deadline. Token counts are 0 and
-    ``prompt_segments`` is empty if the request is not for a model.
+    ``prompt_segments`` is empty if the request is not for a model;
+    ``counted_tokens`` is None if it does not tell how many it takes.
     ``last_event_id`` is 0 unless the client resumes a stream.
     """
 
@@ -93,6 +94,7 @@
     max_output_tokens: int
     prompt_segments: tuple[PromptSegment, ...]
     last_event_id: int
+    counted_tokens: int | None = None
 
     @property
     def shared_segments(self) -> tuple[PromptSegment, ...]:
@@ -164,7 +166,8 @@
 
 def parse_request_head(headers: Mapping[str, str]) -> RequestHead:
     """Parse a client's headers; ignore malformed numbers."""
-    prompt, _, output = headers.get(HeaderName.TOKEN_COUNTS, '').partition(',')
+    token_counts = headers.get(HeaderName.TOKEN_COUNTS, '')
+    prompt, _, output = token_counts.partition(',')
     deadline_ms = _parse_number(headers.get(HeaderName.DEADLINE_MS, ''))
     return RequestHead(
         attempt_id=headers.get(HeaderName.ATTEMPT_ID, ''),
@@ -179,6 +182,7 @@
         last_event_id=int(
             _parse_number(headers.get(HeaderName.LAST_EVENT_ID, '')) or 0
         ),
+        counted_tokens=_count_tokens(prompt, output),
     )
 
 
@@ -304,6 +308,13 @@
     return int(min(_parse_number(text) or 0, _MAX_TOKENS))
 
 
+def _count_tokens(prompt: str, output: str) -> int | None:
+    """Return the sum of both numbers, None if one is missing or malformed."""
+    if _parse_number(prompt) is None or _parse_number(output) is None:
+        return None
+    return _parse_tokens(prompt) + _parse_tokens(output)
+
+
 def _parse_load(text: str) -> EngineLoad | None:
     fields = [_parse_number(field) for field in text.split(',')]
     if len(fields) < _REQUIRED_LOAD_FIELDS or None in fields:
--- a/src/arbutusbay/platform/_operator_records.py
+++ b/src/arbutusbay/platform/_operator_records.py
@@ -23,6 +23,8 @@
     ClientLimits,
     Configuration,
     KVCacheStoreSpec,
+    QuotaSpec,
+    QuotaUnit,
     RequestKind,
     RouteSpec,
     RouteTarget,
@@ -54,6 +56,9 @@
 _PATIENCE_LATENCY_FACTOR = 4
 _PATIENCE_GAP_FACTOR = 8
 _SERVER_ID_PATTERN = re.compile('[!-~]+')
+_QUOTA_UNITS = MappingProxyType(
+    {'requests': QuotaUnit.REQUESTS, 'tokens': QuotaUnit.TOKENS}
+)
 _IS_DRAINING_BY_STATE = MappingProxyType({'ready': False, 'draining': True})
 
 OperatorRecord = Configuration | WeightsTarget
@@ -124,7 +129,12 @@
         if 'kv_store_address' in entry
     ]
     routes = [_parse_route(entry) for entry in get_list(fields, 'routes')]
-    teams = [_parse_team(entry) for entry in get_list(fields, 'tenants')]
+    problems = [
+        store.err_value for store in cache_stores if isinstance(store, Err)
+    ]
+    teams = [
+        _parse_team(entry, problems) for entry in get_list(fields, 'tenants')
+    ]
     return Configuration(
         version=get_integer(fields, 'version'),
         routes_by_host=_group_by_host(routes),
@@ -136,9 +146,7 @@
         kv_cache_stores=tuple(
             store.ok_value for store in cache_stores if isinstance(store, Ok)
         ),
-        problems=tuple(
-            store.err_value for store in cache_stores if isinstance(store, Err)
-        ),
+        problems=tuple(problems),
         teams_by_api_key={key: team for team in teams for key in team.api_keys},
         requires_api_key='tenants' in fields,
         isolated_teams=frozenset(
@@ -253,17 +261,48 @@
     return Ok(KVCacheStoreSpec(address=address))
 
 
-def _parse_team(entry: Any) -> TeamSpec:
+def _parse_team(entry: Any, problems: list[str]) -> TeamSpec:
+    """Return the team, without a quota if that can't be read.
+
+    What is wrong with the quota is added to ``problems``.
+    """
     fields = require_mapping(entry, 'tenants')
+    name = get_string(fields, 'name')
     priority = fields.get('priority')
+    quota = None
+    try:
+        quota = _parse_quota(fields)
+    except MalformedValueError as error:
+        problems.append(f'quota of {name}: {error}')
     return TeamSpec(
-        name=get_string(fields, 'name'),
+        name=name,
+        quota=quota,
         api_keys=frozenset(get_strings(fields, 'api_keys')),
         priority=None if priority is None else get_integer(fields, 'priority'),
         has_isolated_cache=get_boolean(fields, 'isolated', default=False),
     )
 
 
+def _parse_quota(fields: Mapping[str, Any]) -> QuotaSpec | None:
+    """Return the rate limit of a team, None if it has none.
+
+    A limit without a rate would never grant again what was used once.
+    """
+    unit = fields.get('unit', 'requests')
+    if not isinstance(unit, str) or unit not in _QUOTA_UNITS:
+        raise MalformedValueError(
+            f'unit: {describe_value(unit)} is not a known unit'
+        )
+    rate_per_s = get_number(fields, 'rate_per_s', 0)
+    quota = QuotaSpec(
+        unit=_QUOTA_UNITS[unit],
+        rate_per_s=rate_per_s,
+        burst=get_number(fields, 'burst', 0),
+        default_cost=get_number(fields, 'uncached_tokens', 0),
+    )
+    return quota if rate_per_s else None
+
+
 def _parse_limits(fields: Mapping[str, Any]) -> ClientLimits:
     defaults = ClientLimits()
     return ClientLimits(
--- a/src/arbutusbay/platform/_settings_file.py
+++ b/src/arbutusbay/platform/_settings_file.py
@@ -47,7 +47,9 @@
     ``lease_s`` the duration of a lease. ``resume_slack_s`` is how long orders
     from a VM that was suspended may still arrive. In any
     ``retry_window_s`` all VMs together may retry ``retry_ratio`` of their
-    requests and ``retry_slack`` more.
+    requests and ``retry_slack`` more. In any ``quota_window_s`` they may exceed
+    the rate limit of a team by its part ``quota_overshoot`` and by
+    ``quota_slack`` more, all three 0 without a name in the file.
     ``fails_closed`` is whether a VM refuses requests that need an API key
     while its keys may be outdated.
     """
@@ -63,6 +65,9 @@
     retry_slack: float
     retry_window_s: float
     fails_closed: bool
+    quota_window_s: float = 0.0
+    quota_overshoot: float = 0.0
+    quota_slack: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
@@ -172,4 +177,7 @@
         retry_slack=get_number(fields, 'retry_budget_slack'),
         retry_window_s=get_number(fields, 'budget_window_s'),
         fails_closed=get_boolean(fields, 'fail_closed', default=True),
+        quota_window_s=get_number(fields, 'quota_window_s', 0),
+        quota_overshoot=get_number(fields, 'quota_overshoot', 0),
+        quota_slack=get_number(fields, 'quota_slack', 0),
     )
--- a/src/arbutusbay/quota/_bucket.py
+++ b/src/arbutusbay/quota/_bucket.py
@@ -69,7 +69,9 @@
 class Bucket:
     """Hold the unused tokens of a team.
 
-    ``capacity`` and ``rate_per_s`` are what its owner may use at present.
+    ``capacity`` and ``rate_per_s`` are what its owner may use at present. An
+    owner that ``may_borrow`` grants a request that costs more than the capacity
+    once that is all unused.
     ``start_credit`` can be used beside the level until ``credit_until_s``.
     ``reservations`` are in the order in which they were made.
     """
@@ -77,13 +79,17 @@
     level: float = 0.0
     capacity: float = 0.0
     rate_per_s: float = 0.0
+    may_borrow: bool = False
     start_credit: float = 0.0
     credit_until_s: float = float('-inf')
     reservations: dict[int, Reservation] = attrs.field(factory=dict)
     returns: ReturnStatistics = attrs.field(factory=ReturnStatistics)
 
-    def resize(self, *, capacity: float, rate_per_s: float) -> None:
+    def resize(
+        self, *, capacity: float, rate_per_s: float, may_borrow: bool
+    ) -> None:
         """Change the capacity, which limits the level at once, and the rate."""
+        self.may_borrow = may_borrow
         self.capacity = capacity
         self.rate_per_s = rate_per_s
         self.level = min(self.level, capacity)
@@ -110,7 +116,10 @@
             self.returns.record(has_returned=True)
         is_due = own is not None and now_s >= own.due_s
         reserved = 0.0 if is_due else self._reserved()
-        missing = reserved + request.cost - self._available(now_s)
+        needed = request.cost
+        if self.may_borrow:
+            needed = min(needed, self.capacity)
+        missing = reserved + needed - self._available(now_s)
         if missing <= 0:
             self._charge(request.cost, now_s)
             return Granted()
@@ -145,9 +154,10 @@
     ) -> None:
         """Reserve tokens for a caller that can return when they are there."""
         is_too_late = wait_s > min(_MAX_RESERVED_S, request.patience_s)
+        is_too_large = request.cost > self.capacity and not self.may_borrow
         if (
             is_too_late
-            or request.cost > self.capacity
+            or is_too_large
             or len(self.reservations) >= _MAX_RESERVATIONS
         ):
             return
--- a/src/arbutusbay/quota/_lender.py
+++ b/src/arbutusbay/quota/_lender.py
@@ -16,7 +16,7 @@
 _MIN_RENEWAL_INTERVAL_S = 0.4
 # Limits the messages that an owner gets from a large fleet.
 _MAX_RENEWALS_PER_S = 280
-_RENEWALS_PER_LEASE = 2.25
+_RENEWALS_PER_LEASE = 3.0
 # Covers the time on the network and a pause of the owner that it can't notice.
 _LEASE_MARGIN_S = 0.6
 _PROBE_INTERVAL_S = 1.0
--- a/src/arbutusbay/quota/_owner.py
+++ b/src/arbutusbay/quota/_owner.py
@@ -25,6 +25,7 @@
 
 # While an owner takes over, shares come faster than its rate tells.
 _RETRY_AFTER_TAKEOVER_S = 1.0
+_MOST = 0.5
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -165,8 +166,14 @@
             self._resize_team(team)
 
     def _resize_team(self, team: str) -> None:
+        """Give a team the part of its limit that was lent to this owner.
+
+        The one owner that has most shares may grant a request that needs all
+        of them, so that the loss of a VM doesn't refuse it for a minute.
+        """
         terms = self.terms_by_team[team]
         self.buckets[team].resize(
             capacity=terms.capacity(self.bounds) * self.share,
             rate_per_s=terms.rate_per_s * self.share,
+            may_borrow=self.share > _MOST,
         )
--- /dev/null
+++ b/tests/unit/test_quota_limits.py
@@ -0,0 +1,172 @@
+"""Check how limits are read, what requests cost, and single buckets."""
+
+import math
+from types import MappingProxyType
+
+import orjson
+import pytest
+
+from arbutusbay.fleet import QuotaSpec, QuotaUnit
+from arbutusbay.platform import decode_operator_record, parse_request_head
+from arbutusbay.quota import (
+    Bucket,
+    Granted,
+    QuotaBounds,
+    QuotaOwner,
+    QuotaRequest,
+    QuotaTerms,
+    Refused,
+)
+from tests.fleet_builders import ODD_NUMBERS, build_configuration
+
+_TEAM = 'jeye930'
+_LIMIT = MappingProxyType(
+    {
+        'unit': 'tokens',
+        'uncached_tokens': 200,
+        'rate_per_s': 348_977,
+        'burst': 300_000,
+    }
+)
+_NUMBERS_OF_NO_LIMIT = tuple(
+    odd for odd in ODD_NUMBERS if not isinstance(odd, float) or odd > 2
+)
+
+
+def read_configuration(**fields):
+    """Return the configuration with one team that has ``fields``."""
+    team = {'name': _TEAM, 'api_keys': ['k'], 'isolated': True, **fields}
+    payload = orjson.dumps(build_configuration(tenants=[team]))
+    return decode_operator_record('config', payload).unwrap()
+
+
+def read_quota(**fields):
+    """Return the limit of a team that has ``fields``."""
+    return read_configuration(**fields).teams_by_api_key['k'].quota
+
+
+def test_limits_are_read():
+    assert read_quota(**_LIMIT) == QuotaSpec(
+        unit=QuotaUnit.TOKENS,
+        rate_per_s=348_977,
+        burst=300_000,
+        default_cost=200,
+    )
+    assert read_quota(rate_per_s=2).unit is QuotaUnit.REQUESTS
+
+
+@pytest.mark.parametrize('absent', ({}, {'rate_per_s': 0}, {'burst': 5}))
+def test_no_rate_is_no_limit(absent):
+    assert read_quota(**absent) is None
+
+
+@pytest.mark.parametrize('field', ('rate_per_s', 'burst', 'uncached_tokens'))
+@pytest.mark.parametrize('odd', _NUMBERS_OF_NO_LIMIT)
+def test_odd_limits_are_named_and_the_rest_holds(field, odd):
+    configuration = read_configuration(**{**_LIMIT, field: odd})
+    assert configuration.teams_by_api_key['k'].quota is None
+    assert len(configuration.problems) == 1
+    assert _TEAM in configuration.problems[0]
+    assert field in configuration.problems[0]
+
+
+@pytest.mark.parametrize('unit', ('bytes', 5, None, ['tokens'], {}))
+def test_unknown_unit_is_named(unit):
+    configuration = read_configuration(**{**_LIMIT, 'unit': unit})
+    assert 'unit' in configuration.problems[0]
+
+
+@pytest.mark.parametrize(
+    ('header', 'tokens'),
+    (
+        ('6300,9', 6309),
+        (' 10 , 5', 15),
+        ('10', None),
+        ('', None),
+        ('a,b', None),
+        ('-1,5', None),
+    ),
+)
+def test_tokens_of_a_request_are_both_numbers(header, tokens):
+    head = parse_request_head({'Token-Counts': header})
+    assert head.counted_tokens == tokens
+
+
+def test_request_larger_than_the_limit_is_refused_for_good():
+    owner = QuotaOwner(bounds=QuotaBounds(window_s=8))
+    terms = QuotaTerms(version=1, rate_per_s=10, burst=10)
+    owner.lend('vm-1', 0, until_s=100)
+    refused = owner.decide('t', terms, QuotaRequest(cost=11), 50)
+    assert refused.is_final
+
+
+def test_request_as_large_as_the_limit_is_granted_when_all_is_unused():
+    owner = QuotaOwner(bounds=QuotaBounds(window_s=8))
+    terms = QuotaTerms(version=1, rate_per_s=10, burst=10)
+    owner.apply_limits({'t': terms}, 0)
+    owner.lend('vm-1', 0, until_s=100)
+    assert owner.decide('t', terms, QuotaRequest(cost=10), 2) == Granted()
+
+
+def test_unused_tokens_end_with_the_lease_of_a_share():
+    owner = QuotaOwner(bounds=QuotaBounds(window_s=8), vm_count=2)
+    terms = QuotaTerms(version=1, rate_per_s=10, burst=10)
+    owner.apply_limits({'t': terms}, 0)
+    owner.lend('vm-1', 0, until_s=5)
+    owner.lend('vm-2', 0, until_s=100)
+    owner.advance(4)
+    assert owner.buckets['t'].level == pytest.approx(10)
+    owner.advance(5.1)
+    assert owner.buckets['t'].level == pytest.approx(5)
+
+
+def test_request_that_needs_all_shares_is_granted_with_most_of_them():
+    owner = QuotaOwner(bounds=QuotaBounds(window_s=8), vm_count=3)
+    terms = QuotaTerms(version=1, rate_per_s=1, burst=1)
+    owner.apply_limits({'t': terms}, 0)
+    owner.lend('vm-1', 0, until_s=100)
+    assert not isinstance(
+        owner.decide('t', terms, QuotaRequest(cost=1), 9), Granted
+    )
+    owner.lend('vm-2', 9, until_s=100)
+    assert owner.decide('t', terms, QuotaRequest(cost=1), 12) == Granted()
+    again = owner.decide('t', terms, QuotaRequest(cost=1), 12.1)
+    assert again.retry_after_s == pytest.approx(1.4, abs=0.1)
+
+
+def test_returning_caller_comes_before_newcomers():
+    bucket = Bucket(level=0, capacity=10, rate_per_s=1)
+    told = QuotaRequest(cost=1, key=1, patience_s=5)
+    refused = bucket.take(told, 0)
+    bucket.add(1.1)
+    newcomer = QuotaRequest(cost=1, key=2, patience_s=0)
+    for _ in range(20):
+        bucket.returns.record(has_returned=True)
+    assert isinstance(bucket.take(newcomer, 1), Refused)
+    assert bucket.take(told, refused.retry_after_s) == Granted()
+
+
+def test_tokens_of_a_caller_that_stays_away_go_to_others():
+    bucket = Bucket(level=0, capacity=10, rate_per_s=1)
+    bucket.take(QuotaRequest(cost=1, key=1, patience_s=5), 0)
+    bucket.add(1.1)
+    newcomer = QuotaRequest(cost=1, key=2)
+    assert bucket.take(newcomer, 2) == Granted()
+
+
+def test_callers_that_never_return_hold_nothing_back():
+    bucket = Bucket(level=0, capacity=10, rate_per_s=10)
+    granted = 0
+    for step in range(2000):
+        bucket.add(0.1)
+        decision = bucket.take(
+            QuotaRequest(cost=1, key=step, patience_s=5), step / 100
+        )
+        granted += isinstance(decision, Granted)
+    assert granted >= 0.95 * 200
+
+
+def test_wait_is_finite_without_any_share():
+    bucket = Bucket()
+    refused = bucket.take(QuotaRequest(cost=1), 0)
+    assert 0 < refused.retry_after_s < math.inf
