Wait in the tests of rate limits until all VMs know each other

A VM that starts counts only the VMs that it knows: the tests asked before all three did. The dump names the number of VMs.

--- a/src/arbutusbay/node/quota/_client.py
+++ b/src/arbutusbay/node/quota/_client.py
@@ -124,7 +124,11 @@
     def dump(self) -> list[dict[str, Any]]:
         """Return the state of the used partitions as JSON values."""
         return [
-            _describe_partition(partition) for partition in self.partitions.used
+            {
+                'vms': self.partitions.vm_count,
+                **_describe_partition(partition),
+            }
+            for partition in self.partitions.used
         ]
 
     async def ask_owner(self, partition: Partition, ask: Ask) -> Reply:
--- a/tests/integration/test_rate_limits.py
+++ b/tests/integration/test_rate_limits.py
@@ -46,8 +46,11 @@
 
 async def has_all_unused(nodes, http, burst: float) -> bool:
     """Return whether a VM has the shares of all, and all unused tokens."""
+    quotas = [await state_of_limit(node, http) for node in nodes]
+    if None in quotas:
+        return False
     owner = await find_owner(nodes, http)
-    if owner is None:
+    if owner is None or {quota['lent_to'] for quota in quotas} != {owner.name}:
         return False
     quota = await state_of_limit(owner, http)
     return quota['teams']['till-rolls']['level'] >= burst
@@ -57,7 +60,7 @@
     """Return the VM that has the shares of all, None if there is none."""
     for node in nodes:
         quota = await state_of_limit(node, http)
-        if quota is not None and quota['lent_here'] == 1:
+        if quota is not None and (quota['lent_here'], quota['vms']) == (1, 3):
             return node
     return None
 
