--- a/src/arbutusbay/cli/_causes.py
+++ b/src/arbutusbay/cli/_causes.py
@@ -117,6 +117,8 @@
             return _describe_stale_configuration(last, context_lines)
         case 'prompt_quarantined':
             return _describe_quarantine(last, context_lines)
+        case 'rate_limited':
+            return _describe_rate_limit(last, request_lines)
         case 'outcome_unknown':
             return (
                 f'{_describe_last_server(request_lines)} broke off after the '
@@ -208,6 +210,32 @@
     return f'{last.fields.get("detail", "")} ({since}); it was not sent'
 
 
+def _describe_rate_limit(
+    last: LogLine, request_lines: Sequence[LogLine]
+) -> str:
+    """Describe a refusal by the limit and by who held it, if that is logged."""
+    detail = str(last.fields.get('detail', ''))
+    inputs = next(
+        (
+            line.fields
+            for line in request_lines
+            if line.message == 'beyond the rate limit'
+        ),
+        None,
+    )
+    if inputs is None:
+        return f'{detail}; it was not sent'
+    limit = (
+        f'{inputs.get("rate_per_s")} a second and a burst of '
+        f'{inputs.get("burst")} in version {inputs.get("version")}'
+    )
+    return (
+        f'{detail}: it costs {inputs.get("cost")} of {inputs.get("unit")}, '
+        f'the limit is {limit}; decided by {inputs.get("owner")}, which held '
+        f'{inputs.get("share")} of the fleet; it was not sent'
+    )
+
+
 def _describe_stale_configuration(
     last: LogLine,
     context_lines: Sequence[LogLine],
--- a/tests/unit/test_causes.py
+++ b/tests/unit/test_causes.py
@@ -82,6 +82,14 @@
             ),
             'under segment dd04 of the prompt (quarantined earlier)',
         ),
+        (
+            build_line(
+                'request refused',
+                kind='rate_limited',
+                detail='the rate limit of team pharmacy is used up',
+            ),
+            'the rate limit of team pharmacy is used up; it was not sent',
+        ),
         (build_line('request ended', outcome='status 500'), 'executed it'),
         (
             build_line('request refused', kind='client_half_closed'),
@@ -209,3 +217,24 @@
     )
     cause = describe_cause([last], [])
     assert '3 events, the last one 2400 ms before' in cause
+
+
+def test_rate_limit_is_explained_by_its_inputs():
+    inputs = build_line(
+        'beyond the rate limit',
+        cost=920.0,
+        unit='tokens',
+        rate_per_s=2000.0,
+        burst=4600.0,
+        version=2,
+        owner='vm-1',
+        share=0.333,
+    )
+    refused = build_line(
+        'request refused', kind='rate_limited', detail='used up'
+    )
+    assert describe_cause([inputs, refused], []) == (
+        'used up: it costs 920.0 of tokens, the limit is 2000.0 a second and '
+        'a burst of 4600.0 in version 2; decided by vm-1, which held 0.333 of '
+        'the fleet; it was not sent'
+    )
