Hold the limits of teams at our own edge

A team of our own configuration had no limit. Its resource may now have one (unit requests or tokens, rate, burst), left out of the JSON where there is none, so that earlier versions read it as before.

Before a completion or a call is admitted, the router asks its control daemon for a grant, another one if that is silent. Control daemons decide by the core of the platform's edge: each VM lends its share to one owner, over the peer calls. Beyond the limit 429 rate_limited at once, not run, with the time until it is within; 400 for what no time would grant. What certainly did not run goes back.

--- a/src/arbutusbay/_errors.py
+++ b/src/arbutusbay/_errors.py
@@ -55,6 +55,7 @@
     UNKNOWN_ROUTE = 'unknown_route'
     NO_BACKEND_SERVER = 'no_backend_server'
     OVERLOADED = 'overloaded'
+    RATE_LIMITED = 'rate_limited'
     PROMPT_QUARANTINED = 'prompt_quarantined'
     DEADLINE_EXCEEDED = 'deadline_exceeded'
     DRAINING = 'draining'
@@ -127,6 +128,9 @@
         ErrorKind.OVERLOADED: _not_run(
             HTTPStatus.TOO_MANY_REQUESTS, retryable=True
         ),
+        ErrorKind.RATE_LIMITED: _not_run(
+            HTTPStatus.TOO_MANY_REQUESTS, retryable=True
+        ),
         ErrorKind.PROMPT_QUARANTINED: _not_run(HTTPStatus.SERVICE_UNAVAILABLE),
         ErrorKind.DEADLINE_EXCEEDED: _not_run(
             HTTPStatus.GATEWAY_TIMEOUT, retryable=True
--- a/src/arbutusbay/control/_main.py
+++ b/src/arbutusbay/control/_main.py
@@ -10,10 +10,10 @@
 from arbutusbay.control._config_log_reader import ConfigLogReader
 from arbutusbay.control._dump import dump_state
 from arbutusbay.control._lease_elector import LeaseElector
-from arbutusbay.control._ledger_service import LedgerService
 from arbutusbay.control._membership import Membership
 from arbutusbay.control._metrics import ControlMetrics
-from arbutusbay.control._peer_api import PeerApi
+from arbutusbay.control._peer_services import add_peer_services
+from arbutusbay.control._quota_renewals import QuotaRenewals
 from arbutusbay.control._resource_api import ResourceApi
 from arbutusbay.control._rollout import RolloutController
 from arbutusbay.control._settings import ControlSettings
@@ -61,6 +61,7 @@
             RolloutController(
                 shared_state=self.shared_state, session=self.session
             ),
+            QuotaRenewals(quota=self.peer_services.quota),
         )
         await self.http.start()
 
@@ -71,8 +72,15 @@
 
     def _build_http(self) -> HttpService:
         application = new_application()
-        ledger = LedgerService(shared_state=self.shared_state, log=self.log)
         metrics = ControlMetrics()
+        self.peer_services = add_peer_services(
+            application,
+            shared_state=self.shared_state,
+            log=self.log,
+            session=self.session,
+            metrics=metrics,
+        )
+        ledger = self.peer_services.ledger
         DebugApi(
             is_ready=self._is_ready,
             dump=lambda: dump_state(self.shared_state, ledger),
@@ -80,9 +88,6 @@
                 self.shared_state, ledger
             ),
         ).add_routes(application)
-        PeerApi(shared_state=self.shared_state, ledger=ledger).add_routes(
-            application
-        )
         ResourceApi(
             shared_state=self.shared_state,
             log=self.log,
--- a/src/arbutusbay/control/_metrics.py
+++ b/src/arbutusbay/control/_metrics.py
@@ -1,10 +1,11 @@
 """Define and render the metrics of the control daemon."""
 
 from aiohttp import web
-from aioprometheus import Gauge, Registry, render
+from aioprometheus import Counter, Gauge, Registry, render
 
 from arbutusbay.control._ledger_service import LedgerService
 from arbutusbay.control._shared_state import ControlState
+from arbutusbay.quota import Decision, Granted
 
 
 class ControlMetrics:
@@ -38,6 +39,26 @@
             'Whether the last read of the log succeeded',
         )
 
+        self.quota_decisions = self._counter(
+            'arbutusbay_control_quota_decisions_total',
+            'Requests decided here as the owner, by team and outcome',
+        )
+        self.quota_returns = self._counter(
+            'arbutusbay_control_quota_returns_total',
+            'Grants given back, as their request did not run, by team',
+        )
+        self.quota_silences = self._counter(
+            'arbutusbay_control_quota_silences_total',
+            'Calls that an owner of limits did not answer',
+        )
+
+    def record_decision(self, team: str, decision: Decision) -> None:
+        """Count what this VM decided for a team."""
+        is_granted = isinstance(decision, Granted)
+        self.quota_decisions.inc(
+            {'team': team, 'outcome': 'granted' if is_granted else 'refused'}
+        )
+
     def render_response(
         self, shared_state: ControlState, ledger: LedgerService
     ) -> web.Response:
@@ -59,5 +80,8 @@
         body, headers = render(self.registry, [])
         return web.Response(body=body, headers=headers)
 
+    def _counter(self, name: str, help_text: str) -> Counter:
+        return Counter(name, help_text, registry=self.registry)
+
     def _gauge(self, name: str, help_text: str) -> Gauge:
         return Gauge(name, help_text, registry=self.registry)
--- a/src/arbutusbay/control/_peer_api.py
+++ b/src/arbutusbay/control/_peer_api.py
@@ -5,7 +5,7 @@
 
 import attrs
 from aiohttp import web
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from arbutusbay.clock import now_s
 from arbutusbay.config_messages import (
@@ -14,7 +14,9 @@
 )
 from arbutusbay.control._ledger_service import LedgerService
 from arbutusbay.control._pool_views import build_lookup_reply
+from arbutusbay.control._quota_service import QuotaService
 from arbutusbay.control._shared_state import ControlState
+from arbutusbay.errors import Failure
 from arbutusbay.http import (
     capnp_response,
     failure_response,
@@ -28,20 +30,29 @@
     LedgerRequest,
     LookupRequest,
     QuarantineExchange,
+    QuotaAsk,
+    QuotaLoan,
+    QuotaReply,
+    QuotaReturn,
 )
 
 _MAX_WAIT_MS = 5000
 
 
 class PeerApi:
-    """Serve configuration, cache index lookups and the ledger."""
+    """Serve configuration, cache index lookups, the ledger and the limits."""
 
     def __init__(
-        self, *, shared_state: ControlState, ledger: LedgerService
+        self,
+        *,
+        shared_state: ControlState,
+        ledger: LedgerService,
+        quota: QuotaService,
     ) -> None:
-        """Create an API that serves ``shared_state`` and ``ledger``."""
+        """Create an API that serves ``shared_state`` and these services."""
         self.shared_state = shared_state
         self.ledger = ledger
+        self.quota = quota
 
     def add_routes(self, application: web.Application) -> None:
         """Add the routes of this API to ``application``."""
@@ -51,6 +62,11 @@
         application.router.add_post(
             '/peer/quarantine', self.handle_quarantine_exchange
         )
+        application.router.add_post('/peer/quota/ask', self.handle_quota_ask)
+        application.router.add_post('/peer/quota/loan', self.handle_quota_loan)
+        application.router.add_post(
+            '/peer/quota/return', self.handle_quota_return
+        )
 
     async def handle_config_request(self, request: web.Request) -> web.Response:
         """Return a newer configuration; wait for one if requested (long poll).
@@ -141,6 +157,31 @@
             )
         )
 
+    async def handle_quota_ask(self, request: web.Request) -> web.Response:
+        """Return whether a request of a router is within its team's limit."""
+        match await read_request_message(request, QuotaAsk):
+            case Err(failure):
+                return failure_response(failure)
+            case Ok(ask):
+                return _quota_response(await self.quota.ask(ask))
+
+    async def handle_quota_loan(self, request: web.Request) -> web.Response:
+        """Take the share that another VM lends, and decide for it."""
+        match await read_request_message(request, QuotaLoan):
+            case Err(failure):
+                return failure_response(failure)
+            case Ok(loan):
+                return _quota_response(self.quota.receive(loan))
+
+    async def handle_quota_return(self, request: web.Request) -> web.Response:
+        """Return what a request cost that did not run."""
+        match await read_request_message(request, QuotaReturn):
+            case Err(failure):
+                return failure_response(failure)
+            case Ok(returned):
+                await self.quota.give_back(returned)
+                return capnp_response(QuotaReply(is_granted=True))
+
     def _has_newer(self, peer_request: ConfigRequest) -> bool:
         return self.shared_state.config_known and (
             self.shared_state.config.offset > peer_request.after
@@ -172,3 +213,11 @@
             members=self.shared_state.live_members(),
             leaving=sorted(self.shared_state.leaving_hosts),
         )
+
+
+def _quota_response(reply: Result[QuotaReply, Failure]) -> web.Response:
+    match reply:
+        case Err(failure):
+            return failure_response(failure)
+        case Ok(decided):
+            return capnp_response(decided)
--- /dev/null
+++ b/src/arbutusbay/control/_quota_service.py
@@ -0,0 +1,218 @@
+"""Decide on the limits of teams with the control daemons of other VMs.
+
+Each VM lends its share of the limits to one owner at a time, which decides.
+"""
+
+import attrs
+import aiohttp
+from result import Err, Ok, Result
+
+from arbutusbay.clock import milliseconds, now_s
+from arbutusbay.control._metrics import ControlMetrics
+from arbutusbay.control._quota_shares import QuotaPartition, QuotaShares
+from arbutusbay.control._shared_state import ControlState
+from arbutusbay.errors import ErrorKind, Failure
+from arbutusbay.http import call_peer
+from arbutusbay.logs import get_logger
+from arbutusbay.quota import (
+    PARTITION_COUNT,
+    Granted,
+    QuotaRequest,
+    QuotaTerms,
+    Refused,
+)
+from arbutusbay.wire import QuotaAsk, QuotaLoan, QuotaReply, QuotaReturn
+
+_LOG = get_logger('quota')
+# Below the time that a lease is promised for longer than it is used.
+_CALL_TIMEOUT_S = 0.5
+_MAX_OWNERS_ASKED = 2
+_RETRY_AFTER_SILENCE_MS = 500
+_MAX_LEASE_MS = 60_000
+_MAX_COST = 1_000_000_000_000
+
+
+class QuotaService:
+    """Ask the owners of the limits, and decide as one."""
+
+    def __init__(
+        self,
+        *,
+        shared_state: ControlState,
+        session: aiohttp.ClientSession,
+        metrics: ControlMetrics,
+    ) -> None:
+        """Call other control daemons in ``session``."""
+        self.shared_state = shared_state
+        self.session = session
+        self.metrics = metrics
+        self.shares = QuotaShares(shared_state=shared_state)
+
+    async def ask(self, ask: QuotaAsk) -> Result[QuotaReply, Failure]:
+        """Return the decision on a request of a router.
+
+        It is refused if no owner replies. Fails with ``BAD_MESSAGE``.
+        """
+        if not _is_amount(ask.cost):
+            return _malformed(f'cost {ask.cost}')
+        self.shares.refresh()
+        terms = self.shares.limits.get(ask.team)
+        if terms is None:
+            return Ok(QuotaReply(is_granted=True))
+        partition = self.shares.of_team(ask.team)
+        return Ok(
+            await self.ask_owner(
+                partition,
+                QuotaLoan(
+                    node=self.shared_state.node_id,
+                    partition=partition.number,
+                    team=ask.team,
+                    cost=ask.cost,
+                    key=ask.key,
+                    patience_ms=ask.patience_ms,
+                    version=terms.version,
+                    rate_per_s=terms.rate_per_s,
+                    burst=terms.burst,
+                ),
+            )
+        )
+
+    def receive(self, loan: QuotaLoan) -> Result[QuotaReply, Failure]:
+        """Take the loan of another VM, and decide on what it asks for."""
+        amounts = (loan.cost, loan.rate_per_s, loan.burst)
+        is_sound = all(map(_is_amount, amounts))
+        if loan.partition >= PARTITION_COUNT or not is_sound:
+            return _malformed(f'partition {loan.partition}, {amounts}')
+        self.shares.refresh()
+        partition = self.shares.partitions[loan.partition]
+        if loan.is_released:
+            partition.owner.release(loan.node, now_s())
+            return Ok(self._reply(partition, is_granted=True))
+        return Ok(self._decide(partition, loan))
+
+    async def give_back(self, returned: QuotaReturn) -> None:
+        """Return what a request cost to the owner that granted it."""
+        if not _is_amount(returned.cost):
+            return
+        if returned.owner == self.shared_state.node_id:
+            partition = self.shares.of_team(returned.team)
+            partition.owner.give_back(returned.team, returned.cost, now_s())
+            self.metrics.quota_returns.inc({'team': returned.team})
+            return
+        url = self.shared_state.member_control_url(returned.owner)
+        if url is not None:
+            await call_peer(
+                self.session,
+                f'{url}/peer/quota/return',
+                returned,
+                QuotaReply,
+                timeout_s=_CALL_TIMEOUT_S,
+            )
+
+    async def ask_owner(
+        self, partition: QuotaPartition, loan: QuotaLoan
+    ) -> QuotaReply:
+        """Lend to the owner, or to the next one if it does not reply."""
+        for _ in range(_MAX_OWNERS_ASKED):
+            chosen = partition.lender.choose_owner(self.shares.live_vms())
+            offered = self._offer(partition, chosen, loan)
+            if chosen == self.shared_state.node_id:
+                return self._decide(partition, offered)
+            reply = await self.call(partition, chosen, offered)
+            if reply is not None:
+                return reply
+        return QuotaReply(
+            is_granted=False, retry_after_ms=_RETRY_AFTER_SILENCE_MS
+        )
+
+    async def call(
+        self, partition: QuotaPartition, vm: str, loan: QuotaLoan
+    ) -> QuotaReply | None:
+        """Call another VM, and record whether it replied."""
+        url = self.shared_state.member_control_url(vm)
+        if url is not None:
+            reply = await call_peer(
+                self.session,
+                f'{url}/peer/quota/loan',
+                loan,
+                QuotaReply,
+                timeout_s=_CALL_TIMEOUT_S,
+            )
+            if isinstance(reply, Ok):
+                partition.lender.record_answer(vm)
+                return reply.ok()
+        partition.lender.record_silence(vm, now_s())
+        self.metrics.quota_silences.inc({})
+        _LOG.info(
+            'owner of limits silent',
+            fields={
+                'owner': vm,
+                'partition': partition.number,
+                'next': partition.lender.choose_owner(self.shares.live_vms()),
+            },
+        )
+        return None
+
+    def _offer(
+        self, partition: QuotaPartition, owner: str, loan: QuotaLoan
+    ) -> QuotaLoan:
+        times = self.shares.times
+        offered = partition.lender.offer(owner, now_s(), times)
+        lease_ms = milliseconds(times.lease_s) if offered.lends else 0
+        return attrs.evolve(loan, lease_ms=lease_ms)
+
+    def _decide(self, partition: QuotaPartition, loan: QuotaLoan) -> QuotaReply:
+        """Decide here, with the share that comes with the ask."""
+        moment_s = now_s()
+        lease_s = min(loan.lease_ms, _MAX_LEASE_MS) / 1000
+        partition.owner.lend(loan.node, moment_s, until_s=moment_s + lease_s)
+        if not loan.team or self.shares.is_unlimited(loan.team, loan.version):
+            return self._reply(partition, is_granted=True)
+        decision = partition.owner.decide(
+            loan.team,
+            QuotaTerms(
+                version=loan.version,
+                rate_per_s=loan.rate_per_s,
+                burst=loan.burst,
+            ),
+            QuotaRequest(
+                cost=loan.cost,
+                key=loan.key,
+                patience_s=loan.patience_ms / 1000,
+            ),
+            moment_s,
+        )
+        self.metrics.record_decision(loan.team, decision)
+        match decision:
+            case Granted():
+                return self._reply(partition, is_granted=True)
+            case Refused(is_final=True):
+                return self._reply(partition, is_final=True)
+            case Refused(retry_after_s=wait_s):
+                return self._reply(
+                    partition, retry_after_ms=milliseconds(wait_s)
+                )
+
+    def _reply(
+        self,
+        partition: QuotaPartition,
+        *,
+        is_granted: bool = False,
+        is_final: bool = False,
+        retry_after_ms: int = 0,
+    ) -> QuotaReply:
+        return QuotaReply(
+            is_granted=is_granted,
+            is_final=is_final,
+            retry_after_ms=retry_after_ms,
+            owner=self.shared_state.node_id,
+            share=partition.owner.share,
+        )
+
+
+def _is_amount(number: float) -> bool:
+    return 0 <= number <= _MAX_COST
+
+
+def _malformed(detail: str) -> Err[Failure]:
+    return Err(Failure(kind=ErrorKind.BAD_MESSAGE, detail=f'quota: {detail}'))
--- a/src/arbutusbay/router/_completion_response.py
+++ b/src/arbutusbay/router/_completion_response.py
@@ -19,6 +19,7 @@
     failure_event,
 )
 from arbutusbay.router._generation_run import GenerationRun
+from arbutusbay.router._rate_limits import Grant
 
 _STREAM_HEADERS = MappingProxyType(
     {
@@ -33,13 +34,25 @@
     """Track one response for the log and the metrics.
 
     ``first_piece_s`` is the seconds from arrival to the first piece of
-    output.
+    output. ``grant`` is what its team's limit was charged.
     """
 
     run: GenerationRun
     completion_formatter: CompletionFormatter
     first_piece_s: float | None = None
     failure: Failure | None = None
+    grant: Grant | None = None
+
+    def has_not_run(self) -> bool:
+        """Return whether certainly no engine has run the completion."""
+        progress = self.run.progress
+        if not progress.attempts:
+            return True
+        return (
+            self.failure is not None
+            and self.failure.is_not_run
+            and not progress.may_have_run
+        )
 
     def usage(self) -> Usage:
         """Return the token counts so far."""
--- a/src/arbutusbay/router/_completions_api.py
+++ b/src/arbutusbay/router/_completions_api.py
@@ -36,6 +36,7 @@
 )
 from arbutusbay.router._lookup import CacheIndexLookup
 from arbutusbay.router._metrics import RouterMetrics
+from arbutusbay.router._rate_limits import RateLimits
 from arbutusbay.router._shared_state import AuthenticatedTeam, RouterState
 from arbutusbay.state import Pool, Route
 
@@ -53,6 +54,7 @@
         lookup: CacheIndexLookup,
         metrics: RouterMetrics,
         session: aiohttp.ClientSession,
+        rate_limits: RateLimits,
     ) -> None:
         """Create the handlers; ``session`` connects to engines.
 
@@ -64,6 +66,7 @@
         self.lookup = lookup
         self.metrics = metrics
         self.session = session
+        self.rate_limits = rate_limits
 
     def add_routes(self, application: web.Application) -> None:
         """Register the endpoints with ``application``."""
@@ -150,7 +153,19 @@
                 pass
         pool = self.shared_state.resource('pool', route.pool).spec
         job = _build_job(team, completion_body, route, pool, arrived_s)
-        return Ok(await self._start_run(job, completion_body, route, pool))
+        match await self.rate_limits.ask(
+            team,
+            tokens=job.prompt_tokens + job.max_tokens,
+            described=f'{job.route}/{completion_body.prompt}',
+            deadline_ms=route.deadline_ms,
+        ):
+            case Err() as refused:
+                return refused
+            case Ok(grant):
+                pass
+        completion = await self._start_run(job, completion_body, route, pool)
+        completion.grant = grant
+        return Ok(completion)
 
     async def _start_run(
         self,
@@ -220,6 +235,8 @@
     def _log_completion(self, completion: ActiveCompletion) -> None:
         job = completion.run.request.job
         self.shared_state.quarantine.end_probe(job.id)
+        if completion.has_not_run() and completion.grant is not None:
+            self.rate_limits.give_back(completion.grant)
         progress = completion.run.progress
         failure = completion.failure
         if not progress.finished and failure is None:
--- a/src/arbutusbay/router/_main.py
+++ b/src/arbutusbay/router/_main.py
@@ -21,6 +21,7 @@
     PromptQuarantine,
     QuarantineFollower,
 )
+from arbutusbay.router._rate_limits import RateLimits
 from arbutusbay.router._service_calls import ServiceCaller
 from arbutusbay.router._services_api import ServicesApi
 from arbutusbay.router._settings import RouterSettings
@@ -71,6 +72,11 @@
         ledger = LedgerClient(
             shared_state=self.shared_state, session=self.session
         )
+        rate_limits = RateLimits(
+            shared_state=self.shared_state,
+            session=self.session,
+            metrics=metrics,
+        )
         CompletionsApi(
             shared_state=self.shared_state,
             dispatcher=self.dispatcher,
@@ -79,6 +85,7 @@
             ),
             metrics=metrics,
             session=self.single_use_session,
+            rate_limits=rate_limits,
         ).add_routes(application)
         ServicesApi(
             shared_state=self.shared_state,
@@ -87,6 +94,7 @@
                 ledger=ledger, service_caller=service_caller
             ),
             metrics=metrics,
+            rate_limits=rate_limits,
         ).add_routes(application)
         DebugApi(
             is_ready=self._is_ready,
--- a/src/arbutusbay/router/_metrics.py
+++ b/src/arbutusbay/router/_metrics.py
@@ -46,6 +46,10 @@
             'arbutusbay_retries_total',
             'Attempts after a failed one',
         )
+        self.quota_asks = self._counter(
+            'arbutusbay_quota_asks_total',
+            'Requests of teams with a limit, by team and outcome',
+        )
         self.first_token_seconds = Histogram(
             'arbutusbay_first_token_seconds',
             'Seconds from arrival to the first piece, by class',
--- a/src/arbutusbay/router/_services_api.py
+++ b/src/arbutusbay/router/_services_api.py
@@ -19,8 +19,9 @@
 from arbutusbay.router._authentication import authenticate_request
 from arbutusbay.router._keyed_call import KeyedCall, KeyedCallRunner
 from arbutusbay.router._metrics import RouterMetrics
+from arbutusbay.router._rate_limits import Grant, RateLimits
 from arbutusbay.router._service_calls import ServiceCaller
-from arbutusbay.router._shared_state import RouterState
+from arbutusbay.router._shared_state import AuthenticatedTeam, RouterState
 from arbutusbay.state import Route
 
 _LOG = get_logger('services')
@@ -35,7 +36,7 @@
     ``key`` is the client's idempotency key, or empty.
     """
 
-    team: str
+    team: AuthenticatedTeam
     route_name: str
     route: Route
     key: str
@@ -53,6 +54,7 @@
         service_caller: ServiceCaller,
         keyed_call_runner: KeyedCallRunner,
         metrics: RouterMetrics,
+        rate_limits: RateLimits,
     ) -> None:
         """Create an API that sends calls through ``service_caller``.
 
@@ -62,6 +64,7 @@
         self.service_caller = service_caller
         self.keyed_call_runner = keyed_call_runner
         self.metrics = metrics
+        self.rate_limits = rate_limits
 
     def add_routes(self, application: web.Application) -> None:
         """Register the endpoint with ``application``."""
@@ -73,7 +76,7 @@
 
     async def handle_request(self, request: web.Request) -> web.Response:
         """Handle one request."""
-        match await self._parse(request):
+        match await self._admit(request):
             case Err(failure):
                 self._log_refusal(request, failure)
                 # The ledger was not consulted yet: an earlier attempt with the
@@ -82,12 +85,14 @@
                 return failure_response(
                     failure.unless_run(may_have_run=has_key)
                 )
-            case Ok(parsed):
+            case Ok((parsed, grant)):
                 pass
         answer = await self._run(parsed)
         self._log(parsed, answer)
         match answer:
             case Err(failure):
+                if failure.is_not_run:
+                    self.rate_limits.give_back(grant)
                 return failure_response(failure)
             case Ok(response):
                 return web.Response(
@@ -96,6 +101,24 @@
                     content_type=response.content_type,
                 )
 
+    async def _admit(
+        self, request: web.Request
+    ) -> Result[tuple[ServiceRequest, Grant], Failure]:
+        """Return a valid request that is within the limit of its team."""
+        match await self._parse(request):
+            case Err() as failed:
+                return failed
+            case Ok(parsed):
+                pass
+        granted = await self.rate_limits.ask(
+            parsed.team,
+            tokens=0,
+            described=f'{parsed.route_name}/{parsed.key}/'
+            + _fingerprint(parsed.call),
+            deadline_ms=parsed.route.deadline_ms,
+        )
+        return granted.map(lambda grant: (parsed, grant))
+
     async def _parse(
         self,
         request: web.Request,
@@ -124,7 +147,7 @@
                 pass
         return Ok(
             ServiceRequest(
-                team=team.name,
+                team=team,
                 route_name=name,
                 route=route,
                 key=key,
@@ -152,7 +175,7 @@
             )
         return await self.keyed_call_runner.run(
             KeyedCall(
-                key=f'{parsed.team}/{parsed.route_name}/{parsed.key}',
+                key=f'{parsed.team.name}/{parsed.route_name}/{parsed.key}',
                 fingerprint=_fingerprint(parsed.call),
                 pool=pool,
                 call=parsed.call,
@@ -207,7 +230,7 @@
         _LOG.info(
             'service call',
             fields={
-                'team': parsed.team,
+                'team': parsed.team.name,
                 'route': parsed.route_name,
                 'decision': decision,
                 'seconds': time.monotonic() - parsed.arrived_s,
--- a/src/arbutusbay/state/_resources.py
+++ b/src/arbutusbay/state/_resources.py
@@ -24,6 +24,7 @@
 _DEFAULT_BLOCK_BYTES = 64
 _DEFAULT_DEADLINE_MS = 10_000
 _MAX_BLOCK_BYTES = 65_536
+_MAX_QUOTA = 1_000_000_000
 
 
 class Urgency(enum.StrEnum):
@@ -33,6 +34,13 @@
     NORMAL = 'normal'
 
 
+class QuotaUnit(enum.StrEnum):
+    """List what a team's limit may count."""
+
+    REQUESTS = 'requests'
+    TOKENS = 'tokens'
+
+
 class BackendKind(enum.StrEnum):
     """Distinguish model engines from plain HTTP services."""
 
@@ -48,13 +56,38 @@
     return validators.and_(validators.ge(low), validators.le(high))
 
 
+@attrs.frozen(kw_only=True)
+class Quota:
+    """Limit what a team may use over all VMs together.
+
+    ``burst`` units may be used at once, ``rate_per_s`` come back each second.
+    Without a rate there is no limit.
+    """
+
+    unit: QuotaUnit = QuotaUnit.REQUESTS
+    rate_per_s: float = attrs.field(
+        default=0.0, validator=_between(0, _MAX_QUOTA)
+    )
+    burst: float = attrs.field(default=0.0, validator=_between(0, _MAX_QUOTA))
+
+    def __attrs_post_init__(self) -> None:
+        """Raise ``ValueError`` for a limit that admits nothing."""
+        if self.is_limiting and self.burst < 1:
+            raise ValueError(f'burst must be at least 1, not {self.burst}')
+
+    @property
+    def is_limiting(self) -> bool:
+        """Return whether there is a limit."""
+        return self.rate_per_s > 0
+
+
 @attrs.frozen(kw_only=True)
 class Team:
     """Declare a team.
 
     ``api_key_digests`` are SHA-256 digests of its API keys in lower-case
     hexadecimal. ``share`` is its weight in fair queueing against other teams
-    when capacity is short.
+    when capacity is short. ``quota`` limits its requests, None without a limit.
     """
 
     api_key_digests: list[str] = attrs.field(
@@ -63,6 +96,7 @@
     share: float = attrs.field(
         default=1.0, validator=_between(_MIN_SHARE, _MAX_SHARE)
     )
+    quota: Quota | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -162,8 +196,12 @@
 
 
 def spec_to_json(spec: Spec) -> dict[str, Any]:
-    """Return ``spec`` as a JSON-compatible dict."""
-    return _CONVERTER.unstructure(spec)
+    """Return ``spec`` as a JSON-compatible dict.
+
+    What is absent is left out: earlier versions refuse fields unknown to them.
+    """
+    fields = _CONVERTER.unstructure(spec)
+    return {name: entry for name, entry in fields.items() if entry is not None}
 
 
 def spec_to_canonical_json(spec: Spec) -> str:
--- a/src/arbutusbay/wire/_messages.py
+++ b/src/arbutusbay/wire/_messages.py
@@ -217,3 +217,64 @@
     answers: list[AnswerEntry]
     verdicts: list[VerdictEntry]
     wait_ms: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class QuotaAsk:
+    """Ask a control daemon for a grant of a team's limit.
+
+    ``key`` is the same if the caller returns with the request, which it would
+    do after up to ``patience_ms``.
+    """
+
+    team: str
+    cost: float
+    key: int
+    patience_ms: int
+
+
+@attrs.frozen(kw_only=True)
+class QuotaLoan:
+    """Lend the share of a VM to the owner of a partition, and ask for a grant.
+
+    The share of ``node`` is lent for ``lease_ms``, 0 for no time, or taken
+    back if it ``is_released``. An empty ``team`` asks for nothing. The limit
+    is the one that the VM has, written at the offset ``version``.
+    """
+
+    node: str
+    partition: int
+    lease_ms: int = 0
+    is_released: bool = False
+    team: str = ''
+    cost: float = 0.0
+    key: int = 0
+    patience_ms: int = 0
+    version: int = NO_OFFSET
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
+@attrs.frozen(kw_only=True)
+class QuotaReply:
+    """Reply to an ask or a loan.
+
+    A request that is not granted will be after ``retry_after_ms``, or never if
+    that ``is_final``. ``share`` is the part of the fleet that lends its share
+    to ``owner``, which is empty for a team without a limit.
+    """
+
+    is_granted: bool
+    is_final: bool = False
+    retry_after_ms: int = 0
+    owner: str = ''
+    share: float = 0.0
+
+
+@attrs.frozen(kw_only=True)
+class QuotaReturn:
+    """Return to ``owner`` what a request cost that certainly did not run."""
+
+    team: str
+    cost: float
+    owner: str
--- a/src/arbutusbay/wire/arbutusbay.capnp
+++ b/src/arbutusbay/wire/arbutusbay.capnp
@@ -121,3 +121,38 @@
   verdicts @3 :List(VerdictEntry);
   waitMs @4 :UInt32;
 }
+
+struct QuotaAsk {
+  team @0 :Text;
+  cost @1 :Float64;
+  key @2 :UInt64;
+  patienceMs @3 :UInt32;
+}
+
+struct QuotaLoan {
+  node @0 :Text;
+  partition @1 :UInt8;
+  leaseMs @2 :UInt32;
+  isReleased @3 :Bool;
+  team @4 :Text;
+  cost @5 :Float64;
+  key @6 :UInt64;
+  patienceMs @7 :UInt32;
+  version @8 :Int64;
+  ratePerS @9 :Float64;
+  burst @10 :Float64;
+}
+
+struct QuotaReply {
+  isGranted @0 :Bool;
+  isFinal @1 :Bool;
+  retryAfterMs @2 :UInt32;
+  owner @3 :Text;
+  share @4 :Float64;
+}
+
+struct QuotaReturn {
+  team @0 :Text;
+  cost @1 :Float64;
+  owner @2 :Text;
+}
--- a/tests/router_builders.py
+++ b/tests/router_builders.py
@@ -11,6 +11,7 @@
 from arbutusbay.router._config_follower import install_config
 from arbutusbay.router._generation_run import RunProgress
 from arbutusbay.router._metrics import RouterMetrics
+from arbutusbay.router._rate_limits import RateLimits
 from arbutusbay.router._shared_state import RouterState
 from arbutusbay.settings import NodeSettings
 from arbutusbay.state import (
@@ -81,4 +82,12 @@
         lookup=NoLookup(),
         metrics=RouterMetrics(),
         session=None,
+        rate_limits=build_rate_limits(shared_state),
+    )
+
+
+def build_rate_limits(shared_state: RouterState) -> RateLimits:
+    """Return the limits of teams that have none, so that nobody is asked."""
+    return RateLimits(
+        shared_state=shared_state, session=None, metrics=RouterMetrics()
     )
--- a/tests/unit/test_services_api.py
+++ b/tests/unit/test_services_api.py
@@ -6,16 +6,20 @@
 import logbook
 import pytest
 from aiohttp.test_utils import TestClient, TestServer, make_mocked_request
+from result import Err, Ok
 
 from arbutusbay import _http
+from arbutusbay.errors import ErrorKind, Failure
 from arbutusbay.http import new_application
 from arbutusbay.router import RouterSettings
 from arbutusbay.router._config_follower import install_config
 from arbutusbay.router._metrics import RouterMetrics
+from arbutusbay.router._rate_limits import Grant
 from arbutusbay.router._services_api import ServicesApi
 from arbutusbay.router._shared_state import RouterState
 from arbutusbay.settings import NodeSettings
 from arbutusbay.state import ConfigState, Resource, ResourceId, Route, Team
+from tests.router_builders import build_rate_limits
 
 _DIGEST = hashlib.sha256(b'secret').hexdigest()
 
@@ -40,6 +44,7 @@
         service_caller=None,
         keyed_call_runner=None,
         metrics=RouterMetrics(),
+        rate_limits=build_rate_limits(shared_state),
     )
 
 
@@ -100,3 +105,50 @@
     labels = {'route': 'stock', 'outcome': 'body_too_large'}
     assert api.metrics.requests.get(labels) == 1
     assert handler.has_infos
+
+
+class FailingCaller:
+    """Fail each call in the same way."""
+
+    def __init__(self, kind: ErrorKind) -> None:
+        """Fail with ``kind``."""
+        self.kind = kind
+
+    async def send_idempotent(self, pool, call):
+        """Return the failure."""
+        return Err(Failure(kind=self.kind, detail='x'))
+
+
+class RecordingLimits:
+    """Grant each request and record what is given back."""
+
+    def __init__(self) -> None:
+        """Start with nothing given back."""
+        self.returned: list[Grant] = []
+
+    async def ask(self, team, **request):
+        """Return a grant."""
+        return Ok(Grant(team=team.name, cost=1, owner='vm-1'))
+
+    def give_back(self, grant: Grant) -> None:
+        """Record the grant."""
+        self.returned.append(grant)
+
+
+# Guards against a limit that is charged for calls which no server ran, and
+# against one that is not charged for calls which may have run.
+@pytest.mark.parametrize(
+    ('kind', 'returned'),
+    [(ErrorKind.NO_BACKEND_SERVER, 1), (ErrorKind.OUTCOME_UNKNOWN, 0)],
+)
+async def test_grant_of_a_call_that_did_not_run_goes_back(kind, returned):
+    api = _build_api()
+    api.rate_limits = RecordingLimits()
+    api.service_caller = FailingCaller(kind)
+    application = new_application()
+    api.add_routes(application)
+    async with TestClient(TestServer(application)) as client:
+        await client.get(
+            '/services/stock/x', headers={'Authorization': 'Bearer secret'}
+        )
+    assert len(api.rate_limits.returned) == returned
