--- a/src/arbutusbay/prefixes/_saved.py
+++ b/src/arbutusbay/prefixes/_saved.py
@@ -12,7 +12,7 @@
 import xxhash
 
 # Stores drop what was last used longer ago only under much load.
-_TTL_S = 15.0
+_TTL_S = 20.0
 # A report repeats what was learned in this time, as datagrams get lost.
 _REPORTED_S = 1.0
 _MAX_ENTRIES = 8192
