Count no prefix as hot for two requests of one VM

Cause: in the unit suite (-n 2, load 45) a prefix that one VM had sent twice went to two engines: one request more than the discount counted as a large share of very few. Change: four requests of a prior, a discount of a whole request, more headroom, and a lower bound of load, as one VM now finds a hot prefix later.

--- a/src/arbutusbay/prefixes/_plan.py
+++ b/src/arbutusbay/prefixes/_plan.py
@@ -30,7 +30,7 @@
 _COPY_COST_DECAY = 0.5
 # An engine with more attempts than this is no owner for now.
 _MAX_LOAD_FACTOR = 1.5
-_MIN_LOAD_BOUND = 2
+_MIN_LOAD_BOUND = 1
 
 
 @attrs.frozen(kw_only=True)
--- a/src/arbutusbay/prefixes/_popularity.py
+++ b/src/arbutusbay/prefixes/_popularity.py
@@ -8,9 +8,11 @@
 _HALF_LIFE_S = 8.0
 _MAX_KEYS = 512
 # One request says little of how often others come.
-_DISCOUNT = 0.75
+_DISCOUNT = 1.0
+# Few requests say little of their shares.
+_PRIOR_REQUESTS = 4
 # The engines that hold a hot prefix serve others as well.
-_HEADROOM = 2.0
+_HEADROOM = 3.0
 
 
 @attrs.define(kw_only=True)
@@ -55,7 +57,7 @@
         if count is None:
             return 1
         seen = max(0.0, count.value_at(now_s) - _DISCOUNT)
-        share = seen / max(1.0, self.total.value_at(now_s))
+        share = seen / (_PRIOR_REQUESTS + self.total.value_at(now_s))
         return max(1, min(engines, math.ceil(share * engines * _HEADROOM)))
 
     def _keep_half(self, weight_of: Callable[[_Count], float]) -> None:
--- a/tests/unit/test_shared_prefixes.py
+++ b/tests/unit/test_shared_prefixes.py
@@ -10,7 +10,7 @@
     build_prefix,
 )
 
-from arbutusbay.prefixes import CacheAges, SharedPrefix
+from arbutusbay.prefixes import CacheAges, PrefixPopularity, SharedPrefix
 
 SUBJECTS = tuple(f'shared/subject-{number}' for number in range(700))
 SKEW = 0.3
@@ -168,6 +168,33 @@
     assert costs == sorted(costs)
 
 
+@pytest.mark.parametrize('others', [0, 4, 400])
+def test_prefix_asked_for_twice_is_not_hot(others):
+    popularity = PrefixPopularity()
+    for number in range(others):
+        popularity.record(f'other-{number}', 10.0)
+    popularity.record('key', 10.0)
+    assert popularity.replicas('key', 30, 10.1) == 1
+
+
+def test_prefix_with_a_third_of_the_requests_soon_has_engines_for_it():
+    popularity = PrefixPopularity()
+    for number in range(18):
+        popularity.record(f'other-{number}', 10 + number / 4)
+        if number % 2:
+            popularity.record('hot', 10 + number / 4)
+    assert 10 <= popularity.replicas('hot', 30, 14.5) < 30
+
+
+def test_popularity_forgets_rare_prefixes():
+    popularity = PrefixPopularity()
+    for number in range(3000):
+        popularity.record(f'shared/{number}', number / 100)
+        popularity.record('hot', number / 100)
+    assert len(popularity.counts) <= 512
+    assert popularity.replicas('hot', 30, 30.0) > 10
+
+
 def test_age_begins_anew_with_a_restart_or_new_weights():
     ages = CacheAges(started_s=0)
     assert ages.age_s('e', 1, 1, 1.0) == float('inf')
