--- a/src/arbutusbay/scheduling/_prompt_length_partition.py
+++ b/src/arbutusbay/scheduling/_prompt_length_partition.py
@@ -18,7 +18,7 @@
 _HALF_LIFE_S = 8.0
 _PROMPT_TOKENS_PER_OUTPUT_TOKEN = 0.5
 # A request takes a slot and a turn in each step, as does a chunk of prefill.
-_REQUEST_WORK_TOKENS = 2000
+_REQUEST_WORK_TOKENS = 1500
 LONG_PROMPT_TOKENS = 2048
 EVEN_SPLIT = 0.5
 
