--- a/src/arbutusbay/node/_peer_messages.py
+++ b/src/arbutusbay/node/_peer_messages.py
@@ -20,6 +20,10 @@
 )
 from arbutusbay.errors import ErrorKind, Failure
 from arbutusbay.fairness import ReturnWindow, WaitingReport
+from arbutusbay.node._prefix_messages import (
+    saved_from_fields,
+    saved_to_fields,
+)
 from arbutusbay.node._quarantine_messages import (
     quarantine_from_fields,
     quarantine_to_fields,
@@ -30,6 +34,7 @@
     waiting_from_fields,
     waiting_to_fields,
 )
+from arbutusbay.prefixes import SavedReport
 from arbutusbay.quarantine import QuarantineReport
 from arbutusbay.scheduling import Occupancy, PlannedWeightsLoad, WorkTotals
 
@@ -74,8 +79,8 @@
     rollout's lease. ``weights`` holds the engines whose weights changed
     recently, ``quarantine`` what the sender has on prompt segments that crash
     engines, ``waiting`` what waits at the sender, by service, and ``returns``
-    the requests that it expects back, by their keys. ``is_leaving`` means that
-    the sender stops.
+    the requests that it expects back, by their keys. ``saved_prefixes`` holds
+    what the stores got recently. ``is_leaving`` means that the sender stops.
     """
 
     name: str
@@ -91,6 +96,7 @@
     quarantine: QuarantineReport = attrs.field(factory=QuarantineReport)
     waiting: Mapping[str, WaitingReport] = attrs.field(factory=dict)
     returns: Mapping[int, ReturnWindow] = attrs.field(factory=dict)
+    saved_prefixes: SavedReport = attrs.field(factory=SavedReport)
     is_leaving: bool = False
 
 
@@ -151,6 +157,9 @@
     quarantine = quarantine_to_fields(state.quarantine, now_s)
     if quarantine:
         fields['q'] = quarantine
+    saved = saved_to_fields(state.saved_prefixes)
+    if saved:
+        fields['k'] = saved
     return orjson.dumps(fields)
 
 
@@ -211,6 +220,7 @@
         quarantine=quarantine_from_fields(fields.get('q', {}), now_s),
         waiting=waiting_from_fields(fields.get('y', {})),
         returns=returns_from_fields(fields.get('r', ()), now_s),
+        saved_prefixes=saved_from_fields(fields.get('k', {})),
         is_leaving=require_boolean(fields.get('x', False), 'x'),
     )
 
--- a/src/arbutusbay/node/_peer_state_receiver.py
+++ b/src/arbutusbay/node/_peer_state_receiver.py
@@ -40,16 +40,25 @@
             if zone != self.own_vm.zone
         }
         self._store_occupancies(state.name, state.occupancy, moment_s)
-        self.node_state.fleet_queues.record(state.name, state.waiting, moment_s)
-        self.node_state.returns.record(state.name, state.returns)
         self._apply_engine_reports(state, moment_s)
         for zone, load in other_zones.items():
             self._apply_zone_load(zone, load, moment_s)
+        self._apply_request_reports(state, moment_s)
+
+    def _apply_request_reports(self, state: PeerState, moment_s: float) -> None:
+        """Apply what ``state`` reports of the requests that its VM has."""
+        self.node_state.fleet_queues.record(state.name, state.waiting, moment_s)
+        self.node_state.returns.record(state.name, state.returns)
         self.node_state.quarantine.merge_report(
             state.name, state.quarantine, moment_s
         )
         if state.quarantine.verdicts:
             self.node_state.has_read_verdicts = True
+        self.node_state.saved_prefixes.merge(
+            state.saved_prefixes,
+            moment_s,
+            is_own_zone=state.zone == self.own_vm.zone,
+        )
 
     def drop_vms(self, names: Collection[str]) -> None:
         """Drop what VMs that are gone have reported."""
--- a/src/arbutusbay/scheduling/_prompt_length_partition.py
+++ b/src/arbutusbay/scheduling/_prompt_length_partition.py
@@ -18,6 +18,7 @@
 _HALF_LIFE_S = 8.0
 _PROMPT_TOKENS_PER_OUTPUT_TOKEN = 0.5
 LONG_PROMPT_TOKENS = 2048
+EVEN_SPLIT = 0.5
 
 
 @attrs.frozen(kw_only=True)
@@ -106,3 +107,27 @@
         engine.id: min(1.0, max(0.0, short_engines - rank))
         for rank, engine in enumerate(rank_engines(engines))
     }
+
+
+def serves_short_prompts(
+    engine: EngineView, fractions: Mapping[str, float]
+) -> bool:
+    """Return whether most of an engine is for short prompts."""
+    return fractions.get(engine.id, 0) > EVEN_SPLIT
+
+
+def engines_for_length(
+    prompt_tokens: int,
+    engines: Sequence[EngineView],
+    fractions: Mapping[str, float],
+) -> list[str]:
+    """Return the engines that serve prompts of this length.
+
+    If there are none, return all engines.
+    """
+    is_long = is_long_prompt(prompt_tokens)
+    return [
+        engine.id
+        for engine in engines
+        if serves_short_prompts(engine, fractions) != is_long
+    ] or [engine.id for engine in engines]
