--- a/src/arbutusbay/node/quota/_client.py
+++ b/src/arbutusbay/node/quota/_client.py
@@ -33,6 +33,7 @@
 _LOG = get_logger('quota')
 _MAX_VMS_ASKED = 2
 _RETRY_AFTER_SILENCE_S = 0.5
+_SAME_TURN_S = 0.05
 _MAX_REMEMBERED_REPLIES = 1024
 
 
@@ -134,9 +135,13 @@
     async def ask_owner(self, partition: Partition, ask: Ask) -> Reply:
         """Ask the VMs that may be the owner until one of them replies."""
         is_own = ask.vm == self.own_vm.name
+        began_s = now_s()
         for _ in range(_MAX_VMS_ASKED):
             chosen = self.partitions.choose_owner(partition)
-            offered = self._offer(partition, chosen, ask) if is_own else ask
+            if is_own:
+                offered = self._offer(partition, chosen, ask)
+            else:
+                offered = _pass_on(ask, now_s() - began_s)
             if chosen == self.own_vm.name:
                 return self._decide(partition, offered)
             sent = attrs.evolve(
@@ -293,6 +298,18 @@
         )
 
 
+def _pass_on(ask: Ask, held_s: float) -> Ask:
+    """Return the ask of another VM after it was held here for a while.
+
+    Its lease began as it was sent. The credit was in the first message.
+    """
+    if held_s < _SAME_TURN_S:
+        return ask
+    return attrs.evolve(
+        ask, lease_s=max(0.0, ask.lease_s - held_s), starts=False
+    )
+
+
 def _describe_partition(partition: Partition) -> dict[str, Any]:
     owner = partition.owner
     owner.advance(now_s())
--- a/tests/unit/test_quota_client.py
+++ b/tests/unit/test_quota_client.py
@@ -6,7 +6,8 @@
 import pytest
 from aioprometheus import REGISTRY
 
-from arbutusbay.node.quota import Reply
+from arbutusbay.clock import now_s
+from arbutusbay.node.quota import Ask, Reply
 from arbutusbay.quota import QuotaRequest, QuotaTerms, partition_of, rank_owners
 from tests.quota_builders import (
     TEAM,
@@ -171,3 +172,24 @@
         TEAM, terms, QuotaRequest(cost=1)
     )
     assert not is_granted(reply)
+
+
+async def test_lease_that_is_passed_on_late_ends_as_promised(network):
+    owner, second, _ = await start(network, 3, rate_per_s=1000)
+    network.cut.add(frozenset((owner, second)))
+    client = network.clients[second]
+    partition = client.partitions.of_team(TEAM)
+    partition.lender.record_answer(owner)
+    received_s = now_s()
+    await client.ask_owner(
+        partition,
+        Ask(
+            number=1,
+            vm='vm-9',
+            partition=partition.number,
+            lease_s=1.2,
+            starts=True,
+        ),
+    )
+    promised_until_s = received_s + 1.25
+    assert partition.owner.expiry_by_vm['vm-9'] <= promised_until_s
