--- a/src/arbutusbay/node/_peer_state_receiver.py
+++ b/src/arbutusbay/node/_peer_state_receiver.py
@@ -45,6 +45,16 @@
             self._apply_zone_load(zone, load, moment_s)
         self._apply_request_reports(state, moment_s)
 
+    def drop_vms(self, names: Collection[str]) -> None:
+        """Drop what VMs that are gone have reported."""
+        for name in names:
+            self._store_occupancies(name, {}, now_s())
+            self.occupied_by_sender.pop(name, None)
+            self.node_state.peer_work_totals.pop(name, None)
+            self.node_state.fleet_queues.drop(name)
+            self.node_state.returns.record(name, {})
+            _LOG.info('vm gone', fields={'vm': name})
+
     def _apply_request_reports(self, state: PeerState, moment_s: float) -> None:
         """Apply what ``state`` reports of the requests that its VM has."""
         self.node_state.fleet_queues.record(state.name, state.waiting, moment_s)
@@ -60,16 +70,6 @@
             is_own_zone=state.zone == self.own_vm.zone,
         )
 
-    def drop_vms(self, names: Collection[str]) -> None:
-        """Drop what VMs that are gone have reported."""
-        for name in names:
-            self._store_occupancies(name, {}, now_s())
-            self.occupied_by_sender.pop(name, None)
-            self.node_state.peer_work_totals.pop(name, None)
-            self.node_state.fleet_queues.drop(name)
-            self.node_state.returns.record(name, {})
-            _LOG.info('vm gone', fields={'vm': name})
-
     def _record_sender(
         self,
         state: PeerState,
