Find how fast each backend server is and what it takes, and follow it

Cause: placement went by the slowdown that a server told this VM itself. Servers that report nothing, or slow down long before they are full, were not seen to.

Change: the package speeds/ estimates from durations of responses how fast each server is beside what it reports, and how many requests it takes well. VMs share samples, fitted times and reported slowdowns in one optional, bounded field of their load reports. Placement gives plain servers of different speeds work in proportion (two drawn by speed, the less loaded one used), counts what is queued at an engine by time, and draws among nearly equal engines by speed. Alike servers are chosen as before.

--- a/src/arbutusbay/node/_control_api.py
+++ b/src/arbutusbay/node/_control_api.py
@@ -81,6 +81,9 @@
                     'avoided': view.is_in_backoff(moment_s),
                     'loading': view.is_loading_weights(moment_s),
                     'attempts': view.occupancy.total(moment_s).attempts,
+                    'speed': round(view.speed.current_speed, 3),
+                    'taken': view.speed.taken_requests(view.slots),
+                    'slowdown': view.slowdown,
                 }
                 for view in node_state.engine_views.values()
             ],
@@ -127,6 +130,9 @@
         self.metrics.store_calls.set({}, self.store.call_count)
         for form, size_bytes in self.node_state.relayed_bytes.items():
             self.metrics.relayed_bytes.set({'form': form.value}, size_bytes)
+        self.metrics.show_servers(
+            self.node_state.engine_views.values(), now_s()
+        )
         quarantine = self.node_state.quarantine
         self.metrics.quarantined_segments.set(
             {}, len(quarantine.table.quarantined)
--- a/src/arbutusbay/node/_dispatcher.py
+++ b/src/arbutusbay/node/_dispatcher.py
@@ -117,6 +117,8 @@
         has_paused = self.node_state.own_pauses.has_paused_since(
             attempt.sent_s, moment_s
         )
+        if not has_paused:
+            self.node_state.speeds.record_first_event(view, attempt, moment_s)
         if tokens >= _MIN_SAMPLE_TOKENS and not has_paused:
             slowdown = max(1.0, view.current_slowdown(moment_s))
             sample_s = (moment_s - attempt.sent_s) / tokens / slowdown
--- a/src/arbutusbay/node/_metrics.py
+++ b/src/arbutusbay/node/_metrics.py
@@ -1,9 +1,12 @@
 """Define the Prometheus metrics of the node daemon."""
 
+from collections.abc import Iterable
+
 from aioprometheus import REGISTRY, Counter, Gauge, Histogram
 from aioprometheus.renderer import render
 
 from arbutusbay.fleet import RequestKind
+from arbutusbay.scheduling import EngineView, time_factor
 
 _BUCKETS_S = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8)
 
@@ -46,6 +49,14 @@
             'arbutusbay_recent_engine_ends',
             'Engines that ended under requests in the last minute.',
         )
+        self.server_speed = Gauge(
+            'arbutusbay_server_speed',
+            'Speed of a backend server, 1 for a usual one of its service.',
+        )
+        self.server_taken_requests = Gauge(
+            'arbutusbay_server_taken_requests',
+            'Requests up to which a backend server hardly slows down.',
+        )
         self.log_lines_dropped = Gauge(
             'arbutusbay_log_lines_dropped_total',
             'Log lines dropped because standard output was full.',
@@ -57,6 +68,19 @@
         self.requests.inc(labels)
         self.duration.observe(labels, elapsed_s)
 
+    def show_servers(
+        self, views: Iterable[EngineView], moment_s: float
+    ) -> None:
+        """Set what is known of the servers, and drop those that are gone."""
+        self.server_speed.values.clear()
+        self.server_taken_requests.values.clear()
+        for view in views:
+            labels = {'server': view.id, 'service': view.service}
+            self.server_speed.set(labels, 1 / time_factor(view, moment_s))
+            self.server_taken_requests.set(
+                labels, view.speed.taken_requests(view.slots)
+            )
+
     def render(self) -> tuple[bytes, dict[str, str]]:
         """Return the metrics in the text format, and its HTTP headers."""
         return render(REGISTRY, [])
--- a/src/arbutusbay/node/_node_state.py
+++ b/src/arbutusbay/node/_node_state.py
@@ -16,6 +16,7 @@
 from arbutusbay.node._failed_reads import FailedReads
 from arbutusbay.node._own_pauses import OwnPauses
 from arbutusbay.node._peer_messages import ZoneLoad
+from arbutusbay.node._server_speeds import ServerSpeeds
 from arbutusbay.planned_stop import PlannedStop, ResponseDurations
 from arbutusbay.platform import VMSettings
 from arbutusbay.quarantine import SegmentKey, SegmentQuarantine
@@ -166,6 +167,7 @@
         busy_connections: Connections that have a request in progress.
         own_pauses: When this VM last did not run.
         quarantine: Prompt segments that crash engines.
+        speeds: How fast the backend servers are.
         stored_revisions: Revisions of the verdicts that the store holds.
         skipped_records: Why a coordination record was skipped, by its key.
         has_read_verdicts: Whether the verdicts in the store, or those of
@@ -206,6 +208,7 @@
     busy_connections: set[web.RequestHandler] = attrs.field(factory=set)
     own_pauses: OwnPauses = attrs.field(factory=OwnPauses)
     quarantine: SegmentQuarantine = attrs.field(factory=SegmentQuarantine)
+    speeds: ServerSpeeds = attrs.field(factory=ServerSpeeds)
     stored_revisions: dict[SegmentKey, set[int]] = attrs.field(factory=dict)
     skipped_records: dict[str, str] = attrs.field(factory=dict)
     has_read_verdicts: bool = False
--- a/src/arbutusbay/node/_peer_messages.py
+++ b/src/arbutusbay/node/_peer_messages.py
@@ -23,8 +23,13 @@
     quarantine_from_fields,
     quarantine_to_fields,
 )
+from arbutusbay.node._speed_messages import (
+    speeds_from_fields,
+    speeds_to_fields,
+)
 from arbutusbay.quarantine import QuarantineReport
 from arbutusbay.scheduling import Occupancy, PlannedWeightsLoad, WorkTotals
+from arbutusbay.speeds import SpeedReport
 
 _WORK_UNIT_TOKENS = 1000
 _MS_PER_S = 1000
@@ -65,7 +70,8 @@
     ``fence`` is the fencing token, reported by the last holder of the
     rollout's lease. ``weights`` holds the engines whose weights changed
     recently, ``quarantine`` what the sender has on prompt segments that crash
-    engines. ``is_leaving`` means that the sender stops.
+    engines, ``speeds`` how long work took at which server.
+    ``is_leaving`` means that the sender stops.
     """
 
     name: str
@@ -79,6 +85,7 @@
     fence: int | None = None
     zones: Mapping[str, ZoneLoad] = attrs.field(factory=dict)
     quarantine: QuarantineReport = attrs.field(factory=QuarantineReport)
+    speeds: SpeedReport = attrs.field(factory=SpeedReport)
     is_leaving: bool = False
 
 
@@ -128,6 +135,9 @@
     quarantine = quarantine_to_fields(state.quarantine, now_s)
     if quarantine:
         fields['q'] = quarantine
+    speeds = speeds_to_fields(state.speeds, now_s)
+    if speeds:
+        fields['v'] = speeds
     return orjson.dumps(fields)
 
 
@@ -184,6 +194,7 @@
             for zone, (occupancy, totals) in fields.get('zs', {}).items()
         },
         quarantine=quarantine_from_fields(fields.get('q', {}), now_s),
+        speeds=speeds_from_fields(fields.get('v', {}), now_s),
         is_leaving=require_boolean(fields.get('x', False), 'x'),
     )
 
--- a/src/arbutusbay/node/_peer_reports.py
+++ b/src/arbutusbay/node/_peer_reports.py
@@ -14,6 +14,7 @@
     ZoneLoad,
 )
 from arbutusbay.scheduling import EngineView, PlannedWeightsLoad, WorkTotals
+from arbutusbay.speeds import SpeedReport
 
 _CHANGE_REPORT_S = 1.0
 
@@ -66,6 +67,9 @@
             fence=self._own_fence(),
             is_leaving=self.node_state.is_stopping,
             quarantine=self.node_state.quarantine.report(moment_s),
+            speeds=self.node_state.speeds.report(
+                self.node_state.engine_views, moment_s
+            ),
             weights={
                 view.id: _loaded_weights(view)
                 for view in views
@@ -113,6 +117,7 @@
             work_totals=WorkTotals(),
             loads={},
             weights={},
+            speeds=SpeedReport(),
         )
 
     def aggregator_report(
@@ -131,6 +136,7 @@
             occupancy={},
             work_totals=WorkTotals(),
             zones=zones,
+            speeds=SpeedReport(),
         )
 
     def _must_report_weights(self, view: EngineView, moment_s: float) -> bool:
--- a/src/arbutusbay/node/_peer_state_receiver.py
+++ b/src/arbutusbay/node/_peer_state_receiver.py
@@ -46,6 +46,9 @@
         self.node_state.quarantine.merge_report(
             state.name, state.quarantine, moment_s
         )
+        self.node_state.speeds.merge_report(
+            state.name, state.speeds, self.node_state.engine_views, moment_s
+        )
         if state.quarantine.verdicts:
             self.node_state.has_read_verdicts = True
 
@@ -56,6 +59,7 @@
             self.occupied_by_sender.pop(name, None)
             self.node_state.peer_work_totals.pop(name, None)
             _LOG.info('vm gone', fields={'vm': name})
+        self.node_state.speeds.book.drop_senders(names)
 
     def _record_sender(
         self,
--- a/src/arbutusbay/node/_placer.py
+++ b/src/arbutusbay/node/_placer.py
@@ -77,6 +77,7 @@
         incoming = request.incoming
         size = request_size_of(incoming)
         views = self.node_state.views_of_service(incoming.service.name)
+        self.node_state.speeds.refresh(incoming.service.name, views, moment_s)
         eligible = [
             view
             for view in views
@@ -362,6 +363,7 @@
                     self.node_state.catalog.targets.get(placement.model),
                 ),
                 'slowdown': view.slowdown,
+                'speed': round(view.speed.current_speed, 3),
                 'load_age_ms': int((moment_s - view.load_reported_s) * 1000),
                 **stop_fields(self.node_state),
             },
--- a/src/arbutusbay/node/_server_feedback.py
+++ b/src/arbutusbay/node/_server_feedback.py
@@ -3,7 +3,7 @@
 from result import Err, Ok, Result
 
 from arbutusbay.clock import now_s
-from arbutusbay.fleet import RouteSpec
+from arbutusbay.fleet import RequestKind, RouteSpec
 from arbutusbay.logs import get_logger
 from arbutusbay.node._attempts import AttemptFailure, OpenResponse
 from arbutusbay.node._node_state import NodeState
@@ -29,6 +29,13 @@
         moment_s = now_s()
         view.record_success(moment_s)
         self.node_state.response_durations.record(route.name, moment_s - sent_s)
+        has_paused = self.node_state.own_pauses.has_paused_since(
+            sent_s, moment_s
+        )
+        if route.kind is not RequestKind.STREAM and not has_paused:
+            self.node_state.speeds.record_call(
+                view, route.name, sent_s, moment_s
+            )
 
     def record_head(
         self,
@@ -56,6 +63,7 @@
                 slowdown=load.slowdown,
                 now_s=now_s(),
             )
+            self.node_state.speeds.record_load(view)
 
     def record_departure(self, view: EngineView, head: ResponseHead) -> None:
         """Stop using a server whose response announces that it shuts down."""
--- a/src/arbutusbay/scheduling/__init__.py
+++ b/src/arbutusbay/scheduling/__init__.py
@@ -66,6 +66,7 @@
     outdated_engines,
     schedule_loads,
 )
+from arbutusbay.scheduling._speed_choice import time_factor
 from arbutusbay.scheduling._staleness import (
     is_fresh_enough,
     relayed_data_time_s,
@@ -135,6 +136,7 @@
     'short_prompt_share',
     'source_name',
     'takeover_delay_s',
+    'time_factor',
     'was_certainly_not_executed',
     'zone_report_interval_s',
 )
--- a/src/arbutusbay/scheduling/_engine_view.py
+++ b/src/arbutusbay/scheduling/_engine_view.py
@@ -9,6 +9,7 @@
 import attrs
 
 from arbutusbay.scheduling._occupancy import OccupancyTracker
+from arbutusbay.speeds import SpeedEstimate
 
 _INITIAL_BACKOFF_S = 0.6
 _REJECTION_PAUSE_S = 0.15
@@ -61,6 +62,7 @@
     ``running_requests`` the number of requests that the server reported as
     running. ``slowdown`` is the reported factor by which processing takes
     longer than normal, ``min_slowdown`` the lowest factor reported so far.
+    ``speed`` is what the durations of its responses show beside that.
     ``weights_changed_s`` is when a response last named a version that differed
     from the known one. ``assumed_weights`` holds the versions that replace
     ``weights`` in expectations after an engine refused these, and
@@ -89,6 +91,7 @@
     planned_load: PlannedWeightsLoad | None = None
     slowdown: float = 1.0
     min_slowdown: float = 1.0
+    speed: SpeedEstimate = attrs.field(factory=SpeedEstimate)
     weights_changed_s: float = float('-inf')
     assumed_weights: dict[str, int] = attrs.field(factory=dict)
     refused_versions: dict[str, frozenset[int]] = attrs.field(factory=dict)
@@ -111,12 +114,16 @@
     def record_load(
         self,
         *,
-        running_requests: int,
+        running_requests: int | None,
         slowdown: float,
         now_s: float,
     ) -> None:
-        """Record the load that a response reported."""
-        self.running_requests = running_requests
+        """Record the load that a response reported.
+
+        Of what another VM was told only the slowdown is known.
+        """
+        if running_requests is not None:
+            self.running_requests = running_requests
         self.slowdown = slowdown
         if self.load_reported_s:
             self.min_slowdown = min(self.min_slowdown, slowdown)
--- a/src/arbutusbay/scheduling/_placement.py
+++ b/src/arbutusbay/scheduling/_placement.py
@@ -16,9 +16,18 @@
 from arbutusbay.scheduling._engine_view import EngineView
 from arbutusbay.scheduling._occupancy import Occupancy
 from arbutusbay.scheduling._prompt_length_partition import is_long_prompt
+from arbutusbay.scheduling._speed_choice import (
+    choose_by_speed,
+    differ_in_speed,
+    draw_by_speed,
+    excess_requests,
+    momentary_factor,
+    time_factor,
+)
 
 _AFFINITY_REPLICAS = 2
 _RUNNING_REQUEST_COST_TOKENS = 40
+_EXCESS_REQUEST_COST_TOKENS = 400
 _OTHER_ZONE_COST_TOKENS = 60
 _TIE_MARGIN_TOKENS = 100
 _ERROR_RATE_COST_FACTOR = 3.0
@@ -173,8 +182,9 @@
     ]
     fitting = [choice for choice in choices if choice.has_capacity]
     if fitting:
-        return _cheapest(fitting, rng)
-    return attrs.evolve(_cheapest(choices, rng), lacks=_count_lacks(choices))
+        return _cheapest(fitting, placement_context.now_s, rng)
+    cheapest = _cheapest(choices, placement_context.now_s, rng)
+    return attrs.evolve(cheapest, lacks=_count_lacks(choices))
 
 
 def choose_plain_server(
@@ -186,10 +196,16 @@
 ) -> EngineChoice | None:
     """Return the least loaded backend server, None without servers.
 
-    On equal load, servers of the VM's own zone are preferred.
+    On equal load, servers of the VM's own zone are preferred. Servers of
+    different speeds get work in proportion to these instead.
     """
     if not engines:
         return None
+    if differ_in_speed(engines):
+        server = choose_by_speed(engines, now_s=now_s, rng=rng)
+        return EngineChoice(
+            engine=server, uncached_tokens=0, cost=_server_cost(server, now_s)
+        )
     ranked = [
         (
             round(_server_cost(engine, now_s), 1),
@@ -205,24 +221,22 @@
 
 def _server_cost(engine: EngineView, now_s: float) -> float:
     attempts = engine.occupancy.total(now_s).attempts
-    excess = max(0, attempts - engine.slots + 1)
+    excess = excess_requests(engine, attempts)
     errors = 1 + _ERROR_RATE_COST_FACTOR * engine.current_error_rate(now_s)
     load = 1 + attempts / max(1, engine.slots) + excess
-    return load * engine.current_slowdown(now_s) * errors
+    return load * time_factor(engine, now_s) * errors
 
 
 def _cheapest(
-    choices: Sequence[EngineChoice], rng: random.Random
+    choices: Sequence[EngineChoice], now_s: float, rng: random.Random
 ) -> EngineChoice:
     """Return one of the choices of nearly the lowest cost."""
     best = min(choice.cost for choice in choices)
-    return rng.choice(
-        [
-            choice
-            for choice in choices
-            if choice.cost <= best + _TIE_MARGIN_TOKENS
-        ],
-    )
+    near = [
+        choice for choice in choices if choice.cost <= best + _TIE_MARGIN_TOKENS
+    ]
+    engines = [choice.engine for choice in near]
+    return near[draw_by_speed(engines, now_s=now_s, rng=rng)]
 
 
 def _count_lacks(choices: Sequence[EngineChoice]) -> Mapping[Lack, int]:
@@ -242,20 +256,21 @@
             * placement_context.prefix_hit_saving
         )
     occupancy = engine.occupancy.total(placement_context.now_s)
-    slowdown = engine.current_slowdown(placement_context.now_s)
+    factor = time_factor(engine, placement_context.now_s)
     tokens = occupancy.uncached_tokens + uncached_tokens
     lack = _find_lack(request_size, engine, occupancy, placement_context)
     # An engine without queued prefill accepts a prompt of any length.
-    is_over = tokens * slowdown > placement_context.max_queued_tokens
+    is_over = tokens * factor > placement_context.max_queued_tokens
     if lack is None and occupancy.uncached_tokens and is_over:
         lack = Lack.PREFILL
-    cost = tokens + _contention_tokens(
+    waiting = occupancy.uncached_tokens + _contention_tokens(
         request_size, engine, occupancy, placement_context
     )
     return EngineChoice(
         engine=engine,
         uncached_tokens=uncached_tokens,
-        cost=cost * slowdown
+        cost=uncached_tokens * momentary_factor(engine, placement_context.now_s)
+        + waiting * factor
         + _penalty_tokens(request_size, engine, placement_context),
         has_capacity=lack is None,
         lacks={} if lack is None else {lack: 1},
@@ -273,7 +288,10 @@
         occupancy.attempts,
         engine.running_requests if occupancy.attempts else 0,
     )
+    taken = engine.speed.taken_requests(engine.slots)
+    excess = min(excess_requests(engine, running), engine.slots - taken)
     tokens = running * _RUNNING_REQUEST_COST_TOKENS
+    tokens += excess * _EXCESS_REQUEST_COST_TOKENS
     needed_kv_tokens = occupancy.kv_tokens + request_size.kv_tokens
     if (
         placement_context.cache_capacity_tokens
