--- a/src/arbutusbay/node/_server_speeds.py
+++ b/src/arbutusbay/node/_server_speeds.py
@@ -93,6 +93,8 @@
             for name, heard_s in self.heard_s.items()
             if heard_s > recent_s and name in views
         }
+        for gone in self.logged.keys() - views.keys():
+            self.logged.pop(gone)
         slowed = [
             views[name]
             for name, heard_s in self.heard_s.items()
