--- a/src/arbutusbay/node/_control_api.py
+++ b/src/arbutusbay/node/_control_api.py
@@ -85,6 +85,9 @@
                     'avoided': view.is_in_backoff(moment_s),
                     'loading': view.is_loading_weights(moment_s),
                     'attempts': view.occupancy.total(moment_s).attempts,
+                    'speed': round(view.speed.current_speed, 3),
+                    'taken': view.speed.taken_requests(view.slots),
+                    'slowdown': view.slowdown,
                 }
                 for view in node_state.engine_views.values()
             ],
@@ -131,17 +134,10 @@
         self.metrics.store_calls.set({}, self.store.call_count)
         for form, size_bytes in self.node_state.relayed_bytes.items():
             self.metrics.relayed_bytes.set({'form': form.value}, size_bytes)
-        for (
-            is_first,
-            is_saved,
-        ), count in self.node_state.prefix_placements.items():
-            self.metrics.prefix_placements.set(
-                {
-                    'owner': 'first' if is_first else 'other',
-                    'saved': 'yes' if is_saved else 'no',
-                },
-                count,
-            )
+        self.metrics.show_prefix_placements(self.node_state.prefix_placements)
+        self.metrics.show_servers(
+            self.node_state.engine_views.values(), now_s()
+        )
         quarantine = self.node_state.quarantine
         self.metrics.quarantined_segments.set(
             {}, len(quarantine.table.quarantined)
--- a/src/arbutusbay/node/_node_state.py
+++ b/src/arbutusbay/node/_node_state.py
@@ -17,6 +17,7 @@
 from arbutusbay.node._failed_reads import FailedReads
 from arbutusbay.node._own_pauses import OwnPauses
 from arbutusbay.node._peer_messages import ZoneLoad
+from arbutusbay.node._server_speeds import ServerSpeeds
 from arbutusbay.planned_stop import PlannedStop, ResponseDurations
 from arbutusbay.platform import VMSettings
 from arbutusbay.prefixes import SavedPrefixes
@@ -173,6 +174,7 @@
         prefix_placements: Requests with a shared prefix, by whether the first
             owner got them and whether they are saved.
         saved_prefixes: Shared prefixes that the stores of KV cache have.
+        speeds: How fast the backend servers are.
         stored_revisions: Revisions of the verdicts that the store holds.
         skipped_records: Why a coordination record was skipped, by its key.
         has_read_verdicts: Whether the verdicts in the store, or those of
@@ -217,6 +219,7 @@
     quarantine: SegmentQuarantine = attrs.field(factory=SegmentQuarantine)
     prefix_placements: Counter[tuple[bool, bool]] = attrs.field(factory=Counter)
     saved_prefixes: SavedPrefixes = attrs.field(factory=SavedPrefixes)
+    speeds: ServerSpeeds = attrs.field(factory=ServerSpeeds)
     stored_revisions: dict[SegmentKey, set[int]] = attrs.field(factory=dict)
     skipped_records: dict[str, str] = attrs.field(factory=dict)
     has_read_verdicts: bool = False
--- a/src/arbutusbay/node/_peer_messages.py
+++ b/src/arbutusbay/node/_peer_messages.py
@@ -28,6 +28,10 @@
     quarantine_from_fields,
     quarantine_to_fields,
 )
+from arbutusbay.node._speed_messages import (
+    speeds_from_fields,
+    speeds_to_fields,
+)
 from arbutusbay.node._waiting_messages import (
     returns_from_fields,
     returns_to_fields,
@@ -37,6 +41,7 @@
 from arbutusbay.prefixes import SavedReport
 from arbutusbay.quarantine import QuarantineReport
 from arbutusbay.scheduling import Occupancy, PlannedWeightsLoad, WorkTotals
+from arbutusbay.speeds import SpeedReport
 
 _WORK_UNIT_TOKENS = 1000
 _MS_PER_S = 1000
@@ -80,7 +85,8 @@
     recently, ``quarantine`` what the sender has on prompt segments that crash
     engines, ``waiting`` what waits at the sender, by service, and ``returns``
     the requests that it expects back, by their keys. ``saved_prefixes`` holds
-    what the stores got recently. ``is_leaving`` means that the sender stops.
+    what the stores got recently, ``speeds`` how long work took at which server.
+    ``is_leaving`` means that the sender stops.
     """
 
     name: str
@@ -97,6 +103,7 @@
     waiting: Mapping[str, WaitingReport] = attrs.field(factory=dict)
     returns: Mapping[int, ReturnWindow] = attrs.field(factory=dict)
     saved_prefixes: SavedReport = attrs.field(factory=SavedReport)
+    speeds: SpeedReport = attrs.field(factory=SpeedReport)
     is_leaving: bool = False
 
 
@@ -160,6 +167,9 @@
     saved = saved_to_fields(state.saved_prefixes)
     if saved:
         fields['k'] = saved
+    speeds = speeds_to_fields(state.speeds, now_s)
+    if speeds:
+        fields['v'] = speeds
     return orjson.dumps(fields)
 
 
@@ -221,6 +231,7 @@
         waiting=waiting_from_fields(fields.get('y', {})),
         returns=returns_from_fields(fields.get('r', ()), now_s),
         saved_prefixes=saved_from_fields(fields.get('k', {})),
+        speeds=speeds_from_fields(fields.get('v', {}), now_s),
         is_leaving=require_boolean(fields.get('x', False), 'x'),
     )
 
--- a/src/arbutusbay/node/_peer_reports.py
+++ b/src/arbutusbay/node/_peer_reports.py
@@ -15,6 +15,7 @@
 )
 from arbutusbay.prefixes import Origin, SavedReport
 from arbutusbay.scheduling import EngineView, PlannedWeightsLoad, WorkTotals
+from arbutusbay.speeds import SpeedReport
 
 _CHANGE_REPORT_S = 1.0
 _OWN = frozenset((Origin.OWN,))
@@ -75,6 +76,9 @@
             saved_prefixes=SavedReport(
                 saved=self.node_state.saved_prefixes.recent(_OWN, moment_s)
             ),
+            speeds=self.node_state.speeds.report(
+                self.node_state.engine_views, moment_s
+            ),
             weights={
                 view.id: _loaded_weights(view)
                 for view in views
@@ -131,6 +135,7 @@
             loads={},
             weights={},
             saved_prefixes=SavedReport(),
+            speeds=SpeedReport(),
         )
 
     def aggregator_report(
@@ -156,6 +161,7 @@
                     _OWN_ZONE if is_aggregator else frozenset(), now_s()
                 )
             ),
+            speeds=SpeedReport(),
         )
 
     def _must_report_weights(self, view: EngineView, moment_s: float) -> bool:
--- a/src/arbutusbay/node/_peer_state_receiver.py
+++ b/src/arbutusbay/node/_peer_state_receiver.py
@@ -43,6 +43,9 @@
         self._apply_engine_reports(state, moment_s)
         for zone, load in other_zones.items():
             self._apply_zone_load(zone, load, moment_s)
+        self.node_state.speeds.merge_report(
+            state.name, state.speeds, self.node_state.engine_views, moment_s
+        )
         self._apply_request_reports(state, moment_s)
 
     def drop_vms(self, names: Collection[str]) -> None:
@@ -54,6 +57,7 @@
             self.node_state.fleet_queues.drop(name)
             self.node_state.returns.record(name, {})
             _LOG.info('vm gone', fields={'vm': name})
+        self.node_state.speeds.book.drop_senders(names)
 
     def _apply_request_reports(self, state: PeerState, moment_s: float) -> None:
         """Apply what ``state`` reports of the requests that its VM has."""
--- a/src/arbutusbay/node/_placer.py
+++ b/src/arbutusbay/node/_placer.py
@@ -79,6 +79,7 @@
         incoming = request.incoming
         size = request_size_of(incoming)
         views = self.node_state.views_of_service(incoming.service.name)
+        self.node_state.speeds.refresh(incoming.service.name, views, moment_s)
         usable = eligible_engines(
             [
                 view
@@ -381,6 +382,7 @@
                 'prefix_source': placement.attempt_headers.kv_fetch_address,
                 'is_saved': bool(placement.attempt_headers.kv_save_address),
                 'slowdown': view.slowdown,
+                'speed': round(view.speed.current_speed, 3),
                 'load_age_ms': int((moment_s - view.load_reported_s) * 1000),
                 **stop_fields(self.node_state),
             },
