--- a/src/arbutusbay/node/_control_api.py
+++ b/src/arbutusbay/node/_control_api.py
@@ -143,9 +143,8 @@
             {}, len(quarantine.table.quarantined)
         )
         self.metrics.recent_engine_ends.set({}, len(quarantine.evidence.ends))
-        self.metrics.observe_queues(self.node_state.fleet_queues, now_s())
-        self.metrics.returned_requests.set(
-            {}, self.node_state.returns.taken_count
+        self.metrics.observe_queues(
+            self.node_state.fleet_queues, self.node_state.returns, now_s()
         )
         self.metrics.log_lines_dropped.set({}, self.log_writer.dropped_lines)
         self.quota_client.update_metrics()
--- a/src/arbutusbay/node/_metrics.py
+++ b/src/arbutusbay/node/_metrics.py
@@ -5,7 +5,7 @@
 from aioprometheus import REGISTRY, Counter, Gauge, Histogram
 from aioprometheus.renderer import render
 
-from arbutusbay.fairness import FleetQueues
+from arbutusbay.fairness import ExpectedReturns, FleetQueues
 from arbutusbay.fleet import RequestKind
 from arbutusbay.scheduling import EngineView, time_factor
 
@@ -85,8 +85,11 @@
         self.requests.inc(labels)
         self.duration.observe(labels, elapsed_s)
 
-    def observe_queues(self, queues: FleetQueues, now_s: float) -> None:
-        """Record what waits here, and how many places were left."""
+    def observe_queues(
+        self, queues: FleetQueues, returns: ExpectedReturns, now_s: float
+    ) -> None:
+        """Record what waits here and came back, and what places were left."""
+        self.returned_requests.set({}, returns.taken_count)
         for service, known in queues.by_service.items():
             labels = {'service': service}
             self.left_places.set(labels, known.left_places.left_count)
