Name the credit for a takeover alike wherever rate limits give it

``starts`` in a loan, an ask and the lender's ``last_start_s`` meant the credit that ``add_start_credit`` adds, which only the code of the owner told. Name them after it, say what the other fields of an ask are, and until when an owner's buckets are filled. ``_is_taking_over`` said most VMs, and means some.

--- a/src/arbutusbay/control/_quota_renewals.py
+++ b/src/arbutusbay/control/_quota_renewals.py
@@ -18,7 +18,7 @@
 class QuotaRenewals(Controller):
     """Renew the lease of each partition unless requests have done so.
 
-    ``known_owners`` holds the owner of each partition that was logged last.
+    ``known_owners`` holds the last chosen owner by the number of a partition.
     """
 
     quota: QuotaService
--- a/src/arbutusbay/control/_quota_shares.py
+++ b/src/arbutusbay/control/_quota_shares.py
@@ -49,7 +49,7 @@
                     own_vm=shared_state.node_id,
                     partition=number,
                     window_s=_BOUNDS.window_s,
-                    last_start_s=now_s(),
+                    last_credit_s=now_s(),
                 ),
             )
             for number in range(PARTITION_COUNT)
--- a/src/arbutusbay/node/quota/_client.py
+++ b/src/arbutusbay/node/quota/_client.py
@@ -33,6 +33,7 @@
 _LOG = get_logger('quota')
 _MAX_VMS_ASKED = 2
 _RETRY_AFTER_SILENCE_S = 0.5
+# An ask held for less is passed on as it came.
 _SAME_TURN_S = 0.05
 _MAX_REMEMBERED_REPLIES = 1024
 
@@ -75,7 +76,7 @@
                 vm=self.own_vm.name,
                 partition=partition.number,
                 lease_s=0,
-                starts=False,
+                adds_start_credit=False,
                 team=team,
                 cost=request.cost,
                 key=request.key,
@@ -246,14 +247,14 @@
         return attrs.evolve(
             ask,
             lease_s=times.lease_s if loan.lends else 0.0,
-            starts=loan.starts,
+            adds_start_credit=loan.adds_start_credit,
         )
 
     def _decide(self, partition: Partition, ask: Ask) -> Reply:
         """Decide on an ask here, with the share that it lends."""
         moment_s = now_s()
         owner = partition.owner
-        if ask.starts:
+        if ask.adds_start_credit:
             owner.add_start_credit(moment_s)
         # What arrived while this VM was suspended may be no longer lent.
         received_s = self.node_state.own_pauses.earliest_start_s(moment_s)
@@ -301,12 +302,13 @@
 def _pass_on(ask: Ask, held_s: float) -> Ask:
     """Return the ask of another VM after it was held here for a while.
 
-    Its lease began as it was sent. The credit was in the first message.
+    Its lease began as it was sent. Its credit was in the first message that
+    was passed on, which an owner may have received without a reply.
     """
     if held_s < _SAME_TURN_S:
         return ask
     return attrs.evolve(
-        ask, lease_s=max(0.0, ask.lease_s - held_s), starts=False
+        ask, lease_s=max(0.0, ask.lease_s - held_s), adds_start_credit=False
     )
 
 
--- a/src/arbutusbay/node/quota/_messages.py
+++ b/src/arbutusbay/node/quota/_messages.py
@@ -1,7 +1,7 @@
 """Encode and decode the messages about rate limits between VMs.
 
 A datagram holds a type byte and a JSON list of messages, each a list whose
-first element names its kind.
+first element names its kind. The fields of its class follow in their order.
 """
 
 from collections.abc import Callable, Iterable, Mapping
@@ -35,17 +35,19 @@
 class Ask:
     """Ask the owner of a partition, and lend it the share of a VM.
 
-    ``vm`` lends its share for ``lease_s`` seconds, 0 for no time. An empty
-    ``team`` asks for nothing else. ``rate_per_s`` and ``burst`` are its limit
-    in the ``version`` of the configuration that the VM has. ``is_relayed``
-    means that the VM could not reach the owner itself.
+    ``vm`` lends its share for ``lease_s`` seconds, 0 for no time, and with
+    ``adds_start_credit`` gives its credit for a takeover. An empty ``team``
+    asks for nothing else. ``cost``, ``key`` and ``patience_s`` are those of a
+    ``QuotaRequest``. ``rate_per_s`` and ``burst`` are the limit of the team in
+    the ``version`` of the configuration that the VM has. ``is_relayed`` means
+    that another VM passed the ask on.
     """
 
     number: int
     vm: str
     partition: int
     lease_s: float
-    starts: bool
+    adds_start_credit: bool
     team: str = ''
     cost: float = 0.0
     key: int = 0
@@ -154,10 +156,15 @@
 
 
 def _parse_request(
-    starts: Any, team: Any, cost: Any, key: Any, patience_s: Any, *limit: Any
+    adds_credit: Any,
+    team: Any,
+    cost: Any,
+    key: Any,
+    patience_s: Any,
+    *limit: Any,
 ) -> dict[str, Any]:
     return {
-        'starts': require_boolean(starts, 'starts'),
+        'adds_start_credit': require_boolean(adds_credit, 'starts'),
         'team': _require_name(team),
         'cost': require_number(cost, 'cost'),
         'key': require_count(key, 'key'),
--- a/src/arbutusbay/node/quota/_partitions.py
+++ b/src/arbutusbay/node/quota/_partitions.py
@@ -58,7 +58,7 @@
                     own_vm=own_vm.name,
                     partition=number,
                     window_s=quota_bounds.window_s,
-                    last_start_s=now_s(),
+                    last_credit_s=now_s(),
                 ),
             )
             for number in range(PARTITION_COUNT)
--- a/src/arbutusbay/node/quota/_renewals.py
+++ b/src/arbutusbay/node/quota/_renewals.py
@@ -15,7 +15,7 @@
 class ShareRenewals:
     """Renew the lease of each partition unless requests have done so.
 
-    ``known_owners`` holds the owner of each partition that was logged last.
+    ``known_owners`` holds the last chosen owner by the number of a partition.
     """
 
     def __init__(self, *, client: QuotaClient) -> None:
@@ -39,7 +39,7 @@
         moment_s = now_s()
         vms = self.partitions.vms
         chosen = lender.choose_owner(vms)
-        self._log_owner(partition, chosen)
+        self._record_owner(partition, chosen)
         silent = lender.vm_to_probe(vms, moment_s)
         if silent is not None:
             client.start(client.call(partition, silent, self._probe(partition)))
@@ -56,7 +56,7 @@
             vm=self.client.own_vm.name,
             partition=partition.number,
             lease_s=0,
-            starts=False,
+            adds_start_credit=False,
         )
 
     async def _leave(self, partition: Partition, owner: str) -> None:
@@ -76,7 +76,8 @@
                 return
         partition.lender.record_release(owner)
 
-    def _log_owner(self, partition: Partition, chosen: str) -> None:
+    def _record_owner(self, partition: Partition, chosen: str) -> None:
+        """Count and log a change of the owner."""
         known = self.known_owners.get(partition.number)
         if known == chosen:
             return
--- a/src/arbutusbay/quota/_bucket.py
+++ b/src/arbutusbay/quota/_bucket.py
@@ -4,8 +4,6 @@
 that arrive until then, it would be refused again, under load forever.
 """
 
-import math
-
 import attrs
 
 from arbutusbay.quota._terms import Decision, Granted, Refused
@@ -36,7 +34,10 @@
 
 @attrs.frozen(kw_only=True)
 class Reservation:
-    """Hold the tokens that a refused caller will find when it returns."""
+    """Hold the tokens that a refused caller will find when it returns.
+
+    ``cost`` is their number, ``due_s`` when the caller was told to return.
+    """
 
     cost: float
     due_s: float
@@ -176,8 +177,3 @@
         for key in expired:
             self.reservations.pop(key)
             self.returns.record(has_returned=False)
-
-
-def refuse_for_good() -> Refused:
-    """Refuse a request that costs more than its limit allows at any time."""
-    return Refused(retry_after_s=math.inf)
--- a/src/arbutusbay/quota/_lender.py
+++ b/src/arbutusbay/quota/_lender.py
@@ -61,12 +61,12 @@
 class Loan:
     """Hold what a message to an owner lends to it.
 
-    ``lends`` is whether the share is lent for the time of a lease, ``starts``
-    whether the owner gets the credit for a takeover.
+    ``lends`` is whether the share is lent for the time of a lease,
+    ``adds_start_credit`` whether the owner gets the credit for a takeover.
     """
 
     lends: bool
-    starts: bool
+    adds_start_credit: bool
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -75,14 +75,15 @@
 
     Times are in seconds on the clock of this VM. ``owner`` has the share until
     ``promised_until_s``; ``next_probe_s`` holds when each silent VM is asked
-    again. ``last_start_s`` is when the VM last gave the credit for a takeover,
+    again. ``asked_owner`` is the VM that the last message went to, at
+    ``last_sent_s``. ``last_credit_s`` is when the VM last gave the credit for a takeover,
     or started and forgot whether it had.
     """
 
     own_vm: str
     partition: int
     window_s: float
-    last_start_s: float
+    last_credit_s: float
     owner: str = ''
     promised_until_s: float = float('-inf')
     last_sent_s: float = float('-inf')
@@ -112,18 +113,18 @@
     def offer(self, owner: str, now_s: float, times: LeaseTimes) -> Loan:
         """Return what a message that is sent to ``owner`` now lends to it."""
         self.last_sent_s = now_s
-        starts = owner != self.asked_owner and self._may_start(now_s)
-        if starts:
-            self.last_start_s = now_s
+        adds_credit = owner != self.asked_owner and self._may_add_credit(now_s)
+        if adds_credit:
+            self.last_credit_s = now_s
         self.asked_owner = owner
         lends = owner == self.owner or now_s >= self.promised_until_s
         if lends:
             self.owner = owner
             self.promised_until_s = now_s + times.promise_s
-        return Loan(lends=lends, starts=starts)
+        return Loan(lends=lends, adds_start_credit=adds_credit)
 
     def is_renewal_due(self, now_s: float, times: LeaseTimes) -> bool:
-        """Return whether no request has renewed the lease lately."""
+        """Return whether no message has renewed the lease lately."""
         return now_s - self.last_sent_s >= times.renewal_s
 
     def owner_to_leave(self, chosen: str, now_s: float) -> str | None:
@@ -151,5 +152,5 @@
             self.owner = ''
             self.promised_until_s = float('-inf')
 
-    def _may_start(self, now_s: float) -> bool:
-        return now_s - self.last_start_s >= self.window_s + START_CREDIT_LIFE_S
+    def _may_add_credit(self, now_s: float) -> bool:
+        return now_s - self.last_credit_s >= self.window_s + START_CREDIT_LIFE_S
--- a/src/arbutusbay/quota/_owner.py
+++ b/src/arbutusbay/quota/_owner.py
@@ -6,6 +6,7 @@
 limit, however the fleet is divided and whoever believes to be the owner.
 """
 
+import math
 from collections.abc import Mapping
 
 import attrs
@@ -14,7 +15,6 @@
     START_CREDIT_LIFE_S,
     Bucket,
     QuotaRequest,
-    refuse_for_good,
 )
 from arbutusbay.quota._terms import (
     Decision,
@@ -25,7 +25,7 @@
 
 # While an owner takes over, shares come faster than its rate tells.
 _RETRY_AFTER_TAKEOVER_S = 1.0
-_MOST = 0.5
+_MAJORITY_SHARE = 0.5
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -33,13 +33,13 @@
     """Hold the buckets of some teams, and the shares lent for them.
 
     ``expiry_by_vm`` holds until when each VM has lent its share, and
-    ``started_s`` is when the first of them lent it. All times are in seconds
-    on the clock of this VM.
+    ``started_s`` is when the first of them lent it. The buckets hold what came
+    until ``filled_until_s``. All times are in seconds on the clock of this VM.
     """
 
     bounds: QuotaBounds
     vm_count: int = 1
-    moment_s: float = float('-inf')
+    filled_until_s: float = float('-inf')
     started_s: float = float('-inf')
     expiry_by_vm: dict[str, float] = attrs.field(factory=dict)
     terms_by_team: dict[str, QuotaTerms] = attrs.field(factory=dict)
@@ -52,7 +52,7 @@
         return lenders / max(self.vm_count, lenders, 1)
 
     def resize_fleet(self, vm_count: int, now_s: float) -> None:
-        """Divide the limits by the number of VMs that the fleet has."""
+        """Divide the limits by the number of VMs in the fleet."""
         if vm_count == self.vm_count:
             return
         self.advance(now_s)
@@ -111,7 +111,7 @@
         self._apply(team, terms)
         capacity = self.terms_by_team[team].capacity(self.bounds)
         if request.cost > capacity:
-            return refuse_for_good()
+            return Refused(retry_after_s=math.inf)
         match self.buckets[team].take(request, now_s):
             case Refused(retry_after_s=wait_s) if self._is_taking_over(now_s):
                 return Refused(
@@ -140,14 +140,14 @@
         self._fill(now_s)
 
     def _is_taking_over(self, now_s: float) -> bool:
-        """Return whether most VMs may still lend their share to another."""
+        """Return whether some VMs may still lend their share to another."""
         return self.share < 1 and now_s - self.started_s < START_CREDIT_LIFE_S
 
     def _fill(self, now_s: float) -> None:
-        elapsed_s = now_s - self.moment_s
+        elapsed_s = now_s - self.filled_until_s
         if elapsed_s <= 0:
             return
-        self.moment_s = now_s
+        self.filled_until_s = now_s
         if not self.expiry_by_vm:
             return
         for bucket in self.buckets.values():
@@ -168,12 +168,12 @@
     def _resize_team(self, team: str) -> None:
         """Give a team the part of its limit that was lent to this owner.
 
-        The one owner that has most shares may grant a request that needs all
-        of them, so that the loss of a VM doesn't refuse it for a minute.
+        The owner that has most of the shares may grant a request that needs
+        all of them, so that the loss of a VM doesn't refuse it for a minute.
         """
         terms = self.terms_by_team[team]
         self.buckets[team].resize(
             capacity=terms.capacity(self.bounds) * self.share,
             rate_per_s=terms.rate_per_s * self.share,
-            may_borrow=self.share > _MOST,
+            may_borrow=self.share > _MAJORITY_SHARE,
         )
--- a/tests/quota_fleet.py
+++ b/tests/quota_fleet.py
@@ -185,7 +185,7 @@
                 own_vm=name,
                 partition=_PARTITION,
                 window_s=self.bounds.window_s,
-                last_start_s=started_s,
+                last_credit_s=started_s,
             ),
             terms=self.terms,
         )
@@ -233,7 +233,7 @@
     def _receive(
         self, target: FakeVM, sender: str, loan: Loan, until_s: float
     ) -> None:
-        if loan.starts:
+        if loan.adds_start_credit:
             target.owner.add_start_credit(self.now_s)
         if loan.lends:
             target.owner.lend(sender, self.now_s, until_s=until_s)
--- a/tests/unit/test_quota_client.py
+++ b/tests/unit/test_quota_client.py
@@ -188,7 +188,7 @@
             vm='vm-9',
             partition=partition.number,
             lease_s=1.2,
-            starts=True,
+            adds_start_credit=True,
         ),
     )
     promised_until_s = received_s + 1.25
--- a/tests/unit/test_quota_messages.py
+++ b/tests/unit/test_quota_messages.py
@@ -34,7 +34,7 @@
             vm=_NAMES,
             partition=_PARTITIONS,
             lease_s=st.floats(0, 60),
-            starts=st.booleans(),
+            adds_start_credit=st.booleans(),
             team=_NAMES,
             cost=_AMOUNTS,
             key=_NUMBERS,
@@ -74,7 +74,9 @@
 @pytest.mark.parametrize('position', (1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12))
 @pytest.mark.parametrize('odd', _ODD_VALUES)
 def test_odd_values_are_rejected_or_harmless(position, odd):
-    ask = Ask(number=1, vm='v', partition=0, lease_s=1.0, starts=False)
+    ask = Ask(
+        number=1, vm='v', partition=0, lease_s=1.0, adds_start_credit=False
+    )
     fields = orjson.loads(messages_to_bytes([ask])[1:])[0]
     fields[position] = odd
     decoded = messages_from_bytes(DATAGRAM_TYPE + orjson.dumps([fields]))
