Build the partitions of rate limits in one place for both edges

The node daemon and the control daemon each had a class of the same three fields, the same loop that creates it and the same choice of the partitions with a limit. Both now use ``QuotaPartition``, ``create_partitions`` and ``apply_limits``.

--- a/src/arbutusbay/control/_quota_renewals.py
+++ b/src/arbutusbay/control/_quota_renewals.py
@@ -6,9 +6,9 @@
 
 from arbutusbay.clock import now_s
 from arbutusbay.control._quota_service import QuotaService
-from arbutusbay.control._quota_shares import QuotaPartition
 from arbutusbay.controller import Controller
 from arbutusbay.logs import get_logger
+from arbutusbay.quota import QuotaPartition
 from arbutusbay.wire import QuotaLoan
 
 _LOG = get_logger('quota')
--- a/src/arbutusbay/control/_quota_service.py
+++ b/src/arbutusbay/control/_quota_service.py
@@ -3,13 +3,13 @@
 Each VM lends its share of the limits to one owner at a time, which decides.
 """
 
-import attrs
 import aiohttp
+import attrs
 from result import Err, Ok, Result
 
 from arbutusbay.clock import milliseconds, now_s
 from arbutusbay.control._metrics import ControlMetrics
-from arbutusbay.control._quota_shares import QuotaPartition, QuotaShares
+from arbutusbay.control._quota_shares import QuotaShares
 from arbutusbay.control._shared_state import ControlState
 from arbutusbay.errors import ErrorKind, Failure
 from arbutusbay.http import call_peer
@@ -17,6 +17,7 @@
 from arbutusbay.quota import (
     PARTITION_COUNT,
     Granted,
+    QuotaPartition,
     QuotaRequest,
     QuotaTerms,
     Refused,
@@ -24,7 +25,7 @@
 from arbutusbay.wire import QuotaAsk, QuotaLoan, QuotaReply, QuotaReturn
 
 _LOG = get_logger('quota')
-# Below the time that a lease is promised for longer than it is used.
+# Shorter than a lease is promised for beyond its use: ``LeaseTimes``.
 _CALL_TIMEOUT_S = 0.5
 _MAX_OWNERS_ASKED = 2
 _RETRY_AFTER_SILENCE_MS = 500
@@ -162,7 +163,7 @@
         return attrs.evolve(loan, lease_ms=lease_ms)
 
     def _decide(self, partition: QuotaPartition, loan: QuotaLoan) -> QuotaReply:
-        """Decide here, with the share that comes with the ask."""
+        """Decide on a loan here, with the share that it lends."""
         moment_s = now_s()
         lease_s = min(loan.lease_ms, _MAX_LEASE_MS) / 1000
         partition.owner.lend(loan.node, moment_s, until_s=moment_s + lease_s)
--- a/src/arbutusbay/control/_quota_shares.py
+++ b/src/arbutusbay/control/_quota_shares.py
@@ -1,16 +1,14 @@
 """Hold this VM's part in the limits of teams, partition by partition."""
 
-import attrs
-
 from arbutusbay.clock import now_s
 from arbutusbay.control._shared_state import ControlState
 from arbutusbay.quota import (
-    PARTITION_COUNT,
     LeaseTimes,
     QuotaBounds,
-    QuotaOwner,
+    QuotaPartition,
     QuotaTerms,
-    ShareLender,
+    apply_limits,
+    create_partitions,
     lease_times,
     partition_of,
 )
@@ -22,15 +20,6 @@
 _BOUNDS = QuotaBounds()
 
 
-@attrs.frozen(kw_only=True)
-class QuotaPartition:
-    """Hold what this VM may decide in a partition, and whom it lends to."""
-
-    number: int
-    owner: QuotaOwner
-    lender: ShareLender
-
-
 class QuotaShares:
     """Keep the partitions as the configuration and the list of VMs say.
 
@@ -41,18 +30,8 @@
     def __init__(self, *, shared_state: ControlState) -> None:
         """Create the partitions of a VM that has lent nothing yet."""
         self.shared_state = shared_state
-        self.partitions = tuple(
-            QuotaPartition(
-                number=number,
-                owner=QuotaOwner(bounds=_BOUNDS),
-                lender=ShareLender(
-                    own_vm=shared_state.node_id,
-                    partition=number,
-                    window_s=_BOUNDS.window_s,
-                    last_credit_s=now_s(),
-                ),
-            )
-            for number in range(PARTITION_COUNT)
+        self.partitions = create_partitions(
+            shared_state.node_id, _BOUNDS, now_s()
         )
         self.limits: dict[str, QuotaTerms] = {}
         self.used: tuple[QuotaPartition, ...] = ()
@@ -100,21 +79,7 @@
             ).items()
             if team.spec.quota is not None and team.spec.quota.is_limiting
         }
-        numbers = {partition_of(team) for team in self.limits}
-        self.used = tuple(
-            partition
-            for partition in self.partitions
-            if partition.number in numbers
-        )
-        for partition in self.partitions:
-            partition.owner.apply_limits(
-                {
-                    team: terms
-                    for team, terms in self.limits.items()
-                    if partition_of(team) == partition.number
-                },
-                moment_s,
-            )
+        self.used = apply_limits(self.partitions, self.limits, moment_s)
 
     def _count_vms(self) -> int:
         """Return how many VMs may lend a share, also silent ones."""
--- a/src/arbutusbay/node/quota/_client.py
+++ b/src/arbutusbay/node/quota/_client.py
@@ -26,9 +26,15 @@
 )
 from arbutusbay.node.quota._metrics import QuotaMetrics
 from arbutusbay.node.quota._outbox import Address, Outbox
-from arbutusbay.node.quota._partitions import Partition, QuotaPartitions
+from arbutusbay.node.quota._partitions import QuotaPartitions
 from arbutusbay.node.quota._peer_calls import PeerCalls
-from arbutusbay.quota import Granted, QuotaRequest, QuotaTerms, Refused
+from arbutusbay.quota import (
+    Granted,
+    QuotaPartition,
+    QuotaRequest,
+    QuotaTerms,
+    Refused,
+)
 
 _LOG = get_logger('quota')
 _MAX_VMS_ASKED = 2
@@ -133,7 +139,7 @@
             for partition in self.partitions.used
         ]
 
-    async def ask_owner(self, partition: Partition, ask: Ask) -> Reply:
+    async def ask_owner(self, partition: QuotaPartition, ask: Ask) -> Reply:
         """Ask the VMs that may be the owner until one of them replies."""
         is_own = ask.vm == self.own_vm.name
         began_s = now_s()
@@ -158,7 +164,7 @@
         )
 
     async def call(
-        self, partition: Partition, vm: str, call: Ask | Release
+        self, partition: QuotaPartition, vm: str, call: Ask | Release
     ) -> Reply | None:
         """Call another VM, and record whether it replied."""
         address = self.partitions.address_of(vm)
@@ -223,7 +229,7 @@
         self.outbox.add(address, known or Forwarded(number=number))
 
     async def _relay(
-        self, partition: Partition, ask: Ask, address: Address
+        self, partition: QuotaPartition, ask: Ask, address: Address
     ) -> None:
         reply = await self.ask_owner(partition, ask)
         reply = attrs.evolve(reply, number=ask.number)
@@ -241,7 +247,7 @@
         if isinstance(late, Ask) and late.team and reply.retry_after_s is None:
             self.give_back(late.team, late.cost, reply.owner)
 
-    def _offer(self, partition: Partition, owner: str, ask: Ask) -> Ask:
+    def _offer(self, partition: QuotaPartition, owner: str, ask: Ask) -> Ask:
         times = self.partitions.times
         loan = partition.lender.offer(owner, now_s(), times)
         return attrs.evolve(
@@ -250,7 +256,7 @@
             adds_start_credit=loan.adds_start_credit,
         )
 
-    def _decide(self, partition: Partition, ask: Ask) -> Reply:
+    def _decide(self, partition: QuotaPartition, ask: Ask) -> Reply:
         """Decide on an ask here, with the share that it lends."""
         moment_s = now_s()
         owner = partition.owner
@@ -312,7 +318,7 @@
     )
 
 
-def _describe_partition(partition: Partition) -> dict[str, Any]:
+def _describe_partition(partition: QuotaPartition) -> dict[str, Any]:
     owner = partition.owner
     owner.advance(now_s())
     return {
--- a/src/arbutusbay/node/quota/_partitions.py
+++ b/src/arbutusbay/node/quota/_partitions.py
@@ -1,18 +1,16 @@
 """Hold this VM's part in the rate limits, partition by partition."""
 
-import attrs
-
 from arbutusbay.clock import now_s
 from arbutusbay.fleet import Configuration, QuotaSpec, VMRegistration
 from arbutusbay.node._node_state import NodeState
 from arbutusbay.platform import parse_endpoint
 from arbutusbay.quota import (
-    PARTITION_COUNT,
     LeaseTimes,
     QuotaBounds,
-    QuotaOwner,
+    QuotaPartition,
     QuotaTerms,
-    ShareLender,
+    apply_limits,
+    create_partitions,
     lease_times,
     partition_of,
 )
@@ -22,15 +20,6 @@
 _MAX_VMS = 400
 
 
-@attrs.frozen(kw_only=True)
-class Partition:
-    """Hold what this VM may decide in a partition, and whom it lends to."""
-
-    number: int
-    owner: QuotaOwner
-    lender: ShareLender
-
-
 class QuotaPartitions:
     """Keep the partitions as the configuration and the list of VMs say.
 
@@ -45,25 +34,16 @@
         self.node_state = node_state
         self.own_vm = own_vm
         bounds = node_state.settings.bounds
-        quota_bounds = QuotaBounds(
-            window_s=bounds.quota_window_s,
-            overshoot=bounds.quota_overshoot,
-            slack=bounds.quota_slack,
+        self.partitions = create_partitions(
+            own_vm.name,
+            QuotaBounds(
+                window_s=bounds.quota_window_s,
+                overshoot=bounds.quota_overshoot,
+                slack=bounds.quota_slack,
+            ),
+            now_s(),
         )
-        self.partitions = tuple(
-            Partition(
-                number=number,
-                owner=QuotaOwner(bounds=quota_bounds),
-                lender=ShareLender(
-                    own_vm=own_vm.name,
-                    partition=number,
-                    window_s=quota_bounds.window_s,
-                    last_credit_s=now_s(),
-                ),
-            )
-            for number in range(PARTITION_COUNT)
-        )
-        self.used: tuple[Partition, ...] = ()
+        self.used: tuple[QuotaPartition, ...] = ()
         self.limits: dict[str, QuotaSpec] = {}
         self.vms: tuple[str, ...] = (own_vm.name,)
         self.vm_count = 1
@@ -80,7 +60,7 @@
         """Return the times of a lease in this fleet."""
         return lease_times(self.vm_count)
 
-    def of_team(self, team: str) -> Partition:
+    def of_team(self, team: str) -> QuotaPartition:
         """Return the partition of a team."""
         return self.partitions[partition_of(team)]
 
@@ -94,7 +74,7 @@
             self.members_expire_s = moment_s + _MEMBERS_TTL_S
             self._apply_members(moment_s)
 
-    def choose_owner(self, partition: Partition) -> str:
+    def choose_owner(self, partition: QuotaPartition) -> str:
         """Return the VM that this VM takes for the owner of a partition."""
         return partition.lender.choose_owner(self.vms)
 
@@ -113,19 +93,11 @@
             for team in configuration.teams_by_api_key.values()
             if team.quota is not None
         }
-        numbers = {partition_of(team) for team in self.limits}
-        self.used = tuple(
-            partition
-            for partition in self.partitions
-            if partition.number in numbers
-        )
-        for partition in self.partitions:
-            terms = {
-                team: quota_terms(quota, configuration.version)
-                for team, quota in self.limits.items()
-                if partition_of(team) == partition.number
-            }
-            partition.owner.apply_limits(terms, now_s())
+        terms = {
+            team: quota_terms(quota, configuration.version)
+            for team, quota in self.limits.items()
+        }
+        self.used = apply_limits(self.partitions, terms, now_s())
 
     def _apply_members(self, moment_s: float) -> None:
         members = self.node_state.members
--- a/src/arbutusbay/node/quota/_renewals.py
+++ b/src/arbutusbay/node/quota/_renewals.py
@@ -6,7 +6,7 @@
 from arbutusbay.logs import get_logger
 from arbutusbay.node.quota._client import QuotaClient
 from arbutusbay.node.quota._messages import Ask, Release
-from arbutusbay.node.quota._partitions import Partition
+from arbutusbay.quota import QuotaPartition
 
 _LOG = get_logger('quota')
 _TICK_S = 0.1
@@ -32,7 +32,7 @@
                 self._renew(partition)
             await asyncio.sleep(_TICK_S)
 
-    def _renew(self, partition: Partition) -> None:
+    def _renew(self, partition: QuotaPartition) -> None:
         """Renew the lease of this VM's share, and look for a better owner."""
         client = self.client
         lender = partition.lender
@@ -49,7 +49,7 @@
         elif lender.is_renewal_due(moment_s, self.partitions.times):
             client.start(client.ask_owner(partition, self._probe(partition)))
 
-    def _probe(self, partition: Partition) -> Ask:
+    def _probe(self, partition: QuotaPartition) -> Ask:
         """Return an ask for nothing, which lends nothing yet."""
         return Ask(
             number=self.client.calls.next_number(),
@@ -59,7 +59,7 @@
             adds_start_credit=False,
         )
 
-    async def _leave(self, partition: Partition, owner: str) -> None:
+    async def _leave(self, partition: QuotaPartition, owner: str) -> None:
         if owner == self.client.own_vm.name:
             partition.owner.release(owner, now_s())
         else:
@@ -76,7 +76,7 @@
                 return
         partition.lender.record_release(owner)
 
-    def _record_owner(self, partition: Partition, chosen: str) -> None:
+    def _record_owner(self, partition: QuotaPartition, chosen: str) -> None:
         """Count and log a change of the owner."""
         known = self.known_owners.get(partition.number)
         if known == chosen:
--- a/src/arbutusbay/quota/__init__.py
+++ b/src/arbutusbay/quota/__init__.py
@@ -21,6 +21,11 @@
     rank_owners,
 )
 from arbutusbay.quota._owner import QuotaOwner
+from arbutusbay.quota._partition import (
+    QuotaPartition,
+    apply_limits,
+    create_partitions,
+)
 from arbutusbay.quota._terms import (
     Decision,
     Granted,
@@ -39,11 +44,14 @@
     'Loan',
     'QuotaBounds',
     'QuotaOwner',
+    'QuotaPartition',
     'QuotaRequest',
     'QuotaTerms',
     'Refused',
     'Reservation',
     'ShareLender',
+    'apply_limits',
+    'create_partitions',
     'lease_times',
     'partition_of',
     'rank_owners',
--- a/src/arbutusbay/scheduling/__init__.py
+++ b/src/arbutusbay/scheduling/__init__.py
@@ -42,8 +42,8 @@
 from arbutusbay.scheduling._prompt_length_partition import (
     RecentWork,
     WorkTotals,
-    rank_engines,
     engines_for_length,
+    rank_engines,
     short_prompt_fractions,
     short_prompt_share,
 )
