Say what the maps and numbers of a prefix plan hold

``owners`` is a map of ranks, not an order, ``_MAX_LOAD_FACTOR`` a multiple of the mean, and an engine above it comes last rather than being no owner. The greatest hash of a prefix stood in two modules, the size of a request was computed twice for a plan.

--- a/src/arbutusbay/node/_prefix_messages.py
+++ b/src/arbutusbay/node/_prefix_messages.py
@@ -4,9 +4,7 @@
 from typing import Any
 
 from arbutusbay.checked_values import require_count, require_list
-from arbutusbay.prefixes import MAX_REPORTED, SavedReport
-
-_MAX_HASH = 0xFFFFFFFF
+from arbutusbay.prefixes import MAX_PREFIX_HASH, MAX_REPORTED, SavedReport
 
 
 def saved_to_fields(report: SavedReport) -> dict[str, Sequence[int]]:
@@ -31,6 +29,6 @@
 
 def _hashes(encoded: Any) -> tuple[int, ...]:
     return tuple(
-        require_count(prefix_hash, 'k', highest=_MAX_HASH)
+        require_count(prefix_hash, 'k', highest=MAX_PREFIX_HASH)
         for prefix_hash in require_list(encoded, 'k')[:MAX_REPORTED]
     )
--- a/src/arbutusbay/node/_prefix_planner.py
+++ b/src/arbutusbay/node/_prefix_planner.py
@@ -39,11 +39,12 @@
         """Return the plan for a request, None where engines can't fetch."""
         service = incoming.service
         configuration = self.node_state.configuration
-        if configuration is None or not can_fetch(service):
+        if configuration is None or not _can_fetch(service):
             return None
-        prefix_key = self._prefix_key(incoming, configuration)
         model = incoming.parsed_headers.model
         size = request_size_of(incoming)
+        scope = cache_scope(configuration, incoming.team)
+        prefix_key = f'{scope}/{size.affinity_key}'
         caches = [self._engine_cache(view, model, moment_s) for view in usable]
         owner_ids = engines_for_length(size.prompt_tokens, usable, fractions)
         return plan_prefix(
@@ -62,7 +63,7 @@
         )
 
     def record_sent(self, placement: Placement) -> None:
-        """Count a request that is sent."""
+        """Count a request with a shared prefix that is sent."""
         plan = placement.prefix_plan
         if plan is None or not plan.prefix.tokens:
             return
@@ -81,12 +82,6 @@
             key = _saved_key(plan.prefix.key, headers.weights_version)
             self.node_state.saved_prefixes.record(key, now_s())
 
-    def _prefix_key(
-        self, incoming: IncomingRequest, configuration: Configuration
-    ) -> str:
-        scope = cache_scope(configuration, incoming.team)
-        return f'{scope}/{request_size_of(incoming).affinity_key}'
-
     def _saved_versions(
         self, prefix_key: str, caches: Sequence[EngineCache], moment_s: float
     ) -> frozenset[int | None]:
@@ -115,11 +110,11 @@
 
 
 def _saved_key(prefix_key: str, version: int | None) -> str:
-    """Return the name of a prefix in the stores: versions have their own."""
+    """Return the name of a prefix in the stores for a version of weights."""
     return f'{version}/{prefix_key}'
 
 
-def can_fetch(service: ServiceSpec) -> bool:
+def _can_fetch(service: ServiceSpec) -> bool:
     """Return whether the time of a fetch is known for a service."""
     return service.kv_token_bytes > 0 and service.link_bytes_per_s > 0
 
--- a/src/arbutusbay/prefixes/__init__.py
+++ b/src/arbutusbay/prefixes/__init__.py
@@ -1,9 +1,10 @@
-"""Expose the decisions on where shared prefixes of prompts live."""
+"""Expose the decisions on which engines hold shared prefixes of prompts."""
 
 from arbutusbay.prefixes._cache_ages import CacheAges
 from arbutusbay.prefixes._plan import PrefixPlan, plan_prefix
 from arbutusbay.prefixes._popularity import PrefixPopularity
 from arbutusbay.prefixes._saved import (
+    MAX_PREFIX_HASH,
     MAX_REPORTED,
     Origin,
     SavedPrefixes,
@@ -17,6 +18,7 @@
 )
 
 __all__ = (
+    'MAX_PREFIX_HASH',
     'MAX_REPORTED',
     'CacheAges',
     'CacheStoreSite',
--- a/src/arbutusbay/prefixes/_cache_ages.py
+++ b/src/arbutusbay/prefixes/_cache_ages.py
@@ -28,7 +28,10 @@
         weights_version: int | None,
         now_s: float,
     ) -> float:
-        """Return for how long the cache of an engine has been filled."""
+        """Return for how many seconds the cache of an engine has been filled.
+
+        It is infinity for an engine that may be older than this VM.
+        """
         known = self.fillings.get(engine_id)
         is_same = (
             known is not None
--- a/src/arbutusbay/prefixes/_plan.py
+++ b/src/arbutusbay/prefixes/_plan.py
@@ -3,8 +3,8 @@
 The owner is the first engine in the rendezvous order of the prefix, so all
 VMs agree on it without a message. An engine with much more than the mean load
 takes none (consistent hashing with bounded loads): the engines behind it do,
-in this order, and copy the prefix instead of reading it: from
-the store of the prefix, or from the owner where there is no store.
+in this order, and copy the prefix instead of reading it: from the store of
+the prefix, or from the owner where there is no store.
 """
 
 from collections.abc import Collection, Mapping, Sequence
@@ -28,7 +28,7 @@
 # A copy takes the place of as much that is read or fetched again later.
 _COPY_COST_SHARE = 1.0
 _COPY_COST_DECAY = 0.5
-# An engine with more attempts than this is no owner for now.
+# An engine with more than this times the mean attempts comes last for now.
 _MAX_LOAD_FACTOR = 1.5
 _MIN_LOAD_BOUND = 1
 
@@ -37,8 +37,9 @@
 class PrefixPlan:
     """Tell what each engine would read of a shared prefix, and from where.
 
-    ``owners`` is the order in which engines take requests with the prefix,
-    ``caches`` the engines that may be chosen. ``store`` keeps the prefix
+    ``owners`` maps engines to their rank, from 0, in the order in which they
+    take requests with the prefix, ``caches`` the engines that may be chosen to
+    what is known of their caches. ``store`` keeps the prefix
     outside the engines, None if there is no store; it was saved lately for
     ``saved_versions`` of the weights. The first ``replicas`` owners take
     requests alike.
@@ -135,32 +136,32 @@
     saved_versions: Collection[int | None] = (),
     replicas: int = 1,
 ) -> PrefixPlan:
-    """Return the plan for a prefix; ``owner_ids`` may own it.
+    """Return the plan for a prefix; ``owner_ids``, of ``caches``, may own it.
 
     Each prefix has one store, whatever the engine, so that the stores
     together keep as much as they can and the loss of an engine moves nothing.
     """
     caches_by_id = {cache.id: cache for cache in caches}
-    ranked = _loaded_last(
+    ranked = _overloaded_last(
         [
             caches_by_id[engine_id]
             for engine_id in rank_by_rendezvous_hash(prefix.key, owner_ids)
         ]
     )
     stores_by_address = {store.address: store for store in stores}
-    homes = rank_by_rendezvous_hash(prefix.key, stores_by_address)
+    addresses = rank_by_rendezvous_hash(prefix.key, stores_by_address)
     return PrefixPlan(
         prefix=prefix,
         owners={cache.id: rank for rank, cache in enumerate(ranked)},
         caches=caches_by_id,
         transfer=transfer,
-        store=stores_by_address[homes[0]] if homes else None,
+        store=stores_by_address[addresses[0]] if addresses else None,
         saved_versions=saved_versions,
         replicas=replicas,
     )
 
 
-def _loaded_last(ranked: Sequence[EngineCache]) -> list[EngineCache]:
+def _overloaded_last(ranked: Sequence[EngineCache]) -> list[EngineCache]:
     """Return the engines in order, those with too much load at the end."""
     attempts = sum(cache.attempts for cache in ranked)
     bound = _MIN_LOAD_BOUND + _MAX_LOAD_FACTOR * attempts / max(1, len(ranked))
--- a/src/arbutusbay/prefixes/_popularity.py
+++ b/src/arbutusbay/prefixes/_popularity.py
@@ -1,7 +1,6 @@
 """Estimate how many engines should hold a shared prefix."""
 
 import math
-from collections.abc import Callable
 
 import attrs
 
@@ -11,7 +10,7 @@
 _DISCOUNT = 1.0
 # Few requests say little of their shares.
 _PRIOR_REQUESTS = 4
-# The engines that hold a hot prefix serve others as well.
+# The engines that hold a common prefix serve others as well.
 _HEADROOM = 3.0
 
 
@@ -32,7 +31,7 @@
     """Count this VM's own requests by their shared prefix.
 
     The requests of a VM are a sample of those of the fleet, so a prefix that is
-    hot in the fleet is soon so here, without a message.
+    common in the fleet is soon so here, without a message.
     """
 
     def __init__(self) -> None:
@@ -45,7 +44,7 @@
         self.total.add(now_s)
         self.counts.setdefault(key, _Count()).add(now_s)
         if len(self.counts) > _MAX_KEYS:
-            self._keep_half(lambda count: count.value_at(now_s))
+            self._keep_half(now_s)
 
     def replicas(self, key: str, engines: int, now_s: float) -> int:
         """Return how many of the engines should hold a prefix.
@@ -60,9 +59,9 @@
         share = seen / (_PRIOR_REQUESTS + self.total.value_at(now_s))
         return max(1, min(engines, math.ceil(share * engines * _HEADROOM)))
 
-    def _keep_half(self, weight_of: Callable[[_Count], float]) -> None:
+    def _keep_half(self, now_s: float) -> None:
         ranked = sorted(
-            self.counts, key=lambda key: weight_of(self.counts[key])
+            self.counts, key=lambda key: self.counts[key].value_at(now_s)
         )
         for key in ranked[: len(ranked) // 2]:
             self.counts.pop(key)
--- a/src/arbutusbay/prefixes/_saved.py
+++ b/src/arbutusbay/prefixes/_saved.py
@@ -17,7 +17,7 @@
 _REPORTED_S = 1.0
 _MAX_ENTRIES = 8192
 MAX_REPORTED = 64
-_HASH_MASK = 0xFFFFFFFF
+MAX_PREFIX_HASH = 0xFFFFFFFF
 
 
 class Origin(enum.Enum):
@@ -58,7 +58,7 @@
         self.entries: dict[int, _Entry] = {}
 
     def is_saved(self, key: str, now_s: float) -> bool:
-        """Return whether a store has the prefix under this salt, likely."""
+        """Return whether a store likely has the prefix named ``key``."""
         entry = self.entries.get(hash_prefix(key))
         return entry is not None and now_s - entry.learned_s < _TTL_S
 
@@ -107,5 +107,5 @@
 
 
 def hash_prefix(key: str) -> int:
-    """Return the hash under which VMs report a prefix and its salt."""
-    return xxhash.xxh64_intdigest(key.encode()) & _HASH_MASK
+    """Return the hash by which VMs report the prefix named ``key``."""
+    return xxhash.xxh64_intdigest(key.encode()) & MAX_PREFIX_HASH
--- a/src/arbutusbay/prefixes/_types.py
+++ b/src/arbutusbay/prefixes/_types.py
@@ -42,9 +42,10 @@
 
 @attrs.frozen(kw_only=True)
 class TransferSpec:
-    """Tell how long it takes to move cache to an engine, and to read it.
+    """Tell how long it takes to move cache to an engine, or to prefill it.
 
-    ``token_s`` is for a token over the engine's own link, within a zone.
+    ``token_s`` is the time to move the cache of one token over the engine's
+    own link, within a zone.
     """
 
     token_s: float
