Name the work that orders teams and the last time that requests waited

``pressure``, ``allowance_per_token`` and ``short_s`` needed their docstrings to be understood, and the age of a report was checked in two places.

--- a/src/arbutusbay/fairness/_expected_returns.py
+++ b/src/arbutusbay/fairness/_expected_returns.py
@@ -15,7 +15,7 @@
 MAX_REPORTED_RETURNS = 32
 _MAX_RETURNS = 512
 _KEY_BYTES = 5
-# A client is not later than this after the time that it was told.
+# Clients that return come at most so much after the time they were told.
 _MAX_LATENESS_S = 1.0
 _MAX_EARLINESS_S = 0.05
 
@@ -60,7 +60,7 @@
     def take(self, key: int, now_s: float) -> bool:
         """Return whether a request that comes now returns as it was told.
 
-        It does so once.
+        A further one with the same key does not.
         """
         if now_s <= self.taken_until_s.get(key, float('-inf')):
             return False
--- a/src/arbutusbay/fairness/_fair_queue.py
+++ b/src/arbutusbay/fairness/_fair_queue.py
@@ -27,16 +27,17 @@
 class FairQueue(Generic[Entry]):
     """Hold the requests that wait for a place.
 
-    ``started_count`` counts the requests that left the queue for a place.
+    ``waiting`` holds them in the order of arrival, ``team_work`` what their
+    teams got lately. ``started_count`` counts those that left for a place.
     ``allowance`` is how many times the mean work of all teams a team may get
     before it comes after the others; with 0 any difference counts. Among
-    teams within it the target decides alone.
+    teams within it the target alone decides.
     """
 
     def __init__(
         self, *, team_work: TeamWork | None = None, allowance: float = 0.0
     ) -> None:
-        """Create an empty queue, which shares ``team_work`` with others."""
+        """Create an empty queue, which records its starts in ``team_work``."""
         self.waiting: list[Entry] = []
         self.started_count = 0
         self.team_work = team_work or TeamWork()
@@ -78,8 +79,8 @@
     def in_start_order(self, now_s: float) -> Iterator[Entry]:
         """Yield the requests in the order in which they would start.
 
-        It differs from ``in_service_order``, which holds for the next start
-        only, in that each start has a turn of its own.
+        ``in_service_order`` holds for the next start only. Here the starts
+        before it count for the place of each request.
         """
         self.team_work.advance(now_s)
         if len(self.waiting) <= 1:
--- a/src/arbutusbay/fairness/_fleet_queues.py
+++ b/src/arbutusbay/fairness/_fleet_queues.py
@@ -14,8 +14,9 @@
     sum_reports,
 )
 
-MAX_REPORTED_TEAMS = 16
 MAX_REPORTED_ZONE_TEAMS = 32
+_MAX_REPORTED_TEAMS = 16
+# How long work is reported after requests waited last.
 _WORK_REPORT_S = 4.0
 
 
@@ -23,7 +24,7 @@
 class ServiceQueues:
     """Hold the own queue of a service and what others reported of theirs.
 
-    ``short_s`` is when requests waited last, here or elsewhere, and
+    ``last_waiting_s`` is when requests waited last, here or elsewhere, and
     ``shown_ranks`` are those that a metric has shown.
     """
 
@@ -31,7 +32,7 @@
     team_work: TeamWork = attrs.field(factory=TeamWork)
     elsewhere: WaitingElsewhere = attrs.field(factory=WaitingElsewhere)
     left_places: LeftPlaces = attrs.field(init=False)
-    short_s: float = float('-inf')
+    last_waiting_s: float = float('-inf')
     shown_ranks: set[int] = attrs.field(factory=set)
 
     def __attrs_post_init__(self) -> None:
@@ -41,7 +42,7 @@
     def record(self, sender: str, report: WaitingReport, now_s: float) -> None:
         """Replace what ``sender`` reported before."""
         if report.counts_by_rank:
-            self.short_s = now_s
+            self.last_waiting_s = now_s
         self.elsewhere.record(sender, report, now_s)
         self.team_work.record_report(sender, report.work_by_team, now_s)
 
@@ -58,12 +59,12 @@
         """Return the report on the own queue, empty while places suffice."""
         counts = self.queue.counts_by_rank(now_s) if self.queue else {}
         if counts:
-            self.short_s = now_s
-        if now_s - self.short_s > _WORK_REPORT_S:
+            self.last_waiting_s = now_s
+        if now_s - self.last_waiting_s > _WORK_REPORT_S:
             return WaitingReport()
         return WaitingReport(
             counts_by_rank=counts,
-            work_by_team=self.team_work.busiest(now_s, MAX_REPORTED_TEAMS),
+            work_by_team=self.team_work.busiest(now_s, _MAX_REPORTED_TEAMS),
         )
 
 
--- a/src/arbutusbay/fairness/_lanes.py
+++ b/src/arbutusbay/fairness/_lanes.py
@@ -11,30 +11,34 @@
 
 
 class Usage:
-    """Add the work of requests as they start to that of their teams."""
+    """Add the work of requests as they start to that of their teams.
+
+    A team that got at most ``allowed_part`` of the work of all teams is within
+    its share.
+    """
 
     def __init__(
         self, *, work: dict[str, float], teams: Iterable[str], allowance: float
     ) -> None:
-        """Count ``teams`` beside those that got ``work``."""
+        """Count ``teams`` beside those that got ``work``, which changes."""
         self.work = work
         for team in teams:
             work.setdefault(team, 0.0)
         self.total = sum(work.values())
-        self.allowance_per_token = allowance / max(1, len(work))
+        self.allowed_part = allowance / max(1, len(work))
 
     def start(self, entry: QueueEntry) -> None:
         """Count the work of a request that starts."""
         self.work[entry.team] += entry.weighted_work
         self.total += entry.weighted_work
 
-    def pressure(self, team: str) -> float:
-        """Return the work of a team, or the allowance if that is more."""
-        return max(self.work[team], self.total * self.allowance_per_token)
+    def counted_work(self, team: str) -> float:
+        """Return the work that orders a team, at least its allowance."""
+        return max(self.work[team], self.total * self.allowed_part)
 
     def is_beyond_share(self, team: str) -> bool:
-        """Return whether a team got more than the allowance."""
-        return self.work[team] > self.total * self.allowance_per_token
+        """Return whether a team got more than its allowance."""
+        return self.work[team] > self.total * self.allowed_part
 
 
 class Lane(Generic[Entry]):
@@ -52,7 +56,7 @@
         started: set[int],
         by_team: bool = True,
     ) -> None:
-        """Take requests that are sorted for within their team."""
+        """Take requests in the order that holds within each team."""
         self.usage = usage
         self.started = started
         self.by_team = by_team
@@ -88,8 +92,8 @@
             members.popleft()
         if not members:
             return None
-        pressure = self.usage.pressure(team) if self.by_team else 0.0
-        return pressure, members[0][0], team
+        work = self.usage.counted_work(team) if self.by_team else 0.0
+        return work, members[0][0], team
 
     def _start(self, team: str) -> Entry:
         entry = self.entries_by_team[team].popleft()[1]
--- a/src/arbutusbay/fairness/_left_places.py
+++ b/src/arbutusbay/fairness/_left_places.py
@@ -11,7 +11,7 @@
 
 from arbutusbay.fairness._waiting_elsewhere import WaitingElsewhere
 
-# In it the report of a free place arrives and its receiver takes a turn.
+# Long enough for the report of a free place and a turn of its receiver.
 _HOLD_S = 0.25
 _MEMORY_S = 2.0
 _MIN_STARTS_IN_HOLD = 0.25
@@ -34,7 +34,8 @@
 
     It does so until ``until_s``. After that it ``owes_start`` to a request of
     its own, so that these go on to start whatever waits elsewhere. ``starts``
-    counts the requests that it placed lately, ``left_count`` the places left.
+    counts the requests that it placed lately, which fade, as of ``updated_s``;
+    ``left_count`` counts all the places left.
     """
 
     elsewhere: WaitingElsewhere
--- a/src/arbutusbay/fairness/_team_work.py
+++ b/src/arbutusbay/fairness/_team_work.py
@@ -29,7 +29,7 @@
 
     ``own_work`` is that of requests which this VM placed, ``reports`` that of
     other VMs or zones by their names. ``others_work`` is the sum of the
-    reports at ``others_summed_s``.
+    reports at ``others_summed_s``, and ``own_work`` is as of ``updated_s``.
     """
 
     own_work: dict[str, float] = attrs.field(factory=dict)
--- a/src/arbutusbay/fairness/_waiting_elsewhere.py
+++ b/src/arbutusbay/fairness/_waiting_elsewhere.py
@@ -51,7 +51,7 @@
         """Return how many requests wait that go before those of ``rank``."""
         return sum(
             count
-            for report in self._recent(now_s)
+            for report in self._recent(now_s).values()
             for known, count in report.counts_by_rank.items()
             if known < rank
         )
@@ -61,18 +61,18 @@
     ) -> list[WaitingReport]:
         """Return the recent reports of the VMs in ``names``."""
         return [
-            known.report
-            for name, known in self.received.items()
-            if name in names and now_s - known.received_s <= _MAX_REPORT_AGE_S
+            report
+            for name, report in self._recent(now_s).items()
+            if name in names
         ]
 
-    def _recent(self, now_s: float) -> list[WaitingReport]:
-        """Return the reports that may still be true."""
-        return [
-            known.report
-            for known in self.received.values()
+    def _recent(self, now_s: float) -> dict[str, WaitingReport]:
+        """Return the reports that may still be true, by their senders."""
+        return {
+            name: known.report
+            for name, known in self.received.items()
             if now_s - known.received_s <= _MAX_REPORT_AGE_S
-        ]
+        }
 
 
 def sum_reports(
--- a/src/arbutusbay/node/_left_places.py
+++ b/src/arbutusbay/node/_left_places.py
@@ -1,4 +1,4 @@
-"""Leave places to more urgent requests that wait at other VMs, and log it."""
+"""Leave places to requests at other VMs that go before, and log it."""
 
 from arbutusbay.fairness import PlaceOffer
 from arbutusbay.logs import get_logger
