Tell the logarithms of speed samples from the work they measure

``measured`` and ``_MAX_SAMPLE`` were logarithms of a ratio beside a ``SpeedSample`` in seconds. The cost of failures stood in two modules with the same factor. Say what the sums of a fit weigh, and which servers a choice by speed leaves out.

--- a/src/arbutusbay/node/_server_speeds.py
+++ b/src/arbutusbay/node/_server_speeds.py
@@ -72,7 +72,7 @@
     def refresh(
         self, service: str, views: Collection[EngineView], moment_s: float
     ) -> None:
-        """Give the views of a service the estimates, at times."""
+        """Give the views of a service the estimates, unless they are recent."""
         refreshed_s = self.refreshed_s.get(service, float('-inf'))
         if moment_s - refreshed_s < ESTIMATE_LIFETIME_S:
             return
@@ -95,7 +95,7 @@
         }
         for gone in self.logged.keys() - views.keys():
             self.logged.pop(gone)
-        slowed = [
+        heard = [
             views[name]
             for name, heard_s in self.heard_s.items()
             if views[name].load_reported_s == heard_s
@@ -110,7 +110,7 @@
                     min_slowdown=view.min_slowdown,
                     reported_s=view.load_reported_s,
                 )
-                for view in slowed
+                for view in heard
                 if _is_worth_sharing(view)
             },
         )
--- a/src/arbutusbay/scheduling/_placement.py
+++ b/src/arbutusbay/scheduling/_placement.py
@@ -26,6 +26,7 @@
     choose_by_speed,
     differ_in_speed,
     draw_by_speed,
+    error_factor,
     excess_requests,
     momentary_factor,
     time_factor,
@@ -36,7 +37,6 @@
 _EXCESS_REQUEST_COST_TOKENS = 400
 _OTHER_ZONE_COST_TOKENS = 60
 _TIE_MARGIN_TOKENS = 100
-_ERROR_RATE_COST_FACTOR = 3.0
 _SHORT_PROMPT_MISMATCH_TOKENS = 5000
 _PLANNED_LOAD_COST_TOKENS = 8000
 _LONG_PROMPT_MISMATCH_TOKENS = 12_000
@@ -225,9 +225,8 @@
 def _server_cost(engine: EngineView, now_s: float) -> float:
     attempts = engine.occupancy.total(now_s).attempts
     excess = excess_requests(engine, attempts)
-    errors = 1 + _ERROR_RATE_COST_FACTOR * engine.current_error_rate(now_s)
     load = 1 + attempts / max(1, engine.slots) + excess
-    return load * time_factor(engine, now_s) * errors
+    return load * time_factor(engine, now_s) * error_factor(engine, now_s)
 
 
 def _cheapest(
@@ -251,7 +250,7 @@
     engines: Sequence[EngineView],
     placement_context: PlacementContext,
 ) -> Mapping[str, int]:
-    """Return how many tokens of the prompt each engine will likely prefill."""
+    """Return how many prompt tokens each engine will likely prefill, by id."""
     prompt_tokens = request_size.prompt_tokens
     plan = placement_context.prefix_plan
     if plan is not None:
--- a/src/arbutusbay/scheduling/_speed_choice.py
+++ b/src/arbutusbay/scheduling/_speed_choice.py
@@ -33,6 +33,11 @@
     return time_factor(server, now_s) / usual
 
 
+def error_factor(server: EngineView, now_s: float) -> float:
+    """Return the factor by which failures make a server cost more."""
+    return 1 + _ERROR_RATE_COST_FACTOR * server.current_error_rate(now_s)
+
+
 def excess_requests(server: EngineView, attempts: int) -> int:
     """Return by how many a further request exceeds what a server takes well."""
     taken = server.speed.taken_requests(server.slots)
@@ -44,8 +49,8 @@
 ) -> EngineView:
     """Return a server so that each gets work in proportion to its speed.
 
-    Servers that have more requests than they take well are left out, unless
-    all have.
+    Only servers that take a further request well are used, without any those
+    with a free slot, and without these all.
     """
     attempts = {
         server.id: server.occupancy.total(now_s).attempts for server in servers
@@ -85,5 +90,4 @@
 
 def _rate(server: EngineView, now_s: float) -> float:
     """Return the work that a server gets done, without that which fails."""
-    errors = 1 + _ERROR_RATE_COST_FACTOR * server.current_error_rate(now_s)
-    return 1 / (time_factor(server, now_s) * errors)
+    return 1 / (time_factor(server, now_s) * error_factor(server, now_s))
--- a/src/arbutusbay/speeds/_reports.py
+++ b/src/arbutusbay/speeds/_reports.py
@@ -17,7 +17,10 @@
 
 @attrs.frozen(kw_only=True)
 class SampleSum:
-    """Sum up the samples of one server at one level of load in a window."""
+    """Sum up the samples of one server at one level of load in a window.
+
+    A sample is a logarithm, as in ``ServerSpeed``.
+    """
 
     server: str
     incarnation: int
@@ -41,9 +44,10 @@
 
 @attrs.frozen(kw_only=True)
 class SpeedReport:
-    """Hold what one VM has measured lately, by the number of the window.
+    """Hold what one VM has measured and heard lately.
 
-    ``slowdowns`` maps servers to what they told the sender. ``lines`` maps
+    ``windows`` maps the numbers of windows to the samples in them,
+    ``slowdowns`` servers to what they told the sender. ``lines`` maps
     services and kinds of work to how long that takes at a usual server.
     """
 
--- a/src/arbutusbay/speeds/_server_speed.py
+++ b/src/arbutusbay/speeds/_server_speed.py
@@ -76,13 +76,13 @@
         self.taken_levels = self._find_taken_levels()
 
     def is_forgotten(self) -> bool:
-        """Return whether no sample has any weight left."""
+        """Return whether the samples have next to no weight left."""
         return all(evidence.weight < _MIN_WEIGHT for evidence in self.levels)
 
     def momentary_slowdown(self, noise: float) -> float:
-        """Return by how much work takes longer just now than usually here.
+        """Return the factor by which work takes longer now than usually here.
 
-        ``noise`` is the mean square of a sample's deviation.
+        ``noise`` is that of the ``Pool``.
         """
         if self.momentary.weight < _MIN_MOMENT_WEIGHT:
             return 1.0
--- a/src/arbutusbay/speeds/_speed_book.py
+++ b/src/arbutusbay/speeds/_speed_book.py
@@ -16,13 +16,14 @@
 from arbutusbay.speeds._types import LOAD_LEVELS, SpeedEstimate
 from arbutusbay.speeds._work_times import WorkLine, WorkTime
 
-_MAX_SAMPLE = math.log(6)
+_MAX_LOG_RATIO = math.log(6)
 _MIN_DURATION_S = 0.000001
 _MAX_LOG_SPEED = math.log(4)
 _DEAD_BAND = 0.1
 _SIGNIFICANT_DEVIATIONS = 3.0
 _PRIOR_SAMPLES = 2.0
 ESTIMATE_LIFETIME_S = 0.1
+# A sender whose windows fall back by more than this has restarted.
 _RESTART_WINDOWS = 50
 _MAX_KINDS_OF_WORK = 64
 _INITIAL_NOISE = 0.25
@@ -34,8 +35,9 @@
     """Describe work that a backend server did.
 
     ``pool`` is the service whose servers are compared, ``work`` the kind of
-    the work, of which there were ``units``. ``duration_s`` is without the
-    slowdown that the server reported. ``level`` is the load that it had.
+    the work, of which there were ``units`` (prompt tokens, 0 for a call).
+    ``duration_s`` is without the slowdown that the server reported. ``level``
+    is the load that it had, see ``load_level``.
     """
 
     server: str
@@ -68,7 +70,8 @@
     """Hold what is common to the servers of a service.
 
     ``work_times`` maps kinds of work to their time at a usual server,
-    ``noise`` is the mean square of a sample's deviation from its server's mean.
+    ``noise`` is the mean square of a sample's deviation from its server's mean,
+    both logarithms.
     """
 
     work_times: dict[str, WorkTime] = attrs.field(factory=dict)
@@ -150,7 +153,7 @@
         return dict(itertools.islice(known, MAX_REPORTED_LINES))
 
     def drop_former(self, incarnations: Mapping[str, int]) -> None:
-        """Forget what other incarnations of running servers did."""
+        """Forget servers whose incarnation is not the one that now runs."""
         for server_id, incarnation in incarnations.items():
             known = self.servers.get(server_id)
             if known and known.incarnation != incarnation:
@@ -205,15 +208,15 @@
         }
 
     def _add_own(
-        self, sample: SpeedSample, pool: Pool, measured: float, now_s: float
+        self, sample: SpeedSample, pool: Pool, log_ratio: float, now_s: float
     ) -> None:
         server = self._server(sample.server, sample.incarnation, sample.pool)
         if server.lasting.weight >= 1:
-            deviation = (measured - server.lasting.mean) ** 2
+            deviation = (log_ratio - server.lasting.mean) ** 2
             pool.noise += _NOISE_SMOOTHING * (deviation - pool.noise)
-        server.add(sample.level, 1, measured, now_s)
+        server.add(sample.level, 1, log_ratio, now_s)
         self.windows.add(
-            sample.server, sample.incarnation, sample.level, measured, now_s
+            sample.server, sample.incarnation, sample.level, log_ratio, now_s
         )
 
     def _merge_window(
@@ -243,12 +246,12 @@
         return known
 
 
-def _clip(sample: float) -> float:
-    return max(-_MAX_SAMPLE, min(_MAX_SAMPLE, sample))
+def _clip(log_ratio: float) -> float:
+    return max(-_MAX_LOG_RATIO, min(_MAX_LOG_RATIO, log_ratio))
 
 
 def _usual_mean(servers: Iterable[ServerSpeed]) -> float:
-    """Return the mean over servers, each with the trust in its samples."""
+    """Return the mean logarithm over servers, weighted by their samples."""
     trusted = [(_trust(server.lasting), server) for server in servers]
     total = sum(trust for trust, _ in trusted)
     if not total:
--- a/src/arbutusbay/speeds/_work_times.py
+++ b/src/arbutusbay/speeds/_work_times.py
@@ -11,7 +11,10 @@
 
 @attrs.frozen(kw_only=True)
 class WorkLine:
-    """Hold how long work takes at a usual server: fixed and per unit."""
+    """Hold how many seconds work takes at a usual server.
+
+    That is ``fixed_s`` and ``unit_s`` for each unit.
+    """
 
     fixed_s: float
     unit_s: float
@@ -29,6 +32,9 @@
     outweigh short work. Later samples count more. Work without units, as that
     of plain services, has its mean time. A VM with few samples of its own
     adopts the line of another one.
+
+    ``weight`` to ``units_seconds`` are sums over samples, each weighted by the
+    inverse square of its expected seconds.
     """
 
     samples: int = 0
