--- a/src/arbutusbay/node/_dispatcher.py
+++ b/src/arbutusbay/node/_dispatcher.py
@@ -45,7 +45,8 @@
 # An engine may have as much queued prefill before a request, see the placer.
 _START_MARGIN_LATENCY_SHARE = 0.6
 _MAX_MARGIN_SHARE = 0.5
-# Within it the target decides, and not which team got a little less.
+# How many times the mean work of the teams a team may get before the others
+# come first: see ``FairQueue``. Within it the target decides.
 _TEAM_ALLOWANCE = 1.1
 
 
--- a/src/arbutusbay/node/_placement.py
+++ b/src/arbutusbay/node/_placement.py
@@ -20,10 +20,10 @@
 
     ``attempt_headers`` are the headers to send with the attempt; ``model`` is
     empty if none is named; ``candidate_count`` is the number of servers
-    considered. ``prefix_plan`` tells where the shared prefix lives, None if
-    there is none. A stream that has no event by
-    ``start_by_s`` must be aborted, as its engine's weights were replaced too
-    long ago; infinity if they are current.
+    considered. ``prefix_plan`` tells which engines hold the shared prefix, None
+    where engines can't fetch it. A stream that has no event by ``start_by_s``
+    must be aborted, as its engine's weights were replaced too long ago;
+    infinity if they are current.
     """
 
     choice: EngineChoice
