--- a/src/arbutusbay/node/quota/_request_grants.py
+++ b/src/arbutusbay/node/quota/_request_grants.py
@@ -24,7 +24,7 @@
 
 @attrs.define(kw_only=True, eq=False)
 class RequestGrant:
-    """Hold the decision on one request, which is asked for meanwhile.
+    """Hold the decision on one request, which is asked for while it is read.
 
     A request of a team without a limit has no ``asked`` task.
     """
@@ -141,7 +141,7 @@
 
 
 def _request_key(incoming: IncomingRequest) -> int:
-    """Return a number that is the same as the client sends a request again."""
+    """Return a number that is the same when a client repeats a request."""
     head = incoming.parsed_headers
     segments = tuple(segment.id for segment in head.prompt_segments)
     described = repr(
--- a/src/arbutusbay/router/_rate_limits.py
+++ b/src/arbutusbay/router/_rate_limits.py
@@ -23,7 +23,8 @@
 _LOG = get_logger('quota')
 # The daemon may ask two owners, each for half a second.
 _ASK_TIMEOUT_S = 1.2
-_SILENCE_S = 1.0
+# How long a daemon that did not reply is asked after the others only.
+_PASSED_OVER_S = 1.0
 _MAX_DAEMONS_ASKED = 2
 _RETRY_AFTER_SILENCE_S = 1.0
 # Callers wait before a retry for at most this part of the time they have left.
@@ -71,9 +72,10 @@
     ) -> Result[Grant, Failure]:
         """Return the grant of a request, at once without a limit.
 
-        ``described`` is the same if its caller returns with it. Fails with
-        ``RATE_LIMITED`` beyond the limit, with ``BAD_REQUEST`` if it costs
-        more than that allows at any time.
+        ``described`` is the same if its caller returns with it, which waits for
+        part of ``deadline_ms`` before. Fails with ``RATE_LIMITED`` beyond the
+        limit, with ``BAD_REQUEST`` if it costs more than that allows at any
+        time.
         """
         cost = _cost(team, tokens)
         if not cost:
@@ -112,7 +114,7 @@
                 case Ok(reply):
                     self.silent_until_s.pop(url, None)
                     return reply
-            self.silent_until_s[url] = time.monotonic() + _SILENCE_S
+            self.silent_until_s[url] = time.monotonic() + _PASSED_OVER_S
         return None
 
     async def _give_back(self, grant: Grant) -> None:
@@ -158,6 +160,7 @@
 
 
 def _key(described: str) -> int:
+    """Return a number that is the same for the same text."""
     digest = hashlib.sha256(described.encode()).digest()
     return int.from_bytes(digest[:_KEY_BYTES])
 
