--- a/tests/unit/test_shared_prefixes.py
+++ b/tests/unit/test_shared_prefixes.py
@@ -1,4 +1,4 @@
-"""Check where shared prefixes live, under load and under one failure."""
+"""Check which engines hold shared prefixes, under load and with a failure."""
 
 import attrs
 import pytest
