--- a/src/arbutusbay/control/_quota_renewals.py
+++ b/src/arbutusbay/control/_quota_renewals.py
@@ -6,9 +6,9 @@
 
 from arbutusbay.clock import now_s
 from arbutusbay.control._quota_service import QuotaService
-from arbutusbay.control._quota_shares import QuotaPartition
 from arbutusbay.controller import Controller
 from arbutusbay.logs import get_logger
+from arbutusbay.quota import QuotaPartition
 from arbutusbay.wire import QuotaLoan
 
 _LOG = get_logger('quota')
@@ -18,7 +18,7 @@
 class QuotaRenewals(Controller):
     """Renew the lease of each partition unless requests have done so.
 
-    ``known_owners`` holds the owner of each partition that was logged last.
+    ``known_owners`` holds the last chosen owner by the number of a partition.
     """
 
     quota: QuotaService
--- a/src/arbutusbay/node/quota/_client.py
+++ b/src/arbutusbay/node/quota/_client.py
@@ -26,13 +26,20 @@
 )
 from arbutusbay.node.quota._metrics import QuotaMetrics
 from arbutusbay.node.quota._outbox import Address, Outbox
-from arbutusbay.node.quota._partitions import Partition, QuotaPartitions
+from arbutusbay.node.quota._partitions import QuotaPartitions
 from arbutusbay.node.quota._peer_calls import PeerCalls
-from arbutusbay.quota import Granted, QuotaRequest, QuotaTerms, Refused
+from arbutusbay.quota import (
+    Granted,
+    QuotaPartition,
+    QuotaRequest,
+    QuotaTerms,
+    Refused,
+)
 
 _LOG = get_logger('quota')
 _MAX_VMS_ASKED = 2
 _RETRY_AFTER_SILENCE_S = 0.5
+# An ask held for less is passed on as it came.
 _SAME_TURN_S = 0.05
 _MAX_REMEMBERED_REPLIES = 1024
 
@@ -75,7 +82,7 @@
                 vm=self.own_vm.name,
                 partition=partition.number,
                 lease_s=0,
-                starts=False,
+                adds_start_credit=False,
                 team=team,
                 cost=request.cost,
                 key=request.key,
@@ -132,7 +139,7 @@
             for partition in self.partitions.used
         ]
 
-    async def ask_owner(self, partition: Partition, ask: Ask) -> Reply:
+    async def ask_owner(self, partition: QuotaPartition, ask: Ask) -> Reply:
         """Ask the VMs that may be the owner until one of them replies."""
         is_own = ask.vm == self.own_vm.name
         began_s = now_s()
@@ -157,7 +164,7 @@
         )
 
     async def call(
-        self, partition: Partition, vm: str, call: Ask | Release
+        self, partition: QuotaPartition, vm: str, call: Ask | Release
     ) -> Reply | None:
         """Call another VM, and record whether it replied."""
         address = self.partitions.address_of(vm)
@@ -222,7 +229,7 @@
         self.outbox.add(address, known or Forwarded(number=number))
 
     async def _relay(
-        self, partition: Partition, ask: Ask, address: Address
+        self, partition: QuotaPartition, ask: Ask, address: Address
     ) -> None:
         reply = await self.ask_owner(partition, ask)
         reply = attrs.evolve(reply, number=ask.number)
@@ -240,20 +247,20 @@
         if isinstance(late, Ask) and late.team and reply.retry_after_s is None:
             self.give_back(late.team, late.cost, reply.owner)
 
-    def _offer(self, partition: Partition, owner: str, ask: Ask) -> Ask:
+    def _offer(self, partition: QuotaPartition, owner: str, ask: Ask) -> Ask:
         times = self.partitions.times
         loan = partition.lender.offer(owner, now_s(), times)
         return attrs.evolve(
             ask,
             lease_s=times.lease_s if loan.lends else 0.0,
-            starts=loan.starts,
+            adds_start_credit=loan.adds_start_credit,
         )
 
-    def _decide(self, partition: Partition, ask: Ask) -> Reply:
+    def _decide(self, partition: QuotaPartition, ask: Ask) -> Reply:
         """Decide on an ask here, with the share that it lends."""
         moment_s = now_s()
         owner = partition.owner
-        if ask.starts:
+        if ask.adds_start_credit:
             owner.add_start_credit(moment_s)
         # What arrived while this VM was suspended may be no longer lent.
         received_s = self.node_state.own_pauses.earliest_start_s(moment_s)
@@ -301,16 +308,17 @@
 def _pass_on(ask: Ask, held_s: float) -> Ask:
     """Return the ask of another VM after it was held here for a while.
 
-    Its lease began as it was sent. The credit was in the first message.
+    Its lease began as it was sent. Its credit was in the first message that
+    was passed on, which an owner may have received without a reply.
     """
     if held_s < _SAME_TURN_S:
         return ask
     return attrs.evolve(
-        ask, lease_s=max(0.0, ask.lease_s - held_s), starts=False
+        ask, lease_s=max(0.0, ask.lease_s - held_s), adds_start_credit=False
     )
 
 
-def _describe_partition(partition: Partition) -> dict[str, Any]:
+def _describe_partition(partition: QuotaPartition) -> dict[str, Any]:
     owner = partition.owner
     owner.advance(now_s())
     return {
--- a/src/arbutusbay/node/quota/_renewals.py
+++ b/src/arbutusbay/node/quota/_renewals.py
@@ -6,7 +6,7 @@
 from arbutusbay.logs import get_logger
 from arbutusbay.node.quota._client import QuotaClient
 from arbutusbay.node.quota._messages import Ask, Release
-from arbutusbay.node.quota._partitions import Partition
+from arbutusbay.quota import QuotaPartition
 
 _LOG = get_logger('quota')
 _TICK_S = 0.1
@@ -15,7 +15,7 @@
 class ShareRenewals:
     """Renew the lease of each partition unless requests have done so.
 
-    ``known_owners`` holds the owner of each partition that was logged last.
+    ``known_owners`` holds the last chosen owner by the number of a partition.
     """
 
     def __init__(self, *, client: QuotaClient) -> None:
@@ -32,14 +32,14 @@
                 self._renew(partition)
             await asyncio.sleep(_TICK_S)
 
-    def _renew(self, partition: Partition) -> None:
+    def _renew(self, partition: QuotaPartition) -> None:
         """Renew the lease of this VM's share, and look for a better owner."""
         client = self.client
         lender = partition.lender
         moment_s = now_s()
         vms = self.partitions.vms
         chosen = lender.choose_owner(vms)
-        self._log_owner(partition, chosen)
+        self._record_owner(partition, chosen)
         silent = lender.vm_to_probe(vms, moment_s)
         if silent is not None:
             client.start(client.call(partition, silent, self._probe(partition)))
@@ -49,17 +49,17 @@
         elif lender.is_renewal_due(moment_s, self.partitions.times):
             client.start(client.ask_owner(partition, self._probe(partition)))
 
-    def _probe(self, partition: Partition) -> Ask:
+    def _probe(self, partition: QuotaPartition) -> Ask:
         """Return an ask for nothing, which lends nothing yet."""
         return Ask(
             number=self.client.calls.next_number(),
             vm=self.client.own_vm.name,
             partition=partition.number,
             lease_s=0,
-            starts=False,
+            adds_start_credit=False,
         )
 
-    async def _leave(self, partition: Partition, owner: str) -> None:
+    async def _leave(self, partition: QuotaPartition, owner: str) -> None:
         if owner == self.client.own_vm.name:
             partition.owner.release(owner, now_s())
         else:
@@ -76,7 +76,8 @@
                 return
         partition.lender.record_release(owner)
 
-    def _log_owner(self, partition: Partition, chosen: str) -> None:
+    def _record_owner(self, partition: QuotaPartition, chosen: str) -> None:
+        """Count and log a change of the owner."""
         known = self.known_owners.get(partition.number)
         if known == chosen:
             return
