Lend a share to nobody while its owner is asked to release it

A late answer to a release ended a newer loan to the same owner, so that the share could be lent twice; and a control daemon that had read no limit of a partition took one lender for the whole fleet.

--- a/src/arbutusbay/control/_quota_renewals.py
+++ b/src/arbutusbay/control/_quota_renewals.py
@@ -49,6 +49,7 @@
             )
         left = lender.owner_to_leave(chosen, moment_s)
         if left is not None:
+            lender.begin_release()
             self._start(self._leave(partition, left))
         elif lender.is_renewal_due(moment_s, self.quota.shares.times):
             self._start(self.quota.ask_owner(partition, self._loan(partition)))
@@ -64,13 +65,14 @@
         )
 
     async def _leave(self, partition: QuotaPartition, owner: str) -> None:
+        is_released = True
         if owner == self.quota.shared_state.node_id:
             partition.owner.release(owner, now_s())
         else:
             release = self._loan(partition, is_released=True)
-            if await self.quota.call(partition, owner, release) is None:
-                return
-        partition.lender.record_release(owner)
+            reply = await self.quota.call(partition, owner, release)
+            is_released = reply is not None
+        partition.lender.record_release(owner, is_released=is_released)
 
     def _start(self, call: Coroutine[Any, Any, Any]) -> None:
         task = asyncio.create_task(call)
--- a/src/arbutusbay/control/_quota_shares.py
+++ b/src/arbutusbay/control/_quota_shares.py
@@ -53,7 +53,7 @@
         if self.applied is not self.shared_state.config:
             self._apply_limits(self.shared_state.config, moment_s)
         self.vm_count = self._count_vms()
-        for partition in self.used:
+        for partition in self.partitions:
             partition.owner.resize_fleet(self.vm_count, moment_s)
 
     def live_vms(self) -> list[str]:
--- a/src/arbutusbay/node/quota/_renewals.py
+++ b/src/arbutusbay/node/quota/_renewals.py
@@ -45,6 +45,7 @@
             client.start(client.call(partition, silent, self._probe(partition)))
         left = lender.owner_to_leave(chosen, moment_s)
         if left is not None:
+            lender.begin_release()
             client.start(self._leave(partition, left))
         elif lender.is_renewal_due(moment_s, self.partitions.times):
             client.start(client.ask_owner(partition, self._probe(partition)))
@@ -60,6 +61,7 @@
         )
 
     async def _leave(self, partition: QuotaPartition, owner: str) -> None:
+        is_released = True
         if owner == self.client.own_vm.name:
             partition.owner.release(owner, now_s())
         else:
@@ -72,9 +74,8 @@
                     partition=partition.number,
                 ),
             )
-            if released is None:
-                return
-        partition.lender.record_release(owner)
+            is_released = released is not None
+        partition.lender.record_release(owner, is_released=is_released)
 
     def _record_owner(self, partition: QuotaPartition, chosen: str) -> None:
         """Count and log a change of the owner."""
--- a/src/arbutusbay/quota/_lender.py
+++ b/src/arbutusbay/quota/_lender.py
@@ -74,7 +74,8 @@
     """Track to which owner one VM lends its share of a partition.
 
     Times are in seconds on the clock of this VM. ``owner`` has the share until
-    ``promised_until_s``; ``next_probe_s`` holds when each silent VM is asked
+    ``promised_until_s`` and is asked to give it back while ``is_releasing``;
+    ``next_probe_s`` holds when each silent VM is asked
     again. ``asked_owner`` is the VM that the last message went to, at
     ``last_sent_s``. ``last_credit_s`` is when this VM last gave the credit for
     a takeover, or started and forgot whether it had.
@@ -86,6 +87,7 @@
     last_credit_s: float
     owner: str = ''
     promised_until_s: float = float('-inf')
+    is_releasing: bool = False
     last_sent_s: float = float('-inf')
     asked_owner: str = ''
     next_probe_s: dict[str, float] = attrs.field(factory=dict)
@@ -117,9 +119,11 @@
         if adds_credit:
             self.last_credit_s = now_s
         self.asked_owner = owner
-        lends = owner == self.owner or now_s >= self.promised_until_s
-        if lends:
+        if now_s >= self.promised_until_s:
             self.owner = owner
+            self.is_releasing = False
+        lends = owner == self.owner and not self.is_releasing
+        if lends:
             self.promised_until_s = now_s + times.promise_s
         return Loan(lends=lends, adds_start_credit=adds_credit)
 
@@ -130,10 +134,14 @@
     def owner_to_leave(self, chosen: str, now_s: float) -> str | None:
         """Return the owner that should release the share, if any.
 
-        None if the owner is the ``chosen`` one, or silent.
+        None if the owner is the ``chosen`` one, silent, or asked already.
         """
         is_lent = self.owner and now_s < self.promised_until_s
-        if not is_lent or self.owner in {chosen, *self.next_probe_s}:
+        if (
+            self.is_releasing
+            or not is_lent
+            or self.owner in {chosen, *self.next_probe_s}
+        ):
             return None
         return self.owner
 
@@ -146,9 +154,19 @@
         if vm != self.own_vm:
             self.next_probe_s[vm] = now_s + _PROBE_INTERVAL_S
 
-    def record_release(self, vm: str) -> None:
-        """Record that an owner has released the share."""
-        if vm == self.owner:
+    def begin_release(self) -> None:
+        """Lend nothing to the owner until it has released the share."""
+        self.is_releasing = True
+
+    def record_release(self, vm: str, *, is_released: bool) -> None:
+        """Record whether an owner that was asked has released the share.
+
+        An answer that comes after the lease says nothing of a later one.
+        """
+        if not self.is_releasing or vm != self.owner:
+            return
+        self.is_releasing = False
+        if is_released:
             self.owner = ''
             self.promised_until_s = float('-inf')
 
--- a/tests/quota_fleet.py
+++ b/tests/quota_fleet.py
@@ -215,7 +215,8 @@
             left = vm.lender.owner_to_leave(chosen, self.now_s)
             if left is not None and self._send(vm, left):
                 self.vms[left].owner.release(vm.name, self.now_s)
-                vm.lender.record_release(left)
+                vm.lender.begin_release()
+                vm.lender.record_release(left, is_released=True)
             if vm.lender.is_renewal_due(self.now_s, times):
                 loan = vm.lender.offer(chosen, self.now_s, times)
                 self._send_loan(vm, chosen, loan)
--- a/tests/unit/test_quota_limits.py
+++ b/tests/unit/test_quota_limits.py
@@ -16,6 +16,8 @@
     QuotaRequest,
     QuotaTerms,
     Refused,
+    ShareLender,
+    lease_times,
 )
 from tests.fleet_builders import ODD_NUMBERS, build_configuration
 
@@ -32,6 +34,8 @@
     odd for odd in ODD_NUMBERS if not isinstance(odd, float) or odd > 2
 )
 
+_NOW_S = 100.0
+
 
 def read_configuration(**fields):
     """Return the configuration with one team that has ``fields``."""
@@ -170,3 +174,21 @@
     bucket = Bucket()
     refused = bucket.take(QuotaRequest(cost=1), 0)
     assert 0 < refused.retry_after_s < math.inf
+
+
+# Guards against a share that is lent to two owners, as the answer to an earlier
+# release comes after the owner was lent to again.
+def test_late_answer_to_a_release_ends_no_later_loan():
+    lender = ShareLender(
+        own_vm='a', partition=0, window_s=8, last_credit_s=_NOW_S
+    )
+    times = lease_times(3)
+    assert lender.offer('b', _NOW_S, times).lends
+    assert lender.owner_to_leave('c', _NOW_S + 0.1) == 'b'
+    lender.begin_release()
+    assert lender.owner_to_leave('c', _NOW_S + 0.1) is None
+    assert not lender.offer('b', _NOW_S + 0.2, times).lends
+    again_s = _NOW_S + times.promise_s
+    assert lender.offer('b', again_s, times).lends
+    lender.record_release('b', is_released=True)
+    assert not lender.offer('c', again_s + 0.1, times).lends
--- a/tests/unit/test_quota_service.py
+++ b/tests/unit/test_quota_service.py
@@ -104,3 +104,23 @@
 def test_malformed_loan_is_refused(monkeypatch, loan):
     world = build_world(monkeypatch, count=1, quota=_QUOTA)
     assert world.services['vm-1'].receive(loan).is_err()
+
+
+# Guards against a VM that takes one lender for the whole fleet, as it has not
+# read the first limit of a partition yet.
+async def test_partition_without_a_limit_here_knows_the_fleet(monkeypatch):
+    world = build_world(monkeypatch, count=_VMS, quota=None)
+    service = world.services['vm-1']
+    reply = service.receive(
+        QuotaLoan(
+            node='vm-2',
+            partition=partition_of(TEAM),
+            lease_ms=1000,
+            team=TEAM,
+            cost=1,
+            version=7,
+            rate_per_s=5,
+            burst=5,
+        )
+    ).unwrap()
+    assert reply.share == pytest.approx(1 / _VMS)
