--- a/src/arbutusbay/node/_server_speeds.py
+++ b/src/arbutusbay/node/_server_speeds.py
@@ -1,7 +1,7 @@
 """Feed the estimates of the servers' speeds, and give them to the views."""
 
 import math
-from collections.abc import Collection, Mapping
+from collections.abc import Collection, Iterable, Mapping
 
 import attrs
 
@@ -9,6 +9,7 @@
 from arbutusbay.scheduling import Attempt, EngineView
 from arbutusbay.speeds import (
     ESTIMATE_LIFETIME_S,
+    MAX_REPORTED_SLOWDOWNS,
     ReportedSlowdown,
     ServerIdentity,
     SpeedBook,
@@ -110,8 +111,7 @@
                     min_slowdown=view.min_slowdown,
                     reported_s=view.load_reported_s,
                 )
-                for view in heard
-                if _is_worth_sharing(view)
+                for view in _newest(filter(_is_worth_sharing, heard))
             },
         )
 
@@ -210,6 +210,16 @@
     return view.occupancy.total(moment_s).attempts
 
 
+def _newest(views: Iterable[EngineView]) -> list[EngineView]:
+    """Return the views that a report has room for, the last heard first."""
+    by_age = sorted(views, key=_load_reported_s, reverse=True)
+    return by_age[:MAX_REPORTED_SLOWDOWNS]
+
+
+def _load_reported_s(view: EngineView) -> float:
+    return view.load_reported_s
+
+
 def _is_worth_sharing(view: EngineView) -> bool:
     """Return whether others can't assume what the server reported."""
     factors = (view.slowdown, view.min_slowdown)
--- a/src/arbutusbay/node/_speed_messages.py
+++ b/src/arbutusbay/node/_speed_messages.py
@@ -14,6 +14,7 @@
 from arbutusbay.speeds import (
     LOAD_LEVELS,
     MAX_REPORTED_LINES,
+    MAX_REPORTED_SLOWDOWNS,
     MAX_REPORTED_SUMS,
     ReportedSlowdown,
     SampleSum,
@@ -65,7 +66,8 @@
     slowdowns = fields.get('s', {})
     lines = fields.get('l', ())
     size = sum(len(sums) for sums in windows.values())
-    _check_size(max(size, len(slowdowns)), MAX_REPORTED_SUMS)
+    _check_size(size, MAX_REPORTED_SUMS)
+    _check_size(len(slowdowns), MAX_REPORTED_SLOWDOWNS)
     _check_size(len(lines), MAX_REPORTED_LINES)
     return SpeedReport(
         windows=windows,
@@ -123,12 +125,18 @@
     told: ReportedSlowdown, now_s: float
 ) -> tuple[int, int, int]:
     return (
-        round(told.slowdown * _PERCENT),
-        round(told.min_slowdown * _PERCENT),
+        _percent_of(told.slowdown),
+        _percent_of(told.min_slowdown),
         round((told.reported_s - now_s) * _MS_PER_S),
     )
 
 
+def _percent_of(factor: float) -> int:
+    """Return a factor in percent, within what a report may hold."""
+    percent = round(min(factor, _MAX_SLOWDOWN_PERCENT) * _PERCENT)
+    return max(1, min(_MAX_SLOWDOWN_PERCENT, percent))
+
+
 def _slowdown_from_fields(row: Sequence[int], now_s: float) -> ReportedSlowdown:
     slowdown, min_slowdown, reported_ms = row
     offset_ms = require_integer(
--- a/src/arbutusbay/node/_waiting_messages.py
+++ b/src/arbutusbay/node/_waiting_messages.py
@@ -30,13 +30,21 @@
     """Return reports by service as JSON values."""
     return {
         service: (
-            sorted(report.counts_by_rank.items())[:_MAX_RANKS],
+            _ranks_to_fields(report.counts_by_rank),
             _work_to_fields(report.work_by_team),
         )
         for service, report in sorted(reports.items())[:_MAX_SERVICES]
     }
 
 
+def _ranks_to_fields(
+    counts_by_rank: Mapping[int, int],
+) -> list[tuple[int, int]]:
+    """Return the most urgent ranks of those that a report may hold."""
+    ranks = sorted(rank for rank in counts_by_rank if 0 <= rank <= _MAX_RANK)
+    return [(rank, counts_by_rank[rank]) for rank in ranks[:_MAX_RANKS]]
+
+
 def waiting_from_fields(fields: Mapping[str, Any]) -> dict[str, WaitingReport]:
     """Return the reports by service.
 
--- a/src/arbutusbay/speeds/__init__.py
+++ b/src/arbutusbay/speeds/__init__.py
@@ -7,6 +7,7 @@
 from arbutusbay.speeds._evidence import Evidence
 from arbutusbay.speeds._reports import (
     MAX_REPORTED_LINES,
+    MAX_REPORTED_SLOWDOWNS,
     MAX_REPORTED_SUMS,
     ReportedSlowdown,
     SampleSum,
@@ -27,6 +28,7 @@
     'ESTIMATE_LIFETIME_S',
     'LOAD_LEVELS',
     'MAX_REPORTED_LINES',
+    'MAX_REPORTED_SLOWDOWNS',
     'MAX_REPORTED_SUMS',
     'Evidence',
     'ReportedSlowdown',
--- a/src/arbutusbay/speeds/_reports.py
+++ b/src/arbutusbay/speeds/_reports.py
@@ -9,6 +9,7 @@
 WINDOW_S = 0.1
 _REPORTED_WINDOWS = 4
 MAX_REPORTED_SUMS = 48
+MAX_REPORTED_SLOWDOWNS = 48
 MAX_REPORTED_LINES = 8
 
 # Server, incarnation and level of load; count and sum of the samples.
@@ -91,8 +92,10 @@
         reported = {}
         size = 0
         for number in sorted(self.sums, reverse=True):
+            if number >= current:
+                continue
             size += len(self.sums[number])
-            if number < current and size <= MAX_REPORTED_SUMS:
+            if size <= MAX_REPORTED_SUMS:
                 reported[number] = tuple(_sums_of(self.sums[number]))
         return reported
 
--- a/src/arbutusbay/speeds/_speed_book.py
+++ b/src/arbutusbay/speeds/_speed_book.py
@@ -96,6 +96,8 @@
     def record(self, sample: SpeedSample, now_s: float) -> None:
         """Add a sample that this VM measured, unless it is outdated.
 
+        Work that should take no time says nothing of the speed.
+
         The time of a usual server follows from the estimate as it was before,
         so that VMs which send to different servers come to the same one.
         """
@@ -107,8 +109,11 @@
         duration_s = max(_MIN_DURATION_S, sample.duration_s)
         known = self.estimates(sample.pool, now_s)
         speed = known.get(sample.server, SpeedEstimate()).speed
+        expected_s = work_time.expected_s(sample.units)
+        if work_time.is_known and not expected_s:
+            return
         if work_time.is_known:
-            ratio = duration_s / work_time.expected_s(sample.units)
+            ratio = duration_s / expected_s
             self._add_own(sample, pool, _clip(math.log(ratio)), now_s)
         work_time.record(sample.units, duration_s * speed)
 
--- a/tests/unit/test_peer_messages.py
+++ b/tests/unit/test_peer_messages.py
@@ -153,3 +153,23 @@
     )
     fields = orjson.loads(peer_state_to_bytes(state, _SENT_S))
     assert set(fields) == {'n', 'z', 'o', 'm', 'zs'}
+
+
+# Guards against a load report that all other VMs drop, as a route has a very
+# low priority.
+def test_rank_beyond_its_bound_is_left_out():
+    state = PeerState(
+        name='vm-1',
+        zone='z',
+        occupancy={},
+        work_totals=WorkTotals(),
+        waiting={
+            's': WaitingReport(
+                counts_by_rank={1: 2, 1_200_000: 3}, work_by_team={}
+            )
+        },
+    )
+    decoded = peer_state_from_bytes(
+        peer_state_to_bytes(state, _SENT_S), _RECEIVED_S
+    ).unwrap()
+    assert decoded.waiting['s'].counts_by_rank == {1: 2}
--- a/tests/unit/test_speed_reports.py
+++ b/tests/unit/test_speed_reports.py
@@ -13,6 +13,7 @@
 from arbutusbay.node._server_speeds import ServerSpeeds
 from arbutusbay.scheduling import WorkTotals
 from arbutusbay.speeds import (
+    MAX_REPORTED_SLOWDOWNS,
     MAX_REPORTED_SUMS,
     ReportedSlowdown,
     SampleSum,
@@ -20,6 +21,7 @@
     ServerIdentity,
     SpeedBook,
     SpeedReport,
+    SpeedSample,
     WorkLine,
 )
 from tests.speed_world import SERVICE, FakeServer, build_speed_view
@@ -176,3 +178,49 @@
         moment_s = NOW_S + number
         speeds.record_call(view, 'look', moment_s - 0.5, moment_s)
     assert work_time.expected_s(0) == pytest.approx(0.5, rel=0.1)
+
+
+# Guards against an exception in the stream of a request without prompt tokens.
+def test_work_without_units_raises_nothing():
+    book = SpeedBook()
+    sample = SpeedSample(
+        server='desk-0',
+        incarnation=1,
+        pool=SERVICE,
+        work='prompt',
+        units=100,
+        duration_s=0.1,
+        level=0,
+    )
+    for _ in range(10):
+        book.record(sample, NOW_S)
+    book.record(attrs.evolve(sample, units=0), NOW_S)
+    assert book.servers['desk-0'].lasting.weight > 0
+
+
+# Guards against a load report that all other VMs drop, as many servers, or one
+# with an odd figure, told of slowdowns.
+@pytest.mark.parametrize('slowdown', [0.004, 2.5, 1500])
+def test_report_of_many_slowdowns_is_accepted(slowdown):
+    speeds = ServerSpeeds()
+    views = {}
+    for number in range(MAX_REPORTED_SLOWDOWNS + 10):
+        view = build_speed_view(FakeServer(id=f'desk-{number}', speed=1))
+        view.record_load(
+            running_requests=1, slowdown=slowdown, now_s=NOW_S + number / 1000
+        )
+        speeds.record_load(view)
+        views[view.id] = view
+    report = speeds.report(views, NOW_S + 0.1)
+    datagram = peer_state_to_bytes(build_state(report), NOW_S)
+    decoded = peer_state_from_bytes(datagram, NOW_S).unwrap().speeds
+    assert len(decoded.slowdowns) == MAX_REPORTED_SLOWDOWNS
+
+
+# Guards against a full window that keeps the ended ones from being reported.
+def test_window_that_goes_on_takes_no_room():
+    windows = SampleWindows()
+    windows.add('desk-0', 1, 0, 0.5, NOW_S)
+    for number in range(MAX_REPORTED_SUMS + 1):
+        windows.add(f'desk-{number}', 1, 0, 0.5, NOW_S + 0.15)
+    assert len(windows.ended(NOW_S + 0.15)) == 1
