Forget returns that were taken, also where none is expected

Found by a reading of the diff: taken returns were kept for good on a VM that refuses none itself. test_returns_that_were_taken_are_forgotten failed before. Beside it, an engine that tells no slots isn't favoured by the cost of excess requests any more.

--- a/src/arbutusbay/fairness/_expected_returns.py
+++ b/src/arbutusbay/fairness/_expected_returns.py
@@ -75,8 +75,6 @@
 
     def report(self, now_s: float) -> dict[int, ReturnWindow]:
         """Return the last returns that this VM expects, for other VMs."""
-        if not self.own:
-            return {}
         self._forget(now_s)
         newest = tuple(self.own.items())[-MAX_REPORTED_RETURNS:]
         return dict(newest)
--- a/src/arbutusbay/scheduling/_placement.py
+++ b/src/arbutusbay/scheduling/_placement.py
@@ -318,7 +318,7 @@
         engine.running_requests if occupancy.attempts else 0,
     )
     taken = engine.speed.taken_requests(engine.slots)
-    excess = min(excess_requests(engine, running), engine.slots - taken)
+    excess = min(excess_requests(engine, running), max(0, engine.slots - taken))
     tokens = running * _RUNNING_REQUEST_COST_TOKENS
     tokens += excess * _EXCESS_REQUEST_COST_TOKENS
     needed_kv_tokens = occupancy.kv_tokens + request_size.kv_tokens
--- a/tests/unit/test_expected_returns.py
+++ b/tests/unit/test_expected_returns.py
@@ -95,3 +95,17 @@
     dispatcher.placer.in_flight = 0
     dispatcher.place_waiting()
     assert dispatcher.placer.committed == ['first', 'returning']
+
+
+# Guards against memory that grows with the requests that came back, on a VM
+# that refuses none itself.
+def test_returns_that_were_taken_are_forgotten():
+    returns = ExpectedReturns()
+    told = ExpectedReturns()
+    for number in range(10):
+        told.expect(number, after_s=_AFTER_S, now_s=_NOW_S)
+    returns.record('vm-2', told.report(_NOW_S))
+    for number in range(10):
+        assert returns.take(number, _NOW_S + _AFTER_S)
+    returns.report(_NOW_S + 10)
+    assert not returns.taken_until_s
