--- a/src/arbutusbay/quota/_lender.py
+++ b/src/arbutusbay/quota/_lender.py
@@ -75,10 +75,10 @@
 
     Times are in seconds on the clock of this VM. ``owner`` has the share until
     ``promised_until_s`` and is asked to give it back while ``is_releasing``;
-    ``next_probe_s`` holds when each silent VM is asked
-    again. ``asked_owner`` is the VM that the last message went to, at
-    ``last_sent_s``. ``last_credit_s`` is when this VM last gave the credit for
-    a takeover, or started and forgot whether it had.
+    ``next_probe_s`` holds when each silent VM is asked again. ``asked_owner``
+    is the VM that the last message went to, at ``last_sent_s``.
+    ``last_credit_s`` is when this VM last gave the credit for a takeover, or
+    started and forgot whether it had.
     """
 
     own_vm: str
