Fail a body that a server began before it had taken the request

The connection looked for unsent bytes as the server ended its side. The client then got the part as a complete answer.

Change: what counts is whether bytes were unsent as the head of the response came; the head acknowledges all that the server can have read.

The servers of both files hold at most 64 KiB unread, so that the upload is still being written, as the tests say.

--- a/emulator/fleet.py
+++ b/emulator/fleet.py
@@ -9,6 +9,7 @@
 import functools
 import os
 import signal
+import socket
 import sys
 import time
 from collections.abc import AsyncIterator, Callable, Sequence
@@ -156,6 +157,7 @@
         self.retry_ratio = 0.2
         self.retry_slack = 60
         self.restart_s = 1.0
+        self.receive_buffer_bytes: int | None = None
         self.end_moments_s: list[float] = []
         self.tasks: set[asyncio.Task[None]] = set()
 
@@ -303,10 +305,19 @@
             max_field_size=_MAX_LINE_BYTES,
         )
         await runner.setup()
-        await web.TCPSite(runner, host, int(port)).start()
+        site = web.TCPSite(runner, host, int(port))
+        await site.start()
+        if self.receive_buffer_bytes is not None:
+            _limit_receive_buffer(site, self.receive_buffer_bytes)
         self.runners_by_address[address] = runner
 
 
+def _limit_receive_buffer(site: web.TCPSite, size_bytes: int) -> None:
+    """Let the kernel hold little that is not read of later connections."""
+    for listener in site._server.sockets:  # noqa: SLF001
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size_bytes)
+
+
 @contextlib.asynccontextmanager
 async def running_fleet(directory: Path) -> AsyncIterator[Fleet]:
     """Serve a store for the block; the caller adds engines and daemons."""
--- a/src/arbutusbay/_client_connections.py
+++ b/src/arbutusbay/_client_connections.py
@@ -33,18 +33,21 @@
     """Refuse reuse after unexpected data and fail bodies cut by a reset.
 
     ``is_answered`` is set once the head of the response to the last request has
-    come. ``received_bytes`` counts all that came since that request.
+    come, ``is_early`` if the server had not taken all of the request by then.
+    ``received_bytes`` counts all that came since that request.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         """Start without a request."""
         super().__init__(loop)
         self.is_answered = False
+        self.is_early = False
         self.received_bytes = 0
 
     def set_response_params(self, **options: Any) -> None:
         """Expect the response to another request."""
         self.is_answered = False
+        self.is_early = False
         self.received_bytes = 0
         super().set_response_params(**options)
 
@@ -78,6 +81,7 @@
             self._end_connection(f'status {status}')
             return
         self.is_answered = True
+        self.is_early = count_unsent_bytes(self.transport) > 0
         super().feed_data(message, size)
 
     def is_connected(self) -> bool:
@@ -95,18 +99,17 @@
         super().close()
 
     def eof_received(self) -> None:
-        """Fail an incomplete body if the server ended within the upload.
+        """Fail an incomplete body that the server began within the upload.
 
         A server that is lost while it reads ends its side as one does whose
-        body is complete; the reset follows.
+        body is complete; the reset follows. The rest of the upload may still
+        have found room in its receive buffer.
         """
-        unsent_bytes = count_unsent_bytes(self.transport)
         payload = self._payload
-        if unsent_bytes and payload is not None and not payload.is_eof():
+        if self.is_early and payload is not None and not payload.is_eof():
             payload.set_exception(
                 aiohttp.ClientPayloadError(
-                    f'connection ended before {unsent_bytes} bytes of the '
-                    'request had arrived'
+                    'the response began before all of the request had arrived'
                 ),
             )
         super().eof_received()
--- a/tests/early_answers.py
+++ b/tests/early_answers.py
@@ -16,6 +16,7 @@
 
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 _READ_BYTES = 65_536
+_RECEIVE_BUFFER_BYTES = 65_536
 _ACCEPT_LIMIT_S = 10.0
 _SEEN_S = 0.02
 _HEAD_END = b'\r\n\r\n'
@@ -26,12 +27,14 @@
 
     ``RESET``: by a reset alone. ``UNREAD``: it is closed while bytes of the
     upload are unread, which resets it. ``SHUT``: the sending side is shut
-    first, so that the end of the answer comes before the reset.
+    first, so that the end of the answer comes before the reset. ``TAKEN``: the
+    same, after the rest of the upload was taken.
     """
 
     RESET = 'reset'
     UNREAD = 'unread'
     SHUT = 'shut'
+    TAKEN = 'taken'
 
 
 @attrs.define(kw_only=True)
@@ -39,7 +42,7 @@
     """Send ``answer`` to each request and end its connection.
 
     ``read_bytes`` of the upload are read before the answer; ``pause_s`` pass
-    between the answer and the end.
+    between the answer and the end. The kernel takes little of the rest.
     """
 
     answer: bytes
@@ -81,14 +84,28 @@
             connection.setsockopt(
                 socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
             )
-        if self.end is UploadEnd.SHUT:
+        if self.end is UploadEnd.TAKEN:
+            _take_rest(connection)
+        if self.end in {UploadEnd.SHUT, UploadEnd.TAKEN}:
             connection.shutdown(socket.SHUT_WR)
             time.sleep(_SEEN_S)
 
 
+def _take_rest(connection: socket.socket) -> None:
+    """Read until nothing more comes for a moment."""
+    connection.settimeout(_SEEN_S)
+    taken = b' '
+    with contextlib.suppress(TimeoutError):
+        while taken:
+            taken = connection.recv(_READ_BYTES)
+
+
 @contextlib.contextmanager
 def running_early_server(server: EarlyServer) -> Iterator[EarlyServer]:
     """Run ``server`` and set its URL."""
+    server.listener.setsockopt(
+        socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES
+    )
     server.listener.bind(('127.0.0.1', 0))
     server.listener.listen()
     host, port = server.listener.getsockname()
--- a/tests/integration/test_early_answers.py
+++ b/tests/integration/test_early_answers.py
@@ -24,6 +24,7 @@
 from tests.raw_clients import build_bytes, parse_received, receive_all
 
 _UPLOAD = b'u' * 4_000_000
+_RECEIVE_BUFFER_BYTES = 65_536
 _TRIES = 3
 _ALL = 9
 _SHORT = b'{"prompt": "x"}'
@@ -45,7 +46,11 @@
 
 @pytest.fixture
 async def node(fleet, http):
-    """Yield a VM before two engines and two plain servers."""
+    """Yield a VM before two engines and two plain servers.
+
+    Their kernel takes little of an upload that they don't read.
+    """
+    fleet.receive_buffer_bytes = _RECEIVE_BUFFER_BYTES
     started = await start_single_node(fleet, engines=2, plain=2)
     await wait_until_ready([started], http)
     limits = build_configuration()['limits']
