Return a grant whose caller left as its reply came

Cause: a call of another VM that was cancelled in the turn in which its reply was set, a router that was cancelled while it waited for its daemon, and a completion that ended in the lookup of its prefix lost what was granted.

PeerCalls now names each reply that nobody waits for; the router's ask outlives its caller and returns the grant; a completion that never began gives its grant back.

Before: the three new tests failed. After: they pass. A call to a service that is cancelled in its run keeps its grant, as it may have run.

--- a/src/arbutusbay/node/quota/_client.py
+++ b/src/arbutusbay/node/quota/_client.py
@@ -65,7 +65,11 @@
         self.outbox = outbox
         self.metrics = metrics
         self.partitions = QuotaPartitions(node_state=node_state, own_vm=own_vm)
-        self.calls = PeerCalls(outbox=outbox, rng=node_state.rng)
+        self.calls = PeerCalls(
+            outbox=outbox,
+            rng=node_state.rng,
+            return_unused=self._return_unused,
+        )
         self.replies: dict[tuple[Address, int], Reply | None] = {}
         self.tasks: set[asyncio.Task[Any]] = set()
 
@@ -195,7 +199,7 @@
             case Ask():
                 self._receive_ask(message, address)
             case Reply():
-                self._receive_reply(message)
+                self.calls.receive_reply(message)
             case Forwarded(number=number):
                 self.calls.receive_forwarded(number)
             case Release(number=number, vm=vm, partition=partition):
@@ -241,11 +245,11 @@
             self.replies.pop(next(iter(self.replies)))
         self.replies[key] = reply
 
-    def _receive_reply(self, reply: Reply) -> None:
-        """Pass on a reply; return the tokens that it granted too late."""
-        late = self.calls.receive_reply(reply)
-        if isinstance(late, Ask) and late.team and reply.retry_after_s is None:
-            self.give_back(late.team, late.cost, reply.owner)
+    def _return_unused(self, call: Ask | Release, reply: Reply) -> None:
+        """Return the tokens of a grant that nobody waits for any more."""
+        is_granted = reply.retry_after_s is None
+        if isinstance(call, Ask) and call.team and is_granted:
+            self.give_back(call.team, call.cost, reply.owner)
 
     def _offer(self, partition: QuotaPartition, owner: str, ask: Ask) -> Ask:
         times = self.partitions.times
--- a/src/arbutusbay/node/quota/_peer_calls.py
+++ b/src/arbutusbay/node/quota/_peer_calls.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import random
+from collections.abc import Callable
 
 import attrs
 
@@ -28,12 +29,22 @@
 class PeerCalls:
     """Match replies with the calls that wait for them.
 
-    ``given_up`` holds the latest calls whose reply came too late.
+    ``given_up`` holds the latest calls that nobody waits for any more.
     """
 
-    def __init__(self, *, outbox: Outbox, rng: random.Random) -> None:
-        """Send calls through ``outbox``."""
+    def __init__(
+        self,
+        *,
+        outbox: Outbox,
+        rng: random.Random,
+        return_unused: Callable[[Ask | Release, Reply], None],
+    ) -> None:
+        """Send calls through ``outbox``.
+
+        ``return_unused`` is called with each reply that nobody waits for.
+        """
         self.outbox = outbox
+        self.return_unused = return_unused
         # Another process at this address may have used the lower numbers.
         self.last_number = rng.randrange(_MAX_FIRST_NUMBER)
         self.pending: dict[int, PendingCall] = {}
@@ -59,19 +70,24 @@
                 await _wait_once(pending.replied)
             return pending.replied.result()
         except asyncio.CancelledError:
-            self._give_up(call)
+            if pending.replied.done():
+                self.return_unused(call, pending.replied.result())
+            else:
+                self._give_up(call)
             raise
         finally:
             self.pending.pop(call.number, None)
 
-    def receive_reply(self, reply: Reply) -> Ask | Release | None:
-        """Pass a reply to its call; return that call if it was given up."""
+    def receive_reply(self, reply: Reply) -> None:
+        """Pass a reply to its call, or return it if that was given up."""
         pending = self.pending.get(reply.number)
-        if pending is None:
-            return self.given_up.pop(reply.number, None)
-        if not pending.replied.done():
-            pending.replied.set_result(reply)
-        return None
+        if pending is not None:
+            if not pending.replied.done():
+                pending.replied.set_result(reply)
+            return
+        call = self.given_up.pop(reply.number, None)
+        if call is not None:
+            self.return_unused(call, reply)
 
     def receive_forwarded(self, number: int) -> None:
         """Wait longer for the reply to a call that was passed on."""
--- a/src/arbutusbay/router/_completions_api.py
+++ b/src/arbutusbay/router/_completions_api.py
@@ -163,7 +163,13 @@
                 return refused
             case Ok(grant):
                 pass
-        completion = await self._start_run(job, completion_body, route, pool)
+        try:
+            completion = await self._start_run(
+                job, completion_body, route, pool
+            )
+        except BaseException:
+            self.rate_limits.give_back(grant)
+            raise
         completion.grant = grant
         return Ok(completion)
 
--- a/src/arbutusbay/router/_rate_limits.py
+++ b/src/arbutusbay/router/_rate_limits.py
@@ -6,6 +6,7 @@
 import asyncio
 import hashlib
 import time
+from collections.abc import Coroutine
 from typing import Any
 
 import aiohttp
@@ -60,7 +61,7 @@
         self.session = session
         self.metrics = metrics
         self.silent_until_s: dict[str, float] = {}
-        self.returns: set[asyncio.Task[Any]] = set()
+        self.tasks: set[asyncio.Task[Any]] = set()
 
     async def ask(
         self,
@@ -80,7 +81,7 @@
         cost = _cost(team, tokens)
         if not cost:
             return Ok(Grant(team=team.name))
-        reply = await self._ask_daemons(
+        reply = await self._ask_for_caller(
             QuotaAsk(
                 team=team.name,
                 cost=cost,
@@ -103,9 +104,35 @@
         """Give back the grant of a request that certainly did not run."""
         if not grant.owner:
             return
-        task = asyncio.create_task(self._give_back(grant))
-        self.returns.add(task)
-        task.add_done_callback(self.returns.discard)
+        self._start(self._give_back(grant))
+
+    async def _ask_for_caller(self, ask: QuotaAsk) -> QuotaReply | None:
+        """Return the reply; if the caller leaves before, its grant goes back.
+
+        The daemon may have granted it already.
+        """
+        asked = self._start(self._ask_daemons(ask))
+        try:
+            return await asyncio.shield(asked)
+        except asyncio.CancelledError:
+            self._start(self._return_unused(ask, asked))
+            raise
+
+    async def _return_unused(
+        self, ask: QuotaAsk, asked: asyncio.Task[QuotaReply | None]
+    ) -> None:
+        reply = await asked
+        if reply is not None and reply.is_granted:
+            self.give_back(
+                Grant(team=ask.team, cost=ask.cost, owner=reply.owner)
+            )
+
+    def _start(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        """Run ``work`` in a task that outlives its caller."""
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
 
     async def _ask_daemons(self, ask: QuotaAsk) -> QuotaReply | None:
         """Return the first reply; a daemon that is silent is passed over."""
--- a/tests/unit/test_quota_client.py
+++ b/tests/unit/test_quota_client.py
@@ -1,6 +1,7 @@
 """Check how VMs ask for grants and find the owner, without a network."""
 
 import asyncio
+import functools
 
 import attrs
 import pytest
@@ -193,3 +194,33 @@
     )
     promised_until_s = received_s + 1.25
     assert partition.owner.expiry_by_vm['vm-9'] <= promised_until_s
+
+
+# Guards against a grant that is lost as its caller leaves in the turn in which
+# the reply comes: the team then gets less than its limit.
+async def test_grant_of_a_caller_that_leaves_as_it_comes_goes_back(network):
+    owner, other, _ = await start(network, 3, rate_per_s=0.01, burst=3)
+    for task in network.renewals:
+        task.cancel()
+    await ask(network, other, cost=0.1)
+    bucket = network.clients[owner].partitions.of_team(TEAM).owner.buckets[TEAM]
+    bucket.level = 1.0
+    asked = asyncio.create_task(ask(network, other))
+    cancel_with_reply(network.clients[other], asked)
+    with pytest.raises(asyncio.CancelledError):
+        await asked
+    await asyncio.sleep(0.05)
+    assert bucket.level == pytest.approx(1, abs=0.01)
+
+
+def cancel_with_reply(client, asked: asyncio.Task) -> None:
+    """Cancel a task in the turn in which a reply to it arrives."""
+    client.receive = functools.partial(
+        receive_and_cancel, client.receive, asked
+    )
+
+
+def receive_and_cancel(receive, asked: asyncio.Task, datagram, address) -> None:
+    """Receive a datagram, then cancel a task."""
+    receive(datagram, address)
+    asked.cancel()
--- a/tests/unit/test_team_quotas.py
+++ b/tests/unit/test_team_quotas.py
@@ -34,11 +34,13 @@
         """Let all other URLs be silent."""
         self.replies = replies
         self.calls: list[tuple[str, object]] = []
+        self.delay_s = 0.0
 
     async def call_peer(self, session, url, message, reply_type, *, timeout_s):
         """Record a call and return its reply."""
         base, _, path = url.partition('/peer/')
         self.calls.append((base, path, message))
+        await asyncio.sleep(self.delay_s)
         reply = self.replies.get(base)
         return Ok(reply) if reply else Err(_LOST)
 
@@ -111,7 +113,7 @@
     limits, daemons = build_limits(monkeypatch, {_OWN_URL: granted})
     limits.give_back((await ask(limits, _QUOTA)).unwrap())
     limits.give_back(Grant(team='t'))
-    await asyncio.gather(*limits.returns)
+    await asyncio.gather(*limits.tasks)
     assert [path for _, path, _ in daemons.calls] == [
         'quota/ask',
         'quota/return',
@@ -120,6 +122,21 @@
     assert (returned.cost, returned.owner) == (30, 'vm-2')
 
 
+# Guards against a grant that is lost as its caller leaves while the router
+# waits for it.
+@pytest.mark.parametrize('is_granted', [True, False])
+async def test_grant_of_a_caller_that_left_goes_back(monkeypatch, is_granted):
+    reply = QuotaReply(is_granted=is_granted, owner='vm-2')
+    limits, daemons = build_limits(monkeypatch, {_OWN_URL: reply})
+    daemons.delay_s = 0.05
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(0.01):
+            await ask(limits, _QUOTA)
+    await asyncio.sleep(0.2)
+    returned = [path for _, path, _ in daemons.calls if path == 'quota/return']
+    assert len(returned) == is_granted
+
+
 @pytest.mark.parametrize(
     ('quota', 'problem'),
     [
