Keep the promise of each Retry-After of a team's limit

Cause: a caller that came back too early, or on time but short, lost its reserved tokens and got no new ones; two callers with the same request shared one reservation, so that the second was refused at the time that it had been told.

Each refused caller has a reservation of its own, and one that is due is used up. Reservations of callers that were refused again count by how many of those come back, which is counted apart: many clients retry once. Four at most stand for one request, so that a client which repeats at once and often holds little back.

--- a/src/arbutusbay/quota/_bucket.py
+++ b/src/arbutusbay/quota/_bucket.py
@@ -12,6 +12,8 @@
 _RESERVATION_GRACE_S = 0.5
 _RETURN_MARGIN_S = 0.02
 _MAX_RESERVATIONS = 256
+# Bounds what a caller that repeats a request early and often holds back.
+_MAX_RESERVATIONS_PER_KEY = 4
 _MIN_RETRY_AFTER_S = 0.05
 _WAIT_WITHOUT_RATE_S = 0.5
 _MAX_COUNTED_RETURNS = 64
@@ -32,17 +34,6 @@
     patience_s: float = 0.0
 
 
-@attrs.frozen(kw_only=True)
-class Reservation:
-    """Hold the tokens that a refused caller will find when it returns.
-
-    ``cost`` is their number, ``due_s`` when the caller was told to return.
-    """
-
-    cost: float
-    due_s: float
-
-
 @attrs.define(kw_only=True)
 class ReturnStatistics:
     """Estimate which part of the refused callers return when they were told."""
@@ -66,6 +57,20 @@
             self.missed /= 2
 
 
+@attrs.frozen(kw_only=True)
+class Reservation:
+    """Hold the tokens that a refused caller will find when it returns.
+
+    ``key`` is that of its request, ``cost`` the number of tokens, ``due_s``
+    when the caller was told to return. ``returns`` counts whether it did.
+    """
+
+    key: int
+    cost: float
+    due_s: float
+    returns: ReturnStatistics
+
+
 @attrs.define(kw_only=True)
 class Bucket:
     """Hold the unused tokens of a team.
@@ -74,7 +79,9 @@
     owner that ``may_borrow`` grants a request that costs more than the capacity
     once that is all unused.
     ``start_credit`` can be used beside the level until ``credit_until_s``.
-    ``reservations`` are in the order in which they were made.
+    ``reservations`` are in the order in which they were made. ``returns``
+    counts the callers that were refused once, ``repeated_returns`` those that
+    came back and were refused again, which often give up.
     """
 
     level: float = 0.0
@@ -83,8 +90,9 @@
     may_borrow: bool = False
     start_credit: float = 0.0
     credit_until_s: float = float('-inf')
-    reservations: dict[int, Reservation] = attrs.field(factory=dict)
+    reservations: list[Reservation] = attrs.field(factory=list)
     returns: ReturnStatistics = attrs.field(factory=ReturnStatistics)
+    repeated_returns: ReturnStatistics = attrs.field(factory=ReturnStatistics)
 
     def resize(
         self, *, capacity: float, rate_per_s: float, may_borrow: bool
@@ -109,13 +117,12 @@
     def take(self, request: QuotaRequest, now_s: float) -> Decision:
         """Grant or refuse a request.
 
-        A caller that returns when it was told to comes before all others.
+        A caller that returns when it was told to comes before all others. One
+        that comes earlier may be another caller with the same request, so that
+        each of them has a reservation of its own.
         """
         self._drop_expired(now_s)
-        own = self.reservations.pop(request.key, None)
-        if own is not None:
-            self.returns.record(has_returned=True)
-        is_due = own is not None and now_s >= own.due_s
+        is_due = self._take_reservation(request.key, now_s)
         reserved = 0.0 if is_due else self._reserved()
         needed = request.cost
         if self.may_borrow:
@@ -127,10 +134,19 @@
         wait_s = _WAIT_WITHOUT_RATE_S
         if self.rate_per_s > 0:
             wait_s = missing / self.rate_per_s + _RETURN_MARGIN_S
-        if own is None:
-            self._reserve(request, now_s, wait_s)
+        is_repeat = is_due or self._count_of(request.key) > 0
+        self._reserve(request, now_s, wait_s, is_repeat=is_repeat)
         return Refused(retry_after_s=max(wait_s, _MIN_RETRY_AFTER_S))
 
+    def _take_reservation(self, key: int, now_s: float) -> bool:
+        """Use up a reservation of a request; return whether one is due."""
+        for position, reservation in enumerate(self.reservations):
+            if reservation.key == key and now_s >= reservation.due_s:
+                self.reservations.pop(position)
+                reservation.returns.record(has_returned=True)
+                return True
+        return False
+
     def _available(self, now_s: float) -> float:
         if now_s >= self.credit_until_s:
             return self.level
@@ -145,13 +161,18 @@
 
     def _reserved(self) -> float:
         """Return the tokens that returning callers are likely to use."""
-        reserved = sum(
-            reservation.cost for reservation in self.reservations.values()
+        return sum(
+            reservation.cost * reservation.returns.probability
+            for reservation in self.reservations
         )
-        return reserved * self.returns.probability
 
     def _reserve(
-        self, request: QuotaRequest, now_s: float, wait_s: float
+        self,
+        request: QuotaRequest,
+        now_s: float,
+        wait_s: float,
+        *,
+        is_repeat: bool,
     ) -> None:
         """Reserve tokens for a caller that can return when they are there."""
         is_too_late = wait_s > min(_MAX_RESERVED_S, request.patience_s)
@@ -160,20 +181,28 @@
             is_too_late
             or is_too_large
             or len(self.reservations) >= _MAX_RESERVATIONS
+            or self._count_of(request.key) >= _MAX_RESERVATIONS_PER_KEY
         ):
             return
-        self.reservations[request.key] = Reservation(
-            cost=request.cost,
-            due_s=now_s + wait_s - _RETURN_MARGIN_S,
+        self.reservations.append(
+            Reservation(
+                key=request.key,
+                cost=request.cost,
+                due_s=now_s + wait_s - _RETURN_MARGIN_S,
+                returns=self.repeated_returns if is_repeat else self.returns,
+            )
         )
 
+    def _count_of(self, key: int) -> int:
+        """Return how many reservations the callers of a request have."""
+        return sum(reservation.key == key for reservation in self.reservations)
+
     def _drop_expired(self, now_s: float) -> None:
         """Drop the reservations of callers that did not return in time."""
-        expired = [
-            key
-            for key, reservation in self.reservations.items()
-            if now_s > reservation.due_s + _RESERVATION_GRACE_S
-        ]
-        for key in expired:
-            self.reservations.pop(key)
-            self.returns.record(has_returned=False)
+        kept = []
+        for reservation in self.reservations:
+            if now_s <= reservation.due_s + _RESERVATION_GRACE_S:
+                kept.append(reservation)
+            else:
+                reservation.returns.record(has_returned=False)
+        self.reservations = kept
--- a/tests/unit/test_quota_limits.py
+++ b/tests/unit/test_quota_limits.py
@@ -35,6 +35,7 @@
 )
 
 _NOW_S = 100.0
+_NEWCOMER = QuotaRequest(cost=5, key=9)
 
 
 def read_configuration(**fields):
@@ -150,6 +151,66 @@
     assert bucket.take(told, refused.retry_after_s) == Granted()
 
 
+# Guards against a promise that is dropped: all of these callers were told a
+# time, and come back at that time while others ask for all that is there.
+def test_early_caller_is_served_at_the_time_it_is_told_then():
+    bucket = build_contended_bucket()
+    told = QuotaRequest(cost=5, key=1, patience_s=5)
+    bucket.take(told, 0)
+    refused = bucket.take(told, 0.1)
+    due_s = 0.1 + refused.retry_after_s
+    bucket.add(due_s * bucket.rate_per_s)
+    let_others_take_all(bucket, due_s)
+    assert bucket.take(told, due_s) == Granted()
+
+
+def test_caller_that_returns_on_time_but_is_short_is_served_next_time():
+    bucket = build_contended_bucket()
+    told = QuotaRequest(cost=5, key=1, patience_s=5)
+    first_s = bucket.take(told, 0).retry_after_s
+    again = bucket.take(told, first_s)
+    assert isinstance(again, Refused)
+    due_s = first_s + again.retry_after_s
+    bucket.add(again.retry_after_s * bucket.rate_per_s)
+    let_others_take_all(bucket, due_s)
+    assert bucket.take(told, due_s) == Granted()
+
+
+def test_two_callers_with_the_same_request_are_both_served_as_told():
+    bucket = build_contended_bucket()
+    told = QuotaRequest(cost=5, key=1, patience_s=5)
+    due_s = [bucket.take(told, 0).retry_after_s for _ in range(2)]
+    assert due_s[0] < due_s[1]
+    bucket.add(due_s[0] * bucket.rate_per_s)
+    let_others_take_all(bucket, due_s[0])
+    assert bucket.take(told, due_s[0]) == Granted()
+    bucket.add((due_s[1] - due_s[0]) * bucket.rate_per_s)
+    let_others_take_all(bucket, due_s[1])
+    assert bucket.take(told, due_s[1]) == Granted()
+
+
+def test_caller_that_repeats_at_once_and_often_leaves_tokens_to_others():
+    bucket = build_contended_bucket()
+    for step in range(50):
+        bucket.take(QuotaRequest(cost=5, key=1, patience_s=5), step / 100)
+    refused = bucket.take(_NEWCOMER, 0.5)
+    assert refused.retry_after_s < 5
+
+
+def let_others_take_all(bucket: Bucket, now_s: float) -> None:
+    """Let callers who come first ask for more than there is."""
+    decisions = [bucket.take(_NEWCOMER, now_s) for _ in range(20)]
+    assert isinstance(decisions[-1], Refused)
+
+
+def build_contended_bucket() -> Bucket:
+    """Return an empty bucket whose refused callers return."""
+    bucket = Bucket(level=0, capacity=100, rate_per_s=10)
+    for _ in range(40):
+        bucket.returns.record(has_returned=True)
+    return bucket
+
+
 def test_tokens_of_a_caller_that_stays_away_go_to_others():
     bucket = Bucket(level=0, capacity=10, rate_per_s=1)
     bucket.take(QuotaRequest(cost=1, key=1, patience_s=5), 0)
