Remember replies of limits by time, not by count alone

Cause: an owner kept 1,024 replies, less than 0.3 s of asks above 3,400 a second, while an ask is repeated for up to 0.8 s: a repeated one was charged twice. Calls that were given up were kept by count, too.

Before: at 5,000 asks a second the repeated ask cost a second token. After: it costs nothing; a flood is bounded.

--- a/src/arbutusbay/node/quota/__init__.py
+++ b/src/arbutusbay/node/quota/__init__.py
@@ -14,11 +14,13 @@
 )
 from arbutusbay.node.quota._metrics import QuotaMetrics
 from arbutusbay.node.quota._outbox import Outbox
+from arbutusbay.node.quota._recent_entries import MAX_ENTRIES, RecentEntries
 from arbutusbay.node.quota._renewals import ShareRenewals
 from arbutusbay.node.quota._request_grants import RequestGrant, RequestGrants
 
 __all__ = (
     'DATAGRAM_TYPE',
+    'MAX_ENTRIES',
     'Ask',
     'Forwarded',
     'GiveBack',
@@ -26,6 +28,7 @@
     'QuotaClient',
     'QuotaMessage',
     'QuotaMetrics',
+    'RecentEntries',
     'Release',
     'Reply',
     'RequestGrant',
--- a/src/arbutusbay/node/quota/_client.py
+++ b/src/arbutusbay/node/quota/_client.py
@@ -28,6 +28,7 @@
 from arbutusbay.node.quota._outbox import Address, Outbox
 from arbutusbay.node.quota._partitions import QuotaPartitions
 from arbutusbay.node.quota._peer_calls import PeerCalls
+from arbutusbay.node.quota._recent_entries import RecentEntries
 from arbutusbay.quota import (
     Granted,
     QuotaPartition,
@@ -41,14 +42,15 @@
 _RETRY_AFTER_SILENCE_S = 0.5
 # An ask held for less is passed on as it came.
 _SAME_TURN_S = 0.05
-_MAX_REMEMBERED_REPLIES = 1024
+# Longer than an ask is repeated for: ``PeerCalls``.
+_REPLY_LIFE_S = 1.5
 
 
 class QuotaClient:
     """Ask the owner of a partition, which may be this VM itself.
 
     ``replies`` holds the latest replies by the asking address and number, so
-    that a repeated ask is charged once; None while it is passed on.
+    that a repeated ask is charged once, ``Forwarded`` while it is passed on.
     """
 
     def __init__(
@@ -70,7 +72,9 @@
             rng=node_state.rng,
             return_unused=self._return_unused,
         )
-        self.replies: dict[tuple[Address, int], Reply | None] = {}
+        self.replies: RecentEntries[tuple[Address, int], Reply | Forwarded] = (
+            RecentEntries(life_s=_REPLY_LIFE_S)
+        )
         self.tasks: set[asyncio.Task[Any]] = set()
 
     async def ask(
@@ -213,37 +217,28 @@
     def _receive_ask(self, ask: Ask, address: Address) -> None:
         """Reply to an ask, or pass it on to the VM taken for the owner."""
         key = (address, ask.number)
-        if key in self.replies:
-            self._repeat_reply(key)
+        known = self.replies.get(key, now_s())
+        if known is not None:
+            self.outbox.add(address, known)
             return
         partition = self.partitions.partitions[ask.partition]
         chosen = self.partitions.choose_owner(partition)
         if ask.is_relayed or chosen in {self.own_vm.name, ask.vm}:
-            reply = self._decide(partition, ask)
-            self._remember(key, reply)
-            self.outbox.add(address, reply)
+            self._answer(address, self._decide(partition, ask))
             return
-        self._remember(key, None)
-        self.outbox.add(address, Forwarded(number=ask.number))
+        self._answer(address, Forwarded(number=ask.number))
         self.start(self._relay(partition, ask, address))
 
-    def _repeat_reply(self, key: tuple[Address, int]) -> None:
-        address, number = key
-        known = self.replies[key]
-        self.outbox.add(address, known or Forwarded(number=number))
-
     async def _relay(
         self, partition: QuotaPartition, ask: Ask, address: Address
     ) -> None:
         reply = await self.ask_owner(partition, ask)
-        reply = attrs.evolve(reply, number=ask.number)
-        self._remember((address, ask.number), reply)
-        self.outbox.add(address, reply)
+        self._answer(address, attrs.evolve(reply, number=ask.number))
 
-    def _remember(self, key: tuple[Address, int], reply: Reply | None) -> None:
-        if len(self.replies) >= _MAX_REMEMBERED_REPLIES:
-            self.replies.pop(next(iter(self.replies)))
-        self.replies[key] = reply
+    def _answer(self, address: Address, answer: Reply | Forwarded) -> None:
+        """Send an answer to an ask, and again if that is repeated."""
+        self.replies.put((address, answer.number), answer, now_s())
+        self.outbox.add(address, answer)
 
     def _return_unused(self, call: Ask | Release, reply: Reply) -> None:
         """Return the tokens of a grant that nobody waits for any more."""
--- a/src/arbutusbay/node/quota/_peer_calls.py
+++ b/src/arbutusbay/node/quota/_peer_calls.py
@@ -7,15 +7,18 @@
 
 import attrs
 
+from arbutusbay.clock import now_s
 from arbutusbay.node.quota._messages import Ask, Release, Reply
 from arbutusbay.node.quota._outbox import Address, Outbox
+from arbutusbay.node.quota._recent_entries import RecentEntries
 
 _RESEND_AFTER_S = 0.1
 _SILENCE_LIMIT_S = 0.3
 # The VM that an ask was passed on by may find the owner silent itself.
 _FORWARDED_LIMIT_S = 0.8
 _MAX_FIRST_NUMBER = 1_000_000_000_000
-_MAX_GIVEN_UP = 256
+# How late a reply may come whose grant is returned.
+_GIVEN_UP_LIFE_S = 10.0
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -48,7 +51,9 @@
         # Another process at this address may have used the lower numbers.
         self.last_number = rng.randrange(_MAX_FIRST_NUMBER)
         self.pending: dict[int, PendingCall] = {}
-        self.given_up: dict[int, Ask | Release] = {}
+        self.given_up: RecentEntries[int, Ask | Release] = RecentEntries(
+            life_s=_GIVEN_UP_LIFE_S
+        )
 
     def next_number(self) -> int:
         """Return a number that no call of this VM had."""
@@ -64,7 +69,7 @@
         try:
             while not pending.replied.done():
                 if not self._may_wait(pending, loop.time() - started_s):
-                    self._give_up(call)
+                    self.given_up.put(call.number, call, now_s())
                     return None
                 self.outbox.add(address, call)
                 await _wait_once(pending.replied)
@@ -73,7 +78,7 @@
             if pending.replied.done():
                 self.return_unused(call, pending.replied.result())
             else:
-                self._give_up(call)
+                self.given_up.put(call.number, call, now_s())
             raise
         finally:
             self.pending.pop(call.number, None)
@@ -85,7 +90,7 @@
             if not pending.replied.done():
                 pending.replied.set_result(reply)
             return
-        call = self.given_up.pop(reply.number, None)
+        call = self.given_up.pop(reply.number, now_s())
         if call is not None:
             self.return_unused(call, reply)
 
@@ -101,11 +106,6 @@
             limit_s = _FORWARDED_LIMIT_S
         return waited_s < limit_s
 
-    def _give_up(self, call: Ask | Release) -> None:
-        if len(self.given_up) >= _MAX_GIVEN_UP:
-            self.given_up.pop(next(iter(self.given_up)))
-        self.given_up[call.number] = call
-
 
 async def _wait_once(replied: asyncio.Future[Reply]) -> None:
     """Wait for a reply until the call should be sent again.
--- a/tests/unit/test_quota_client.py
+++ b/tests/unit/test_quota_client.py
@@ -8,7 +8,13 @@
 from aioprometheus import REGISTRY
 
 from arbutusbay.clock import now_s
-from arbutusbay.node.quota import Ask, Reply
+from arbutusbay.node.quota import (
+    MAX_ENTRIES,
+    Ask,
+    RecentEntries,
+    Reply,
+    messages_to_bytes,
+)
 from arbutusbay.quota import QuotaRequest, QuotaTerms, partition_of, rank_owners
 from tests.quota_builders import (
     TEAM,
@@ -20,6 +26,9 @@
 _LEASES_LENT_S = 0.7
 _TERMS = QuotaTerms(version=1, rate_per_s=1.0, burst=10.0)
 _RELAYED_LIMIT_S = 0.6
+# An ask is repeated for 0.8 s at most: 5,000 a second come meanwhile.
+_ASKS = 4000
+_NOW_S = 100.0
 
 
 @pytest.fixture(autouse=True)
@@ -224,3 +233,56 @@
     """Receive a datagram, then cancel a task."""
     receive(datagram, address)
     asked.cancel()
+
+
+# Guards against a repeated ask that is charged twice, as the owner has
+# forgotten its reply. Load: 5,000 asks a second to one owner, a lost reply.
+async def test_repeated_ask_is_charged_once_among_5000_a_second(network):
+    owner, other, _ = await start(network, 3, rate_per_s=0.01, burst=9000)
+    client = network.clients[owner]
+    partition = client.partitions.of_team(TEAM)
+    bucket = partition.owner.buckets[TEAM]
+    bucket.level = 8000.0
+    asks = [
+        build_ask(other, partition.number, number) for number in range(_ASKS)
+    ]
+    address = client.partitions.address_of(other)
+    for sent in (*asks, asks[0]):
+        client.receive(messages_to_bytes([sent]), address)
+    assert bucket.level == pytest.approx(8000 - _ASKS, abs=0.5)
+
+
+def build_ask(vm: str, partition: int, number: int) -> Ask:
+    """Return an ask for one request, which lends nothing."""
+    return Ask(
+        number=number,
+        vm=vm,
+        partition=partition,
+        lease_s=0,
+        adds_start_credit=False,
+        team=TEAM,
+        cost=1,
+        key=number,
+        version=1,
+        rate_per_s=_TERMS.rate_per_s,
+        burst=9000,
+    )
+
+
+def test_what_is_remembered_ends_with_its_time():
+    entries = RecentEntries(life_s=1.0)
+    entries.put('a', 1, _NOW_S)
+    entries.put('b', 2, _NOW_S + 0.9)
+    assert entries.get('a', _NOW_S + 0.99) == 1
+    assert entries.get('a', _NOW_S + 1) is None
+    entries.put('c', 3, _NOW_S + 1.1)
+    assert len(entries) == 2
+    assert entries.pop('b', _NOW_S + 1.1) == 2
+    assert entries.pop('b', _NOW_S + 1.1) is None
+
+
+def test_flood_is_remembered_within_a_bound():
+    entries = RecentEntries(life_s=1.0)
+    for number in range(MAX_ENTRIES + 10):
+        entries.put(number, number, _NOW_S)
+    assert len(entries) == MAX_ENTRIES
