Await the end of a silence for at most half of a request's time

Cause: since a second of a gap without a place counts as a silence of sound engines, whatever time a request has. Our own edge refused jobs of 2 s only after 1.25 and 1.47 s. Change: a request that has waited for half of its own time takes the open gap in full, at both edges; silences that ended are left out as before. The predictions of one decision move into a class of their own, StartForecast.

--- a/src/arbutusbay/_admission.py
+++ b/src/arbutusbay/_admission.py
@@ -20,6 +20,7 @@
 _PRIOR_GAP_S = 0.1
 _MIN_GAP_S = 0.001
 _SOUND_SILENCE_S = 1.0
+_AWAITED_SHARE = 0.5
 _GAP_WEIGHT = 1.5
 _MIN_RETRY_AFTER_S = 0.1
 _HONOURED_SHARE = 1 / 3
@@ -197,14 +198,19 @@
             self.updated_s = max(now_s, self.updated_s)
 
     def rate(
-        self, now_s: float, expected: ExpectedPlaces | None = None
+        self,
+        now_s: float,
+        expected: ExpectedPlaces | None = None,
+        *,
+        awaits_silence: bool = True,
     ) -> PlaceRate:
         """Return the rate, which falls for as long as there is no place.
 
         The open gap counts as one that ends now, with all places that may come
         free together, but not as shorter than the mean of the others. The rate
         is no higher than ``expected``, if that is a limit: engines may have
-        been lost since the last place.
+        been lost since the last place. The open gap may be a silence of sound
+        engines only for a request that ``awaits_silence``.
         """
         self._advance(now_s)
         prior = expected or _UNKNOWN_PLACES
@@ -218,8 +224,13 @@
         self.usual_gap_s = (self.sound_gaps_s + prior.within_s) / (
             self.places + prior.places
         )
+        sound_gap_s = (
+            _sound_gap_s(self.open_gap_s, self.usual_gap_s)
+            if awaits_silence
+            else self.open_gap_s
+        )
         sound = _rate_after(
-            _sound_gap_s(self.open_gap_s, self.usual_gap_s),
+            sound_gap_s,
             PlaceRate(places=self.places, gaps_s=self.sound_gaps_s),
             prior,
         )
@@ -282,6 +293,16 @@
         self.open_gap_s *= weight
 
 
+def may_await_silence(
+    *, arrived_s: float, deadline_s: float, now_s: float
+) -> bool:
+    """Return whether a request may take a gap for a silence of sound engines.
+
+    Afterwards too little of its time would be left to be served elsewhere.
+    """
+    return now_s - arrived_s < (deadline_s - arrived_s) * _AWAITED_SHARE
+
+
 def retry_after_s(
     estimate: StartEstimate, *, remaining_s: float, spread: float
 ) -> float:
--- a/src/arbutusbay/admission.py
+++ b/src/arbutusbay/admission.py
@@ -6,6 +6,7 @@
     ReturningPlaces,
     StartEstimate,
     StartPredictor,
+    may_await_silence,
     retry_after_s,
 )
 
@@ -15,5 +16,6 @@
     'ReturningPlaces',
     'StartEstimate',
     'StartPredictor',
+    'may_await_silence',
     'retry_after_s',
 )
--- a/src/arbutusbay/router/_start_decision.py
+++ b/src/arbutusbay/router/_start_decision.py
@@ -5,7 +5,12 @@
 
 import attrs
 
-from arbutusbay.admission import ExpectedPlaces, StartEstimate, retry_after_s
+from arbutusbay.admission import (
+    ExpectedPlaces,
+    StartEstimate,
+    may_await_silence,
+    retry_after_s,
+)
 from arbutusbay.clock import milliseconds
 from arbutusbay.errors import ErrorKind, Failure, RunState
 from arbutusbay.logs import get_logger
@@ -94,9 +99,15 @@
     """
     moment_s = time.monotonic()
     expected = _expected_places(shared_state, pool)
-    rate = pool.starts.rate(moment_s, expected)
+    rates = {
+        awaits_silence: pool.starts.rate(
+            moment_s, expected, awaits_silence=awaits_silence
+        )
+        for awaits_silence in (False, True)
+    }
     ahead = 0
     for waiting in pool.queue.in_start_order(moment_s):
+        rate = rates[_awaits_silence(waiting.job, moment_s)]
         estimate = pool.starts.predict(ahead=ahead, now_s=moment_s, rate=rate)
         has_output = bool(waiting.caller_data.context.weights_version)
         starts_s = moment_s + (ahead + 1) / rate.sound_mean
@@ -110,6 +121,12 @@
         )
 
 
+def _awaits_silence(job: Job, moment_s: float) -> bool:
+    return may_await_silence(
+        arrived_s=job.arrived_s, deadline_s=job.deadline_s, now_s=moment_s
+    )
+
+
 def _expected_places(
     shared_state: RouterState, pool: PoolState
 ) -> ExpectedPlaces | None:
--- a/src/arbutusbay/scheduling/_admission_queue.py
+++ b/src/arbutusbay/scheduling/_admission_queue.py
@@ -1,9 +1,6 @@
 """Predict the starts of queued requests and find those that start too late."""
 
-from collections import Counter
-from collections.abc import Iterator, Sequence
-
-import attrs
+from collections.abc import Iterator, Mapping, Sequence
 
 from arbutusbay.admission import (
     ExpectedPlaces,
@@ -12,11 +9,12 @@
     StartEstimate,
     StartPredictor,
 )
-from arbutusbay.fairness import FLOOR_SHARE, TeamWork
+from arbutusbay.fairness import TeamWork
 from arbutusbay.scheduling._request_queue import (
     QueuedRequest,
     RequestQueue,
 )
+from arbutusbay.scheduling._start_forecast import StartForecast
 
 # Turns follow each other sooner, unless the process is suspended.
 _MAX_TURN_S = 0.2
@@ -88,77 +86,34 @@
         time are not counted as ahead of others, because they are refused. The
         places that this VM has ``held`` so far may come free together.
         """
-        ahead = 0
-        late_ahead: Counter[int] = Counter()
-        rate = _higher_rate(self.starts, now_s, held)
-        late_rates: dict[int, PlaceRate] = {}
-        for request in tuple(self.in_start_order(now_s)):
-            estimate = self.starts.predict(
-                ahead=ahead, now_s=now_s, returning=returning, rate=rate
-            )
-            is_late = not request.can_meet_target(now_s + estimate.delay_s)
-            if is_late:
-                level = request.priority_level
-                if level not in late_rates:
-                    late_rates[level] = self.late_starts[level].rate(
-                        now_s, self._late_places(rate, level)
-                    )
-                late = self.late_starts[level].predict(
-                    ahead=late_ahead[level],
-                    now_s=now_s,
-                    returning=returning,
-                    rate=late_rates[level],
-                )
-                estimate = _later(request, estimate, late)
-            yield request, estimate
-            if estimate.is_in_time(request.latest_start_s):
-                ahead += 1
-                late_ahead[request.priority_level] += is_late
-
-    def _late_places(
-        self, rate: PlaceRate, priority_level: int
-    ) -> ExpectedPlaces:
-        """Return the rate of places that the order leaves to late requests.
-
-        Requests that come, as urgent or more, claim all but a share of the
-        places.
-        """
-        claimed = self.starts.claimed_share(priority_level)
-        places_per_s = rate.sound_mean
-        late_share = 1 - claimed * (1 - FLOOR_SHARE)
-        return ExpectedPlaces(
-            places=1,
-            within_s=1 / (places_per_s * late_share),
-            is_limit=False,
-            may_be_silent=False,
+        forecast = StartForecast(
+            now_s=now_s,
+            starts=self.starts,
+            late_starts=self.late_starts,
+            rates=_higher_rates(self.starts, now_s, held),
+            returning=returning,
         )
+        for request in tuple(self.in_start_order(now_s)):
+            yield request, forecast.predict_next(request)
 
 
-def _higher_rate(
+def _higher_rates(
     starts: StartPredictor, now_s: float, held: ExpectedPlaces | None
-) -> PlaceRate:
-    """Return the rate of places by the queue alone or by those held."""
-    rates = (starts.rate(now_s), starts.rate(now_s, held))
-    return max(rates, key=_high)
+) -> Mapping[bool, PlaceRate]:
+    """Return the rate of places by the queue alone or by those held.
 
-
-def _high(rate: PlaceRate) -> float:
-    return rate.high
-
-
-def _later(
-    request: QueuedRequest, estimate: StartEstimate, late: StartEstimate
-) -> StartEstimate:
-    """Return the later of both estimates for a request that starts late.
-
-    At the optimistic rate it may still start on time.
+    The rates differ by whether requests await the end of a silence.
     """
-    later = max(estimate, late, key=_delay_s)
-    optimistic_s = estimate.optimistic_delay_s
-    if not request.can_meet_target(estimate.predicted_s + optimistic_s):
-        optimistic_s = max(optimistic_s, late.optimistic_delay_s)
-    return attrs.evolve(later, optimistic_delay_s=optimistic_s)
+    alone = starts.rate(now_s)
+    return {
+        awaits_silence: max(
+            alone,
+            starts.rate(now_s, held, awaits_silence=awaits_silence),
+            key=_high,
+        )
+        for awaits_silence in (False, True)
+    }
 
 
-def _delay_s(estimate: StartEstimate) -> float:
-    return estimate.delay_s
+def _high(rate: PlaceRate) -> float:
+    return rate.high
