Leave out stores of KV cache that don't answer

Change: a VM that sees a first event 0.2 s later than expected behind a fetch calls the store. After two calls in vain it leaves the store out, and so does a VM that hears it of two others. The VMs that found it call it twice a second. Saves are forgotten when a store is left out or back.

--- a/src/arbutusbay/node/_control_api.py
+++ b/src/arbutusbay/node/_control_api.py
@@ -134,7 +134,10 @@
         self.metrics.store_calls.set({}, self.store.call_count)
         for form, size_bytes in self.node_state.relayed_bytes.items():
             self.metrics.relayed_bytes.set({'form': form.value}, size_bytes)
-        self.metrics.show_prefix_placements(self.node_state.prefix_placements)
+        self.metrics.show_prefixes(
+            self.node_state.prefix_placements,
+            self.node_state.store_health.left_out(now_s()),
+        )
         self.metrics.show_servers(
             self.node_state.engine_views.values(), now_s()
         )
--- a/src/arbutusbay/node/_daemon.py
+++ b/src/arbutusbay/node/_daemon.py
@@ -20,6 +20,7 @@
     withdraw_registration,
 )
 from arbutusbay.node._shutdown import drain_connections
+from arbutusbay.node._store_checks import StoreChecker
 from arbutusbay.platform import (
     VMSettings,
     read_settings,
@@ -179,6 +180,9 @@
         'servers': components.server_registry.run,
         'dispatcher': components.dispatcher.run,
         'silence': components.stall_detector.run,
+        'cache stores': StoreChecker(
+            node_state=components.node_state, session=components.store.session
+        ).run,
         'quarantine': components.quarantine.run,
         'verdicts': components.verdict_recorder.run,
         'rollout': components.rollout.run,
--- a/src/arbutusbay/node/_dispatcher.py
+++ b/src/arbutusbay/node/_dispatcher.py
@@ -27,6 +27,7 @@
     return_key_of,
 )
 from arbutusbay.node._placer import Placer
+from arbutusbay.node._store_checks import record_fetch
 from arbutusbay.scheduling import (
     AdmissionQueue,
     Attempt,
@@ -125,6 +126,7 @@
         )
         if not has_paused:
             self.node_state.speeds.record_first_event(view, attempt, moment_s)
+            record_fetch(self.node_state, attempt, view, moment_s)
         if tokens >= _MIN_SAMPLE_TOKENS and not has_paused:
             slowdown = max(1.0, view.current_slowdown(moment_s))
             sample_s = (moment_s - attempt.sent_s) / tokens / slowdown
--- a/src/arbutusbay/node/_metrics.py
+++ b/src/arbutusbay/node/_metrics.py
@@ -1,6 +1,6 @@
 """Define the Prometheus metrics of the node daemon."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 
 from aioprometheus import REGISTRY, Counter, Gauge, Histogram
 from aioprometheus.renderer import render
@@ -33,6 +33,10 @@
             'arbutusbay_prefix_placements_total',
             'Requests with a shared prefix, by owner and whether it is saved.',
         )
+        self.stores_left_out = Gauge(
+            'arbutusbay_cache_stores_left_out',
+            'Stores of KV cache that no request names, as they are silent.',
+        )
         self.duration = Histogram(
             'arbutusbay_request_duration_seconds',
             'Time from the head of a request to its end, by kind.',
@@ -100,10 +104,13 @@
                     {**labels, 'rank': str(rank)}, counts.get(rank, 0)
                 )
 
-    def show_prefix_placements(
-        self, placements: Mapping[tuple[bool, bool], int]
+    def show_prefixes(
+        self,
+        placements: Mapping[tuple[bool, bool], int],
+        stores_left_out: Collection[str],
     ) -> None:
         """Set how many requests with a shared prefix went where."""
+        self.stores_left_out.set({}, len(stores_left_out))
         for (is_first, is_saved), count in placements.items():
             labels = {
                 'owner': 'first' if is_first else 'other',
--- a/src/arbutusbay/node/_node_state.py
+++ b/src/arbutusbay/node/_node_state.py
@@ -20,7 +20,7 @@
 from arbutusbay.node._server_speeds import ServerSpeeds
 from arbutusbay.planned_stop import PlannedStop, ResponseDurations
 from arbutusbay.platform import VMSettings
-from arbutusbay.prefixes import SavedPrefixes
+from arbutusbay.prefixes import SavedPrefixes, StoreHealth
 from arbutusbay.quarantine import SegmentKey, SegmentQuarantine
 from arbutusbay.scheduling import (
     PEER_REPORT_TTL_S,
@@ -174,6 +174,7 @@
         prefix_placements: Requests with a shared prefix, by whether the first
             owner got them and whether they are saved.
         saved_prefixes: Shared prefixes that the stores of KV cache have.
+        store_health: Which stores of KV cache don't answer.
         speeds: How fast the backend servers are.
         stored_revisions: Revisions of the verdicts that the store holds.
         skipped_records: Why a coordination record was skipped, by its key.
@@ -219,6 +220,7 @@
     quarantine: SegmentQuarantine = attrs.field(factory=SegmentQuarantine)
     prefix_placements: Counter[tuple[bool, bool]] = attrs.field(factory=Counter)
     saved_prefixes: SavedPrefixes = attrs.field(factory=SavedPrefixes)
+    store_health: StoreHealth = attrs.field(factory=StoreHealth)
     speeds: ServerSpeeds = attrs.field(factory=ServerSpeeds)
     stored_revisions: dict[SegmentKey, set[int]] = attrs.field(factory=dict)
     skipped_records: dict[str, str] = attrs.field(factory=dict)
--- a/src/arbutusbay/node/_peer_reports.py
+++ b/src/arbutusbay/node/_peer_reports.py
@@ -74,7 +74,8 @@
             waiting=self.node_state.fleet_queues.report(moment_s),
             returns=self.node_state.returns.report(moment_s),
             saved_prefixes=SavedReport(
-                saved=self.node_state.saved_prefixes.recent(_OWN, moment_s)
+                saved=self.node_state.saved_prefixes.recent(_OWN, moment_s),
+                dead_stores=self.node_state.store_health.found_dead(),
             ),
             speeds=self.node_state.speeds.report(
                 self.node_state.engine_views, moment_s
@@ -116,8 +117,8 @@
         """Return a heartbeat for VMs of other zones that aren't aggregators.
 
         It keeps only what every VM must learn at once: suspected and leaving
-        engines and the fencing token of the lease. A suspicion that another
-        VM has just reported is not repeated to all.
+        engines, dead stores of KV cache and the fencing token of the lease. A
+        suspicion that another VM has just reported is not repeated to all.
         """
         moment_s = now_s()
         views = self.node_state.engine_views
@@ -134,7 +135,9 @@
             returns={},
             loads={},
             weights={},
-            saved_prefixes=SavedReport(),
+            saved_prefixes=SavedReport(
+                dead_stores=own.saved_prefixes.dead_stores
+            ),
             speeds=SpeedReport(),
         )
 
@@ -159,7 +162,8 @@
             saved_prefixes=SavedReport(
                 saved=self.node_state.saved_prefixes.recent(
                     _OWN_ZONE if is_aggregator else frozenset(), now_s()
-                )
+                ),
+                dead_stores=own.saved_prefixes.dead_stores,
             ),
             speeds=SpeedReport(),
         )
--- a/src/arbutusbay/node/_peer_state_receiver.py
+++ b/src/arbutusbay/node/_peer_state_receiver.py
@@ -73,6 +73,9 @@
             moment_s,
             is_own_zone=state.zone == self.own_vm.zone,
         )
+        self.node_state.store_health.merge(
+            state.name, state.saved_prefixes.dead_stores, moment_s
+        )
 
     def _record_sender(
         self,
--- a/src/arbutusbay/node/_placer.py
+++ b/src/arbutusbay/node/_placer.py
@@ -118,6 +118,7 @@
                     moment_s
                 ).uncached_tokens,
                 kv_tokens=size.kv_tokens,
+                fetch_source=attempt_headers.kv_fetch_address,
             ),
             model=incoming.parsed_headers.model,
             candidate_count=len(usable),
--- a/src/arbutusbay/node/_prefix_messages.py
+++ b/src/arbutusbay/node/_prefix_messages.py
@@ -3,17 +3,28 @@
 from collections.abc import Mapping, Sequence
 from typing import Any
 
-from arbutusbay.checked_values import require_count, require_list
-from arbutusbay.prefixes import MAX_PREFIX_HASH, MAX_REPORTED, SavedReport
-
-
-def saved_to_fields(report: SavedReport) -> dict[str, Sequence[int]]:
+from arbutusbay.checked_values import (
+    require_count,
+    require_list,
+    require_text,
+)
+from arbutusbay.prefixes import (
+    MAX_PREFIX_HASH,
+    MAX_REPORTED,
+    MAX_REPORTED_STORES,
+    SavedReport,
+)
+
+
+def saved_to_fields(report: SavedReport) -> dict[str, Sequence[int | str]]:
     """Return ``report`` as JSON values, empty if there is nothing to report."""
-    fields: dict[str, Sequence[int]] = {}
+    fields: dict[str, Sequence[int | str]] = {}
     if report.saved:
         fields['s'] = report.saved
     if report.relayed:
         fields['r'] = report.relayed
+    if report.dead_stores:
+        fields['d'] = report.dead_stores
     return fields
 
 
@@ -23,7 +34,9 @@
     Raises ``AttributeError`` or ``ValueError`` if it is malformed.
     """
     return SavedReport(
-        saved=_hashes(fields.get('s', [])), relayed=_hashes(fields.get('r', []))
+        saved=_hashes(fields.get('s', [])),
+        relayed=_hashes(fields.get('r', [])),
+        dead_stores=_addresses(fields.get('d', [])),
     )
 
 
@@ -32,3 +45,10 @@
         require_count(prefix_hash, 'k', highest=MAX_PREFIX_HASH)
         for prefix_hash in require_list(encoded, 'k')[:MAX_REPORTED]
     )
+
+
+def _addresses(encoded: Any) -> tuple[str, ...]:
+    return tuple(
+        require_text(address, 'k')
+        for address in require_list(encoded, 'k')[:MAX_REPORTED_STORES]
+    )
--- a/src/arbutusbay/node/_prefix_planner.py
+++ b/src/arbutusbay/node/_prefix_planner.py
@@ -4,6 +4,7 @@
 
 from arbutusbay.clock import now_s
 from arbutusbay.fleet import Configuration, ServiceSpec, cache_scope
+from arbutusbay.logs import get_logger
 from arbutusbay.node._incoming_request import IncomingRequest
 from arbutusbay.node._node_state import NodeState
 from arbutusbay.node._placement import Placement, request_size_of
@@ -19,15 +20,21 @@
 )
 from arbutusbay.scheduling import EngineView, engines_for_length
 
+_LOG = get_logger('prefixes')
+
 
 class PrefixPlanner:
-    """Plan from the views of engines and the configuration in force."""
+    """Plan from the views of engines and the configuration in force.
+
+    ``left_out`` are the stores that were left out of the last plan.
+    """
 
     def __init__(self, *, node_state: NodeState) -> None:
         """Read the views of engines on ``node_state``."""
         self.node_state = node_state
         self.cache_ages = CacheAges(started_s=now_s())
         self.popularity = PrefixPopularity()
+        self.left_out: frozenset[str] = frozenset()
 
     def plan(
         self,
@@ -55,7 +62,7 @@
                 token_s=service.kv_token_bytes / service.link_bytes_per_s,
                 prefill_s_per_token=self.node_state.prefill_s_per_token,
             ),
-            stores=_store_sites(configuration),
+            stores=self._usable_stores(configuration, moment_s),
             saved_versions=self._saved_versions(prefix_key, caches, moment_s),
             replicas=self.popularity.replicas(
                 prefix_key, len(owner_ids), moment_s
@@ -82,6 +89,35 @@
             key = _saved_key(plan.prefix.key, headers.weights_version)
             self.node_state.saved_prefixes.record(key, now_s())
 
+    def _usable_stores(
+        self, configuration: Configuration, moment_s: float
+    ) -> list[CacheStoreSite]:
+        """Return the stores without those that don't answer.
+
+        A store that is left out leaves its prefixes to the others, and it has
+        lost what it kept when it is back.
+        """
+        stores = configuration.kv_cache_stores
+        health = self.node_state.store_health
+        health.follow([store.address for store in stores])
+        left_out = health.left_out(moment_s)
+        if left_out != self.left_out:
+            self.node_state.saved_prefixes.clear()
+            _LOG.info(
+                'stores of cache left out',
+                fields={
+                    'stores': sorted(left_out),
+                    'before': sorted(self.left_out),
+                    'found_here': health.found_dead(),
+                },
+            )
+            self.left_out = left_out
+        return [
+            CacheStoreSite(address=store.address, zone=store.zone)
+            for store in stores
+            if store.address not in left_out
+        ]
+
     def _saved_versions(
         self, prefix_key: str, caches: Sequence[EngineCache], moment_s: float
     ) -> frozenset[int | None]:
@@ -117,10 +153,3 @@
 def _can_fetch(service: ServiceSpec) -> bool:
     """Return whether the time of a fetch is known for a service."""
     return service.kv_token_bytes > 0 and service.link_bytes_per_s > 0
-
-
-def _store_sites(configuration: Configuration) -> list[CacheStoreSite]:
-    return [
-        CacheStoreSite(address=store.address, zone=store.zone)
-        for store in configuration.kv_cache_stores
-    ]
--- a/src/arbutusbay/platform/__init__.py
+++ b/src/arbutusbay/platform/__init__.py
@@ -19,6 +19,7 @@
     LoadOrder,
     LoadOrderResult,
     WeightsSwitchMode,
+    call_cache_store,
     fetch_engine_report,
     send_load_order,
 )
@@ -94,6 +95,7 @@
     'build_backend_headers',
     'build_client_headers',
     'build_refusal_headers',
+    'call_cache_store',
     'decode_backend_server',
     'decode_coordination_record',
     'decode_operator_record',
--- a/src/arbutusbay/platform/_engine_calls.py
+++ b/src/arbutusbay/platform/_engine_calls.py
@@ -129,6 +129,20 @@
         return _no_report(repr(error))
 
 
+async def call_cache_store(
+    session: aiohttp.ClientSession, address: str, *, timeout_s: float
+) -> bool:
+    """Return whether the store of KV cache at ``address`` answers at all."""
+    try:
+        async with session.get(
+            f'http://{address}{EngineEndpoint.REPORT.value}',
+            timeout=aiohttp.ClientTimeout(total=timeout_s),
+        ):
+            return True
+    except (aiohttp.ClientError, asyncio.TimeoutError, OSError):
+        return False
+
+
 async def send_load_order(
     session: aiohttp.ClientSession,
     address: str,
--- a/src/arbutusbay/prefixes/__init__.py
+++ b/src/arbutusbay/prefixes/__init__.py
@@ -10,6 +10,10 @@
     SavedPrefixes,
     SavedReport,
 )
+from arbutusbay.prefixes._store_health import (
+    MAX_REPORTED_STORES,
+    StoreHealth,
+)
 from arbutusbay.prefixes._types import (
     CacheStoreSite,
     EngineCache,
@@ -20,6 +24,7 @@
 __all__ = (
     'MAX_PREFIX_HASH',
     'MAX_REPORTED',
+    'MAX_REPORTED_STORES',
     'CacheAges',
     'CacheStoreSite',
     'EngineCache',
@@ -29,6 +34,7 @@
     'SavedPrefixes',
     'SavedReport',
     'SharedPrefix',
+    'StoreHealth',
     'TransferSpec',
     'plan_prefix',
 )
--- a/src/arbutusbay/prefixes/_saved.py
+++ b/src/arbutusbay/prefixes/_saved.py
@@ -33,11 +33,13 @@
     """Hold the hashes of prefixes that were saved recently.
 
     ``saved`` are those of the sender, or of its zone where it speaks for it,
-    ``relayed`` those of other zones.
+    ``relayed`` those of other zones. ``dead_stores`` are the addresses of the
+    stores that the sender found dead.
     """
 
     saved: tuple[int, ...] = ()
     relayed: tuple[int, ...] = ()
+    dead_stores: tuple[str, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -74,6 +76,10 @@
         self._learn(report.saved, origin, now_s)
         self._learn(report.relayed, Origin.OTHER_ZONE, now_s)
 
+    def clear(self) -> None:
+        """Forget all saves, as the stores are others now."""
+        self.entries.clear()
+
     def recent(
         self, origins: frozenset[Origin], now_s: float
     ) -> tuple[int, ...]:
--- a/src/arbutusbay/scheduling/_occupancy.py
+++ b/src/arbutusbay/scheduling/_occupancy.py
@@ -14,13 +14,16 @@
     ``uncached_tokens`` is the number of prompt tokens that the engine prefills
     before the first event, after the ``queued_ahead_tokens`` of earlier
     attempts. ``kv_tokens`` occupy the engine's KV cache until the attempt
-    ends. ``has_first_event`` is set when the first event arrives.
+    ends. ``fetch_source`` is the address from which the engine fetches cache
+    first, empty for none. ``has_first_event`` is set when the first event
+    arrives.
     """
 
     sent_s: float
     uncached_tokens: int = 0
     queued_ahead_tokens: int = 0
     kv_tokens: int = 0
+    fetch_source: str = ''
     has_first_event: bool = False
 
 
--- a/tests/unit/test_prefix_placement.py
+++ b/tests/unit/test_prefix_placement.py
@@ -8,6 +8,7 @@
 
 from arbutusbay.clock import now_s
 from arbutusbay.fleet import TeamSpec
+from arbutusbay.node._dispatcher import Dispatcher
 from arbutusbay.node._incoming_request import IncomingRequest
 from arbutusbay.node._node_state import NodeState
 from arbutusbay.node._placement import PlacementRequest
@@ -24,6 +25,7 @@
 from tests.unit.test_engine_placement import build_view
 
 STORE = '127.0.0.1:9'
+OTHER_STORE = '127.0.0.2:9'
 PROMPT = MappingProxyType(
     {'Token-Counts': '9000,9', 'Prompt-Prefix': 'a1:2500,b2:3800,c3:2700'}
 )
@@ -119,6 +121,43 @@
     assert send(placer, build_request(node_state)).kv_save_address == STORE
 
 
+@pytest.mark.parametrize('is_heard', [False, True])
+async def test_dead_store_is_left_out_and_empty_when_it_is_back(is_heard):
+    document = build_document()
+    document['services'].append(
+        {'name': 'other', 'kv_store_address': OTHER_STORE, 'zone': 'plateau'}
+    )
+    node_state = build_node_state(document)
+    placer = Placer(node_state=node_state)
+    store = send(placer, build_request(node_state)).kv_save_address
+    health = node_state.store_health
+    for sender in ('a', 'b'):
+        if is_heard:
+            health.merge(sender, (store,), now_s())
+        else:
+            health.record_check(store, has_answered=False)
+    headers = send(placer, build_request(node_state))
+    spare = {STORE, OTHER_STORE} - {store}
+    assert {headers.kv_fetch_address, headers.kv_save_address} == spare
+    health.record_check(store, has_answered=True)
+    headers = send(placer, build_request(node_state))
+    assert headers.kv_save_address == store
+
+
+async def test_late_first_event_behind_a_fetch_makes_a_store_suspect(
+    node_state,
+):
+    placer = Placer(node_state=node_state)
+    dispatcher = Dispatcher(node_state=node_state, placer=placer)
+    placement = placer.find_placement(build_request(node_state))
+    attempt = placement.attempt
+    attempt.sent_s -= 1 + attempt.uncached_tokens * (
+        node_state.prefill_s_per_token
+    )
+    dispatcher.record_first_event(attempt, placement.view)
+    assert node_state.store_health.due_checks(now_s()) == [STORE]
+
+
 async def test_isolated_team_shares_neither_salt_nor_saves(node_state):
     placer = Placer(node_state=node_state)
     team = TeamSpec(
--- a/tests/unit/test_saved_prefix_reports.py
+++ b/tests/unit/test_saved_prefix_reports.py
@@ -16,6 +16,7 @@
 from tests.fleet_builders import build_vm_settings
 
 KEY = '1/shared/part'
+STORE = '10.0.0.1:1'
 
 
 @attrs.frozen(kw_only=True)
@@ -79,6 +80,27 @@
     assert report.saved_prefixes == SavedReport()
 
 
+async def test_every_vm_hears_of_a_dead_store():
+    sender, receiver = build_vm('a1', 'a'), build_vm('b1', 'b')
+    health = sender.node_state.store_health
+    health.follow([STORE])
+    for _ in range(2):
+        health.record_check(STORE, has_answered=False)
+    own = sender.own_state()
+    reports = (
+        sender.builder.full_report(own),
+        sender.builder.heartbeat_report(own),
+        sender.builder.relayed_report(own),
+        sender.builder.aggregator_report(own, is_aggregator=False),
+    )
+    for report in reports:
+        receiver.node_state.store_health.follow([])
+        receiver.node_state.store_health.follow([STORE])
+        receiver.receive(report)
+        store = receiver.node_state.store_health.stores[STORE]
+        assert set(store.reporters) == {'a1'}
+
+
 async def test_heartbeats_have_no_saves():
     sender = build_vm('a1', 'a')
     sender.node_state.saved_prefixes.record(KEY, now_s())
--- a/tests/unit/test_saved_prefixes.py
+++ b/tests/unit/test_saved_prefixes.py
@@ -6,6 +6,7 @@
 from arbutusbay.node._prefix_messages import saved_from_fields, saved_to_fields
 from arbutusbay.prefixes import (
     MAX_REPORTED,
+    MAX_REPORTED_STORES,
     Origin,
     SavedPrefixes,
     SavedReport,
@@ -93,7 +94,15 @@
 
 @pytest.mark.parametrize(
     'fields',
-    [{'s': 7}, {'s': ['x']}, {'r': [-1]}, {'r': [2**32]}, {'s': [0.5]}],
+    [
+        {'s': 7},
+        {'s': ['x']},
+        {'r': [-1]},
+        {'r': [2**32]},
+        {'s': [0.5]},
+        {'d': 7},
+        {'d': [7]},
+    ],
 )
 def test_malformed_report_is_refused(fields):
     with pytest.raises(ValueError, match='k'):
@@ -101,5 +110,7 @@
 
 
 def test_report_beyond_the_bound_is_cut():
-    fields = {'s': list(range(MAX_REPORTED * 9))}
-    assert len(saved_from_fields(fields).saved) == MAX_REPORTED
+    fields = {'s': list(range(MAX_REPORTED * 9)), 'd': ['x' for _ in range(99)]}
+    report = saved_from_fields(fields)
+    assert len(report.saved) == MAX_REPORTED
+    assert len(report.dead_stores) == MAX_REPORTED_STORES
