Deduct a control daemon's own pause from the leases that it gets

Cause: an owner of limits at our own edge that was suspended counted a lease that had lain unread from when it read it, so that a share could count at two owners. The node daemon deducts its pauses already.

Before: after a pause of 5 s a lease of 1.2 s was counted as lent. After: it is not.

--- a/src/arbutusbay/node/_own_pauses.py
+++ b/src/arbutusbay/_own_pauses.py
@@ -1,4 +1,4 @@
-"""Remember when this VM last did not run for a while."""
+"""Remember when this process last did not run for a while."""
 
 import attrs
 
@@ -11,8 +11,9 @@
 class OwnPauses:
     """Track the checks that reveal pauses of this VM.
 
-    Times are in seconds on the node's clock. ``paused_s`` is when the check
-    before the last pause was, ``resumed_s`` when the one after it was.
+    Times are in seconds on the clock that counts suspensions. ``paused_s`` is
+    when the check before the last pause was, ``resumed_s`` when the one after
+    it was.
     ``last_check_s`` is None before the first check.
     """
 
--- a/src/arbutusbay/control/_quota_renewals.py
+++ b/src/arbutusbay/control/_quota_renewals.py
@@ -30,6 +30,7 @@
 
     async def step(self) -> None:
         """Renew the leases that are due."""
+        self.quota.own_pauses.record_check(now_s())
         self.quota.shares.refresh()
         for partition in self.quota.shares.used:
             self._renew(partition)
--- a/src/arbutusbay/control/_quota_service.py
+++ b/src/arbutusbay/control/_quota_service.py
@@ -14,6 +14,7 @@
 from arbutusbay.errors import ErrorKind, Failure
 from arbutusbay.http import call_peer
 from arbutusbay.logs import get_logger
+from arbutusbay.own_pauses import OwnPauses
 from arbutusbay.quota import (
     PARTITION_COUNT,
     Granted,
@@ -34,7 +35,10 @@
 
 
 class QuotaService:
-    """Ask the owners of the limits, and decide as one."""
+    """Ask the owners of the limits, and decide as one.
+
+    ``own_pauses`` holds when this daemon last did not run.
+    """
 
     def __init__(
         self,
@@ -48,6 +52,7 @@
         self.session = session
         self.metrics = metrics
         self.shares = QuotaShares(shared_state=shared_state)
+        self.own_pauses = OwnPauses()
 
     async def ask(self, ask: QuotaAsk) -> Result[QuotaReply, Failure]:
         """Return the decision on a request of a router.
@@ -166,7 +171,9 @@
         """Decide on a loan here, with the share that it lends."""
         moment_s = now_s()
         lease_s = min(loan.lease_ms, _MAX_LEASE_MS) / 1000
-        partition.owner.lend(loan.node, moment_s, until_s=moment_s + lease_s)
+        # What arrived while this VM was suspended may be no longer lent.
+        received_s = self.own_pauses.earliest_start_s(moment_s)
+        partition.owner.lend(loan.node, moment_s, until_s=received_s + lease_s)
         if not loan.team or self.shares.is_unlimited(loan.team, loan.version):
             return self._reply(partition, is_granted=True)
         decision = partition.owner.decide(
--- a/src/arbutusbay/node/_attempts.py
+++ b/src/arbutusbay/node/_attempts.py
@@ -22,7 +22,7 @@
 from arbutusbay.logs import get_logger
 from arbutusbay.node._http_client import ConnectionResponse
 from arbutusbay.node._incoming_request import IncomingRequest
-from arbutusbay.node._own_pauses import OwnPauses
+from arbutusbay.own_pauses import OwnPauses
 from arbutusbay.platform import (
     AttemptHeaders,
     ResponseHead,
--- a/src/arbutusbay/node/_node_state.py
+++ b/src/arbutusbay/node/_node_state.py
@@ -15,9 +15,9 @@
 from arbutusbay.fleet import ClientLimits, Configuration, FleetCatalog
 from arbutusbay.logs import get_logger
 from arbutusbay.node._failed_reads import FailedReads
-from arbutusbay.node._own_pauses import OwnPauses
 from arbutusbay.node._peer_messages import ZoneLoad
 from arbutusbay.node._server_speeds import ServerSpeeds
+from arbutusbay.own_pauses import OwnPauses
 from arbutusbay.planned_stop import PlannedStop, ResponseDurations
 from arbutusbay.platform import VMSettings
 from arbutusbay.prefixes import SavedPrefixes
--- a/src/arbutusbay/node/_pause_monitor.py
+++ b/src/arbutusbay/node/_pause_monitor.py
@@ -11,7 +11,7 @@
 from arbutusbay.clock import milliseconds, now_s
 from arbutusbay.logs import get_logger
 from arbutusbay.node._node_state import NodeState
-from arbutusbay.node._own_pauses import CHECK_INTERVAL_S, is_pause
+from arbutusbay.own_pauses import CHECK_INTERVAL_S, is_pause
 
 _LOG = get_logger('pause')
 
--- a/tests/own_quota_world.py
+++ b/tests/own_quota_world.py
@@ -8,6 +8,7 @@
 
 from arbutusbay.control import ControlSettings, ControlState
 from arbutusbay.control import (
+    _quota_renewals,
     _quota_service,
     _quota_shares,
     _shared_state,
@@ -27,7 +28,12 @@
 from arbutusbay.wire import QuotaLoan, decode_message, encode_message
 
 TEAM = 't'
-_CLOCK_MODULES = (_quota_service, _quota_shares, _shared_state)
+_CLOCK_MODULES = (
+    _quota_renewals,
+    _quota_service,
+    _quota_shares,
+    _shared_state,
+)
 
 
 @attrs.define(kw_only=True)
--- a/tests/unit/test_dispatcher.py
+++ b/tests/unit/test_dispatcher.py
@@ -15,8 +15,8 @@
 from arbutusbay.fleet import TeamSpec
 from arbutusbay.node import _dispatcher
 from arbutusbay.node._dispatcher import Dispatcher
-from arbutusbay.node._own_pauses import OwnPauses
 from arbutusbay.node._placement import Placement, PlacementRequest
+from arbutusbay.own_pauses import OwnPauses
 from arbutusbay.scheduling import Lack
 from tests.fleet_fakes import FakeClock
 
--- a/tests/unit/test_mend_regressions.py
+++ b/tests/unit/test_mend_regressions.py
@@ -13,8 +13,8 @@
 from arbutusbay.node import _attempts
 from arbutusbay.node._follower import follower_timings_from_bounds
 from arbutusbay.node._http_client import create_client_session
-from arbutusbay.node._own_pauses import OwnPauses
 from arbutusbay.node._relay_messages import encoding_parameters
+from arbutusbay.own_pauses import OwnPauses
 from arbutusbay.planned_stop import plan_stop
 from arbutusbay.spread import PayloadHistory
 from tests.http_servers import serving
--- a/tests/unit/test_own_pauses.py
+++ b/tests/unit/test_own_pauses.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from arbutusbay.node._own_pauses import OwnPauses
+from arbutusbay.own_pauses import OwnPauses
 
 _CHECKS_S = (100.0, 100.2, 103.2)
 
--- a/tests/unit/test_quota_service.py
+++ b/tests/unit/test_quota_service.py
@@ -3,6 +3,7 @@
 import pytest
 from attrs import evolve
 
+from arbutusbay.control._quota_renewals import QuotaRenewals
 from arbutusbay.quota import partition_of, rank_owners
 from arbutusbay.state import Quota, QuotaUnit
 from arbutusbay.wire import QuotaAsk, QuotaLoan, QuotaReturn
@@ -124,3 +125,20 @@
         )
     ).unwrap()
     assert reply.share == pytest.approx(1 / _VMS)
+
+
+# Guards against an owner that was suspended and counts a share as lent that
+# its VM has lent to another one meanwhile.
+async def test_lease_that_came_in_a_pause_counts_from_its_start(monkeypatch):
+    world = build_world(monkeypatch, count=_VMS, quota=_QUOTA)
+    service = world.services['vm-1']
+    renewals = QuotaRenewals(quota=service)
+    await renewals.prepare()
+    await renewals.step()
+    partition = partition_of(TEAM)
+    world.moment_s += 5
+    service.receive(
+        QuotaLoan(node='vm-2', partition=partition, lease_ms=1200)
+    ).unwrap()
+    lent = service.shares.partitions[partition].owner.expiry_by_vm
+    assert 'vm-2' not in lent
