Serve a limit that names a rate and no burst

Cause: where the settings name no tolerance, the capacity of such a limit was 0, so that each request was refused for good. A team in tokens without uncached_tokens isn't limited in requests without token counts, and nothing said so.

A limit without any capacity may use a second of its rate at once, one request at least; where a window is bounded, that is taken from the rate. The missing uncached_tokens is named among the problems of the configuration.

--- a/src/arbutusbay/platform/_operator_records.py
+++ b/src/arbutusbay/platform/_operator_records.py
@@ -281,7 +281,7 @@
 def _parse_team(entry: Any, problems: list[str]) -> TeamSpec:
     """Return the team, without a quota if that can't be read.
 
-    What is wrong with the quota is added to ``problems``.
+    What is wrong with the quota, or missing, is added to ``problems``.
     """
     fields = require_mapping(entry, 'tenants')
     name = get_string(fields, 'name')
@@ -291,6 +291,11 @@
         quota = _parse_quota(fields)
     except MalformedValueError as error:
         problems.append(f'quota of {name}: {error}')
+    if _counts_no_other_tokens(quota, fields):
+        problems.append(
+            f'quota of {name}: no uncached_tokens, so requests without token '
+            'counts are not limited'
+        )
     return TeamSpec(
         name=name,
         quota=quota,
@@ -300,6 +305,17 @@
     )
 
 
+def _counts_no_other_tokens(
+    quota: QuotaSpec | None, fields: Mapping[str, Any]
+) -> bool:
+    """Return whether nothing says what requests without counts cost."""
+    return (
+        quota is not None
+        and quota.unit is QuotaUnit.TOKENS
+        and 'uncached_tokens' not in fields
+    )
+
+
 def _parse_quota(fields: Mapping[str, Any]) -> QuotaSpec | None:
     """Return the rate limit of a team, None if it has none.
 
--- a/src/arbutusbay/quota/_owner.py
+++ b/src/arbutusbay/quota/_owner.py
@@ -174,6 +174,6 @@
         terms = self.terms_by_team[team]
         self.buckets[team].resize(
             capacity=terms.capacity(self.bounds) * self.share,
-            rate_per_s=terms.rate_per_s * self.share,
+            rate_per_s=terms.refill_rate_per_s(self.bounds) * self.share,
             may_borrow=self.share > _MAJORITY_SHARE,
         )
--- a/src/arbutusbay/quota/_terms.py
+++ b/src/arbutusbay/quota/_terms.py
@@ -8,6 +8,10 @@
 # lent, and lists of VMs that differ for a moment.
 _CAPACITY_PART = 0.3
 _START_PART = 0.6
+# What may be used at once of a limit that names no burst.
+_DEFAULT_BURST_S = 1.0
+_MIN_DEFAULT_BURST = 1.0
+_MAX_DEFAULT_BURST_PART = 0.5
 
 
 @attrs.frozen(kw_only=True)
@@ -38,12 +42,33 @@
 
     def capacity(self, bounds: QuotaBounds) -> float:
         """Return what a team that was idle may use at once."""
-        return self.burst + _CAPACITY_PART * self.tolerance(bounds)
+        named = self._named_capacity(bounds)
+        return named or self._default_burst(bounds)
+
+    def refill_rate_per_s(self, bounds: QuotaBounds) -> float:
+        """Return how fast unused tokens grow.
+
+        What a limit without a burst may use at once is taken from its rate, as
+        nothing may be used in a window beyond that.
+        """
+        if self._named_capacity(bounds) or not bounds.window_s:
+            return self.rate_per_s
+        return self.rate_per_s - self._default_burst(bounds) / bounds.window_s
 
     def start_credit(self, bounds: QuotaBounds) -> float:
         """Return what all owners together may grant as they take over."""
         return _START_PART * self.tolerance(bounds)
 
+    def _named_capacity(self, bounds: QuotaBounds) -> float:
+        return self.burst + _CAPACITY_PART * self.tolerance(bounds)
+
+    def _default_burst(self, bounds: QuotaBounds) -> float:
+        burst = max(self.rate_per_s * _DEFAULT_BURST_S, _MIN_DEFAULT_BURST)
+        if not bounds.window_s:
+            return burst
+        per_window = self.rate_per_s * bounds.window_s
+        return min(burst, per_window * _MAX_DEFAULT_BURST_PART)
+
 
 @attrs.frozen(kw_only=True)
 class Granted:
--- a/tests/unit/test_quota_limits.py
+++ b/tests/unit/test_quota_limits.py
@@ -97,6 +97,50 @@
     assert head.counted_tokens == tokens
 
 
+# Guards against a limit that nobody notices not to hold.
+def test_tokens_without_a_count_are_named():
+    fields = {name: _LIMIT[name] for name in ('unit', 'rate_per_s', 'burst')}
+    configuration = read_configuration(**fields)
+    assert configuration.teams_by_api_key['k'].quota.default_cost == 0
+    assert 'uncached_tokens' in configuration.problems[0]
+    fields['uncached_tokens'] = 0
+    assert not read_configuration(**fields).problems
+
+
+# Guards against a limit without a burst or a tolerance that refuses all. Load:
+# a team that asks for five times its limit. What it may use at once, a second
+# of its rate or one request, is taken from its rate where a window is limited.
+@pytest.mark.parametrize('rate_per_s', (0.5, 5, 50))
+@pytest.mark.parametrize('window_s', (0, 8))
+def test_rate_without_a_burst_is_granted(rate_per_s, window_s):
+    bounds = QuotaBounds(window_s=window_s)
+    owner = QuotaOwner(bounds=bounds)
+    terms = QuotaTerms(version=1, rate_per_s=rate_per_s, burst=0)
+    owner.apply_limits({'t': terms}, 0)
+    owner.lend('vm-1', 0, until_s=1000)
+    grants = ask_often(owner, terms, duration_s=80)
+    owed = rate_per_s * 80
+    if window_s:
+        owed -= 10 * max(rate_per_s, 1)
+        per_window = [
+            sum(start_s <= at_s < start_s + 8 for at_s in grants)
+            for start_s in range(72)
+        ]
+        assert max(per_window) <= rate_per_s * 8
+    assert 0.9 * owed <= len(grants) <= rate_per_s * 80 + 1
+
+
+def ask_often(owner: QuotaOwner, terms: QuotaTerms, *, duration_s: float):
+    """Ask for five times the rate; return when requests were granted."""
+    step_s = 0.2 / terms.rate_per_s
+    moments_s = [step_s * step for step in range(int(duration_s / step_s))]
+    return [
+        now_s
+        for now_s in moments_s
+        if owner.decide('t', terms, QuotaRequest(cost=1), now_s) == Granted()
+    ]
+
+
 def test_request_larger_than_the_limit_is_refused_for_good():
     owner = QuotaOwner(bounds=QuotaBounds(window_s=8))
     terms = QuotaTerms(version=1, rate_per_s=10, burst=10)
