Forget the silence of VMs that are gone

Cause: the names of silent VMs and the URLs of silent daemons were kept as long as the process ran.

They go with the VM's place among those that may own a partition, or that the router knows. Before: both new tests failed. After: they pass.

--- a/src/arbutusbay/control/_quota_shares.py
+++ b/src/arbutusbay/control/_quota_shares.py
@@ -53,8 +53,10 @@
         if self.applied is not self.shared_state.config:
             self._apply_limits(self.shared_state.config, moment_s)
         self.vm_count = self._count_vms()
+        vms = self.live_vms()
         for partition in self.partitions:
             partition.owner.resize_fleet(self.vm_count, moment_s)
+            partition.lender.forget_others(vms)
 
     def live_vms(self) -> list[str]:
         """Return the VMs that may own a partition."""
--- a/src/arbutusbay/node/quota/_partitions.py
+++ b/src/arbutusbay/node/quota/_partitions.py
@@ -107,12 +107,13 @@
             # keeps those of VMs that are taken for gone but may be cut off.
             known = members.vms().keys() | members.records.keys()
             self.vm_count = len(known)
-        for partition in self.partitions:
-            partition.owner.resize_fleet(self.vm_count, moment_s)
         live = members.live(moment_s) | {self.own_vm.name}
         if self.node_state.is_stopping and len(live) > 1:
             live.discard(self.own_vm.name)
         self.vms = tuple(sorted(live))
+        for partition in self.partitions:
+            partition.owner.resize_fleet(self.vm_count, moment_s)
+            partition.lender.forget_others(self.vms)
 
 
 def quota_terms(quota: QuotaSpec, version: int) -> QuotaTerms:
--- a/src/arbutusbay/quota/_lender.py
+++ b/src/arbutusbay/quota/_lender.py
@@ -154,6 +154,11 @@
         if vm != self.own_vm:
             self.next_probe_s[vm] = now_s + _PROBE_INTERVAL_S
 
+    def forget_others(self, vms: Sequence[str]) -> None:
+        """Forget the silence of VMs that are neither ``vms`` nor the owner."""
+        for vm in self.next_probe_s.keys() - {self.owner, *vms}:
+            self.next_probe_s.pop(vm)
+
     def begin_release(self) -> None:
         """Lend nothing to the owner until it has released the share."""
         self.is_releasing = True
--- a/src/arbutusbay/router/_rate_limits.py
+++ b/src/arbutusbay/router/_rate_limits.py
@@ -164,6 +164,8 @@
         """Return the own control daemon, then some others at random."""
         own_url = self.shared_state.settings.node.control_url
         urls = set(self.shared_state.control_urls().values()) - {own_url}
+        for gone in self.silent_until_s.keys() - urls - {own_url}:
+            self.silent_until_s.pop(gone)
         others = sorted(urls)
         self.shared_state.rng.shuffle(others)
         moment_s = time.monotonic()
--- a/tests/unit/test_quota_limits.py
+++ b/tests/unit/test_quota_limits.py
@@ -297,3 +297,14 @@
     assert lender.offer('b', again_s, times).lends
     lender.record_release('b', is_released=True)
     assert not lender.offer('c', again_s + 0.1, times).lends
+
+
+# Guards against names that are kept forever, as VMs are replaced by others.
+def test_silent_vms_that_are_gone_are_forgotten():
+    lender = ShareLender(
+        own_vm='a', partition=0, window_s=8, last_credit_s=_NOW_S
+    )
+    for vm in ('b', 'c'):
+        lender.record_silence(vm, _NOW_S)
+    lender.forget_others(('a', 'b'))
+    assert list(lender.next_probe_s) == ['b']
--- a/tests/unit/test_team_quotas.py
+++ b/tests/unit/test_team_quotas.py
@@ -87,6 +87,16 @@
     assert asked == [_OWN_URL, _OTHER_URL, _OTHER_URL]
 
 
+# Guards against URLs that are kept forever, as VMs are replaced by others.
+async def test_silent_daemon_that_is_gone_is_forgotten(monkeypatch):
+    limits, _ = build_limits(monkeypatch, {})
+    await ask(limits, _QUOTA)
+    assert _OTHER_URL in limits.silent_until_s
+    limits.shared_state.members = []
+    await ask(limits, _QUOTA)
+    assert list(limits.silent_until_s) == [_OWN_URL]
+
+
 # Guards against a refusal that does not say 'not run', or when to return.
 @pytest.mark.parametrize(
     ('reply', 'status', 'retry_after'),
