Decide on lent shares once, for both edges

Cause: the partitions of a VM, their limits and fleet size, the decision on a loan, its state for operators, and which messages renew a lease stood twice, in node/quota and in control.

LimitShares and plan_renewal of quota/ hold them, pure; FleetView and QuotaView tell them the configuration and the VMs of each edge. The fake fleet of the failure tests runs them, too, in place of its own copy.

tests: names of attributes in test_quota_client.py and own_quota_world.py; quota_fleet.py runs the shared code.

--- a/src/arbutusbay/control/_quota_renewals.py
+++ b/src/arbutusbay/control/_quota_renewals.py
@@ -8,7 +8,15 @@
 from arbutusbay.control._quota_service import QuotaService
 from arbutusbay.controller import Controller
 from arbutusbay.logs import get_logger
-from arbutusbay.quota import QuotaPartition
+from arbutusbay.quota import (
+    ChangeOwner,
+    LeaveOwner,
+    ProbeVM,
+    QuotaPartition,
+    RenewalStep,
+    RenewLease,
+    plan_renewal,
+)
 from arbutusbay.wire import QuotaLoan
 
 _LOG = get_logger('quota')
@@ -16,81 +24,66 @@
 
 
 class QuotaRenewals(Controller):
-    """Renew the lease of each partition unless requests have done so.
-
-    ``known_owners`` holds the last chosen owner by the number of a partition.
-    """
+    """Renew the lease of each partition unless requests have done so."""
 
     quota: QuotaService
 
     async def prepare(self) -> None:
         """Start without a call under way."""
-        self.known_owners: dict[int, str] = {}
         self.calls: set[asyncio.Task[Any]] = set()
 
     async def step(self) -> None:
         """Renew the leases that are due."""
         self.quota.own_pauses.record_check(now_s())
-        self.quota.shares.refresh()
-        for partition in self.quota.shares.used:
-            self._renew(partition)
+        self.quota.view.refresh()
+        shares = self.quota.shares
+        for partition in shares.used:
+            for step in plan_renewal(shares, partition, now_s()):
+                self._take(step, partition)
         await asyncio.sleep(_TICK_S)
 
-    def _renew(self, partition: QuotaPartition) -> None:
-        """Renew the lease of this VM's share, and look for a better owner."""
-        lender = partition.lender
-        moment_s = now_s()
-        vms = self.quota.shares.live_vms()
-        chosen = lender.choose_owner(vms)
-        self._log_owner(partition, chosen)
-        silent = lender.vm_to_probe(vms, moment_s)
-        if silent is not None:
-            self._start(
-                self.quota.call(partition, silent, self._loan(partition))
-            )
-        left = lender.owner_to_leave(chosen, moment_s)
-        if left is not None:
-            lender.begin_release()
-            self._start(self._leave(partition, left))
-        elif lender.is_renewal_due(moment_s, self.quota.shares.times):
-            self._start(self.quota.ask_owner(partition, self._loan(partition)))
+    def _take(self, step: RenewalStep, partition: QuotaPartition) -> None:
+        quota = self.quota
+        match step:
+            case ChangeOwner(owner=owner, before=before):
+                self._log_owner(partition, owner, before)
+            case ProbeVM(vm=vm):
+                self._start(quota.call(partition, vm, self._loan(partition)))
+            case LeaveOwner(owner=owner):
+                self._start(self._leave(partition, owner))
+            case RenewLease():
+                self._start(quota.ask_owner(partition, self._loan(partition)))
 
     def _loan(
         self, partition: QuotaPartition, *, is_released: bool = False
     ) -> QuotaLoan:
         """Return a message that asks for nothing, and lends nothing yet."""
         return QuotaLoan(
-            node=self.quota.shared_state.node_id,
+            node=self.quota.shares.own_vm,
             partition=partition.number,
             is_released=is_released,
         )
 
     async def _leave(self, partition: QuotaPartition, owner: str) -> None:
-        is_released = True
-        if owner == self.quota.shared_state.node_id:
-            partition.owner.release(owner, now_s())
-        else:
-            release = self._loan(partition, is_released=True)
-            reply = await self.quota.call(partition, owner, release)
-            is_released = reply is not None
-        partition.lender.record_release(owner, is_released=is_released)
+        release = self._loan(partition, is_released=True)
+        reply = await self.quota.call(partition, owner, release)
+        partition.lender.record_release(owner, is_released=reply is not None)
 
     def _start(self, call: Coroutine[Any, Any, Any]) -> None:
         task = asyncio.create_task(call)
         self.calls.add(task)
         task.add_done_callback(self.calls.discard)
 
-    def _log_owner(self, partition: QuotaPartition, chosen: str) -> None:
-        known = self.known_owners.get(partition.number)
-        if known == chosen:
-            return
-        self.known_owners[partition.number] = chosen
+    def _log_owner(
+        self, partition: QuotaPartition, owner: str, before: str
+    ) -> None:
         _LOG.info(
             'owner of limits changed',
             fields={
-                'owner': chosen,
-                'before': known or '',
+                'owner': owner,
+                'before': before,
                 'partition': partition.number,
+                'teams': sorted(partition.owner.terms_by_team),
                 'vms': self.quota.shares.vm_count,
             },
         )
--- a/src/arbutusbay/control/_quota_service.py
+++ b/src/arbutusbay/control/_quota_service.py
@@ -9,7 +9,7 @@
 
 from arbutusbay.clock import milliseconds, now_s
 from arbutusbay.control._metrics import ControlMetrics
-from arbutusbay.control._quota_shares import QuotaShares
+from arbutusbay.control._quota_view import QuotaView
 from arbutusbay.control._shared_state import ControlState
 from arbutusbay.errors import ErrorKind, Failure
 from arbutusbay.http import call_peer
@@ -17,7 +17,9 @@
 from arbutusbay.own_pauses import OwnPauses
 from arbutusbay.quota import (
     PARTITION_COUNT,
+    AskedGrant,
     Granted,
+    OfferedShare,
     QuotaPartition,
     QuotaRequest,
     QuotaTerms,
@@ -51,7 +53,8 @@
         self.shared_state = shared_state
         self.session = session
         self.metrics = metrics
-        self.shares = QuotaShares(shared_state=shared_state)
+        self.view = QuotaView(shared_state=shared_state)
+        self.shares = self.view.shares
         self.own_pauses = OwnPauses()
 
     async def ask(self, ask: QuotaAsk) -> Result[QuotaReply, Failure]:
@@ -61,7 +64,7 @@
         """
         if not _is_amount(ask.cost):
             return _malformed(f'cost {ask.cost}')
-        self.shares.refresh()
+        self.view.refresh()
         terms = self.shares.limits.get(ask.team)
         if terms is None:
             return Ok(QuotaReply(is_granted=True))
@@ -70,7 +73,7 @@
             await self.ask_owner(
                 partition,
                 QuotaLoan(
-                    node=self.shared_state.node_id,
+                    node=self.shares.own_vm,
                     partition=partition.number,
                     team=ask.team,
                     cost=ask.cost,
@@ -89,7 +92,7 @@
         is_sound = all(map(_is_amount, amounts))
         if loan.partition >= PARTITION_COUNT or not is_sound:
             return _malformed(f'partition {loan.partition}, {amounts}')
-        self.shares.refresh()
+        self.view.refresh()
         partition = self.shares.partitions[loan.partition]
         if loan.is_released:
             partition.owner.release(loan.node, now_s())
@@ -100,7 +103,7 @@
         """Return what a request cost to the owner that granted it."""
         if not _is_amount(returned.cost):
             return
-        if returned.owner == self.shared_state.node_id:
+        if returned.owner == self.shares.own_vm:
             partition = self.shares.of_team(returned.team)
             partition.owner.give_back(returned.team, returned.cost, now_s())
             self.metrics.quota_returns.inc({'team': returned.team})
@@ -120,9 +123,9 @@
     ) -> QuotaReply:
         """Lend to the owner, or to the next one if it does not reply."""
         for _ in range(_MAX_OWNERS_ASKED):
-            chosen = partition.lender.choose_owner(self.shares.live_vms())
+            chosen = self.shares.choose_owner(partition)
             offered = self._offer(partition, chosen, loan)
-            if chosen == self.shared_state.node_id:
+            if chosen == self.shares.own_vm:
                 return self._decide(partition, offered)
             reply = await self.call(partition, chosen, offered)
             if reply is not None:
@@ -154,7 +157,7 @@
             fields={
                 'owner': vm,
                 'partition': partition.number,
-                'next': partition.lender.choose_owner(self.shares.live_vms()),
+                'next': self.shares.choose_owner(partition),
             },
         )
         return None
@@ -162,34 +165,19 @@
     def _offer(
         self, partition: QuotaPartition, owner: str, loan: QuotaLoan
     ) -> QuotaLoan:
-        times = self.shares.times
-        offered = partition.lender.offer(owner, now_s(), times)
-        lease_ms = milliseconds(times.lease_s) if offered.lends else 0
-        return attrs.evolve(loan, lease_ms=lease_ms)
+        offered = self.shares.offer(partition, owner, now_s())
+        return attrs.evolve(loan, lease_ms=milliseconds(offered.lease_s))
 
     def _decide(self, partition: QuotaPartition, loan: QuotaLoan) -> QuotaReply:
         """Decide on a loan here, with the share that it lends."""
         moment_s = now_s()
-        lease_s = min(loan.lease_ms, _MAX_LEASE_MS) / 1000
         # What arrived while this VM was suspended may be no longer lent.
         received_s = self.own_pauses.earliest_start_s(moment_s)
-        partition.owner.lend(loan.node, moment_s, until_s=received_s + lease_s)
-        if not loan.team or self.shares.is_unlimited(loan.team, loan.version):
-            return self._reply(partition, is_granted=True)
-        decision = partition.owner.decide(
-            loan.team,
-            QuotaTerms(
-                version=loan.version,
-                rate_per_s=loan.rate_per_s,
-                burst=loan.burst,
-            ),
-            QuotaRequest(
-                cost=loan.cost,
-                key=loan.key,
-                patience_s=loan.patience_ms / 1000,
-            ),
-            moment_s,
+        decision = self.shares.decide(
+            partition, _asked_grant(loan), moment_s, received_s=received_s
         )
+        if decision is None:
+            return self._reply(partition, is_granted=True)
         self.metrics.record_decision(loan.team, decision)
         match decision:
             case Granted():
@@ -213,11 +201,31 @@
             is_granted=is_granted,
             is_final=is_final,
             retry_after_ms=retry_after_ms,
-            owner=self.shared_state.node_id,
+            owner=self.shares.own_vm,
             share=partition.owner.share,
         )
 
 
+def _asked_grant(loan: QuotaLoan) -> AskedGrant:
+    """Return what a loan offers and asks for."""
+    return AskedGrant(
+        vm=loan.node,
+        offered=OfferedShare(
+            lease_s=min(loan.lease_ms, _MAX_LEASE_MS) / 1000,
+            adds_start_credit=False,
+        ),
+        team=loan.team,
+        request=QuotaRequest(
+            cost=loan.cost, key=loan.key, patience_s=loan.patience_ms / 1000
+        ),
+        terms=QuotaTerms(
+            version=loan.version,
+            rate_per_s=loan.rate_per_s,
+            burst=loan.burst,
+        ),
+    )
+
+
 def _is_amount(number: float) -> bool:
     return 0 <= number <= _MAX_COST
 
--- a/src/arbutusbay/node/quota/_client.py
+++ b/src/arbutusbay/node/quota/_client.py
@@ -15,6 +15,7 @@
 from arbutusbay.fleet import VMRegistration
 from arbutusbay.logs import get_logger
 from arbutusbay.node._node_state import NodeState
+from arbutusbay.node.quota._fleet_view import FleetView
 from arbutusbay.node.quota._messages import (
     Ask,
     Forwarded,
@@ -22,11 +23,11 @@
     QuotaMessage,
     Release,
     Reply,
+    asked_grant,
     messages_from_bytes,
 )
 from arbutusbay.node.quota._metrics import QuotaMetrics
 from arbutusbay.node.quota._outbox import Address, Outbox
-from arbutusbay.node.quota._partitions import QuotaPartitions
 from arbutusbay.node.quota._peer_calls import PeerCalls
 from arbutusbay.node.quota._recent_entries import RecentEntries
 from arbutusbay.quota import (
@@ -66,7 +67,8 @@
         self.own_vm = own_vm
         self.outbox = outbox
         self.metrics = metrics
-        self.partitions = QuotaPartitions(node_state=node_state, own_vm=own_vm)
+        self.fleet = FleetView(node_state=node_state, own_vm=own_vm)
+        self.shares = self.fleet.shares
         self.calls = PeerCalls(
             outbox=outbox,
             rng=node_state.rng,
@@ -81,8 +83,8 @@
         self, team: str, terms: QuotaTerms, request: QuotaRequest
     ) -> Reply:
         """Return the decision on a request; it is refused without any reply."""
-        self.partitions.refresh()
-        partition = self.partitions.of_team(team)
+        self.fleet.refresh()
+        partition = self.shares.of_team(team)
         return await self.ask_owner(
             partition,
             Ask(
@@ -103,12 +105,12 @@
 
     def give_back(self, team: str, cost: float, owner: str) -> None:
         """Return the tokens of a request that certainly was not executed."""
-        partition = self.partitions.of_team(team)
+        partition = self.shares.of_team(team)
         self.metrics.given_back.inc({'team': team})
         if owner == self.own_vm.name:
             partition.owner.give_back(team, cost, now_s())
             return
-        address = self.partitions.address_of(owner)
+        address = self.fleet.address_of(owner)
         if address is not None:
             self.outbox.add(
                 address,
@@ -125,34 +127,25 @@
                     fields={'sender': str(address)},
                 )
             case Ok(messages):
-                self.partitions.refresh()
+                self.fleet.refresh()
                 for message in messages:
                     self._receive_message(message, address)
 
     def update_metrics(self) -> None:
         """Update the gauges, which are computed when they are read."""
-        for partition in self.partitions.used:
-            partition.owner.advance(now_s())
-            self.metrics.lent_share.set(
-                {'partition': str(partition.number)}, partition.owner.share
-            )
+        for partition, share in self.shares.lent_shares(now_s()).items():
+            self.metrics.lent_share.set({'partition': partition}, share)
 
     def dump(self) -> list[dict[str, Any]]:
         """Return the state of the used partitions as JSON values."""
-        return [
-            {
-                'vms': self.partitions.vm_count,
-                **_describe_partition(partition),
-            }
-            for partition in self.partitions.used
-        ]
+        return self.shares.describe(now_s())
 
     async def ask_owner(self, partition: QuotaPartition, ask: Ask) -> Reply:
         """Ask the VMs that may be the owner until one of them replies."""
         is_own = ask.vm == self.own_vm.name
         began_s = now_s()
         for _ in range(_MAX_VMS_ASKED):
-            chosen = self.partitions.choose_owner(partition)
+            chosen = self.shares.choose_owner(partition)
             if is_own:
                 offered = self._offer(partition, chosen, ask)
             else:
@@ -175,7 +168,7 @@
         self, partition: QuotaPartition, vm: str, call: Ask | Release
     ) -> Reply | None:
         """Call another VM, and record whether it replied."""
-        address = self.partitions.address_of(vm)
+        address = self.fleet.address_of(vm)
         reply = address and await self.calls.call(address, call)
         if reply:
             partition.lender.record_answer(vm)
@@ -187,7 +180,7 @@
             fields={
                 'owner': vm,
                 'partition': partition.number,
-                'next': self.partitions.choose_owner(partition),
+                'next': self.shares.choose_owner(partition),
             },
         )
         return None
@@ -207,11 +200,11 @@
             case Forwarded(number=number):
                 self.calls.receive_forwarded(number)
             case Release(number=number, vm=vm, partition=partition):
-                owner = self.partitions.partitions[partition].owner
+                owner = self.shares.partitions[partition].owner
                 owner.release(vm, now_s())
                 self.outbox.add(address, self._reply(number, owner.share))
             case GiveBack(partition=partition, team=team, cost=cost):
-                owner = self.partitions.partitions[partition].owner
+                owner = self.shares.partitions[partition].owner
                 owner.give_back(team, cost, now_s())
 
     def _receive_ask(self, ask: Ask, address: Address) -> None:
@@ -221,8 +214,8 @@
         if known is not None:
             self.outbox.add(address, known)
             return
-        partition = self.partitions.partitions[ask.partition]
-        chosen = self.partitions.choose_owner(partition)
+        partition = self.shares.partitions[ask.partition]
+        chosen = self.shares.choose_owner(partition)
         if ask.is_relayed or chosen in {self.own_vm.name, ask.vm}:
             self._answer(address, self._decide(partition, ask))
             return
@@ -247,51 +240,30 @@
             self.give_back(call.team, call.cost, reply.owner)
 
     def _offer(self, partition: QuotaPartition, owner: str, ask: Ask) -> Ask:
-        times = self.partitions.times
-        loan = partition.lender.offer(owner, now_s(), times)
+        offered = self.shares.offer(partition, owner, now_s())
         return attrs.evolve(
             ask,
-            lease_s=times.lease_s if loan.lends else 0.0,
-            adds_start_credit=loan.adds_start_credit,
+            lease_s=offered.lease_s,
+            adds_start_credit=offered.adds_start_credit,
         )
 
     def _decide(self, partition: QuotaPartition, ask: Ask) -> Reply:
         """Decide on an ask here, with the share that it lends."""
         moment_s = now_s()
-        owner = partition.owner
-        if ask.adds_start_credit:
-            owner.add_start_credit(moment_s)
         # What arrived while this VM was suspended may be no longer lent.
         received_s = self.node_state.own_pauses.earliest_start_s(moment_s)
-        owner.lend(ask.vm, moment_s, until_s=received_s + ask.lease_s)
-        if not ask.team or self._is_unlimited(ask):
-            return self._reply(ask.number, owner.share)
-        decision = owner.decide(
-            ask.team,
-            QuotaTerms(
-                version=ask.version,
-                rate_per_s=ask.rate_per_s,
-                burst=ask.burst,
-            ),
-            QuotaRequest(cost=ask.cost, key=ask.key, patience_s=ask.patience_s),
-            moment_s,
+        decision = self.shares.decide(
+            partition, asked_grant(ask), moment_s, received_s=received_s
         )
+        share = partition.owner.share
+        if decision is None:
+            return self._reply(ask.number, share)
         self.metrics.record_decision(ask.team, decision, ask.cost)
         match decision:
             case Granted():
-                return self._reply(ask.number, owner.share)
+                return self._reply(ask.number, share)
             case Refused(retry_after_s=wait_s):
-                return self._reply(
-                    ask.number, owner.share, retry_after_s=wait_s
-                )
-
-    def _is_unlimited(self, ask: Ask) -> bool:
-        """Return whether a newer configuration has no limit for the team."""
-        partitions = self.partitions
-        return (
-            partitions.version > ask.version
-            and ask.team not in partitions.limits
-        )
+                return self._reply(ask.number, share, retry_after_s=wait_s)
 
     def _reply(
         self, number: int, share: float, *, retry_after_s: float | None = None
@@ -315,24 +287,3 @@
     return attrs.evolve(
         ask, lease_s=max(0.0, ask.lease_s - held_s), adds_start_credit=False
     )
-
-
-def _describe_partition(partition: QuotaPartition) -> dict[str, Any]:
-    owner = partition.owner
-    owner.advance(now_s())
-    return {
-        'partition': partition.number,
-        'lent_to': partition.lender.owner,
-        'lent_here': round(owner.share, 3),
-        'silent': sorted(partition.lender.next_probe_s),
-        'teams': {
-            team: {
-                'version': terms.version,
-                'rate_per_s': terms.rate_per_s,
-                'burst': terms.burst,
-                'level': round(owner.buckets[team].level, 1),
-                'reserved': len(owner.buckets[team].reservations),
-            }
-            for team, terms in owner.terms_by_team.items()
-        },
-    }
--- a/src/arbutusbay/node/quota/_messages.py
+++ b/src/arbutusbay/node/quota/_messages.py
@@ -22,7 +22,13 @@
     require_text,
 )
 from arbutusbay.errors import ErrorKind, Failure
-from arbutusbay.quota import PARTITION_COUNT
+from arbutusbay.quota import (
+    PARTITION_COUNT,
+    AskedGrant,
+    OfferedShare,
+    QuotaRequest,
+    QuotaTerms,
+)
 
 # Tells these datagrams from load reports, which are JSON objects.
 DATAGRAM_TYPE = b'Q'
@@ -100,6 +106,23 @@
 QuotaMessage = Ask | Reply | Forwarded | Release | GiveBack
 
 
+def asked_grant(ask: Ask) -> AskedGrant:
+    """Return what an ask offers and asks for."""
+    return AskedGrant(
+        vm=ask.vm,
+        offered=OfferedShare(
+            lease_s=ask.lease_s, adds_start_credit=ask.adds_start_credit
+        ),
+        team=ask.team,
+        request=QuotaRequest(
+            cost=ask.cost, key=ask.key, patience_s=ask.patience_s
+        ),
+        terms=QuotaTerms(
+            version=ask.version, rate_per_s=ask.rate_per_s, burst=ask.burst
+        ),
+    )
+
+
 def messages_to_bytes(messages: Iterable[QuotaMessage]) -> bytes:
     """Return a datagram with ``messages``."""
     return DATAGRAM_TYPE + orjson.dumps(
--- a/src/arbutusbay/node/quota/_request_grants.py
+++ b/src/arbutusbay/node/quota/_request_grants.py
@@ -12,8 +12,8 @@
 from arbutusbay.logs import get_logger
 from arbutusbay.node._incoming_request import IncomingRequest
 from arbutusbay.node.quota._client import QuotaClient
+from arbutusbay.node.quota._fleet_view import quota_terms
 from arbutusbay.node.quota._messages import Reply
-from arbutusbay.node.quota._partitions import quota_terms
 from arbutusbay.quota import QuotaRequest
 
 _LOG = get_logger('quota')
--- a/src/arbutusbay/quota/__init__.py
+++ b/src/arbutusbay/quota/__init__.py
@@ -1,8 +1,9 @@
 """Decide which requests of a team are within its rate limit, fleet-wide.
 
-Pure: the time is an argument. ``QuotaOwner`` decides, on the VM that owns a
-partition of the teams; ``ShareLender`` chooses the owner, on each VM. Which
-messages pass is up to the caller.
+Pure: the time is an argument. ``LimitShares`` holds the part of a VM in all
+limits: for each partition of the teams a ``QuotaOwner``, which decides if the
+VM owns it, and a ``ShareLender``, which chooses the owner. ``plan_renewal``
+says which messages are due; how they pass is up to the caller.
 """
 
 from arbutusbay.quota._bucket import (
@@ -20,11 +21,20 @@
     partition_of,
     rank_owners,
 )
-from arbutusbay.quota._owner import QuotaOwner
-from arbutusbay.quota._partition import (
+from arbutusbay.quota._limit_shares import (
+    AskedGrant,
+    LimitShares,
+    OfferedShare,
     QuotaPartition,
-    apply_limits,
-    create_partitions,
+)
+from arbutusbay.quota._owner import QuotaOwner
+from arbutusbay.quota._renewal_steps import (
+    ChangeOwner,
+    LeaveOwner,
+    ProbeVM,
+    RenewalStep,
+    RenewLease,
+    plan_renewal,
 )
 from arbutusbay.quota._terms import (
     Decision,
@@ -37,22 +47,29 @@
 __all__ = (
     'PARTITION_COUNT',
     'START_CREDIT_LIFE_S',
+    'AskedGrant',
     'Bucket',
+    'ChangeOwner',
     'Decision',
     'Granted',
     'LeaseTimes',
+    'LeaveOwner',
+    'LimitShares',
     'Loan',
+    'OfferedShare',
+    'ProbeVM',
     'QuotaBounds',
     'QuotaOwner',
     'QuotaPartition',
     'QuotaRequest',
     'QuotaTerms',
     'Refused',
+    'RenewLease',
+    'RenewalStep',
     'Reservation',
     'ShareLender',
-    'apply_limits',
-    'create_partitions',
     'lease_times',
     'partition_of',
+    'plan_renewal',
     'rank_owners',
 )
--- a/src/arbutusbay/quota/_lender.py
+++ b/src/arbutusbay/quota/_lender.py
@@ -78,7 +78,8 @@
     ``next_probe_s`` holds when each silent VM is asked again. ``asked_owner``
     is the VM that the last message went to, at ``last_sent_s``.
     ``last_credit_s`` is when this VM last gave the credit for a takeover, or
-    started and forgot whether it had.
+    started and forgot whether it had. ``known_owner`` is the VM that it last
+    took for the owner.
     """
 
     own_vm: str
@@ -90,6 +91,7 @@
     is_releasing: bool = False
     last_sent_s: float = float('-inf')
     asked_owner: str = ''
+    known_owner: str = ''
     next_probe_s: dict[str, float] = attrs.field(factory=dict)
 
     def choose_owner(self, live_vms: Sequence[str]) -> str:
--- a/tests/own_quota_world.py
+++ b/tests/own_quota_world.py
@@ -6,11 +6,12 @@
 import attrs
 from result import Err
 
-from arbutusbay.control import ControlSettings, ControlState
 from arbutusbay.control import (
+    ControlSettings,
+    ControlState,
     _quota_renewals,
     _quota_service,
-    _quota_shares,
+    _quota_view,
     _shared_state,
 )
 from arbutusbay.control._metrics import ControlMetrics
@@ -31,7 +32,7 @@
 _CLOCK_MODULES = (
     _quota_renewals,
     _quota_service,
-    _quota_shares,
+    _quota_view,
     _shared_state,
 )
 
@@ -97,7 +98,7 @@
         """Let each live VM lend its share anew."""
         self.connect()
         for node, service in self.services.items():
-            service.shares.refresh()
+            service.view.refresh()
             if node in self.lost:
                 continue
             for partition in service.shares.used:
--- a/tests/quota_fleet.py
+++ b/tests/quota_fleet.py
@@ -12,15 +12,23 @@
 import attrs
 
 from arbutusbay.quota import (
+    AskedGrant,
+    Decision,
     Granted,
-    Loan,
+    LeaveOwner,
+    LimitShares,
+    ProbeVM,
     QuotaBounds,
     QuotaOwner,
+    QuotaPartition,
     QuotaRequest,
     QuotaTerms,
     Refused,
+    RenewalStep,
+    RenewLease,
     ShareLender,
-    lease_times,
+    partition_of,
+    plan_renewal,
     rank_owners,
 )
 
@@ -30,7 +38,7 @@
 SMALL_TERMS = QuotaTerms(version=1, rate_per_s=29_000.0, burst=29_000.0)
 STEP_S = 0.05
 LONG_UP_S = -100.0
-_PARTITION = 0
+_NOTHING = QuotaRequest(cost=0)
 _MAX_OWNERS_ASKED = 3
 _MIN_COST = 2_000
 _MAX_COST = 16_400
@@ -46,13 +54,26 @@
     """
 
     name: str
-    owner: QuotaOwner
-    lender: ShareLender
-    terms: QuotaTerms
+    shares: LimitShares
     is_up: bool = True
     suspended_s: float | None = None
     island: int = 0
-    inbox: list[tuple[str, Loan, float]] = attrs.field(factory=list)
+    inbox: list[AskedGrant] = attrs.field(factory=list)
+
+    @property
+    def partition(self) -> QuotaPartition:
+        """Return the partition of the team."""
+        return self.shares.of_team(TEAM)
+
+    @property
+    def owner(self) -> QuotaOwner:
+        """Return what this VM may decide for the team."""
+        return self.partition.owner
+
+    @property
+    def lender(self) -> ShareLender:
+        """Return whom this VM lends to."""
+        return self.partition.lender
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -83,7 +104,7 @@
 
     def owner_name(self) -> str:
         """Return the VM that should own the partition of the team."""
-        return rank_owners(_PARTITION, self.names)[0]
+        return rank_owners(partition_of(TEAM), self.names)[0]
 
     def run(self, duration_s: float, *, demand_per_s: float = 0.0) -> None:
         """Let the VMs lend, and callers ask for ``demand_per_s`` tokens."""
@@ -124,24 +145,20 @@
                         (self.now_s + wait_s, request.key, request),
                     )
 
-    def decide(self, vm: FakeVM, request: QuotaRequest) -> Granted | Refused:
+    def decide(self, vm: FakeVM, request: QuotaRequest) -> Decision:
         """Ask owner after owner until one answers."""
-        times = lease_times(self.vm_count)
         for _ in range(_MAX_OWNERS_ASKED):
-            name = vm.lender.choose_owner(self.names)
-            loan = vm.lender.offer(name, self.now_s, times)
-            if self._send_loan(vm, name, loan):
-                return self.vms[name].owner.decide(
-                    TEAM, vm.terms, request, self.now_s
-                )
+            decision = self._ask_owner(vm, TEAM, request)
+            if decision is not None:
+                return decision
         return Refused(retry_after_s=1.0)
 
     def apply(self, terms: QuotaTerms, names: Iterable[str]) -> None:
         """Bring a configuration to some of the VMs."""
         for name in names:
-            vm = self.vms[name]
-            vm.terms = terms
-            vm.owner.apply_limits({TEAM: terms}, self.now_s)
+            self.vms[name].shares.apply_limits(
+                {TEAM: terms}, terms.version, self.now_s
+            )
 
     def restart(self, name: str) -> None:
         """Start a VM anew: it forgets what it lent and granted."""
@@ -152,8 +169,8 @@
         vm = self.vms[name]
         suspended_s = vm.suspended_s
         vm.suspended_s = None
-        for sender, loan, lease_s in vm.inbox:
-            self._receive(vm, sender, loan, suspended_s + lease_s)
+        for asked in vm.inbox:
+            self._receive(vm, asked, suspended_s)
         vm.inbox.clear()
 
     def granted_since(self, start_s: float) -> float:
@@ -176,19 +193,10 @@
         return highest
 
     def _new_vm(self, name: str, *, started_s: float) -> FakeVM:
-        owner = QuotaOwner(bounds=self.bounds, vm_count=self.vm_count)
-        owner.apply_limits({TEAM: self.terms}, self.now_s)
-        return FakeVM(
-            name=name,
-            owner=owner,
-            lender=ShareLender(
-                own_vm=name,
-                partition=_PARTITION,
-                window_s=self.bounds.window_s,
-                last_credit_s=started_s,
-            ),
-            terms=self.terms,
-        )
+        shares = LimitShares(own_vm=name, bounds=self.bounds, now_s=started_s)
+        shares.apply_vms(self.names, self.vm_count, self.now_s)
+        shares.apply_limits({TEAM: self.terms}, self.terms.version, self.now_s)
+        return FakeVM(name=name, shares=shares)
 
     def _running(self) -> list[FakeVM]:
         return [
@@ -206,38 +214,51 @@
             self.ask(self._any_vm(), request, is_first=False)
 
     def _renew_leases(self) -> None:
-        times = lease_times(self.vm_count)
         for vm in self._running():
-            silent = vm.lender.vm_to_probe(self.names, self.now_s)
-            if silent is not None:
+            for step in plan_renewal(vm.shares, vm.partition, self.now_s):
+                self._take_step(vm, step)
+
+    def _take_step(self, vm: FakeVM, step: RenewalStep) -> None:
+        match step:
+            case ProbeVM(vm=silent):
                 self._send(vm, silent)
-            chosen = vm.lender.choose_owner(self.names)
-            left = vm.lender.owner_to_leave(chosen, self.now_s)
-            if left is not None and self._send(vm, left):
-                self.vms[left].owner.release(vm.name, self.now_s)
-                vm.lender.begin_release()
-                vm.lender.record_release(left, is_released=True)
-            if vm.lender.is_renewal_due(self.now_s, times):
-                loan = vm.lender.offer(chosen, self.now_s, times)
-                self._send_loan(vm, chosen, loan)
-
-    def _send_loan(self, vm: FakeVM, name: str, loan: Loan) -> bool:
+            case LeaveOwner(owner=left):
+                self._leave(vm, left)
+            case RenewLease():
+                self._ask_owner(vm, '', _NOTHING)
+
+    def _leave(self, vm: FakeVM, owner: str) -> None:
+        is_released = self._send(vm, owner)
+        if is_released:
+            self.vms[owner].owner.release(vm.name, self.now_s)
+        vm.lender.record_release(owner, is_released=is_released)
+
+    def _ask_owner(
+        self, vm: FakeVM, team: str, request: QuotaRequest
+    ) -> Decision | None:
+        """Lend to the owner, and return what it decides, None without it."""
+        name = vm.shares.choose_owner(vm.partition)
+        asked = AskedGrant(
+            vm=vm.name,
+            offered=vm.shares.offer(vm.partition, name, self.now_s),
+            team=team,
+            request=request,
+            terms=vm.shares.limits.get(TEAM, self.terms),
+        )
         target = self.vms[name]
-        lease_s = lease_times(self.vm_count).lease_s
         if target.suspended_s is not None and target.island == vm.island:
-            target.inbox.append((vm.name, loan, lease_s))
+            target.inbox.append(attrs.evolve(asked, team=''))
         if not self._send(vm, name):
-            return False
-        self._receive(target, vm.name, loan, self.now_s + lease_s)
-        return True
+            return None
+        return self._receive(target, asked, self.now_s)
 
     def _receive(
-        self, target: FakeVM, sender: str, loan: Loan, until_s: float
-    ) -> None:
-        if loan.adds_start_credit:
-            target.owner.add_start_credit(self.now_s)
-        if loan.lends:
-            target.owner.lend(sender, self.now_s, until_s=until_s)
+        self, target: FakeVM, asked: AskedGrant, received_s: float
+    ) -> Decision:
+        decision = target.shares.decide(
+            target.partition, asked, self.now_s, received_s=received_s
+        )
+        return Granted() if decision is None else decision
 
     def _send(self, vm: FakeVM, name: str) -> bool:
         """Return whether a message and its answer arrive."""
--- a/tests/unit/test_quota_client.py
+++ b/tests/unit/test_quota_client.py
@@ -127,7 +127,7 @@
 
 async def test_lost_messages_cost_no_grant_twice(network):
     owner, other, _ = await start(network, 3, rate_per_s=0.01, burst=50)
-    bucket = network.clients[owner].partitions.of_team(TEAM).owner.buckets[TEAM]
+    bucket = network.clients[owner].shares.of_team(TEAM).owner.buckets[TEAM]
     bucket.level = 20.0
     network.loss = 0.3
     replies = [await ask(network, other) for _ in range(8)]
@@ -139,7 +139,7 @@
 async def test_what_did_not_run_is_given_back(network):
     owner, other, _ = await start(network, 3, rate_per_s=0.01, burst=3)
     await ask(network, other, cost=0.1)
-    bucket = network.clients[owner].partitions.of_team(TEAM).owner.buckets[TEAM]
+    bucket = network.clients[owner].shares.of_team(TEAM).owner.buckets[TEAM]
     bucket.level = 1.0
     assert is_granted(await ask(network, other))
     assert not is_granted(await ask(network, other))
@@ -188,7 +188,7 @@
     owner, second, _ = await start(network, 3, rate_per_s=1000)
     network.cut.add(frozenset((owner, second)))
     client = network.clients[second]
-    partition = client.partitions.of_team(TEAM)
+    partition = client.shares.of_team(TEAM)
     partition.lender.record_answer(owner)
     received_s = now_s()
     await client.ask_owner(
@@ -212,7 +212,7 @@
     for task in network.renewals:
         task.cancel()
     await ask(network, other, cost=0.1)
-    bucket = network.clients[owner].partitions.of_team(TEAM).owner.buckets[TEAM]
+    bucket = network.clients[owner].shares.of_team(TEAM).owner.buckets[TEAM]
     bucket.level = 1.0
     asked = asyncio.create_task(ask(network, other))
     cancel_with_reply(network.clients[other], asked)
@@ -240,13 +240,13 @@
 async def test_repeated_ask_is_charged_once_among_5000_a_second(network):
     owner, other, _ = await start(network, 3, rate_per_s=0.01, burst=9000)
     client = network.clients[owner]
-    partition = client.partitions.of_team(TEAM)
+    partition = client.shares.of_team(TEAM)
     bucket = partition.owner.buckets[TEAM]
     bucket.level = 8000.0
     asks = [
         build_ask(other, partition.number, number) for number in range(_ASKS)
     ]
-    address = client.partitions.address_of(other)
+    address = client.fleet.address_of(other)
     for sent in (*asks, asks[0]):
         client.receive(messages_to_bytes([sent]), address)
     assert bucket.level == pytest.approx(8000 - _ASKS, abs=0.5)
