Test limits with the store away, late or older, and a whole load

The fake fleet takes several teams. New cases at 3, 13, 40 and 141 VMs: VMs restart while the store is away, the list of VMs and a lower limit reach VMs late, the owner restarts with an older limit, an older configuration lacks the team.

Cause of the one case that failed: an owner with an older configuration without the team dropped its unused tokens. LimitShares ignores an older version now.

--- a/src/arbutusbay/quota/_limit_shares.py
+++ b/src/arbutusbay/quota/_limit_shares.py
@@ -96,7 +96,12 @@
     def apply_limits(
         self, limits: Mapping[str, QuotaTerms], version: int, now_s: float
     ) -> None:
-        """Apply the limits of all teams in a version of the configuration."""
+        """Apply the limits of all teams in a version of the configuration.
+
+        An older one, which a restored store may have, is ignored.
+        """
+        if version < self.version:
+            return
         self.limits = limits
         self.version = version
         used = []
--- a/tests/quota_fleet.py
+++ b/tests/quota_fleet.py
@@ -4,10 +4,11 @@
 others are there, except that they don't answer.
 """
 
+import functools
 import heapq
 import random
-from collections import deque
-from collections.abc import Iterable
+from collections import defaultdict, deque
+from collections.abc import Iterable, Mapping
 
 import attrs
 
@@ -78,10 +79,19 @@
 
 @attrs.define(kw_only=True, eq=False)
 class FakeFleet:
-    """Hold the VMs of a fleet, and what was granted to the team when."""
+    """Hold the VMs of a fleet, and what was granted to the team when.
+
+    Other teams have ``other_limits`` and ask for ``other_demands`` a second.
+    ``refused`` has by team what those asked for who gave up.
+    """
 
     vm_count: int
     terms: QuotaTerms = TERMS
+    other_limits: dict[str, QuotaTerms] = attrs.field(factory=dict)
+    other_demands: dict[str, float] = attrs.field(factory=dict)
+    refused: dict[str, float] = attrs.field(
+        factory=functools.partial(defaultdict, float)
+    )
     bounds: QuotaBounds = BOUNDS
     loss: float = 0.0
     now_s: float = 0.0
@@ -90,7 +100,9 @@
     vms: dict[str, FakeVM] = attrs.field(init=False)
     grants: list[tuple[float, float]] = attrs.field(factory=list)
     asked: float = 0.0
-    returning: list[tuple[float, int, QuotaRequest]] = attrs.field(factory=list)
+    returning: list[tuple[float, int, str, QuotaRequest]] = attrs.field(
+        factory=list
+    )
     returned: int = 0
     served_on_return: int = 0
     next_key: int = 0
@@ -109,46 +121,47 @@
     def run(self, duration_s: float, *, demand_per_s: float = 0.0) -> None:
         """Let the VMs lend, and callers ask for ``demand_per_s`` tokens."""
         end_s = self.now_s + duration_s
-        due = 0.0
+        demands = {TEAM: demand_per_s, **self.other_demands}
+        due = dict.fromkeys(demands, 0.0)
         while self.now_s < end_s:
             self.now_s += STEP_S
             self._renew_leases()
             self._let_callers_return()
-            due += demand_per_s * STEP_S
-            while due > 0:
-                cost = float(self.rng.randint(_MIN_COST, _MAX_COST))
-                due -= cost
-                self.asked += cost
-                self.next_key += 1
-                self.ask(
-                    self._any_vm(),
-                    QuotaRequest(
-                        cost=cost, key=self.next_key, patience_s=_PATIENCE_S
-                    ),
-                )
+            for team, demand in demands.items():
+                due[team] = self._ask_for(team, due[team] + demand * STEP_S)
 
     def ask(
-        self, vm: FakeVM, request: QuotaRequest, *, is_first: bool = True
+        self,
+        vm: FakeVM,
+        request: QuotaRequest,
+        *,
+        team: str = TEAM,
+        is_first: bool = True,
     ) -> None:
         """Ask for a request; a refused caller returns once, as it was told."""
-        decision = self.decide(vm, request)
+        decision = self.decide(vm, request, team)
         if not is_first:
             self.returned += 1
         match decision:
             case Granted():
-                self.grants.append((self.now_s, request.cost))
                 self.served_on_return += not is_first
+                if team == TEAM:
+                    self.grants.append((self.now_s, request.cost))
             case Refused(retry_after_s=wait_s):
                 if is_first and wait_s <= _PATIENCE_S:
                     heapq.heappush(
                         self.returning,
-                        (self.now_s + wait_s, request.key, request),
+                        (self.now_s + wait_s, request.key, team, request),
                     )
+                else:
+                    self.refused[team] += request.cost
 
-    def decide(self, vm: FakeVM, request: QuotaRequest) -> Decision:
+    def decide(
+        self, vm: FakeVM, request: QuotaRequest, team: str = TEAM
+    ) -> Decision:
         """Ask owner after owner until one answers."""
         for _ in range(_MAX_OWNERS_ASKED):
-            decision = self._ask_owner(vm, TEAM, request)
+            decision = self._ask_owner(vm, team, request)
             if decision is not None:
                 return decision
         return Refused(retry_after_s=1.0)
@@ -157,7 +170,7 @@
         """Bring a configuration to some of the VMs."""
         for name in names:
             self.vms[name].shares.apply_limits(
-                {TEAM: terms}, terms.version, self.now_s
+                {TEAM: terms, **self.other_limits}, terms.version, self.now_s
             )
 
     def restart(self, name: str) -> None:
@@ -195,26 +208,34 @@
     def _new_vm(self, name: str, *, started_s: float) -> FakeVM:
         shares = LimitShares(own_vm=name, bounds=self.bounds, now_s=started_s)
         shares.apply_vms(self.names, self.vm_count, self.now_s)
-        shares.apply_limits({TEAM: self.terms}, self.terms.version, self.now_s)
+        limits = {TEAM: self.terms, **self.other_limits}
+        shares.apply_limits(limits, self.terms.version, self.now_s)
         return FakeVM(name=name, shares=shares)
 
-    def _running(self) -> list[FakeVM]:
-        return [
-            vm
-            for vm in self.vms.values()
-            if vm.is_up and vm.suspended_s is None
-        ]
+    def _ask_for(self, team: str, due: float) -> float:
+        """Let callers ask for what is due; return what is due after that."""
+        while due > 0:
+            cost = float(self.rng.randint(_MIN_COST, _MAX_COST))
+            due -= cost
+            if team == TEAM:
+                self.asked += cost
+            self.next_key += 1
+            request = QuotaRequest(
+                cost=cost, key=self.next_key, patience_s=_PATIENCE_S
+            )
+            self.ask(self._any_vm(), request, team=team)
+        return due
 
     def _any_vm(self) -> FakeVM:
-        return self.rng.choice(self._running())
+        return self.rng.choice(running_vms(self.vms))
 
     def _let_callers_return(self) -> None:
         while self.returning and self.returning[0][0] <= self.now_s:
-            request = heapq.heappop(self.returning)[2]
-            self.ask(self._any_vm(), request, is_first=False)
+            _, _, team, request = heapq.heappop(self.returning)
+            self.ask(self._any_vm(), request, team=team, is_first=False)
 
     def _renew_leases(self) -> None:
-        for vm in self._running():
+        for vm in running_vms(self.vms):
             for step in plan_renewal(vm.shares, vm.partition, self.now_s):
                 self._take_step(vm, step)
 
@@ -243,7 +264,7 @@
             offered=vm.shares.offer(vm.partition, name, self.now_s),
             team=team,
             request=request,
-            terms=vm.shares.limits.get(TEAM, self.terms),
+            terms=vm.shares.limits.get(team or TEAM, self.terms),
         )
         target = self.vms[name]
         if target.suspended_s is not None and target.island == vm.island:
@@ -276,6 +297,11 @@
         return False
 
 
+def running_vms(vms: Mapping[str, FakeVM]) -> list[FakeVM]:
+    """Return the VMs that are up and not suspended."""
+    return [vm for vm in vms.values() if vm.is_up and vm.suspended_s is None]
+
+
 def highest_allowed(terms: QuotaTerms = TERMS) -> float:
     """Return the bound on what is granted in a window."""
     limit = terms.rate_per_s * BOUNDS.window_s + terms.burst
--- a/tests/unit/test_quota_failures.py
+++ b/tests/unit/test_quota_failures.py
@@ -22,6 +22,7 @@
 _WARM_UP_S = 14.0
 _USUAL = TERMS.rate_per_s / 1.8
 _FIVEFOLD = 5 * _USUAL
+_REPORTED_S = 1.0
 
 each_size = pytest.mark.parametrize('vm_count', _FLEET_SIZES)
 
@@ -225,6 +226,86 @@
     assert fleet.highest_window(since_s) <= highest_allowed(lower)
 
 
+# Guards against a decision that needs the store: nothing new is read while it
+# is away, and VMs that start then don't know how many others there are.
+@each_size
+def test_store_is_away_as_vms_restart(vm_count):
+    fleet = start_fleet(vm_count)
+    for name in set(fleet.vms) - {fleet.owner_name()}:
+        fleet.restart(name)
+        fleet.vms[name].shares.apply_vms(fleet.names, None, fleet.now_s)
+        fleet.run(STEP_S, demand_per_s=_FIVEFOLD)
+    fleet.run(10, demand_per_s=_FIVEFOLD)
+    assert fleet.highest_window() <= highest_allowed()
+    assert fleet.granted_since(fleet.now_s - 10) >= 0.98 * (
+        10 * TERMS.rate_per_s
+    )
+
+
+# Guards against lists of VMs that differ: the fleet has doubled, and those that
+# were there before know it a second later, as the others report to them.
+@each_size
+def test_store_lags_behind_the_list_of_vms(vm_count):
+    fleet = start_fleet(vm_count)
+    before = fleet.names[: vm_count // 2 + 1]
+    for name in before:
+        fleet.vms[name].shares.apply_vms(before, len(before), fleet.now_s)
+    fleet.run(_REPORTED_S, demand_per_s=_FIVEFOLD)
+    for name in before:
+        fleet.vms[name].shares.apply_vms(fleet.names, vm_count, fleet.now_s)
+    fleet.run(20, demand_per_s=_FIVEFOLD)
+    assert fleet.highest_window() <= highest_allowed()
+    assert fleet.granted_since(fleet.now_s - 10) >= 0.98 * (
+        10 * TERMS.rate_per_s
+    )
+
+
+# Guards against a limit that lags: each VM reads it after up to 3 s.
+@each_size
+def test_store_lags_behind_a_lower_limit(vm_count):
+    fleet = start_fleet(vm_count)
+    lower = attrs.evolve(
+        TERMS, version=2, rate_per_s=TERMS.rate_per_s / 50, burst=1000.0
+    )
+    for number in range(6):
+        fleet.apply(lower, fleet.names[number::6])
+        fleet.run(0.5, demand_per_s=_FIVEFOLD)
+    lowered_s = fleet.now_s
+    fleet.run(20, demand_per_s=_FIVEFOLD)
+    assert fleet.highest_window(lowered_s) <= highest_allowed(lower)
+
+
+# Guards against an owner that restarts behind a restoration of the store: it
+# has the older limit until it is asked by a VM that knows the newer one.
+@each_size
+def test_owner_restarts_as_the_store_comes_back_older(vm_count):
+    fleet = start_fleet(vm_count)
+    lower = attrs.evolve(
+        TERMS, version=2, rate_per_s=TERMS.rate_per_s / 50, burst=1000.0
+    )
+    fleet.apply(lower, fleet.vms)
+    fleet.run(9, demand_per_s=_FIVEFOLD)
+    fleet.restart(fleet.owner_name())
+    since_s = fleet.now_s
+    fleet.run(20, demand_per_s=_FIVEFOLD)
+    assert fleet.highest_window(since_s) <= highest_allowed(lower)
+
+
+# Guards against an older configuration that has no limit for a team, which ends
+# the unused tokens that its owner holds.
+@each_size
+def test_older_configuration_without_the_team_costs_it_nothing(vm_count):
+    fleet = start_fleet(vm_count)
+    newer = attrs.evolve(TERMS, version=2)
+    fleet.apply(newer, fleet.vms)
+    owner = fleet.vms[fleet.owner_name()]
+    owner.shares.apply_limits({}, 1, fleet.now_s)
+    fleet.run(20, demand_per_s=_FIVEFOLD)
+    owed = 20 * TERMS.rate_per_s + TERMS.burst
+    assert fleet.granted_since(0) >= 0.98 * owed
+    assert fleet.highest_window() <= highest_allowed()
+
+
 @each_size
 def test_team_disappears_and_returns(vm_count):
     fleet = start_fleet(vm_count)
