--- a/tests/own_quota_world.py
+++ b/tests/own_quota_world.py
@@ -6,10 +6,12 @@
 import attrs
 from result import Err
 
-from arbutusbay.control import ControlSettings, ControlState
 from arbutusbay.control import (
+    ControlSettings,
+    ControlState,
+    _quota_renewals,
     _quota_service,
-    _quota_shares,
+    _quota_view,
     _shared_state,
 )
 from arbutusbay.control._metrics import ControlMetrics
@@ -27,7 +29,12 @@
 from arbutusbay.wire import QuotaLoan, decode_message, encode_message
 
 TEAM = 't'
-_CLOCK_MODULES = (_quota_service, _quota_shares, _shared_state)
+_CLOCK_MODULES = (
+    _quota_renewals,
+    _quota_service,
+    _quota_view,
+    _shared_state,
+)
 
 
 @attrs.define(kw_only=True)
@@ -91,7 +98,7 @@
         """Let each live VM lend its share anew."""
         self.connect()
         for node, service in self.services.items():
-            service.shares.refresh()
+            service.view.refresh()
             if node in self.lost:
                 continue
             for partition in service.shares.used:
