Sum over all processes what passes a team's limit

The soak learns limits: emulator/limit_sums.py sums what all engines began of a team, by window, against rate times window, burst and tolerance; the deployment's settings take the tolerance.

--- a/emulator/fleet.py
+++ b/emulator/fleet.py
@@ -25,6 +25,7 @@
     release_address_prefix,
 )
 from emulator.fleet_engine import EngineOptions, FleetEngine
+from emulator.limit_sums import QuotaTolerance
 from emulator.store import FleetStore
 
 CONFIGURATION_TOPIC = 'keyed.op'
@@ -68,6 +69,9 @@
 retry_budget_ratio = {retry_ratio}
 retry_budget_slack = {retry_slack}
 budget_window_s = 10
+quota_window_s = {quota_window_s}
+quota_overshoot = {quota_overshoot}
+quota_slack = {quota_slack}
 lease_ms = 1000
 thaw_slack_ms = 100
 version_ms = {version_ms}
@@ -156,6 +160,7 @@
         self.grace_s = 8
         self.retry_ratio = 0.2
         self.retry_slack = 60
+        self.quota_tolerance = QuotaTolerance()
         self.restart_s = 1.0
         self.receive_buffer_bytes: int | None = None
         self.end_moments_s: list[float] = []
@@ -247,6 +252,9 @@
                 grace_s=self.grace_s,
                 retry_ratio=self.retry_ratio,
                 retry_slack=self.retry_slack,
+                quota_window_s=self.quota_tolerance.window_s,
+                quota_overshoot=self.quota_tolerance.overshoot,
+                quota_slack=self.quota_tolerance.slack,
                 store=self.store_address,
             ),
         )
