Show operators the limits of our own interface

Cause: the router's line on a refusal had neither the request's id nor the version, so that explain could not use it; nothing showed what is lent to a control daemon.

Before: the new test of the explanation had no line with an id.

--- a/src/arbutusbay/control/_dump.py
+++ b/src/arbutusbay/control/_dump.py
@@ -9,9 +9,14 @@
 
 
 def dump_state(
-    shared_state: ControlState, ledger: LedgerService
+    shared_state: ControlState,
+    ledger: LedgerService,
+    quotas: list[dict[str, Any]],
 ) -> dict[str, Any]:
-    """Return the state of this daemon as a JSON-compatible dict."""
+    """Return the state of this daemon as a JSON-compatible dict.
+
+    ``quotas`` describes its part in the limits of teams.
+    """
     return {
         'node': shared_state.node_id,
         'incarnation': shared_state.incarnation,
@@ -50,5 +55,6 @@
             }
             for partition in ledger.partitions.values()
         },
+        'quotas': quotas,
         'draining': shared_state.draining,
     }
--- a/src/arbutusbay/control/_main.py
+++ b/src/arbutusbay/control/_main.py
@@ -81,11 +81,14 @@
             metrics=metrics,
         )
         ledger = self.peer_services.ledger
+        quota = self.peer_services.quota
         DebugApi(
             is_ready=self._is_ready,
-            dump=lambda: dump_state(self.shared_state, ledger),
+            dump=lambda: dump_state(
+                self.shared_state, ledger, quota.describe()
+            ),
             render_metrics=lambda: metrics.render_response(
-                self.shared_state, ledger
+                self.shared_state, ledger, quota.lent_shares()
             ),
         ).add_routes(application)
         ResourceApi(
--- a/src/arbutusbay/control/_metrics.py
+++ b/src/arbutusbay/control/_metrics.py
@@ -1,5 +1,7 @@
 """Define and render the metrics of the control daemon."""
 
+from collections.abc import Mapping
+
 from aiohttp import web
 from aioprometheus import Counter, Gauge, Registry, render
 
@@ -51,6 +53,10 @@
             'arbutusbay_control_quota_silences_total',
             'Calls that an owner of limits did not answer',
         )
+        self.quota_lent_share = self._gauge(
+            'arbutusbay_control_quota_lent_share',
+            'Part of the fleet that lends its share to this VM, by partition',
+        )
 
     def record_decision(self, team: str, decision: Decision) -> None:
         """Count what this VM decided for a team."""
@@ -60,9 +66,15 @@
         )
 
     def render_response(
-        self, shared_state: ControlState, ledger: LedgerService
+        self,
+        shared_state: ControlState,
+        ledger: LedgerService,
+        lent_shares: Mapping[str, float],
     ) -> web.Response:
-        """Return all metrics in the Prometheus text format."""
+        """Return all metrics in the Prometheus text format.
+
+        ``lent_shares`` has what other VMs lend to this one, by partition.
+        """
         self.config_offset.set({}, shared_state.config.offset)
         self.members.set({}, len(shared_state.live_members()))
         self.log_reachable.set({}, int(shared_state.log_reachable))
@@ -77,9 +89,15 @@
                 {'stream': partition.stream},
                 len(partition.entries),
             )
+        self._show_lent_shares(lent_shares)
         body, headers = render(self.registry, [])
         return web.Response(body=body, headers=headers)
 
+    def _show_lent_shares(self, lent_shares: Mapping[str, float]) -> None:
+        self.quota_lent_share.values.clear()
+        for number, share in lent_shares.items():
+            self.quota_lent_share.set({'partition': number}, share)
+
     def _counter(self, name: str, help_text: str) -> Counter:
         return Counter(name, help_text, registry=self.registry)
 
--- a/src/arbutusbay/control/_quota_service.py
+++ b/src/arbutusbay/control/_quota_service.py
@@ -3,6 +3,8 @@
 Each VM lends its share of the limits to one owner at a time, which decides.
 """
 
+from typing import Any
+
 import aiohttp
 import attrs
 from result import Err, Ok, Result
@@ -118,6 +120,14 @@
                 timeout_s=_CALL_TIMEOUT_S,
             )
 
+    def describe(self) -> list[dict[str, Any]]:
+        """Return the state of the used partitions as JSON values."""
+        return self.shares.describe(now_s())
+
+    def lent_shares(self) -> dict[str, float]:
+        """Return the part of the fleet that lends to this VM, by partition."""
+        return self.shares.lent_shares(now_s())
+
     async def ask_owner(
         self, partition: QuotaPartition, loan: QuotaLoan
     ) -> QuotaReply:
--- a/src/arbutusbay/router/_completions_api.py
+++ b/src/arbutusbay/router/_completions_api.py
@@ -156,6 +156,7 @@
         match await self.rate_limits.ask(
             team,
             tokens=job.prompt_tokens + job.max_tokens,
+            request_id=job.id,
             described=f'{job.route}/{completion_body.prompt}',
             deadline_ms=route.deadline_ms,
         ):
--- a/src/arbutusbay/router/_rate_limits.py
+++ b/src/arbutusbay/router/_rate_limits.py
@@ -42,6 +42,20 @@
     owner: str = ''
 
 
+@attrs.frozen(kw_only=True)
+class LimitedRequest:
+    """Hold a request of a team that has a limit.
+
+    ``id`` is empty if it has none. ``version`` is the offset of the
+    configuration that the router has.
+    """
+
+    team: AuthenticatedTeam
+    cost: float
+    id: str
+    version: int
+
+
 class RateLimits:
     """Ask for the grants of requests, and give back those not used.
 
@@ -68,6 +82,7 @@
         team: AuthenticatedTeam,
         *,
         tokens: int,
+        request_id: str,
         described: str,
         deadline_ms: int,
     ) -> Result[Grant, Failure]:
@@ -98,7 +113,13 @@
         )
         if is_granted:
             return Ok(Grant(team=team.name, cost=cost, owner=reply.owner))
-        return Err(_refusal(team, cost, reply))
+        refused = LimitedRequest(
+            team=team,
+            cost=cost,
+            id=request_id,
+            version=self.shared_state.config.offset,
+        )
+        return Err(_refuse(refused, reply))
 
     def give_back(self, grant: Grant) -> None:
         """Give back the grant of a request that certainly did not run."""
@@ -194,35 +215,54 @@
     return int.from_bytes(digest[:_KEY_BYTES])
 
 
-def _refusal(
-    team: AuthenticatedTeam, cost: float, reply: QuotaReply | None
-) -> Failure:
-    quota = team.spec.quota
+def _refuse(request: LimitedRequest, reply: QuotaReply | None) -> Failure:
+    """Log a refusal and what decided it, and return the failure."""
     wait_s = reply.retry_after_ms / 1000 if reply else _RETRY_AFTER_SILENCE_S
     is_final = reply is not None and reply.is_final
+    failure = _final_failure(request) if is_final else _failure(request, wait_s)
+    quota = request.team.spec.quota
     _LOG.info(
         'beyond the rate limit',
         fields={
-            'team': team.name,
+            'request_id': request.id,
+            'team': request.team.name,
             'unit': quota.unit.value,
-            'cost': cost,
+            'cost': request.cost,
             'rate_per_s': quota.rate_per_s,
             'burst': quota.burst,
+            'version': request.version,
             'owner': reply.owner if reply else '',
             'share': round(reply.share, 3) if reply else None,
-            'retry_after_s': None if is_final else wait_s,
+            'retry_after_s': failure.retry_after_s,
         },
     )
-    if is_final:
-        return Failure(
-            kind=ErrorKind.BAD_REQUEST,
-            detail=(
-                f'{cost:.0f} {quota.unit.value} are more than the limit of '
-                f'team {team.name} allows at any time'
-            ),
+    if request.id:
+        _LOG.info(
+            'request refused',
+            fields={
+                'request_id': request.id,
+                'team': request.team.name,
+                'kind': failure.kind.value,
+                'detail': failure.detail,
+            },
         )
+    return failure
+
+
+def _final_failure(request: LimitedRequest) -> Failure:
+    """Return the failure of a request that no later time would help."""
+    return Failure(
+        kind=ErrorKind.BAD_REQUEST,
+        detail=(
+            f'{request.cost:.0f} {request.team.spec.quota.unit.value} are more '
+            f'than the limit of team {request.team.name} allows at any time'
+        ),
+    )
+
+
+def _failure(request: LimitedRequest, wait_s: float) -> Failure:
     return Failure(
         kind=ErrorKind.RATE_LIMITED,
-        detail=f'the rate limit of team {team.name} is used up',
+        detail=f'the rate limit of team {request.team.name} is used up',
         retry_after_s=wait_s,
     )
--- a/src/arbutusbay/router/_services_api.py
+++ b/src/arbutusbay/router/_services_api.py
@@ -113,6 +113,7 @@
         granted = await self.rate_limits.ask(
             parsed.team,
             tokens=0,
+            request_id=parsed.key,
             described=f'{parsed.route_name}/{parsed.key}/'
             + _fingerprint(parsed.call),
             deadline_ms=parsed.route.deadline_ms,
--- a/tests/unit/test_team_quotas.py
+++ b/tests/unit/test_team_quotas.py
@@ -2,9 +2,12 @@
 
 import asyncio
 
+import logbook
 import pytest
 from result import Err, Ok
 
+from arbutusbay.cli._causes import describe_cause
+from arbutusbay.cli._log_reader import LogLine
 from arbutusbay.errors import ErrorKind, Failure
 from arbutusbay.http import failure_response
 from arbutusbay.router import RouterSettings, _rate_limits
@@ -13,6 +16,7 @@
 from arbutusbay.router._shared_state import AuthenticatedTeam, RouterState
 from arbutusbay.settings import NodeSettings
 from arbutusbay.state import (
+    ConfigState,
     Quota,
     QuotaUnit,
     Team,
@@ -65,7 +69,9 @@
     team = AuthenticatedTeam(
         name='t', spec=Team(api_key_digests=[], quota=quota)
     )
-    return await limits.ask(team, tokens=30, described='x', deadline_ms=3000)
+    return await limits.ask(
+        team, tokens=30, request_id='r-1', described='x', deadline_ms=3000
+    )
 
 
 async def test_team_without_a_limit_asks_nobody(monkeypatch):
@@ -118,6 +124,34 @@
     assert response.headers.get('Retry-After') == retry_after
 
 
+# Guards against a refusal that an operator can't explain from the log.
+async def test_refusal_is_explained_from_its_log_lines(monkeypatch):
+    reply = QuotaReply(
+        is_granted=False, retry_after_ms=2300, owner='vm-2', share=0.5
+    )
+    limits, _ = build_limits(monkeypatch, {_OWN_URL: reply})
+    limits.shared_state.config = ConfigState(offset=7)
+    handler = logbook.TestHandler()
+    with handler.applicationbound():
+        await ask(limits, _QUOTA)
+    lines = [
+        LogLine(
+            time=record.time,
+            process='vm-1',
+            message=record.message,
+            request_id=record.kwargs['fields'].pop('request_id'),
+            fields=record.kwargs['fields'],
+        )
+        for record in handler.records
+    ]
+    assert {line.request_id for line in lines} == {'r-1'}
+    assert describe_cause(lines, []) == (
+        'the rate limit of team t is used up: it costs 30.0 of tokens, the '
+        'limit is 10 a second and a burst of 100 in version 7; decided by '
+        'vm-2, which held 0.5 of the fleet; it was not sent'
+    )
+
+
 async def test_grant_goes_back_to_its_owner(monkeypatch):
     granted = QuotaReply(is_granted=True, owner='vm-2')
     limits, daemons = build_limits(monkeypatch, {_OWN_URL: granted})
