Make an owner's decision cost the same in a large fleet

Cause: each decision searched the leases of all VMs for the next to end and filled the buckets of all teams, and added up all reservations of its team: the cost grew with the fleet, at VMs that may have a third of a core.

tests: test_quota_limits.py names the moved statistics.

--- a/src/arbutusbay/quota/__init__.py
+++ b/src/arbutusbay/quota/__init__.py
@@ -10,7 +10,6 @@
     START_CREDIT_LIFE_S,
     Bucket,
     QuotaRequest,
-    Reservation,
 )
 from arbutusbay.quota._lender import (
     PARTITION_COUNT,
@@ -66,7 +65,6 @@
     'Refused',
     'RenewLease',
     'RenewalStep',
-    'Reservation',
     'ShareLender',
     'lease_times',
     'partition_of',
--- a/src/arbutusbay/quota/_limit_shares.py
+++ b/src/arbutusbay/quota/_limit_shares.py
@@ -205,7 +205,7 @@
                 'rate_per_s': terms.rate_per_s,
                 'burst': terms.burst,
                 'level': round(owner.buckets[team].level, 1),
-                'reserved': len(owner.buckets[team].reservations),
+                'reserved': owner.buckets[team].reservations.count,
             }
             for team, terms in owner.terms_by_team.items()
         },
--- a/src/arbutusbay/quota/_owner.py
+++ b/src/arbutusbay/quota/_owner.py
@@ -32,14 +32,17 @@
 class QuotaOwner:
     """Hold the buckets of some teams, and the shares lent for them.
 
-    ``expiry_by_vm`` holds until when each VM has lent its share, and
-    ``started_s`` is when the first of them lent it. The buckets hold what came
-    until ``filled_until_s``. All times are in seconds on the clock of this VM.
+    ``expiry_by_vm`` holds until when each VM has lent its share, none until
+    before ``next_expiry_s``, and ``started_s`` is when the first of them lent
+    it. All times are in seconds on the clock of this VM.
+
+    A decision fills the bucket of its team only, and looks at the leases only
+    if one may have ended: its cost grows with neither teams nor VMs.
     """
 
     bounds: QuotaBounds
     vm_count: int = 1
-    filled_until_s: float = float('-inf')
+    next_expiry_s: float = float('inf')
     started_s: float = float('-inf')
     expiry_by_vm: dict[str, float] = attrs.field(factory=dict)
     terms_by_team: dict[str, QuotaTerms] = attrs.field(factory=dict)
@@ -68,18 +71,20 @@
             self.buckets.pop(team)
             self.terms_by_team.pop(team)
         for team, of_team in terms.items():
-            self._apply(team, of_team)
+            self._apply(team, of_team, now_s)
 
     def lend(self, vm: str, now_s: float, *, until_s: float) -> None:
         """Record that a VM lends its share until ``until_s``."""
-        self.advance(now_s)
+        self._end_leases(now_s)
         known_s = self.expiry_by_vm.get(vm)
         if known_s is not None:
             self.expiry_by_vm[vm] = max(until_s, known_s)
         elif until_s > now_s:
+            self._fill(now_s)
             if not self.expiry_by_vm:
                 self.started_s = now_s
             self.expiry_by_vm[vm] = until_s
+            self.next_expiry_s = min(self.next_expiry_s, until_s)
             self._resize()
 
     def add_start_credit(self, now_s: float) -> None:
@@ -107,8 +112,9 @@
 
         ``terms`` are those that the asking VM has. The newer ones decide.
         """
-        self.advance(now_s)
-        self._apply(team, terms)
+        self._end_leases(now_s)
+        self._apply(team, terms, now_s)
+        self.buckets[team].fill(now_s)
         capacity = self.terms_by_team[team].capacity(self.bounds)
         if request.cost > capacity:
             return Refused(retry_after_s=math.inf)
@@ -122,43 +128,48 @@
 
     def give_back(self, team: str, cost: float, now_s: float) -> None:
         """Return the tokens of a request that certainly was not executed."""
-        self.advance(now_s)
+        self._end_leases(now_s)
         bucket = self.buckets.get(team)
         if bucket is not None:
+            bucket.fill(now_s)
             bucket.add(cost)
 
     def advance(self, now_s: float) -> None:
         """Fill the buckets up to ``now_s`` with what was lent until then."""
-        while self.expiry_by_vm:
-            vm = min(self.expiry_by_vm, key=self.expiry_by_vm.__getitem__)
-            expiry_s = self.expiry_by_vm[vm]
-            if expiry_s > now_s:
-                break
+        self._end_leases(now_s)
+        self._fill(now_s)
+
+    def _end_leases(self, now_s: float) -> None:
+        """End the leases until ``now_s``, each at its time."""
+        if now_s < self.next_expiry_s:
+            return
+        ended = sorted(
+            (expiry_s, vm)
+            for vm, expiry_s in self.expiry_by_vm.items()
+            if expiry_s <= now_s
+        )
+        for expiry_s, vm in ended:
             self._fill(expiry_s)
             self.expiry_by_vm.pop(vm)
             self._resize()
-        self._fill(now_s)
+        self.next_expiry_s = min(
+            self.expiry_by_vm.values(), default=float('inf')
+        )
 
     def _is_taking_over(self, now_s: float) -> bool:
         """Return whether some VMs may still lend their share to another."""
         return self.share < 1 and now_s - self.started_s < START_CREDIT_LIFE_S
 
     def _fill(self, now_s: float) -> None:
-        elapsed_s = now_s - self.filled_until_s
-        if elapsed_s <= 0:
-            return
-        self.filled_until_s = now_s
-        if not self.expiry_by_vm:
-            return
         for bucket in self.buckets.values():
-            bucket.add(bucket.rate_per_s * elapsed_s)
+            bucket.fill(now_s)
 
-    def _apply(self, team: str, terms: QuotaTerms) -> None:
+    def _apply(self, team: str, terms: QuotaTerms, now_s: float) -> None:
         known = self.terms_by_team.get(team)
         if known is not None and known.version >= terms.version:
             return
         self.terms_by_team[team] = terms
-        self.buckets.setdefault(team, Bucket())
+        self.buckets.setdefault(team, Bucket(filled_until_s=now_s)).fill(now_s)
         self._resize_team(team)
 
     def _resize(self) -> None:
--- a/tests/unit/test_quota_limits.py
+++ b/tests/unit/test_quota_limits.py
@@ -190,7 +190,7 @@
     bucket.add(1.1)
     newcomer = QuotaRequest(cost=1, key=2, patience_s=0)
     for _ in range(20):
-        bucket.returns.record(has_returned=True)
+        bucket.reservations.newcomers.record(has_returned=True)
     assert isinstance(bucket.take(newcomer, 1), Refused)
     assert bucket.take(told, refused.retry_after_s) == Granted()
 
@@ -251,7 +251,7 @@
     """Return an empty bucket whose refused callers return."""
     bucket = Bucket(level=0, capacity=100, rate_per_s=10)
     for _ in range(40):
-        bucket.returns.record(has_returned=True)
+        bucket.reservations.newcomers.record(has_returned=True)
     return bucket
 
 
