Judge a late request by the newcomers that came after it

Cause: what newcomers claim of the places was taken from those that came before a burst, the burst itself counted too, and late requests had a fourth of the places at once, although no newcomer followed. Change: the rate of places that late requests were seen to get is raised for each of them by what is known since it came: who came later than half a gap between places, over the places since, and half of the newcomers per place of before.

--- a/src/arbutusbay/_admission.py
+++ b/src/arbutusbay/_admission.py
@@ -237,7 +237,11 @@
         return attrs.evolve(rate, after_silence=sound)
 
     def claimed_share(self, priority_level: int = _LEAST_URGENT) -> float:
-        """Return for which share of the places there are new requests.
+        """Return for which share of the places there are new requests."""
+        return min(1.0, self.newcomers_per_place(priority_level))
+
+    def newcomers_per_place(self, priority_level: int) -> float:
+        """Return how many new requests there are for each place.
 
         Only those count that are as urgent as ``priority_level``, or more. The
         open gap counts as one that ends now. Unobserved, it is 0.
@@ -247,7 +251,7 @@
             for level, count in self.arrivals.items()
             if level <= priority_level
         )
-        return min(1.0, arrivals / (self.places + 1))
+        return arrivals / (self.places + 1)
 
     def predict(
         self,
--- a/src/arbutusbay/scheduling/_admission_queue.py
+++ b/src/arbutusbay/scheduling/_admission_queue.py
@@ -10,6 +10,7 @@
     StartPredictor,
 )
 from arbutusbay.fairness import TeamWork
+from arbutusbay.scheduling._newcomers import Newcomers
 from arbutusbay.scheduling._request_queue import (
     QueuedRequest,
     RequestQueue,
@@ -27,6 +28,7 @@
     ``decided_s`` when it was last decided on all of them.
     ``starts`` measures the places that all requests get, ``late_starts`` those
     that requests of each urgency get which can no longer meet their target.
+    ``newcomers`` tells who came after a request.
     """
 
     def __init__(
@@ -42,12 +44,16 @@
         self.decided_s = float('-inf')
         self.starts = StartPredictor()
         self.late_starts: dict[int, StartPredictor] = {}
+        self.newcomers = Newcomers()
 
     def push(self, request: QueuedRequest) -> None:
         """Add a request that has just come."""
         super().push(request)
-        self.starts.record_arrival(request.priority_level)
-        self.late_starts.setdefault(request.priority_level, StartPredictor())
+        level = request.priority_level
+        request.newcomers_before = self.starts.newcomers_per_place(level)
+        self.newcomers.record_arrival(level, request.arrived_s)
+        self.starts.record_arrival(level)
+        self.late_starts.setdefault(level, StartPredictor())
 
     def begin_turn(self, now_s: float, *, has_engines: bool = True) -> None:
         """Leave out the time since the last turn if it shows no rate.
@@ -64,6 +70,7 @@
     def record_place(self, request: QueuedRequest, now_s: float) -> None:
         """Record that a queued request is placed now."""
         self.starts.record_place(now_s)
+        self.newcomers.record_place(now_s)
         if not request.can_meet_target(now_s):
             self.late_starts[request.priority_level].record_place(now_s)
 
@@ -90,6 +97,7 @@
             now_s=now_s,
             starts=self.starts,
             late_starts=self.late_starts,
+            newcomers=self.newcomers,
             rates=_higher_rates(self.starts, now_s, held),
             returning=returning,
         )
--- a/src/arbutusbay/scheduling/_request_queue.py
+++ b/src/arbutusbay/scheduling/_request_queue.py
@@ -21,6 +21,7 @@
     is not kept waiting for a start later than ``latest_start_s``, which leaves
     time for the work that its engine does first. ``team``, ``weighted_work``,
     ``size_class`` and ``has_returned`` are those of ``fairness.QueueEntry``.
+    ``newcomers_before`` is how many came per place before it did.
     """
 
     priority_level: int
@@ -33,6 +34,7 @@
     weighted_work: float = 0.0
     size_class: int = 0
     has_returned: bool = False
+    newcomers_before: float = 0.0
 
     @property
     def start_due_s(self) -> float:
--- a/src/arbutusbay/scheduling/_start_forecast.py
+++ b/src/arbutusbay/scheduling/_start_forecast.py
@@ -14,6 +14,7 @@
     may_await_silence,
 )
 from arbutusbay.fairness import FLOOR_SHARE
+from arbutusbay.scheduling._newcomers import Newcomers
 from arbutusbay.scheduling._request_queue import QueuedRequest
 
 
@@ -24,12 +25,14 @@
     ``rates`` are those of the places that all get, by whether a request may
     await the end of a silence. ``ahead`` counts the requests predicted so far
     that start in time, ``late_ahead`` those of them that start late, by
-    urgency. The measured starts are those of ``AdmissionQueue``.
+    urgency. The measured starts and ``newcomers`` are those of
+    ``AdmissionQueue``.
     """
 
     now_s: float
     starts: StartPredictor
     late_starts: Mapping[int, StartPredictor]
+    newcomers: Newcomers
     rates: Mapping[bool, PlaceRate]
     returning: Sequence[ReturningPlaces]
     late_rates: dict[tuple[int, bool], PlaceRate] = attrs.field(factory=dict)
@@ -55,43 +58,61 @@
         )
         is_late = not request.can_meet_target(self.now_s + estimate.delay_s)
         if is_late:
-            late = self._predict_late(request.priority_level, awaits_silence)
+            late = self._predict_late(request, awaits_silence)
             estimate = _later(request, estimate, late)
         if estimate.is_in_time(request.latest_start_s):
             self.ahead += 1
             self.late_ahead[request.priority_level] += is_late
         return estimate
 
-    def _predict_late(self, level: int, awaits_silence: bool) -> StartEstimate:
-        """Predict a late request by the places that late ones get."""
-        key = (level, awaits_silence)
-        if key not in self.late_rates:
-            self.late_rates[key] = self.late_starts[level].rate(
-                self.now_s, self._late_places(key)
-            )
+    def _predict_late(
+        self, request: QueuedRequest, awaits_silence: bool
+    ) -> StartEstimate:
+        """Predict a late request by the places that late ones get.
+
+        It gets more of them if fewer newcomers claim places since it came.
+        """
+        level = request.priority_level
+        rate = self._late_rate(level, awaits_silence)
+        claimed = self.newcomers.claimed_share(
+            arrived_s=request.arrived_s,
+            priority_level=level,
+            before=request.newcomers_before,
+            gap_s=1 / self.rates[awaits_silence].sound_mean,
+        )
+        usual_share = _late_share(self.starts.claimed_share(level))
+        shorter = min(1.0, usual_share / _late_share(claimed))
         return self.late_starts[level].predict(
             ahead=self.late_ahead[level],
             now_s=self.now_s,
             returning=self.returning,
-            rate=self.late_rates[key],
+            rate=attrs.evolve(rate, gaps_s=rate.gaps_s * shorter),
         )
 
-    def _late_places(self, key: tuple[int, bool]) -> ExpectedPlaces:
-        """Return the rate of places that the order leaves to late requests.
+    def _late_rate(self, level: int, awaits_silence: bool) -> PlaceRate:
+        """Return the rate of places of late requests, measured and expected.
 
-        Requests that come, as urgent or more, claim all but a share of the
-        places.
+        The order leaves them all places but those that newcomers claim.
         """
-        level, awaits_silence = key
-        claimed = self.starts.claimed_share(level)
-        places_per_s = self.rates[awaits_silence].sound_mean
-        late_share = 1 - claimed * (1 - FLOOR_SHARE)
-        return ExpectedPlaces(
-            places=1,
-            within_s=1 / (places_per_s * late_share),
-            is_limit=False,
-            may_be_silent=False,
-        )
+        key = (level, awaits_silence)
+        if key not in self.late_rates:
+            late_share = _late_share(self.starts.claimed_share(level))
+            places_per_s = self.rates[awaits_silence].sound_mean * late_share
+            expected = ExpectedPlaces(
+                places=1,
+                within_s=1 / places_per_s,
+                is_limit=False,
+                may_be_silent=False,
+            )
+            self.late_rates[key] = self.late_starts[level].rate(
+                self.now_s, expected
+            )
+        return self.late_rates[key]
+
+
+def _late_share(claimed: float) -> float:
+    """Return which share of the places is left to late requests."""
+    return 1 - claimed * (1 - FLOOR_SHARE)
 
 
 def _later(
