Pace reports between VMs, and announce weights loads directly to each

A VM sent its reports to all others at once.

Datagrams are now released at a rate that the slowest links carry (pacing/, pure): newer ones take the place of those that still wait, and each round begins with another VM. In a fleet of two tiers the VM that loads weights tells all others directly, in a datagram of some hundred bytes that goes first and is sent again; what others pass on doesn't overrule it for a second.

A round of loads is announced once a place for it is expected to come free. Before, all VMs avoided the engines of two rounds at once.

--- a/src/arbutusbay/node/_peer_channel.py
+++ b/src/arbutusbay/node/_peer_channel.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Sequence
 from typing import Any
 
 import attrs
@@ -11,6 +11,11 @@
 from arbutusbay.clock import now_s
 from arbutusbay.fleet import VMRegistration
 from arbutusbay.logs import get_logger
+from arbutusbay.node._load_announcements import (
+    AnnouncementReceiver,
+    AnnouncementSchedule,
+)
+from arbutusbay.node._load_messages import DATAGRAM_TYPE as LOADS_TYPE
 from arbutusbay.node._node_state import NodeState
 from arbutusbay.node._peer_messages import (
     PeerState,
@@ -19,6 +24,7 @@
 )
 from arbutusbay.node._peer_reports import PeerReportBuilder
 from arbutusbay.node._peer_state_receiver import PeerStateReceiver
+from arbutusbay.pacing import DatagramPacer, Lane
 from arbutusbay.platform import parse_endpoint
 from arbutusbay.scheduling import (
     MIN_REPORT_INTERVAL_S,
@@ -34,6 +40,10 @@
 _REFRESH_INTERVAL_S = 1.0
 _MIN_HEARTBEAT_SEND_INTERVAL_S = 0.3
 _PROBE_INTERVAL_S = 0.25
+# A part of the rate of the slowest links in use, and of what they queue.
+_SENT_BYTES_PER_S = 400_000
+_SENT_BURST_BYTES = 24_576
+_PACING_INTERVAL_S = 0.02
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -75,7 +85,9 @@
 
     Each datagram holds all the state that its recipients need, rather than
     changes to it, so the next one replaces a lost one. Each group of VMs in
-    ``ReportRecipients`` has a schedule and a report of its own.
+    ``ReportRecipients`` has a schedule and a report of its own. ``pacer`` holds
+    what is sent later, so that the link isn't full; ``rounds`` counts what was
+    sent to a group, which begins with another VM each time.
     """
 
     def __init__(
@@ -91,7 +103,17 @@
             node_state=node_state, own_vm=own_vm
         )
         self.transport: asyncio.DatagramTransport | None = None
-        self.receivers: dict[bytes, Callable[[bytes, Any], None]] = {}
+        self.pacer = DatagramPacer(
+            bytes_per_s=_SENT_BYTES_PER_S, burst_bytes=_SENT_BURST_BYTES
+        )
+        self.rounds = 0
+        self.announcement_schedule = AnnouncementSchedule()
+        self.announcement_receiver = AnnouncementReceiver(
+            state_receiver=self.state_receiver
+        )
+        self.receivers: dict[bytes, Callable[[bytes, Any], None]] = {
+            LOADS_TYPE: self.announcement_receiver.receive
+        }
         self.recipients = ReportRecipients(zone_peers=())
         self.recipients_expire_s = 0.0
         self.recipient_inputs: tuple[object, ...] = ()
@@ -158,18 +180,20 @@
     async def run(self) -> None:
         """Send reports after changes and at regular intervals."""
         while True:
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(self._max_wait_for_change_s()):
-                    await self.node_state.report_changed.wait()
+            if not self.pacer.pending_count:
+                await self._wait_for_change()
             self.node_state.report_changed.clear()
             self.send()
-            await asyncio.sleep(MIN_REPORT_INTERVAL_S)
+            await self._send_paced(MIN_REPORT_INTERVAL_S)
 
     def send(self) -> None:
         """Send the reports that are due to each group of VMs."""
         self._update_recipients()
         recipients = self.recipients
         own = self.report_builder.build_own_state()
+        self.rounds += 1
+        if recipients.peer_aggregators:
+            self._announce_loads(own)
         for schedule, vms in (
             (self.zone_peer_schedule, recipients.zone_peers),
             (self.assigned_peer_schedule, recipients.assigned_peers),
@@ -179,6 +203,33 @@
             if vms:
                 self._send_if_due(schedule, vms, own)
         self._probe_silent_vm(own)
+        self.send_due()
+
+    def send_due(self) -> None:
+        """Send the datagrams that the link is expected to take by now."""
+        for due in self.pacer.take_due(now_s()):
+            self.send_datagram(due.address, due.payload)
+
+    async def _send_paced(self, for_s: float) -> None:
+        """Send what is due for ``for_s`` seconds."""
+        end_s = now_s() + for_s
+        wait_s = self.pacer.wait_s(now_s())
+        while wait_s is not None and now_s() < end_s:
+            await asyncio.sleep(max(_PACING_INTERVAL_S, wait_s))
+            self.send_due()
+            wait_s = self.pacer.wait_s(now_s())
+        await asyncio.sleep(max(0, end_s - now_s()))
+
+    async def _wait_for_change(self) -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._max_wait_for_change_s()):
+                await self.node_state.report_changed.wait()
+
+    def _announce_loads(self, own: PeerState) -> None:
+        """Tell all VMs directly of the loads that this one runs."""
+        datagram = self.announcement_schedule.next_datagram(own, now_s())
+        if datagram is not None:
+            self._put(Lane.ANNOUNCEMENTS, self.recipients.all(), datagram)
 
     def _max_wait_for_change_s(self) -> float:
         """Return how long to wait for a change before sending anyway."""
@@ -244,20 +295,32 @@
         name = min(due)
         self.probed_names.add(name)
         state = self.report_builder.heartbeat_report(own)
-        self._send_to(silent[name], peer_state_to_bytes(state, moment_s))
+        self.send_datagram(
+            _address_of(silent[name]), peer_state_to_bytes(state, moment_s)
+        )
 
     def _send_if_due(
         self,
         schedule: ReportSchedule,
-        vms: Collection[VMRegistration],
+        vms: Sequence[VMRegistration],
         own: PeerState,
     ) -> None:
         datagram = schedule.next_datagram(own, now_s())
-        if datagram is None:
-            return
-        for vm in vms:
-            self._send_to(vm, datagram)
+        if datagram is not None:
+            self._put(Lane.REPORTS, vms, datagram)
+
+    def _put(
+        self, lane: Lane, vms: Sequence[VMRegistration], datagram: bytes
+    ) -> None:
+        """Queue a datagram for ``vms``, beginning with another one each time.
+
+        What a full link drops would otherwise always be for the same ones.
+        """
+        first = self.rounds % len(vms)
+        for vm in (*vms[first:], *vms[:first]):
+            self.pacer.put(lane, _address_of(vm), datagram)
+
 
-    def _send_to(self, vm: VMRegistration, datagram: bytes) -> None:
-        peer = parse_endpoint(vm.address)
-        self.send_datagram((peer.host, peer.port), datagram)
+def _address_of(vm: VMRegistration) -> tuple[str, int]:
+    peer = parse_endpoint(vm.address)
+    return peer.host, peer.port
--- a/src/arbutusbay/node/_peer_state_receiver.py
+++ b/src/arbutusbay/node/_peer_state_receiver.py
@@ -6,19 +6,30 @@
 from arbutusbay.fleet import LeaseClaim, VMRegistration
 from arbutusbay.logs import get_logger
 from arbutusbay.node._lease import WEIGHTS_LEASE_NAME
+from arbutusbay.node._load_messages import LoadAnnouncement
 from arbutusbay.node._node_state import NodeState, ReceivedZoneLoad
-from arbutusbay.node._peer_messages import PeerState, ZoneLoad
-from arbutusbay.scheduling import EngineView, Occupancy
+from arbutusbay.node._peer_messages import (
+    LoadedWeights,
+    PeerState,
+    ZoneLoad,
+)
+from arbutusbay.scheduling import (
+    EngineView,
+    Occupancy,
+    PlannedWeightsLoad,
+)
 
 _LOG = get_logger('peers')
 _REMOTE_SUSPICION_S = 0.4
+_ANNOUNCEMENT_LIFETIME_S = 1.0
 
 
 class PeerStateReceiver:
     """Apply the states that other VMs report to the shared state.
 
     ``occupied_by_sender`` holds the engines that the last report of each VM
-    or zone named as occupied.
+    or zone named as occupied, ``announced_s`` when the VM that loads weights
+    into an engine told so itself, which counts more than what others pass on.
     """
 
     def __init__(
@@ -28,6 +39,7 @@
         self.node_state = node_state
         self.own_vm = own_vm
         self.occupied_by_sender: dict[str, frozenset[str]] = {}
+        self.announced_s: dict[str, float] = {}
 
     def apply_report(self, state: PeerState, address: str) -> None:
         """Apply one state, received from ``address`` (host and port)."""
@@ -48,6 +60,18 @@
         )
         self._apply_request_reports(state, moment_s)
 
+    def apply_announcement(
+        self, announcement: LoadAnnouncement, moment_s: float
+    ) -> None:
+        """Apply what the VM that loads weights told all others."""
+        self.announced_s = {
+            server: announced_s
+            for server, announced_s in self.announced_s.items()
+            if self._is_announced(server, moment_s)
+        } | dict.fromkeys(announcement.loads, moment_s)
+        self._apply_loads(announcement.loads, announcement.zone, moment_s)
+        self._merge_weights(announcement.weights)
+
     def drop_vms(self, names: Collection[str]) -> None:
         """Drop what VMs that are gone have reported."""
         for name in names:
@@ -121,20 +145,41 @@
                     'server leaves',
                     fields={'server': view.id, 'reported_by': state.name},
                 )
-        for view in self._known_views(state.loads):
-            load = state.loads[view.id]
+        reported_loads = {
+            server: load
+            for server, load in state.loads.items()
+            if not self._is_announced(server, moment_s)
+        }
+        self._apply_loads(reported_loads, state.zone, moment_s)
+        self._merge_weights(state.weights)
+
+    def _apply_loads(
+        self,
+        loads: Mapping[str, PlannedWeightsLoad],
+        zone: str,
+        moment_s: float,
+    ) -> None:
+        """Apply planned loads that a VM of ``zone`` told of."""
+        for view in self._known_views(loads):
+            load = loads[view.id]
             view.planned_load = load
             if load.is_upcoming(moment_s):
                 self.node_state.load_duration.adopt(
                     load.finish_s - load.start_s
                 )
-            if state.zone != self.own_vm.zone:
+            if zone != self.own_vm.zone:
                 self.node_state.remote_weights_loads[view.id] = view
-        for view in self._known_views(state.weights):
-            loaded = state.weights[view.id]
+
+    def _merge_weights(self, weights: Mapping[str, LoadedWeights]) -> None:
+        for view in self._known_views(weights):
+            loaded = weights[view.id]
             if loaded.incarnation == view.incarnation:
                 view.merge_weights(loaded.versions)
 
+    def _is_announced(self, server: str, moment_s: float) -> bool:
+        announced_s = self.announced_s.get(server, float('-inf'))
+        return moment_s - announced_s < _ANNOUNCEMENT_LIFETIME_S
+
     def _apply_zone_load(
         self,
         zone: str,
--- a/src/arbutusbay/scheduling/_report_recipients.py
+++ b/src/arbutusbay/scheduling/_report_recipients.py
@@ -44,6 +44,15 @@
     remote_peers: Sequence[VMRegistration] = ()
     is_aggregator: bool = False
 
+    def all(self) -> Sequence[VMRegistration]:
+        """Return the VMs of all groups."""
+        return (
+            *self.zone_peers,
+            *self.assigned_peers,
+            *self.peer_aggregators,
+            *self.remote_peers,
+        )
+
 
 def remote_heartbeat_interval_s(remote_vms: int) -> float:
     """Return the time between two heartbeats to each VM of other zones.
--- a/src/arbutusbay/scheduling/_rollout_plan.py
+++ b/src/arbutusbay/scheduling/_rollout_plan.py
@@ -81,8 +81,10 @@
 
     Concurrent loads are spread over the ranking of the engines, so that only
     a few of the engines that serve the same prompt length load at once. A load
-    that can't begin in the time that was announced is announced anew, and
-    withdrawn once others come first, as after a newer version was named.
+    is announced once a place for it is expected to come free: VMs avoid its
+    engine from the announced time on. One that can't begin then is announced
+    anew, and withdrawn once others come first, as after a newer version was
+    named.
     """
     limit = max_parallel_loads(len(engines))
     outdated = outdated_engines(_in_load_order(engines, limit), model, version)
@@ -96,10 +98,16 @@
     start = [
         engine for engine in waiting[:free_slots] if _can_start(engine, state)
     ]
+    next_slots = free_slots + _count_ending(engines, state)
     announcements = [
         engine
-        for engine in waiting[: free_slots or limit]
-        if engine not in start and _must_announce(engine, state)
+        for engine in waiting[:next_slots]
+        if engine.id not in state.announced_at_s
+    ]
+    announcements += [
+        engine
+        for engine in waiting[free_slots:limit]
+        if _must_announce_anew(engine, state)
     ]
     withdrawals = [
         engine
@@ -113,18 +121,27 @@
     )
 
 
-def _must_announce(engine: EngineView, state: RolloutState) -> bool:
-    """Return whether the load of a waiting engine is to be announced now.
+def _count_ending(engines: Sequence[EngineView], state: RolloutState) -> int:
+    """Return how many loads are expected to end within a notice period."""
+    return sum(
+        engine.planned_load is not None
+        and engine.planned_load.finish_s - state.now_s <= WEIGHTS_LOAD_NOTICE_S
+        for engine in engines
+        if engine.id in state.loading_engines
+    )
 
-    It is announced anew before the time passes in which it should have taken
-    place, as other VMs would expect the new weights then.
+
+def _must_announce_anew(engine: EngineView, state: RolloutState) -> bool:
+    """Return whether a load without a place is to be announced again.
+
+    It is before the time comes that was announced, as other VMs would avoid
+    the engine from then on and expect the new weights later.
     """
-    if engine.id not in state.announced_at_s:
-        return True
     announced = engine.planned_load
     return (
-        announced is not None
-        and announced.finish_s <= state.now_s + _RENEWAL_MARGIN_S
+        engine.id in state.announced_at_s
+        and announced is not None
+        and announced.start_s <= state.now_s + _RENEWAL_MARGIN_S
     )
 
 
--- a/tests/unit/test_load_announcements.py
+++ b/tests/unit/test_load_announcements.py
@@ -27,12 +27,14 @@
 class FakeLoader:
     """Announce loads, and run each for ``load_s`` on the fake clock.
 
-    Each is announced to last ``expected_s``.
+    Each is announced to last ``expected_s``, and longer by ``extension_s`` once
+    it does.
     """
 
     clock: FakeClock
     load_s: float
     expected_s: float = 0.6
+    extension_s: float = 0.0
 
     def deferred_engines(self, moment_s: float) -> set[str]:
         """Return that no load has failed."""
@@ -52,7 +54,17 @@
         self._plan(load, began_s)
         while self.clock.moment_s < began_s + self.load_s:
             await asyncio.sleep(0)
+            self._extend(load)
         load.engine.merge_weights({load.model: load.version})
+        if self.extension_s:
+            self.defer_load(load)
+
+    def _extend(self, load: WeightsLoad) -> None:
+        known = load.engine.planned_load
+        if self.extension_s and known.finish_s <= self.clock.moment_s:
+            load.engine.planned_load = attrs.evolve(
+                known, finish_s=self.clock.moment_s + self.extension_s
+            )
 
     def _plan(self, load: WeightsLoad, start_s: float) -> None:
         load.engine.planned_load = PlannedWeightsLoad(
@@ -141,3 +153,37 @@
     for name, moment_s in began_s.items():
         notice_s = moment_s - first_notice_s[name]
         assert notice_s >= WEIGHTS_LOAD_NOTICE_S - 2 * STEP_S
+
+
+# Load that it answers: a burst beside a rollout. All VMs avoided the engines of
+# two rounds, as the second one was announced long before it could begin.
+@pytest.mark.parametrize('load_s', [0.3, 0.6, 0.9, 1.5])
+async def test_only_engines_that_load_are_avoided(clock, load_s):
+    rollout, views = build_rollout(clock, load_s=load_s)
+    rollout.loader.extension_s = 0.4
+    while any(view.weights[MODEL] == 1 for view in views):
+        await step(rollout, clock)
+        avoided = [
+            view for view in views if view.is_loading_weights(clock.moment_s)
+        ]
+        assert len(avoided) <= PARALLEL
+        assert clock.moment_s < 120
+
+
+async def test_load_with_a_place_begins_when_it_was_announced_to(clock):
+    rollout, views = build_rollout(clock, load_s=0.6)
+    await step(rollout, clock)
+    announced = {
+        view.id: view.planned_load.start_s
+        for view in views
+        if view.planned_load is not None
+    }
+    assert len(announced) == PARALLEL
+    while not rollout.load_tasks:
+        first = [view for view in views if view.id in announced]
+        assert announced == {
+            view.id: view.planned_load.start_s for view in first
+        }
+        await step(rollout, clock)
+    for start_s in announced.values():
+        assert abs(clock.moment_s - start_s) <= 2 * STEP_S
