--- a/src/arbutusbay/node/_control_api.py
+++ b/src/arbutusbay/node/_control_api.py
@@ -132,8 +132,9 @@
 
     def _metrics_response(self) -> web.Response:
         self.metrics.store_calls.set({}, self.store.call_count)
-        for form, size_bytes in self.node_state.relayed_bytes.items():
-            self.metrics.relayed_bytes.set({'form': form.value}, size_bytes)
+        self.metrics.show_sent_bytes(
+            self.node_state.relayed_bytes, self.node_state.pacer
+        )
         self.metrics.show_prefix_placements(self.node_state.prefix_placements)
         self.metrics.show_servers(
             self.node_state.engine_views.values(), now_s()
--- a/src/arbutusbay/node/_metrics.py
+++ b/src/arbutusbay/node/_metrics.py
@@ -7,6 +7,8 @@
 
 from arbutusbay.fairness import ExpectedReturns, FleetQueues
 from arbutusbay.fleet import RequestKind
+from arbutusbay.node._node_state import RelayForm
+from arbutusbay.pacing import DatagramPacer, Lane
 from arbutusbay.scheduling import EngineView, time_factor
 
 _BUCKETS_S = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8)
@@ -74,6 +76,14 @@
             'arbutusbay_server_taken_requests',
             'Requests up to which a backend server hardly slows down.',
         )
+        self.report_bytes = Gauge(
+            'arbutusbay_report_bytes_total',
+            'Bytes of reports sent to other VMs, by lane.',
+        )
+        self.replaced_reports = Gauge(
+            'arbutusbay_replaced_reports_total',
+            'Reports that a newer one replaced before they were sent, by lane.',
+        )
         self.log_lines_dropped = Gauge(
             'arbutusbay_log_lines_dropped_total',
             'Log lines dropped because standard output was full.',
@@ -111,6 +121,17 @@
             }
             self.prefix_placements.set(labels, count)
 
+    def show_sent_bytes(
+        self, relayed_bytes: Mapping[RelayForm, int], pacer: DatagramPacer
+    ) -> None:
+        """Set what was sent to other VMs, and what was replaced before."""
+        for form, size_bytes in relayed_bytes.items():
+            self.relayed_bytes.set({'form': form.value}, size_bytes)
+        for lane in Lane:
+            labels = {'lane': lane.value}
+            self.report_bytes.set(labels, pacer.sent_bytes[lane])
+            self.replaced_reports.set(labels, pacer.replaced_count[lane])
+
     def show_servers(
         self, views: Iterable[EngineView], moment_s: float
     ) -> None:
--- a/src/arbutusbay/node/_node_state.py
+++ b/src/arbutusbay/node/_node_state.py
@@ -18,6 +18,7 @@
 from arbutusbay.node._own_pauses import OwnPauses
 from arbutusbay.node._peer_messages import ZoneLoad
 from arbutusbay.node._server_speeds import ServerSpeeds
+from arbutusbay.pacing import DatagramPacer
 from arbutusbay.planned_stop import PlannedStop, ResponseDurations
 from arbutusbay.platform import VMSettings
 from arbutusbay.prefixes import SavedPrefixes
@@ -40,9 +41,19 @@
 _MAX_WAIT_FOR_VERDICTS_S = 2.0
 # Divides the limits of the fleet while the number of its VMs is not known.
 _MAX_VMS = 400
+# A part of the rate of the slowest links in use, and of what they queue.
+_SENT_BYTES_PER_S = 400_000
+_SENT_BURST_BYTES = 24_576
 _LOG = get_logger('store')
 
 
+def build_pacer() -> DatagramPacer:
+    """Return a pacer that leaves room on the link for requests."""
+    return DatagramPacer(
+        bytes_per_s=_SENT_BYTES_PER_S, burst_bytes=_SENT_BURST_BYTES
+    )
+
+
 @attrs.define(kw_only=True)
 class Freshness:
     """Track how stale the local copy of the operator's documents may be.
@@ -175,6 +186,7 @@
             owner got them and whether they are saved.
         saved_prefixes: Shared prefixes that the stores of KV cache have.
         speeds: How fast the backend servers are.
+        pacer: Reports to other VMs that wait for the link.
         stored_revisions: Revisions of the verdicts that the store holds.
         skipped_records: Why a coordination record was skipped, by its key.
         has_read_verdicts: Whether the verdicts in the store, or those of
@@ -220,6 +232,7 @@
     prefix_placements: Counter[tuple[bool, bool]] = attrs.field(factory=Counter)
     saved_prefixes: SavedPrefixes = attrs.field(factory=SavedPrefixes)
     speeds: ServerSpeeds = attrs.field(factory=ServerSpeeds)
+    pacer: DatagramPacer = attrs.field(factory=build_pacer)
     stored_revisions: dict[SegmentKey, set[int]] = attrs.field(factory=dict)
     skipped_records: dict[str, str] = attrs.field(factory=dict)
     has_read_verdicts: bool = False
--- a/src/arbutusbay/node/_peer_channel.py
+++ b/src/arbutusbay/node/_peer_channel.py
@@ -24,7 +24,7 @@
 )
 from arbutusbay.node._peer_reports import PeerReportBuilder
 from arbutusbay.node._peer_state_receiver import PeerStateReceiver
-from arbutusbay.pacing import DatagramPacer, Lane
+from arbutusbay.pacing import Lane
 from arbutusbay.platform import parse_endpoint
 from arbutusbay.scheduling import (
     MIN_REPORT_INTERVAL_S,
@@ -40,10 +40,8 @@
 _REFRESH_INTERVAL_S = 1.0
 _MIN_HEARTBEAT_SEND_INTERVAL_S = 0.3
 _PROBE_INTERVAL_S = 0.25
-# A part of the rate of the slowest links in use, and of what they queue.
-_SENT_BYTES_PER_S = 400_000
-_SENT_BURST_BYTES = 24_576
 _PACING_INTERVAL_S = 0.02
+_BACKLOG_LOG_INTERVAL_S = 5.0
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -85,9 +83,9 @@
 
     Each datagram holds all the state that its recipients need, rather than
     changes to it, so the next one replaces a lost one. Each group of VMs in
-    ``ReportRecipients`` has a schedule and a report of its own. ``pacer`` holds
-    what is sent later, so that the link isn't full; ``rounds`` counts what was
-    sent to a group, which begins with another VM each time.
+    ``ReportRecipients`` has a schedule and a report of its own. The pacer of
+    the state holds what is sent later, so that the link isn't full; ``rounds``
+    counts how often reports were built, each time for another VM first.
     """
 
     def __init__(
@@ -103,10 +101,8 @@
             node_state=node_state, own_vm=own_vm
         )
         self.transport: asyncio.DatagramTransport | None = None
-        self.pacer = DatagramPacer(
-            bytes_per_s=_SENT_BYTES_PER_S, burst_bytes=_SENT_BURST_BYTES
-        )
         self.rounds = 0
+        self.backlog_logged_s = float('-inf')
         self.announcement_schedule = AnnouncementSchedule()
         self.announcement_receiver = AnnouncementReceiver(
             state_receiver=self.state_receiver
@@ -180,7 +176,7 @@
     async def run(self) -> None:
         """Send reports after changes and at regular intervals."""
         while True:
-            if not self.pacer.pending_count:
+            if not self.node_state.pacer.pending_count:
                 await self._wait_for_change()
             self.node_state.report_changed.clear()
             self.send()
@@ -207,17 +203,17 @@
 
     def send_due(self) -> None:
         """Send the datagrams that the link is expected to take by now."""
-        for due in self.pacer.take_due(now_s()):
+        for due in self.node_state.pacer.take_due(now_s()):
             self.send_datagram(due.address, due.payload)
 
     async def _send_paced(self, for_s: float) -> None:
         """Send what is due for ``for_s`` seconds."""
         end_s = now_s() + for_s
-        wait_s = self.pacer.wait_s(now_s())
+        wait_s = self.node_state.pacer.wait_s(now_s())
         while wait_s is not None and now_s() < end_s:
             await asyncio.sleep(max(_PACING_INTERVAL_S, wait_s))
             self.send_due()
-            wait_s = self.pacer.wait_s(now_s())
+            wait_s = self.node_state.pacer.wait_s(now_s())
         await asyncio.sleep(max(0, end_s - now_s()))
 
     async def _wait_for_change(self) -> None:
@@ -316,9 +312,29 @@
 
         What a full link drops would otherwise always be for the same ones.
         """
+        pacer = self.node_state.pacer
+        replaced_before = pacer.replaced_count[lane]
         first = self.rounds % len(vms)
         for vm in (*vms[first:], *vms[:first]):
-            self.pacer.put(lane, _address_of(vm), datagram)
+            pacer.put(lane, _address_of(vm), datagram)
+        if pacer.replaced_count[lane] != replaced_before:
+            self._log_backlog(lane)
+
+    def _log_backlog(self, lane: Lane) -> None:
+        moment_s = now_s()
+        if moment_s - self.backlog_logged_s < _BACKLOG_LOG_INTERVAL_S:
+            return
+        self.backlog_logged_s = moment_s
+        pacer = self.node_state.pacer
+        _LOG.info(
+            'reports wait for the link',
+            fields={
+                'lane': lane.value,
+                'waiting': pacer.pending_count,
+                'replaced': pacer.replaced_count[lane],
+                'sent_bytes': pacer.sent_bytes[lane],
+            },
+        )
 
 
 def _address_of(vm: VMRegistration) -> tuple[str, int]:
--- a/tests/unit/test_full_links.py
+++ b/tests/unit/test_full_links.py
@@ -140,7 +140,7 @@
 # Shows that the world is one in which VMs were left out before.
 def test_link_drops_reports_that_are_sent_at_once(clock):
     world = build_world(clock)
-    world.sender.pacer = DatagramPacer(
+    world.sender.node_state.pacer = DatagramPacer(
         bytes_per_s=math.inf, burst_bytes=math.inf
     )
     announce_loads(world, WEIGHTS_LOAD_NOTICE_S)
