Let a load of weights wait for requests that its engine has not begun

A load with a place now waits for these up to 0.5 s, while all VMs avoid the engine, and no longer than they expect the old weights.

--- a/src/arbutusbay/scheduling/_rollout_plan.py
+++ b/src/arbutusbay/scheduling/_rollout_plan.py
@@ -15,6 +15,7 @@
 _ENGINES_PER_PARALLEL_LOAD = 3
 WEIGHTS_LOAD_NOTICE_S = 0.35
 _RENEWAL_MARGIN_S = 0.15
+_MAX_WAIT_FOR_STARTS_S = 0.5
 
 
 @attrs.frozen(kw_only=True)
@@ -174,11 +175,30 @@
 def _can_start(engine: EngineView, state: RolloutState) -> bool:
     """Return whether an announced load may start.
 
-    It may once the engine is idle or the notice period has passed.
+    It may once the engine is idle or the notice period has passed. Requests
+    that the engine has not begun would be rejected, so it waits for these as
+    well, while other VMs avoid the engine, but not for long.
     """
     announced_at_s = state.announced_at_s.get(engine.id)
     if announced_at_s is None:
         return False
-    if not engine.occupancy.total(state.now_s).attempts:
+    occupancy = engine.occupancy.total(state.now_s)
+    if not occupancy.attempts:
         return True
-    return state.now_s - announced_at_s >= WEIGHTS_LOAD_NOTICE_S
+    notified_s = state.now_s - announced_at_s - WEIGHTS_LOAD_NOTICE_S
+    if notified_s < 0:
+        return False
+    return not occupancy.uncached_tokens or not _may_wait(
+        engine, notified_s, state.now_s
+    )
+
+
+def _may_wait(engine: EngineView, notified_s: float, now_s: float) -> bool:
+    """Return whether a load may wait for the requests at its engine.
+
+    Once the announced time ends other VMs expect the new weights.
+    """
+    planned = engine.planned_load
+    if planned is None or planned.finish_s <= now_s + _RENEWAL_MARGIN_S:
+        return False
+    return notified_s < _MAX_WAIT_FOR_STARTS_S
