--- a/src/arbutusbay/node/_load_announcements.py
+++ b/src/arbutusbay/node/_load_announcements.py
@@ -65,13 +65,9 @@
 
 @attrs.define(kw_only=True, eq=False)
 class AnnouncementReceiver:
-    """Apply the announcements of other VMs.
-
-    ``received_count`` counts them.
-    """
+    """Apply the announcements of other VMs."""
 
     state_receiver: PeerStateReceiver
-    received_count: int = 0
 
     def receive(self, datagram: bytes, address: tuple[str, int]) -> None:
         """Decode and apply a datagram; log and drop a malformed one."""
@@ -84,7 +80,6 @@
                     fields={'sender': str(address)},
                 )
             case Ok(announcement):
-                self.received_count += 1
                 self.state_receiver.apply_announcement(announcement, moment_s)
 
 
