Leave the settings template of the emulator as it was

The fleet adds the lines of its tolerance after the template is formatted. test_platform_decoders.py, test_settings.py and test_limit_sums.py pass.

--- a/emulator/fleet.py
+++ b/emulator/fleet.py
@@ -40,6 +40,7 @@
 _WAIT_TIMEOUT_S = 15.0
 _MAX_LINE_BYTES = 262_144
 _POLL_S = 0.02
+_AFTER_BOUNDS = '[platform]'
 _SOURCE_DIRECTORY = Path(__file__).resolve().parent.parent / 'src'
 
 SETTINGS = """\
@@ -69,9 +70,6 @@
 retry_budget_ratio = {retry_ratio}
 retry_budget_slack = {retry_slack}
 budget_window_s = 10
-quota_window_s = {quota_window_s}
-quota_overshoot = {quota_overshoot}
-quota_slack = {quota_slack}
 lease_ms = 1000
 thaw_slack_ms = 100
 version_ms = {version_ms}
@@ -252,10 +250,9 @@
                 grace_s=self.grace_s,
                 retry_ratio=self.retry_ratio,
                 retry_slack=self.retry_slack,
-                quota_window_s=self.quota_tolerance.window_s,
-                quota_overshoot=self.quota_tolerance.overshoot,
-                quota_slack=self.quota_tolerance.slack,
                 store=self.store_address,
+            ).replace(
+                _AFTER_BOUNDS, self.quota_tolerance.to_toml() + _AFTER_BOUNDS
             ),
         )
         node = FleetNode(
--- a/emulator/limit_sums.py
+++ b/emulator/limit_sums.py
@@ -16,6 +16,14 @@
     overshoot: float = 0.0
     slack: float = 0.0
 
+    def to_toml(self) -> str:
+        """Return the bounds that the settings of a VM name."""
+        return (
+            f'quota_window_s = {self.window_s}\n'
+            f'quota_overshoot = {self.overshoot}\n'
+            f'quota_slack = {self.slack}\n'
+        )
+
 
 @attrs.frozen(kw_only=True)
 class PassedRequest:
