Bound what waits for clients that read slowly, and hold their engines back

Cause: aiohttp lets 64 KB and what was written since wait for each client of a stream, reads on from its engine meanwhile (up to two chunks of 128 KB), and the parser kept an event that was passed on. Many slow clients fill the smallest VM.

Change: ReaderBudget decides on data how much may be unread: 32 KiB, more each second in which nothing is taken, never more than a share of 0.1 of memory_mb. ReaderFlow awaits the client beyond that and doesn't read its engine meanwhile. Long events go out in pieces. Streams share the longer turns of the event loop.

--- a/src/arbutusbay/_client_connections.py
+++ b/src/arbutusbay/_client_connections.py
@@ -84,6 +84,17 @@
         self.is_early = count_unsent_bytes(self.transport) > 0
         super().feed_data(message, size)
 
+    def hold_back(self) -> None:
+        """Read no more for now, unless the response has come whole."""
+        if self.transport is None or self._is_body_complete():
+            return
+        self._pause_reading_for_buffer()
+
+    def go_on(self) -> None:
+        """Read on after ``hold_back``."""
+        if self._buffer_paused:
+            self._resume_reading_for_buffer()
+
     def is_connected(self) -> bool:
         """Return whether the connection may carry another request."""
         return super().is_connected() and not self.should_close
--- a/src/arbutusbay/_client_ends.py
+++ b/src/arbutusbay/_client_ends.py
@@ -11,6 +11,7 @@
 from aiohttp.abc import AbstractStreamWriter
 from aiohttp.http import RawRequestMessage
 
+from arbutusbay._flow_handler import FlowHandler
 from arbutusbay.logs import get_logger
 from arbutusbay.unsent_bytes import count_unsent_bytes
 
@@ -37,7 +38,7 @@
     """Report that a client has ended its stream before its response began."""
 
 
-class ClientHandler(web.RequestHandler):
+class ClientHandler(FlowHandler):
     """Serve one connection and decide what the end of its stream means.
 
     The client may have left, so all work for it ends at once. It may also wait
--- a/src/arbutusbay/_response_streams.py
+++ b/src/arbutusbay/_response_streams.py
@@ -10,8 +10,11 @@
 import attrs
 from aiohttp import HttpVersion11, hdrs, web
 
+from arbutusbay._flow_handler import flow_of
+from arbutusbay._reader_flow import ReaderFlow
 from arbutusbay._response_body import EMPTY_STATUSES, BodyEnd
 
+_PIECE_BYTES = 16_384
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 _FLUSH_ON_CLOSE = struct.pack('ii', 0, 0)
 
@@ -27,11 +30,20 @@
 
 @attrs.define(kw_only=True)
 class ResponseStream:
-    """Represent a response whose head is out, and what shows its ``end``."""
+    """Represent a response whose head is out, and what shows its ``end``.
+
+    ``flow`` is how the client takes it, None if that is unknown.
+    """
 
     request: web.BaseRequest
     response: web.StreamResponse
     end: BodyEnd
+    flow: ReaderFlow | None = None
+
+    @property
+    def waited_s(self) -> float:
+        """Return for how long the client was awaited."""
+        return 0.0 if self.flow is None else self.flow.waited_s
 
     @property
     def has_body(self) -> bool:
@@ -39,9 +51,14 @@
         return self.end is not BodyEnd.LENGTH
 
     async def write(self, raw_bytes: bytes) -> None:
-        """Send a part of the body, if there is one."""
-        if self.has_body:
-            await self.response.write(raw_bytes)
+        """Send a part of the body, if there is one, and await the client."""
+        if not self.has_body:
+            return
+        if len(raw_bytes) <= _PIECE_BYTES:
+            await self._write_piece(raw_bytes)
+            return
+        for start in range(0, len(raw_bytes), _PIECE_BYTES):
+            await self._write_piece(raw_bytes[start : start + _PIECE_BYTES])
 
     async def complete(self) -> None:
         """End the response so that the client sees that it is complete."""
@@ -53,6 +70,11 @@
         """Abort the connection: the client sees that the response broke."""
         abort_connection(self.request)
 
+    async def _write_piece(self, piece: bytes) -> None:
+        await self.response.write(piece)
+        if self.flow is not None and self.flow.is_behind:
+            await self.flow.wait()
+
 
 async def begin_stream(
     request: web.BaseRequest, response: web.StreamResponse
@@ -67,8 +89,13 @@
         response.force_close()
         response.headers[hdrs.CONNECTION] = 'close'
         _set_reset_on_close(request, is_reset=True)
+    flow = flow_of(request)
+    if flow is not None:
+        flow.waited_s = 0.0
     await response.prepare(request)
-    return ResponseStream(request=request, response=response, end=end)
+    return ResponseStream(
+        request=request, response=response, end=end, flow=flow
+    )
 
 
 def abort_connection(request: web.BaseRequest) -> None:
--- a/src/arbutusbay/backend/_engine_client.py
+++ b/src/arbutusbay/backend/_engine_client.py
@@ -148,16 +148,16 @@
             yield refusal_event
         return
     expected_index = generation.resume_from
-    turn = Turn()
-    async for line in response.content:
-        await turn.end_if_long()
-        event = decode_stream_line(line, generation, expected_index)
-        yield event
-        match event:
-            case Err() | Ok(GenerationEnd()):
-                return
-            case Ok(TextPiece()):
-                expected_index += 1
+    with Turn() as turn:
+        async for line in response.content:
+            await turn.end_if_long()
+            event = decode_stream_line(line, generation, expected_index)
+            yield event
+            match event:
+                case Err() | Ok(GenerationEnd()):
+                    return
+                case Ok(TextPiece()):
+                    expected_index += 1
     yield call_failed('stream ended before its last event', RunState.RAN)
 
 
--- a/src/arbutusbay/node/_attempts.py
+++ b/src/arbutusbay/node/_attempts.py
@@ -20,7 +20,10 @@
 from arbutusbay.errors import NOT_RUN_STATUSES, require_executed
 from arbutusbay.held_bytes import UNBOUNDED_BODIES
 from arbutusbay.logs import get_logger
-from arbutusbay.node._http_client import ConnectionResponse
+from arbutusbay.node._http_client import (
+    ConnectionResponse,
+    RecordingConnection,
+)
 from arbutusbay.node._incoming_request import IncomingRequest
 from arbutusbay.node._own_pauses import OwnPauses
 from arbutusbay.platform import (
@@ -45,6 +48,7 @@
 _DRAIN_TIMEOUT_S = 0.1
 _MAX_DRAINED_BYTES = 65_536
 _MAX_BODY_BYTES = 8_388_608
+_PIECE_BYTES = 16_384
 _STATUS_CLASS_SIZE = 100
 _SUCCESS_CLASS = 2
 _SERVER_ERROR_CLASS = 5
@@ -150,6 +154,11 @@
         """Return what shows where the body ends."""
         return body_end(self.response)
 
+    @property
+    def connection(self) -> RecordingConnection:
+        """Return the connection that brings the body."""
+        return self.response.used_connection
+
     @property
     def is_close_delimited(self) -> bool:
         """Return whether the body ends when the connection closes."""
@@ -211,9 +220,8 @@
         self, parser: ServerSentEventParser
     ) -> AsyncIterator[Result[ServerSentEvent, BrokenStream]]:
         """Yield events until the body ends, or an error if they don't."""
-        turn = Turn()
-        with UNBOUNDED_BODIES.share() as share:
-            async for chunk in self.response.content.iter_any():
+        with UNBOUNDED_BODIES.share() as share, Turn() as turn:
+            async for chunk in self.response.content.iter_chunked(_PIECE_BYTES):
                 turn.begin()
                 for event in parser.parse_chunk(chunk):
                     yield Ok(event)
--- a/src/arbutusbay/node/_client_stream.py
+++ b/src/arbutusbay/node/_client_stream.py
@@ -6,6 +6,7 @@
 """
 
 import enum
+from contextlib import AbstractContextManager, nullcontext
 
 import attrs
 from aiohttp import HttpVersion11, web
@@ -21,6 +22,7 @@
     ResponseStream,
     abort_connection,
     begin_stream,
+    flow_of,
     is_connection_open,
 )
 from arbutusbay.responses import BodyEnd
@@ -157,6 +159,15 @@
         """Return whether a backend server may have executed the request."""
         return self.executor is not None and may_have_run(self.executor)
 
+    def reading_from(
+        self, answer: OpenResponse
+    ) -> AbstractContextManager[None]:
+        """Hold back the body of ``answer`` whenever the client is awaited."""
+        flow = flow_of(self.request)
+        if flow is None:
+            return nullcontext()
+        return flow.reading_from(answer.connection)
+
     async def start_stream(
         self, answer: OpenResponse, *, closes: bool
     ) -> ClientStream:
--- a/src/arbutusbay/node/_daemon.py
+++ b/src/arbutusbay/node/_daemon.py
@@ -25,6 +25,7 @@
     read_settings,
     settings_path_from_environment,
 )
+from arbutusbay.reader_budget import limit_unread_bytes
 
 _LOG = get_logger('daemon')
 _FLUSH_INTERVAL_S = 0.2
@@ -38,6 +39,7 @@
     _LOG.info('start', fields={'vm': settings.name, 'zone': settings.zone})
     if settings.memory_bytes is not None:
         limit_held_bytes(settings.memory_bytes)
+        limit_unread_bytes(settings.memory_bytes)
     async with (
         create_client_session() as session,
         create_client_session(reuse_connections=False) as order_session,
--- a/src/arbutusbay/node/_frontend.py
+++ b/src/arbutusbay/node/_frontend.py
@@ -226,7 +226,10 @@
         stream: ClientStream,
         stream_end: StreamEnd,
     ) -> None:
-        timing_fields = _timing_fields(incoming, stream.timing)
+        timing_fields = {
+            **_timing_fields(incoming, stream.timing),
+            'client_awaited_ms': milliseconds(stream.stream.waited_s),
+        }
         match stream_end:
             case StreamCompleted(end=end):
                 self._log_outcome(
--- a/src/arbutusbay/node/_metrics.py
+++ b/src/arbutusbay/node/_metrics.py
@@ -7,6 +7,7 @@
 
 from arbutusbay.fairness import ExpectedReturns, FleetQueues
 from arbutusbay.fleet import RequestKind
+from arbutusbay.reader_budget import READERS, ReaderBudget
 from arbutusbay.scheduling import EngineView, time_factor
 
 _BUCKETS_S = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8)
@@ -74,6 +75,18 @@
             'arbutusbay_server_taken_requests',
             'Requests up to which a backend server hardly slows down.',
         )
+        self.unread_bytes = Gauge(
+            'arbutusbay_unread_bytes',
+            'Bytes held for clients that are behind in reading.',
+        )
+        self.clients_behind = Gauge(
+            'arbutusbay_clients_behind',
+            'Clients that are awaited, while their server is held back.',
+        )
+        self.client_waits = Gauge(
+            'arbutusbay_client_waits_total',
+            'How often a client that was behind was awaited.',
+        )
         self.log_lines_dropped = Gauge(
             'arbutusbay_log_lines_dropped_total',
             'Log lines dropped because standard output was full.',
@@ -126,4 +139,11 @@
 
     def render(self) -> tuple[bytes, dict[str, str]]:
         """Return the metrics in the text format, and its HTTP headers."""
+        self._show_readers(READERS)
         return render(REGISTRY, [])
+
+    def _show_readers(self, budget: ReaderBudget) -> None:
+        """Set what is held for clients that are behind."""
+        self.unread_bytes.set({}, budget.held_bytes)
+        self.clients_behind.set({}, budget.behind_count)
+        self.client_waits.set({}, budget.wait_count)
--- a/src/arbutusbay/node/_stream_relay.py
+++ b/src/arbutusbay/node/_stream_relay.py
@@ -174,7 +174,8 @@
             return Err(unfit_response(answer))
         if not answer.is_success:
             return (await answer.read_response()).map(_answer_instead)
-        return await self._relay_events(monitored, answer)
+        with self.exchange.reading_from(answer):
+            return await self._relay_events(monitored, answer)
 
     async def _relay_events(
         self,
--- a/src/arbutusbay/platform/_sse_parser.py
+++ b/src/arbutusbay/platform/_sse_parser.py
@@ -14,6 +14,7 @@
 _FIELD_START = re.compile(rb'(?:\A|[\r\n])[^:\r\n]')
 _LONGEST_EVENT_END_BYTES = 4
 _UNKNOWN = -1
+_KEPT_BYTES = 16_384
 _MAX_EVENT_BYTES = 1_048_576
 _MAX_UNNUMBERED_BYTES = 131_072
 _ID_FIELD = b'id'
@@ -95,9 +96,12 @@
             event = _parse_event(self.buffer[start : self.searched_bytes])
             start = self.searched_bytes
             self._count(event)
+            if start > _KEPT_BYTES:
+                self._drop(start)
+                start = 0
+                ends = _EndSearch(self.buffer)
             yield event
-        self.buffer = self.buffer[start:]
-        self.searched_bytes -= start
+        self._drop(start)
 
     def take_blank_rest(self) -> ServerSentEvent | None:
         """Return the blank lines behind the last event, if there are any."""
@@ -134,6 +138,11 @@
         self.searched_bytes = end
         return True
 
+    def _drop(self, size: int) -> None:
+        """Drop the events at the start of the buffer."""
+        self.buffer = self.buffer[size:]
+        self.searched_bytes -= size
+
     def _count(self, event: ServerSentEvent) -> None:
         if event.event_id is None:
             self.unnumbered_bytes += len(event.raw_bytes)
--- a/src/arbutusbay/response_streams.py
+++ b/src/arbutusbay/response_streams.py
@@ -4,6 +4,7 @@
     ResponseStream,
     abort_connection,
     begin_stream,
+    flow_of,
     is_connection_open,
 )
 
@@ -11,5 +12,6 @@
     'ResponseStream',
     'abort_connection',
     'begin_stream',
+    'flow_of',
     'is_connection_open',
 )
--- a/src/arbutusbay/turns.py
+++ b/src/arbutusbay/turns.py
@@ -1,5 +1,5 @@
 """Expose the turns of the event loop."""
 
-from arbutusbay._turns import Turn
+from arbutusbay._turns import Turn, longest_turn_s
 
-__all__ = ('Turn',)
+__all__ = ('Turn', 'longest_turn_s')
