Fetch shared prefixes wherever that takes no longer than reading

Cause: after each load of weights the engines read the first segments of prompts anew, one by one: an engine in another zone than the store was not allowed to fetch where moving cache takes half as long as reading within a zone.

Change: a fetch may take as long as reading. Reading holds up all others at the engine, a fetch doesn't.

--- a/src/arbutusbay/prefixes/_plan.py
+++ b/src/arbutusbay/prefixes/_plan.py
@@ -22,8 +22,9 @@
 # A new cache is half filled with what its engine is asked for after this.
 _FILL_HALF_LIFE_S = 2.0
 _OTHER_ZONE_TRANSFER_FACTOR = 2
-# Waiting, and what a source may have dropped, make a fetch worth less.
-_MAX_FETCH_SHARE = 0.5
+# Reading holds up the other requests of an engine, a fetch doesn't.
+_MAX_FETCH_SHARE = 1.0
+# What a source may have dropped makes a fetch worth less.
 _SOURCE_HIT_SHARE = 0.9
 # A copy takes the place of as much that is read or fetched again later.
 _COPY_COST_SHARE = 1.0
@@ -86,7 +87,7 @@
     def source_of(self, engine_id: str) -> str:
         """Return the address that an engine fetches from, empty for none.
 
-        A fetch that isn't much shorter than reading isn't worth it.
+        A fetch that takes longer than reading isn't worth it.
         """
         cache = self.caches[engine_id]
         source = self.store or self._owner_for(cache)
--- a/tests/prefix_builders.py
+++ b/tests/prefix_builders.py
@@ -48,6 +48,12 @@
     return SharedPrefix(key=key, tokens=FORM_TOKENS + SUBJECT_TOKENS)
 
 
+def form_of(key: str) -> str:
+    """Return the form with which the prompts about a subject begin."""
+    scope, _, _ = key.rpartition('/')
+    return f'{scope}/form-{sum(key.encode()) % FORMS}'
+
+
 def build_caches(count: int = 6, **changes) -> list[EngineCache]:
     """Return the caches of engines that have been filled for long."""
     return [
@@ -103,13 +109,21 @@
     """Place requests as many VMs do that see each other's late reports.
 
     Within ``report_s`` no VM sees what another one sent. Prompts have 2,890
-    tokens of their own behind ``prefix_tokens`` that others share.
+    tokens of their own behind ``prefix_tokens`` that others share. The key of a
+    prefix is that of a scope and of a subject, which has one of four forms.
     """
 
     def __init__(
-        self, *, vms: int, engines: int, engine_tokens: int, store_tokens: int
+        self,
+        *,
+        vms: int,
+        engines: int,
+        engine_tokens: int,
+        store_tokens: int,
+        token_s: float = TRANSFER.token_s,
     ) -> None:
         """Create a fleet with three stores."""
+        self.token_s = token_s
         self.popularities = [PrefixPopularity() for _ in range(vms)]
         self.caches = build_caches(engines)
         self.views = [
@@ -141,6 +155,7 @@
         self.saves = 0
         self.is_reporting = True
         self.now_s = 0.0
+        self.version = 1
         self.emptied_s = dict.fromkeys(self.views_by_id(), float('-inf'))
 
     def play(self, subjects, weights, *, per_s, seconds, report_s=0.1) -> None:
@@ -170,11 +185,12 @@
             )
             for cache in self.caches
         ]
-        is_saved = self.saved.is_saved(key, moment_s)
+        is_saved = self.saved.is_saved(f'{self.version}/{key}', moment_s)
         plan = build_plan(
             caches,
             prefix=prefix,
             replicas=replicas,
+            token_s=self.token_s,
             saved_versions={1} if is_saved else (),
         )
         choice = choose_model_engine(
@@ -220,6 +236,12 @@
         self.memory[address] = LeastRecentlyUsed(self.engine_tokens)
         self.emptied_s[engine_id] = self.now_s
 
+    def load_weights(self) -> None:
+        """Let all engines load other weights, so that no cache is of use."""
+        self.version += 1
+        for engine_id in self.views_by_id():
+            self.restart(engine_id)
+
     def views_by_id(self) -> dict[str, EngineView]:
         """Return the views of the engines by their ids."""
         return {view.id: view for view in self.views}
@@ -235,10 +257,11 @@
         source = self.memory.get(plan.source_of(engine_id))
         store = self.memory.get(plan.save_address(engine_id))
         read_tokens = 0
-        for key, tokens in (
-            (f'form-{sum(subject.encode()) % FORMS}', FORM_TOKENS),
+        for name, tokens in (
+            (form_of(subject), FORM_TOKENS),
             (subject, SUBJECT_TOKENS),
         ):
+            key = f'{self.version}/{name}'
             is_found = read_tokens == 0 and key in memory.held
             if (
                 not is_found
@@ -262,7 +285,8 @@
         if store:
             store.use(own_key, OWN_TOKENS)
             self.saves += 1
-            self.unreported.append((moment_s + SAVE_REPORT_S, subject))
+            key = f'{self.version}/{subject}'
+            self.unreported.append((moment_s + SAVE_REPORT_S, key))
         return read_tokens
 
     def _report(self, moment_s: float) -> None:
--- a/tests/unit/test_shared_prefixes.py
+++ b/tests/unit/test_shared_prefixes.py
@@ -3,6 +3,7 @@
 import attrs
 import pytest
 from tests.prefix_builders import (
+    PREFILL_S_PER_TOKEN,
     STORES,
     Fleet,
     build_caches,
@@ -19,6 +20,18 @@
 HOT_WEIGHTS = (sum(WEIGHTS) * HOT_SHARE / (1 - HOT_SHARE), *WEIGHTS[1:])
 
 
+def build_team_subjects() -> tuple[list[str], list[float]]:
+    """Return subjects by the teams that may share them, and their weights."""
+    subjects = {}
+    for team in range(16):
+        scope = f'team-{team}' if team % 3 == 2 else 'shared'
+        for rank in range(1223):
+            key = f'{scope}/subject-{rank}'
+            weight = (team + 1) ** -1.2 * (rank + 1) ** -SKEW
+            subjects[key] = subjects.get(key, 0) + weight
+    return list(subjects), list(subjects.values())
+
+
 def build_fleet() -> Fleet:
     """Return engines with memory for about as much as is asked for."""
     return Fleet(
@@ -39,6 +52,25 @@
     assert fleet.saves < 0.6 * fleet.sent.total()
 
 
+# 16 teams of which five share nothing with others, 1,223 subjects, and new
+# weights every 4 s: few subjects come twice before all is read anew, but their
+# four forms come at every engine. Moving cache takes half as long as reading
+# within a zone, and as long between zones.
+def test_beginnings_are_fetched_after_each_load_of_weights():
+    fleet = Fleet(
+        vms=141,
+        engines=30,
+        engine_tokens=104_000,
+        store_tokens=2_370_000,
+        token_s=PREFILL_S_PER_TOKEN / 2,
+    )
+    subjects, weights = build_team_subjects()
+    for _ in range(5):
+        fleet.play(subjects, weights, per_s=60, seconds=4)
+        fleet.load_weights()
+    assert fleet.read_again_tokens < 0.05 * fleet.shared_tokens
+
+
 def test_lost_reports_cost_few_tokens():
     fleet = build_fleet()
     fleet.is_reporting = False
@@ -116,6 +148,17 @@
     assert not plan.save_address('engine-0')
 
 
+def test_engines_of_other_zones_fetch_what_they_would_read_as_long():
+    token_s = PREFILL_S_PER_TOKEN / 2
+    plan = build_plan(build_caches(), token_s=token_s)
+    assert all(plan.source_of(name) for name in plan.caches)
+    plan = build_plan(build_caches(), token_s=1.1 * token_s)
+    zones = {
+        plan.caches[name].zone for name in plan.caches if plan.source_of(name)
+    }
+    assert zones == {plan.store.zone}
+
+
 def test_slow_link_makes_no_fetch_worth_it():
     plan = build_plan(build_caches(), token_s=1.0)
     assert not any(plan.source_of(name) for name in plan.caches)
