Leave the links of stores free for fetches

By calculation 60 long prompts a second keep the three links busy for all of their time.

Change: prefixes under 512 tokens are neither fetched nor saved. Where saves keep the links busy for over half of their time, VMs lower the share of prompts that they save; a first segment that its store does not have is always saved. The links of the stores are read from the configuration.

--- a/src/arbutusbay/node/_prefix_planner.py
+++ b/src/arbutusbay/node/_prefix_planner.py
@@ -1,5 +1,6 @@
 """Plan where the shared prefix of a request is held, for its placement."""
 
+import functools
 from collections.abc import Mapping, Sequence
 
 from arbutusbay.clock import now_s
@@ -12,11 +13,15 @@
     CacheAges,
     CacheStoreSite,
     EngineCache,
+    KeptPrefix,
     PrefixPlan,
     PrefixPopularity,
+    SaveThrottle,
     SharedPrefix,
     TransferSpec,
     plan_prefix,
+    store_for,
+    token_link_s,
 )
 from arbutusbay.scheduling import EngineView, engines_for_length
 
@@ -35,6 +40,7 @@
         self.cache_ages = CacheAges(started_s=now_s())
         self.popularity = PrefixPopularity()
         self.left_out: frozenset[str] = frozenset()
+        self.throttle = SaveThrottle()
 
     def plan(
         self,
@@ -48,24 +54,21 @@
         configuration = self.node_state.configuration
         if configuration is None or not _can_fetch(service):
             return None
+        prefix = _shared_prefix(configuration, incoming)
         model = incoming.parsed_headers.model
-        size = request_size_of(incoming)
-        scope = cache_scope(configuration, incoming.team)
-        prefix_key = f'{scope}/{size.affinity_key}'
         caches = [self._engine_cache(view, model, moment_s) for view in usable]
-        owner_ids = engines_for_length(size.prompt_tokens, usable, fractions)
+        owner_ids = engines_for_length(prefix.prompt_tokens, usable, fractions)
         return plan_prefix(
-            SharedPrefix(key=prefix_key, tokens=size.shared_prefix_tokens),
+            prefix,
             caches,
             owner_ids,
             transfer=TransferSpec(
                 token_s=service.kv_token_bytes / service.link_bytes_per_s,
                 prefill_s_per_token=self.node_state.prefill_s_per_token,
             ),
-            stores=self._usable_stores(configuration, moment_s),
-            saved_versions=self._saved_versions(prefix_key, caches, moment_s),
+            kept=self._kept_prefix(prefix, service, caches, moment_s),
             replicas=self.popularity.replicas(
-                prefix_key, len(owner_ids), moment_s
+                prefix.key, len(owner_ids), moment_s
             ),
         )
 
@@ -85,19 +88,60 @@
         headers = placement.attempt_headers
         if plan is None or not headers.kv_save_address:
             return
-        if placement.attempt.has_first_event:
-            key = _saved_key(plan.prefix.key, headers.weights_version)
-            self.node_state.saved_prefixes.record(key, now_s())
+        if not placement.attempt.has_first_event:
+            return
+        self.throttle.record_save(plan.prefix.prompt_tokens)
+        for name in (plan.prefix.key, _root_at(plan.prefix, plan.store)):
+            if name:
+                key = _saved_key(name, headers.weights_version)
+                self.node_state.saved_prefixes.record(key, now_s())
+
+    def _kept_prefix(
+        self,
+        prefix: SharedPrefix,
+        service: ServiceSpec,
+        caches: Sequence[EngineCache],
+        moment_s: float,
+    ) -> KeptPrefix:
+        stores = self._usable_stores(moment_s)
+        if self.throttle.is_due(moment_s):
+            self._update_throttle(service, stores, caches, moment_s)
+        store = store_for(prefix, stores)
+        saved_versions = functools.partial(
+            self._saved_versions, caches, moment_s
+        )
+        share = self.throttle.share
+        return KeptPrefix(
+            store=store,
+            saved_versions=saved_versions(prefix.key),
+            root_versions=saved_versions(_root_at(prefix, store)),
+            saves_all=share >= 1 or self.node_state.rng.random() < share,
+        )
+
+    def _update_throttle(
+        self,
+        service: ServiceSpec,
+        stores: Sequence[CacheStoreSite],
+        caches: Sequence[EngineCache],
+        moment_s: float,
+    ) -> None:
+        self.throttle.update(
+            saves_per_s=self.node_state.saved_prefixes.saves_per_s(moment_s),
+            token_link_s=token_link_s(
+                service.kv_token_bytes,
+                stores,
+                [cache.zone for cache in caches],
+            ),
+            now_s=moment_s,
+        )
 
-    def _usable_stores(
-        self, configuration: Configuration, moment_s: float
-    ) -> list[CacheStoreSite]:
+    def _usable_stores(self, moment_s: float) -> list[CacheStoreSite]:
         """Return the stores without those that don't answer.
 
         A store that is left out leaves its prefixes to the others, and it has
         lost what it kept when it is back.
         """
-        stores = configuration.kv_cache_stores
+        stores = self.node_state.configuration.kv_cache_stores
         health = self.node_state.store_health
         health.follow([store.address for store in stores])
         left_out = health.left_out(moment_s)
@@ -113,20 +157,24 @@
             )
             self.left_out = left_out
         return [
-            CacheStoreSite(address=store.address, zone=store.zone)
+            CacheStoreSite(
+                address=store.address,
+                zone=store.zone,
+                link_bytes_per_s=store.link_bytes_per_s,
+            )
             for store in stores
             if store.address not in left_out
         ]
 
     def _saved_versions(
-        self, prefix_key: str, caches: Sequence[EngineCache], moment_s: float
+        self, caches: Sequence[EngineCache], moment_s: float, name: str
     ) -> frozenset[int | None]:
         saved = self.node_state.saved_prefixes
         versions = {cache.weights_version for cache in caches}
         return frozenset(
             version
             for version in versions
-            if saved.is_saved(_saved_key(prefix_key, version), moment_s)
+            if saved.is_saved(_saved_key(name, version), moment_s)
         )
 
     def _engine_cache(
@@ -145,9 +193,33 @@
         )
 
 
-def _saved_key(prefix_key: str, version: int | None) -> str:
+def _saved_key(name: str, version: int | None) -> str:
     """Return the name of a prefix in the stores for a version of weights."""
-    return f'{version}/{prefix_key}'
+    return f'{version}/{name}'
+
+
+def _shared_prefix(
+    configuration: Configuration, incoming: IncomingRequest
+) -> SharedPrefix:
+    size = request_size_of(incoming)
+    scope = cache_scope(configuration, incoming.team)
+    shared = incoming.parsed_headers.shared_segments
+    return SharedPrefix(
+        key=f'{scope}/{size.affinity_key}',
+        tokens=size.shared_prefix_tokens,
+        prompt_tokens=size.prompt_tokens,
+        root_key=f'{scope}/{shared[0].id}' if len(shared) > 1 else '',
+    )
+
+
+def _root_at(prefix: SharedPrefix, store: CacheStoreSite | None) -> str:
+    """Return the name of the first segment of a prefix in one store.
+
+    It is empty where there is none.
+    """
+    if store is None or not prefix.root_key:
+        return ''
+    return f'{store.address}/{prefix.root_key}'
 
 
 def _can_fetch(service: ServiceSpec) -> bool:
--- a/src/arbutusbay/platform/_operator_records.py
+++ b/src/arbutusbay/platform/_operator_records.py
@@ -273,7 +273,10 @@
     zone = fields.get('zone')
     return Ok(
         KVCacheStoreSpec(
-            address=address, zone=zone if isinstance(zone, str) else ''
+            address=address,
+            zone=zone if isinstance(zone, str) else '',
+            link_bytes_per_s=_get_optional_number(fields, 'link_mbps')
+            * _BYTES_PER_MEGABIT,
         )
     )
 
--- a/src/arbutusbay/prefixes/__init__.py
+++ b/src/arbutusbay/prefixes/__init__.py
@@ -1,8 +1,14 @@
 """Expose the decisions on which engines hold shared prefixes of prompts."""
 
 from arbutusbay.prefixes._cache_ages import CacheAges
-from arbutusbay.prefixes._plan import PrefixPlan, plan_prefix
+from arbutusbay.prefixes._plan import (
+    KeptPrefix,
+    PrefixPlan,
+    plan_prefix,
+    store_for,
+)
 from arbutusbay.prefixes._popularity import PrefixPopularity
+from arbutusbay.prefixes._save_throttle import SaveThrottle
 from arbutusbay.prefixes._saved import (
     MAX_PREFIX_HASH,
     MAX_REPORTED,
@@ -14,6 +20,7 @@
     MAX_REPORTED_STORES,
     StoreHealth,
 )
+from arbutusbay.prefixes._transfers import token_link_s
 from arbutusbay.prefixes._types import (
     CacheStoreSite,
     EngineCache,
@@ -28,13 +35,17 @@
     'CacheAges',
     'CacheStoreSite',
     'EngineCache',
+    'KeptPrefix',
     'Origin',
     'PrefixPlan',
     'PrefixPopularity',
+    'SaveThrottle',
     'SavedPrefixes',
     'SavedReport',
     'SharedPrefix',
     'StoreHealth',
     'TransferSpec',
     'plan_prefix',
+    'store_for',
+    'token_link_s',
 )
--- a/src/arbutusbay/prefixes/_plan.py
+++ b/src/arbutusbay/prefixes/_plan.py
@@ -12,6 +12,7 @@
 import attrs
 
 from arbutusbay.hashing import rank_by_rendezvous_hash
+from arbutusbay.prefixes._transfers import zone_factor
 from arbutusbay.prefixes._types import (
     CacheStoreSite,
     EngineCache,
@@ -21,7 +22,8 @@
 
 # A new cache is half filled with what its engine is asked for after this.
 _FILL_HALF_LIFE_S = 2.0
-_OTHER_ZONE_TRANSFER_FACTOR = 2
+# Shorter prefixes are read before a transfer that waits for others is done.
+_MIN_TRANSFER_TOKENS = 512
 # Reading holds up the other requests of an engine, a fetch doesn't.
 _MAX_FETCH_SHARE = 1.0
 # What a source may have dropped makes a fetch worth less.
@@ -34,26 +36,44 @@
 _MIN_LOAD_BOUND = 1
 
 
+@attrs.frozen(kw_only=True)
+class KeptPrefix:
+    """Tell what is known of a prefix outside the engines.
+
+    ``store`` keeps it, None if there is no store or the prefix is too short to
+    be moved. It was saved lately for ``saved_versions`` of the weights, its
+    first segment for ``root_versions``. Unless this ``saves_all``, a prefix
+    whose first segment was saved isn't.
+    """
+
+    store: CacheStoreSite | None = None
+    saved_versions: Collection[int | None] = ()
+    root_versions: Collection[int | None] = ()
+    saves_all: bool = True
+
+
 @attrs.frozen(kw_only=True)
 class PrefixPlan:
     """Tell what each engine would read of a shared prefix, and from where.
 
     ``owners`` maps engines to their rank, from 0, in the order in which they
     take requests with the prefix, ``caches`` the engines that may be chosen to
-    what is known of their caches. ``store`` keeps the prefix
-    outside the engines, None if there is no store; it was saved lately for
-    ``saved_versions`` of the weights. The first ``replicas`` owners take
-    requests alike.
+    what is known of their caches, ``kept`` to what is known of the store. The
+    first ``replicas`` owners take requests alike.
     """
 
     prefix: SharedPrefix
     owners: Mapping[str, int]
     caches: Mapping[str, EngineCache]
     transfer: TransferSpec
-    store: CacheStoreSite | None = None
-    saved_versions: Collection[int | None] = ()
+    kept: KeptPrefix
     replicas: int = 1
 
+    @property
+    def store(self) -> CacheStoreSite | None:
+        """Return the store that keeps the prefix, None if none does."""
+        return self.kept.store
+
     def read_tokens(self, engine_id: str) -> int:
         """Return how many tokens of the prefix an engine will likely read.
 
@@ -71,7 +91,8 @@
 
     def is_saved_for(self, engine_id: str) -> bool:
         """Return whether the store has the prefix for an engine's weights."""
-        return self.caches[engine_id].weights_version in self.saved_versions
+        version = self.caches[engine_id].weights_version
+        return version in self.kept.saved_versions
 
     def copy_cost_tokens(self, engine_id: str) -> float:
         """Return what another copy costs, as a number of prompt tokens.
@@ -97,8 +118,11 @@
 
     def save_address(self, engine_id: str) -> str:
         """Return the store that an engine saves to, empty for none."""
-        is_needed = self.prefix.tokens and not self.is_saved_for(engine_id)
-        return self.store.address if self.store and is_needed else ''
+        if self.store is None or self.is_saved_for(engine_id):
+            return ''
+        version = self.caches[engine_id].weights_version
+        is_new = version not in self.kept.root_versions
+        return self.store.address if is_new or self.kept.saves_all else ''
 
     def _own_share(self, cache: EngineCache) -> float:
         if self.owners.get(cache.id, len(self.owners)) >= self.replicas:
@@ -120,10 +144,9 @@
         return owner if is_same_version else None
 
     def _is_worth_fetching(self, cache: EngineCache, source_zone: str) -> bool:
-        if not self.prefix.tokens:
+        if self.prefix.tokens < _MIN_TRANSFER_TOKENS:
             return False
-        factor = 1 if source_zone == cache.zone else _OTHER_ZONE_TRANSFER_FACTOR
-        fetch_s = self.transfer.token_s * factor
+        fetch_s = self.transfer.token_s * zone_factor(source_zone, cache.zone)
         return fetch_s <= _MAX_FETCH_SHARE * self.transfer.prefill_s_per_token
 
 
@@ -133,15 +156,10 @@
     owner_ids: Sequence[str],
     *,
     transfer: TransferSpec,
-    stores: Sequence[CacheStoreSite] = (),
-    saved_versions: Collection[int | None] = (),
+    kept: KeptPrefix,
     replicas: int = 1,
 ) -> PrefixPlan:
-    """Return the plan for a prefix; ``owner_ids``, of ``caches``, may own it.
-
-    Each prefix has one store, whatever the engine, so that the stores
-    together keep as much as they can and the loss of an engine moves nothing.
-    """
+    """Return the plan for a prefix that ``owner_ids`` of ``caches`` may own."""
     caches_by_id = {cache.id: cache for cache in caches}
     ranked = _overloaded_last(
         [
@@ -149,19 +167,30 @@
             for engine_id in rank_by_rendezvous_hash(prefix.key, owner_ids)
         ]
     )
-    stores_by_address = {store.address: store for store in stores}
-    addresses = rank_by_rendezvous_hash(prefix.key, stores_by_address)
     return PrefixPlan(
         prefix=prefix,
         owners={cache.id: rank for rank, cache in enumerate(ranked)},
         caches=caches_by_id,
         transfer=transfer,
-        store=stores_by_address[addresses[0]] if addresses else None,
-        saved_versions=saved_versions,
+        kept=kept,
         replicas=replicas,
     )
 
 
+def store_for(
+    prefix: SharedPrefix, stores: Sequence[CacheStoreSite]
+) -> CacheStoreSite | None:
+    """Return the store that keeps a prefix, None if none does.
+
+    Each prefix has one store, whatever the engine, so that the stores
+    together keep as much as they can and the loss of an engine moves nothing.
+    """
+    if not stores or prefix.tokens < _MIN_TRANSFER_TOKENS:
+        return None
+    by_address = {store.address: store for store in stores}
+    return by_address[rank_by_rendezvous_hash(prefix.key, by_address)[0]]
+
+
 def _overloaded_last(ranked: Sequence[EngineCache]) -> list[EngineCache]:
     """Return the engines in order, those with too much load at the end."""
     attempts = sum(cache.attempts for cache in ranked)
--- a/tests/prefix_builders.py
+++ b/tests/prefix_builders.py
@@ -8,12 +8,14 @@
 from arbutusbay.prefixes import (
     CacheStoreSite,
     EngineCache,
+    KeptPrefix,
     PrefixPlan,
     PrefixPopularity,
     SavedPrefixes,
     SharedPrefix,
     TransferSpec,
     plan_prefix,
+    store_for,
 )
 from arbutusbay.scheduling import (
     EngineView,
@@ -68,14 +70,21 @@
     ]
 
 
-def build_plan(caches, *, prefix=None, token_s=None, **changes) -> PrefixPlan:
-    """Return the plan in which each of the engines may own the prefix."""
+def build_plan(
+    caches, *, prefix=None, token_s=None, stores=STORES, replicas=1, **kept
+) -> PrefixPlan:
+    """Return the plan in which each of the engines may own the prefix.
+
+    ``kept`` is what is known of the prefix in its store.
+    """
+    prefix = prefix or build_prefix()
     return plan_prefix(
-        prefix or build_prefix(),
+        prefix,
         caches,
         [cache.id for cache in caches],
         transfer=attrs.evolve(TRANSFER, token_s=token_s or TRANSFER.token_s),
-        **{'stores': STORES, **changes},
+        kept=KeptPrefix(store=store_for(prefix, stores), **kept),
+        replicas=replicas,
     )
 
 
--- a/tests/unit/test_shared_prefixes.py
+++ b/tests/unit/test_shared_prefixes.py
@@ -185,10 +185,25 @@
         assert not saved.save_address(name)
 
 
-def test_request_without_a_shared_prefix_moves_nothing():
-    plan = build_plan(build_caches(), prefix=SharedPrefix(key='a1', tokens=0))
-    assert not plan.source_of('engine-0')
-    assert not plan.save_address('engine-0')
+@pytest.mark.parametrize('stores', [STORES, ()])
+@pytest.mark.parametrize('tokens', [0, 200])
+def test_request_with_no_or_a_short_shared_prefix_moves_nothing(tokens, stores):
+    prefix = SharedPrefix(key='a1', tokens=tokens, prompt_tokens=9000)
+    plan = build_plan(build_caches(), prefix=prefix, stores=stores)
+    for name in plan.caches:
+        assert not plan.source_of(name)
+        assert not plan.save_address(name)
+    assert plan.read_tokens(next(iter(plan.owners))) == 0
+
+
+def test_only_new_beginnings_are_saved_where_not_all_is():
+    for root_versions, is_saved in (((), True), ({2}, True), ({1}, False)):
+        plan = build_plan(
+            build_caches(), root_versions=root_versions, saves_all=False
+        )
+        assert bool(plan.save_address('engine-0')) == is_saved
+    plan = build_plan(build_caches(), root_versions={1})
+    assert plan.save_address('engine-0')
 
 
 def test_owner_with_too_much_load_takes_none():
