Keep what is known of engines' caches between placements

Change: descriptions are kept until an engine restarts, moves or changes weights; attempts in flight and the time go into a class of their own (PrefixLoad). The list of usable stores is kept until the configuration or the stores left out change. Engines that are gone are forgotten now, which nothing did before. Tests give the same cases in the new classes; one more checks that the memory is bounded.

--- a/src/arbutusbay/node/_prefix_planner.py
+++ b/src/arbutusbay/node/_prefix_planner.py
@@ -4,16 +4,22 @@
 from collections.abc import Mapping, Sequence
 
 from arbutusbay.clock import now_s
-from arbutusbay.fleet import Configuration, ServiceSpec, cache_scope
+from arbutusbay.fleet import (
+    Configuration,
+    KVCacheStoreSpec,
+    ServiceSpec,
+    cache_scope,
+)
 from arbutusbay.logs import get_logger
 from arbutusbay.node._incoming_request import IncomingRequest
 from arbutusbay.node._node_state import NodeState
 from arbutusbay.node._placement import Placement, request_size_of
 from arbutusbay.prefixes import (
-    CacheAges,
     CacheStoreSite,
     EngineCache,
+    EngineCaches,
     KeptPrefix,
+    PrefixLoad,
     PrefixPlan,
     PrefixPopularity,
     SaveThrottle,
@@ -31,15 +37,18 @@
 class PrefixPlanner:
     """Plan from the views of engines and the configuration in force.
 
-    ``left_out`` are the stores that were left out of the last plan.
+    ``usable_stores`` are those of the last plan: the ``stores`` that the
+    configuration names but for those ``left_out``.
     """
 
     def __init__(self, *, node_state: NodeState) -> None:
         """Read the views of engines on ``node_state``."""
         self.node_state = node_state
-        self.cache_ages = CacheAges(started_s=now_s())
+        self.engine_caches = EngineCaches(started_s=now_s())
         self.popularity = PrefixPopularity()
+        self.stores: Sequence[KVCacheStoreSpec] | None = None
         self.left_out: frozenset[str] = frozenset()
+        self.usable_stores: Sequence[CacheStoreSite] = ()
         self.throttle = SaveThrottle()
 
     def plan(
@@ -56,6 +65,7 @@
             return None
         prefix = _shared_prefix(configuration, incoming)
         model = incoming.parsed_headers.model
+        self.engine_caches.retain(self.node_state.engine_views)
         caches = [self._engine_cache(view, model, moment_s) for view in usable]
         owner_ids = engines_for_length(prefix.prompt_tokens, usable, fractions)
         return plan_prefix(
@@ -67,8 +77,15 @@
                 prefill_s_per_token=self.node_state.prefill_s_per_token,
             ),
             kept=self._kept_prefix(prefix, service, caches, moment_s),
-            replicas=self.popularity.replicas(
-                prefix.key, len(owner_ids), moment_s
+            load=PrefixLoad(
+                now_s=moment_s,
+                attempts={
+                    view.id: view.occupancy.total(moment_s).attempts
+                    for view in usable
+                },
+                replicas=self.popularity.replicas(
+                    prefix.key, len(owner_ids), moment_s
+                ),
             ),
         )
 
@@ -135,28 +152,21 @@
             now_s=moment_s,
         )
 
-    def _usable_stores(self, moment_s: float) -> list[CacheStoreSite]:
+    def _usable_stores(self, moment_s: float) -> Sequence[CacheStoreSite]:
         """Return the stores without those that don't answer.
 
         A store that is left out leaves its prefixes to the others, and it has
         lost what it kept when it is back.
         """
         stores = self.node_state.configuration.kv_cache_stores
-        health = self.node_state.store_health
-        health.follow([store.address for store in stores])
-        left_out = health.left_out(moment_s)
+        left_out = self.node_state.store_health.left_out(moment_s)
         if left_out != self.left_out:
-            self.node_state.saved_prefixes.clear()
-            _LOG.info(
-                'stores of cache left out',
-                fields={
-                    'stores': sorted(left_out),
-                    'before': sorted(self.left_out),
-                    'found_here': health.found_dead(),
-                },
-            )
-            self.left_out = left_out
-        return [
+            self._record_left_out(left_out)
+        elif stores is self.stores:
+            return self.usable_stores
+        self.stores = stores
+        self.node_state.store_health.follow([store.address for store in stores])
+        self.usable_stores = [
             CacheStoreSite(
                 address=store.address,
                 zone=store.zone,
@@ -165,6 +175,19 @@
             for store in stores
             if store.address not in left_out
         ]
+        return self.usable_stores
+
+    def _record_left_out(self, left_out: frozenset[str]) -> None:
+        self.node_state.saved_prefixes.clear()
+        _LOG.info(
+            'stores of cache left out',
+            fields={
+                'stores': sorted(left_out),
+                'before': sorted(self.left_out),
+                'found_here': self.node_state.store_health.found_dead(),
+            },
+        )
+        self.left_out = left_out
 
     def _saved_versions(
         self, caches: Sequence[EngineCache], moment_s: float, name: str
@@ -180,16 +203,13 @@
     def _engine_cache(
         self, view: EngineView, model: str, moment_s: float
     ) -> EngineCache:
-        version = view.expected_weights(model, moment_s)
-        return EngineCache(
-            id=view.id,
+        return self.engine_caches.find(
+            view.id,
+            view.incarnation,
+            view.expected_weights(model, moment_s),
             address=view.address,
             zone=view.zone,
-            weights_version=version,
-            age_s=self.cache_ages.age_s(
-                view.id, view.incarnation, version, moment_s
-            ),
-            attempts=view.occupancy.total(moment_s).attempts,
+            now_s=moment_s,
         )
 
 
--- a/src/arbutusbay/prefixes/__init__.py
+++ b/src/arbutusbay/prefixes/__init__.py
@@ -1,8 +1,9 @@
 """Expose the decisions on which engines hold shared prefixes of prompts."""
 
-from arbutusbay.prefixes._cache_ages import CacheAges
+from arbutusbay.prefixes._engine_caches import EngineCaches
 from arbutusbay.prefixes._plan import (
     KeptPrefix,
+    PrefixLoad,
     PrefixPlan,
     plan_prefix,
     store_for,
@@ -32,11 +33,12 @@
     'MAX_PREFIX_HASH',
     'MAX_REPORTED',
     'MAX_REPORTED_STORES',
-    'CacheAges',
     'CacheStoreSite',
     'EngineCache',
+    'EngineCaches',
     'KeptPrefix',
     'Origin',
+    'PrefixLoad',
     'PrefixPlan',
     'PrefixPopularity',
     'SaveThrottle',
--- a/src/arbutusbay/prefixes/_plan.py
+++ b/src/arbutusbay/prefixes/_plan.py
@@ -52,14 +52,27 @@
     saves_all: bool = True
 
 
+@attrs.frozen(kw_only=True)
+class PrefixLoad:
+    """Tell how busy the engines are and how often the prefix is asked for.
+
+    ``attempts`` are those in flight at each engine at ``now_s``. ``replicas``
+    engines should hold the prefix.
+    """
+
+    now_s: float
+    attempts: Mapping[str, int] = attrs.field(factory=dict)
+    replicas: int = 1
+
+
 @attrs.frozen(kw_only=True)
 class PrefixPlan:
     """Tell what each engine would read of a shared prefix, and from where.
 
     ``owners`` maps engines to their rank, from 0, in the order in which they
     take requests with the prefix, ``caches`` the engines that may be chosen to
-    what is known of their caches, ``kept`` to what is known of the store. The
-    first ``replicas`` owners take requests alike.
+    what is known of their caches; ``kept`` is what is known of the store. The
+    first replicas of the owners take requests alike.
     """
 
     prefix: SharedPrefix
@@ -67,7 +80,7 @@
     caches: Mapping[str, EngineCache]
     transfer: TransferSpec
     kept: KeptPrefix
-    replicas: int = 1
+    load: PrefixLoad
 
     @property
     def store(self) -> CacheStoreSite | None:
@@ -101,7 +114,9 @@
         that few of them hold the prefix.
         """
         rank = self.owners.get(engine_id, len(self.owners))
-        excess = max(0, rank - self.replicas + 1)
+        excess = max(0, rank - self.load.replicas + 1)
+        if not excess:
+            return 0.0
         share = _COPY_COST_SHARE * (1 - _COPY_COST_DECAY**excess)
         return share * self.prefix.tokens
 
@@ -125,15 +140,19 @@
         return self.store.address if is_new or self.kept.saves_all else ''
 
     def _own_share(self, cache: EngineCache) -> float:
-        if self.owners.get(cache.id, len(self.owners)) >= self.replicas:
-            return 0.0
-        return _filled_share(cache.age_s)
+        rank = self.owners.get(cache.id, len(self.owners))
+        return self._filled_share(cache) if rank < self.load.replicas else 0.0
 
     def _source_share(self, cache: EngineCache) -> float:
         if self.store:
             return 1.0
         owner = self._owner_for(cache)
-        return _filled_share(owner.age_s) if owner else 0.0
+        return self._filled_share(owner) if owner else 0.0
+
+    def _filled_share(self, cache: EngineCache) -> float:
+        """Return how much of what it is asked for an engine holds."""
+        age_s = self.load.now_s - cache.filled_since_s
+        return 1 - 0.5 ** (age_s / _FILL_HALF_LIFE_S)
 
     def _owner_for(self, cache: EngineCache) -> EngineCache | None:
         """Return the owner if it is another engine that may help ``cache``."""
@@ -157,23 +176,20 @@
     *,
     transfer: TransferSpec,
     kept: KeptPrefix,
-    replicas: int = 1,
+    load: PrefixLoad,
 ) -> PrefixPlan:
     """Return the plan for a prefix that ``owner_ids`` of ``caches`` may own."""
     caches_by_id = {cache.id: cache for cache in caches}
     ranked = _overloaded_last(
-        [
-            caches_by_id[engine_id]
-            for engine_id in rank_by_rendezvous_hash(prefix.key, owner_ids)
-        ]
+        rank_by_rendezvous_hash(prefix.key, owner_ids), load.attempts
     )
     return PrefixPlan(
         prefix=prefix,
-        owners={cache.id: rank for rank, cache in enumerate(ranked)},
+        owners={engine_id: rank for rank, engine_id in enumerate(ranked)},
         caches=caches_by_id,
         transfer=transfer,
         kept=kept,
-        replicas=replicas,
+        load=load,
     )
 
 
@@ -191,13 +207,12 @@
     return by_address[rank_by_rendezvous_hash(prefix.key, by_address)[0]]
 
 
-def _overloaded_last(ranked: Sequence[EngineCache]) -> list[EngineCache]:
+def _overloaded_last(
+    ranked: Sequence[str], attempts: Mapping[str, int]
+) -> list[str]:
     """Return the engines in order, those with too much load at the end."""
-    attempts = sum(cache.attempts for cache in ranked)
-    bound = _MIN_LOAD_BOUND + _MAX_LOAD_FACTOR * attempts / max(1, len(ranked))
-    return sorted(ranked, key=lambda cache: cache.attempts > bound)
-
-
-def _filled_share(age_s: float) -> float:
-    """Return how much of what it is asked for a cache of this age holds."""
-    return 1 - 0.5 ** (age_s / _FILL_HALF_LIFE_S)
+    total = sum(attempts.get(engine_id, 0) for engine_id in ranked)
+    bound = _MIN_LOAD_BOUND + _MAX_LOAD_FACTOR * total / max(1, len(ranked))
+    return sorted(
+        ranked, key=lambda engine_id: attempts.get(engine_id, 0) > bound
+    )
--- a/src/arbutusbay/prefixes/_types.py
+++ b/src/arbutusbay/prefixes/_types.py
@@ -23,16 +23,15 @@
     """Describe an engine as a holder of KV cache.
 
     Cache of one ``weights_version`` is of no use to another; None if it isn't
-    known. The engine has been filling its cache for ``age_s``, since its
-    start or its last load of weights; ``attempts`` are in flight there.
+    known. The engine has been filling its cache since its start or its last
+    load of weights, at ``filled_since_s``.
     """
 
     id: str
     address: str
     zone: str
     weights_version: int | None
-    age_s: float = float('inf')
-    attempts: int = 0
+    filled_since_s: float = float('-inf')
 
 
 @attrs.frozen(kw_only=True)
--- a/tests/prefix_builders.py
+++ b/tests/prefix_builders.py
@@ -9,6 +9,7 @@
     CacheStoreSite,
     EngineCache,
     KeptPrefix,
+    PrefixLoad,
     PrefixPlan,
     PrefixPopularity,
     SavedPrefixes,
@@ -71,7 +72,7 @@
 
 
 def build_plan(
-    caches, *, prefix=None, token_s=None, stores=STORES, replicas=1, **kept
+    caches, *, prefix=None, token_s=None, stores=STORES, load=None, **kept
 ) -> PrefixPlan:
     """Return the plan in which each of the engines may own the prefix.
 
@@ -84,7 +85,7 @@
         [cache.id for cache in caches],
         transfer=attrs.evolve(TRANSFER, token_s=token_s or TRANSFER.token_s),
         kept=KeptPrefix(store=store_for(prefix, stores), **kept),
-        replicas=replicas,
+        load=load or PrefixLoad(now_s=0.0),
     )
 
 
@@ -189,8 +190,7 @@
         caches = [
             attrs.evolve(
                 cache,
-                age_s=moment_s - self.emptied_s[cache.id],
-                attempts=views[cache.id].occupancy.total(moment_s).attempts,
+                filled_since_s=self.emptied_s[cache.id],
             )
             for cache in self.caches
         ]
@@ -198,7 +198,14 @@
         plan = build_plan(
             caches,
             prefix=prefix,
-            replicas=replicas,
+            load=PrefixLoad(
+                now_s=moment_s,
+                attempts={
+                    name: view.occupancy.total(moment_s).attempts
+                    for name, view in views.items()
+                },
+                replicas=replicas,
+            ),
             token_s=self.token_s,
             saved_versions={1} if is_saved else (),
         )
--- a/tests/unit/test_shared_prefixes.py
+++ b/tests/unit/test_shared_prefixes.py
@@ -5,13 +5,19 @@
 from tests.prefix_builders import (
     PREFILL_S_PER_TOKEN,
     STORES,
+    ZONES,
     Fleet,
     build_caches,
     build_plan,
     build_prefix,
 )
 
-from arbutusbay.prefixes import CacheAges, PrefixPopularity, SharedPrefix
+from arbutusbay.prefixes import (
+    EngineCaches,
+    PrefixLoad,
+    PrefixPopularity,
+    SharedPrefix,
+)
 
 SUBJECTS = tuple(f'shared/subject-{number}' for number in range(700))
 SKEW = 0.3
@@ -168,7 +174,9 @@
 
 @pytest.mark.parametrize(('stores', 'share'), [(STORES, 0.1), ((), 1)])
 def test_new_cache_reads_or_fetches(stores, share):
-    new = build_plan(build_caches(age_s=0), stores=stores, saved_versions={1})
+    new = build_plan(
+        build_caches(filled_since_s=0.0), stores=stores, saved_versions={1}
+    )
     old = build_plan(build_caches(), stores=stores, saved_versions={1})
     owner = next(iter(new.owners))
     assert old.read_tokens(owner) == 0
@@ -207,13 +215,10 @@
 
 
 def test_owner_with_too_much_load_takes_none():
-    caches = build_caches(attempts=2)
+    caches = build_caches()
     owner, second, *_ = build_plan(caches).owners
-    caches = [
-        attrs.evolve(cache, attempts=12) if cache.id == owner else cache
-        for cache in caches
-    ]
-    plan = build_plan(caches)
+    attempts = {cache.id: 2 for cache in caches} | {owner: 12}
+    plan = build_plan(caches, load=PrefixLoad(now_s=0.0, attempts=attempts))
     assert next(iter(plan.owners)) == second
     assert plan.copy_cost_tokens(second) == 0
     assert plan.copy_cost_tokens(owner) > 0
@@ -253,11 +258,32 @@
     assert popularity.replicas('hot', 30, 30.0) > 10
 
 
-def test_age_begins_anew_with_a_restart_or_new_weights():
-    ages = CacheAges(started_s=0)
-    assert ages.age_s('e', 1, 1, 1.0) == float('inf')
-    assert ages.age_s('e', 1, 2, 10.0) == 0
-    assert ages.age_s('e', 1, 2, 12.0) == 2
-    assert ages.age_s('e', 2, 2, 13.0) == 0
-    ages.retain(set())
-    assert ages.age_s('e', 2, 2, 20.0) == 0
+def find_since_s(caches, incarnation, weights_version, now_s) -> float:
+    """Return since when an engine is taken to fill its cache."""
+    return caches.find(
+        'e',
+        incarnation,
+        weights_version,
+        address='10.1.0.1:1',
+        zone=ZONES[0],
+        now_s=now_s,
+    ).filled_since_s
+
+
+def test_cache_is_filled_anew_after_a_restart_or_new_weights():
+    caches = EngineCaches(started_s=0)
+    assert find_since_s(caches, 1, 1, 1.0) == float('-inf')
+    assert find_since_s(caches, 1, 2, 10.0) == 10
+    assert find_since_s(caches, 1, 2, 12.0) == 10
+    assert find_since_s(caches, 2, 2, 13.0) == 13
+    caches.retain(('e',))
+    assert find_since_s(caches, 2, 2, 20.0) == 13
+
+
+def test_engines_that_are_gone_are_forgotten():
+    caches = EngineCaches(started_s=0)
+    for number in range(1000):
+        caches.find(f'e{number}', 1, 1, address='', zone='', now_s=number)
+        caches.retain((f'e{number}',))
+    assert len(caches.known) < 100
+    assert 'e999' in caches.known
