Measure the delay of a fetch against the best case

Cause: the estimate of the time to read a token follows first events, so it rises in an overload and behind a dead store: at its upper bound of 0.1 ms a token, 0.4 s of delay pass for reading. Since short prefixes aren't fetched, only long prompts tell of a dead store.

Change: the delay counts from the least time a token has taken lately, which grows by 2 in 100 with each sample.

--- a/src/arbutusbay/node/_dispatcher.py
+++ b/src/arbutusbay/node/_dispatcher.py
@@ -126,7 +126,7 @@
         )
         if not has_paused:
             self.node_state.speeds.record_first_event(view, attempt, moment_s)
-            record_fetch(self.node_state, attempt, view, moment_s)
+            record_fetch(self.node_state, attempt, moment_s)
         if tokens >= _MIN_SAMPLE_TOKENS and not has_paused:
             slowdown = max(1.0, view.current_slowdown(moment_s))
             sample_s = (moment_s - attempt.sent_s) / tokens / slowdown
--- a/src/arbutusbay/node/_store_checks.py
+++ b/src/arbutusbay/node/_store_checks.py
@@ -8,7 +8,7 @@
 from arbutusbay.logs import get_logger
 from arbutusbay.node._node_state import NodeState
 from arbutusbay.platform import call_cache_store
-from arbutusbay.scheduling import Attempt, EngineView
+from arbutusbay.scheduling import Attempt
 
 _LOG = get_logger('stores')
 _CHECK_INTERVAL_S = 0.1
@@ -53,16 +53,13 @@
 
 
 def record_fetch(
-    node_state: NodeState, attempt: Attempt, view: EngineView, moment_s: float
+    node_state: NodeState, attempt: Attempt, moment_s: float
 ) -> None:
-    """Record by how much a first event was later than reading takes."""
-    if not attempt.fetch_source:
-        return
-    expected_s = (
-        (attempt.uncached_tokens + attempt.queued_ahead_tokens)
-        * node_state.prefill_s_per_token
-        * max(1.0, view.current_slowdown(moment_s))
-    )
-    node_state.store_health.record_fetch(
-        attempt.fetch_source, moment_s - attempt.sent_s - expected_s, moment_s
-    )
+    """Record when the first event came behind a fetch."""
+    if attempt.fetch_source:
+        node_state.store_health.record_fetch(
+            attempt.fetch_source,
+            tokens=attempt.uncached_tokens + attempt.queued_ahead_tokens,
+            took_s=moment_s - attempt.sent_s,
+            now_s=moment_s,
+        )
--- a/src/arbutusbay/prefixes/_store_health.py
+++ b/src/arbutusbay/prefixes/_store_health.py
@@ -15,6 +15,9 @@
 # A dead source costs a fetch more than this, a live one much less.
 _SUSPICIOUS_DELAY_S = 0.2
 _USUAL_DELAY_S = 0.1
+_MIN_TOKENS = 1000
+# An old best case says little of the engines of today.
+_TOKEN_TIME_GROWTH = 1.02
 # A store that has just served a fetch isn't called.
 _VOUCHED_S = 0.5
 _MIN_CHECK_INTERVAL_S = 1.0
@@ -80,8 +83,12 @@
     """Follow the stores that the configuration names."""
 
     def __init__(self) -> None:
-        """Start without stores, all of which are taken for sound."""
+        """Start without stores, all of which are taken for sound.
+
+        ``token_s`` is how long a token takes where nothing else delays it.
+        """
         self.stores: dict[str, _Store] = {}
+        self.token_s = float('inf')
 
     def follow(self, addresses: Collection[str]) -> None:
         """Know these stores and no others."""
@@ -91,11 +98,17 @@
             address: self.stores.get(address, _Store()) for address in addresses
         }
 
-    def record_fetch(self, address: str, delay_s: float, now_s: float) -> None:
-        """Record that a first event came ``delay_s`` later than expected."""
+    def record_fetch(
+        self, address: str, *, tokens: int, took_s: float, now_s: float
+    ) -> None:
+        """Record after what time a first event came behind a fetch.
+
+        ``tokens`` were expected to be read until then.
+        """
         store = self.stores.get(address)
         if store is None:
             return
+        delay_s = self._delay_s(max(tokens, _MIN_TOKENS), took_s)
         if delay_s < _USUAL_DELAY_S:
             store.served_s = now_s
             store.is_suspected = False
@@ -166,3 +179,11 @@
             for address, store in self.stores.items()
             if store.is_left_out(now_s)
         )
+
+    def _delay_s(self, tokens: int, took_s: float) -> float:
+        """Return how much longer than in the best case a first event took.
+
+        The mean is no measure: it follows an overload, and a dead store too.
+        """
+        self.token_s = min(took_s / tokens, self.token_s * _TOKEN_TIME_GROWTH)
+        return took_s - tokens * self.token_s
