--- a/tests/unit/test_store_health.py
+++ b/tests/unit/test_store_health.py
@@ -1,8 +1,8 @@
 """Check that a fleet notices dead stores of KV cache, without network.
 
-Load: 141 VMs that send 80 long prompts/s together, each with a fetch from one of
-three stores; reports of VMs arrive after 0.2 s. A dead store delays a fetch by
-0.4 s and answers no call, for which a VM waits 0.25 s.
+Load: 141 VMs that send 80 long prompts/s together, each with a fetch from one
+of three stores; reports of VMs arrive after 0.2 s. A dead store delays a fetch
+by 0.4 s and answers no call, for which a VM waits 0.25 s.
 """
 
 import collections
