--- a/src/arbutusbay/prefixes/__init__.py
+++ b/src/arbutusbay/prefixes/__init__.py
@@ -1,8 +1,15 @@
 """Expose the decisions on which engines hold shared prefixes of prompts."""
 
-from arbutusbay.prefixes._cache_ages import CacheAges
-from arbutusbay.prefixes._plan import PrefixPlan, plan_prefix
+from arbutusbay.prefixes._engine_caches import EngineCaches
+from arbutusbay.prefixes._plan import (
+    KeptPrefix,
+    PrefixLoad,
+    PrefixPlan,
+    plan_prefix,
+    store_for,
+)
 from arbutusbay.prefixes._popularity import PrefixPopularity
+from arbutusbay.prefixes._save_throttle import SaveThrottle
 from arbutusbay.prefixes._saved import (
     MAX_PREFIX_HASH,
     MAX_REPORTED,
@@ -14,6 +21,7 @@
     MAX_REPORTED_STORES,
     StoreHealth,
 )
+from arbutusbay.prefixes._transfers import token_link_s
 from arbutusbay.prefixes._types import (
     CacheStoreSite,
     EngineCache,
@@ -25,16 +33,21 @@
     'MAX_PREFIX_HASH',
     'MAX_REPORTED',
     'MAX_REPORTED_STORES',
-    'CacheAges',
     'CacheStoreSite',
     'EngineCache',
+    'EngineCaches',
+    'KeptPrefix',
     'Origin',
+    'PrefixLoad',
     'PrefixPlan',
     'PrefixPopularity',
+    'SaveThrottle',
     'SavedPrefixes',
     'SavedReport',
     'SharedPrefix',
     'StoreHealth',
     'TransferSpec',
     'plan_prefix',
+    'store_for',
+    'token_link_s',
 )
--- a/src/arbutusbay/prefixes/_plan.py
+++ b/src/arbutusbay/prefixes/_plan.py
@@ -12,6 +12,7 @@
 import attrs
 
 from arbutusbay.hashing import rank_by_rendezvous_hash
+from arbutusbay.prefixes._transfers import zone_factor
 from arbutusbay.prefixes._types import (
     CacheStoreSite,
     EngineCache,
@@ -21,9 +22,11 @@
 
 # A new cache is half filled with what its engine is asked for after this.
 _FILL_HALF_LIFE_S = 2.0
-_OTHER_ZONE_TRANSFER_FACTOR = 2
-# Waiting, and what a source may have dropped, make a fetch worth less.
-_MAX_FETCH_SHARE = 0.5
+# Shorter prefixes are read before a transfer that waits for others is done.
+_MIN_TRANSFER_TOKENS = 512
+# Reading holds up the other requests of an engine, a fetch doesn't.
+_MAX_FETCH_SHARE = 1.0
+# What a source may have dropped makes a fetch worth less.
 _SOURCE_HIT_SHARE = 0.9
 # A copy takes the place of as much that is read or fetched again later.
 _COPY_COST_SHARE = 1.0
@@ -33,25 +36,56 @@
 _MIN_LOAD_BOUND = 1
 
 
+@attrs.frozen(kw_only=True)
+class KeptPrefix:
+    """Tell what is known of a prefix outside the engines.
+
+    ``store`` keeps it, None if there is no store or the prefix is too short to
+    be moved. It was saved lately for ``saved_versions`` of the weights, its
+    first segment for ``root_versions``. Unless this ``saves_all``, a prefix
+    whose first segment was saved isn't.
+    """
+
+    store: CacheStoreSite | None = None
+    saved_versions: Collection[int | None] = ()
+    root_versions: Collection[int | None] = ()
+    saves_all: bool = True
+
+
+@attrs.frozen(kw_only=True)
+class PrefixLoad:
+    """Tell how busy the engines are and how often the prefix is asked for.
+
+    ``attempts`` are those in flight at each engine at ``now_s``. ``replicas``
+    engines should hold the prefix.
+    """
+
+    now_s: float
+    attempts: Mapping[str, int] = attrs.field(factory=dict)
+    replicas: int = 1
+
+
 @attrs.frozen(kw_only=True)
 class PrefixPlan:
     """Tell what each engine would read of a shared prefix, and from where.
 
     ``owners`` maps engines to their rank, from 0, in the order in which they
     take requests with the prefix, ``caches`` the engines that may be chosen to
-    what is known of their caches. ``store`` keeps the prefix
-    outside the engines, None if there is no store; it was saved lately for
-    ``saved_versions`` of the weights. The first ``replicas`` owners take
-    requests alike.
+    what is known of their caches; ``kept`` is what is known of the store. The
+    first replicas of the owners take requests alike.
     """
 
     prefix: SharedPrefix
     owners: Mapping[str, int]
     caches: Mapping[str, EngineCache]
     transfer: TransferSpec
-    store: CacheStoreSite | None = None
-    saved_versions: Collection[int | None] = ()
-    replicas: int = 1
+    kept: KeptPrefix
+    load: PrefixLoad
+
+    @property
+    def store(self) -> CacheStoreSite | None:
+        """Return the store that keeps the prefix, None if none does."""
+        return self.kept.store
 
     def read_tokens(self, engine_id: str) -> int:
         """Return how many tokens of the prefix an engine will likely read.
@@ -70,7 +104,8 @@
 
     def is_saved_for(self, engine_id: str) -> bool:
         """Return whether the store has the prefix for an engine's weights."""
-        return self.caches[engine_id].weights_version in self.saved_versions
+        version = self.caches[engine_id].weights_version
+        return version in self.kept.saved_versions
 
     def copy_cost_tokens(self, engine_id: str) -> float:
         """Return what another copy costs, as a number of prompt tokens.
@@ -79,14 +114,16 @@
         that few of them hold the prefix.
         """
         rank = self.owners.get(engine_id, len(self.owners))
-        excess = max(0, rank - self.replicas + 1)
+        excess = max(0, rank - self.load.replicas + 1)
+        if not excess:
+            return 0.0
         share = _COPY_COST_SHARE * (1 - _COPY_COST_DECAY**excess)
         return share * self.prefix.tokens
 
     def source_of(self, engine_id: str) -> str:
         """Return the address that an engine fetches from, empty for none.
 
-        A fetch that isn't much shorter than reading isn't worth it.
+        A fetch that takes longer than reading isn't worth it.
         """
         cache = self.caches[engine_id]
         source = self.store or self._owner_for(cache)
@@ -96,19 +133,26 @@
 
     def save_address(self, engine_id: str) -> str:
         """Return the store that an engine saves to, empty for none."""
-        is_needed = self.prefix.tokens and not self.is_saved_for(engine_id)
-        return self.store.address if self.store and is_needed else ''
+        if self.store is None or self.is_saved_for(engine_id):
+            return ''
+        version = self.caches[engine_id].weights_version
+        is_new = version not in self.kept.root_versions
+        return self.store.address if is_new or self.kept.saves_all else ''
 
     def _own_share(self, cache: EngineCache) -> float:
-        if self.owners.get(cache.id, len(self.owners)) >= self.replicas:
-            return 0.0
-        return _filled_share(cache.age_s)
+        rank = self.owners.get(cache.id, len(self.owners))
+        return self._filled_share(cache) if rank < self.load.replicas else 0.0
 
     def _source_share(self, cache: EngineCache) -> float:
         if self.store:
             return 1.0
         owner = self._owner_for(cache)
-        return _filled_share(owner.age_s) if owner else 0.0
+        return self._filled_share(owner) if owner else 0.0
+
+    def _filled_share(self, cache: EngineCache) -> float:
+        """Return how much of what it is asked for an engine holds."""
+        age_s = self.load.now_s - cache.filled_since_s
+        return 1 - 0.5 ** (age_s / _FILL_HALF_LIFE_S)
 
     def _owner_for(self, cache: EngineCache) -> EngineCache | None:
         """Return the owner if it is another engine that may help ``cache``."""
@@ -119,10 +163,9 @@
         return owner if is_same_version else None
 
     def _is_worth_fetching(self, cache: EngineCache, source_zone: str) -> bool:
-        if not self.prefix.tokens:
+        if self.prefix.tokens < _MIN_TRANSFER_TOKENS:
             return False
-        factor = 1 if source_zone == cache.zone else _OTHER_ZONE_TRANSFER_FACTOR
-        fetch_s = self.transfer.token_s * factor
+        fetch_s = self.transfer.token_s * zone_factor(source_zone, cache.zone)
         return fetch_s <= _MAX_FETCH_SHARE * self.transfer.prefill_s_per_token
 
 
@@ -132,42 +175,44 @@
     owner_ids: Sequence[str],
     *,
     transfer: TransferSpec,
-    stores: Sequence[CacheStoreSite] = (),
-    saved_versions: Collection[int | None] = (),
-    replicas: int = 1,
+    kept: KeptPrefix,
+    load: PrefixLoad,
 ) -> PrefixPlan:
-    """Return the plan for a prefix; ``owner_ids``, of ``caches``, may own it.
-
-    Each prefix has one store, whatever the engine, so that the stores
-    together keep as much as they can and the loss of an engine moves nothing.
-    """
+    """Return the plan for a prefix that ``owner_ids`` of ``caches`` may own."""
     caches_by_id = {cache.id: cache for cache in caches}
     ranked = _overloaded_last(
-        [
-            caches_by_id[engine_id]
-            for engine_id in rank_by_rendezvous_hash(prefix.key, owner_ids)
-        ]
+        rank_by_rendezvous_hash(prefix.key, owner_ids), load.attempts
     )
-    stores_by_address = {store.address: store for store in stores}
-    addresses = rank_by_rendezvous_hash(prefix.key, stores_by_address)
     return PrefixPlan(
         prefix=prefix,
-        owners={cache.id: rank for rank, cache in enumerate(ranked)},
+        owners={engine_id: rank for rank, engine_id in enumerate(ranked)},
         caches=caches_by_id,
         transfer=transfer,
-        store=stores_by_address[addresses[0]] if addresses else None,
-        saved_versions=saved_versions,
-        replicas=replicas,
+        kept=kept,
+        load=load,
     )
 
 
-def _overloaded_last(ranked: Sequence[EngineCache]) -> list[EngineCache]:
-    """Return the engines in order, those with too much load at the end."""
-    attempts = sum(cache.attempts for cache in ranked)
-    bound = _MIN_LOAD_BOUND + _MAX_LOAD_FACTOR * attempts / max(1, len(ranked))
-    return sorted(ranked, key=lambda cache: cache.attempts > bound)
+def store_for(
+    prefix: SharedPrefix, stores: Sequence[CacheStoreSite]
+) -> CacheStoreSite | None:
+    """Return the store that keeps a prefix, None if none does.
+
+    Each prefix has one store, whatever the engine, so that the stores
+    together keep as much as they can and the loss of an engine moves nothing.
+    """
+    if not stores or prefix.tokens < _MIN_TRANSFER_TOKENS:
+        return None
+    by_address = {store.address: store for store in stores}
+    return by_address[rank_by_rendezvous_hash(prefix.key, by_address)[0]]
 
 
-def _filled_share(age_s: float) -> float:
-    """Return how much of what it is asked for a cache of this age holds."""
-    return 1 - 0.5 ** (age_s / _FILL_HALF_LIFE_S)
+def _overloaded_last(
+    ranked: Sequence[str], attempts: Mapping[str, int]
+) -> list[str]:
+    """Return the engines in order, those with too much load at the end."""
+    total = sum(attempts.get(engine_id, 0) for engine_id in ranked)
+    bound = _MIN_LOAD_BOUND + _MAX_LOAD_FACTOR * total / max(1, len(ranked))
+    return sorted(
+        ranked, key=lambda engine_id: attempts.get(engine_id, 0) > bound
+    )
--- a/src/arbutusbay/prefixes/_types.py
+++ b/src/arbutusbay/prefixes/_types.py
@@ -8,11 +8,14 @@
     """Identify the part of a prompt that other requests share.
 
     ``key`` names it and the scope of teams that may read it, whatever the
-    weights.
+    weights; ``root_key`` names its first segment alike, empty if it has no
+    other. ``prompt_tokens`` is the size of the whole prompt.
     """
 
     key: str
     tokens: int
+    prompt_tokens: int = 0
+    root_key: str = ''
 
 
 @attrs.frozen(kw_only=True)
@@ -20,24 +23,27 @@
     """Describe an engine as a holder of KV cache.
 
     Cache of one ``weights_version`` is of no use to another; None if it isn't
-    known. The engine has been filling its cache for ``age_s``, since its
-    start or its last load of weights; ``attempts`` are in flight there.
+    known. The engine has been filling its cache since its start or its last
+    load of weights, at ``filled_since_s``.
     """
 
     id: str
     address: str
     zone: str
     weights_version: int | None
-    age_s: float = float('inf')
-    attempts: int = 0
+    filled_since_s: float = float('-inf')
 
 
 @attrs.frozen(kw_only=True)
 class CacheStoreSite:
-    """Locate a store of KV cache outside the engines."""
+    """Locate a store of KV cache outside the engines.
+
+    ``link_bytes_per_s`` is 0 if it isn't known.
+    """
 
     address: str
     zone: str = ''
+    link_bytes_per_s: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
--- a/tests/unit/test_shared_prefixes.py
+++ b/tests/unit/test_shared_prefixes.py
@@ -3,14 +3,21 @@
 import attrs
 import pytest
 from tests.prefix_builders import (
+    PREFILL_S_PER_TOKEN,
     STORES,
+    ZONES,
     Fleet,
     build_caches,
     build_plan,
     build_prefix,
 )
 
-from arbutusbay.prefixes import CacheAges, PrefixPopularity, SharedPrefix
+from arbutusbay.prefixes import (
+    EngineCaches,
+    PrefixLoad,
+    PrefixPopularity,
+    SharedPrefix,
+)
 
 SUBJECTS = tuple(f'shared/subject-{number}' for number in range(700))
 SKEW = 0.3
@@ -19,6 +26,18 @@
 HOT_WEIGHTS = (sum(WEIGHTS) * HOT_SHARE / (1 - HOT_SHARE), *WEIGHTS[1:])
 
 
+def build_team_subjects() -> tuple[list[str], list[float]]:
+    """Return subjects by the teams that may share them, and their weights."""
+    subjects = {}
+    for team in range(16):
+        scope = f'team-{team}' if team % 3 == 2 else 'shared'
+        for rank in range(1223):
+            key = f'{scope}/subject-{rank}'
+            weight = (team + 1) ** -1.2 * (rank + 1) ** -SKEW
+            subjects[key] = subjects.get(key, 0) + weight
+    return list(subjects), list(subjects.values())
+
+
 def build_fleet() -> Fleet:
     """Return engines with memory for about as much as is asked for."""
     return Fleet(
@@ -39,6 +58,25 @@
     assert fleet.saves < 0.6 * fleet.sent.total()
 
 
+# 16 teams of which five share nothing with others, 1,223 subjects, and new
+# weights every 4 s: few subjects come twice before all is read anew, but their
+# four forms come at every engine. Moving cache takes half as long as reading
+# within a zone, and as long between zones.
+def test_beginnings_are_fetched_after_each_load_of_weights():
+    fleet = Fleet(
+        vms=141,
+        engines=30,
+        engine_tokens=104_000,
+        store_tokens=2_370_000,
+        token_s=PREFILL_S_PER_TOKEN / 2,
+    )
+    subjects, weights = build_team_subjects()
+    for _ in range(5):
+        fleet.play(subjects, weights, per_s=60, seconds=4)
+        fleet.load_weights()
+    assert fleet.read_again_tokens < 0.05 * fleet.shared_tokens
+
+
 def test_lost_reports_cost_few_tokens():
     fleet = build_fleet()
     fleet.is_reporting = False
@@ -116,6 +154,17 @@
     assert not plan.save_address('engine-0')
 
 
+def test_engines_of_other_zones_fetch_what_they_would_read_as_long():
+    token_s = PREFILL_S_PER_TOKEN / 2
+    plan = build_plan(build_caches(), token_s=token_s)
+    assert all(plan.source_of(name) for name in plan.caches)
+    plan = build_plan(build_caches(), token_s=1.1 * token_s)
+    zones = {
+        plan.caches[name].zone for name in plan.caches if plan.source_of(name)
+    }
+    assert zones == {plan.store.zone}
+
+
 def test_slow_link_makes_no_fetch_worth_it():
     plan = build_plan(build_caches(), token_s=1.0)
     assert not any(plan.source_of(name) for name in plan.caches)
@@ -125,7 +174,9 @@
 
 @pytest.mark.parametrize(('stores', 'share'), [(STORES, 0.1), ((), 1)])
 def test_new_cache_reads_or_fetches(stores, share):
-    new = build_plan(build_caches(age_s=0), stores=stores, saved_versions={1})
+    new = build_plan(
+        build_caches(filled_since_s=0.0), stores=stores, saved_versions={1}
+    )
     old = build_plan(build_caches(), stores=stores, saved_versions={1})
     owner = next(iter(new.owners))
     assert old.read_tokens(owner) == 0
@@ -142,20 +193,32 @@
         assert not saved.save_address(name)
 
 
-def test_request_without_a_shared_prefix_moves_nothing():
-    plan = build_plan(build_caches(), prefix=SharedPrefix(key='a1', tokens=0))
-    assert not plan.source_of('engine-0')
-    assert not plan.save_address('engine-0')
+@pytest.mark.parametrize('stores', [STORES, ()])
+@pytest.mark.parametrize('tokens', [0, 200])
+def test_request_with_no_or_a_short_shared_prefix_moves_nothing(tokens, stores):
+    prefix = SharedPrefix(key='a1', tokens=tokens, prompt_tokens=9000)
+    plan = build_plan(build_caches(), prefix=prefix, stores=stores)
+    for name in plan.caches:
+        assert not plan.source_of(name)
+        assert not plan.save_address(name)
+    assert plan.read_tokens(next(iter(plan.owners))) == 0
+
+
+def test_only_new_beginnings_are_saved_where_not_all_is():
+    for root_versions, is_saved in (((), True), ({2}, True), ({1}, False)):
+        plan = build_plan(
+            build_caches(), root_versions=root_versions, saves_all=False
+        )
+        assert bool(plan.save_address('engine-0')) == is_saved
+    plan = build_plan(build_caches(), root_versions={1})
+    assert plan.save_address('engine-0')
 
 
 def test_owner_with_too_much_load_takes_none():
-    caches = build_caches(attempts=2)
+    caches = build_caches()
     owner, second, *_ = build_plan(caches).owners
-    caches = [
-        attrs.evolve(cache, attempts=12) if cache.id == owner else cache
-        for cache in caches
-    ]
-    plan = build_plan(caches)
+    attempts = {cache.id: 2 for cache in caches} | {owner: 12}
+    plan = build_plan(caches, load=PrefixLoad(now_s=0.0, attempts=attempts))
     assert next(iter(plan.owners)) == second
     assert plan.copy_cost_tokens(second) == 0
     assert plan.copy_cost_tokens(owner) > 0
@@ -195,11 +258,32 @@
     assert popularity.replicas('hot', 30, 30.0) > 10
 
 
-def test_age_begins_anew_with_a_restart_or_new_weights():
-    ages = CacheAges(started_s=0)
-    assert ages.age_s('e', 1, 1, 1.0) == float('inf')
-    assert ages.age_s('e', 1, 2, 10.0) == 0
-    assert ages.age_s('e', 1, 2, 12.0) == 2
-    assert ages.age_s('e', 2, 2, 13.0) == 0
-    ages.retain(set())
-    assert ages.age_s('e', 2, 2, 20.0) == 0
+def find_since_s(caches, incarnation, weights_version, now_s) -> float:
+    """Return since when an engine is taken to fill its cache."""
+    return caches.find(
+        'e',
+        incarnation,
+        weights_version,
+        address='10.1.0.1:1',
+        zone=ZONES[0],
+        now_s=now_s,
+    ).filled_since_s
+
+
+def test_cache_is_filled_anew_after_a_restart_or_new_weights():
+    caches = EngineCaches(started_s=0)
+    assert find_since_s(caches, 1, 1, 1.0) == float('-inf')
+    assert find_since_s(caches, 1, 2, 10.0) == 10
+    assert find_since_s(caches, 1, 2, 12.0) == 10
+    assert find_since_s(caches, 2, 2, 13.0) == 13
+    caches.retain(('e',))
+    assert find_since_s(caches, 2, 2, 20.0) == 13
+
+
+def test_engines_that_are_gone_are_forgotten():
+    caches = EngineCaches(started_s=0)
+    for number in range(1000):
+        caches.find(f'e{number}', 1, 1, address='', zone='', now_s=number)
+        caches.retain((f'e{number}',))
+    assert len(caches.known) < 100
+    assert 'e999' in caches.known
