Keep a dead store left out between two reports

But 14 VMs took it back in between, as reports held for 1 s and come once a second; each time they forgot all saves.

Change: a report holds for 2.2 s.

--- a/src/arbutusbay/prefixes/_store_health.py
+++ b/src/arbutusbay/prefixes/_store_health.py
@@ -25,8 +25,9 @@
 _MAX_CHECK_INTERVAL_S = 8.0
 _FAILURES_TO_LEAVE_OUT = 2
 _RETRY_INTERVAL_S = 0.5
-# Without new reports the store is used again.
-_REPORT_TTL_S = 1.0
+# Without new reports the store is used again; a VM sends one a second, or two
+# if one gets lost.
+_REPORT_TTL_S = 2.2
 _REPORTERS_TO_LEAVE_OUT = 2
 _MAX_REPORTERS = 8
 MAX_REPORTED_STORES = 16
