Move short prefixes unless saves keep the links of stores busy

Change: they stay unmoved only while the share of saves is lowered, which shows that the links are busy.

--- a/src/arbutusbay/node/_prefix_planner.py
+++ b/src/arbutusbay/node/_prefix_planner.py
@@ -25,6 +25,7 @@
     SaveThrottle,
     SharedPrefix,
     TransferSpec,
+    min_moved_tokens,
     plan_prefix,
     store_for,
     token_link_s,
@@ -123,16 +124,18 @@
         stores = self._usable_stores(moment_s)
         if self.throttle.is_due(moment_s):
             self._update_throttle(service, stores, caches, moment_s)
-        store = store_for(prefix, stores)
+        share = self.throttle.share
+        min_tokens = min_moved_tokens(are_links_busy=share < 1)
+        store = store_for(prefix, stores, min_tokens=min_tokens)
         saved_versions = functools.partial(
             self._saved_versions, caches, moment_s
         )
-        share = self.throttle.share
         return KeptPrefix(
             store=store,
             saved_versions=saved_versions(prefix.key),
             root_versions=saved_versions(_root_at(prefix, store)),
             saves_all=share >= 1 or self.node_state.rng.random() < share,
+            min_tokens=min_tokens,
         )
 
     def _update_throttle(
--- a/src/arbutusbay/prefixes/__init__.py
+++ b/src/arbutusbay/prefixes/__init__.py
@@ -5,6 +5,7 @@
     KeptPrefix,
     PrefixLoad,
     PrefixPlan,
+    min_moved_tokens,
     plan_prefix,
     store_for,
 )
@@ -47,6 +48,7 @@
     'SharedPrefix',
     'StoreHealth',
     'TransferSpec',
+    'min_moved_tokens',
     'plan_prefix',
     'store_for',
     'token_link_s',
--- a/src/arbutusbay/prefixes/_plan.py
+++ b/src/arbutusbay/prefixes/_plan.py
@@ -23,7 +23,7 @@
 # A new cache is half filled with what its engine is asked for after this.
 _FILL_HALF_LIFE_S = 2.0
 # Shorter prefixes are read before a transfer that waits for others is done.
-_MIN_TRANSFER_TOKENS = 512
+_MIN_TOKENS_OVER_BUSY_LINKS = 512
 # Reading holds up the other requests of an engine, a fetch doesn't.
 _MAX_FETCH_SHARE = 1.0
 # What a source may have dropped makes a fetch worth less.
@@ -43,13 +43,15 @@
     ``store`` keeps it, None if there is no store or the prefix is too short to
     be moved. It was saved lately for ``saved_versions`` of the weights, its
     first segment for ``root_versions``. Unless this ``saves_all``, a prefix
-    whose first segment was saved isn't.
+    whose first segment was saved isn't. A prefix of less than ``min_tokens`` is
+    not moved.
     """
 
     store: CacheStoreSite | None = None
     saved_versions: Collection[int | None] = ()
     root_versions: Collection[int | None] = ()
     saves_all: bool = True
+    min_tokens: int = 1
 
 
 @attrs.frozen(kw_only=True)
@@ -163,7 +165,7 @@
         return owner if is_same_version else None
 
     def _is_worth_fetching(self, cache: EngineCache, source_zone: str) -> bool:
-        if self.prefix.tokens < _MIN_TRANSFER_TOKENS:
+        if self.prefix.tokens < self.kept.min_tokens:
             return False
         fetch_s = self.transfer.token_s * zone_factor(source_zone, cache.zone)
         return fetch_s <= _MAX_FETCH_SHARE * self.transfer.prefill_s_per_token
@@ -193,15 +195,23 @@
     )
 
 
+def min_moved_tokens(*, are_links_busy: bool) -> int:
+    """Return how many tokens a prefix must have to be moved."""
+    return _MIN_TOKENS_OVER_BUSY_LINKS if are_links_busy else 1
+
+
 def store_for(
-    prefix: SharedPrefix, stores: Sequence[CacheStoreSite]
+    prefix: SharedPrefix,
+    stores: Sequence[CacheStoreSite],
+    *,
+    min_tokens: int = 1,
 ) -> CacheStoreSite | None:
     """Return the store that keeps a prefix, None if none does.
 
-    Each prefix has one store, whatever the engine, so that the stores
+    None keeps a prefix of less than ``min_tokens``. Each prefix has one store, whatever the engine, so that the stores
     together keep as much as they can and the loss of an engine moves nothing.
     """
-    if not stores or prefix.tokens < _MIN_TRANSFER_TOKENS:
+    if not stores or prefix.tokens < min_tokens:
         return None
     by_address = {store.address: store for store in stores}
     return by_address[rank_by_rendezvous_hash(prefix.key, by_address)[0]]
