--- a/src/arbutusbay/prefixes/_plan.py
+++ b/src/arbutusbay/prefixes/_plan.py
@@ -208,8 +208,9 @@
 ) -> CacheStoreSite | None:
     """Return the store that keeps a prefix, None if none does.
 
-    None keeps a prefix of less than ``min_tokens``. Each prefix has one store, whatever the engine, so that the stores
-    together keep as much as they can and the loss of an engine moves nothing.
+    None keeps a prefix of less than ``min_tokens``. Each prefix has one store,
+    whatever the engine, so that the stores together keep as much as they can
+    and the loss of an engine moves nothing.
     """
     if not stores or prefix.tokens < min_tokens:
         return None
