Take engines of nearly the same cost as alike where reports are late

In a fleet of two tiers all VMs chose the engine that seemed cheapest by reports up to half a second old. Engines within 1,000 tokens of it are now drawn by chance, 100 elsewhere as before.

--- a/src/arbutusbay/node/_placer.py
+++ b/src/arbutusbay/node/_placer.py
@@ -334,6 +334,9 @@
             * _QUEUED_PREFILL_LATENCY_SHARE
             / self.node_state.prefill_s_per_token,
             now_s=moment_s,
+            has_late_reports=_has_late_reports(
+                self.node_state, incoming.service
+            ),
         )
         return choose_model_engine(
             request_size_of(incoming),
@@ -438,6 +441,12 @@
         return configuration.kv_cache_stores[0].address
 
 
+def _has_late_reports(node_state: NodeState, service: ServiceSpec) -> bool:
+    """Return whether other VMs place much at engines before it is known."""
+    members = node_state.members.members
+    return bool(service.kv_capacity_tokens) and has_tiers(len(members))
+
+
 def _expect_prefill(
     node_state: NodeState,
     service: ServiceSpec,
@@ -449,8 +458,7 @@
     That matters where reports of other zones are later than engines, in a
     fleet of two tiers.
     """
-    members = node_state.members.members
-    if not service.kv_capacity_tokens or not has_tiers(len(members)):
+    if not _has_late_reports(node_state, service):
         return
     tokens_per_s = 1 / node_state.prefill_s_per_token
     for view in views:
--- a/src/arbutusbay/scheduling/_placement.py
+++ b/src/arbutusbay/scheduling/_placement.py
@@ -37,6 +37,7 @@
 _EXCESS_REQUEST_COST_TOKENS = 400
 _OTHER_ZONE_COST_TOKENS = 60
 _TIE_MARGIN_TOKENS = 100
+_LATE_REPORTS_TIE_MARGIN_TOKENS = 1000
 _SHORT_PROMPT_MISMATCH_TOKENS = 5000
 _PLANNED_LOAD_COST_TOKENS = 8000
 _LONG_PROMPT_MISMATCH_TOKENS = 12_000
@@ -77,7 +78,9 @@
     outside the engines makes it smaller. ``prefix_plan`` tells instead what
     each engine reads, where engines can fetch from each other.
     ``max_queued_tokens`` limits the uncached prompt tokens at an engine,
-    multiplied by its slowdown.
+    multiplied by its slowdown. With ``has_late_reports`` others
+    may have placed much that is not known yet, so engines whose costs differ
+    more count as alike.
     """
 
     own_zone: str
@@ -87,6 +90,7 @@
     max_queued_tokens: float
     now_s: float
     prefix_plan: PrefixPlan | None = None
+    has_late_reports: bool = False
 
 
 class Lack(enum.Enum):
@@ -185,8 +189,8 @@
     ]
     fitting = [choice for choice in choices if choice.has_capacity]
     if fitting:
-        return _cheapest(fitting, placement_context.now_s, rng)
-    cheapest = _cheapest(choices, placement_context.now_s, rng)
+        return _cheapest(fitting, placement_context, rng)
+    cheapest = _cheapest(choices, placement_context, rng)
     return attrs.evolve(cheapest, lacks=_count_lacks(choices))
 
 
@@ -230,15 +234,20 @@
 
 
 def _cheapest(
-    choices: Sequence[EngineChoice], now_s: float, rng: random.Random
+    choices: Sequence[EngineChoice],
+    placement_context: PlacementContext,
+    rng: random.Random,
 ) -> EngineChoice:
     """Return one of the choices of nearly the lowest cost."""
     best = min(choice.cost for choice in choices)
-    near = [
-        choice for choice in choices if choice.cost <= best + _TIE_MARGIN_TOKENS
-    ]
+    margin = _TIE_MARGIN_TOKENS
+    if placement_context.has_late_reports:
+        margin = _LATE_REPORTS_TIE_MARGIN_TOKENS
+    limit = best + margin
+    near = [choice for choice in choices if choice.cost <= limit]
     engines = [choice.engine for choice in near]
-    return near[draw_by_speed(engines, now_s=now_s, rng=rng)]
+    position = draw_by_speed(engines, now_s=placement_context.now_s, rng=rng)
+    return near[position]
 
 
 def _count_lacks(choices: Sequence[EngineChoice]) -> Mapping[Lack, int]:
--- a/tests/unit/test_engine_placement.py
+++ b/tests/unit/test_engine_placement.py
@@ -1,6 +1,7 @@
 """Check the choice of backend servers and the split by prompt length."""
 
 import random
+from collections import Counter
 
 import attrs
 import pytest
@@ -324,3 +325,24 @@
     reported = Occupancy(attempts=2, uncached_tokens=10_000, kv_tokens=9_000)
     occupancy.record_report('vm-1', reported, NOW_S)
     assert occupancy.total(NOW_S + 0.5) == reported
+
+
+# Load that it answers: 141 VMs that place at once at 30 engines, all from the
+# same reports. No engine may get more than four times its part.
+def test_vms_that_place_at_once_spread_over_engines_alike():
+    views = build_views(30)
+    for number, view in enumerate(views):
+        add_attempts(view, 30 * number)
+    work = build_work(prompt_tokens=900, shared_prefix_tokens=0)
+    chosen = Counter(
+        choose(
+            views,
+            work,
+            seed=seed,
+            max_queued_tokens=50_000,
+            short_prompt_fractions={view.id: 1.0 for view in views},
+            has_late_reports=True,
+        ).engine.id
+        for seed in range(141)
+    )
+    assert max(chosen.values()) <= 4 * 141 / 30
