Keep requests with their prefix where reports are late

Change: beyond the usual margin only engines that don't read more of the prompt count as alike. The new test fails before.

--- a/src/arbutusbay/scheduling/_placement.py
+++ b/src/arbutusbay/scheduling/_placement.py
@@ -239,17 +239,39 @@
     rng: random.Random,
 ) -> EngineChoice:
     """Return one of the choices of nearly the lowest cost."""
-    best = min(choice.cost for choice in choices)
-    margin = _TIE_MARGIN_TOKENS
-    if placement_context.has_late_reports:
-        margin = _LATE_REPORTS_TIE_MARGIN_TOKENS
-    limit = best + margin
-    near = [choice for choice in choices if choice.cost <= limit]
+    best = min(choices, key=_cost)
+    near = [
+        choice
+        for choice in choices
+        if _is_near(choice, best, placement_context)
+    ]
     engines = [choice.engine for choice in near]
     position = draw_by_speed(engines, now_s=placement_context.now_s, rng=rng)
     return near[position]
 
 
+def _is_near(
+    choice: EngineChoice,
+    best: EngineChoice,
+    placement_context: PlacementContext,
+) -> bool:
+    """Return whether the cost of a choice is nearly that of the best one.
+
+    Late reports make what waits uncertain, but not what an engine would read.
+    """
+    excess_tokens = choice.cost - best.cost
+    if excess_tokens <= _TIE_MARGIN_TOKENS:
+        return True
+    reads_more = choice.uncached_tokens > best.uncached_tokens
+    if reads_more or not placement_context.has_late_reports:
+        return False
+    return excess_tokens <= _LATE_REPORTS_TIE_MARGIN_TOKENS
+
+
+def _cost(choice: EngineChoice) -> float:
+    return choice.cost
+
+
 def _count_lacks(choices: Sequence[EngineChoice]) -> Mapping[Lack, int]:
     return Counter(lack for choice in choices for lack in choice.lacks)
 
--- a/tests/unit/test_engine_placement.py
+++ b/tests/unit/test_engine_placement.py
@@ -346,3 +346,18 @@
         for seed in range(141)
     )
     assert max(chosen.values()) <= 4 * 141 / 30
+
+
+# Guards against prefixes that are read at all engines where reports are late.
+def test_late_reports_keep_requests_with_their_prefix():
+    views = build_views(30)
+    work = build_work(prompt_tokens=900, shared_prefix_tokens=800)
+    placed = [
+        choose(views, work, seed=seed, has_late_reports=late)
+        for seed in range(141)
+        for late in (False, True)
+    ]
+    usual, late = placed[::2], placed[1::2]
+    assert {choice.engine.id for choice in late} == {
+        choice.engine.id for choice in usual
+    }
