Take a silence for no lack of places of late requests either

Change: while no place came to anybody for longer than usual, the late rate leaves out the first second of its gap, as the rate of all requests does.

--- a/src/arbutusbay/_admission.py
+++ b/src/arbutusbay/_admission.py
@@ -132,6 +132,15 @@
         sound = self.after_silence
         return max(self.mean, sound.mean) if sound else self.mean
 
+    def with_gaps(self, factor: float) -> 'PlaceRate':
+        """Return the rate with gaps that are ``factor`` times as long."""
+        sound = self.after_silence
+        return attrs.evolve(
+            self,
+            gaps_s=self.gaps_s * factor,
+            after_silence=sound and sound.with_gaps(factor),
+        )
+
 
 @attrs.define(kw_only=True, eq=False)
 class StartPredictor:
@@ -156,6 +165,11 @@
     usual_gap_s: float = float('inf')
     sound_gaps_s: float = 0.0
 
+    @property
+    def is_silent(self) -> bool:
+        """Return whether no place came for longer than usual, where known."""
+        return self.open_gap_s > self.usual_gap_s
+
     def record_waiting(self, waiting: int, now_s: float) -> None:
         """Record how many requests wait from now on."""
         self._advance(now_s)
--- a/src/arbutusbay/scheduling/_start_forecast.py
+++ b/src/arbutusbay/scheduling/_start_forecast.py
@@ -86,13 +86,14 @@
             ahead=self.late_ahead[level],
             now_s=self.now_s,
             returning=self.returning,
-            rate=attrs.evolve(rate, gaps_s=rate.gaps_s * shorter),
+            rate=rate.with_gaps(shorter),
         )
 
     def _late_rate(self, level: int, awaits_silence: bool) -> PlaceRate:
         """Return the rate of places of late requests, measured and expected.
 
-        The order leaves them all places but those that newcomers claim.
+        The order leaves them all places but those that newcomers claim. They
+        get none in a silence in which nobody gets any.
         """
         key = (level, awaits_silence)
         if key not in self.late_rates:
@@ -102,10 +103,10 @@
                 places=1,
                 within_s=1 / places_per_s,
                 is_limit=False,
-                may_be_silent=False,
+                may_be_silent=self.starts.is_silent,
             )
             self.late_rates[key] = self.late_starts[level].rate(
-                self.now_s, expected
+                self.now_s, expected, awaits_silence=awaits_silence
             )
         return self.late_rates[key]
 
