Queue calls to plain servers at the VM while all slots are taken

Cause: calls were sent at once whatever was in flight, and waited in the queue of a plain server, without an order, until their deadline. Change: a call waits in the fair queue of its service while all servers have as many attempts as slots, own and reported; with a slot free it is sent at once, as without known slots or without an own call there. It is refused with 503 once it can't start by its deadline less its route's usual time and a quarter of it. As before nothing waits for the end of a pause that all servers asked for. The work of teams counts the time of calls. A VM that died may hold slots for as long as its report counts.

--- a/src/arbutusbay/node/_dispatcher.py
+++ b/src/arbutusbay/node/_dispatcher.py
@@ -45,6 +45,11 @@
 # An engine may have as much queued prefill before a request, see the placer.
 _START_MARGIN_LATENCY_SHARE = 0.6
 _MAX_MARGIN_SHARE = 0.5
+_CALL_MARGIN_SHARE = 0.25
+_MIN_CALL_S = 0.01
+# The work of teams is compared within a service, so any unit would do.
+_CALL_TOKENS_PER_S = 10_000
+_RETURNING = frozenset((ErrorKind.OVERLOADED, ErrorKind.NO_BACKEND_SERVER))
 # How many times the mean work of the teams a team may get before the others
 # come first: see ``FairQueue``. Within it the target decides.
 _TEAM_ALLOWANCE = 1.1
@@ -234,7 +239,9 @@
         incoming = pending.request.incoming
         left_s = incoming.client_leaves_s - estimate.predicted_s
         failure = Failure(
-            kind=ErrorKind.OVERLOADED,
+            kind=ErrorKind.OVERLOADED
+            if incoming.is_model_request
+            else ErrorKind.NO_BACKEND_SERVER,
             detail=f'a start is predicted in {estimate.delay_s:.2f} s, '
             f'the client waits for {left_s:.2f} s: {estimate.ahead} '
             f'requests ahead, {estimate.places_per_s:.2f} places/s',
@@ -277,7 +284,12 @@
         return False
 
     def _may_be_accepted_later(self, pending: PendingPlacement) -> bool:
-        """Return whether a server that asked for a pause may accept in time."""
+        """Return whether a server that asked for a pause may accept in time.
+
+        Calls to plain servers don't wait for the end of a pause.
+        """
+        if not pending.request.incoming.is_model_request:
+            return False
         accepted_s = self.placer.next_acceptance_s(pending.request)
         return accepted_s is not None and pending.can_meet_deadline(accepted_s)
 
@@ -348,9 +360,9 @@
         incoming = request.incoming
         size = request_size_of(incoming)
         tokens = size.prompt_tokens - size.shared_prefix_tokens
-        service_s = tokens * self.node_state.prefill_s_per_token
+        service_s = _service_s(self.node_state, incoming, tokens)
         margin_s = min(
-            incoming.route.target_latency_s * _START_MARGIN_LATENCY_SHARE,
+            _start_margin_s(incoming, service_s),
             (incoming.client_leaves_s - now_s()) * _MAX_MARGIN_SHARE,
         )
         return PendingPlacement(
@@ -362,7 +374,7 @@
             service_s=service_s,
             latest_start_s=incoming.client_leaves_s - service_s - margin_s,
             team=incoming.team.name if incoming.team else '',
-            weighted_work=work_tokens(tokens, size.output_tokens),
+            weighted_work=_work_of(incoming, tokens, service_s),
             size_class=size.prompt_tokens.bit_length(),
             has_returned=self.node_state.returns.take(
                 return_key_of(incoming), now_s()
@@ -372,6 +384,31 @@
         )
 
 
+def _service_s(
+    node_state: NodeState, incoming: IncomingRequest, tokens: int
+) -> float:
+    """Return how long a server works before the first event or the answer."""
+    if incoming.is_model_request:
+        return tokens * node_state.prefill_s_per_token
+    return node_state.speeds.book.expected_s(
+        incoming.service.name, incoming.route.name
+    )
+
+
+def _work_of(incoming: IncomingRequest, tokens: int, service_s: float) -> float:
+    """Return the work of a request, which its team got once it is placed."""
+    if incoming.is_model_request:
+        return work_tokens(tokens, request_size_of(incoming).output_tokens)
+    return _CALL_TOKENS_PER_S * max(_MIN_CALL_S, service_s)
+
+
+def _start_margin_s(incoming: IncomingRequest, service_s: float) -> float:
+    """Return how much earlier to start than the expected work needs."""
+    if incoming.is_model_request:
+        return incoming.route.target_latency_s * _START_MARGIN_LATENCY_SHARE
+    return service_s * _CALL_MARGIN_SHARE
+
+
 def _predict_again(
     queue: AdmissionQueue, pending: PendingPlacement, moment_s: float
 ) -> StartEstimate:
@@ -402,7 +439,7 @@
     returns: ExpectedReturns, pending: PendingPlacement, failure: Failure
 ) -> None:
     """Remember a refused request, so that it goes first if it returns."""
-    if failure.kind is ErrorKind.OVERLOADED and failure.retry_after_s:
+    if failure.kind in _RETURNING and failure.retry_after_s:
         returns.expect(
             return_key_of(pending.request.incoming),
             after_s=failure.retry_after_s,
--- a/src/arbutusbay/node/_placement.py
+++ b/src/arbutusbay/node/_placement.py
@@ -102,11 +102,9 @@
     def can_queue(self) -> bool:
         """Return whether the request may be queued until capacity is free.
 
-        Requests without a model and resumed streams are placed immediately.
+        Resumed streams are placed immediately.
         """
-        return (
-            self.incoming.is_model_request and not self.resume_point.has_begun
-        )
+        return not self.resume_point.has_begun
 
 
 def return_key_of(incoming: IncomingRequest) -> int:
--- a/src/arbutusbay/scheduling/_placement.py
+++ b/src/arbutusbay/scheduling/_placement.py
@@ -200,14 +200,22 @@
     """Return the least loaded backend server, None without servers.
 
     On equal load, servers of the VM's own zone are preferred. Servers of
-    different speeds get work in proportion to these instead.
+    different speeds get work in proportion to these instead. The choice has
+    capacity if any server has a free slot. It has, too, while this VM has no
+    call at any of them: then nothing would show it that places come free.
     """
     if not engines:
         return None
+    has_capacity = any(
+        _has_free_slot(engine, now_s) for engine in engines
+    ) or not any(engine.occupancy.open_attempts for engine in engines)
     if differ_in_speed(engines):
         server = choose_by_speed(engines, now_s=now_s, rng=rng)
         return EngineChoice(
-            engine=server, uncached_tokens=0, cost=_server_cost(server, now_s)
+            engine=server,
+            uncached_tokens=0,
+            cost=_server_cost(server, now_s),
+            has_capacity=has_capacity,
         )
     ranked = [
         (
@@ -219,7 +227,18 @@
         for position, engine in enumerate(engines)
     ]
     cost, _, _, position = min(ranked)
-    return EngineChoice(engine=engines[position], uncached_tokens=0, cost=cost)
+    return EngineChoice(
+        engine=engines[position],
+        uncached_tokens=0,
+        cost=cost,
+        has_capacity=has_capacity,
+    )
+
+
+def _has_free_slot(engine: EngineView, now_s: float) -> bool:
+    """Return whether a call begins at once; so it may without known slots."""
+    attempts = engine.occupancy.total(now_s).attempts
+    return engine.slots <= 0 or attempts < engine.slots
 
 
 def _server_cost(engine: EngineView, now_s: float) -> float:
--- a/src/arbutusbay/speeds/_speed_book.py
+++ b/src/arbutusbay/speeds/_speed_book.py
@@ -147,6 +147,12 @@
             if work in work_times or len(work_times) < _MAX_KINDS_OF_WORK:
                 work_times.setdefault(work, WorkTime()).adopt(line)
 
+    def expected_s(self, pool_name: str, work: str) -> float:
+        """Return how long work without units takes, 0 if it isn't known."""
+        pool = self.pools.get(pool_name)
+        known = pool.work_times.get(work) if pool else None
+        return known.expected_s(0) if known and known.is_known else 0.0
+
     def lines(self) -> Mapping[tuple[str, str], WorkLine]:
         """Return how long work takes, as far as this VM found it itself."""
         found = (
