Save all prompts that the links of stores can carry

Change: the share falls only once saves are more than the links carry, then until they use half of them, as before. The tests of the rule are unchanged.

--- a/src/arbutusbay/prefixes/_save_throttle.py
+++ b/src/arbutusbay/prefixes/_save_throttle.py
@@ -2,11 +2,14 @@
 
 A save moves a whole prompt over the link of a store, and the fetches of other
 requests wait behind it. All VMs see about the same saves in each other's
-reports, so each adjusts its own share of them.
+reports, so each adjusts its own share of them. Saves that the links can carry
+are all made.
 """
 
 _UPDATE_INTERVAL_S = 2.0
-# Of the time of the stores' links; the rest is for fetches.
+# Of the time of the stores' links. Beyond it the saves queue up.
+_FULL_LINK_USE = 1.0
+# What saves may use of full links; the rest is for fetches.
 _MAX_LINK_USE = 0.5
 _MIN_SHARE = 0.05
 _MAX_DECREASE = 0.5
@@ -52,6 +55,6 @@
         self.updated_s = now_s
         use = saves_per_s * (self.prompt_tokens or 0) * token_link_s
         change = _MAX_INCREASE ** min(intervals, _MAX_INTERVALS)
-        if use:
+        if use > _FULL_LINK_USE or (use and self.share < 1):
             change = min(change, max(_MAX_DECREASE, _MAX_LINK_USE / use))
         self.share = min(1.0, max(_MIN_SHARE, self.share * change))
