--- a/src/arbutusbay/_reader_budget.py
+++ b/src/arbutusbay/_reader_budget.py
@@ -3,8 +3,8 @@
 What a client has not taken may fill a small buffer at once. Beyond it a little
 more is allowed the longer the client takes nothing: the server behind is read
 again and again, as it ends a response that stays unread for some seconds. All
-clients that are behind share a budget, and the more there are, the less each
-one may leave unread.
+clients that are behind share a budget: the more there are, the less each one
+may leave unread, but always a few KiB.
 """
 
 from collections.abc import Iterator
@@ -18,7 +18,7 @@
 _REQUEST_BYTES = 262_144
 _LEAST_BYTES = 4096
 _MEMORY_RATIO = 0.1
-_DEFAULT_TOTAL_BYTES = 13_600_000
+_DEFAULT_MEMORY_BYTES = 128_000_000
 
 
 @attrs.define(kw_only=True)
@@ -30,7 +30,7 @@
     awaited that leaves no more than ``first_bytes``.
     """
 
-    total_bytes: int = _DEFAULT_TOTAL_BYTES
+    total_bytes: int = int(_DEFAULT_MEMORY_BYTES * _MEMORY_RATIO)
     held_bytes: int = 0
     behind_count: int = 0
     wait_count: int = 0
--- a/src/arbutusbay/_reader_flow.py
+++ b/src/arbutusbay/_reader_flow.py
@@ -56,7 +56,7 @@
     async def wait(self) -> None:
         """Wait until no more is unread than the budget allows.
 
-        Raises ``ClientConnectionResetError`` if the connection is lost.
+        Raises ``ClientConnectionResetError`` if the connection was lost before.
         """
         if self.is_lost:
             raise ClientConnectionResetError('connection lost')
--- a/src/arbutusbay/_response_streams.py
+++ b/src/arbutusbay/_response_streams.py
@@ -72,7 +72,7 @@
 
     async def _write_piece(self, piece: bytes) -> None:
         await self.response.write(piece)
-        if self.flow is not None and self.flow.is_behind:
+        if self.flow is not None:
             await self.flow.wait()
 
 
--- a/src/arbutusbay/node/_load_announcements.py
+++ b/src/arbutusbay/node/_load_announcements.py
@@ -36,7 +36,7 @@
     datagram may be lost.
     """
 
-    last_payload: bytes = b''
+    last_sent: LoadAnnouncement | None = None
     last_sent_s: float = float('-inf')
 
     def next_datagram(self, own: PeerState, moment_s: float) -> bytes | None:
@@ -55,10 +55,10 @@
                 if _has_loaded(own.loads.get(server), loaded.versions)
             },
         )
-        payload = announcement_to_bytes(announcement, 0)
-        if payload == self.last_payload and elapsed_s < _REPEAT_INTERVAL_S:
+        is_known = announcement == self.last_sent
+        if is_known and elapsed_s < _REPEAT_INTERVAL_S:
             return None
-        self.last_payload = payload
+        self.last_sent = announcement
         self.last_sent_s = moment_s
         return announcement_to_bytes(announcement, moment_s)
 
--- a/src/arbutusbay/node/_node_state.py
+++ b/src/arbutusbay/node/_node_state.py
@@ -41,7 +41,7 @@
 _MAX_WAIT_FOR_VERDICTS_S = 2.0
 # Divides the limits of the fleet while the number of its VMs is not known.
 _MAX_VMS = 400
-# A part of the rate of the slowest links in use, and of what they queue.
+# Less than a link of 5 Mbit/s carries, and than a queue of 32 KiB holds.
 _SENT_BYTES_PER_S = 400_000
 _SENT_BURST_BYTES = 24_576
 _LOG = get_logger('store')
--- a/src/arbutusbay/node/_peer_state_receiver.py
+++ b/src/arbutusbay/node/_peer_state_receiver.py
@@ -63,12 +63,16 @@
     def apply_announcement(
         self, announcement: LoadAnnouncement, moment_s: float
     ) -> None:
-        """Apply what the VM that loads weights told all others."""
+        """Apply what the VM that loads weights told all others.
+
+        What it says of unknown servers is left out.
+        """
+        known = [view.id for view in self._known_views(announcement.loads)]
         self.announced_s = {
             server: announced_s
             for server, announced_s in self.announced_s.items()
             if self._is_announced(server, moment_s)
-        } | dict.fromkeys(announcement.loads, moment_s)
+        } | dict.fromkeys(known, moment_s)
         self._apply_loads(announcement.loads, announcement.zone, moment_s)
         self._merge_weights(announcement.weights)
 
--- a/src/arbutusbay/node/_placer.py
+++ b/src/arbutusbay/node/_placer.py
@@ -459,9 +459,9 @@
     That matters where reports of other zones are later than engines, in a
     fleet of two tiers.
     """
-    if not _has_late_reports(node_state, service):
-        return
-    tokens_per_s = 1 / node_state.prefill_s_per_token
+    tokens_per_s = 0.0
+    if _has_late_reports(node_state, service):
+        tokens_per_s = 1 / node_state.prefill_s_per_token
     for view in views:
         view.occupancy.drain_tokens_per_s = tokens_per_s / time_factor(
             view, moment_s
--- a/src/arbutusbay/node/_prefix_planner.py
+++ b/src/arbutusbay/node/_prefix_planner.py
@@ -134,7 +134,8 @@
             store=store,
             saved_versions=saved_versions(prefix.key),
             root_versions=saved_versions(_root_at(prefix, store)),
-            saves_all=share >= 1 or self.node_state.rng.random() < share,
+            saves_beside_root=share >= 1
+            or self.node_state.rng.random() < share,
             min_tokens=min_tokens,
         )
 
--- a/src/arbutusbay/prefixes/_plan.py
+++ b/src/arbutusbay/prefixes/_plan.py
@@ -24,12 +24,9 @@
 _FILL_HALF_LIFE_S = 2.0
 # Shorter prefixes are read before a transfer that waits for others is done.
 _MIN_TOKENS_OVER_BUSY_LINKS = 512
-# Reading holds up the other requests of an engine, a fetch doesn't.
-_MAX_FETCH_SHARE = 1.0
 # What a source may have dropped makes a fetch worth less.
 _SOURCE_HIT_SHARE = 0.9
 # A copy takes the place of as much that is read or fetched again later.
-_COPY_COST_SHARE = 1.0
 _COPY_COST_DECAY = 0.5
 # An engine with more than this times the mean attempts comes last for now.
 _MAX_LOAD_FACTOR = 1.5
@@ -42,15 +39,15 @@
 
     ``store`` keeps it, None if there is no store or the prefix is too short to
     be moved. It was saved lately for ``saved_versions`` of the weights, its
-    first segment for ``root_versions``. Unless this ``saves_all``, a prefix
-    whose first segment was saved isn't. A prefix of less than ``min_tokens`` is
-    not moved.
+    first segment for ``root_versions``. A prompt whose first segment was saved
+    is saved as well if this ``saves_beside_root``. A prefix of less than
+    ``min_tokens`` is not moved.
     """
 
     store: CacheStoreSite | None = None
     saved_versions: Collection[int | None] = ()
     root_versions: Collection[int | None] = ()
-    saves_all: bool = True
+    saves_beside_root: bool = True
     min_tokens: int = 1
 
 
@@ -119,8 +116,7 @@
         excess = max(0, rank - self.load.replicas + 1)
         if not excess:
             return 0.0
-        share = _COPY_COST_SHARE * (1 - _COPY_COST_DECAY**excess)
-        return share * self.prefix.tokens
+        return (1 - _COPY_COST_DECAY**excess) * self.prefix.tokens
 
     def source_of(self, engine_id: str) -> str:
         """Return the address that an engine fetches from, empty for none.
@@ -139,7 +135,8 @@
             return ''
         version = self.caches[engine_id].weights_version
         is_new = version not in self.kept.root_versions
-        return self.store.address if is_new or self.kept.saves_all else ''
+        is_saving = is_new or self.kept.saves_beside_root
+        return self.store.address if is_saving else ''
 
     def _own_share(self, cache: EngineCache) -> float:
         rank = self.owners.get(cache.id, len(self.owners))
@@ -165,10 +162,14 @@
         return owner if is_same_version else None
 
     def _is_worth_fetching(self, cache: EngineCache, source_zone: str) -> bool:
+        """Return whether a fetch takes no longer than reading.
+
+        Reading holds up the other requests of an engine, a fetch doesn't.
+        """
         if self.prefix.tokens < self.kept.min_tokens:
             return False
         fetch_s = self.transfer.token_s * zone_factor(source_zone, cache.zone)
-        return fetch_s <= _MAX_FETCH_SHARE * self.transfer.prefill_s_per_token
+        return fetch_s <= self.transfer.prefill_s_per_token
 
 
 def plan_prefix(
--- a/tests/unit/test_reader_flow.py
+++ b/tests/unit/test_reader_flow.py
@@ -9,6 +9,8 @@
 
 from arbutusbay._reader_flow import ReaderFlow
 from arbutusbay.reader_budget import STEP_S, ReaderBudget
+from arbutusbay.response_streams import ResponseStream
+from arbutusbay.responses import BodyEnd
 
 _TOTAL_BYTES = 13_600_000
 _QUICK_S = 0.1
@@ -137,3 +139,25 @@
     async with asyncio.timeout(_QUICK_S):
         await quick.wait()
     waiting.cancel()
+
+
+class FakeResponse:
+    """Take what is written."""
+
+    async def write(self, piece: bytes) -> None:
+        """Take a piece of a body."""
+
+
+# Guards against a client that is taken for silent since it was behind long ago.
+async def test_client_that_caught_up_is_behind_anew(flow):
+    stream = ResponseStream(
+        request=None, response=FakeResponse(), end=BodyEnd.CHUNKS, flow=flow
+    )
+    flow.transport.unread_bytes = 100_000
+    writing = asyncio.create_task(stream.write(b'piece'))
+    await asyncio.sleep(0)
+    flow.transport.take(100_000)
+    await writing
+    assert flow.behind_since_s is not None
+    await stream.write(b'piece')
+    assert flow.behind_since_s is None
--- a/tests/unit/test_shared_prefixes.py
+++ b/tests/unit/test_shared_prefixes.py
@@ -229,7 +229,7 @@
 def test_only_new_beginnings_are_saved_where_not_all_is():
     for root_versions, is_saved in (((), True), ({2}, True), ({1}, False)):
         plan = build_plan(
-            build_caches(), root_versions=root_versions, saves_all=False
+            build_caches(), root_versions=root_versions, saves_beside_root=False
         )
         assert bool(plan.save_address('engine-0')) == is_saved
     plan = build_plan(build_caches(), root_versions={1})
