Save and move prefixes as before where links are busy

Cause: lowered the share of saves and moved no short prefixes where the links of the stores are busy. Change: the rule and its tests are taken out; what a fetch may cost, dead stores and the kept descriptions of engines stay.

--- a/src/arbutusbay/fleet/_types.py
+++ b/src/arbutusbay/fleet/_types.py
@@ -74,12 +74,11 @@
 class KVCacheStoreSpec:
     """Locate a store that keeps KV cache entries outside the engines.
 
-    ``zone`` is empty if it is unknown, ``link_bytes_per_s`` 0.
+    ``zone`` is empty if it is unknown.
     """
 
     address: str
     zone: str = ''
-    link_bytes_per_s: float = 0.0
 
 
 class QuotaUnit(enum.StrEnum):
--- a/src/arbutusbay/node/_prefix_planner.py
+++ b/src/arbutusbay/node/_prefix_planner.py
@@ -1,6 +1,5 @@
 """Plan where the shared prefix of a request is held, for its placement."""
 
-import functools
 from collections.abc import Mapping, Sequence
 
 from arbutusbay.clock import now_s
@@ -22,13 +21,10 @@
     PrefixLoad,
     PrefixPlan,
     PrefixPopularity,
-    SaveThrottle,
     SharedPrefix,
     TransferSpec,
-    min_moved_tokens,
     plan_prefix,
     store_for,
-    token_link_s,
 )
 from arbutusbay.scheduling import EngineView, engines_for_length
 
@@ -50,7 +46,6 @@
         self.stores: Sequence[KVCacheStoreSpec] | None = None
         self.left_out: frozenset[str] = frozenset()
         self.usable_stores: Sequence[CacheStoreSite] = ()
-        self.throttle = SaveThrottle()
 
     def plan(
         self,
@@ -77,7 +72,7 @@
                 token_s=service.kv_token_bytes / service.link_bytes_per_s,
                 prefill_s_per_token=self.node_state.prefill_s_per_token,
             ),
-            kept=self._kept_prefix(prefix, service, caches, moment_s),
+            kept=self._kept_prefix(prefix, caches, moment_s),
             load=PrefixLoad(
                 now_s=moment_s,
                 attempts={
@@ -106,54 +101,19 @@
         headers = placement.attempt_headers
         if plan is None or not headers.kv_save_address:
             return
-        if not placement.attempt.has_first_event:
-            return
-        self.throttle.record_save(plan.prefix.prompt_tokens)
-        for name in (plan.prefix.key, _root_at(plan.prefix, plan.store)):
-            if name:
-                key = _saved_key(name, headers.weights_version)
-                self.node_state.saved_prefixes.record(key, now_s())
+        if placement.attempt.has_first_event:
+            key = _saved_key(plan.prefix.key, headers.weights_version)
+            self.node_state.saved_prefixes.record(key, now_s())
 
     def _kept_prefix(
         self,
         prefix: SharedPrefix,
-        service: ServiceSpec,
         caches: Sequence[EngineCache],
         moment_s: float,
     ) -> KeptPrefix:
-        stores = self._usable_stores(moment_s)
-        if self.throttle.is_due(moment_s):
-            self._update_throttle(service, stores, caches, moment_s)
-        share = self.throttle.share
-        min_tokens = min_moved_tokens(are_links_busy=share < 1)
-        store = store_for(prefix, stores, min_tokens=min_tokens)
-        saved_versions = functools.partial(
-            self._saved_versions, caches, moment_s
-        )
         return KeptPrefix(
-            store=store,
-            saved_versions=saved_versions(prefix.key),
-            root_versions=saved_versions(_root_at(prefix, store)),
-            saves_beside_root=share >= 1
-            or self.node_state.rng.random() < share,
-            min_tokens=min_tokens,
-        )
-
-    def _update_throttle(
-        self,
-        service: ServiceSpec,
-        stores: Sequence[CacheStoreSite],
-        caches: Sequence[EngineCache],
-        moment_s: float,
-    ) -> None:
-        self.throttle.update(
-            saves_per_s=self.node_state.saved_prefixes.saves_per_s(moment_s),
-            token_link_s=token_link_s(
-                service.kv_token_bytes,
-                stores,
-                [cache.zone for cache in caches],
-            ),
-            now_s=moment_s,
+            store=store_for(prefix, self._usable_stores(moment_s)),
+            saved_versions=self._saved_versions(prefix.key, caches, moment_s),
         )
 
     def _usable_stores(self, moment_s: float) -> Sequence[CacheStoreSite]:
@@ -171,11 +131,7 @@
         self.stores = stores
         self.node_state.store_health.follow([store.address for store in stores])
         self.usable_stores = [
-            CacheStoreSite(
-                address=store.address,
-                zone=store.zone,
-                link_bytes_per_s=store.link_bytes_per_s,
-            )
+            CacheStoreSite(address=store.address, zone=store.zone)
             for store in stores
             if store.address not in left_out
         ]
@@ -194,7 +150,7 @@
         self.left_out = left_out
 
     def _saved_versions(
-        self, caches: Sequence[EngineCache], moment_s: float, name: str
+        self, name: str, caches: Sequence[EngineCache], moment_s: float
     ) -> frozenset[int | None]:
         saved = self.node_state.saved_prefixes
         versions = {cache.weights_version for cache in caches}
@@ -227,25 +183,13 @@
 ) -> SharedPrefix:
     size = request_size_of(incoming)
     scope = cache_scope(configuration, incoming.team)
-    shared = incoming.parsed_headers.shared_segments
     return SharedPrefix(
         key=f'{scope}/{size.affinity_key}',
         tokens=size.shared_prefix_tokens,
         prompt_tokens=size.prompt_tokens,
-        root_key=f'{scope}/{shared[0].id}' if len(shared) > 1 else '',
     )
 
 
-def _root_at(prefix: SharedPrefix, store: CacheStoreSite | None) -> str:
-    """Return the name of the first segment of a prefix in one store.
-
-    It is empty where there is none.
-    """
-    if store is None or not prefix.root_key:
-        return ''
-    return f'{store.address}/{prefix.root_key}'
-
-
 def _can_fetch(service: ServiceSpec) -> bool:
     """Return whether the time of a fetch is known for a service."""
     return service.kv_token_bytes > 0 and service.link_bytes_per_s > 0
--- a/src/arbutusbay/platform/_operator_records.py
+++ b/src/arbutusbay/platform/_operator_records.py
@@ -275,8 +275,6 @@
         KVCacheStoreSpec(
             address=address,
             zone=zone if isinstance(zone, str) else '',
-            link_bytes_per_s=_get_optional_number(fields, 'link_mbps')
-            * _BYTES_PER_MEGABIT,
         )
     )
 
--- a/src/arbutusbay/prefixes/__init__.py
+++ b/src/arbutusbay/prefixes/__init__.py
@@ -5,12 +5,10 @@
     KeptPrefix,
     PrefixLoad,
     PrefixPlan,
-    min_moved_tokens,
     plan_prefix,
     store_for,
 )
 from arbutusbay.prefixes._popularity import PrefixPopularity
-from arbutusbay.prefixes._save_throttle import SaveThrottle
 from arbutusbay.prefixes._saved import (
     MAX_PREFIX_HASH,
     MAX_REPORTED,
@@ -22,7 +20,6 @@
     MAX_REPORTED_STORES,
     StoreHealth,
 )
-from arbutusbay.prefixes._transfers import token_link_s
 from arbutusbay.prefixes._types import (
     CacheStoreSite,
     EngineCache,
@@ -42,14 +39,11 @@
     'PrefixLoad',
     'PrefixPlan',
     'PrefixPopularity',
-    'SaveThrottle',
     'SavedPrefixes',
     'SavedReport',
     'SharedPrefix',
     'StoreHealth',
     'TransferSpec',
-    'min_moved_tokens',
     'plan_prefix',
     'store_for',
-    'token_link_s',
 )
--- a/src/arbutusbay/prefixes/_plan.py
+++ b/src/arbutusbay/prefixes/_plan.py
@@ -22,8 +22,6 @@
 
 # A new cache is half filled with what its engine is asked for after this.
 _FILL_HALF_LIFE_S = 2.0
-# Shorter prefixes are read before a transfer that waits for others is done.
-_MIN_TOKENS_OVER_BUSY_LINKS = 512
 # What a source may have dropped makes a fetch worth less.
 _SOURCE_HIT_SHARE = 0.9
 # A copy takes the place of as much that is read or fetched again later.
@@ -37,18 +35,12 @@
 class KeptPrefix:
     """Tell what is known of a prefix outside the engines.
 
-    ``store`` keeps it, None if there is no store or the prefix is too short to
-    be moved. It was saved lately for ``saved_versions`` of the weights, its
-    first segment for ``root_versions``. A prompt whose first segment was saved
-    is saved as well if this ``saves_beside_root``. A prefix of less than
-    ``min_tokens`` is not moved.
+    ``store`` keeps it, None if there is no store. It was saved lately for
+    ``saved_versions`` of the weights.
     """
 
     store: CacheStoreSite | None = None
     saved_versions: Collection[int | None] = ()
-    root_versions: Collection[int | None] = ()
-    saves_beside_root: bool = True
-    min_tokens: int = 1
 
 
 @attrs.frozen(kw_only=True)
@@ -133,10 +125,7 @@
         """Return the store that an engine saves to, empty for none."""
         if self.store is None or self.is_saved_for(engine_id):
             return ''
-        version = self.caches[engine_id].weights_version
-        is_new = version not in self.kept.root_versions
-        is_saving = is_new or self.kept.saves_beside_root
-        return self.store.address if is_saving else ''
+        return self.store.address
 
     def _own_share(self, cache: EngineCache) -> float:
         rank = self.owners.get(cache.id, len(self.owners))
@@ -166,7 +155,7 @@
 
         Reading holds up the other requests of an engine, a fetch doesn't.
         """
-        if self.prefix.tokens < self.kept.min_tokens:
+        if not self.prefix.tokens:
             return False
         fetch_s = self.transfer.token_s * zone_factor(source_zone, cache.zone)
         return fetch_s <= self.transfer.prefill_s_per_token
@@ -196,24 +185,15 @@
     )
 
 
-def min_moved_tokens(*, are_links_busy: bool) -> int:
-    """Return how many tokens a prefix must have to be moved."""
-    return _MIN_TOKENS_OVER_BUSY_LINKS if are_links_busy else 1
-
-
 def store_for(
-    prefix: SharedPrefix,
-    stores: Sequence[CacheStoreSite],
-    *,
-    min_tokens: int = 1,
+    prefix: SharedPrefix, stores: Sequence[CacheStoreSite]
 ) -> CacheStoreSite | None:
     """Return the store that keeps a prefix, None if none does.
 
-    None keeps a prefix of less than ``min_tokens``. Each prefix has one store,
-    whatever the engine, so that the stores together keep as much as they can
-    and the loss of an engine moves nothing.
+    Each prefix has one store, whatever the engine, so that the stores
+    together keep as much as they can and the loss of an engine moves nothing.
     """
-    if not stores or prefix.tokens < min_tokens:
+    if not stores or not prefix.tokens:
         return None
     by_address = {store.address: store for store in stores}
     return by_address[rank_by_rendezvous_hash(prefix.key, by_address)[0]]
--- a/src/arbutusbay/prefixes/_saved.py
+++ b/src/arbutusbay/prefixes/_saved.py
@@ -6,7 +6,6 @@
 """
 
 import enum
-import itertools
 from collections.abc import Iterable
 
 import attrs
@@ -16,7 +15,6 @@
 _TTL_S = 20.0
 # A report repeats what was learned in this time, as datagrams get lost.
 _REPORTED_S = 1.0
-_RATE_WINDOW_S = 2.0
 _MAX_ENTRIES = 8192
 MAX_REPORTED = 64
 MAX_PREFIX_HASH = 0xFFFFFFFF
@@ -78,14 +76,6 @@
         self._learn(report.saved, origin, now_s)
         self._learn(report.relayed, Origin.OTHER_ZONE, now_s)
 
-    def saves_per_s(self, now_s: float) -> float:
-        """Return how many saves a second this VM has learned of lately."""
-        recent = itertools.takewhile(
-            lambda entry: now_s - entry.learned_s < _RATE_WINDOW_S,
-            reversed(self.entries.values()),
-        )
-        return sum(1 for _ in recent) / _RATE_WINDOW_S
-
     def clear(self) -> None:
         """Forget all saves, as the stores are others now."""
         self.entries.clear()
--- a/src/arbutusbay/prefixes/_types.py
+++ b/src/arbutusbay/prefixes/_types.py
@@ -8,14 +8,12 @@
     """Identify the part of a prompt that other requests share.
 
     ``key`` names it and the scope of teams that may read it, whatever the
-    weights; ``root_key`` names its first segment alike, empty if it has no
-    other. ``prompt_tokens`` is the size of the whole prompt.
+    weights. ``prompt_tokens`` is the size of the whole prompt.
     """
 
     key: str
     tokens: int
     prompt_tokens: int = 0
-    root_key: str = ''
 
 
 @attrs.frozen(kw_only=True)
@@ -36,14 +34,10 @@
 
 @attrs.frozen(kw_only=True)
 class CacheStoreSite:
-    """Locate a store of KV cache outside the engines.
-
-    ``link_bytes_per_s`` is 0 if it isn't known.
-    """
+    """Locate a store of KV cache outside the engines."""
 
     address: str
     zone: str = ''
-    link_bytes_per_s: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
--- a/tests/prefix_builders.py
+++ b/tests/prefix_builders.py
@@ -79,13 +79,12 @@
     ``kept`` is what is known of the prefix in its store.
     """
     prefix = prefix or build_prefix()
-    store = store_for(prefix, stores, min_tokens=kept.get('min_tokens', 1))
     return plan_prefix(
         prefix,
         caches,
         [cache.id for cache in caches],
         transfer=attrs.evolve(TRANSFER, token_s=token_s or TRANSFER.token_s),
-        kept=KeptPrefix(store=store, **kept),
+        kept=KeptPrefix(store=store_for(prefix, stores), **kept),
         load=load or PrefixLoad(now_s=0.0),
     )
 
--- a/tests/unit/test_prefix_placement.py
+++ b/tests/unit/test_prefix_placement.py
@@ -14,7 +14,6 @@
 from arbutusbay.node._placement import PlacementRequest
 from arbutusbay.node._placer import Placer
 from arbutusbay.platform import decode_operator_record, parse_request_head
-from arbutusbay.prefixes import SavedReport
 from tests.fleet_builders import (
     ENGINE_HOST,
     ENGINE_SERVICE,
@@ -90,15 +89,6 @@
     return build_request(node_state, **headers)
 
 
-def build_saving_placer(node_state, *, share: float) -> Placer:
-    """Return a placer that keeps to a share of the saves."""
-    placer = Placer(node_state=node_state)
-    throttle = placer.prefix_planner.throttle
-    throttle.share = share
-    throttle.updated_s = float('inf')
-    return placer
-
-
 def send(placer, request, *, has_first_event=True):
     """Send a request and let it end; return its headers."""
     placement = placer.find_placement(request)
@@ -176,41 +166,6 @@
     assert node_state.store_health.due_checks(now_s()) == [STORE]
 
 
-async def test_beginning_is_saved_first_where_links_are_busy(node_state):
-    placer = build_saving_placer(node_state, share=0)
-    prompts = [f'a1:2500,b{subject}:3800,c3:2700' for subject in range(9)]
-    requests = [build_prompt_request(node_state, prompt) for prompt in prompts]
-    saved = [send(placer, request).kv_save_address for request in requests]
-    assert saved[0] == STORE
-    assert not any(saved[1:])
-
-
-async def test_all_is_saved_where_a_prompt_has_one_shared_segment(node_state):
-    placer = build_saving_placer(node_state, share=0)
-    for subject in ('b1', 'b2'):
-        prompt = f'{subject}:6300,c3:2700'
-        request = build_prompt_request(node_state, prompt)
-        assert send(placer, request).kv_save_address == STORE
-
-
-async def test_saves_of_the_fleet_that_fill_the_links_make_saves_rarer():
-    document = build_document()
-    document['services'][-1]['link_mbps'] = 400_000.0
-    node_state = build_node_state(document)
-    placer = Placer(node_state=node_state)
-    send(placer, build_request(node_state))
-    throttle = placer.prefix_planner.throttle
-    assert throttle.share == 1
-    hashes = tuple(range(200))
-    # However slow this machine is, they are recent when the request comes.
-    node_state.saved_prefixes.merge(
-        SavedReport(saved=hashes), now_s() + 60, is_own_zone=True
-    )
-    throttle.updated_s -= 10
-    send(placer, build_request(node_state))
-    assert throttle.share < 1
-
-
 async def test_isolated_team_shares_neither_salt_nor_saves(node_state):
     placer = Placer(node_state=node_state)
     team = TeamSpec(
--- a/tests/unit/test_shared_prefixes.py
+++ b/tests/unit/test_shared_prefixes.py
@@ -17,7 +17,6 @@
     PrefixLoad,
     PrefixPopularity,
     SharedPrefix,
-    min_moved_tokens,
 )
 
 SUBJECTS = tuple(f'shared/subject-{number}' for number in range(700))
@@ -185,16 +184,6 @@
     assert new.read_tokens(owner) == expected
 
 
-def build_short_plan(tokens, stores, *, are_links_busy):
-    """Return the plan of a long prompt that shares so many tokens."""
-    return build_plan(
-        build_caches(),
-        prefix=SharedPrefix(key='a1', tokens=tokens, prompt_tokens=9000),
-        stores=stores,
-        min_tokens=min_moved_tokens(are_links_busy=are_links_busy),
-    )
-
-
 def test_prefix_that_no_store_got_is_read_and_saved():
     unsaved = build_plan(build_caches(), saved_versions={2})
     saved = build_plan(build_caches(), saved_versions={1})
@@ -205,37 +194,15 @@
 
 
 @pytest.mark.parametrize('stores', [STORES, ()])
-@pytest.mark.parametrize(
-    ('tokens', 'are_links_busy'), [(0, False), (0, True), (200, True)]
-)
-def test_request_with_no_or_a_short_shared_prefix_moves_nothing(
-    tokens, are_links_busy, stores
-):
-    plan = build_short_plan(tokens, stores, are_links_busy=are_links_busy)
+def test_request_without_a_shared_prefix_moves_nothing(stores):
+    prefix = SharedPrefix(key='a1', tokens=0, prompt_tokens=9000)
+    plan = build_plan(build_caches(), prefix=prefix, stores=stores)
     for name in plan.caches:
         assert not plan.source_of(name)
         assert not plan.save_address(name)
     assert plan.read_tokens(next(iter(plan.owners))) == 0
 
 
-# Guards against short prefixes that are read again though the links are free.
-def test_short_prefix_is_moved_over_free_links():
-    plan = build_short_plan(200, STORES, are_links_busy=False)
-    for name in plan.caches:
-        assert plan.source_of(name)
-        assert plan.save_address(name) == plan.source_of(name)
-
-
-def test_only_new_beginnings_are_saved_where_not_all_is():
-    for root_versions, is_saved in (((), True), ({2}, True), ({1}, False)):
-        plan = build_plan(
-            build_caches(), root_versions=root_versions, saves_beside_root=False
-        )
-        assert bool(plan.save_address('engine-0')) == is_saved
-    plan = build_plan(build_caches(), root_versions={1})
-    assert plan.save_address('engine-0')
-
-
 def test_owner_with_too_much_load_takes_none():
     caches = build_caches()
     owner, second, *_ = build_plan(caches).owners
