--- a/src/arbutusbay/prefixes/_plan.py
+++ b/src/arbutusbay/prefixes/_plan.py
@@ -24,7 +24,7 @@
 _FILL_HALF_LIFE_S = 2.0
 # What a source may have dropped makes a fetch worth less.
 _SOURCE_HIT_SHARE = 0.9
-# A copy takes the place of as much that is read or fetched again later.
+# The engines behind the owner are cheaper the earlier they come.
 _COPY_COST_DECAY = 0.5
 # An engine with more than this times the mean attempts comes last for now.
 _MAX_LOAD_FACTOR = 1.5
@@ -101,8 +101,9 @@
     def copy_cost_tokens(self, engine_id: str) -> float:
         """Return what another copy costs, as a number of prompt tokens.
 
-        The engines behind the owner are cheaper the earlier they come, so
-        that few of them hold the prefix.
+        It takes the place of as much that is read or fetched again later. The
+        engines behind the owner are cheaper the earlier they come, so that few
+        of them hold the prefix.
         """
         rank = self.owners.get(engine_id, len(self.owners))
         excess = max(0, rank - self.load.replicas + 1)
