--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -6,6 +6,7 @@
 test -d target/deps || { echo 'run the build of deploy/system.toml first' >&2; exit 1; }
 PYTHONPATH="target/deps:src:review:." PYTHONDONTWRITEBYTECODE=1 python3 -c '
 import emulator.fleet, emulator.fleet_engine, emulator.store
+import review.lib_2.deployment
 from lib_3 import deployment
 '
 PYTHONDONTWRITEBYTECODE=1 python3 -c '
