--- a/review/lib_3/lost_answers.py
+++ b/review/lib_3/lost_answers.py
@@ -24,6 +24,7 @@
 from emulator.fleet import running_fleet, wait_for_condition  # noqa: E402
 from emulator.fleet_engine import EngineOptions, FleetEngine  # noqa: E402
 from lib_3 import deployment  # noqa: E402
+from lib_3.running import run  # noqa: E402
 
 HAS_TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 RECORD = Path(sys.argv[1]) / 'record.txt'
@@ -337,9 +338,7 @@
 def main() -> int:
     try:
         with tempfile.TemporaryDirectory() as directory:
-            asked, engines = asyncio.run(
-                asyncio.wait_for(play(Path(directory)), 108)
-            )
+            asked, engines = run(play(Path(directory)), 108)
     except Exception as error:
         print(f'could not run: {error!r}')
         with contextlib.suppress(OSError):
